Serve one request end to end, each part its own process

Entry (HTTP) -> scheduler (Cap'n Proto RPC) -> worker (HTTP), with stand-ins for store, VM list and workers.

--- /dev/null
+++ b/flamingoseam/daemon/daemon.cpp
@@ -0,0 +1,45 @@
+#include "flamingoseam/daemon/daemon.hpp"
+
+#include "flamingoseam/core/error.hpp"
+#include "flamingoseam/log/log.hpp"
+
+#include <sodium.h>
+
+#include <iostream>
+
+namespace flamingoseam {
+
+sigset_t block_end_signals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+    return signals;
+}
+
+void wait_for_end(const sigset_t& signals)
+{
+    int received = 0;
+    sigwait(&signals, &received);
+}
+
+int run_daemon(const char* program, const std::function<void()>& body)
+{
+    init_logging(program);
+    if (sodium_init() < 0) {
+        std::cerr << "libsodium can't be used\n";
+        return 1;
+    }
+    try {
+        body();
+    } catch (const std::exception& cause) {
+        std::cerr << cause.what() << '\n';
+        return 1;
+    }
+    return 0;
+}
+
+} // namespace flamingoseam
--- /dev/null
+++ b/flamingoseam/http/http_server.hpp
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "flamingoseam/core/clock.hpp"
+
+#include <cxxtools/eventloop.h>
+#include <cxxtools/http/server.h>
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+
+namespace flamingoseam {
+
+/// A request as a handler sees it.
+struct http_request {
+    std::string method;
+    std::string path;
+    std::map<std::string, std::string> query;
+    std::string body;
+    std::string authorization; ///< The value of the Authorization header.
+    std::string traceparent;   ///< The value of the W3C traceparent header.
+    bool body_too_large = false;
+
+    /// Returns the query parameter `name`, or `fallback` when it is absent.
+    [[nodiscard]] std::string query_or(const std::string& name, const std::string& fallback) const;
+};
+
+/// What a handler answers.
+struct http_response {
+    int status = 200;
+    std::string body;
+    std::string content_type = "application/json";
+    bool close_without_answer = false; ///< Stand-ins use it to lose an answer.
+};
+
+using http_handler = std::function<http_response(const http_request&)>;
+
+/// How a server listens and what it tolerates.
+struct http_server_options {
+    std::string address;                                     ///< An IP number.
+    unsigned short port = 0;                                 ///< 1 to 65535.
+    unsigned max_threads = 64;                               ///< Requests handled at one time.
+    std::size_t max_body_bytes = 1'000'000;                  ///< Longer bodies are refused by 413.
+    milliseconds read_timeout = std::chrono::seconds(10);    ///< For a slow sender.
+    milliseconds keep_alive_timeout = std::chrono::hours(1); ///< Idle connections are closed.
+};
+
+namespace detail {
+class handler_service;
+}
+
+/// An HTTP/1.1 server on threads of its own, built on cxxtools.
+class http_server {
+public:
+    /// Listens at once and passes every request to `handler`, from several threads.
+    /// Throws transport_error (id 301) when the address can't be bound.
+    http_server(const http_server_options& options, http_handler handler);
+
+    /// Stops listening and waits for handlers that still run.
+    ~http_server();
+
+    http_server(const http_server&) = delete;
+    http_server& operator=(const http_server&) = delete;
+
+private:
+    std::unique_ptr<detail::handler_service> service_;
+    cxxtools::EventLoop loop_;
+    std::unique_ptr<cxxtools::http::Server> server_;
+    std::thread thread_;
+};
+
+} // namespace flamingoseam
--- /dev/null
+++ b/flamingoseam/scheduler/owned_shard.cpp
@@ -0,0 +1,163 @@
+#include "flamingoseam/scheduler/owned_shard.hpp"
+
+#include "flamingoseam/log/log.hpp"
+
+#include <glog/logging.h>
+
+namespace flamingoseam {
+
+owned_shard::owned_shard(shard_entry entry, std::unique_ptr<shard_state> state, post_step post,
+                         milliseconds worker_lease)
+    : entry_(std::move(entry)), state_(std::move(state)), post_(std::move(post)),
+      worker_lease_(worker_lease)
+{
+}
+
+owned_shard::~owned_shard()
+{
+    for (auto& [address, link] : links_) {
+        link->request_stop();
+    }
+}
+
+std::uint64_t owned_shard::keep(scheduler_service::reply_outcome reply)
+{
+    const auto token = next_token_++;
+    replies_.emplace(token, std::move(reply));
+    return token;
+}
+
+void owned_shard::open_link(const vm_entry& vm)
+{
+    if (links_.contains(vm.address)) {
+        return;
+    }
+    const worker_link_options options{.worker = endpoint_from_string(vm.address),
+                                      .shard = entry_.shard,
+                                      .owner = entry_.owner,
+                                      .epoch = entry_.epoch,
+                                      .lease = worker_lease_};
+    links_.emplace(vm.address, std::make_unique<http_worker_link>(options, *this));
+}
+
+void owned_shard::take_vm_list(const std::vector<vm_entry>& vms, time_point time)
+{
+    for (const auto& worker : state_->pool().workers()) {
+        last_listed_.try_emplace(worker.address, time);
+    }
+    for (const auto& vm : vms) {
+        last_listed_[vm.address] = time;
+    }
+    state_->on_vm_list(vms, time);
+    for (const auto& vm : vms) {
+        open_link(vm);
+    }
+    for (auto it = last_listed_.begin(); it != last_listed_.end();) {
+        if (time - it->second > worker_lease_ + worker_lease_ / 4) {
+            state_->on_worker_lost(it->first, time);
+            const auto link = links_.find(it->first);
+            if (link != links_.end()) {
+                link->second->request_stop();
+                retired_links_.push_back(std::move(link->second));
+                links_.erase(link);
+            }
+            it = last_listed_.erase(it);
+        } else {
+            ++it;
+        }
+    }
+}
+
+std::vector<share_wish> owned_shard::dispatch()
+{
+    auto actions = state_->take_actions();
+    journal_wanted |= actions.journal;
+    for (const auto& action : actions.starts) {
+        const auto link = links_.find(action.worker);
+        if (link != links_.end()) {
+            link->second->start(action.task);
+        }
+    }
+    for (const auto& action : actions.controls) {
+        const auto link = links_.find(action.worker);
+        if (link != links_.end()) {
+            link->second->control(action.stop);
+        }
+    }
+    for (auto& action : actions.answers) {
+        const auto reply = replies_.find(action.token);
+        if (reply != replies_.end()) {
+            reply->second(std::move(action.result));
+            replies_.erase(reply);
+        }
+    }
+    return std::move(actions.wishes);
+}
+
+void owned_shard::abandon()
+{
+    for (auto& [address, link] : links_) {
+        link->request_stop();
+    }
+    state_->abandon();
+    dispatch();
+    for (auto& waiting : confirmations) {
+        waiting.reply(false);
+    }
+    confirmations.clear();
+    for (auto& [token, reply] : replies_) {
+        reply({.what = verdict::may_have_run,
+               .reason = "owner_changed",
+               .detail = "the owner of the shard changed before the end"});
+    }
+    replies_.clear();
+}
+
+void owned_shard::on_report(const std::string& address, const command_answer& report)
+{
+    post_([address, report](owned_shard& shard) {
+        shard.state_->on_report(address, report, now());
+        const auto link = shard.links_.find(address);
+        if (link != shard.links_.end()) {
+            link->second->resume();
+        }
+    });
+}
+
+void owned_shard::on_start_result(const std::string& address, const start_result& result)
+{
+    if (result.started) {
+        return;
+    }
+    post_([address, result](owned_shard& shard) {
+        shard.state_->on_start_result(address, result, now());
+    });
+}
+
+void owned_shard::on_event(const std::string& address, const task_event& event)
+{
+    post_([address, event](owned_shard& shard) { shard.state_->on_event(address, event, now()); });
+}
+
+void owned_shard::on_lost(const std::string& address)
+{
+    post_([address](owned_shard& shard) {
+        const log_scope scope({.worker = address, .shard = shard.entry_.shard});
+        LOG(WARNING) << "worker is lost: its lease has lapsed without an answer";
+        shard.state_->on_worker_lost(address, now());
+    });
+}
+
+void owned_shard::on_stale(const std::string& address, std::uint64_t newest_epoch)
+{
+    post_([address, newest_epoch](owned_shard& shard) {
+        if (newest_epoch > shard.entry_.epoch && !shard.superseded) {
+            const log_scope scope({.worker = address, .shard = shard.entry_.shard});
+            LOG(WARNING) << "worker has seen epoch " << newest_epoch << ", ours is "
+                         << shard.entry_.epoch;
+            shard.superseded = true;
+        }
+    });
+}
+
+} // namespace flamingoseam
--- /dev/null
+++ b/flamingoseam/shard/shard_schedule.cpp
@@ -0,0 +1,695 @@
+#include "flamingoseam/shard/shard_state.hpp"
+
+#include <algorithm>
+
+namespace flamingoseam {
+
+namespace {
+
+constexpr int call_scan_depth = 64;
+constexpr int other_scan_depth = 8;
+constexpr int overdue_divisor = 2; ///< Work is overdue after this part of its longest wait.
+constexpr milliseconds gang_patience{500};
+
+/// Ranks of queues; a lower rank is served first.
+constexpr int rank_call = 0;
+constexpr int rank_overdue = 1;
+constexpr int rank_service = 2;
+constexpr int rank_gang = 3;
+constexpr int rank_batch = 4;
+constexpr int rank_count = 5;
+
+int rank_of(work_class cls)
+{
+    switch (cls) {
+    case work_class::call:
+        return rank_call;
+    case work_class::service:
+        return rank_service;
+    case work_class::gang:
+        return rank_gang;
+    case work_class::batch:
+        break;
+    }
+    return rank_batch;
+}
+
+bool is_any_left(const resources& amount)
+{
+    return !(max(amount, {}) == resources());
+}
+
+} // namespace
+
+resources shard_state::share_limit(const contract& terms) const
+{
+    return amount_of(terms.ceiling, shares_.parts_of(terms.customer));
+}
+
+resources shard_state::guarantee(const contract& terms) const
+{
+    return amount_of(terms.guaranteed, shares_.parts_of(terms.customer));
+}
+
+customer_usage shard_state::usage_of(const std::string& customer) const
+{
+    const auto found = usage_.find(customer);
+    return found == usage_.end() ? customer_usage{} : found->second;
+}
+
+resources shard_state::task_size(const work_request& request) const
+{
+    auto size = estimates_.size(request.customer, request.kind, request.size);
+    if (!pool_.could_ever_fit(size)) {
+        return request.size;
+    }
+    return size;
+}
+
+resources shard_state::unfenced_potential() const
+{
+    resources sum;
+    if (unfenced_ == 0 || options_.epoch == 1) {
+        return sum;
+    }
+    resources largest;
+    for (const auto& worker : pool_.workers()) {
+        largest = max(largest, worker.capacity);
+    }
+    for (const auto& worker : pool_.workers()) {
+        if (worker.status != worker_status::unfenced) {
+            continue;
+        }
+        const auto known = roster_.find(worker.address);
+        sum += known == roster_.end() ? largest : known->second;
+    }
+    return sum;
+}
+
+bool shard_state::has_ceiling_room(const contract& terms, const resources& size) const
+{
+    const auto used = usage_of(terms.customer).total + unfenced_potential();
+    return fits(used + size, share_limit(terms));
+}
+
+bool shard_state::is_guaranteed(const contract& terms, work_class cls, const resources& size) const
+{
+    const auto usage = usage_of(terms.customer);
+    const auto& counted = terms.yields(cls) ? usage.total : usage.firm;
+    return fits(counted + size, guarantee(terms));
+}
+
+resources shard_state::call_headroom(const contract& terms) const
+{
+    const auto usage = usage_of(terms.customer);
+    const auto promised = max(guarantee(terms) - usage.firm, {});
+    return min(max(usage.call_peak - usage.calls, {}), promised);
+}
+
+bool shard_state::leaves_headroom(const contract& terms, work_class cls, const resources& size,
+                                  bool guaranteed) const
+{
+    resources kept;
+    if (cls != work_class::call) {
+        kept += call_headroom(terms);
+    }
+    if (!guaranteed) {
+        for (const auto& [customer, usage] : usage_) {
+            const auto* other = contracts_.find(customer);
+            if (other != nullptr && customer != terms.customer) {
+                kept += call_headroom(*other);
+            }
+        }
+    }
+    return kept == resources() || fits(size + kept, pool_.active_free());
+}
+
+bool shard_state::leaves_guarantees(const contract& terms, const resources& size) const
+{
+    resources promised;
+    auto reachable = pool_.active_free();
+    for (const auto& [customer, usage] : usage_) {
+        const auto* other = contracts_.find(customer);
+        if (other == nullptr) {
+            continue;
+        }
+        const auto theirs = guarantee(*other);
+        reachable += min(usage.total - usage.firm, max(usage.total - theirs, {}));
+        if (customer != terms.customer) {
+            promised += max(theirs - usage.total, {});
+        }
+    }
+    return fits(size + promised, reachable);
+}
+
+std::string shard_state::hold_reason(const contract& terms, const request_record& record,
+                                     const resources& size) const
+{
+    const auto cls = record.request.cls;
+    if (!has_ceiling_room(terms, size)) {
+        return "ceiling";
+    }
+    const bool guaranteed = is_guaranteed(terms, cls, size);
+    if (!leaves_headroom(terms, cls, size, guaranteed)) {
+        return "headroom";
+    }
+    if (!guaranteed && !terms.yields(cls) && !leaves_guarantees(terms, size)) {
+        return "others_guarantee";
+    }
+    return {};
+}
+
+bool shard_state::is_overdue(const request_record& record, time_point time) const
+{
+    const auto* terms = terms_of(record);
+    return terms != nullptr && is_job(record) &&
+           time - record.submitted > terms->wait_of(record.request.cls) / overdue_divisor;
+}
+
+std::vector<shard_state::active_queue> shard_state::active_queues(time_point time)
+{
+    std::vector<active_queue> active;
+    for (auto& [key, queue] : queues_) {
+        const auto* terms = contracts_.find(key.customer);
+        if (queue.items.empty() || terms == nullptr) {
+            continue;
+        }
+        const auto used = usage_of(key.customer).total;
+        const auto promised = guarantee(*terms);
+        auto share = dominant_share(used, promised);
+        if (!fits(used, promised)) {
+            share = 1.0 + dominant_share(used, terms->ceiling) / terms->weight;
+        }
+        const bool overdue = is_overdue(*queue.items.front(), time);
+        active.push_back({.key = key,
+                          .queue = &queue,
+                          .rank = overdue ? rank_overdue : rank_of(key.cls),
+                          .share = share});
+    }
+    std::ranges::stable_sort(
+        active, {}, [](const active_queue& one) { return std::pair(one.rank, one.share); });
+    return active;
+}
+
+void shard_state::schedule(time_point time)
+{
+    ++counts_.passes;
+    auto active = active_queues(time);
+    for (int rank = 0; rank < rank_count; ++rank) {
+        while (place_round(active, rank, time)) {
+        }
+    }
+}
+
+bool shard_state::place_round(std::vector<active_queue>& active, int rank, time_point time)
+{
+    bool progress = false;
+    for (auto& one : active) {
+        if (one.rank != rank || one.blocked || one.queue->items.empty()) {
+            continue;
+        }
+        one.blocked = !place_some(one, time);
+        progress |= !one.blocked;
+    }
+    return progress;
+}
+
+bool shard_state::place_some(active_queue& active, time_point time)
+{
+    const auto* terms = contracts_.find(active.key.customer);
+    int depth = active.key.cls == work_class::call ? call_scan_depth : other_scan_depth;
+    auto item = active.queue->items.begin();
+    while (item != active.queue->items.end() && depth-- > 0) {
+        auto& record = **item++;
+        const auto result = record.request.cls == work_class::gang
+                                ? place_gang(record, *terms, time)
+                                : place_one(record, *terms, time);
+        if (result == placing::placed) {
+            return true;
+        }
+        if (result == placing::blocked && record.held_by != "yielding" &&
+            active.key.cls == work_class::call) {
+            return false;
+        }
+    }
+    return false;
+}
+
+placement_policy& shard_state::policy_for(work_class cls)
+{
+    if (cls == work_class::call) {
+        return *policies_.calls;
+    }
+    return cls == work_class::service ? *policies_.services : *policies_.packing;
+}
+
+placement_query shard_state::make_query(const request_record& record, const contract& terms) const
+{
+    placement_query query{.size = {}, .zones = terms.zones, .spread = nullptr, .skip = {}};
+    const bool may_probe = record.request.idempotent;
+    const bool may_use_held = hold_.record == nullptr || hold_.record == &record ||
+                              record.request.cls == work_class::call;
+    if ((probing_.empty() || may_probe) && may_use_held) {
+        return query;
+    }
+    query.skip = [this, may_probe, may_use_held](std::size_t worker) {
+        return (!may_probe && probing_.contains(worker)) ||
+               (!may_use_held && hold_.workers.contains(worker));
+    };
+    return query;
+}
+
+job_spread shard_state::spread_of(const request_record& record) const
+{
+    job_spread spread;
+    for (const auto& slot : record.tasks) {
+        if (slot.phase == task_phase::started) {
+            const auto& worker = pool_.at(slot.worker);
+            ++spread.per_rack[worker.rack];
+            ++spread.per_zone[worker.zone];
+        }
+    }
+    return spread;
+}
+
+shard_state::placing shard_state::place_one(request_record& record, const contract& terms,
+                                            time_point time)
+{
+    const auto cls = record.request.cls;
+    const auto index = record.waiting.front();
+    if (index >= record.opened) {
+        record.held_by = "window";
+        open_window(record);
+        return placing::retry_later;
+    }
+    if (time < record.not_before) {
+        record.held_by = "backoff";
+        return placing::retry_later;
+    }
+    const auto size = task_size(record.request);
+    const auto key = key_of(record.request.customer, record.request.request_id);
+    const auto claim = claims_.find(key);
+    if (claim != claims_.end()) {
+        const auto& worker = pool_.at(claim->second.worker);
+        if (!worker.accepts() || time > claim->second.expires) {
+            drop_claim(record);
+        } else if (!fits(size, worker.free() + claim->second.size) ||
+                   !has_ceiling_room(terms, size)) {
+            record.held_by = "yielding";
+            return placing::blocked;
+        } else {
+            const auto chosen = claim->second.worker;
+            drop_claim(record);
+            start_task(record, index, chosen, time);
+            return placing::placed;
+        }
+    }
+    record.held_by = hold_reason(terms, record, size);
+    if (record.held_by == "ceiling") {
+        wish_for_share(terms, size);
+        if (!terms.yields(cls) && make_room(record, terms, true, time)) {
+            record.held_by = "yielding";
+        }
+    }
+    if (!record.held_by.empty()) {
+        return placing::blocked;
+    }
+    auto query = make_query(record, terms);
+    query.size = size;
+    const auto spread = cls == work_class::service ? spread_of(record) : job_spread();
+    query.spread = &spread;
+    if (const auto worker = policy_for(cls).choose(pool_, query)) {
+        start_task(record, index, *worker, time);
+        return placing::placed;
+    }
+    record.held_by = "no_room";
+    if (is_guaranteed(terms, cls, size) && make_room(record, terms, false, time)) {
+        record.held_by = "yielding";
+    }
+    return placing::blocked;
+}
+
+shard_state::placing shard_state::place_gang(request_record& record, const contract& terms,
+                                             time_point time)
+{
+    if (record.opened < record.request.tasks) {
+        record.held_by = "window";
+        open_window(record);
+        return placing::retry_later;
+    }
+    if (time < record.not_before) {
+        record.held_by = "backoff";
+        return placing::retry_later;
+    }
+    const auto size = task_size(record.request);
+    const auto count = static_cast<int>(record.waiting.size());
+    record.held_by = hold_reason(terms, record, size * count);
+    if (record.held_by == "ceiling") {
+        wish_for_share(terms, size * count);
+    }
+    if (!record.held_by.empty() && record.held_by != "headroom") {
+        return placing::blocked;
+    }
+    auto query = make_query(record, terms);
+    query.size = size;
+    std::vector<std::size_t> workers;
+    if (record.held_by.empty()) {
+        workers = place_all_or_none(pool_, *policies_.packing, query, count);
+    }
+    if (workers.empty()) {
+        record.held_by = "gang";
+        hold_for_gang(record, terms, time);
+        return placing::blocked;
+    }
+    for (const auto worker : workers) {
+        pool_.release(worker, size);
+        start_task(record, record.waiting.front(), worker, time);
+    }
+    if (hold_.record == &record) {
+        hold_ = {};
+    }
+    return placing::placed;
+}
+
+void shard_state::start_task(request_record& record, int index, std::size_t worker, time_point time)
+{
+    auto& slot = record.tasks.at(static_cast<std::size_t>(index));
+    const auto size = task_size(record.request);
+    if (slot.attempt == 0) {
+        waits_.at(static_cast<std::size_t>(record.request.cls))
+            .push_back(std::chrono::duration_cast<milliseconds>(time - record.submitted));
+    }
+    ++slot.attempt;
+    slot.phase = task_phase::started;
+    slot.task_id = task_id_of(record, index);
+    slot.worker = worker;
+    slot.reserved = size;
+    slot.began = time;
+    slot.yielding = false;
+    pool_.reserve(worker, size);
+    change_usage(record, size, 1);
+    running_.emplace(slot.task_id, task_ref{&record, index});
+    running_on_.at(worker).insert(slot.task_id);
+    record.waiting.pop_front();
+    --queues_[{record.request.customer, record.request.cls}].waiting_tasks;
+    if (record.waiting.empty()) {
+        dequeue(record);
+    }
+    if (probing_.erase(worker) > 0) {
+        set_status(worker, worker_status::quarantined);
+    }
+    ++counts_.starts;
+    const auto& request = record.request;
+    actions_.starts.push_back({.worker = pool_.at(worker).address,
+                               .task = {.task_id = slot.task_id,
+                                        .customer = request.customer,
+                                        .request_id = request.request_id,
+                                        .index = index,
+                                        .cls = request.cls,
+                                        .kind = request.kind,
+                                        .payload = request.payload,
+                                        .traceparent = request.traceparent,
+                                        .size = size,
+                                        .idempotent = request.idempotent}});
+}
+
+std::string shard_state::task_id_of(const request_record& record, int index) const
+{
+    const auto attempt = record.tasks.at(static_cast<std::size_t>(index)).attempt;
+    return key_of(record.request.customer, record.request.request_id) + "/" +
+           std::to_string(index) + "/" + std::to_string(options_.epoch) + "." +
+           std::to_string(attempt);
+}
+
+void shard_state::open_window(request_record& record)
+{
+    const bool whole = record.request.cls != work_class::batch;
+    const auto wanted =
+        whole ? record.request.tasks
+              : std::min(record.request.tasks, record.waiting.front() + options_.task_window);
+    if (record.opening >= wanted || !store_available_) {
+        return;
+    }
+    record.opening = wanted;
+    request_journal({.what = pending_write::purpose::open,
+                     .sequence = journal_sequence_ + 1,
+                     .key = key_of(record.request.customer, record.request.request_id),
+                     .result = {}});
+}
+
+void shard_state::enqueue(request_record& record)
+{
+    if (record.queued || record.waiting.empty()) {
+        return;
+    }
+    auto& queue = queues_[{record.request.customer, record.request.cls}];
+    queue.items.push_back(&record);
+    queue.waiting_tasks += static_cast<int>(record.waiting.size());
+    record.queued = true;
+}
+
+void shard_state::dequeue(request_record& record)
+{
+    drop_claim(record);
+    if (hold_.record == &record) {
+        hold_ = {};
+    }
+    if (!record.queued) {
+        return;
+    }
+    auto& queue = queues_[{record.request.customer, record.request.cls}];
+    queue.waiting_tasks -= static_cast<int>(record.waiting.size());
+    queue.items.erase(std::ranges::find(queue.items, &record));
+    record.queued = false;
+}
+
+void shard_state::wish_for_share(const contract& terms, const resources& missing)
+{
+    const auto used = usage_of(terms.customer).total;
+    const auto needed = parts_for(used + missing, terms.ceiling);
+    const auto have = shares_.parts_of(terms.customer);
+    if (needed > have && needed <= whole_share) {
+        actions_.wishes.push_back({.customer = terms.customer, .parts = needed - have});
+    }
+}
+
+std::int64_t shard_state::give_share(const share_transfer& request)
+{
+    const auto* terms = contracts_.find(request.customer);
+    if (terms == nullptr) {
+        return 0;
+    }
+    auto wanted = usage_of(request.customer).total + unfenced_potential();
+    for (const auto& [key, queue] : queues_) {
+        if (key.customer == request.customer && !queue.items.empty()) {
+            wanted += queue.items.front()->request.size * queue.waiting_tasks;
+        }
+    }
+    const auto needed = parts_for(wanted, max(terms->ceiling, wanted));
+    const auto given = shares_.give(request, shares_.parts_of(request.customer) - needed);
+    if (given > 0) {
+        actions_.journal = true;
+    }
+    return given;
+}
+
+void shard_state::receive_share(const share_transfer& transfer, time_point time)
+{
+    if (shares_.receive(transfer)) {
+        actions_.journal = true;
+        schedule(time);
+    }
+}
+
+void shard_state::hold_for_gang(request_record& record, const contract& terms, time_point time)
+{
+    if (hold_.record != nullptr || time - record.submitted < gang_patience) {
+        return;
+    }
+    const auto size = task_size(record.request);
+    std::vector<std::pair<std::int64_t, std::size_t>> candidates;
+    for (std::size_t i = 0; i < pool_.size(); ++i) {
+        const auto& worker = pool_.at(i);
+        const bool allowed =
+            terms.zones.empty() || std::ranges::find(terms.zones, worker.zone) != terms.zones.end();
+        if (worker.accepts() && allowed && fits(size, worker.capacity)) {
+            candidates.emplace_back(worker.reserved.milli_cpus, i);
+        }
+    }
+    std::ranges::sort(candidates);
+    auto missing = static_cast<std::int64_t>(record.waiting.size());
+    gang_hold hold{.record = &record, .workers = {}, .expires = time + options_.gang_hold};
+    for (const auto& [used, worker] : candidates) {
+        if (missing <= 0) {
+            break;
+        }
+        hold.workers.insert(worker);
+        auto room = pool_.at(worker).capacity;
+        while (missing > 0 && fits(size, room)) {
+            room -= size;
+            --missing;
+        }
+    }
+    if (missing > 0) {
+        return;
+    }
+    hold_ = std::move(hold);
+    if (is_guaranteed(terms, record.request.cls, size * static_cast<int>(record.waiting.size()))) {
+        yield_on_held(record, time);
+    }
+}
+
+void shard_state::yield_on_held(const request_record& record, time_point time)
+{
+    std::vector<task_ref> victims;
+    for (const auto worker : hold_.workers) {
+        for (const auto& task_id : running_on_.at(worker)) {
+            const auto& task = running_.at(task_id);
+            if (may_yield(task, record, false)) {
+                victims.push_back(task);
+            }
+        }
+    }
+    for (const auto& victim : victims) {
+        if (may_yield(victim, record, false)) {
+            yield(victim, time);
+        }
+    }
+}
+
+bool shard_state::make_room(request_record& record, const contract& terms, bool own_only,
+                            time_point time)
+{
+    const auto size = task_size(record.request);
+    std::optional<std::size_t> best;
+    std::vector<task_ref> best_victims;
+    for (std::size_t i = 0; i < pool_.size(); ++i) {
+        const auto& worker = pool_.at(i);
+        const bool allowed =
+            terms.zones.empty() || std::ranges::find(terms.zones, worker.zone) != terms.zones.end();
+        if (!worker.accepts() || !allowed || !fits(size, worker.capacity)) {
+            continue;
+        }
+        auto victims = victims_on(i, record, size, own_only);
+        if (victims && (!best || victims->size() < best_victims.size())) {
+            best = i;
+            best_victims = std::move(*victims);
+        }
+    }
+    if (!best) {
+        return false;
+    }
+    pool_.claim(*best, size);
+    claims_[key_of(record.request.customer, record.request.request_id)] = {
+        .worker = *best, .size = size, .expires = time + std::chrono::seconds(3)};
+    for (const auto& victim : best_victims) {
+        yield(victim, time);
+    }
+    return true;
+}
+
+std::optional<std::vector<shard_state::task_ref>>
+shard_state::victims_on(std::size_t worker, const request_record& claimant, const resources& size,
+                        bool own_only) const
+{
+    auto room = pool_.at(worker).free();
+    std::vector<task_ref> candidates;
+    for (const auto& task_id : running_on_.at(worker)) {
+        const auto& task = running_.at(task_id);
+        const auto& slot = task.record->tasks.at(static_cast<std::size_t>(task.index));
+        if (slot.yielding) {
+            room += slot.reserved;
+        } else if (may_yield(task, claimant, own_only)) {
+            candidates.push_back(task);
+        }
+    }
+    const auto order = [this](const task_ref& task) {
+        const auto* terms = terms_of(*task.record);
+        const auto place = std::ranges::find(terms->yield_order, task.record->request.cls);
+        const auto& slot = task.record->tasks.at(static_cast<std::size_t>(task.index));
+        return std::pair(place - terms->yield_order.begin(), -slot.began.time_since_epoch());
+    };
+    std::ranges::sort(candidates, {}, order);
+    std::vector<task_ref> victims;
+    for (const auto& task : candidates) {
+        if (fits(size, room)) {
+            break;
+        }
+        room += task.record->tasks.at(static_cast<std::size_t>(task.index)).reserved;
+        victims.push_back(task);
+    }
+    if (!fits(size, room) || (own_only && victims.empty())) {
+        return std::nullopt;
+    }
+    return victims;
+}
+
+bool shard_state::may_yield(const task_ref& task, const request_record& claimant,
+                            bool own_only) const
+{
+    const auto& owner = task.record->request;
+    const auto* terms = contracts_.find(owner.customer);
+    const auto& slot = task.record->tasks.at(static_cast<std::size_t>(task.index));
+    if (terms == nullptr || slot.yielding || slot.cancelling || !terms->yields(owner.cls)) {
+        return false;
+    }
+    const bool can_resume = owner.idempotent || terms->yields_by == yield_method::checkpoint;
+    if (!can_resume) {
+        return false;
+    }
+    if (owner.customer == claimant.request.customer) {
+        return !terms->yields(claimant.request.cls);
+    }
+    const auto usage = usage_of(owner.customer);
+    return !own_only && is_any_left(usage.total - usage.yielding - guarantee(*terms));
+}
+
+void shard_state::yield(const task_ref& task, time_point time)
+{
+    auto& slot = task.record->tasks.at(static_cast<std::size_t>(task.index));
+    const auto* terms = terms_of(*task.record);
+    const bool stop = terms != nullptr && terms->yields_by == yield_method::stop &&
+                      task.record->request.idempotent;
+    slot.yielding = true;
+    slot.yield_deadline = time + (terms == nullptr ? milliseconds(0) : terms->yield_grace);
+    usage_[task.record->request.customer].yielding += slot.reserved;
+    yielding_.insert(slot.task_id);
+    ++counts_.yields;
+    actions_.controls.push_back(
+        {.worker = pool_.at(slot.worker).address,
+         .stop = {.task_id = slot.task_id,
+                  .control = stop ? task_control::stop : task_control::checkpoint}});
+}
+
+void shard_state::enforce_yields(time_point time)
+{
+    for (auto it = yielding_.begin(); it != yielding_.end();) {
+        const auto found = running_.find(*it);
+        if (found == running_.end()) {
+            it = yielding_.erase(it);
+            continue;
+        }
+        auto& record = *found->second.record;
+        auto& slot = record.tasks.at(static_cast<std::size_t>(found->second.index));
+        if (slot.yield_deadline > time || !record.request.idempotent) {
+            ++it;
+            continue;
+        }
+        actions_.controls.push_back(
+            {.worker = pool_.at(slot.worker).address,
+             .stop = {.task_id = slot.task_id, .control = task_control::stop}});
+        it = yielding_.erase(it);
+    }
+}
+
+void shard_state::drop_claim(request_record& record)
+{
+    const auto found = claims_.find(key_of(record.request.customer, record.request.request_id));
+    if (found == claims_.end()) {
+        return;
+    }
+    pool_.unclaim(found->second.worker, found->second.size);
+    claims_.erase(found);
+}
+
+} // namespace flamingoseam
--- /dev/null
+++ b/scenarios/load.cpp
@@ -0,0 +1,92 @@
+#include "scenarios/load.hpp"
+
+#include "flamingoseam/core/error.hpp"
+#include "flamingoseam/entry/caller_messages.hpp"
+#include "flamingoseam/http/json.hpp"
+#include "flamingoseam/job/request_id.hpp"
+
+namespace flamingoseam::scenario {
+
+load::load(load_options options) : options_(std::move(options))
+{
+    for (int i = 0; i < options_.connections; ++i) {
+        threads_.emplace_back([this, i] { run(static_cast<std::size_t>(i)); });
+    }
+}
+
+load::~load()
+{
+    stopping_ = true;
+    for (auto& thread : threads_) {
+        if (thread.joinable()) {
+            thread.join();
+        }
+    }
+}
+
+std::vector<load_result> load::finish()
+{
+    for (auto& thread : threads_) {
+        thread.join();
+    }
+    threads_.clear();
+    return results_;
+}
+
+std::string load::body_with(const std::string& request_id) const
+{
+    if (!options_.own_ids) {
+        return options_.body;
+    }
+    return R"({"request_id":")" + request_id + R"(",)" + options_.body.substr(1);
+}
+
+void load::run(std::size_t connection)
+{
+    http_client client(options_.entries.at(connection % options_.entries.size()));
+    while (!stopping_) {
+        if (options_.count > 0 && sent_++ >= options_.count) {
+            return;
+        }
+        auto result = send(connection, client);
+        {
+            const std::lock_guard lock(mutex_);
+            results_.push_back(std::move(result));
+        }
+        std::this_thread::sleep_for(options_.interval);
+    }
+}
+
+load_result load::send(std::size_t connection, http_client& client)
+{
+    load_result result;
+    const auto id = options_.own_ids ? make_request_id(wall_now()) : std::string();
+    const auto began = now();
+    result.request_id = id;
+    result.began_ms = wall_now().count();
+    const http_call call{.method = "POST",
+                         .path = options_.path,
+                         .body = body_with(id),
+                         .authorization = "Bearer " + options_.key,
+                         .timeout = options_.timeout};
+    const int tries = options_.own_ids ? 2 : 1;
+    for (int attempt = 0; attempt < tries && result.status == 0; ++attempt) {
+        try {
+            const auto other = options_.entries.at((connection + 1) % options_.entries.size());
+            http_client second(other);
+            const auto answer = attempt == 0 ? client.call(call) : second.call(call);
+            const auto message = from_json<caller_answer>(answer.body);
+            result.status = answer.status;
+            result.request_id = message.request_id;
+            result.verdict = to_string(message.result.what);
+            result.reason = message.result.reason;
+            result.output = message.result.output;
+        } catch (const error& cause) {
+            result.reason = cause.what();
+        }
+    }
+    result.wait_ms = std::chrono::duration_cast<milliseconds>(now() - began).count();
+    return result;
+}
+
+} // namespace flamingoseam::scenario
--- /dev/null
+++ b/scenarios/processes.cpp
@@ -0,0 +1,83 @@
+#include "scenarios/processes.hpp"
+
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <stdexcept>
+#include <thread>
+
+extern char** environ;
+
+namespace flamingoseam::scenario {
+
+namespace {
+
+constexpr milliseconds poll_interval{10};
+
+std::vector<char*> arguments_of(std::vector<std::string>& command)
+{
+    std::vector<char*> arguments;
+    for (auto& one : command) {
+        arguments.push_back(one.data());
+    }
+    arguments.push_back(nullptr);
+    return arguments;
+}
+
+} // namespace
+
+process_table::~process_table()
+{
+    for (const auto& [pid, name] : running_) {
+        ::kill(pid, SIGKILL);
+        ::waitpid(pid, nullptr, 0);
+    }
+}
+
+pid_t process_table::start(const std::string& name, const std::vector<std::string>& command)
+{
+    auto copy = command;
+    auto arguments = arguments_of(copy);
+    const auto log = log_folder_ + "/" + name + ".log";
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(),
+                                     O_CREAT | O_WRONLY | O_APPEND, 0644);
+    posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    pid_t pid = 0;
+    const int failed =
+        ::posix_spawn(&pid, arguments[0], &actions, nullptr, arguments.data(), environ);
+    posix_spawn_file_actions_destroy(&actions);
+    if (failed != 0) {
+        throw std::runtime_error("can't start " + command.at(0));
+    }
+    running_[pid] = name;
+    return pid;
+}
+
+void process_table::signal(pid_t pid, int number)
+{
+    if (!running_.contains(pid)) {
+        throw std::runtime_error("process " + std::to_string(pid) + " is not of this scenario");
+    }
+    ::kill(pid, number);
+}
+
+std::optional<int> process_table::wait_exit(pid_t pid, milliseconds limit)
+{
+    const auto until = now() + limit;
+    while (now() < until) {
+        int status = 0;
+        if (::waitpid(pid, &status, WNOHANG) == pid) {
+            running_.erase(pid);
+            return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+        }
+        std::this_thread::sleep_for(poll_interval);
+    }
+    return std::nullopt;
+}
+
+} // namespace flamingoseam::scenario
--- /dev/null
+++ b/scenarios/runner.cpp
@@ -0,0 +1,333 @@
+/// Runs one scenario: a Lua script that starts processes on loopback addresses, breaks them and
+/// says what must hold. Exit code 0 when it holds, 1 when not.
+#include "flamingoseam/contract/key.hpp"
+#include "flamingoseam/core/error.hpp"
+#include "flamingoseam/http/http_client.hpp"
+#include "flamingoseam/http/json.hpp"
+#include "flamingoseam/job/request_id.hpp"
+#include "scenarios/load.hpp"
+#include "scenarios/processes.hpp"
+
+#include <gflags/gflags.h>
+#include <lua.hpp>
+#include <sodium.h>
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <memory>
+#include <thread>
+
+DEFINE_string(programs, "build", "folder of the programs");
+DEFINE_string(scripts, "scenarios", "folder of cell.lua");
+DEFINE_string(out, "out", "folder for settings, logs and spans");
+DEFINE_int32(net, 10, "second number of the loopback addresses, 127.NET.x.y");
+DEFINE_uint64(seed, 1, "seed of the script's random numbers");
+
+namespace {
+
+using namespace flamingoseam;
+using namespace flamingoseam::scenario;
+
+/// What a running script can reach.
+struct context {
+    process_table processes;
+    std::map<int, std::unique_ptr<load>> loads;
+    int next_load = 1;
+};
+
+context& context_of(lua_State* lua)
+{
+    return *static_cast<context*>(lua_touserdata(lua, lua_upvalueindex(1)));
+}
+
+std::string field(lua_State* lua, int table, const char* name, const std::string& fallback)
+{
+    lua_getfield(lua, table, name);
+    std::string value = fallback;
+    if (lua_isstring(lua, -1) != 0) {
+        value = lua_tostring(lua, -1);
+    }
+    lua_pop(lua, 1);
+    return value;
+}
+
+lua_Integer number(lua_State* lua, int table, const char* name, lua_Integer fallback)
+{
+    lua_getfield(lua, table, name);
+    const auto value = lua_isnil(lua, -1) ? fallback : lua_tointeger(lua, -1);
+    lua_pop(lua, 1);
+    return value;
+}
+
+std::vector<std::string> strings(lua_State* lua, int table)
+{
+    std::vector<std::string> values;
+    const auto count = luaL_len(lua, table);
+    for (lua_Integer i = 1; i <= count; ++i) {
+        lua_geti(lua, table, i);
+        values.emplace_back(lua_tostring(lua, -1));
+        lua_pop(lua, 1);
+    }
+    return values;
+}
+
+void push_json(lua_State* lua, const cxxtools::SerializationInfo& info)
+{
+    using category = cxxtools::SerializationInfo::Category;
+    if (info.category() == category::Object || info.category() == category::Array) {
+        lua_newtable(lua);
+        for (std::size_t i = 0; i < info.memberCount(); ++i) {
+            const auto& member = info.getMember(static_cast<unsigned>(i));
+            push_json(lua, member);
+            if (info.category() == category::Array) {
+                lua_rawseti(lua, -2, static_cast<lua_Integer>(i + 1));
+            } else {
+                lua_setfield(lua, -2, member.name().c_str());
+            }
+        }
+        return;
+    }
+    if (info.isNull()) {
+        lua_pushnil(lua);
+    } else if (info.typeName() == "bool") {
+        bool value = false;
+        info >>= value;
+        lua_pushboolean(lua, value ? 1 : 0);
+    } else if (info.typeName() == "int") {
+        std::int64_t value = 0;
+        info >>= value;
+        lua_pushinteger(lua, value);
+    } else {
+        cxxtools::String value;
+        info >>= value;
+        lua_pushstring(lua, cxxtools::Utf8Codec::encode(value).c_str());
+    }
+}
+
+/// Any JSON value.
+struct any_json {
+    cxxtools::SerializationInfo info;
+};
+
+void operator>>=(const cxxtools::SerializationInfo& info, any_json& value)
+{
+    value.info = info;
+}
+
+int lua_start(lua_State* lua)
+{
+    const std::string name = luaL_checkstring(lua, 1);
+    auto command = strings(lua, 2);
+    command.at(0) = FLAGS_programs + "/" + command.at(0);
+    lua_pushinteger(lua, context_of(lua).processes.start(name, command));
+    return 1;
+}
+
+int lua_signal(lua_State* lua)
+{
+    static const std::map<std::string, int> numbers = {
+        {"TERM", SIGTERM}, {"KILL", SIGKILL}, {"STOP", SIGSTOP}, {"CONT", SIGCONT}};
+    context_of(lua).processes.signal(static_cast<pid_t>(luaL_checkinteger(lua, 1)),
+                                     numbers.at(luaL_checkstring(lua, 2)));
+    return 0;
+}
+
+int lua_wait_exit(lua_State* lua)
+{
+    const auto code = context_of(lua).processes.wait_exit(
+        static_cast<pid_t>(luaL_checkinteger(lua, 1)), milliseconds(luaL_checkinteger(lua, 2)));
+    if (code) {
+        lua_pushinteger(lua, *code);
+    } else {
+        lua_pushnil(lua);
+    }
+    return 1;
+}
+
+int lua_request(lua_State* lua)
+{
+    http_client client(endpoint_from_string(field(lua, 1, "server", "")));
+    const http_call call{.method = field(lua, 1, "method", "GET"),
+                         .path = field(lua, 1, "path", "/"),
+                         .body = field(lua, 1, "body", ""),
+                         .authorization = "Bearer " + field(lua, 1, "key", ""),
+                         .traceparent = field(lua, 1, "traceparent", ""),
+                         .timeout = milliseconds(number(lua, 1, "timeout_ms", 5000))};
+    try {
+        const auto answer = client.call(call);
+        lua_pushinteger(lua, answer.status);
+        try {
+            push_json(lua, from_json<any_json>(answer.body).info);
+        } catch (const error&) {
+            lua_pushstring(lua, answer.body.c_str());
+        }
+    } catch (const error& cause) {
+        lua_pushinteger(lua, 0);
+        lua_pushstring(lua, cause.what());
+    }
+    return 2;
+}
+
+int lua_load_start(lua_State* lua)
+{
+    load_options options;
+    lua_getfield(lua, 1, "entries");
+    for (const auto& text : strings(lua, lua_gettop(lua))) {
+        options.entries.push_back(endpoint_from_string(text));
+    }
+    lua_pop(lua, 1);
+    options.path = field(lua, 1, "path", "/v1/calls");
+    options.body = field(lua, 1, "body", "{}");
+    options.key = field(lua, 1, "key", "");
+    options.connections = static_cast<int>(number(lua, 1, "connections", 1));
+    options.count = static_cast<int>(number(lua, 1, "count", 0));
+    options.interval = milliseconds(number(lua, 1, "interval_ms", 0));
+    options.timeout = milliseconds(number(lua, 1, "timeout_ms", 30'000));
+    options.own_ids = number(lua, 1, "own_ids", 0) != 0;
+    auto& here = context_of(lua);
+    here.loads[here.next_load] = std::make_unique<load>(options);
+    lua_pushinteger(lua, here.next_load++);
+    return 1;
+}
+
+int lua_load_finish(lua_State* lua)
+{
+    auto& here = context_of(lua);
+    const auto id = static_cast<int>(luaL_checkinteger(lua, 1));
+    if (lua_toboolean(lua, 2) != 0) {
+        here.loads.at(id)->stop();
+    }
+    const auto results = here.loads.at(id)->finish();
+    here.loads.erase(id);
+    lua_newtable(lua);
+    lua_Integer index = 1;
+    for (const auto& one : results) {
+        lua_newtable(lua);
+        lua_pushstring(lua, one.request_id.c_str());
+        lua_setfield(lua, -2, "request_id");
+        lua_pushinteger(lua, one.status);
+        lua_setfield(lua, -2, "status");
+        lua_pushstring(lua, one.verdict.c_str());
+        lua_setfield(lua, -2, "verdict");
+        lua_pushstring(lua, one.reason.c_str());
+        lua_setfield(lua, -2, "reason");
+        lua_pushstring(lua, one.output.c_str());
+        lua_setfield(lua, -2, "output");
+        lua_pushinteger(lua, one.wait_ms);
+        lua_setfield(lua, -2, "wait_ms");
+        lua_pushinteger(lua, one.began_ms);
+        lua_setfield(lua, -2, "began_ms");
+        lua_rawseti(lua, -2, index++);
+    }
+    return 1;
+}
+
+int lua_pause(lua_State* lua)
+{
+    std::this_thread::sleep_for(milliseconds(luaL_checkinteger(lua, 1)));
+    return 0;
+}
+
+int lua_now_ms(lua_State* lua)
+{
+    lua_pushinteger(lua, wall_now().count());
+    return 1;
+}
+
+int lua_write_file(lua_State* lua)
+{
+    std::ofstream(FLAGS_out + "/" + luaL_checkstring(lua, 1)) << luaL_checkstring(lua, 2);
+    return 0;
+}
+
+int lua_hash_key(lua_State* lua)
+{
+    lua_pushstring(lua, hash_key(luaL_checkstring(lua, 1)).c_str());
+    return 1;
+}
+
+int lua_request_id(lua_State* lua)
+{
+    lua_pushstring(lua, make_request_id(wall_now()).c_str());
+    return 1;
+}
+
+int lua_process_stat(lua_State* lua)
+{
+    std::ifstream in("/proc/" + std::to_string(luaL_checkinteger(lua, 1)) + "/" +
+                     luaL_checkstring(lua, 2));
+    const std::string text((std::istreambuf_iterator<char>(in)), std::istreambuf_iterator<char>());
+    lua_pushstring(lua, text.c_str());
+    return 1;
+}
+
+/// Calls a verb and turns its exceptions into errors of the script.
+template <lua_CFunction Verb> int guarded(lua_State* lua)
+{
+    std::string text;
+    try {
+        return Verb(lua);
+    } catch (const std::exception& cause) {
+        text = cause.what();
+    }
+    return luaL_error(lua, "%s", text.c_str());
+}
+
+template <lua_CFunction Verb> void add(lua_State* lua, context& here, const char* name)
+{
+    lua_pushlightuserdata(lua, &here);
+    lua_pushcclosure(lua, guarded<Verb>, 1);
+    lua_setglobal(lua, name);
+}
+
+int run(const std::string& script)
+{
+    context here{.processes = process_table(FLAGS_out), .loads = {}};
+    std::unique_ptr<lua_State, decltype(&lua_close)> lua(luaL_newstate(), &lua_close);
+    luaL_openlibs(lua.get());
+    add<lua_start>(lua.get(), here, "start");
+    add<lua_signal>(lua.get(), here, "signal");
+    add<lua_wait_exit>(lua.get(), here, "wait_exit");
+    add<lua_request>(lua.get(), here, "request");
+    add<lua_load_start>(lua.get(), here, "load_start");
+    add<lua_load_finish>(lua.get(), here, "load_finish");
+    add<lua_pause>(lua.get(), here, "pause");
+    add<lua_now_ms>(lua.get(), here, "now_ms");
+    add<lua_write_file>(lua.get(), here, "write_file");
+    add<lua_hash_key>(lua.get(), here, "hash_key");
+    add<lua_request_id>(lua.get(), here, "request_id");
+    add<lua_process_stat>(lua.get(), here, "process_stat");
+    lua_pushinteger(lua.get(), FLAGS_net);
+    lua_setglobal(lua.get(), "NET");
+    lua_pushstring(lua.get(), FLAGS_out.c_str());
+    lua_setglobal(lua.get(), "OUT");
+    lua_pushinteger(lua.get(), static_cast<lua_Integer>(FLAGS_seed));
+    lua_setglobal(lua.get(), "SEED");
+    const auto library = FLAGS_scripts + "/cell.lua";
+    const bool failed = luaL_dofile(lua.get(), library.c_str()) != LUA_OK ||
+                        luaL_dofile(lua.get(), script.c_str()) != LUA_OK;
+    if (failed) {
+        std::cout << "FAILED " << script << ": " << lua_tostring(lua.get(), -1) << " (seed "
+                  << FLAGS_seed << ", logs in " << FLAGS_out << ")\n";
+        return 1;
+    }
+    std::cout << "passed " << script << '\n';
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::SetUsageMessage("runs a scenario\nusage: scenario-runner [flags] SCRIPT.lua");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    std::signal(SIGPIPE, SIG_IGN);
+    if (argc != 2 || sodium_init() < 0) {
+        std::cerr << "one script is needed; see --help\n";
+        return 2;
+    }
+    std::filesystem::create_directories(FLAGS_out);
+    return run(argv[1]);
+}
