--- a/flamingoseam/scheduler/scheduler.cpp
+++ b/flamingoseam/scheduler/scheduler.cpp
@@ -125,6 +125,9 @@
         LOG(WARNING) << "control was paused; contracts are confirmed before new work starts";
         last_store_contact_ms_ = 0;
         last_peer_contact_ms_ = 0;
+        for (auto& [id, shard] : owned_) {
+            shard->state().set_authority(has_authority(time));
+        }
     }
 }
 
@@ -138,9 +141,17 @@
     return time_ms - newest > settings_.isolation_grace.count();
 }
 
+bool scheduler::has_authority(time_point time) const
+{
+    const auto time_ms = std::chrono::duration_cast<milliseconds>(time.time_since_epoch()).count();
+    const auto certain = settings_.member_lease * 3 / 4;
+    return time_ms - last_renewal_ms_ < certain.count();
+}
+
 void scheduler::tick(time_point time)
 {
     for (auto& [id, shard] : owned_) {
+        shard->state().set_authority(has_authority(time));
         shard->state().set_store_available(store_available_);
         shard->state().tick(time);
         offer_shares(*shard, time);
@@ -280,6 +291,7 @@
     std::string lease;
     bool joined = false;
     while (!stopping_ && !leaving_) {
+        const auto sent_ms = monotonic_ms();
         try {
             if (lease.empty() || !joined) {
                 joined = join(lease);
@@ -290,6 +302,7 @@
                 continue;
             }
             set_store_available(true);
+            last_renewal_ms_ = joined ? sent_ms : 0;
             control_.post([this, joined] { joined_ = joined; });
             pause(settings_.member_lease / 4, settings_.member_lease / 3);
         } catch (const error&) {
--- a/flamingoseam/scheduler/scheduler.hpp
+++ b/flamingoseam/scheduler/scheduler.hpp
@@ -82,6 +82,7 @@
     void drain_step(time_point time);
     void note_gap(time_point time);
     [[nodiscard]] bool is_isolated(time_point time) const;
+    [[nodiscard]] bool has_authority(time_point time) const;
     [[nodiscard]] std::int64_t initial_share(const std::string& shard_id) const;
     owned_shard* find_shard(const std::string& shard_id);
     void with_shard(const std::string& shard_id, std::uint64_t epoch,
@@ -141,6 +142,7 @@
     std::mt19937_64 random_;
 
     std::atomic<std::int64_t> last_store_contact_ms_{0}; ///< Monotonic.
+    std::atomic<std::int64_t> last_renewal_ms_{0}; ///< When a renewal that succeeded was sent.
     std::atomic<std::int64_t> last_peer_contact_ms_{0};
     std::atomic<bool> store_available_{false};
     std::atomic<bool> stopping_{false};
--- a/flamingoseam/shard/records.hpp
+++ b/flamingoseam/shard/records.hpp
@@ -27,7 +27,7 @@
 /// One task of a request.
 struct task_slot {
     task_phase phase = task_phase::waiting;
-    int attempt = 0;
+    int attempt = 0;        ///< Starts so far that were not refused; above 0 it may have run.
     std::string task_id;    ///< Of the newest attempt.
     std::size_t worker = 0; ///< Valid while started.
     resources reserved;     ///< Valid while started.
@@ -35,6 +35,7 @@
     bool yielding = false; ///< Asked to give its worker back.
     time_point yield_deadline{};
     bool cancelling = false;
+    bool resumable = false; ///< An earlier owner's attempt ended with a checkpoint.
 };
 
 /// A request that the shard knows: waiting, running, or ended a short while ago.
--- a/flamingoseam/shard/shard_schedule.cpp
+++ b/flamingoseam/shard/shard_schedule.cpp
@@ -386,6 +386,7 @@
     slot.reserved = size;
     slot.began = time;
     slot.yielding = false;
+    slot.resumable = false;
     pool_.reserve(worker, size);
     change_usage(record, size, 1);
     running_.emplace(slot.task_id, task_ref{&record, index});
--- a/flamingoseam/shard/shard_state.hpp
+++ b/flamingoseam/shard/shard_state.hpp
@@ -131,6 +131,11 @@
     /// Tells whether the store answers; without it no job is accepted.
     void set_store_available(bool available) { store_available_ = available; }
 
+    /// Tells whether this process is certain to be the only owner now: its membership was renewed
+    /// in the store less than a lease ago. Without that, a request under a caller's id may have
+    /// been repeated to another owner, so its refusal says may_have_run.
+    void set_authority(bool certain) { authority_ = certain; }
+
     /// Refuses all new work while it is set; what waits and runs goes on.
     void set_draining(bool draining) { draining_ = draining; }
 
@@ -212,7 +217,7 @@
     // submit
     std::optional<outcome> refuse_submit(const work_request& request, wall_time wall) const;
     std::optional<outcome> check_id(const work_request& request, wall_time wall) const;
-    bool is_older_than_owner(const work_request& request) const;
+    bool may_be_of_earlier_owner(const work_request& request) const;
     std::optional<outcome> check_possible(const work_request& request, const contract& terms) const;
     std::optional<outcome> check_queue(const work_request& request, const contract& terms);
     bool join_known(std::uint64_t token, const work_request& request);
@@ -221,6 +226,7 @@
     milliseconds expected_wait(const work_request& request, const contract& terms);
     void answer_all(request_record& record, const outcome& result);
     void answer(std::uint64_t token, const outcome& result);
+    outcome as_certain(outcome result, const std::string& request_id) const;
 
     // scheduling
     void schedule(time_point time);
@@ -265,6 +271,10 @@
 
     // workers and tasks
     void adopt(std::size_t worker, const task_report& report, time_point time);
+    void stop_extra(std::size_t worker, const task_report& report);
+    void take_running(request_record& record, std::size_t worker, const task_start& task,
+                      time_point time);
+    void note_earlier_attempt(request_record& record, const task_report& report, time_point time);
     request_record& record_for(const task_start& task, time_point time);
     void end_started(request_record& record, int index, task_state state, const std::string& output,
                      time_point time);
@@ -326,7 +336,10 @@
     std::size_t journal_bytes_ = 0;
     bool store_available_ = true;
     bool draining_ = false;
+    bool authority_ = true;
     bool recovered_ = false; ///< Every worker was fenced or lost once.
+    time_point began_{};
+    wall_time fenced_at_{0}; ///< From then on no earlier owner can have started anything.
     time_point last_decay_{};
     shard_actions actions_;
     shard_counts counts_;
--- a/flamingoseam/shard/shard_submit.cpp
+++ b/flamingoseam/shard/shard_submit.cpp
@@ -55,12 +55,23 @@
 
 void shard_state::answer_all(request_record& record, const outcome& result)
 {
+    const auto certain = as_certain(result, record.request.request_id);
     for (const auto token : record.waiters) {
-        answer(token, result);
+        answer(token, certain);
     }
     record.waiters.clear();
 }
 
+outcome shard_state::as_certain(outcome result, const std::string& request_id) const
+{
+    const bool repeatable = !request_id.starts_with(entry_id_prefix);
+    if (result.what == verdict::not_run && repeatable && !authority_) {
+        result.what = verdict::may_have_run;
+        result.detail += " (another scheduler may own the shard by now)";
+    }
+    return result;
+}
+
 void shard_state::submit(std::uint64_t token, const work_request& request, time_point time,
                          wall_time wall)
 {
@@ -71,10 +82,10 @@
     if (!refused) {
         refused = check_queue(request, *contracts_.find(request.customer));
     }
-    const bool doubtful = is_older_than_owner(request);
+    const bool doubtful = may_be_of_earlier_owner(request);
     if (refused) {
         refused->what = doubtful ? verdict::may_have_run : refused->what;
-        answer(token, *refused);
+        answer(token, as_certain(*refused, request.request_id));
         return;
     }
     const auto& terms = *contracts_.find(request.customer);
@@ -150,7 +161,11 @@
     if (*made > wall + options_.clock_skew) {
         return doubt("id_from_future", "the request id's time is ahead of the clock");
     }
-    if (!is_older_than_owner(request)) {
+    if (!authority_ && request.cls == work_class::call) {
+        return doubt("owner_unconfirmed",
+                     "another scheduler may own the shard by now and have run the request");
+    }
+    if (!may_be_of_earlier_owner(request)) {
         return std::nullopt;
     }
     if (!request.idempotent) {
@@ -162,13 +177,13 @@
     return std::nullopt;
 }
 
-bool shard_state::is_older_than_owner(const work_request& request) const
+bool shard_state::may_be_of_earlier_owner(const work_request& request) const
 {
     if (request.first_attempt || request.cls != work_class::call || options_.epoch == 1) {
         return false;
     }
     const auto made = time_of_request_id(request.request_id);
-    return !made || *made <= options_.began + options_.clock_skew;
+    return !recovered_ || !made || *made <= fenced_at_ + options_.clock_skew;
 }
 
 std::optional<outcome> shard_state::check_possible(const work_request& request,
@@ -284,7 +299,8 @@
     record.cancelled = true;
     const bool job = is_job(record);
     for (const auto index : record.waiting) {
-        record.tasks.at(static_cast<std::size_t>(index)).phase = task_phase::cancelled;
+        auto& slot = record.tasks.at(static_cast<std::size_t>(index));
+        slot.phase = slot.attempt > 0 ? task_phase::unknown : task_phase::cancelled;
         --record.unfinished;
     }
     record.waiting.clear();
@@ -315,6 +331,7 @@
 
 void shard_state::abandon()
 {
+    authority_ = false;
     for (const auto& [key, record] : requests_) {
         if (record->waiters.empty()) {
             continue;
--- a/flamingoseam/shard/shard_worker.cpp
+++ b/flamingoseam/shard/shard_worker.cpp
@@ -28,7 +28,7 @@
 shard_state::shard_state(shard_options options, const contract_table& contracts,
                          const journal_record& journal, time_point time)
     : options_(std::move(options)), contracts_(contracts), shares_(journal.shares),
-      journal_sequence_(journal.sequence), last_decay_(time)
+      journal_sequence_(journal.sequence), began_(time), last_decay_(time)
 {
     load_journal(journal, time);
 }
@@ -285,9 +285,9 @@
 void shard_state::adopt(std::size_t worker, const task_report& report, time_point time)
 {
     const auto& task = report.task;
-    if (running_.contains(task.task_id)) {
+    if (const auto mine = running_.find(task.task_id); mine != running_.end()) {
+        const auto known = mine->second;
         if (report.state != task_state::running) {
-            const auto known = running_.at(task.task_id);
             end_started(*known.record, known.index, report.state, report.output, time);
         }
         return;
@@ -295,25 +295,49 @@
     const bool is_call = task.cls == work_class::call;
     const bool known = requests_.contains(key_of(task.customer, task.request_id));
     if (!is_call && !known) {
-        if (report.state == task_state::running) {
-            actions_.controls.push_back(
-                {.worker = pool_.at(worker).address,
-                 .stop = {.task_id = task.task_id, .control = task_control::stop}});
-        }
+        stop_extra(worker, report);
         return;
     }
     auto& record = record_for(task, time);
     auto& slot = record.tasks.at(static_cast<std::size_t>(task.index));
     const bool unseen = slot.phase == task_phase::started && slot.task_id.empty();
-    const bool unplaced = is_call && !known;
-    if (!unseen && !unplaced) {
-        if (report.state == task_state::running) {
-            actions_.controls.push_back(
-                {.worker = pool_.at(worker).address,
-                 .stop = {.task_id = task.task_id, .control = task_control::stop}});
-        }
+    const bool unplaced = is_call && slot.phase == task_phase::waiting && slot.attempt == 0;
+    if (record.ended || !(unseen || unplaced)) {
+        stop_extra(worker, report);
         return;
     }
+    const bool is_final = report.state == task_state::finished ||
+                          (report.state == task_state::failed && !task.idempotent);
+    if (report.state == task_state::running || is_final) {
+        take_running(record, worker, task, time);
+    }
+    if (is_final) {
+        end_started(record, task.index, report.state, report.output, time);
+    } else if (report.state != task_state::running) {
+        note_earlier_attempt(record, report, time);
+    } else if (record.cancelled) {
+        slot.cancelling = true;
+        stop_extra(worker, report);
+    }
+}
+
+void shard_state::stop_extra(std::size_t worker, const task_report& report)
+{
+    if (report.state == task_state::running) {
+        actions_.controls.push_back(
+            {.worker = pool_.at(worker).address,
+             .stop = {.task_id = report.task.task_id, .control = task_control::stop}});
+    }
+}
+
+void shard_state::take_running(request_record& record, std::size_t worker, const task_start& task,
+                               time_point time)
+{
+    dequeue(record);
+    if (!is_job(record)) {
+        record.waiting.clear();
+    }
+    auto& slot = record.tasks.at(static_cast<std::size_t>(task.index));
     slot.phase = task_phase::started;
     slot.task_id = task.task_id;
     slot.worker = worker;
@@ -324,14 +348,23 @@
     change_usage(record, task.size, 1);
     running_.emplace(slot.task_id, task_ref{&record, task.index});
     running_on_.at(worker).insert(slot.task_id);
-    if (report.state != task_state::running) {
-        end_started(record, task.index, report.state, report.output, time);
-    } else if (record.cancelled) {
-        slot.cancelling = true;
-        actions_.controls.push_back(
-            {.worker = pool_.at(worker).address,
-             .stop = {.task_id = task.task_id, .control = task_control::stop}});
+    enqueue(record);
+}
+
+void shard_state::note_earlier_attempt(request_record& record, const task_report& report,
+                                       time_point time)
+{
+    auto& slot = record.tasks.at(static_cast<std::size_t>(report.task.index));
+    slot.attempt = std::max(slot.attempt, 1);
+    slot.resumable |= report.state == task_state::checkpointed;
+    const bool runs_again = !record.waiting.empty() && record.request.idempotent;
+    if (is_job(record) || runs_again) {
+        return; // A newer attempt may be on a worker that has not reported; settle_unseen decides.
     }
+    dequeue(record);
+    record.waiting.clear();
+    record.result.reason = "task_" + std::string(to_string(report.state));
+    finish_task(record, report.task.index, task_phase::unknown, time);
 }
 
 void shard_state::settle_unseen(time_point time)
@@ -340,6 +373,7 @@
         return;
     }
     recovered_ = true;
+    fenced_at_ = options_.began + std::chrono::duration_cast<milliseconds>(time - began_);
     for (auto& [key, record] : requests_) {
         if (record->ended) {
             continue;
@@ -382,6 +416,7 @@
         set_status(*worker, worker_status::unfenced);
     }
     release_task(*task.record, task.index);
+    --task.record->tasks.at(static_cast<std::size_t>(task.index)).attempt;
     run_again(*task.record, task.index, time);
 }
 
@@ -469,9 +504,10 @@
     if (!record.tasks.at(static_cast<std::size_t>(index)).task_id.empty()) {
         release_task(record, index);
     }
-    const auto& slot = record.tasks.at(static_cast<std::size_t>(index));
+    auto& slot = record.tasks.at(static_cast<std::size_t>(index));
+    slot.attempt = std::max(slot.attempt, 1);
     record.result.reason = why;
-    const bool again = record.request.idempotent && !record.cancelled;
+    const bool again = (record.request.idempotent || slot.resumable) && !record.cancelled;
     if (again && (is_job(record) || may_retry(record, slot.attempt))) {
         run_again(record, index, time);
     } else {
@@ -561,7 +597,7 @@
     if (phases[task_phase::unknown] > 0) {
         result.what = verdict::may_have_run;
     } else if (phases[task_phase::cancelled] == record.request.tasks) {
-        result.what = verdict::not_run;
+        result.what = record.doubtful ? verdict::may_have_run : verdict::not_run;
         result.reason = "cancelled";
     } else {
         result.what = verdict::ran;
--- a/flamingoseam/worker/messages.cpp
+++ b/flamingoseam/worker/messages.cpp
@@ -107,7 +107,9 @@
     info.addMember("owner") <<= value.owner;
     info.addMember("epoch") <<= value.epoch;
     info.addMember("incarnation") <<= value.incarnation;
+    info.addMember("session") <<= value.session;
     info.addMember("lease_ms") <<= static_cast<std::int64_t>(value.lease.count());
+    info.addMember("answered") <<= value.answered;
     info.addMember("starts") <<= value.starts;
     info.addMember("stops") <<= value.stops;
     info.addMember("report") <<= value.report;
@@ -120,7 +122,9 @@
     info.getMember("owner", value.owner);
     info.getMember("epoch") >>= value.epoch;
     info.getMember("incarnation", value.incarnation);
+    info.getMember("session") >>= value.session;
     info.getMember("lease_ms") >>= lease_ms;
+    info.getMember("answered", value.answered);
     value.lease = milliseconds(lease_ms);
     info.getMember("starts", value.starts);
     info.getMember("stops", value.stops);
@@ -167,6 +171,7 @@
     info.addMember("results") <<= value.results;
     info.addMember("tasks") <<= value.tasks;
     info.addMember("last_event") <<= value.last_event;
+    info.addMember("contact") <<= value.contact;
 }
 
 void operator>>=(const cxxtools::SerializationInfo& info, command_answer& value)
@@ -179,6 +184,7 @@
     info.getMember("results", value.results);
     info.getMember("tasks", value.tasks);
     info.getMember("last_event", value.last_event);
+    info.getMember("contact", value.contact);
 }
 
 void operator<<=(cxxtools::SerializationInfo& info, const task_event& value)
@@ -209,6 +215,7 @@
 {
     info.addMember("accepted") <<= value.accepted;
     info.addMember("incarnation") <<= value.incarnation;
+    info.addMember("contact") <<= value.contact;
     info.addMember("events") <<= value.events;
 }
 
@@ -216,6 +223,7 @@
 {
     info.getMember("accepted") >>= value.accepted;
     info.getMember("incarnation", value.incarnation);
+    info.getMember("contact", value.contact);
     info.getMember("events", value.events);
 }
 
--- a/flamingoseam/worker/messages.hpp
+++ b/flamingoseam/worker/messages.hpp
@@ -64,7 +64,14 @@
     std::string owner;
     std::uint64_t epoch = 0;
     std::string incarnation; ///< Empty in the first command after take-over.
-    milliseconds lease{0};   ///< Tasks are stopped when nothing renews it; 0 renews nothing.
+    /// Opened by a command that asks for a report, with a number above the last one; void once the
+    /// worker's lease has lapsed. A worker refuses starts of any other session, so one that was on
+    /// its way for longer than the lease does nothing.
+    std::uint64_t session = 0;
+    /// Tasks are stopped that long after the worker sent the newest answer that the owner has had;
+    /// so the owner knows the latest end, however late its own messages arrive.
+    milliseconds lease{0};
+    std::uint64_t answered = 0; ///< Number of the newest answer that the owner has had.
     std::vector<task_start> starts;
     std::vector<task_stop> stops;
     bool report = false; ///< Asks for every task that the worker remembers.
@@ -94,6 +101,7 @@
     std::vector<start_result> results;
     std::vector<task_report> tasks;
     std::uint64_t last_event = 0; ///< The newest event at the time of a report.
+    std::uint64_t contact = 0;    ///< Number of this answer, for `answered`.
 };
 
 /// Something that happened to a task.
@@ -110,6 +118,7 @@
 struct event_batch {
     bool accepted = false; ///< False when the poll's epoch is no longer the highest.
     std::string incarnation;
+    std::uint64_t contact = 0; ///< Number of this answer, for `answered`.
     std::vector<task_event> events;
 };
 
--- a/flamingoseam/worker/worker_link.cpp
+++ b/flamingoseam/worker/worker_link.cpp
@@ -12,7 +12,6 @@
 constexpr milliseconds command_timeout{1000};
 constexpr milliseconds retry_pause{50};
 constexpr milliseconds stale_pause{500};
-constexpr int suspicion_divisor = 3; ///< Of the lease, without an answer.
 
 /// A worker's clock may run this much slower than ours.
 milliseconds with_drift(milliseconds lease)
@@ -24,7 +23,7 @@
 
 http_worker_link::http_worker_link(const worker_link_options& options, worker_listener& listener)
     : options_(options), listener_(listener), command_client_(options.worker),
-      event_client_(options.worker), last_contact_(now()), last_renewal_(now())
+      event_client_(options.worker), last_contact_(now())
 {
     command_thread_ = std::thread([this] { run_commands(); });
     event_thread_ = std::thread([this] { run_events(); });
@@ -101,28 +100,18 @@
             .stops = {}};
 }
 
-milliseconds http_worker_link::renewal()
-{
-    const std::lock_guard lock(mutex_);
-    const bool suspicious = now() - last_contact_ > options_.lease / suspicion_divisor;
-    if (suspicious && !lost_) {
-        return milliseconds(0);
-    }
-    last_renewal_ = now();
-    return options_.lease;
-}
-
-void http_worker_link::note_contact()
+void http_worker_link::note_contact(std::uint64_t contact)
 {
     const std::lock_guard lock(mutex_);
     last_contact_ = now();
+    answered_ = std::max(answered_, contact);
 }
 
 void http_worker_link::check_lost()
 {
     {
         const std::lock_guard lock(mutex_);
-        if (lost_ || now() - last_renewal_ < with_drift(options_.lease)) {
+        if (!fenced_ || lost_ || now() - last_contact_ < with_drift(options_.lease)) {
             return;
         }
         lost_ = true;
@@ -155,7 +144,9 @@
         throw transport_error(305, "worker answered " + std::to_string(answer.status), true);
     }
     auto result = from_json<command_answer>(answer.body);
-    note_contact();
+    if (result.accepted) {
+        note_contact(result.contact);
+    }
     return result;
 }
 
@@ -181,6 +172,7 @@
             }
             command = make_command();
             command.incarnation = incarnation_;
+            command.session = session_;
             command.starts = std::move(pending_.starts);
             command.stops = std::move(pending_.stops);
             pending_ = {};
@@ -194,13 +186,21 @@
     refuse_unsent();
     auto command = make_command();
     command.report = true;
-    command.lease = renewal();
+    {
+        const std::lock_guard lock(mutex_);
+        command.session = ++session_;
+    }
+    command.lease = options_.lease;
+    command.answered = answered_;
     command_answer answer;
     try {
         answer = call(command);
     } catch (const error&) {
         return false;
     }
+    if (!answer.accepted && answer.reason != "stale_epoch") {
+        return false;
+    }
     if (!answer.accepted) {
         listener_.on_stale(to_string(options_.worker), answer.epoch);
         pause(stale_pause);
@@ -208,10 +208,12 @@
     }
     {
         const std::lock_guard lock(mutex_);
+        answered_ = answer.contact;
         incarnation_ = answer.incarnation;
         last_event_ = answer.last_event;
         needs_report_ = false;
         lost_ = false;
+        fenced_ = true;
     }
     listener_.on_report(to_string(options_.worker), answer);
     changed_.notify_all();
@@ -222,7 +224,8 @@
 {
     bool repeated = false;
     while (!stopping_) {
-        command.lease = renewal();
+        command.lease = options_.lease;
+        command.answered = answered_;
         try {
             const auto answer = call(command);
             if (!answer.accepted) {
@@ -232,7 +235,10 @@
             bool refused = false;
             for (const auto& result : answer.results) {
                 refused |= !result.started;
-                listener_.on_start_result(to_string(options_.worker), result);
+                // An earlier copy of this command may still arrive; only a report settles it.
+                if (result.started || !repeated) {
+                    listener_.on_start_result(to_string(options_.worker), result);
+                }
             }
             if (refused) {
                 need_report();
@@ -267,6 +273,8 @@
     while (!stopping_) {
         std::uint64_t after = 0;
         std::string incarnation;
+        std::uint64_t session = 0;
+        std::uint64_t answered = 0;
         {
             std::unique_lock lock(mutex_);
             changed_.wait(lock, [this] { return stopping_ || !needs_report_; });
@@ -275,11 +283,15 @@
             }
             after = last_event_;
             incarnation = incarnation_;
+            session = session_;
+            answered = answered_;
         }
         const auto path = "/v1/events?epoch=" + std::to_string(options_.epoch) +
+                          "&session=" + std::to_string(session) +
                           "&after=" + std::to_string(after) +
                           "&wait_ms=" + std::to_string(options_.poll_wait.count()) +
-                          "&lease_ms=" + std::to_string(renewal().count());
+                          "&lease_ms=" + std::to_string(options_.lease.count()) +
+                          "&answered=" + std::to_string(answered);
         event_batch batch;
         try {
             const auto answer = event_client_.call(
@@ -290,11 +302,17 @@
             pause(retry_pause);
             continue;
         }
-        note_contact();
+        {
+            const std::lock_guard lock(mutex_);
+            if (session != session_) {
+                continue;
+            }
+        }
         if (!batch.accepted || batch.incarnation != incarnation) {
             need_report();
             continue;
         }
+        note_contact(batch.contact);
         for (const auto& event : batch.events) {
             listener_.on_event(to_string(options_.worker), event);
         }
--- a/flamingoseam/worker/worker_link.hpp
+++ b/flamingoseam/worker/worker_link.hpp
@@ -62,9 +62,10 @@
 };
 
 /// A link over HTTP: one connection for commands, one for the long poll that brings events and
-/// renews the lease. A worker that does not answer on one connection is asked on a new one; after a
-/// third of the lease without any answer nothing renews the lease any more, and when it has lapsed
-/// the worker counts as lost.
+/// renews the lease. A worker that does not answer on one connection is asked on a new one. It
+/// counts as lost when its lease has certainly lapsed, which is known from the time of its last
+/// answer. A worker that never accepted our epoch is not lost that way, for an earlier owner may
+/// still renew its lease.
 class http_worker_link : public worker_link {
 public:
     /// Starts the link's threads; the first command fences the worker and asks for its report.
@@ -90,9 +91,8 @@
     void refuse(const task_start& task, const std::string& reason);
     void need_report();
     void refuse_unsent();
-    void note_contact();
+    void note_contact(std::uint64_t contact);
     void check_lost();
-    milliseconds renewal();
     void pause(milliseconds length);
     worker_command make_command() const;
     command_answer call(const worker_command& command);
@@ -106,11 +106,13 @@
     worker_command pending_;
     std::string incarnation_;
     std::uint64_t last_event_ = 0;
+    std::uint64_t session_ = 0;
     time_point last_contact_;
-    time_point last_renewal_;
+    std::uint64_t answered_ = 0;
     bool needs_report_ = true;
     bool accepts_starts_ = false;
     bool lost_ = false;
+    bool fenced_ = false; ///< The worker has accepted our epoch once, so nobody else renews it.
     std::atomic<bool> stopping_{false};
     std::thread command_thread_;
     std::thread event_thread_;
--- a/standins/worker_model.cpp
+++ b/standins/worker_model.cpp
@@ -3,8 +3,6 @@
 #include "flamingoseam/core/error.hpp"
 #include "flamingoseam/http/json.hpp"
 
-#include <sodium.h>
-
 namespace flamingoseam::standin {
 
 void operator>>=(const cxxtools::SerializationInfo& info, task_behaviour& value)
@@ -19,8 +17,8 @@
 
 namespace {
 
+constexpr std::size_t most_kept_contacts = 256;
 constexpr std::size_t most_kept_events = 20'000;
-constexpr milliseconds longest_sleep{100};
 
 task_behaviour behaviour_of(const std::string& payload)
 {
@@ -42,6 +40,7 @@
 {
     info.addMember("started") <<= value.started;
     info.addMember("refused_epoch") <<= value.refused_epoch;
+    info.addMember("refused_session") <<= value.refused_session;
     info.addMember("refused_capacity") <<= value.refused_capacity;
     info.addMember("lapsed_leases") <<= value.lapsed_leases;
 }
@@ -56,48 +55,54 @@
     info.addMember("state") <<= value.state;
 }
 
-worker_model::worker_model(worker_options options)
-    : options_(std::move(options)),
-      incarnation_(std::to_string(wall_now().count()) + "-" + std::to_string(randombytes_random()))
-{
-    thread_ = std::thread([this] { run(); });
-}
+worker_model::worker_model(worker_options options) : options_(std::move(options)) {}
 
-worker_model::~worker_model()
+std::string worker_model::refusal(const worker_command& request) const
 {
-    {
-        const std::lock_guard lock(mutex_);
-        stopping_ = true;
+    if (options_.check_epoch && request.epoch < epoch_) {
+        return "stale_epoch";
+    }
+    if (!request.incarnation.empty() && request.incarnation != options_.incarnation) {
+        return "other_incarnation";
     }
-    changed_.notify_all();
-    thread_.join();
+    if (!options_.check_session) {
+        return {};
+    }
+    const bool is_new = request.epoch > epoch_ || request.session > session_;
+    if (request.report ? !is_new : !(session_open_ && request.session == session_)) {
+        return "no_session";
+    }
+    return {};
 }
 
-command_answer worker_model::command(const worker_command& request)
+command_answer worker_model::command(const worker_command& request, time_point time, wall_time wall)
 {
-    const std::lock_guard lock(mutex_);
-    command_answer answer{.incarnation = incarnation_, .capacity = options_.capacity};
-    check_lease(now());
-    if (options_.check_epoch && request.epoch < epoch_) {
-        ++counts_.refused_epoch;
-        answer.reason = "stale_epoch";
-        answer.epoch = epoch_;
-        return answer;
-    }
-    if (!request.incarnation.empty() && request.incarnation != incarnation_) {
-        answer.reason = "other_incarnation";
+    command_answer answer{.incarnation = options_.incarnation, .capacity = options_.capacity};
+    advance(time, wall);
+    answer.reason = refusal(request);
+    if (!answer.reason.empty()) {
         answer.epoch = epoch_;
+        counts_.refused_epoch += answer.reason == "stale_epoch" ? 1 : 0;
+        counts_.refused_session += answer.reason == "no_session" ? 1 : 0;
         return answer;
     }
     epoch_ = std::max(epoch_, request.epoch);
-    renew_lease(request.lease);
+    if (request.report) {
+        session_ = request.session;
+        session_open_ = true;
+        if (running().empty()) {
+            lease_until_ = time + request.lease;
+        }
+    }
+    renew_lease(request.lease, request.answered);
+    answer.contact = next_contact(time);
     answer.accepted = true;
     answer.epoch = epoch_;
     for (const auto& one : request.stops) {
-        stop(one);
+        stop(one, time, wall);
     }
     for (const auto& one : request.starts) {
-        answer.results.push_back(start(one));
+        answer.results.push_back(start(one, time, wall));
     }
     answer.last_event = next_event_ - 1;
     if (request.report) {
@@ -105,11 +110,10 @@
             answer.tasks.push_back(task.report);
         }
     }
-    changed_.notify_all();
     return answer;
 }
 
-start_result worker_model::start(const task_start& task)
+start_result worker_model::start(const task_start& task, time_point time, wall_time wall)
 {
     if (tasks_.contains(task.task_id)) {
         return {.task_id = task.task_id, .started = true, .reason = "duplicate"};
@@ -120,7 +124,7 @@
     }
     held_task held{.report = {.task = task, .output = {}},
                    .behaviour = behaviour_of(task.payload),
-                   .began = now(),
+                   .began = time,
                    .ends = {},
                    .ledger_index = ledger_.size()};
     held.ends = held.began + held.behaviour.run_time;
@@ -129,33 +133,31 @@
     ledger_.push_back({.customer = task.customer,
                        .request_id = task.request_id,
                        .index = task.index,
-                       .began_ms = wall_now().count(),
+                       .began_ms = wall.count(),
                        .state = "running"});
     tasks_.emplace(task.task_id, std::move(held));
     return {.task_id = task.task_id, .started = true, .reason = {}};
 }
 
-void worker_model::stop(const task_stop& request)
+void worker_model::stop(const task_stop& request, time_point time, wall_time wall)
 {
     const auto found = tasks_.find(request.task_id);
-    if (found == tasks_.end() || !is_running(found->second.report)) {
+    if (found == tasks_.end() || !is_running(found->second.report) ||
+        request.control == task_control::throttle) {
         return;
     }
-    if (request.control == task_control::throttle) {
-        return;
-    }
-    const auto state = request.control == task_control::checkpoint ? task_state::checkpointed
-                                                                   : task_state::stopped;
-    end(found->second, state, "");
+    const bool checkpoint = request.control == task_control::checkpoint;
+    end(found->second, checkpoint ? task_state::checkpointed : task_state::stopped, "", time, wall);
 }
 
-void worker_model::end(held_task& task, task_state state, const std::string& output)
+void worker_model::end(held_task& task, task_state state, const std::string& output,
+                       time_point time, wall_time wall)
 {
     task.report.state = state;
     task.report.output = output;
     used_ -= task.report.task.size;
     auto& entry = ledger_.at(task.ledger_index);
-    entry.ended_ms = wall_now().count();
+    entry.ended_ms = wall.count();
     entry.state = to_string(state);
     const auto usage =
         task.behaviour.usage == resources() ? task.report.task.size : task.behaviour.usage;
@@ -164,111 +166,103 @@
                        .state = state,
                        .output = output,
                        .usage = usage,
-                       .run_time = std::chrono::duration_cast<milliseconds>(now() - task.began)});
+                       .run_time = std::chrono::duration_cast<milliseconds>(time - task.began)});
     if (events_.size() > most_kept_events) {
         tasks_.erase(events_.front().task_id);
         events_.pop_front();
     }
 }
 
-event_batch worker_model::poll(std::uint64_t epoch, std::uint64_t after, milliseconds wait,
-                               milliseconds lease)
+event_batch worker_model::poll(const event_poll& request, time_point time, wall_time wall)
 {
-    const auto until = now() + wait;
-    std::unique_lock lock(mutex_);
-    event_batch batch{.incarnation = incarnation_, .events = {}};
-    while (true) {
-        check_lease(now());
-        if (options_.check_epoch && epoch < epoch_) {
-            return batch;
-        }
-        batch.accepted = true;
-        renew_lease(lease);
-        const auto first = events_.empty() ? next_event_ : events_.front().sequence;
-        for (auto i = std::max(after + 1, first); i < next_event_; ++i) {
-            batch.events.push_back(events_.at(i - first));
-        }
-        if (!batch.events.empty() || now() >= until || stopping_) {
-            return batch;
-        }
-        changed_.wait_until(lock, until);
+    advance(time, wall);
+    event_batch batch{.incarnation = options_.incarnation, .events = {}};
+    const bool same_session = session_open_ && request.session == session_;
+    if ((options_.check_epoch && request.epoch < epoch_) ||
+        (options_.check_session && !same_session)) {
+        return batch;
     }
+    batch.accepted = true;
+    renew_lease(request.lease, request.answered);
+    batch.contact = next_contact(time);
+    const auto first = events_.empty() ? next_event_ : events_.front().sequence;
+    for (auto i = std::max(request.after + 1, first); i < next_event_; ++i) {
+        batch.events.push_back(events_.at(i - first));
+    }
+    return batch;
 }
 
-void worker_model::set_fail_every_task(bool fail)
-{
-    const std::lock_guard lock(mutex_);
-    fail_every_task_ = fail;
-}
-
-worker_counts worker_model::counts()
-{
-    const std::lock_guard lock(mutex_);
-    return counts_;
-}
-
-std::vector<ledger_entry> worker_model::ledger()
+std::vector<task_start> worker_model::running() const
 {
-    const std::lock_guard lock(mutex_);
-    return ledger_;
+    std::vector<task_start> tasks;
+    for (const auto& [id, task] : tasks_) {
+        if (is_running(task.report)) {
+            tasks.push_back(task.report.task);
+        }
+    }
+    return tasks;
 }
 
-void worker_model::run()
+time_point worker_model::next_due(time_point none) const
 {
-    std::unique_lock lock(mutex_);
-    while (!stopping_) {
-        const auto time = now();
-        check_lease(time);
-        end_due(time);
-        auto next = time + longest_sleep;
-        for (const auto& [id, task] : tasks_) {
-            if (is_running(task.report)) {
-                next = std::min(next, task.ends);
-            }
+    auto next = none;
+    for (const auto& [id, task] : tasks_) {
+        if (is_running(task.report)) {
+            next = std::min(next, task.ends);
         }
-        changed_.wait_until(lock, next);
     }
+    return next;
 }
 
-void worker_model::end_due(time_point time)
+void worker_model::advance(time_point time, wall_time wall)
 {
-    std::vector<std::string> due;
-    for (const auto& [id, task] : tasks_) {
+    check_lease(time, wall);
+    std::vector<held_task*> due;
+    for (auto& [id, task] : tasks_) {
         if (is_running(task.report) && task.ends <= time) {
-            due.push_back(id);
+            due.push_back(&task);
         }
     }
-    for (const auto& id : due) {
-        auto& task = tasks_.at(id);
-        const bool fails = task.behaviour.fail || fail_every_task_;
-        end(task, fails ? task_state::failed : task_state::finished,
-            fails ? "" : "answer to " + task.report.task.request_id + ": " + task.behaviour.text);
+    for (auto* task : due) {
+        const bool fails = task->behaviour.fail || fail_every_task_;
+        const auto& id = task->report.task.request_id;
+        end(*task, fails ? task_state::failed : task_state::finished,
+            fails ? "" : "answer to " + id + ": " + task->behaviour.text, time, wall);
     }
-    if (!due.empty()) {
-        changed_.notify_all();
+}
+
+void worker_model::renew_lease(milliseconds lease, std::uint64_t answered)
+{
+    const auto oldest = last_contact_ + 1 - contacts_.size();
+    if (answered < oldest || answered > last_contact_) {
+        return;
     }
+    lease_until_ = std::max(lease_until_, contacts_.at(answered - oldest) + lease);
 }
 
-void worker_model::renew_lease(milliseconds lease)
+std::uint64_t worker_model::next_contact(time_point time)
 {
-    if (lease.count() > 0) {
-        lease_until_ = now() + lease;
+    contacts_.push_back(time);
+    if (contacts_.size() > most_kept_contacts) {
+        contacts_.pop_front();
     }
+    return ++last_contact_;
 }
 
-void worker_model::check_lease(time_point time)
+void worker_model::check_lease(time_point time, wall_time wall)
 {
     if (time < lease_until_) {
         return;
     }
-    std::vector<std::string> running;
-    for (const auto& [id, task] : tasks_) {
+    session_open_ = false;
+    std::vector<held_task*> held;
+    for (auto& [id, task] : tasks_) {
         if (is_running(task.report)) {
-            running.push_back(id);
+            held.push_back(&task);
         }
     }
-    for (const auto& id : running) {
-        end(tasks_.at(id), task_state::stopped, "");
+    for (auto* task : held) {
+        end(*task, task_state::stopped, "", time, wall);
         ++counts_.lapsed_leases;
     }
 }
