--- a/flamingoseam/shard/records.hpp
+++ b/flamingoseam/shard/records.hpp
@@ -22,6 +22,7 @@
     failed = 'f',
     unknown = 'u',   ///< It may have run; it is not started again.
     cancelled = 'c', ///< It was not started.
+    parked = 'p',    ///< In the journal only: it waits and has a checkpoint to go on from.
 };
 
 /// One task of a request.
@@ -35,7 +36,8 @@
     bool yielding = false; ///< Asked to give its worker back.
     time_point yield_deadline{};
     bool cancelling = false;
-    bool resumable = false; ///< An earlier owner's attempt ended with a checkpoint.
+    bool parked = false;              ///< Checkpointed, and certainly not resumed since.
+    std::uint64_t resume_sequence = 0; ///< Of the journal write after which it may be resumed.
 };
 
 /// A request that the shard knows: waiting, running, or ended a short while ago.
--- a/flamingoseam/shard/shard_schedule.cpp
+++ b/flamingoseam/shard/shard_schedule.cpp
@@ -277,9 +277,7 @@
 {
     const auto cls = record.request.cls;
     const auto index = record.waiting.front();
-    if (index >= record.opened) {
-        record.held_by = "window";
-        open_window(record);
+    if (!is_open(record, index)) {
         return placing::retry_later;
     }
     if (time < record.not_before) {
@@ -332,10 +330,10 @@
 shard_state::placing shard_state::place_gang(request_record& record, const contract& terms,
                                              time_point time)
 {
-    if (record.opened < record.request.tasks) {
-        record.held_by = "window";
-        open_window(record);
-        return placing::retry_later;
+    for (const auto index : record.waiting) {
+        if (!is_open(record, index)) {
+            return placing::retry_later;
+        }
     }
     if (time < record.not_before) {
         record.held_by = "backoff";
@@ -386,7 +384,6 @@
     slot.reserved = size;
     slot.began = time;
     slot.yielding = false;
-    slot.resumable = false;
     pool_.reserve(worker, size);
     change_usage(record, size, 1);
     running_.emplace(slot.task_id, task_ref{&record, index});
@@ -422,6 +419,28 @@
            std::to_string(attempt);
 }
 
+bool shard_state::is_open(request_record& record, int index)
+{
+    auto& slot = record.tasks.at(static_cast<std::size_t>(index));
+    if (is_job(record) && index >= record.opened) {
+        record.held_by = "window";
+        open_window(record);
+        return false;
+    }
+    if (!slot.parked) {
+        return true;
+    }
+    record.held_by = "window";
+    if (slot.resume_sequence == 0 && store_available_) {
+        slot.resume_sequence = journal_sequence_ + 1;
+        request_journal({.what = pending_write::purpose::open,
+                         .sequence = slot.resume_sequence,
+                         .key = key_of(record.request.customer, record.request.request_id),
+                         .result = {}});
+    }
+    return false;
+}
+
 void shard_state::open_window(request_record& record)
 {
     const bool whole = record.request.cls != work_class::batch;
--- a/flamingoseam/shard/shard_state.hpp
+++ b/flamingoseam/shard/shard_state.hpp
@@ -248,7 +248,9 @@
     placement_query make_query(const request_record& record, const contract& terms) const;
     job_spread spread_of(const request_record& record) const;
     void start_task(request_record& record, int index, std::size_t worker, time_point time);
+    bool is_open(request_record& record, int index);
     void open_window(request_record& record);
+    void resume_parked(request_record& record, std::uint64_t sequence);
     void enqueue(request_record& record);
     void dequeue(request_record& record);
     void wish_for_share(const contract& terms, const resources& missing);
--- a/flamingoseam/shard/shard_worker.cpp
+++ b/flamingoseam/shard/shard_worker.cpp
@@ -51,6 +51,9 @@
             if (phase == task_phase::waiting && static_cast<int>(i) < job.opened) {
                 phase = task_phase::started;
             }
+            record.tasks[i].parked = phase == task_phase::parked;
+            phase = phase == task_phase::parked ? task_phase::waiting : phase;
+            record.tasks[i].attempt = record.tasks[i].parked ? 1 : 0;
             record.tasks[i].phase = phase;
             if (phase == task_phase::waiting) {
                 record.waiting.push_back(static_cast<int>(i));
@@ -100,7 +103,9 @@
                         .ended = record.ended_wall,
                         .cancelled = record.cancelled};
         for (const auto& slot : record.tasks) {
-            job.phases += static_cast<char>(slot.phase);
+            const bool resumes = slot.resume_sequence != 0;
+            const auto phase = slot.parked && !resumes ? task_phase::parked : slot.phase;
+            job.phases += static_cast<char>(phase);
         }
         if (record.ended) {
             job.request.payload.clear();
@@ -137,6 +142,7 @@
         auto& record = *found->second;
         if (write.what == pending_write::purpose::open) {
             record.opened = std::max(record.opened, record.opening);
+            resume_parked(record, sequence);
             continue;
         }
         record.accepted = true;
@@ -150,6 +156,16 @@
     schedule(time);
 }
 
+void shard_state::resume_parked(request_record& record, std::uint64_t sequence)
+{
+    for (auto& slot : record.tasks) {
+        if (slot.resume_sequence != 0 && slot.resume_sequence <= sequence) {
+            slot.parked = false;
+            slot.resume_sequence = 0;
+        }
+    }
+}
+
 void shard_state::on_vm_list(const std::vector<vm_entry>& vms, time_point time)
 {
     for (const auto& vm : vms) {
@@ -356,7 +372,6 @@
 {
     auto& slot = record.tasks.at(static_cast<std::size_t>(report.task.index));
     slot.attempt = std::max(slot.attempt, 1);
-    slot.resumable |= report.state == task_state::checkpointed;
     const bool runs_again = !record.waiting.empty() && record.request.idempotent;
     if (is_job(record) || runs_again) {
         return; // A newer attempt may be on a worker that has not reported; settle_unseen decides.
@@ -470,6 +485,8 @@
         return;
     }
     if (state == task_state::checkpointed) {
+        slot.parked = is_job(record) && !record.request.idempotent;
+        actions_.journal |= slot.parked;
         run_again(record, index, time);
         return;
     }
@@ -507,7 +524,7 @@
     auto& slot = record.tasks.at(static_cast<std::size_t>(index));
     slot.attempt = std::max(slot.attempt, 1);
     record.result.reason = why;
-    const bool again = (record.request.idempotent || slot.resumable) && !record.cancelled;
+    const bool again = record.request.idempotent && !record.cancelled;
     if (again && (is_job(record) || may_retry(record, slot.attempt))) {
         run_again(record, index, time);
     } else {
