--- a/flamingoseam/entry/entry.cpp
+++ b/flamingoseam/entry/entry.cpp
@@ -72,6 +72,7 @@
 {
     std::unique_lock lock(mutex_);
     draining_ = true;
+    server_->close_after_answers();
     LOG(INFO) << "draining " << open_ << " open calls";
     const bool idle = idle_.wait_for(lock, settings_.drain_timeout, [this] { return open_ == 0; });
     lock.unlock();
@@ -209,7 +210,7 @@
 {
     auto work = read_caller_request(request.body, is_job);
     if (work.request_id.empty()) {
-        work.request_id = (is_job ? "" : entry_id_prefix) + make_request_id(wall_now());
+        work.request_id = entry_id_prefix + make_request_id(wall_now());
     }
     work.traceparent = hop.header();
     const auto limit = is_job ? job_timeout : settings_.call_timeout;
--- a/flamingoseam/entry/router.cpp
+++ b/flamingoseam/entry/router.cpp
@@ -154,7 +154,8 @@
     if (shards.empty()) {
         return {};
     }
-    if (!request.request_id.starts_with(entry_id_prefix)) {
+    const bool is_job = request.cls != work_class::call;
+    if (is_job || !request.request_id.starts_with(entry_id_prefix)) {
         return {choose_by_hash(request.request_id, shards)};
     }
     std::vector<std::string> order;
--- a/flamingoseam/http/http_client.cpp
+++ b/flamingoseam/http/http_client.cpp
@@ -47,10 +47,7 @@
     if (!client_) {
         client_ = std::make_unique<cxxtools::http::Client>(server_.address, server_.port);
     }
-    cxxtools::http::Request message(request.path.substr(0, request.path.find('?')));
-    if (const auto mark = request.path.find('?'); mark != std::string::npos) {
-        message.qparams(request.path.substr(mark + 1));
-    }
+    cxxtools::http::Request message(request.path);
     message.method(request.method);
     if (!request.authorization.empty()) {
         message.setHeader("Authorization", request.authorization.c_str());
--- a/flamingoseam/http/http_server.cpp
+++ b/flamingoseam/http/http_server.cpp
@@ -11,6 +11,7 @@
 #include <glog/logging.h>
 
 #include <array>
+#include <atomic>
 #include <iterator>
 #include <vector>
 
@@ -36,9 +37,13 @@
     const http_handler& handler() const { return handler_; }
     std::size_t max_body_bytes() const { return max_body_bytes_; }
 
+    void close_after_answers() { closing_ = true; }
+    bool is_closing() const { return closing_; }
+
 private:
     http_handler handler_;
     std::size_t max_body_bytes_;
+    std::atomic<bool> closing_{false};
 };
 
 namespace {
@@ -106,6 +111,9 @@
         }
         reply.httpReturn(static_cast<unsigned>(response.status), "");
         reply.setHeader("Content-Type", response.content_type.c_str());
+        if (service_.is_closing()) {
+            reply.setHeader("Connection", "close");
+        }
         out << response.body;
     }
 
@@ -165,8 +173,14 @@
     thread_ = std::thread([this] { loop_.run(); });
 }
 
+void http_server::close_after_answers()
+{
+    service_->close_after_answers();
+}
+
 http_server::~http_server()
 {
+    close_after_answers();
     loop_.exit();
     thread_.join();
     server_.reset();
--- a/flamingoseam/http/http_server.hpp
+++ b/flamingoseam/http/http_server.hpp
@@ -62,6 +62,9 @@
     /// Stops listening and waits for handlers that still run.
     ~http_server();
 
+    /// Closes every connection after its next answer, so that callers turn to another server.
+    void close_after_answers();
+
     http_server(const http_server&) = delete;
     http_server& operator=(const http_server&) = delete;
 
--- a/flamingoseam/job/journal.cpp
+++ b/flamingoseam/job/journal.cpp
@@ -5,6 +5,7 @@
 void operator<<=(cxxtools::SerializationInfo& info, const journal_job& value)
 {
     info.addMember("request") <<= value.request;
+    info.addMember("content_hash") <<= value.content_hash;
     info.addMember("opened") <<= value.opened;
     info.addMember("phases") <<= value.phases;
     info.addMember("submitted_ms") <<= static_cast<std::int64_t>(value.submitted.count());
@@ -17,6 +18,7 @@
     std::int64_t submitted_ms = 0;
     std::int64_t ended_ms = 0;
     info.getMember("request") >>= value.request;
+    info.getMember("content_hash") >>= value.content_hash;
     info.getMember("opened") >>= value.opened;
     info.getMember("phases") >>= value.phases;
     info.getMember("submitted_ms", submitted_ms);
--- a/flamingoseam/job/journal.hpp
+++ b/flamingoseam/job/journal.hpp
@@ -12,8 +12,9 @@
 /// One accepted job as the journal keeps it.
 struct journal_job {
     work_request request;
-    int opened = 0;     ///< Tasks below this index may have been started.
-    std::string phases; ///< One letter per task, see task_phase.
+    std::uint64_t content_hash = 0; ///< Of the request as it was submitted.
+    int opened = 0;                 ///< Tasks below this index may have been started.
+    std::string phases;             ///< One letter per task, see task_phase.
     wall_time submitted{0};
     wall_time ended{0}; ///< 0 while the job is open.
     bool cancelled = false;
--- a/flamingoseam/log/log.cpp
+++ b/flamingoseam/log/log.cpp
@@ -72,6 +72,7 @@
 void init_logging(const char* program)
 {
     google::InitGoogleLogging(program);
+    google::InstallFailureSignalHandler();
     for (const auto severity : {google::GLOG_INFO, google::GLOG_WARNING, google::GLOG_ERROR}) {
         google::SetLogDestination(severity, "");
     }
--- a/flamingoseam/peer/rpc_client.cpp
+++ b/flamingoseam/peer/rpc_client.cpp
@@ -19,12 +19,13 @@
 
 /// One connection to one scheduler. Lives on the client's thread.
 struct connection {
-    explicit connection(kj::Own<kj::AsyncIoStream> opened)
-        : stream(kj::mv(opened)), client(*stream),
+    connection(kj::Own<kj::AsyncIoStream> opened, std::uint64_t number)
+        : number(number), stream(kj::mv(opened)), client(*stream),
           scheduler(client.bootstrap().castAs<rpc::Scheduler>())
     {
     }
 
+    std::uint64_t number;
     kj::Own<kj::AsyncIoStream> stream;
     capnp::TwoPartyClient client;
     rpc::Scheduler::Client scheduler;
@@ -60,13 +61,13 @@
     Result call(const endpoint& scheduler, milliseconds timeout, Use&& use, bool drop_on_timeout)
     {
         bool sent = false;
-        std::shared_ptr<connection> used;
+        std::uint64_t used = 0; // The connection itself must not leave its thread.
         try {
             return executor_->executeSync([&]() -> kj::Promise<Result> {
                 auto answer = open(scheduler).then(
                     [&, timeout](std::shared_ptr<connection> opened) -> kj::Promise<Result> {
                         sent = true;
-                        used = opened;
+                        used = opened->number;
                         return use(opened->scheduler).attach(kj::mv(opened));
                     });
                 return within<Result>(kj::mv(answer), timeout);
@@ -76,7 +77,6 @@
             if (!timed_out || drop_on_timeout) {
                 drop(scheduler, used);
             }
-            release(kj::mv(used));
             throw transport_error(sent ? 307 : 306,
                                   to_string(scheduler) + ": " + cause.getDescription().cStr(),
                                   sent);
@@ -109,29 +109,24 @@
                                if (found != connections_.end()) {
                                    return found->second;
                                }
-                               auto opened = std::make_shared<connection>(kj::mv(stream));
+                               auto opened =
+                                   std::make_shared<connection>(kj::mv(stream), ++last_number_);
                                connections_[scheduler] = opened;
                                return opened;
                            });
         return within<std::shared_ptr<connection>>(kj::mv(opening), connect_timeout);
     }
 
-    void drop(const endpoint& scheduler, const std::shared_ptr<connection>& used)
+    void drop(const endpoint& scheduler, std::uint64_t used)
     {
         executor_->executeSync([&] {
             const auto found = connections_.find(scheduler);
-            if (found != connections_.end() && (used == nullptr || found->second == used)) {
+            if (found != connections_.end() && found->second->number == used) {
                 connections_.erase(found);
             }
         });
     }
 
-    /// A connection must end on the thread that it lives on.
-    void release(std::shared_ptr<connection> used)
-    {
-        executor_->executeSync([&] { used.reset(); });
-    }
-
     void run(std::promise<void>& ready)
     {
         auto io = kj::setupAsyncIo();
@@ -150,6 +145,7 @@
     kj::Own<const kj::Executor> executor_;
     kj::Own<kj::CrossThreadPromiseFulfiller<void>> stop_;
     std::map<endpoint, std::shared_ptr<connection>> connections_;
+    std::uint64_t last_number_ = 0;
     std::thread thread_;
 };
 
--- a/flamingoseam/shard/records.hpp
+++ b/flamingoseam/shard/records.hpp
@@ -36,7 +36,7 @@
     bool yielding = false; ///< Asked to give its worker back.
     time_point yield_deadline{};
     bool cancelling = false;
-    bool parked = false;              ///< Checkpointed, and certainly not resumed since.
+    bool parked = false;               ///< Checkpointed, and certainly not resumed since.
     std::uint64_t resume_sequence = 0; ///< Of the journal write after which it may be resumed.
 };
 
@@ -48,7 +48,7 @@
     int opened = 0;                     ///< Tasks below it may be started; in the store for jobs.
     int opening = 0;                    ///< Value of `opened` in the next journal write.
     bool accepted = true;               ///< False for a job that is not in the store's journal yet.
-    std::size_t content_hash = 0;       ///< Tells a repeat from another request under the same id.
+    std::uint64_t content_hash = 0;     ///< Tells a repeat from another request under the same id.
     std::vector<std::uint64_t> waiters; ///< Tokens of callers who wait for the outcome.
     outcome result;
     bool ended = false;
--- a/flamingoseam/shard/shard_schedule.cpp
+++ b/flamingoseam/shard/shard_schedule.cpp
@@ -444,9 +444,9 @@
 void shard_state::open_window(request_record& record)
 {
     const bool whole = record.request.cls != work_class::batch;
-    const auto wanted =
-        whole ? record.request.tasks
-              : std::min(record.request.tasks, record.waiting.front() + options_.task_window);
+    const auto window = record.request.idempotent ? options_.task_window : options_.once_window;
+    const auto wanted = whole ? record.request.tasks
+                              : std::min(record.request.tasks, record.waiting.front() + window);
     if (record.opening >= wanted || !store_available_) {
         return;
     }
--- a/flamingoseam/shard/shard_state.hpp
+++ b/flamingoseam/shard/shard_state.hpp
@@ -34,6 +34,7 @@
     milliseconds job_retention = std::chrono::hours(1);       ///< Of ended jobs, in the journal.
     milliseconds gang_hold = std::chrono::seconds(20);        ///< Longest hold for one gang.
     std::size_t most_journal_bytes = 900'000;                 ///< Of one journal record.
+    int once_window = 4;                                      ///< The same for non-idempotent jobs.
     int task_window = 64;                                     ///< Batch tasks opened in one write.
 };
 
--- a/flamingoseam/shard/shard_submit.cpp
+++ b/flamingoseam/shard/shard_submit.cpp
@@ -1,9 +1,9 @@
+#include "flamingoseam/core/hash.hpp"
 #include "flamingoseam/job/request_id.hpp"
 #include "flamingoseam/shard/explain.hpp"
 #include "flamingoseam/shard/shard_state.hpp"
 
 #include <algorithm>
-#include <functional>
 
 namespace flamingoseam {
 
@@ -21,11 +21,10 @@
     return {.what = verdict::may_have_run, .reason = reason, .detail = detail};
 }
 
-std::size_t hash_content(const work_request& request)
+std::uint64_t hash_content(const work_request& request)
 {
-    const std::hash<std::string> hash;
-    return hash(request.kind + '\n' + std::string(to_string(request.cls)) + '\n' +
-                std::to_string(request.tasks) + '\n' + request.payload);
+    return short_hash(request.kind + '\n' + std::string(to_string(request.cls)) + '\n' +
+                      std::to_string(request.tasks) + '\n' + request.payload);
 }
 
 std::string text_of(const resources& amount)
--- a/flamingoseam/shard/shard_worker.cpp
+++ b/flamingoseam/shard/shard_worker.cpp
@@ -1,3 +1,4 @@
+#include "flamingoseam/core/hash.hpp"
 #include "flamingoseam/job/request_id.hpp"
 #include "flamingoseam/shard/explain.hpp"
 #include "flamingoseam/shard/shard_state.hpp"
@@ -41,6 +42,7 @@
     }
     for (const auto& job : journal.jobs) {
         auto& record = make_record(job.request, time, job.submitted);
+        record.content_hash = job.content_hash;
         record.waiting.clear();
         record.opened = job.opened;
         record.opening = job.opened;
@@ -97,6 +99,7 @@
             continue;
         }
         journal_job job{.request = record.request,
+                        .content_hash = record.content_hash,
                         .opened = std::max(record.opened, record.opening),
                         .phases = {},
                         .submitted = record.submitted_wall,
@@ -554,8 +557,8 @@
     const auto* terms = terms_of(record);
     if (terms != nullptr && record.result.reason == "task_failed") {
         record.not_before = time + backoff(terms->retry_backoff, slot.attempt,
-                                           std::hash<std::string>()(record.request.request_id) +
-                                               static_cast<std::size_t>(index));
+                                           short_hash(record.request.request_id) +
+                                               static_cast<std::uint64_t>(index));
     }
     record.waiting.push_front(index);
     if (record.queued) {
@@ -818,7 +821,11 @@
     info.addMember("state") <<= value.state;
     info.addMember("held_by") <<= value.held_by;
     info.addMember("held_text") <<= value.held_text;
-    info.addMember("tasks") <<= value.tasks;
+    auto& tasks = info.addMember("tasks");
+    tasks.setCategory(cxxtools::SerializationInfo::Object);
+    for (const auto& [phase, count] : value.tasks) {
+        tasks.addMember(phase) <<= count;
+    }
     info.addMember("result") <<= value.result;
 }
 
@@ -829,7 +836,11 @@
     info.getMember("state") >>= value.state;
     info.getMember("held_by", value.held_by);
     info.getMember("held_text", value.held_text);
-    info.getMember("tasks", value.tasks);
+    const auto& tasks = info.getMember("tasks");
+    for (std::size_t i = 0; i < tasks.memberCount(); ++i) {
+        const auto& member = tasks.getMember(static_cast<unsigned>(i));
+        member >>= value.tasks[member.name()];
+    }
     info.getMember("result", value.result);
 }
 
--- a/scenarios/cell.lua
+++ b/scenarios/cell.lua
@@ -257,6 +257,7 @@
         local started = runs[one.request_id .. "/0"] or {}
         if one.status == 0 then
             sums.unanswered = sums.unanswered + 1
+            if sums.unanswered <= 2 then print("UNANSWERED", one.request_id, one.reason) end
         elseif one.verdict == "ran" then
             sums.served = sums.served + 1
             waits[#waits + 1] = one.wait_ms
@@ -269,6 +270,8 @@
             end
         else
             sums.doubted = sums.doubted + 1
+            sums.doubts = sums.doubts or {}
+            sums.doubts[one.reason] = (sums.doubts[one.reason] or 0) + 1
         end
         if #started > 1 then
             if not options.idempotent then
@@ -304,6 +307,7 @@
     print(string.format("  %s: served %d, refused %d, doubted %d, unanswered %d, lost %d, doubled %d, untrue %d, p50 %d ms, p99 %d ms, longest %d ms",
         title, sums.served, sums.refused, sums.doubted, sums.unanswered, sums.lost, sums.doubled, sums.untrue,
         sums.p50, sums.p99, sums.most))
+    for reason, count in pairs(sums.doubts or {}) do print("    doubted for " .. reason .. ": " .. count) end
 end
 
 function must_hold(title, sums)
@@ -334,3 +338,62 @@
 
 CALL = '{"kind":"waiver","milli_cpus":500,"memory_mb":500,"payload":"{\\"run_ms\\":20,\\"text\\":\\"yes\\"}"}'
 IDEMPOTENT_CALL = '{"kind":"thumbnail","idempotent":true,"milli_cpus":500,"memory_mb":500,"payload":"{\\"run_ms\\":20,\\"text\\":\\"done\\"}"}'
+
+-- Runs `break_it` while two loads go on: calls that must not run twice and calls that may.
+-- Returns the accounts of both.
+function under_load(cell, break_it, options)
+    options = options or {}
+    local customer = options.customer or "leisure"
+    local once = load_start { entries = entry_addresses(cell), key = customer .. "-key",
+        body = options.call or CALL, connections = options.connections or 8, interval_ms = 5, own_ids = 1 }
+    local again = load_start { entries = entry_addresses(cell), key = customer .. "-key",
+        body = options.idempotent_call or IDEMPOTENT_CALL, connections = options.connections or 8, interval_ms = 5 }
+    pause(500)
+    break_it()
+    pause(500)
+    local first, second = load_finish(once, true), load_finish(again, true)
+    -- Late starts must show too.
+    pause(500)
+    local a = account(cell, first)
+    local b = account(cell, second, { idempotent = true })
+    must_hold("non-idempotent", a)
+    must_hold("idempotent", b)
+    expect("no worker was asked to hold more than it has", over_capacity(cell) == 0)
+    expect("something was served", a.served > 0 and b.served > 0)
+    return a, b
+end
+
+function owner_of(cell, shard)
+    return owners(cell)[shard].scheduler
+end
+
+function started_cell(options)
+    local cell = small_cell(options)
+    start_cell(cell)
+    must_apply(cell, "leisure", { guaranteed = part(cell.total, 0.5), ceiling = cell.total })
+    return cell
+end
+
+function fault(cell, query)
+    request { method = "POST", server = cell.store, path = "/v1/fault?" .. query }
+end
+
+function submit_job(cell, customer, body, entry)
+    return request { method = "POST", server = (entry or cell.entries[1]).http, path = "/v1/jobs",
+        key = customer .. "-key", body = body, timeout_ms = 8000 }
+end
+
+function job_state(cell, customer, id)
+    for _, entry in ipairs(cell.entries) do
+        local code, view = request { server = entry.http, path = "/v1/jobs/" .. id, key = customer .. "-key",
+            timeout_ms = 8000 }
+        if code == 200 then return view end
+    end
+end
+
+function wait_job_end(cell, customer, id, limit_ms)
+    return wait("the end of job " .. id, limit_ms, function()
+        local view = job_state(cell, customer, id)
+        return view and view.state == "ended" and view
+    end)
+end
--- a/scenarios/load.cpp
+++ b/scenarios/load.cpp
@@ -33,12 +33,13 @@
     return results_;
 }
 
-std::string load::body_with(const std::string& request_id) const
+std::string load::body_with(const std::string& request_id, bool first_attempt) const
 {
     if (!options_.own_ids) {
         return options_.body;
     }
-    return R"({"request_id":")" + request_id + R"(",)" + options_.body.substr(1);
+    return R"({"request_id":")" + request_id + R"(","first_attempt":)" +
+           (first_attempt ? "true," : "false,") + options_.body.substr(1);
 }
 
 void load::run(std::size_t connection)
@@ -64,13 +65,14 @@
     const auto began = now();
     result.request_id = id;
     result.began_ms = wall_now().count();
-    const http_call call{.method = "POST",
-                         .path = options_.path,
-                         .body = body_with(id),
-                         .authorization = "Bearer " + options_.key,
-                         .timeout = options_.timeout};
+    http_call call{.method = "POST",
+                   .path = options_.path,
+                   .body = {},
+                   .authorization = "Bearer " + options_.key,
+                   .timeout = options_.timeout};
     const int tries = options_.own_ids ? 2 : 1;
     for (int attempt = 0; attempt < tries && result.status == 0; ++attempt) {
+        call.body = body_with(id, attempt == 0);
         try {
             const auto other = options_.entries.at((connection + 1) % options_.entries.size());
             http_client second(other);
--- a/scenarios/load.hpp
+++ b/scenarios/load.hpp
@@ -51,7 +51,7 @@
 private:
     void run(std::size_t connection);
     load_result send(std::size_t connection, http_client& client);
-    std::string body_with(const std::string& request_id) const;
+    std::string body_with(const std::string& request_id, bool first_attempt) const;
 
     load_options options_;
     std::atomic<bool> stopping_{false};
--- a/scenarios/runner.cpp
+++ b/scenarios/runner.cpp
@@ -158,9 +158,10 @@
     try {
         const auto answer = client.call(call);
         lua_pushinteger(lua, answer.status);
-        try {
+        const bool is_json = answer.body.starts_with('{') || answer.body.starts_with('[');
+        if (is_json) {
             push_json(lua, from_json<any_json>(answer.body).info);
-        } catch (const error&) {
+        } else {
             lua_pushstring(lua, answer.body.c_str());
         }
     } catch (const error& cause) {
--- /dev/null
+++ b/standins/link_main.cpp
@@ -0,0 +1,132 @@
+/// A stand-in for what lies between two ends: forwards TCP connections to a target, and lets those
+/// that are open go silent for good, cuts them, or delays what they carry.
+#include "flamingoseam/daemon/daemon.hpp"
+#include "flamingoseam/http/http_server.hpp"
+#include "flamingoseam/log/log.hpp"
+
+#include <gflags/gflags.h>
+#include <kj/async-io.h>
+
+#include <atomic>
+#include <thread>
+
+DEFINE_string(address, "127.0.0.1", "IP number to listen on");
+DEFINE_int32(port, 7900, "TCP port to listen on");
+DEFINE_string(target, "127.0.0.1", "IP number to forward to");
+DEFINE_int32(target_port, 7300, "TCP port to forward to");
+DEFINE_int32(control_port, 7901, "HTTP port for POST /v1/mode?mode=pass|silence|cut&delay_ms=N");
+
+namespace {
+
+constexpr std::size_t buffer_size = 16'384;
+constexpr int cut_poll_ms = 20;
+
+/// What happens to the connections; changed by the control interface.
+struct link_mode {
+    std::atomic<int> silenced_before{0}; ///< Connections with a lower number carry nothing more.
+    std::atomic<bool> cut{false};        ///< Every connection is closed, new ones at once.
+    std::atomic<int> delay_ms{0};
+    std::atomic<int> next_connection{1};
+};
+
+/// Copies one direction of a connection until it ends, is cut or goes silent.
+kj::Promise<void> pump(link_mode& mode, kj::Timer& timer, int number, kj::AsyncIoStream& from,
+                       kj::AsyncIoStream& to, kj::byte* buffer)
+{
+    return from.tryRead(buffer, 1, buffer_size)
+        .then([&mode, &timer, number, &from, &to, buffer](std::size_t size) -> kj::Promise<void> {
+            if (number < mode.silenced_before) {
+                return kj::Promise<void>(kj::NEVER_DONE);
+            }
+            if (size == 0) {
+                to.shutdownWrite();
+                return kj::READY_NOW;
+            }
+            return timer.afterDelay(mode.delay_ms.load() * kj::MILLISECONDS)
+                .then([&to, buffer, size] { return to.write(buffer, size); })
+                .then([&mode, &timer, number, &from, &to, buffer] {
+                    return pump(mode, timer, number, from, to, buffer);
+                });
+        });
+}
+
+kj::Promise<void> until_cut(link_mode& mode, kj::Timer& timer)
+{
+    if (mode.cut) {
+        return kj::READY_NOW;
+    }
+    return timer.afterDelay(cut_poll_ms * kj::MILLISECONDS).then([&mode, &timer] {
+        return until_cut(mode, timer);
+    });
+}
+
+/// Forwards connections; lives on its own thread.
+class forwarder : kj::TaskSet::ErrorHandler {
+public:
+    explicit forwarder(link_mode& mode) : mode_(mode), io_(kj::setupAsyncIo()), tasks_(*this) {}
+
+    void run()
+    {
+        auto& network = io_.provider->getNetwork();
+        target_ = network.parseAddress(FLAGS_target, static_cast<unsigned>(FLAGS_target_port))
+                      .wait(io_.waitScope);
+        auto listen = network.parseAddress(FLAGS_address, static_cast<unsigned>(FLAGS_port))
+                          .wait(io_.waitScope);
+        auto receiver = listen->listen();
+        while (true) {
+            auto from = receiver->accept().wait(io_.waitScope);
+            if (!mode_.cut) {
+                tasks_.add(forward(kj::mv(from)));
+            }
+        }
+    }
+
+private:
+    kj::Promise<void> forward(kj::Own<kj::AsyncIoStream> from)
+    {
+        const int number = mode_.next_connection++;
+        return target_->connect().then([this, number, from = kj::mv(from)](auto to) mutable {
+            auto there = kj::heapArray<kj::byte>(buffer_size);
+            auto back = kj::heapArray<kj::byte>(buffer_size);
+            auto& timer = io_.provider->getTimer();
+            auto both = kj::heapArrayBuilder<kj::Promise<void>>(2);
+            both.add(pump(mode_, timer, number, *from, *to, there.begin()));
+            both.add(pump(mode_, timer, number, *to, *from, back.begin()));
+            return kj::joinPromises(both.finish())
+                .exclusiveJoin(until_cut(mode_, timer))
+                .attach(kj::mv(there), kj::mv(back), kj::mv(from), kj::mv(to));
+        });
+    }
+
+    void taskFailed(kj::Exception&& /*cause*/) override {}
+
+    link_mode& mode_;
+    kj::AsyncIoContext io_;
+    kj::TaskSet tasks_;
+    kj::Own<kj::NetworkAddress> target_;
+};
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::SetUsageMessage("stands in for the network between two ends");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    flamingoseam::init_logging(argv[0]);
+    const auto signals = flamingoseam::block_end_signals();
+    link_mode mode;
+    std::thread([&mode] { forwarder(mode).run(); }).detach();
+    const flamingoseam::http_server control(
+        {.address = FLAGS_address, .port = static_cast<unsigned short>(FLAGS_control_port)},
+        [&mode](const flamingoseam::http_request& request) -> flamingoseam::http_response {
+            const auto name = request.query_or("mode", "pass");
+            mode.cut = name == "cut";
+            mode.delay_ms = std::stoi(request.query_or("delay_ms", "0"));
+            if (name == "silence") {
+                mode.silenced_before = mode.next_connection.load();
+            }
+            return {.body = "{}"};
+        });
+    flamingoseam::wait_for_end(signals);
+    std::_Exit(0);
+}
--- a/tests/cell_model.cpp
+++ b/tests/cell_model.cpp
@@ -21,7 +21,7 @@
 /// Returns a UUID of version 7 that is the same in every run.
 std::string request_id_of(int id, wall_time wall)
 {
-    std::array<char, 40> text{};
+    std::array<char, 64> text{};
     const auto time = static_cast<unsigned long>(wall.count());
     std::snprintf(text.data(), text.size(), "%08lx-%04lx-7000-8000-%012x", time >> 16,
                   time & 0xffff, static_cast<unsigned>(id));
