--- a/flamingoseam/shard/estimator.hpp
+++ b/flamingoseam/shard/estimator.hpp
@@ -13,9 +13,11 @@
 /// tasks; what runs stays within its own reservation.
 class estimator {
 public:
-    /// Takes in what one ended task used. Complexity: logarithmic in kinds.
+    /// Takes in what one ended task used of what was reserved for it. A use of zero is unknown; a
+    /// use of exactly what was reserved says only that the reservation was reached, so it keeps
+    /// the estimate and does not raise it. Complexity: logarithmic in kinds.
     void observe(const std::string& customer, const std::string& kind, const resources& usage,
-                 milliseconds run_time);
+                 const resources& reserved, milliseconds run_time);
 
     /// Returns the expected run time, `declared` while nothing is known.
     [[nodiscard]] milliseconds run_time(const std::string& customer, const std::string& kind,
@@ -29,6 +31,7 @@
 private:
     struct estimate {
         int samples = 0;
+        int usage_samples = 0;
         double mean_run_ms = 0;
         double peak_milli_cpus = 0;
         double peak_memory_mb = 0;
--- a/flamingoseam/shard/shard_worker.cpp
+++ b/flamingoseam/shard/shard_worker.cpp
@@ -451,7 +451,7 @@
     }
     if (event.state == task_state::finished) {
         estimates_.observe(task.record->request.customer, task.record->request.kind, event.usage,
-                           event.run_time);
+                           slot.reserved, event.run_time);
     }
     end_started(*task.record, task.index, event.state, event.output, time);
     schedule(time);
--- a/standins/worker_model.cpp
+++ b/standins/worker_model.cpp
@@ -159,13 +159,11 @@
     auto& entry = ledger_.at(task.ledger_index);
     entry.ended_ms = wall.count();
     entry.state = to_string(state);
-    const auto usage =
-        task.behaviour.usage == resources() ? task.report.task.size : task.behaviour.usage;
     events_.push_back({.sequence = next_event_++,
                        .task_id = task.report.task.task_id,
                        .state = state,
                        .output = output,
-                       .usage = usage,
+                       .usage = task.behaviour.usage,
                        .run_time = std::chrono::duration_cast<milliseconds>(time - task.began)});
     if (events_.size() > most_kept_events) {
         tasks_.erase(events_.front().task_id);
--- a/standins/worker_model.hpp
+++ b/standins/worker_model.hpp
@@ -22,7 +22,7 @@
     milliseconds run_time{10};
     bool fail = false;
     std::string text;
-    resources usage; ///< Zero means exactly what was reserved.
+    resources usage; ///< Zero reports nothing.
 };
 
 /// Counts that tests read.
