--- a/flamingoseam/entry/caller_messages.cpp
+++ b/flamingoseam/entry/caller_messages.cpp
@@ -36,6 +36,7 @@
             return fallback;
         }
         std::int64_t value = 0;
+        check_type(*member, key, "int", "a whole number");
         read(*member, key, "a whole number", value);
         if (value < least || value > most) {
             throw parse_error(109, key + " is " + std::to_string(value) + ", must be from " +
@@ -49,6 +50,7 @@
         const auto* member = info_.findMember(key);
         bool value = fallback;
         if (member != nullptr) {
+            check_type(*member, key, "bool", "true or false");
             read(*member, key, "true or false", value);
         }
         return value;
@@ -66,6 +68,15 @@
     }
 
 private:
+    /// The deserializer alone would turn any text into a number or a truth value.
+    static void check_type(const cxxtools::SerializationInfo& member, const std::string& key,
+                           const std::string& type, const std::string& expected)
+    {
+        if (member.typeName() != type) {
+            throw parse_error(109, key + " must be " + expected);
+        }
+    }
+
     template <typename Value>
     static void read(const cxxtools::SerializationInfo& member, const std::string& key,
                      const std::string& expected, Value& value)
--- a/flamingoseam/entry/entry.cpp
+++ b/flamingoseam/entry/entry.cpp
@@ -15,7 +15,8 @@
 
 namespace {
 
-constexpr milliseconds follow_interval{250};
+constexpr milliseconds follow_interval{100};
+constexpr std::size_t follower_count = 2; ///< One goes on while the other waits for a silent one.
 constexpr milliseconds follow_timeout{500};
 constexpr milliseconds job_timeout{5000};
 constexpr milliseconds drain_poll{100};
@@ -46,8 +47,9 @@
                     .Help("Time from a request's arrival to its answer")
                     .Register(*registry_)
                     .Add({}, latency_bounds_seconds);
-    for (const auto& scheduler : settings_.schedulers) {
-        followers_.emplace_back([this, scheduler] { follow(scheduler); });
+    for (std::size_t i = 0; i < follower_count; ++i) {
+        const auto first = i * settings_.schedulers.size() / follower_count;
+        followers_.emplace_back([this, first] { follow(first); });
     }
     server_ = std::make_unique<http_server>(
         http_server_options{.address = settings_.address,
@@ -80,24 +82,30 @@
     LOG(INFO) << (idle ? "every call was answered" : "calls were still open at the drain timeout");
 }
 
-void entry::follow(const endpoint& scheduler)
+void entry::follow(std::size_t first)
 {
-    while (!stopping_) {
-        try {
-            const auto theirs = client_.exchange(
-                scheduler, {.revision = map_.revision(), .contracts = {}, .shards = {}},
-                follow_timeout);
-            map_.apply(theirs);
-            if (theirs.revision < map_.revision()) {
-                client_.exchange(scheduler, map_.newer_than(theirs.revision), follow_timeout);
-            }
-        } catch (const error&) {
-            LOG_EVERY_N(WARNING, 100) << "scheduler " << to_string(scheduler) << " does not answer";
-        }
+    const auto& schedulers = settings_.schedulers;
+    for (auto next = first; !stopping_; ++next) {
+        follow_once(schedulers[next % schedulers.size()]);
         std::this_thread::sleep_for(follow_interval);
     }
 }
 
+void entry::follow_once(const endpoint& scheduler)
+{
+    try {
+        const auto theirs = client_.exchange(
+            scheduler, {.revision = map_.revision(), .contracts = {}, .shards = {}},
+            follow_timeout);
+        map_.apply(theirs);
+        if (theirs.revision < map_.revision()) {
+            client_.exchange(scheduler, map_.newer_than(theirs.revision), follow_timeout);
+        }
+    } catch (const error&) {
+        LOG_EVERY_N(WARNING, 100) << "scheduler " << to_string(scheduler) << " does not answer";
+    }
+}
+
 bool entry::begin()
 {
     const std::lock_guard lock(mutex_);
--- a/flamingoseam/entry/entry.hpp
+++ b/flamingoseam/entry/entry.hpp
@@ -39,7 +39,8 @@
     http_response refuse(const std::string& reason, const std::string& detail);
     bool begin();
     void end();
-    void follow(const endpoint& scheduler);
+    void follow(std::size_t first);
+    void follow_once(const endpoint& scheduler);
 
     entry_settings settings_;
     span_writer spans_;
--- a/flamingoseam/scheduler/scheduler.cpp
+++ b/flamingoseam/scheduler/scheduler.cpp
@@ -1,6 +1,7 @@
 #include "flamingoseam/scheduler/scheduler.hpp"
 
 #include "flamingoseam/core/error.hpp"
+#include "flamingoseam/core/hash.hpp"
 #include "flamingoseam/http/json.hpp"
 #include "flamingoseam/log/log.hpp"
 #include "flamingoseam/store/cell_records.hpp"
@@ -20,6 +21,7 @@
 constexpr milliseconds vm_list_interval{1000};
 constexpr milliseconds peer_interval{500};
 constexpr milliseconds peer_timeout{500};
+constexpr std::size_t peers_per_round = 3; ///< However many peers there are.
 constexpr milliseconds ownership_interval{250};
 constexpr milliseconds suspicious_gap{2000}; ///< Between two ticks; the process was paused.
 constexpr unsigned operator_threads = 16;
@@ -346,30 +348,34 @@
 
 void scheduler::run_peers()
 {
+    const auto& peers = settings_.peers;
+    std::size_t next = peers.empty() ? 0 : short_hash(self_) % peers.size();
     while (!stopping_) {
-        for (const auto& peer : settings_.peers) {
-            try {
-                auto theirs = peers_.exchange(
-                    peer, {.revision = revision_, .contracts = {}, .shards = {}}, peer_timeout);
-                last_peer_contact_ms_ = monotonic_ms();
-                control_.post([this, theirs = std::move(theirs)] {
-                    std::vector<std::string> changed;
-                    for (const auto& record : theirs.contracts) {
-                        take_contract(record, changed);
-                    }
-                    for (const auto& entry : theirs.shards) {
-                        take_shard_record(entry);
-                    }
-                    if (!changed.empty()) {
-                        contracts_changed();
-                    }
-                });
-            } catch (const error&) {
-                LOG_EVERY_N(WARNING, 100) << "peer " << to_string(peer) << " does not answer";
-            }
+        const auto round = std::min(peers.size(), peers_per_round);
+        for (std::size_t i = 0; i < round && !stopping_; ++i) {
+            exchange_with(peers[next++ % peers.size()]);
         }
         pause(peer_interval, peer_interval + peer_interval / 5);
     }
 }
 
+void scheduler::exchange_with(const endpoint& peer)
+{
+    exchange_message theirs;
+    try {
+        theirs = peers_.exchange(peer, {.revision = revision_, .contracts = {}, .shards = {}},
+                                 peer_timeout);
+    } catch (const error&) {
+        LOG_EVERY_N(WARNING, 100) << "peer " << to_string(peer) << " does not answer";
+        return;
+    }
+    last_peer_contact_ms_ = monotonic_ms();
+    control_.post([this, theirs = std::move(theirs)] {
+        for (const auto& entry : theirs.shards) {
+            take_shard_record(entry);
+        }
+        take_contracts(theirs.contracts);
+    });
+}
+
 } // namespace flamingoseam
--- a/flamingoseam/scheduler/scheduler.hpp
+++ b/flamingoseam/scheduler/scheduler.hpp
@@ -64,6 +64,7 @@
     void dispatch_all(time_point time);
     void take_store_events(const store_events& events, bool complete);
     void take_contract(const contract_record& record, std::vector<std::string>& changed);
+    void take_contracts(const std::vector<contract_record>& records);
     void contracts_changed();
     void take_shard_record(const shard_entry& entry);
     void consider_ownership(time_point time);
@@ -96,6 +97,7 @@
     void run_membership();
     void run_vm_list();
     void run_peers();
+    void exchange_with(const endpoint& peer);
     void pause(milliseconds least, milliseconds most);
     void set_store_available(bool available);
     bool join(std::string& lease);
--- a/flamingoseam/scheduler/scheduler_service.cpp
+++ b/flamingoseam/scheduler/scheduler_service.cpp
@@ -80,13 +80,7 @@
 void scheduler::exchange(const exchange_message& theirs, reply_exchange reply)
 {
     control_.post([this, theirs, reply] {
-        std::vector<std::string> changed;
-        for (const auto& record : theirs.contracts) {
-            take_contract(record, changed);
-        }
-        if (!changed.empty()) {
-            contracts_changed();
-        }
+        take_contracts(theirs.contracts);
         exchange_message ours{.revision = contracts_.revision(),
                               .contracts = contracts_.since(theirs.revision),
                               .shards = {}};
--- a/flamingoseam/scheduler/scheduler_shards.cpp
+++ b/flamingoseam/scheduler/scheduler_shards.cpp
@@ -86,6 +86,17 @@
     revision_ = contracts_.revision();
 }
 
+void scheduler::take_contracts(const std::vector<contract_record>& records)
+{
+    std::vector<std::string> changed;
+    for (const auto& record : records) {
+        take_contract(record, changed);
+    }
+    if (!changed.empty()) {
+        contracts_changed();
+    }
+}
+
 void scheduler::contracts_changed()
 {
     for (auto& [id, shard] : owned_) {
--- a/standins/link_main.cpp
+++ b/standins/link_main.cpp
@@ -27,6 +27,7 @@
     std::atomic<bool> cut{false};        ///< Every connection is closed, new ones at once.
     std::atomic<int> delay_ms{0};
     std::atomic<int> next_connection{1};
+    std::atomic<std::int64_t> bytes{0}; ///< Forwarded in both directions.
 };
 
 /// Copies one direction of a connection until it ends, is cut or goes silent.
@@ -38,6 +39,7 @@
             if (number < mode.silenced_before) {
                 return kj::Promise<void>(kj::NEVER_DONE);
             }
+            mode.bytes += static_cast<std::int64_t>(size);
             if (size == 0) {
                 to.shutdownWrite();
                 return kj::READY_NOW;
@@ -125,7 +127,7 @@
             if (name == "silence") {
                 mode.silenced_before = mode.next_connection.load();
             }
-            return {.body = "{}"};
+            return {.body = R"({"bytes":)" + std::to_string(mode.bytes) + "}"};
         });
     flamingoseam::wait_for_end(signals);
     std::_Exit(0);
