--- a/bench/capacity_report.cpp
+++ b/bench/capacity_report.cpp
@@ -103,6 +103,15 @@
     return line.intercept + line.slope * x;
 }
 
+double longest(const series_map& series, const std::string& name)
+{
+    const auto found = series.find(name);
+    if (found == series.end()) {
+        return NAN;
+    }
+    return std::ranges::max_element(found->second, {}, &point::y)->y;
+}
+
 double slope_of(const series_map& series, const std::string& name)
 {
     const auto found = series.find(name);
@@ -194,8 +203,8 @@
     print_line("store of one region: writes and renewals", writes + changes + jobs, "calls/s", 300);
     print_line("a contract in force",
                at(series, "apply_ms_by_schedulers", schedulers / regions) / 1000, "s", 4);
-    print_line("take-over of a shard of 100 workers",
-               at(series, "takeover_ms_by_workers", workers_per_shard) / 1000, "s", 4);
+    print_line("urgent start, while the owner has just died (lease of 2 s; longest measured)",
+               longest(series, "takeover_ms_by_workers") / 1000, "s", 2.5);
 }
 
 } // namespace
--- a/flamingoseam/scheduler/settings.hpp
+++ b/flamingoseam/scheduler/settings.hpp
@@ -35,7 +35,7 @@
     std::vector<std::string> operator_key_hashes; ///< BLAKE2b-256, hexadecimal.
     std::string span_file;
     milliseconds store_timeout{1000};
-    milliseconds member_lease{3000};    ///< Others take shards over after it has lapsed.
+    milliseconds member_lease{2000};    ///< Others take shards over after it has lapsed.
     milliseconds worker_lease{6000};    ///< Workers stop tasks that long after the last renewal.
     milliseconds drain_timeout{20'000}; ///< Longest wait for calls in progress on shutdown.
     milliseconds isolation_grace{3000}; ///< Without store and peers, calls are refused after it.
--- /dev/null
+++ b/scenarios/cut_from_store.lua
@@ -0,0 +1,30 @@
+-- One scheduler is cut from the store, which goes on for the others: a contract applied meanwhile is in
+-- force on it within 4 s by way of its peers, and its shards are taken over without a call run twice.
+local cell = small_cell({ schedulers = 3 })
+local link_host = address(90, 1)
+local link = start("link", { "standin-link", "--address=" .. link_host, "--port=7100",
+    "--target=" .. cell.store:match("(.*):"), "--target_port=7100" })
+cell.schedulers[1].store = link_host .. ":7100"
+start_cell(cell)
+must_apply(cell, "leisure", { guaranteed = part(cell.total, 0.5), ceiling = cell.total })
+local function version_at(scheduler)
+    local code, view = request { server = scheduler.operators, path = "/v1/contracts/leisure", key = OPERATOR_KEY,
+        timeout_ms = 1000 }
+    return code == 200 and view.version or 0
+end
+under_load(cell, function()
+    request { method = "POST", server = link_host .. ":7901", path = "/v1/mode?mode=cut" }
+    local began = now_ms()
+    local code, answer = apply(cell, "leisure", { guaranteed = part(cell.total, 0.4), ceiling = cell.total },
+        { scheduler = cell.schedulers[2] })
+    expect("the contract is applied", code == 200)
+    expect("also the scheduler that is cut has it: " .. answer.message, #answer.unconfirmed == 0)
+    expect("version 2 on the scheduler that is cut", version_at(cell.schedulers[1]) == 2)
+    print("  in force everywhere, also behind the cut, after " .. (now_ms() - began) .. " ms")
+    expect("within 4 s", now_ms() - began <= 4000)
+    pause(5000)
+    request { method = "POST", server = link_host .. ":7901", path = "/v1/mode?mode=pass" }
+    pause(3000)
+    wait_for_owners(cell, 15000)
+end)
+expect("the version does not go back", version_at(cell.schedulers[1]) == 2)
