--- a/flamingoseam/http/cxxtools_allocator.hpp
+++ b/flamingoseam/http/cxxtools_allocator.hpp
@@ -30,5 +30,8 @@
 
     void deallocate(pointer storage, size_type /*count*/) noexcept { ::operator delete(storage); }
 
-    friend bool operator==(const allocator&, const allocator&) noexcept { return true; }
+    friend bool operator==(const allocator& /*left*/, const allocator& /*right*/) noexcept
+    {
+        return true;
+    }
 };
--- a/flamingoseam/scheduler/scheduler.hpp
+++ b/flamingoseam/scheduler/scheduler.hpp
@@ -63,6 +63,7 @@
     void tick(time_point time);
     void dispatch_all(time_point time);
     void take_store_events(const store_events& events, bool complete);
+    void take_member(const store_record& record);
     void take_contract(const contract_record& record, std::vector<std::string>& changed);
     void take_contracts(const std::vector<contract_record>& records);
     void contracts_changed();
@@ -138,7 +139,7 @@
     bool drained_ = false;
     bool has_cell_view_ = false;
     time_point drain_deadline_{};
-    time_point members_changed_{};
+    time_point last_join_{};
     time_point last_tick_{};
     time_point last_ownership_{};
     std::mt19937_64 random_;
--- a/flamingoseam/scheduler/scheduler_shards.cpp
+++ b/flamingoseam/scheduler/scheduler_shards.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 
-constexpr milliseconds settle_time{500};     ///< After a change of members, before taking.
+constexpr milliseconds settle_time{500};     ///< After a member has joined, before taking.
 constexpr milliseconds handover_delay{3000}; ///< A new member is live this long before it gets one.
 constexpr milliseconds take_timeout{3000};
 constexpr milliseconds wish_interval{200};
@@ -52,13 +52,7 @@
     for (const auto& record : events.records) {
         try {
             if (record.key.starts_with(member_prefix)) {
-                members_changed_ = now();
-                const auto name = name_in_key(record.key, member_prefix);
-                if (record.deleted) {
-                    members_.erase(name);
-                } else {
-                    members_.try_emplace(name, member{.seen = now()});
-                }
+                take_member(record);
             } else if (record.key.starts_with(shard_prefix)) {
                 take_shard_record(from_json<shard_record>(record.value).entry);
             } else if (record.key.starts_with(contract_prefix)) {
@@ -86,6 +80,17 @@
     revision_ = contracts_.revision();
 }
 
+void scheduler::take_member(const store_record& record)
+{
+    const auto name = name_in_key(record.key, member_prefix);
+    if (record.deleted) {
+        members_.erase(name);
+        last_ownership_ = {}; // Its shards wait for a new owner.
+    } else if (members_.try_emplace(name, member{.seen = now()}).second) {
+        last_join_ = now();
+    }
+}
+
 void scheduler::take_contracts(const std::vector<contract_record>& records)
 {
     std::vector<std::string> changed;
@@ -131,7 +136,7 @@
 void scheduler::consider_ownership(time_point time)
 {
     if (draining_ || !joined_ || !has_cell_view_ || !store_available_ ||
-        time - members_changed_ < settle_time) {
+        time - last_join_ < settle_time) {
         return;
     }
     std::vector<std::string> live;
--- a/flamingoseam/shard/shard_submit.cpp
+++ b/flamingoseam/shard/shard_submit.cpp
@@ -349,39 +349,4 @@
     pending_.clear();
 }
 
-std::optional<request_view> shard_state::find(const std::string& customer,
-                                              const std::string& request_id) const
-{
-    const auto found = requests_.find(key_of(customer, request_id));
-    if (found == requests_.end()) {
-        return std::nullopt;
-    }
-    const auto& record = *found->second;
-    request_view view{.request_id = request_id,
-                      .cls = std::string(to_string(record.request.cls)),
-                      .state = {},
-                      .held_by = {},
-                      .held_text = {},
-                      .tasks = {},
-                      .result = record.result};
-    for (const auto& slot : record.tasks) {
-        ++view.tasks[std::string(1, static_cast<char>(slot.phase))];
-    }
-    if (record.ended) {
-        view.state = "ended";
-    } else if (!record.accepted) {
-        view.state = "accepting";
-    } else if (!record.waiting.empty()) {
-        view.state = "waiting";
-        view.held_by = record.held_by;
-        if (const auto* terms = terms_of(record)) {
-            view.held_text =
-                explain_hold(record.held_by, *terms, usage_of(customer).total, share_limit(*terms));
-        }
-    } else {
-        view.state = "running";
-    }
-    return view;
-}
-
 } // namespace flamingoseam
--- a/flamingoseam/shard/share_ledger.cpp
+++ b/flamingoseam/shard/share_ledger.cpp
@@ -127,10 +127,10 @@
 
 std::int64_t parts_for(const resources& need, const resources& whole)
 {
-    return std::ranges::max({field_parts(need.milli_cpus, whole.milli_cpus),
-                             field_parts(need.memory_mb, whole.memory_mb),
-                             field_parts(need.accelerators, whole.accelerators),
-                             field_parts(need.slots, whole.slots)});
+    return std::max({field_parts(need.milli_cpus, whole.milli_cpus),
+                     field_parts(need.memory_mb, whole.memory_mb),
+                     field_parts(need.accelerators, whole.accelerators),
+                     field_parts(need.slots, whole.slots)});
 }
 
 } // namespace flamingoseam
--- a/scenarios/runner.cpp
+++ b/scenarios/runner.cpp
@@ -82,7 +82,7 @@
             const auto& member = info.getMember(static_cast<unsigned>(i));
             push_json(lua, member);
             if (info.category() == category::Array) {
-                lua_rawseti(lua, -2, static_cast<lua_Integer>(i + 1));
+                lua_rawseti(lua, -2, static_cast<lua_Integer>(i) + 1);
             } else {
                 lua_setfield(lua, -2, member.name().c_str());
             }
