Keep a worker that answers although the VM list has lost it

Cause: a worker missing from the list for 1.25 leases counted as lost at once, while its link had renewed its lease until that moment; its tasks ran on for up to a lease while they were started elsewhere. Change: such a worker is treated as leaving while it answers; one that never accepted our epoch is still ended by the list alone.

--- a/flamingoseam/scheduler/owned_shard.cpp
+++ b/flamingoseam/scheduler/owned_shard.cpp
@@ -4,6 +4,8 @@
 
 #include <glog/logging.h>
 
+#include <iterator>
+
 namespace flamingoseam {
 
 owned_shard::owned_shard(shard_entry entry, std::unique_ptr<shard_state> state, post_step post,
@@ -53,19 +55,33 @@
         open_link(vm);
     }
     for (auto it = last_listed_.begin(); it != last_listed_.end();) {
-        if (time - it->second > worker_lease_ + worker_lease_ / 4) {
-            state_->on_worker_lost(it->first, time);
-            const auto link = links_.find(it->first);
-            if (link != links_.end()) {
-                link->second->request_stop();
-                retired_links_.push_back(std::move(link->second));
-                links_.erase(link);
-            }
-            it = last_listed_.erase(it);
-        } else {
-            ++it;
-        }
+        const bool missing = time - it->second > worker_lease_ + worker_lease_ / 4;
+        it = missing && take_missing(it->first, time) ? last_listed_.erase(it) : std::next(it);
+    }
+}
+
+bool owned_shard::take_missing(const std::string& address, time_point time)
+{
+    const auto index = state_->pool().find(address);
+    if (index && fenced_.contains(address) &&
+        state_->pool().at(*index).status != worker_status::lost) {
+        // The list may be wrong. While the worker answers us its tasks run, so it only gets no
+        // more.
+        const auto& worker = state_->pool().at(*index);
+        state_->on_vm_list(
+            {{.address = address, .zone = worker.zone, .rack = worker.rack, .leaving = true}},
+            time);
+        return false;
+    }
+    state_->on_worker_lost(address, time);
+    const auto link = links_.find(address);
+    if (link != links_.end()) {
+        link->second->request_stop();
+        retired_links_.push_back(std::move(link->second));
+        links_.erase(link);
     }
+    fenced_.erase(address);
+    return true;
 }
 
 std::vector<share_wish> owned_shard::dispatch()
@@ -116,6 +132,7 @@
 void owned_shard::on_report(const std::string& address, const command_answer& report)
 {
     post_([address, report](owned_shard& shard) {
+        shard.fenced_.insert(address);
         shard.state_->on_report(address, report, now());
         const auto link = shard.links_.find(address);
         if (link != shard.links_.end()) {
--- a/flamingoseam/scheduler/owned_shard.hpp
+++ b/flamingoseam/scheduler/owned_shard.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -34,8 +35,9 @@
     /// Keeps a reply under a new token and returns the token.
     std::uint64_t keep(scheduler_service::reply_outcome reply);
 
-    /// Opens links to workers that have none and takes the list in. Workers that are missing from
-    /// the list for as long as a lease count as lost.
+    /// Opens links to workers that have none and takes the list in. A worker that is missing from
+    /// it for 1.25 leases gets no new tasks; it counts as lost when it does not answer either, or
+    /// has never answered this owner.
     void take_vm_list(const std::vector<vm_entry>& vms, time_point time);
 
     /// Sends what the state wants sent and answers what it has answered.
@@ -73,6 +75,7 @@
 
 private:
     void open_link(const vm_entry& vm);
+    bool take_missing(const std::string& address, time_point time);
 
     shard_entry entry_;
     std::unique_ptr<shard_state> state_;
@@ -81,6 +84,7 @@
     std::unordered_map<std::uint64_t, scheduler_service::reply_outcome> replies_;
     std::uint64_t next_token_ = 1;
     std::map<std::string, time_point> last_listed_;
+    std::set<std::string> fenced_; ///< Workers that have accepted our epoch.
     std::unordered_map<std::string, std::unique_ptr<worker_link>> links_;
     std::vector<std::unique_ptr<worker_link>> retired_links_; ///< They end on their own.
 };
