--- a/flamingoseam/http/http_client.cpp
+++ b/flamingoseam/http/http_client.cpp
@@ -55,6 +55,9 @@
     if (!request.traceparent.empty()) {
         message.setHeader("traceparent", request.traceparent.c_str());
     }
+    for (const auto& [name, value] : request.headers) {
+        message.setHeader(name.c_str(), value.c_str());
+    }
     message.body() << request.body;
     try {
         const auto limit = cxxtools::Milliseconds(request.timeout.count());
--- a/flamingoseam/http/http_client.hpp
+++ b/flamingoseam/http/http_client.hpp
@@ -4,6 +4,8 @@
 
 #include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace cxxtools::http {
 class Client;
@@ -40,6 +42,7 @@
     std::string body;
     std::string authorization;
     std::string traceparent;
+    std::vector<std::pair<std::string, std::string>> headers = {}; ///< Any others, by name.
     milliseconds timeout{1000};
 };
 
--- a/flamingoseam/http/http_server.cpp
+++ b/flamingoseam/http/http_server.cpp
@@ -27,8 +27,9 @@
 
 class handler_service : public cxxtools::http::CachedServiceBase {
 public:
-    handler_service(http_handler handler, std::size_t max_body_bytes)
-        : handler_(std::move(handler)), max_body_bytes_(max_body_bytes)
+    handler_service(http_handler handler, const http_server_options& options)
+        : handler_(std::move(handler)), max_body_bytes_(options.max_body_bytes),
+          kept_headers_(options.kept_headers)
     {
     }
 
@@ -36,6 +37,7 @@
 
     const http_handler& handler() const { return handler_; }
     std::size_t max_body_bytes() const { return max_body_bytes_; }
+    const std::vector<std::string>& kept_headers() const { return kept_headers_; }
 
     void close_after_answers() { closing_ = true; }
     bool is_closing() const { return closing_; }
@@ -43,6 +45,7 @@
 private:
     http_handler handler_;
     std::size_t max_body_bytes_;
+    std::vector<std::string> kept_headers_;
     std::atomic<bool> closing_{false};
 };
 
@@ -54,13 +57,17 @@
     return value == nullptr ? std::string() : std::string(value);
 }
 
-http_request to_http_request(const cxxtools::http::Request& request)
+http_request to_http_request(const cxxtools::http::Request& request,
+                             const std::vector<std::string>& kept_headers)
 {
     http_request result;
     result.method = request.method();
     result.path = request.url();
     result.authorization = header_or_empty(request, "Authorization");
     result.traceparent = header_or_empty(request, "traceparent");
+    for (const auto& name : kept_headers) {
+        result.headers.emplace(name, header_or_empty(request, name.c_str()));
+    }
     cxxtools::QueryParams parameters(request.qparams());
     std::vector<std::string> names;
     parameters.getNames(std::back_inserter(names));
@@ -102,7 +109,7 @@
     void reply(std::ostream& out, cxxtools::http::Request& request,
                cxxtools::http::Reply& reply) override
     {
-        auto seen = to_http_request(request);
+        auto seen = to_http_request(request, service_.kept_headers());
         seen.body = std::move(body_);
         seen.body_too_large = too_large_;
         const auto response = handle(seen);
@@ -111,6 +118,9 @@
         }
         reply.httpReturn(static_cast<unsigned>(response.status), "");
         reply.setHeader("Content-Type", response.content_type.c_str());
+        for (const auto& [name, value] : response.headers) {
+            reply.setHeader(name.c_str(), value.c_str());
+        }
         if (service_.is_closing()) {
             reply.setHeader("Connection", "close");
         }
@@ -154,8 +164,7 @@
 } // namespace detail
 
 http_server::http_server(const http_server_options& options, http_handler handler)
-    : service_(
-          std::make_unique<detail::handler_service>(std::move(handler), options.max_body_bytes))
+    : service_(std::make_unique<detail::handler_service>(std::move(handler), options))
 {
     try {
         server_ = std::make_unique<cxxtools::http::Server>(loop_, options.address, options.port);
--- a/flamingoseam/http/http_server.hpp
+++ b/flamingoseam/http/http_server.hpp
@@ -11,6 +11,8 @@
 #include <memory>
 #include <string>
 #include <thread>
+#include <utility>
+#include <vector>
 
 namespace flamingoseam {
 
@@ -20,8 +22,9 @@
     std::string path;
     std::map<std::string, std::string> query;
     std::string body;
-    std::string authorization; ///< The value of the Authorization header.
-    std::string traceparent;   ///< The value of the W3C traceparent header.
+    std::string authorization;                  ///< The value of the Authorization header.
+    std::string traceparent;                    ///< The value of the W3C traceparent header.
+    std::map<std::string, std::string> headers; ///< Those that the server was asked to keep.
     bool body_too_large = false;
 
     /// Returns the query parameter `name`, or `fallback` when it is absent.
@@ -33,6 +36,7 @@
     int status = 200;
     std::string body;
     std::string content_type = "application/json";
+    std::vector<std::pair<std::string, std::string>> headers = {}; ///< Any others, by name.
     bool close_without_answer = false; ///< Stand-ins use it to lose an answer.
 };
 
@@ -46,6 +50,7 @@
     std::size_t max_body_bytes = 1'000'000;                  ///< Longer bodies are refused by 413.
     milliseconds read_timeout = std::chrono::seconds(10);    ///< For a slow sender.
     milliseconds keep_alive_timeout = std::chrono::hours(1); ///< Idle connections are closed.
+    std::vector<std::string> kept_headers = {}; ///< Names of further headers that handlers see.
 };
 
 namespace detail {
--- /dev/null
+++ b/flamingoseam/node/commit_chain.cpp
@@ -0,0 +1,190 @@
+#include "flamingoseam/node/commit_chain.hpp"
+
+#include "flamingoseam/core/error.hpp"
+
+#include <glog/logging.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace flamingoseam::node {
+
+namespace {
+
+constexpr milliseconds first_pause{20};
+constexpr std::size_t head_entries = 2; ///< The condition on the head and its new value.
+
+} // namespace
+
+std::string write_head(const chain_head& head)
+{
+    return nlohmann::json{{"epoch", head.epoch}, {"sequence", head.sequence}, {"owner", head.owner}}
+        .dump();
+}
+
+chain_head read_head(const std::string& text)
+{
+    try {
+        const auto value = nlohmann::json::parse(text);
+        return {.epoch = value.at("epoch").get<std::uint64_t>(),
+                .sequence = value.at("sequence").get<std::uint64_t>(),
+                .owner = value.at("owner").get<std::string>()};
+    } catch (const nlohmann::json::exception& cause) {
+        throw parse_error(127, std::string("the head of the chain can't be read: ") + cause.what());
+    }
+}
+
+commit_chain::commit_chain(commit_chain_options options, std::unique_ptr<shared_store> store,
+                           chain_head head, std::uint64_t revision, commit_source& source)
+    : options_(std::move(options)), store_(std::move(store)), head_(std::move(head)),
+      revision_(revision), source_(source)
+{
+    thread_ = std::thread([this] { run(); });
+}
+
+commit_chain::~commit_chain()
+{
+    stopping_ = true;
+    changed_.notify_all();
+    thread_.join();
+}
+
+void commit_chain::wake()
+{
+    {
+        const std::lock_guard lock(mutex_);
+        work_waits_ = true;
+    }
+    changed_.notify_all();
+}
+
+void commit_chain::finish_with(workflow::record_change last)
+{
+    {
+        const std::lock_guard lock(mutex_);
+        last_ = std::move(last);
+        work_waits_ = true;
+    }
+    changed_.notify_all();
+}
+
+bool commit_chain::wait_finished(milliseconds limit)
+{
+    std::unique_lock lock(mutex_);
+    return changed_.wait_for(lock, limit, [this] { return finished_; });
+}
+
+bool commit_chain::wait_for_work()
+{
+    std::unique_lock lock(mutex_);
+    changed_.wait(lock, [this] { return stopping_ || work_waits_; });
+    if (!stopping_ && !last_) {
+        changed_.wait_for(lock, options_.gather, [this] { return stopping_.load(); });
+    }
+    work_waits_ = false;
+    return !stopping_;
+}
+
+void commit_chain::run()
+{
+    while (wait_for_work()) {
+        auto batch = source_.take_batch(options_.most_entries - head_entries);
+        std::optional<workflow::record_change> last;
+        if (batch.changes.empty()) {
+            const std::lock_guard lock(mutex_);
+            last = last_;
+        }
+        if (last) {
+            batch.changes.push_back(*last);
+        }
+        if (batch.changes.empty()) {
+            continue;
+        }
+        if (!write(batch)) {
+            break;
+        }
+        source_.on_stored();
+        if (last) {
+            break;
+        }
+        const std::lock_guard lock(mutex_);
+        work_waits_ = true; // More may have come meanwhile.
+    }
+    {
+        const std::lock_guard lock(mutex_);
+        finished_ = true;
+    }
+    changed_.notify_all();
+}
+
+shared_transaction commit_chain::make_transaction(const workflow::record_batch& batch) const
+{
+    shared_transaction transaction;
+    transaction.conditions.push_back({options_.head_key, revision_});
+    transaction.writes.push_back({options_.head_key, write_head(head_)});
+    for (const auto& change : batch.changes) {
+        if (change.value) {
+            transaction.writes.push_back({change.key, *change.value});
+        } else {
+            transaction.removals.push_back(change.key);
+        }
+    }
+    return transaction;
+}
+
+bool commit_chain::write(const workflow::record_batch& batch)
+{
+    ++head_.sequence;
+    const auto transaction = make_transaction(batch);
+    auto pause = first_pause;
+    while (!stopping_) {
+        const auto began = now();
+        if (const auto outcome = attempt(transaction)) {
+            note_attempt(true, began);
+            if (!*outcome) {
+                source_.on_superseded();
+            }
+            return *outcome;
+        }
+        note_attempt(false, began);
+        std::unique_lock lock(mutex_);
+        changed_.wait_for(lock, pause, [this] { return stopping_.load(); });
+        pause = std::min(2 * pause, options_.longest_pause);
+    }
+    return false;
+}
+
+/// Returns whether the transaction stands, false when another owner has taken over, none when that
+/// is not known yet.
+std::optional<bool> commit_chain::attempt(const shared_transaction& transaction)
+{
+    try {
+        const auto result = store_->commit(transaction, options_.timeout);
+        if (result.applied) {
+            revision_ = result.revision;
+            return true;
+        }
+        for (const auto& record : result.conflicting) {
+            if (record.key == options_.head_key && read_head(record.value) == head_) {
+                revision_ = record.revision; // An earlier attempt was carried out.
+                return true;
+            }
+        }
+        return false;
+    } catch (const error& cause) {
+        LOG_EVERY_N(WARNING, 20) << "a write to the store got no answer: " << cause.what();
+        return std::nullopt;
+    }
+}
+
+void commit_chain::note_attempt(bool answered, time_point began)
+{
+    const bool available = answered && now() - began < options_.away_after;
+    if (available != available_) {
+        available_ = available;
+        source_.on_store_available(available);
+    }
+}
+
+} // namespace flamingoseam::node
--- /dev/null
+++ b/flamingoseam/node/coordinator_rpc.cpp
@@ -0,0 +1,327 @@
+#include "flamingoseam/node/coordinator_rpc.hpp"
+
+#include "flamingoseam/core/error.hpp"
+#include "flamingoseam/node/coordinator.capnp.h"
+#include "flamingoseam/peer/rpc_connections.hpp"
+#include "flamingoseam/peer/rpc_listener.hpp"
+
+#include <array>
+
+namespace flamingoseam::node {
+
+namespace {
+
+constexpr std::array all_verdicts = {owner_verdict::accepted, owner_verdict::refused,
+                                     owner_verdict::not_found, owner_verdict::no_owner,
+                                     owner_verdict::unknown};
+
+void write(rpc::JobSpec::Builder out, const workflow::job_spec& job)
+{
+    out.setId(job.id);
+    out.setQueue(job.queue);
+    out.setPayload(job.payload);
+    auto steps = out.initSteps(static_cast<unsigned>(job.steps.size()));
+    for (unsigned index = 0; index < steps.size(); ++index) {
+        auto row = steps[index];
+        const auto& step = job.steps[index];
+        row.setTasks(step.tasks);
+        row.setMilliCpus(step.size.milli_cpus);
+        row.setMemoryMb(step.size.memory_mb);
+        row.setAccelerators(step.size.accelerators);
+        row.setEstimateMs(step.estimate.count());
+        auto after = row.initAfter(static_cast<unsigned>(step.after.size()));
+        for (unsigned one = 0; one < after.size(); ++one) {
+            after.set(one, step.after[one]);
+        }
+        row.setGang(step.gang);
+        row.setSameRack(step.same_rack);
+        row.setCheckpoints(step.checkpoints);
+        row.setSpeculative(step.speculative);
+        row.setLabel(step.label);
+        row.setPreferredRack(step.preferred_rack);
+        row.setMostPerWorker(step.most_per_worker);
+    }
+}
+
+workflow::job_spec read(rpc::JobSpec::Reader in)
+{
+    workflow::job_spec job{
+        .id = in.getId().cStr(), .queue = in.getQueue().cStr(), .payload = {}, .steps = {}};
+    job.payload.assign(in.getPayload().begin(), in.getPayload().size());
+    for (const auto row : in.getSteps()) {
+        workflow::step_spec step;
+        step.tasks = row.getTasks();
+        step.size = {.milli_cpus = row.getMilliCpus(),
+                     .memory_mb = row.getMemoryMb(),
+                     .accelerators = row.getAccelerators()};
+        step.estimate = milliseconds(row.getEstimateMs());
+        for (const auto earlier : row.getAfter()) {
+            step.after.push_back(earlier);
+        }
+        step.gang = row.getGang();
+        step.same_rack = row.getSameRack();
+        step.checkpoints = row.getCheckpoints();
+        step.speculative = row.getSpeculative();
+        step.label = row.getLabel().cStr();
+        step.preferred_rack = row.getPreferredRack().cStr();
+        step.most_per_worker = row.getMostPerWorker();
+        job.steps.push_back(std::move(step));
+    }
+    return job;
+}
+
+void write(rpc::QueueTerms::Builder out, const workflow::queue_terms& terms)
+{
+    out.setService(terms.service);
+    out.setPriority(terms.priority);
+    out.setMostAttempts(terms.most_attempts);
+    out.setStretch(terms.stretch);
+    out.setTargetMs(terms.target.count());
+    out.setNeedsPermission(terms.permission.has_value());
+    if (terms.permission) {
+        out.setDecisionMs(terms.permission->decision.count());
+        out.setPerWorkerMs(terms.permission->per_worker.count());
+        out.setValidityMs(terms.permission->validity.count());
+    }
+}
+
+workflow::queue_terms read(const std::string& queue, rpc::QueueTerms::Reader in)
+{
+    workflow::queue_terms terms{.name = queue,
+                                .service = in.getService().cStr(),
+                                .priority = in.getPriority(),
+                                .most_attempts = in.getMostAttempts(),
+                                .stretch = in.getStretch(),
+                                .target = milliseconds(in.getTargetMs()),
+                                .permission = {}};
+    if (in.getNeedsPermission()) {
+        terms.permission =
+            workflow::permission_terms{.decision = workflow::fractional_ms(in.getDecisionMs()),
+                                       .per_worker = workflow::fractional_ms(in.getPerWorkerMs()),
+                                       .validity = milliseconds(in.getValidityMs())};
+    }
+    return terms;
+}
+
+void write(rpc::OwnerAnswer::Builder out, const owner_answer& answer)
+{
+    out.setVerdict(to_string(answer.verdict));
+    out.setReason(answer.reason);
+    out.setRetryAfterMs(answer.retry_after.count());
+    out.setPhase(answer.phase);
+    out.setPending(answer.pending);
+}
+
+owner_answer read(rpc::OwnerAnswer::Reader in)
+{
+    return {.verdict = owner_verdict_from_string(in.getVerdict().cStr()),
+            .reason = in.getReason().cStr(),
+            .retry_after = milliseconds(in.getRetryAfterMs()),
+            .phase = in.getPhase().cStr(),
+            .pending = in.getPending()};
+}
+
+class coordinator_calls final : public rpc::Coordinator::Server {
+public:
+    explicit coordinator_calls(owner_service& service) : service_(service) {}
+
+    kj::Promise<void> submit(SubmitContext context) override
+    {
+        const auto params = context.getParams();
+        const auto job = read(params.getJob());
+        const auto terms = read(job.queue, params.getTerms());
+        return answer(context, [&](auto reply) { service_.submit(job, terms, reply); });
+    }
+
+    kj::Promise<void> cancel(CancelContext context) override
+    {
+        const std::string job = context.getParams().getJob().cStr();
+        return answer(context, [&](auto reply) { service_.cancel(job, reply); });
+    }
+
+    kj::Promise<void> find(FindContext context) override
+    {
+        const std::string job = context.getParams().getJob().cStr();
+        return answer(context, [&](auto reply) { service_.find(job, reply); });
+    }
+
+    kj::Promise<void> countPending(CountPendingContext context) override
+    {
+        const std::string queue = context.getParams().getQueue().cStr();
+        return answer(context, [&](auto reply) { service_.count_pending(queue, reply); });
+    }
+
+    kj::Promise<void> askPermission(AskPermissionContext context) override
+    {
+        const auto params = context.getParams();
+        workflow::permission_request request;
+        request.job = params.getJob().cStr();
+        request.step = params.getStep();
+        for (const auto worker : params.getWorkers()) {
+            request.workers.emplace_back(worker.cStr());
+        }
+        using result = std::optional<permission_answer>;
+        return detail::promise_of<result>(
+                   [&](auto reply) { service_.ask_permission(request, reply); })
+            .then([context](result granted) mutable {
+                auto results = context.getResults();
+                results.setAnswered(granted.has_value());
+                if (!granted) {
+                    return;
+                }
+                auto rows = results.initGrants(static_cast<unsigned>(granted->grants.size()));
+                for (unsigned index = 0; index < rows.size(); ++index) {
+                    rows[index].setWorker(granted->grants[index].worker);
+                    rows[index].setTicket(granted->grants[index].ticket);
+                }
+            });
+    }
+
+private:
+    template <typename Context, typename Call>
+    static kj::Promise<void> answer(Context context, Call&& call)
+    {
+        return detail::promise_of<owner_answer>(call).then([context](owner_answer result) mutable {
+            write(context.getResults().initAnswer(), result);
+        });
+    }
+
+    owner_service& service_;
+};
+
+} // namespace
+
+const char* to_string(owner_verdict value)
+{
+    switch (value) {
+    case owner_verdict::accepted:
+        return "accepted";
+    case owner_verdict::refused:
+        return "refused";
+    case owner_verdict::not_found:
+        return "not_found";
+    case owner_verdict::no_owner:
+        return "no_owner";
+    case owner_verdict::unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
+owner_verdict owner_verdict_from_string(const std::string& text)
+{
+    for (const auto verdict : all_verdicts) {
+        if (text == to_string(verdict)) {
+            return verdict;
+        }
+    }
+    throw parse_error(128, "'" + text + "' is not a verdict");
+}
+
+class coordinator_client::impl : public detail::rpc_connections<rpc::Coordinator> {
+public:
+    /// Sends the message that `make` fills and returns the owner's answer.
+    template <typename Make>
+    owner_answer ask(const endpoint& owner, milliseconds timeout, const Make& make)
+    {
+        return call<owner_answer>(
+            owner, timeout,
+            [&](rpc::Coordinator::Client& client) {
+                return make(client).send().then(
+                    [](auto response) { return read(response.getAnswer()); });
+            },
+            true);
+    }
+};
+
+coordinator_client::coordinator_client() : impl_(std::make_unique<impl>()) {}
+
+coordinator_client::~coordinator_client() = default;
+
+owner_answer coordinator_client::submit(const endpoint& owner, const workflow::job_spec& job,
+                                        const workflow::queue_terms& terms, milliseconds timeout)
+{
+    return impl_->ask(owner, timeout, [&](rpc::Coordinator::Client& client) {
+        auto message = client.submitRequest();
+        write(message.initJob(), job);
+        write(message.initTerms(), terms);
+        return message;
+    });
+}
+
+owner_answer coordinator_client::cancel(const endpoint& owner, const std::string& job,
+                                        milliseconds timeout)
+{
+    return impl_->ask(owner, timeout, [&](rpc::Coordinator::Client& client) {
+        auto message = client.cancelRequest();
+        message.setJob(job);
+        return message;
+    });
+}
+
+owner_answer coordinator_client::find(const endpoint& owner, const std::string& job,
+                                      milliseconds timeout)
+{
+    return impl_->ask(owner, timeout, [&](rpc::Coordinator::Client& client) {
+        auto message = client.findRequest();
+        message.setJob(job);
+        return message;
+    });
+}
+
+owner_answer coordinator_client::count_pending(const endpoint& owner, const std::string& queue,
+                                               milliseconds timeout)
+{
+    return impl_->ask(owner, timeout, [&](rpc::Coordinator::Client& client) {
+        auto message = client.countPendingRequest();
+        message.setQueue(queue);
+        return message;
+    });
+}
+
+std::optional<permission_answer> coordinator_client::ask_permission(
+    const endpoint& node, const workflow::permission_request& request, milliseconds timeout)
+{
+    using result = std::optional<permission_answer>;
+    return impl_->call<result>(
+        node, timeout,
+        [&](rpc::Coordinator::Client& client) {
+            auto message = client.askPermissionRequest();
+            message.setJob(request.job);
+            message.setStep(request.step);
+            auto workers = message.initWorkers(static_cast<unsigned>(request.workers.size()));
+            for (unsigned index = 0; index < workers.size(); ++index) {
+                workers.set(index, request.workers[index].c_str());
+            }
+            return message.send().then([](auto response) -> result {
+                if (!response.getAnswered()) {
+                    return std::nullopt;
+                }
+                permission_answer granted;
+                for (const auto row : response.getGrants()) {
+                    granted.grants.push_back({row.getWorker().cStr(), row.getTicket().cStr()});
+                }
+                return granted;
+            });
+        },
+        true);
+}
+
+class coordinator_server::impl : public detail::rpc_listener {
+public:
+    impl(const endpoint& listen, owner_service& service)
+        : detail::rpc_listener(listen, [&service]() -> capnp::Capability::Client {
+              return kj::heap<coordinator_calls>(service);
+          })
+    {
+    }
+};
+
+coordinator_server::coordinator_server(const endpoint& listen, owner_service& service)
+    : impl_(std::make_unique<impl>(listen, service))
+{
+}
+
+coordinator_server::~coordinator_server() = default;
+
+} // namespace flamingoseam::node
--- /dev/null
+++ b/flamingoseam/node/coordinator_rpc.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "flamingoseam/http/http_client.hpp"
+#include "flamingoseam/node/owner_service.hpp"
+
+#include <memory>
+
+namespace flamingoseam::node {
+
+/// Calls other nodes over Cap'n Proto RPC; safe for use from many threads. Calls throw
+/// transport_error: id 306 when nothing was sent, id 307 when the answer did not come in time.
+class coordinator_client {
+public:
+    coordinator_client();
+    ~coordinator_client();
+    coordinator_client(const coordinator_client&) = delete;
+    coordinator_client& operator=(const coordinator_client&) = delete;
+
+    owner_answer submit(const endpoint& owner, const workflow::job_spec& job,
+                        const workflow::queue_terms& terms, milliseconds timeout);
+    owner_answer cancel(const endpoint& owner, const std::string& job, milliseconds timeout);
+    owner_answer find(const endpoint& owner, const std::string& job, milliseconds timeout);
+    owner_answer count_pending(const endpoint& owner, const std::string& queue,
+                               milliseconds timeout);
+
+    /// Returns none when the permission service did not answer the node.
+    std::optional<permission_answer> ask_permission(const endpoint& node,
+                                                    const workflow::permission_request& request,
+                                                    milliseconds timeout);
+
+private:
+    class impl;
+    std::unique_ptr<impl> impl_;
+};
+
+/// Serves other nodes' calls on a thread of its own.
+class coordinator_server {
+public:
+    /// Throws transport_error (id 301) when the address can't be bound.
+    coordinator_server(const endpoint& listen, owner_service& service);
+    ~coordinator_server();
+    coordinator_server(const coordinator_server&) = delete;
+    coordinator_server& operator=(const coordinator_server&) = delete;
+
+private:
+    class impl;
+    std::unique_ptr<impl> impl_;
+};
+
+} // namespace flamingoseam::node
--- /dev/null
+++ b/flamingoseam/node/job_owner.cpp
@@ -0,0 +1,318 @@
+#include "flamingoseam/node/job_owner.hpp"
+
+#include "flamingoseam/core/error.hpp"
+
+#include <glog/logging.h>
+
+#include <utility>
+
+namespace flamingoseam::node {
+
+namespace {
+
+constexpr milliseconds tick{25};
+constexpr milliseconds directory_wait{10'000};
+constexpr milliseconds directory_pause{250}; ///< Between readings that found a change.
+
+} // namespace
+
+job_owner::job_owner(job_owner_start start, job_owner_parts parts)
+    : parts_(std::move(parts)), epoch_(start.head.epoch),
+      state_({.epoch = start.head.epoch, .keys = parts_.keys})
+{
+    state_.load(std::move(start.jobs), start.roster, now(), wall_now());
+    lanes_ = std::make_unique<permission_lanes>(
+        parts_.permissions, [this](std::uint64_t number, auto grants) {
+            loop_.post([this, number, grants = std::move(grants)] {
+                state_.on_permission(number, grants, now());
+            });
+        });
+    commit_source& source = *this;
+    chain_ = std::make_unique<commit_chain>(parts_.chain, std::move(parts_.chain_store), start.head,
+                                            start.revision, source);
+    loop_.post([this] { open_sessions(); });
+    loop_thread_ = std::thread([this] { loop_.run(tick, [this] { after_batch(); }); });
+    directory_thread_ = std::thread([this] { watch_workers(); });
+}
+
+job_owner::~job_owner()
+{
+    request_end();
+    chain_.reset();
+    loop_.stop();
+    loop_thread_.join();
+    lanes_.reset();
+    sessions_.clear();
+    retired_.clear();
+    directory_thread_.join();
+    for (auto& [token, reply] : replies_) {
+        reply({.verdict = owner_verdict::unknown, .reason = "owner_changed"});
+    }
+}
+
+void job_owner::request_end()
+{
+    ending_ = true;
+    lanes_->request_end();
+    loop_.post([this] {
+        for (auto& [worker, session] : sessions_) {
+            session->request_end();
+        }
+    });
+}
+
+std::uint64_t job_owner::keep(owner_service::reply_owner reply)
+{
+    replies_.emplace(next_token_, std::move(reply));
+    return next_token_++;
+}
+
+void job_owner::submit(const workflow::job_spec& job, const workflow::queue_terms& terms,
+                       owner_service::reply_owner reply)
+{
+    loop_.post([this, job, terms, reply = std::move(reply)]() mutable {
+        if (leaving_ || superseded_) {
+            reply({.verdict = owner_verdict::no_owner, .reason = "owner_changes"});
+            return;
+        }
+        state_.submit(keep(std::move(reply)), job, terms, now(), wall_now());
+    });
+}
+
+void job_owner::cancel(const std::string& job, owner_service::reply_owner reply)
+{
+    loop_.post([this, job, reply = std::move(reply)]() mutable {
+        const bool is_known = state_.find(job).has_value();
+        if (leaving_ || superseded_ || (!is_known && !parts_.is_certain())) {
+            reply({.verdict = owner_verdict::no_owner, .reason = "owner_changes"});
+            return;
+        }
+        state_.cancel(keep(std::move(reply)), job, wall_now());
+    });
+}
+
+void job_owner::find(const std::string& job, owner_service::reply_owner reply)
+{
+    loop_.post([this, job, reply = std::move(reply)] {
+        const auto phase = state_.find(job);
+        if (phase) {
+            reply({.verdict = owner_verdict::accepted, .phase = workflow::to_string(*phase)});
+        } else if (superseded_ || !parts_.is_certain()) {
+            reply({.verdict = owner_verdict::no_owner, .reason = "owner_changes"});
+        } else {
+            reply({.verdict = owner_verdict::not_found});
+        }
+    });
+}
+
+void job_owner::count_pending(const std::string& queue, owner_service::reply_owner reply)
+{
+    loop_.post([this, queue, reply = std::move(reply)] {
+        reply({.verdict = owner_verdict::accepted, .pending = state_.count_pending(queue)});
+    });
+}
+
+void job_owner::set_nodes(const std::vector<std::string>& nodes)
+{
+    lanes_->set_nodes(nodes);
+}
+
+bool job_owner::hand_over(workflow::record_change last, milliseconds limit)
+{
+    loop_.post([this] { leaving_ = true; });
+    chain_->finish_with(std::move(last));
+    const bool finished = chain_->wait_finished(limit);
+    request_end();
+    return finished;
+}
+
+void job_owner::on_report(std::size_t worker, workflow::worker_report report)
+{
+    loop_.post([this, worker, report = std::move(report)] {
+        state_.on_report(worker, report, now(), wall_now());
+    });
+}
+
+void job_owner::on_start(std::size_t worker, const workflow::run_name& name,
+                         workflow::start_outcome outcome)
+{
+    loop_.post([this, worker, name, outcome] { state_.on_start(worker, name, outcome, now()); });
+}
+
+void job_owner::on_stop(std::size_t worker, const workflow::run_name& name)
+{
+    loop_.post([this, worker, name] { state_.on_stop(worker, name, now()); });
+}
+
+void job_owner::on_silence(std::size_t worker, bool silent)
+{
+    loop_.post([this, worker, silent] { state_.on_silence(worker, silent); });
+}
+
+void job_owner::on_emptied(std::size_t worker)
+{
+    loop_.post([this, worker] {
+        state_.on_emptied(worker);
+        const auto session = sessions_.find(worker);
+        if (session != sessions_.end() && !state_.workers().at(worker).listed) {
+            session->second->request_end();
+            retired_.push_back(std::move(session->second));
+            sessions_.erase(session);
+        }
+    });
+}
+
+void job_owner::on_fenced(std::size_t worker)
+{
+    LOG(WARNING) << "worker " << worker << " obeys a newer owner than epoch " << epoch_;
+    report_superseded();
+}
+
+workflow::record_batch job_owner::take_batch(std::size_t most)
+{
+    return loop_.ask<workflow::record_batch>(
+        [this, most] { return state_.take_batch(most, wall_now()); });
+}
+
+void job_owner::on_stored()
+{
+    loop_.post([this] { state_.on_stored(); });
+}
+
+void job_owner::on_superseded()
+{
+    report_superseded();
+}
+
+void job_owner::on_store_available(bool available)
+{
+    parts_.log->write({.event = available ? "store_answers" : "store_silent"});
+    loop_.post([this, available] { state_.set_store_available(available); });
+}
+
+void job_owner::report_superseded()
+{
+    if (!superseded_.exchange(true)) {
+        parts_.log->write({.event = "superseded", .detail = "epoch " + std::to_string(epoch_)});
+        parts_.on_superseded();
+    }
+}
+
+void job_owner::after_batch()
+{
+    if (ending_ || superseded_) {
+        return;
+    }
+    state_.tick(now());
+    dispatch(state_.take_actions());
+    if (state_.has_changes()) {
+        chain_->wake();
+    }
+}
+
+void job_owner::dispatch(workflow::workflow_actions actions)
+{
+    const auto session_of = [this](std::size_t worker) -> worker_session* {
+        const auto found = sessions_.find(worker);
+        return found == sessions_.end() ? nullptr : found->second.get();
+    };
+    for (const auto& order : actions.stops) {
+        if (auto* session = session_of(order.worker)) {
+            session->stop(order);
+        }
+    }
+    for (auto& order : actions.starts) {
+        if (auto* session = session_of(order.worker)) {
+            session->start(std::move(order));
+        } else {
+            on_start(order.worker, order.name, workflow::start_outcome::not_sent);
+        }
+    }
+    for (const auto& order : actions.forgets) {
+        if (auto* session = session_of(order.worker)) {
+            session->forget(order);
+        }
+    }
+    for (auto& request : actions.permissions) {
+        lanes_->ask(std::move(request));
+    }
+    for (const auto& one : actions.answers) {
+        answer(one);
+    }
+    for (auto& note : actions.notes) {
+        parts_.log->write({.event = std::move(note.event),
+                           .request = std::move(note.job),
+                           .detail = std::move(note.detail)});
+    }
+}
+
+void job_owner::answer(const workflow::caller_answer& one)
+{
+    auto reply = replies_.extract(one.token);
+    if (reply.empty()) {
+        return;
+    }
+    owner_answer result{.verdict = owner_verdict::accepted, .reason = one.reason};
+    if (one.what == workflow::caller_answer::kind::unknown) {
+        result.verdict = owner_verdict::not_found;
+    } else if (one.what == workflow::caller_answer::kind::refused) {
+        result.verdict = owner_verdict::refused;
+        result.retry_after = one.retry_after;
+    }
+    reply.mapped()(result);
+}
+
+void job_owner::watch_workers()
+{
+    const auto directory = parts_.directory();
+    while (!ending_) {
+        try {
+            auto workers = directory->next(directory_wait);
+            if (workers && !ending_) {
+                loop_.post([this, workers = std::move(*workers)] { take_worker_list(workers); });
+            }
+        } catch (const error& cause) {
+            LOG_EVERY_N(WARNING, 20) << "the list of workers can't be read: " << cause.what();
+        }
+        std::this_thread::sleep_for(directory_pause);
+    }
+}
+
+void job_owner::take_worker_list(const std::vector<workflow::worker_entry>& workers)
+{
+    if (ending_) {
+        return;
+    }
+    state_.on_worker_list(workers, now());
+    open_sessions();
+    drop_finished_sessions();
+}
+
+void job_owner::open_sessions()
+{
+    for (std::size_t worker = 0; worker < state_.workers().size(); ++worker) {
+        const auto& one = state_.workers().at(worker);
+        if (!one.listed && !one.rostered) {
+            continue;
+        }
+        auto& session = sessions_[worker];
+        if (session && session->entry().address == one.entry.address) {
+            continue;
+        }
+        if (session) {
+            session->request_end();
+            retired_.push_back(std::move(session));
+        }
+        worker_listener& listener = *this;
+        session = std::make_unique<worker_session>(
+            worker_session_options{.worker = worker, .epoch = epoch_, .lease = parts_.worker_lease},
+            one.entry, parts_.channels, listener);
+    }
+}
+
+void job_owner::drop_finished_sessions()
+{
+    std::erase_if(retired_, [](const auto& session) { return session->has_ended(); });
+}
+
+} // namespace flamingoseam::node
--- /dev/null
+++ b/flamingoseam/node/membership.cpp
@@ -0,0 +1,253 @@
+#include "flamingoseam/node/membership.hpp"
+
+#include "flamingoseam/core/error.hpp"
+
+#include <glog/logging.h>
+#include <nlohmann/json.hpp>
+
+#include <ctime>
+#include <utility>
+
+namespace flamingoseam::node {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr milliseconds watch_pause{150};
+constexpr milliseconds failed_watch_pause{300};
+constexpr milliseconds commit_timeout{500};
+
+/// Milliseconds on a clock that also runs while the machine is suspended.
+std::int64_t boot_time_ms()
+{
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return std::int64_t{time.tv_sec} * 1'000 + time.tv_nsec / 1'000'000;
+}
+
+json to_json_value(const member& value)
+{
+    return {{"name", value.name},
+            {"incarnation", value.incarnation},
+            {"address", value.address.address},
+            {"port", value.address.port}};
+}
+
+member member_from_json(const json& value)
+{
+    return {.name = value.at("name").get<std::string>(),
+            .incarnation = value.at("incarnation").get<std::string>(),
+            .address = {value.at("address").get<std::string>(),
+                        value.at("port").get<unsigned short>()}};
+}
+
+template <typename Read> auto read_json(const std::string& text, const Read& read)
+{
+    try {
+        return read(json::parse(text));
+    } catch (const json::exception& cause) {
+        throw parse_error(129, std::string("a membership record can't be read: ") + cause.what());
+    }
+}
+
+} // namespace
+
+std::string write_member(const member& value)
+{
+    return to_json_value(value).dump();
+}
+
+member read_member(const std::string& text)
+{
+    return read_json(text, member_from_json);
+}
+
+std::string write_owner(const owner_record& value)
+{
+    return json{{"epoch", value.epoch}, {"owner", to_json_value(value.owner)}}.dump();
+}
+
+owner_record read_owner(const std::string& text)
+{
+    return read_json(text, [](const json& value) {
+        return owner_record{.epoch = value.at("epoch").get<std::uint64_t>(),
+                            .owner = member_from_json(value.at("owner"))};
+    });
+}
+
+std::optional<owner_record> membership_view::live_owner() const
+{
+    if (!owner || owner->owner.name.empty()) {
+        return std::nullopt;
+    }
+    const auto found = members.find(owner->owner.name);
+    if (found == members.end() || found->second.incarnation != owner->owner.incarnation) {
+        return std::nullopt;
+    }
+    return owner;
+}
+
+membership::membership(membership_options options, const shared_store_factory& stores,
+                       std::function<void()> on_change)
+    : options_(std::move(options)), on_change_(std::move(on_change)), lease_store_(stores()),
+      watch_store_(stores())
+{
+    lease_thread_ = std::thread([this] { run_lease(); });
+    watch_thread_ = std::thread([this] { run_watch(); });
+}
+
+membership::~membership()
+{
+    stopping_ = true;
+    changed_.notify_all();
+    lease_thread_.join();
+    watch_thread_.join();
+}
+
+membership_view membership::view() const
+{
+    const std::lock_guard lock(mutex_);
+    return view_;
+}
+
+bool membership::is_certain() const
+{
+    return boot_time_ms() - renewed_at_ms_ < options_.certain_for.count();
+}
+
+bool membership::has_joined() const
+{
+    const std::lock_guard lock(mutex_);
+    const auto found = view_.members.find(options_.self.name);
+    return found != view_.members.end() && found->second.incarnation == options_.self.incarnation;
+}
+
+void membership::leave()
+{
+    leaving_ = true;
+    changed_.notify_all();
+}
+
+void membership::run_lease()
+{
+    while (!stopping_ && !leaving_) {
+        try {
+            renew(*lease_store_);
+        } catch (const error& cause) {
+            LOG_EVERY_N(WARNING, 10) << "the node's lease can't be renewed: " << cause.what();
+        }
+        pause(options_.renew_interval);
+    }
+    try {
+        if (lease_ != 0) {
+            lease_store_->end_lease(lease_);
+        }
+    } catch (const error& cause) {
+        LOG(WARNING) << "the node's lease was left to lapse: " << cause.what();
+    }
+}
+
+void membership::renew(shared_store& store)
+{
+    const auto began = boot_time_ms();
+    if (lease_ != 0 && !store.renew_lease(lease_)) {
+        LOG(WARNING) << "the node's lease has ended; joining again";
+        lease_ = 0;
+    }
+    if (lease_ == 0 || is_missing_from_view()) {
+        join(store);
+    }
+    renewed_at_ms_ = began;
+}
+
+void membership::join(shared_store& store)
+{
+    if (lease_ == 0) {
+        lease_ = store.grant_lease(options_.time_to_live);
+    }
+    shared_transaction transaction;
+    transaction.writes.push_back({member_key(), write_member(options_.self), lease_});
+    const auto result = store.commit(transaction, commit_timeout);
+    if (!result.applied) {
+        lease_ = 0;
+        throw transport_error(308, "the store did not take the node's record", false);
+    }
+}
+
+bool membership::is_missing_from_view() const
+{
+    const std::lock_guard lock(mutex_);
+    return watched_ != 0 && view_.members.count(options_.self.name) == 0;
+}
+
+void membership::run_watch()
+{
+    while (!stopping_) {
+        try {
+            if (watched_ == 0) {
+                read_all(*watch_store_);
+                on_change_();
+            }
+            auto changes = watch_store_->watch(options_.prefix, watched_, options_.watch_wait);
+            {
+                const std::lock_guard lock(mutex_);
+                for (const auto& record : changes.records) {
+                    take(record);
+                }
+                watched_ = changes.history_lost ? 0 : changes.revision;
+            }
+            if (!changes.records.empty()) {
+                on_change_();
+            }
+            pause(watch_pause);
+        } catch (const error& cause) {
+            LOG_EVERY_N(WARNING, 10) << "the members can't be watched: " << cause.what();
+            {
+                const std::lock_guard lock(mutex_);
+                watched_ = 0; // A watch that was cut may have missed something.
+            }
+            pause(failed_watch_pause);
+        }
+    }
+}
+
+void membership::read_all(shared_store& store)
+{
+    std::uint64_t revision = 0;
+    const auto records = list_all(store, options_.prefix, revision);
+    const std::lock_guard lock(mutex_);
+    view_ = {};
+    for (const auto& record : records) {
+        take(record);
+    }
+    watched_ = revision;
+}
+
+void membership::take(const shared_record& record)
+{
+    try {
+        if (record.key == owner_key()) {
+            if (!record.removed) {
+                view_.owner = read_owner(record.value);
+            }
+            return;
+        }
+        const auto name = record.key.substr((options_.prefix + "node/").size());
+        if (record.removed) {
+            view_.members.erase(name);
+        } else {
+            view_.members[name] = read_member(record.value);
+        }
+    } catch (const error& cause) {
+        LOG(WARNING) << "record " << record.key << " is passed over: " << cause.what();
+    }
+}
+
+void membership::pause(milliseconds length)
+{
+    std::unique_lock lock(mutex_);
+    changed_.wait_for(lock, length, [this] { return stopping_ || leaving_; });
+}
+
+} // namespace flamingoseam::node
--- /dev/null
+++ b/flamingoseam/node/node.cpp
@@ -0,0 +1,418 @@
+#include "flamingoseam/node/node.hpp"
+
+#include "flamingoseam/core/error.hpp"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <functional>
+#include <future>
+#include <random>
+#include <set>
+#include <utility>
+
+namespace flamingoseam::node {
+
+namespace {
+
+constexpr milliseconds election_interval{1'000};       ///< Between looks when nothing changes.
+constexpr milliseconds election_interval_without{100}; ///< The same while there is no owner.
+constexpr milliseconds claim_timeout{500};
+constexpr milliseconds permission_margin{400}; ///< Beyond the service's own time.
+constexpr milliseconds retry_without_owner{1'000};
+constexpr int most_claim_attempts = 10;
+
+std::string make_incarnation()
+{
+    std::random_device device;
+    return std::to_string(device()) + "-" + std::to_string(wall_now().count());
+}
+
+owner_answer without_owner(std::string reason)
+{
+    return {.verdict = owner_verdict::no_owner,
+            .reason = std::move(reason),
+            .retry_after = retry_without_owner};
+}
+
+} // namespace
+
+node::node(node_options options, node_parts parts)
+    : options_(std::move(options)), parts_(std::move(parts)), incarnation_(make_incarnation())
+{
+    membership_ = std::make_unique<membership>(
+        membership_options{
+            .prefix = options_.store_prefix + "m/",
+            .self = {.name = options_.name, .incarnation = incarnation_, .address = options_.rpc}},
+        parts_.stores, [this] { on_view_changed(); });
+    server_ = std::make_unique<coordinator_server>(options_.rpc, *this);
+    election_thread_ = std::thread([this] { run_election(); });
+}
+
+node::~node()
+{
+    {
+        const std::lock_guard lock(mutex_);
+        stopping_ = true;
+    }
+    changed_.notify_all();
+    election_thread_.join();
+    server_.reset();
+    membership_.reset();
+}
+
+std::shared_ptr<job_owner> node::local_owner() const
+{
+    const std::lock_guard lock(mutex_);
+    return owner_lost_ ? nullptr : owner_;
+}
+
+bool node::is_ready() const
+{
+    return !leaving_ && membership_->is_certain() &&
+           (local_owner() != nullptr || membership_->view().live_owner());
+}
+
+template <typename LocalCall, typename RemoteCall>
+owner_answer node::pass_on(milliseconds timeout, const LocalCall& local, const RemoteCall& remote)
+{
+    if (const auto owner = local_owner()) {
+        auto promise = std::make_shared<std::promise<owner_answer>>();
+        auto answer = promise->get_future();
+        local(*owner, [promise](owner_answer result) { promise->set_value(std::move(result)); });
+        if (answer.wait_for(timeout) == std::future_status::ready) {
+            return answer.get();
+        }
+        return {.verdict = owner_verdict::unknown, .reason = "no_answer_in_time"};
+    }
+    const auto owner = membership_->view().live_owner();
+    if (!owner || owner->owner.incarnation == incarnation_) {
+        return without_owner("no_owner");
+    }
+    try {
+        return remote(owner->owner.address);
+    } catch (const transport_error& cause) {
+        LOG_EVERY_N(WARNING, 20) << "the owner does not answer: " << cause.what();
+        if (!cause.sent()) {
+            return without_owner("owner_unreachable");
+        }
+        return {.verdict = owner_verdict::unknown, .reason = "no_answer_in_time"};
+    }
+}
+
+owner_answer node::submit_job(const workflow::job_spec& job, const workflow::queue_terms& terms,
+                              milliseconds timeout)
+{
+    return pass_on(
+        timeout, [&](job_owner& owner, auto reply) { owner.submit(job, terms, std::move(reply)); },
+        [&](const endpoint& owner) { return client_.submit(owner, job, terms, timeout); });
+}
+
+owner_answer node::cancel_job(const std::string& job, milliseconds timeout)
+{
+    return pass_on(
+        timeout, [&](job_owner& owner, auto reply) { owner.cancel(job, std::move(reply)); },
+        [&](const endpoint& owner) { return client_.cancel(owner, job, timeout); });
+}
+
+owner_answer node::find_job(const std::string& job, milliseconds timeout)
+{
+    return pass_on(
+        timeout, [&](job_owner& owner, auto reply) { owner.find(job, std::move(reply)); },
+        [&](const endpoint& owner) { return client_.find(owner, job, timeout); });
+}
+
+owner_answer node::count_pending_jobs(const std::string& queue, milliseconds timeout)
+{
+    return pass_on(
+        timeout,
+        [&](job_owner& owner, auto reply) { owner.count_pending(queue, std::move(reply)); },
+        [&](const endpoint& owner) { return client_.count_pending(owner, queue, timeout); });
+}
+
+void node::submit(const workflow::job_spec& job, const workflow::queue_terms& terms,
+                  reply_owner reply)
+{
+    if (const auto owner = local_owner()) {
+        owner->submit(job, terms, std::move(reply));
+    } else {
+        reply(without_owner("not_the_owner"));
+    }
+}
+
+void node::cancel(const std::string& job, reply_owner reply)
+{
+    if (const auto owner = local_owner()) {
+        owner->cancel(job, std::move(reply));
+    } else {
+        reply(without_owner("not_the_owner"));
+    }
+}
+
+void node::find(const std::string& job, reply_owner reply)
+{
+    if (const auto owner = local_owner()) {
+        owner->find(job, std::move(reply));
+    } else {
+        reply(without_owner("not_the_owner"));
+    }
+}
+
+void node::count_pending(const std::string& queue, reply_owner reply)
+{
+    if (const auto owner = local_owner()) {
+        owner->count_pending(queue, std::move(reply));
+    } else {
+        reply(without_owner("not_the_owner"));
+    }
+}
+
+void node::ask_permission(const workflow::permission_request& request, reply_permission reply)
+{
+    std::thread([this, request, reply = std::move(reply)] {
+        try {
+            reply(parts_.permission(request));
+        } catch (const error& cause) {
+            LOG_EVERY_N(WARNING, 20) << "the permission service failed: " << cause.what();
+            reply(std::nullopt);
+        }
+    }).detach();
+}
+
+void node::on_view_changed()
+{
+    {
+        const std::lock_guard lock(mutex_);
+        view_changed_ = true;
+    }
+    changed_.notify_all();
+}
+
+void node::update_lanes()
+{
+    const auto owner = local_owner();
+    if (!owner) {
+        return;
+    }
+    std::vector<std::string> names{options_.name};
+    for (const auto& [name, one] : membership_->view().members) {
+        if (name != options_.name) {
+            names.push_back(name);
+        }
+    }
+    owner->set_nodes(names);
+}
+
+permission_call node::lane_call(const std::string& name)
+{
+    if (name == options_.name) {
+        return parts_.permission;
+    }
+    return [this, name](const workflow::permission_request& request) {
+        const auto members = membership_->view().members;
+        const auto found = members.find(name);
+        if (found == members.end()) {
+            throw transport_error(309, "node " + name + " is no member", false);
+        }
+        auto granted = client_.ask_permission(found->second.address, request,
+                                              request.service_time + permission_margin);
+        if (!granted) {
+            throw transport_error(310, "the permission service did not answer " + name, true);
+        }
+        return *granted;
+    };
+}
+
+void node::run_election()
+{
+    std::unique_lock lock(mutex_);
+    while (!stopping_) {
+        const bool has_owner = !owner_missing_since_;
+        changed_.wait_for(lock, has_owner ? election_interval : election_interval_without,
+                          [this] { return stopping_ || view_changed_ || owner_lost_; });
+        view_changed_ = false;
+        const bool lost = owner_lost_;
+        const bool leaving = leaving_;
+        lock.unlock();
+        if (lost) {
+            drop_owner();
+        }
+        update_lanes();
+        if (!leaving && wants_to_take_over(now())) {
+            take_over();
+        }
+        lock.lock();
+    }
+}
+
+milliseconds node::own_delay(const membership_view& view) const
+{
+    // Candidates take their turns in an order that differs from epoch to epoch.
+    const auto epoch = view.owner ? view.owner->epoch : 0;
+    const auto rank_of = [&](const std::string& name) {
+        return std::hash<std::string>{}(name + "#" + std::to_string(epoch));
+    };
+    const auto own = rank_of(options_.name);
+    const auto ahead = std::count_if(view.members.begin(), view.members.end(),
+                                     [&](const auto& row) { return rank_of(row.first) < own; });
+    const bool handed_over = view.owner && view.owner->owner.name.empty();
+    const auto grace = handed_over || !view.owner ? milliseconds(0) : options_.take_over_grace;
+    return grace + ahead * options_.take_over_step;
+}
+
+bool node::wants_to_take_over(time_point time)
+{
+    const auto view = membership_->view();
+    const std::lock_guard lock(mutex_);
+    if (view.live_owner() || owner_ || !membership_->has_joined() || !membership_->is_certain()) {
+        owner_missing_since_.reset();
+        return false;
+    }
+    if (!owner_missing_since_) {
+        owner_missing_since_ = time;
+    }
+    return time >= *owner_missing_since_ + own_delay(view);
+}
+
+/// Returns the new head when this node has become the owner.
+std::optional<chain_head> node::claim(shared_store& store, std::uint64_t& revision)
+{
+    const auto current = store.get(head_key());
+    chain_head head{.epoch = 1, .sequence = 0, .owner = options_.name + "/" + incarnation_};
+    if (current) {
+        head.epoch = read_head(current->value).epoch + 1;
+    }
+    const owner_record record{.epoch = head.epoch, .owner = membership_->self()};
+    shared_transaction transaction;
+    transaction.conditions.push_back({head_key(), current ? current->revision : 0});
+    transaction.writes.push_back({head_key(), write_head(head)});
+    transaction.writes.push_back({membership_->owner_key(), write_owner(record)});
+    for (int attempt = 0; attempt < most_claim_attempts; ++attempt) {
+        try {
+            const auto result = store.commit(transaction, claim_timeout);
+            revision = result.revision;
+            if (result.applied) {
+                return head;
+            }
+            for (const auto& one : result.conflicting) {
+                if (one.key == head_key() && read_head(one.value) == head) {
+                    revision = one.revision;
+                    return head;
+                }
+            }
+            return std::nullopt;
+        } catch (const transport_error& cause) {
+            LOG(WARNING) << "the claim got no answer and is sent again: " << cause.what();
+        }
+    }
+    return std::nullopt;
+}
+
+void node::take_over()
+{
+    try {
+        const auto store = parts_.stores();
+        std::uint64_t revision = 0;
+        const auto head = claim(*store, revision);
+        if (!head) {
+            return;
+        }
+        begin_ownership(*store, *head, revision);
+    } catch (const error& cause) {
+        LOG(WARNING) << "taking over failed: " << cause.what();
+    }
+    const std::lock_guard lock(mutex_);
+    owner_missing_since_.reset();
+}
+
+void node::begin_ownership(shared_store& store, const chain_head& head, std::uint64_t revision)
+{
+    parts_.log->write(
+        {.event = "owner_begins", .request = {}, .detail = "epoch " + std::to_string(head.epoch)});
+    job_owner_start start{.head = head, .revision = revision, .jobs = {}, .roster = {}};
+    std::map<std::string, std::string> progress;
+    std::uint64_t ignored = 0;
+    const auto record_keys = keys();
+    for (const auto& record : list_all(store, record_keys.progresses(), ignored)) {
+        progress.emplace(record.key.substr(record_keys.progresses().size()), record.value);
+    }
+    for (const auto& record : list_all(store, record_keys.specifications(), ignored)) {
+        auto job = workflow::read_specification(record.value);
+        job.spec.id = record.key.substr(record_keys.specifications().size());
+        if (const auto found = progress.find(job.spec.id); found != progress.end()) {
+            workflow::read_progress(found->second, job);
+            progress.erase(found);
+        }
+        start.jobs.push_back(std::move(job));
+    }
+    for (const auto& [id, text] : progress) {
+        start.jobs.push_back(workflow::read_final_progress(id, text));
+    }
+    if (const auto roster = store.get(record_keys.roster())) {
+        start.roster = workflow::read_roster(roster->value);
+    }
+    job_owner_parts parts{
+        .chain = {.head_key = head_key()},
+        .chain_store = parts_.stores(),
+        .keys = record_keys,
+        .worker_lease = options_.worker_lease,
+        .channels = parts_.channels,
+        .directory = parts_.directory,
+        .permissions = [this](const std::string& name) { return lane_call(name); },
+        .log = parts_.log,
+        .is_certain = [this] { return membership_->is_certain(); },
+        .on_superseded =
+            [this] {
+                {
+                    const std::lock_guard lock(mutex_);
+                    owner_lost_ = true;
+                }
+                changed_.notify_all();
+            }};
+    auto owner = std::make_shared<job_owner>(std::move(start), std::move(parts));
+    {
+        const std::lock_guard lock(mutex_);
+        owner_ = std::move(owner);
+        owner_lost_ = false;
+    }
+    update_lanes();
+}
+
+void node::drop_owner()
+{
+    std::shared_ptr<job_owner> dropped;
+    {
+        const std::lock_guard lock(mutex_);
+        dropped = std::exchange(owner_, nullptr);
+        owner_lost_ = false;
+    }
+    if (!dropped) {
+        return;
+    }
+    dropped->request_end();
+    // Its threads may be in calls that take seconds; nobody waits for them.
+    std::thread([owner = std::move(dropped)]() mutable { owner.reset(); }).detach();
+}
+
+void node::leave()
+{
+    std::shared_ptr<job_owner> owner;
+    {
+        const std::lock_guard lock(mutex_);
+        leaving_ = true;
+        owner = owner_lost_ ? nullptr : owner_;
+    }
+    if (owner) {
+        const auto view = membership_->view();
+        const owner_record nobody{.epoch = view.owner ? view.owner->epoch : 0, .owner = {}};
+        const bool written = owner->hand_over({membership_->owner_key(), write_owner(nobody)},
+                                              options_.hand_over_limit);
+        parts_.log->write({.event = "owner_ends",
+                           .request = {},
+                           .detail = written ? "handed over" : "the store did not answer"});
+        drop_owner();
+    }
+    membership_->leave();
+}
+
+} // namespace flamingoseam::node
--- /dev/null
+++ b/flamingoseam/node/node.hpp
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "flamingoseam/node/coordinator_rpc.hpp"
+#include "flamingoseam/node/job_owner.hpp"
+#include "flamingoseam/node/membership.hpp"
+
+#include <atomic>
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+
+namespace flamingoseam::node {
+
+/// How a node is made.
+struct node_options {
+    std::string name;
+    endpoint rpc;                     ///< Where other nodes reach it.
+    std::string store_prefix = "fs/"; ///< Of all keys.
+    milliseconds worker_lease{6'000};
+    milliseconds take_over_grace{400}; ///< A missing owner may come back within this.
+    milliseconds take_over_step{300};  ///< Each further candidate waits this much longer.
+    milliseconds hand_over_limit{1'500};
+};
+
+/// What a node reaches the platform with.
+struct node_parts {
+    shared_store_factory stores;
+    worker_channel_factory channels;
+    worker_directory_factory directory;
+    permission_call permission; ///< From this node itself.
+    event_log* log = nullptr;
+};
+
+/// One node of the cell. Every node answers calls about jobs by passing them to the owner; one of
+/// them is the owner, and any of them takes over when it is gone.
+class node final : public owner_service {
+public:
+    node(node_options options, node_parts parts);
+    ~node() override;
+    node(const node&) = delete;
+    node& operator=(const node&) = delete;
+
+    /// Calls of this node's own clients; each waits up to `timeout`.
+    owner_answer submit_job(const workflow::job_spec& job, const workflow::queue_terms& terms,
+                            milliseconds timeout);
+    owner_answer cancel_job(const std::string& job, milliseconds timeout);
+    owner_answer find_job(const std::string& job, milliseconds timeout);
+    owner_answer count_pending_jobs(const std::string& queue, milliseconds timeout);
+
+    /// Tells whether calls can be served now: an owner is known and this node is a member.
+    [[nodiscard]] bool is_ready() const;
+
+    /// Hands ownership over and stops counting as a member; calls are still passed on.
+    void leave();
+
+    // Calls of other nodes.
+    void submit(const workflow::job_spec& job, const workflow::queue_terms& terms,
+                reply_owner reply) override;
+    void cancel(const std::string& job, reply_owner reply) override;
+    void find(const std::string& job, reply_owner reply) override;
+    void count_pending(const std::string& queue, reply_owner reply) override;
+    void ask_permission(const workflow::permission_request& request,
+                        reply_permission reply) override;
+
+private:
+    std::shared_ptr<job_owner> local_owner() const;
+    void on_view_changed();
+    void update_lanes();
+    void run_election();
+    bool wants_to_take_over(time_point time);
+    milliseconds own_delay(const membership_view& view) const;
+    void take_over();
+    std::optional<chain_head> claim(shared_store& store, std::uint64_t& revision);
+    void begin_ownership(shared_store& store, const chain_head& head, std::uint64_t revision);
+    void drop_owner();
+    permission_call lane_call(const std::string& name);
+    std::string head_key() const { return options_.store_prefix + "head"; }
+    workflow::record_keys keys() const { return {.prefix = options_.store_prefix}; }
+
+    template <typename LocalCall, typename RemoteCall>
+    owner_answer pass_on(milliseconds timeout, const LocalCall& local, const RemoteCall& remote);
+
+    node_options options_;
+    node_parts parts_;
+    std::string incarnation_;
+    coordinator_client client_;
+    mutable std::mutex mutex_;
+    std::condition_variable changed_;
+    std::shared_ptr<job_owner> owner_;
+    bool owner_lost_ = false;
+    bool view_changed_ = false;
+    std::atomic<bool> leaving_{false};
+    bool stopping_ = false;
+    std::optional<time_point> owner_missing_since_;
+    std::unique_ptr<membership> membership_;
+    std::unique_ptr<coordinator_server> server_;
+    std::thread election_thread_;
+};
+
+} // namespace flamingoseam::node
--- /dev/null
+++ b/flamingoseam/node/permission_lanes.cpp
@@ -0,0 +1,125 @@
+#include "flamingoseam/node/permission_lanes.hpp"
+
+#include "flamingoseam/core/error.hpp"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace flamingoseam::node {
+
+namespace {
+
+constexpr milliseconds long_call{150}; ///< Service time from which a call counts as long.
+constexpr milliseconds pause_after_failure{500};
+
+bool is_long(const workflow::permission_request& request)
+{
+    return request.service_time >= long_call;
+}
+
+} // namespace
+
+permission_lanes::permission_lanes(permission_call_factory calls, on_answer answer)
+    : calls_(std::move(calls)), answer_(std::move(answer))
+{
+}
+
+permission_lanes::~permission_lanes()
+{
+    request_end();
+    for (const auto& one : lanes_) {
+        one->thread.join();
+    }
+}
+
+void permission_lanes::request_end()
+{
+    {
+        const std::lock_guard lock(mutex_);
+        ending_ = true;
+    }
+    changed_.notify_all();
+}
+
+std::size_t permission_lanes::open_lanes() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(lanes_.begin(), lanes_.end(), [](const auto& one) { return !one->ending; }));
+}
+
+void permission_lanes::set_nodes(const std::vector<std::string>& nodes)
+{
+    const std::lock_guard lock(mutex_);
+    for (const auto& one : lanes_) {
+        one->ending = std::find(nodes.begin(), nodes.end(), one->node) == nodes.end();
+    }
+    for (const auto& node : nodes) {
+        const bool exists = std::any_of(lanes_.begin(), lanes_.end(),
+                                        [&](const auto& one) { return one->node == node; });
+        if (exists) {
+            continue;
+        }
+        lanes_.push_back(std::make_unique<lane>());
+        auto& added = *lanes_.back();
+        added.node = node;
+        added.thread = std::thread([this, &added] { run(added); });
+    }
+    changed_.notify_all();
+}
+
+void permission_lanes::ask(workflow::permission_request request)
+{
+    {
+        const std::lock_guard lock(mutex_);
+        waiting_.emplace(std::pair(request.priority, request.number), std::move(request));
+    }
+    changed_.notify_all();
+}
+
+std::optional<workflow::permission_request> permission_lanes::take(lane& one)
+{
+    std::unique_lock lock(mutex_);
+    while (!ending_) {
+        const auto most_long = std::max<std::size_t>(1, open_lanes() / 2);
+        const auto found = std::find_if(waiting_.begin(), waiting_.end(), [&](const auto& row) {
+            return !is_long(row.second) || long_calls_ < most_long;
+        });
+        if (!one.ending && found != waiting_.end()) {
+            auto request = std::move(found->second);
+            waiting_.erase(found);
+            long_calls_ += is_long(request) ? 1 : 0;
+            return request;
+        }
+        changed_.wait(lock);
+    }
+    return std::nullopt;
+}
+
+void permission_lanes::run(lane& one)
+{
+    const auto call = calls_(one.node);
+    while (auto request = take(one)) {
+        std::optional<std::vector<workflow::ticket_grant>> grants;
+        try {
+            grants = call(*request).grants;
+        } catch (const error& cause) {
+            LOG_EVERY_N(WARNING, 20)
+                << "a permission request through " << one.node << " failed: " << cause.what();
+        }
+        const bool failed = !grants;
+        answer_(request->number, std::move(grants));
+        {
+            const std::lock_guard lock(mutex_);
+            long_calls_ -= is_long(*request) ? 1 : 0;
+        }
+        changed_.notify_all();
+        if (failed) {
+            std::unique_lock lock(mutex_);
+            changed_.wait_for(lock, pause_after_failure, [this] { return ending_; });
+        }
+    }
+}
+
+} // namespace flamingoseam::node
--- /dev/null
+++ b/flamingoseam/node/permission_lanes.hpp
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "flamingoseam/http/http_client.hpp"
+#include "flamingoseam/workflow/messages.hpp"
+
+#include <condition_variable>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace flamingoseam::node {
+
+/// What the permission service has granted.
+struct permission_answer {
+    std::vector<workflow::ticket_grant> grants;
+};
+
+/// Asks the permission service which workers may run a step. Throws transport_error when it does
+/// not answer or refuses.
+using permission_call = std::function<permission_answer(const workflow::permission_request&)>;
+
+/// Makes the call of one lane: from this node itself for its own name, through the peer otherwise.
+using permission_call_factory = std::function<permission_call(const std::string& node)>;
+
+/// Spreads permission requests over the nodes, since the service works on one call of each calling
+/// node at a time. A lane stands for one node. Long calls take at most half of the lanes, so that
+/// short ones, which belong to urgent work, find a lane free.
+class permission_lanes {
+public:
+    /// `answer` gets each request's number and its grants, none when the request failed; it is
+    /// called from the lanes' threads.
+    using on_answer =
+        std::function<void(std::uint64_t, std::optional<std::vector<workflow::ticket_grant>>)>;
+
+    permission_lanes(permission_call_factory calls, on_answer answer);
+
+    /// Waits for the calls under way.
+    ~permission_lanes();
+
+    permission_lanes(const permission_lanes&) = delete;
+    permission_lanes& operator=(const permission_lanes&) = delete;
+
+    /// Sets the nodes that lanes lead through. Complexity: linear.
+    void set_nodes(const std::vector<std::string>& nodes);
+
+    /// Queues a request: the lowest priority number first, then the oldest.
+    void ask(workflow::permission_request request);
+
+    /// Makes the lanes end soon, without waiting for them.
+    void request_end();
+
+private:
+    struct lane {
+        std::string node;
+        bool ending = false;
+        std::thread thread;
+    };
+
+    void run(lane& one);
+    std::optional<workflow::permission_request> take(lane& one);
+    std::size_t open_lanes() const;
+
+    permission_call_factory calls_;
+    on_answer answer_;
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    std::map<std::pair<int, std::uint64_t>, workflow::permission_request> waiting_;
+    std::vector<std::unique_ptr<lane>> lanes_;
+    std::size_t long_calls_ = 0;
+    bool ending_ = false;
+};
+
+} // namespace flamingoseam::node
--- /dev/null
+++ b/flamingoseam/node/worker_session.cpp
@@ -0,0 +1,306 @@
+#include "flamingoseam/node/worker_session.hpp"
+
+#include "flamingoseam/core/error.hpp"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace flamingoseam::node {
+
+namespace {
+
+constexpr double slowest_clock = 0.98; ///< A worker's clock may be 2 % slow.
+constexpr milliseconds lapse_margin{150};
+constexpr milliseconds first_pause{50};
+constexpr milliseconds longest_pause{500};
+constexpr milliseconds earlier_owner_margin{1'000}; ///< For renewals of an owner that was cut off.
+constexpr milliseconds wrong_life_pause{1'000};
+
+worker_time elapsed_on_slow_clock(time_point since, time_point time)
+{
+    const auto elapsed = std::chrono::duration<double, std::milli>(time - since);
+    return worker_time(static_cast<std::int64_t>(elapsed.count() * slowest_clock));
+}
+
+} // namespace
+
+void lease_clock::note(worker_time clock, time_point received)
+{
+    if (known_ && clock < clock_) {
+        return; // An answer that was overtaken, or a new life whose leases start anew.
+    }
+    known_ = true;
+    clock_ = clock;
+    received_ = received;
+}
+
+worker_time lease_clock::extend(milliseconds length, time_point time)
+{
+    if (!known_) {
+        return worker_time(0);
+    }
+    const auto passed = std::chrono::duration_cast<milliseconds>(time - received_);
+    leased_until_ = std::max(leased_until_, clock_ + passed + length);
+    return leased_until_;
+}
+
+bool lease_clock::has_lapsed(time_point time) const
+{
+    return known_ && clock_ + elapsed_on_slow_clock(received_, time) > leased_until_ + lapse_margin;
+}
+
+worker_session::worker_session(worker_session_options options, const workflow::worker_entry& entry,
+                               const worker_channel_factory& channels, worker_listener& listener)
+    : options_(options), entry_(entry), listener_(listener), order_channel_(channels(entry)),
+      poll_channel_(channels(entry)), life_(entry.life), began_(now()), next_pause_(first_pause)
+{
+    order_thread_ = std::thread([this] {
+        run_orders();
+        --running_threads_;
+    });
+    poll_thread_ = std::thread([this] {
+        run_polls();
+        --running_threads_;
+    });
+}
+
+worker_session::~worker_session()
+{
+    request_end();
+    order_thread_.join();
+    poll_thread_.join();
+}
+
+void worker_session::request_end()
+{
+    ending_ = true;
+    changed_.notify_all();
+}
+
+void worker_session::start(workflow::start_order order)
+{
+    {
+        const std::lock_guard lock(mutex_);
+        starts_.push_back({std::move(order), now()});
+    }
+    changed_.notify_all();
+}
+
+void worker_session::stop(const workflow::stop_order& order)
+{
+    {
+        const std::lock_guard lock(mutex_);
+        stops_.push_back(order.name);
+    }
+    changed_.notify_all();
+}
+
+void worker_session::forget(const workflow::forget_order& order)
+{
+    {
+        const std::lock_guard lock(mutex_);
+        if (order.life == life_) {
+            forget_up_to_ = std::max(forget_up_to_, order.up_to);
+        }
+    }
+    changed_.notify_all();
+}
+
+void worker_session::run_orders()
+{
+    std::unique_lock lock(mutex_);
+    while (!ending_) {
+        if (!stops_.empty()) {
+            const auto name = std::move(stops_.front());
+            stops_.pop_front();
+            lock.unlock();
+            send_stop(name);
+            lock.lock();
+        } else if (!starts_.empty()) {
+            const auto one = std::move(starts_.front());
+            starts_.pop_front();
+            lock.unlock();
+            send_start(one);
+            lock.lock();
+        } else {
+            changed_.wait(lock);
+        }
+    }
+}
+
+void worker_session::send_start(const queued_start& one)
+{
+    const auto& order = one.order;
+    const auto lease_until = extend_lease();
+    if (now() - one.queued > options_.oldest_start || lease_until == worker_time(0)) {
+        listener_.on_start(options_.worker, order.name, workflow::start_outcome::not_sent);
+        return;
+    }
+    try {
+        const auto answer = order_channel_->start({.name = order.name,
+                                                   .payload = order.payload,
+                                                   .checkpoint = order.checkpoint,
+                                                   .ticket = order.ticket,
+                                                   .epoch = options_.epoch,
+                                                   .lease_until = lease_until},
+                                                  options_.order_timeout);
+        note_clock(answer.clock);
+        listener_.on_start(options_.worker, order.name, answer.outcome);
+        if (answer.outcome == workflow::start_outcome::fenced) {
+            listener_.on_fenced(options_.worker);
+        }
+    } catch (const transport_error& cause) {
+        LOG_EVERY_N(WARNING, 50) << "a start got no answer: " << cause.what();
+        listener_.on_start(options_.worker, order.name, workflow::start_outcome::unknown);
+    }
+}
+
+void worker_session::send_stop(const workflow::run_name& name)
+{
+    try {
+        const auto answer = order_channel_->stop(name, options_.epoch, options_.order_timeout);
+        note_clock(answer.clock);
+        if (answer.outcome == workflow::start_outcome::started) {
+            listener_.on_stop(options_.worker, name);
+        } else if (answer.outcome == workflow::start_outcome::fenced) {
+            listener_.on_fenced(options_.worker);
+        }
+    } catch (const transport_error& cause) {
+        LOG_EVERY_N(WARNING, 50) << "a stop got no answer and is sent again: " << cause.what();
+    }
+}
+
+worker_time worker_session::extend_lease()
+{
+    const std::lock_guard lock(mutex_);
+    return clock_.extend(options_.lease, now());
+}
+
+void worker_session::note_clock(worker_time clock)
+{
+    if (clock != worker_time(0)) {
+        const std::lock_guard lock(mutex_);
+        clock_.note(clock, now());
+    }
+}
+
+void worker_session::run_polls()
+{
+    while (!ending_) {
+        if (!poll()) {
+            pause(next_pause_);
+        }
+    }
+}
+
+bool worker_session::poll()
+{
+    renew_call call{.epoch = options_.epoch, .lease_until = extend_lease()};
+    {
+        const std::lock_guard lock(mutex_);
+        call.forget_up_to = forget_up_to_;
+        call.wait = clock_.is_known() ? options_.poll_wait : milliseconds(0);
+    }
+    const auto asked = now();
+    try {
+        auto answer = poll_channel_->renew(call, call.wait + options_.answer_timeout);
+        note_clock(answer.clock);
+        take_answer(std::move(answer), asked);
+        return true;
+    } catch (const transport_error& cause) {
+        LOG_EVERY_N(WARNING, 50) << "a worker does not answer: " << cause.what();
+        note_failed_poll();
+        return false;
+    }
+}
+
+void worker_session::take_answer(renew_answer answer, time_point asked)
+{
+    using kind = renew_answer::kind;
+    if (answer.what == kind::fenced) {
+        listener_.on_fenced(options_.worker);
+        pause(wrong_life_pause);
+        return;
+    }
+    if (answer.what == kind::wrong_life) {
+        set_silent(true);
+        listener_.on_emptied(options_.worker);
+        pause(wrong_life_pause);
+        return;
+    }
+    if (answer.what == kind::refused) {
+        note_failed_poll();
+        pause(longest_pause);
+        return;
+    }
+    next_pause_ = first_pause;
+    {
+        const std::lock_guard lock(mutex_);
+        emptied_ = false;
+        if (answer.report.life != 0 && answer.report.life != life_) {
+            life_ = answer.report.life;
+            forget_up_to_ = 0;
+            clock_ = {};
+            clock_.note(answer.clock, now());
+        }
+    }
+    const auto newest =
+        answer.report.ended.empty() ? std::int64_t{0} : answer.report.ended.back().number;
+    answer.report.asked = asked;
+    set_silent(false);
+    listener_.on_report(options_.worker, std::move(answer.report));
+    wait_until_settled(newest);
+}
+
+void worker_session::wait_until_settled(std::int64_t newest_end)
+{
+    if (newest_end == 0) {
+        return;
+    }
+    std::unique_lock lock(mutex_);
+    changed_.wait_for(lock, options_.settle_wait,
+                      [&] { return ending_ || forget_up_to_ >= newest_end; });
+}
+
+void worker_session::note_failed_poll()
+{
+    set_silent(true);
+    next_pause_ = std::min(2 * next_pause_, longest_pause);
+    bool lapsed = false;
+    {
+        const std::lock_guard lock(mutex_);
+        const auto time = now();
+        const auto longest_of_earlier_owner =
+            milliseconds(static_cast<std::int64_t>(static_cast<double>(options_.lease.count()) /
+                                                   slowest_clock)) +
+            earlier_owner_margin;
+        lapsed = !emptied_ && (clock_.is_known() ? clock_.has_lapsed(time)
+                                                 : time - began_ > longest_of_earlier_owner);
+        emptied_ = emptied_ || lapsed;
+    }
+    if (lapsed) {
+        listener_.on_emptied(options_.worker);
+    }
+}
+
+void worker_session::set_silent(bool silent)
+{
+    {
+        const std::lock_guard lock(mutex_);
+        if (silent_ == silent) {
+            return;
+        }
+        silent_ = silent;
+    }
+    listener_.on_silence(options_.worker, silent);
+}
+
+void worker_session::pause(milliseconds length)
+{
+    std::unique_lock lock(mutex_);
+    changed_.wait_for(lock, length, [this] { return ending_.load(); });
+}
+
+} // namespace flamingoseam::node
--- /dev/null
+++ b/flamingoseam/peer/rpc_connections.hpp
@@ -0,0 +1,149 @@
+#pragma once
+
+#include "flamingoseam/core/error.hpp"
+#include "flamingoseam/http/http_client.hpp"
+
+#include <capnp/rpc-twoparty.h>
+#include <kj/async-io.h>
+
+#include <future>
+#include <map>
+#include <memory>
+#include <thread>
+#include <utility>
+
+namespace flamingoseam::detail {
+
+/// Connections to servers of one Cap'n Proto interface, on a thread of their own; one connection
+/// per server. Safe for use from many threads.
+template <typename Interface> class rpc_connections {
+public:
+    rpc_connections()
+    {
+        std::promise<void> ready;
+        thread_ = std::thread([this, &ready] { run(ready); });
+        ready.get_future().get();
+    }
+
+    ~rpc_connections()
+    {
+        stop_->fulfill();
+        thread_.join();
+    }
+
+    rpc_connections(const rpc_connections&) = delete;
+    rpc_connections& operator=(const rpc_connections&) = delete;
+
+    /// Runs `use` with a connection on the connections' thread and waits for what it promises.
+    /// Throws transport_error: id 306 when no connection could be made (nothing was sent), id 307
+    /// when the answer did not come in time or the connection failed. A failed connection is
+    /// replaced by the next call; one that was only silent as well when `drop_on_timeout` is set.
+    template <typename Result, typename Use>
+    Result call(const endpoint& server, milliseconds timeout, Use&& use, bool drop_on_timeout)
+    {
+        bool sent = false;
+        std::uint64_t used = 0; // The connection itself must not leave its thread.
+        try {
+            return executor_->executeSync([&]() -> kj::Promise<Result> {
+                auto answer = open(server).then(
+                    [&, timeout](std::shared_ptr<connection> opened) -> kj::Promise<Result> {
+                        sent = true;
+                        used = opened->number;
+                        return use(opened->client).attach(kj::mv(opened));
+                    });
+                return within<Result>(kj::mv(answer), timeout);
+            });
+        } catch (const kj::Exception& cause) {
+            const bool timed_out = cause.getType() == kj::Exception::Type::OVERLOADED;
+            if (!timed_out || drop_on_timeout) {
+                drop(server, used);
+            }
+            throw transport_error(sent ? 307 : 306,
+                                  to_string(server) + ": " + cause.getDescription().cStr(), sent);
+        }
+    }
+
+private:
+    static constexpr milliseconds connect_timeout{500};
+
+    /// Lives on the connections' thread.
+    struct connection {
+        connection(kj::Own<kj::AsyncIoStream> opened, std::uint64_t number)
+            : number(number), stream(kj::mv(opened)), rpc(*stream),
+              client(rpc.bootstrap().template castAs<Interface>())
+        {
+        }
+
+        std::uint64_t number;
+        kj::Own<kj::AsyncIoStream> stream;
+        capnp::TwoPartyClient rpc;
+        typename Interface::Client client;
+    };
+
+    template <typename Result>
+    kj::Promise<Result> within(kj::Promise<Result> answer, milliseconds timeout)
+    {
+        auto late = timer_->afterDelay(timeout.count() * kj::MILLISECONDS)
+                        .then([]() -> kj::Promise<Result> {
+                            return KJ_EXCEPTION(OVERLOADED, "no answer in time");
+                        });
+        return answer.exclusiveJoin(kj::mv(late));
+    }
+
+    kj::Promise<std::shared_ptr<connection>> open(const endpoint& server)
+    {
+        const auto found = connections_.find(server);
+        if (found != connections_.end()) {
+            return found->second;
+        }
+        auto opening = network_->parseAddress(server.address, server.port)
+                           .then([](kj::Own<kj::NetworkAddress> address) {
+                               auto stream = address->connect();
+                               return stream.attach(kj::mv(address));
+                           })
+                           .then([this, server](kj::Own<kj::AsyncIoStream> stream) {
+                               const auto found = connections_.find(server);
+                               if (found != connections_.end()) {
+                                   return found->second;
+                               }
+                               auto opened =
+                                   std::make_shared<connection>(kj::mv(stream), ++last_number_);
+                               connections_[server] = opened;
+                               return opened;
+                           });
+        return within<std::shared_ptr<connection>>(kj::mv(opening), connect_timeout);
+    }
+
+    void drop(const endpoint& server, std::uint64_t used)
+    {
+        executor_->executeSync([&] {
+            const auto found = connections_.find(server);
+            if (found != connections_.end() && found->second->number == used) {
+                connections_.erase(found);
+            }
+        });
+    }
+
+    void run(std::promise<void>& ready)
+    {
+        auto io = kj::setupAsyncIo();
+        timer_ = &io.provider->getTimer();
+        network_ = &io.provider->getNetwork();
+        executor_ = kj::getCurrentThreadExecutor().addRef();
+        auto stop = kj::newPromiseAndCrossThreadFulfiller<void>();
+        stop_ = kj::mv(stop.fulfiller);
+        ready.set_value();
+        stop.promise.wait(io.waitScope);
+        connections_.clear();
+    }
+
+    kj::Timer* timer_ = nullptr;
+    kj::Network* network_ = nullptr;
+    kj::Own<const kj::Executor> executor_;
+    kj::Own<kj::CrossThreadPromiseFulfiller<void>> stop_;
+    std::map<endpoint, std::shared_ptr<connection>> connections_;
+    std::uint64_t last_number_ = 0;
+    std::thread thread_;
+};
+
+} // namespace flamingoseam::detail
--- /dev/null
+++ b/flamingoseam/workflow/job_record.cpp
@@ -0,0 +1,84 @@
+#include "flamingoseam/workflow/job_record.hpp"
+
+#include "flamingoseam/core/error.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace flamingoseam::workflow {
+
+const char* to_string(job_phase value)
+{
+    switch (value) {
+    case job_phase::queued:
+        return "queued";
+    case job_phase::running:
+        return "running";
+    case job_phase::completed:
+        return "completed";
+    case job_phase::failed:
+        return "failed";
+    case job_phase::cancelled:
+        return "cancelled";
+    }
+    return "unknown";
+}
+
+job_phase job_phase_from_string(const std::string& text)
+{
+    for (const auto phase : {job_phase::queued, job_phase::running, job_phase::completed,
+                             job_phase::failed, job_phase::cancelled}) {
+        if (text == to_string(phase)) {
+            return phase;
+        }
+    }
+    throw parse_error(125, "'" + text + "' is not the phase of a job");
+}
+
+void permission_record::learn(const std::vector<std::size_t>& asked,
+                              const std::map<std::size_t, std::string>& granted,
+                              time_point valid_until)
+{
+    known_.insert(asked.begin(), asked.end());
+    for (const auto& [worker, text] : granted) {
+        permitted_.insert(worker);
+        tickets_[worker] = {text, valid_until};
+    }
+}
+
+const permission_record::ticket* permission_record::find_ticket(std::size_t worker,
+                                                                time_point needed) const
+{
+    const auto found = tickets_.find(worker);
+    if (found == tickets_.end() || found->second.valid_until < needed) {
+        return nullptr;
+    }
+    return &found->second;
+}
+
+bool job_record::is_turn_of(std::size_t step) const
+{
+    const auto& after = spec.steps[step].after;
+    return std::all_of(after.begin(), after.end(), [this](int earlier) {
+        return steps[static_cast<std::size_t>(earlier)].is_done();
+    });
+}
+
+void fill_steps(job_record& job, task_phase phase)
+{
+    job.steps.resize(job.spec.steps.size());
+    for (std::size_t index = 0; index < job.steps.size(); ++index) {
+        auto& step = job.steps[index];
+        const auto count = static_cast<std::size_t>(job.spec.steps[index].tasks);
+        step.tasks.assign(count, task_record{.phase = phase});
+        step.unlocated = phase == task_phase::unlocated ? static_cast<int>(count) : 0;
+    }
+}
+
+milliseconds remaining_chain(const job_record& job)
+{
+    return longest_chain(job.spec.steps,
+                         [&job](std::size_t step) { return !job.steps[step].is_done(); });
+}
+
+} // namespace flamingoseam::workflow
--- /dev/null
+++ b/flamingoseam/workflow/stored_job.cpp
@@ -0,0 +1,273 @@
+#include "flamingoseam/workflow/stored_job.hpp"
+
+#include "flamingoseam/core/error.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace flamingoseam::workflow {
+
+namespace {
+
+using nlohmann::json;
+
+template <typename Read> auto read_json(const std::string& text, const Read& read)
+{
+    try {
+        return read(json::parse(text));
+    } catch (const json::exception& cause) {
+        throw parse_error(126, std::string("a stored record can't be read: ") + cause.what());
+    }
+}
+
+json size_to_json(const resources& size)
+{
+    return json::array({size.milli_cpus, size.memory_mb, size.accelerators});
+}
+
+resources size_from_json(const json& value)
+{
+    return {.milli_cpus = value.at(0).get<std::int64_t>(),
+            .memory_mb = value.at(1).get<std::int64_t>(),
+            .accelerators = value.at(2).get<std::int64_t>()};
+}
+
+json step_to_json(const step_spec& step)
+{
+    json value = {{"tasks", step.tasks},
+                  {"size", size_to_json(step.size)},
+                  {"estimate_ms", step.estimate.count()}};
+    if (!step.after.empty()) {
+        value["after"] = step.after;
+    }
+    if (step.gang) {
+        value["gang"] = true;
+    }
+    if (step.same_rack) {
+        value["same_rack"] = true;
+    }
+    if (step.checkpoints) {
+        value["checkpoints"] = true;
+    }
+    if (step.speculative) {
+        value["speculative"] = true;
+    }
+    if (!step.label.empty()) {
+        value["label"] = step.label;
+    }
+    if (!step.preferred_rack.empty()) {
+        value["preferred_rack"] = step.preferred_rack;
+    }
+    if (step.most_per_worker > 0) {
+        value["most_per_worker"] = step.most_per_worker;
+    }
+    return value;
+}
+
+step_spec step_from_json(const json& value)
+{
+    step_spec step;
+    step.tasks = value.at("tasks").get<int>();
+    step.size = size_from_json(value.at("size"));
+    step.estimate = milliseconds(value.at("estimate_ms").get<std::int64_t>());
+    step.after = value.value("after", std::vector<int>());
+    step.gang = value.value("gang", false);
+    step.same_rack = value.value("same_rack", false);
+    step.checkpoints = value.value("checkpoints", false);
+    step.speculative = value.value("speculative", false);
+    step.label = value.value("label", "");
+    step.preferred_rack = value.value("preferred_rack", "");
+    step.most_per_worker = value.value("most_per_worker", 0);
+    return step;
+}
+
+json terms_to_json(const queue_terms& terms)
+{
+    json value = {{"service", terms.service},
+                  {"priority", terms.priority},
+                  {"most_attempts", terms.most_attempts},
+                  {"stretch", terms.stretch},
+                  {"target_ms", terms.target.count()}};
+    if (terms.permission) {
+        value["permission"] = {{"decision_ms", terms.permission->decision.count()},
+                               {"per_worker_ms", terms.permission->per_worker.count()},
+                               {"validity_ms", terms.permission->validity.count()}};
+    }
+    return value;
+}
+
+queue_terms terms_from_json(const std::string& name, const json& value)
+{
+    queue_terms terms;
+    terms.name = name;
+    terms.service = value.at("service").get<std::string>();
+    terms.priority = value.at("priority").get<int>();
+    terms.most_attempts = value.at("most_attempts").get<int>();
+    terms.stretch = value.at("stretch").get<double>();
+    terms.target = milliseconds(value.at("target_ms").get<std::int64_t>());
+    if (value.contains("permission")) {
+        const auto& permission = value.at("permission");
+        terms.permission = permission_terms{
+            .decision = fractional_ms(permission.at("decision_ms").get<double>()),
+            .per_worker = fractional_ms(permission.at("per_worker_ms").get<double>()),
+            .validity = milliseconds(permission.at("validity_ms").get<std::int64_t>())};
+    }
+    return terms;
+}
+
+/// One step's tasks: a text with a 1 for each finished task, and what is known of the others.
+json step_progress_to_json(const step_record& step)
+{
+    std::string done;
+    json failures = json::array();
+    json checkpoints = json::array();
+    for (std::size_t index = 0; index < step.tasks.size(); ++index) {
+        const auto& task = step.tasks[index];
+        done += task.phase == task_phase::done ? '1' : '0';
+        if (task.failures > 0) {
+            failures.push_back({index, task.failures});
+        }
+        if (!task.checkpoint.empty() && task.phase != task_phase::done) {
+            checkpoints.push_back({index, task.checkpoint});
+        }
+    }
+    json value = {{"done", done}};
+    if (!failures.empty()) {
+        value["failures"] = failures;
+    }
+    if (!checkpoints.empty()) {
+        value["checkpoints"] = checkpoints;
+    }
+    if (step.gang_failures > 0) {
+        value["gang_failures"] = step.gang_failures;
+    }
+    return value;
+}
+
+void read_step_progress(const json& value, step_record& step)
+{
+    const auto done = value.at("done").get<std::string>();
+    for (std::size_t index = 0; index < done.size() && index < step.tasks.size(); ++index) {
+        if (done[index] == '1') {
+            step.tasks[index].phase = task_phase::done;
+            ++step.done;
+            --step.unlocated;
+        }
+    }
+    for (const auto& row : value.value("failures", json::array())) {
+        step.tasks.at(row.at(0).get<std::size_t>()).failures = row.at(1).get<int>();
+    }
+    for (const auto& row : value.value("checkpoints", json::array())) {
+        step.tasks.at(row.at(0).get<std::size_t>()).checkpoint = row.at(1).get<std::string>();
+    }
+    step.gang_failures = value.value("gang_failures", 0);
+}
+
+} // namespace
+
+std::string write_specification(const job_record& job)
+{
+    json steps = json::array();
+    for (const auto& step : job.spec.steps) {
+        steps.push_back(step_to_json(step));
+    }
+    return json{{"queue", job.spec.queue},
+                {"terms", terms_to_json(job.terms)},
+                {"accepted_ms", job.accepted.count()},
+                {"payload", job.spec.payload},
+                {"steps", steps}}
+        .dump();
+}
+
+job_record read_specification(const std::string& text)
+{
+    return read_json(text, [](const json& value) {
+        job_record job;
+        job.spec.queue = value.at("queue").get<std::string>();
+        job.terms = terms_from_json(job.spec.queue, value.at("terms"));
+        job.accepted = wall_time(value.at("accepted_ms").get<std::int64_t>());
+        job.spec.payload = value.at("payload").get<std::string>();
+        for (const auto& step : value.at("steps")) {
+            job.spec.steps.push_back(step_from_json(step));
+        }
+        job.spec_stored = true;
+        fill_steps(job, task_phase::unlocated);
+        return job;
+    });
+}
+
+std::string write_progress(const job_record& job)
+{
+    json value = {{"phase", to_string(job.phase)}};
+    if (is_final(job.phase)) {
+        value["queue"] = job.spec.queue;
+        value["ended_ms"] = job.ended.count();
+        return value.dump();
+    }
+    json steps = json::array();
+    for (const auto& step : job.steps) {
+        steps.push_back(step_progress_to_json(step));
+    }
+    value["steps"] = steps;
+    value["has_begun"] = job.has_begun;
+    return value.dump();
+}
+
+void read_progress(const std::string& text, job_record& job)
+{
+    read_json(text, [&job](const json& value) {
+        job.phase = job_phase_from_string(value.at("phase").get<std::string>());
+        job.has_begun = value.value("has_begun", false);
+        if (is_final(job.phase)) {
+            job.ended = wall_time(value.at("ended_ms").get<std::int64_t>());
+            return 0;
+        }
+        const auto& steps = value.at("steps");
+        for (std::size_t index = 0; index < steps.size() && index < job.steps.size(); ++index) {
+            read_step_progress(steps.at(index), job.steps[index]);
+        }
+        return 0;
+    });
+}
+
+job_record read_final_progress(const std::string& id, const std::string& text)
+{
+    return read_json(text, [&id](const json& value) {
+        job_record job;
+        job.spec.id = id;
+        job.spec.queue = value.value("queue", "");
+        job.phase = job_phase_from_string(value.at("phase").get<std::string>());
+        job.ended = wall_time(value.value("ended_ms", std::int64_t{0}));
+        job.has_begun = true;
+        return job;
+    });
+}
+
+std::string write_roster(const std::vector<worker_entry>& workers)
+{
+    json rows = json::array();
+    for (const auto& worker : workers) {
+        rows.push_back({worker.id, worker.life, worker.address.address, worker.address.port,
+                        worker.service, worker.zone});
+    }
+    return rows.dump();
+}
+
+std::vector<worker_entry> read_roster(const std::string& text)
+{
+    return read_json(text, [](const json& rows) {
+        std::vector<worker_entry> workers;
+        for (const auto& row : rows) {
+            worker_entry worker;
+            worker.id = row.at(0).get<std::string>();
+            worker.life = row.at(1).get<std::int64_t>();
+            worker.address = {row.at(2).get<std::string>(), row.at(3).get<unsigned short>()};
+            worker.service = row.at(4).get<std::string>();
+            worker.zone = row.at(5).get<std::string>();
+            worker.leaving = true;
+            workers.push_back(std::move(worker));
+        }
+        return workers;
+    });
+}
+
+} // namespace flamingoseam::workflow
--- /dev/null
+++ b/flamingoseam/workflow/workflow_jobs.cpp
@@ -0,0 +1,326 @@
+#include "flamingoseam/workflow/workflow_state.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace flamingoseam::workflow {
+
+namespace {
+
+constexpr milliseconds retry_when_store_is_away{1'500};
+constexpr milliseconds retry_when_full{2'000};
+
+} // namespace
+
+workflow_state::workflow_state(workflow_options options) : options_(std::move(options)) {}
+
+void workflow_state::load(std::vector<job_record> jobs, const std::vector<worker_entry>& roster,
+                          time_point time, wall_time wall)
+{
+    for (auto& one : jobs) {
+        auto job = std::make_unique<job_record>(std::move(one));
+        job->sequence = ++last_sequence_;
+        job->received = time;
+        if (is_final(job->phase)) {
+            ended_.emplace(job->ended + options_.ended_retention, job->spec.id);
+        } else {
+            job->due = time + (job->accepted - wall) + target_time(job->spec, job->terms);
+            open_.emplace(job->sequence, job.get());
+        }
+        jobs_.emplace(job->spec.id, std::move(job));
+    }
+    for (const auto& worker : roster) {
+        const auto index = fleet_.put(worker);
+        fleet_.at(index).rostered = true;
+        roster_.insert(index);
+        unreported_.insert(index);
+    }
+    if (unreported_.empty()) {
+        release_unlocated();
+    }
+    for (const auto& [sequence, job] : open_) {
+        check_completed(*job, wall);
+    }
+}
+
+void workflow_state::submit(std::uint64_t token, const job_spec& spec, const queue_terms& terms,
+                            time_point time, wall_time wall)
+{
+    if (auto* known = find_job(spec.id)) {
+        if (known->is_stored() || known->spec_stored) {
+            actions_.answers.push_back({.token = token});
+        } else {
+            waiters_[known].answers.push_back({known->changed_at, token});
+        }
+        return;
+    }
+    const auto refuse = [&](std::string reason, milliseconds retry_after) {
+        note("refused", spec.id, reason);
+        actions_.answers.push_back({.token = token,
+                                    .what = caller_answer::kind::refused,
+                                    .reason = std::move(reason),
+                                    .retry_after = retry_after});
+    };
+    if (!store_available_) {
+        refuse("store_unavailable", retry_when_store_is_away);
+        return;
+    }
+    if (open_.size() >= options_.most_open_jobs) {
+        refuse("too_many_open_jobs", retry_when_full);
+        return;
+    }
+    auto job = std::make_unique<job_record>();
+    job->spec = spec;
+    job->terms = terms;
+    job->accepted = wall;
+    job->received = time;
+    job->due = time + target_time(spec, terms);
+    job->sequence = ++last_sequence_;
+    fill_steps(*job, task_phase::waiting);
+    auto& record = *job;
+    open_.emplace(record.sequence, &record);
+    jobs_.emplace(spec.id, std::move(job));
+    change(record);
+    waiters_[&record].answers.push_back({record.changed_at, token});
+}
+
+void workflow_state::cancel(std::uint64_t token, const std::string& job, wall_time wall)
+{
+    auto* known = find_job(job);
+    if (known == nullptr) {
+        actions_.answers.push_back({.token = token, .what = caller_answer::kind::unknown});
+        return;
+    }
+    if (!is_final(known->phase)) {
+        note("cancelled", job, "asked for by the client");
+        ++counts_.cancelled;
+        close_job(*known, job_phase::cancelled, wall);
+    }
+    if (known->is_stored()) {
+        actions_.answers.push_back({.token = token});
+        return;
+    }
+    waiters_[known].answers.push_back({known->changed_at, token});
+}
+
+std::optional<job_phase> workflow_state::find(const std::string& job) const
+{
+    const auto found = jobs_.find(job);
+    if (found == jobs_.end()) {
+        return std::nullopt;
+    }
+    const auto& record = *found->second;
+    if (is_final(record.phase) && !record.is_stored()) {
+        return job_phase::running;
+    }
+    return record.phase;
+}
+
+int workflow_state::count_pending(const std::string& queue) const
+{
+    return static_cast<int>(std::count_if(open_.begin(), open_.end(), [&](const auto& row) {
+        const auto& job = *row.second;
+        return job.spec_stored && !job.has_begun && job.spec.queue == queue;
+    }));
+}
+
+job_record* workflow_state::find_job(const std::string& id)
+{
+    const auto found = jobs_.find(id);
+    return found == jobs_.end() ? nullptr : found->second.get();
+}
+
+void workflow_state::change(job_record& job)
+{
+    changes_.note(job);
+}
+
+void workflow_state::note(std::string event, const std::string& job, std::string detail)
+{
+    actions_.notes.push_back({.event = std::move(event), .job = job, .detail = std::move(detail)});
+}
+
+void workflow_state::set_task_phase(job_record& job, int step, int index, task_phase phase)
+{
+    auto& record = job.steps[static_cast<std::size_t>(step)];
+    auto& task = record.tasks[static_cast<std::size_t>(index)];
+    const auto count = [&record](task_phase one, int sign) {
+        record.placed += one == task_phase::placed ? sign : 0;
+        record.unlocated += one == task_phase::unlocated ? sign : 0;
+        record.done += one == task_phase::done ? sign : 0;
+    };
+    count(task.phase, -1);
+    task.phase = phase;
+    count(phase, 1);
+    pass_wanted_ = true;
+}
+
+void workflow_state::finish_task(job_record& job, int step, int index, wall_time wall)
+{
+    auto& task = job.steps[static_cast<std::size_t>(step)].tasks[static_cast<std::size_t>(index)];
+    if (task.phase == task_phase::done) {
+        return;
+    }
+    if (task.phase == task_phase::placed) {
+        const run_name newest{{job.spec.id, step, index}, task.run};
+        if (auto* run = fleet_.find_run(task.worker, newest)) {
+            want_stop(task.worker, newest, *run);
+        }
+    }
+    set_task_phase(job, step, index, task_phase::done);
+    change(job);
+    check_completed(job, wall);
+}
+
+void workflow_state::finish_gang(job_record& job, int step, wall_time wall)
+{
+    auto& record = job.steps[static_cast<std::size_t>(step)];
+    for (int index = 0; index < static_cast<int>(record.tasks.size()); ++index) {
+        if (record.tasks[static_cast<std::size_t>(index)].phase != task_phase::done) {
+            set_task_phase(job, step, index, task_phase::done);
+        }
+    }
+    record.gang_run = 0;
+    record.gang_broken = false;
+    change(job);
+    check_completed(job, wall);
+}
+
+void workflow_state::check_completed(job_record& job, wall_time wall)
+{
+    const bool all_done = std::all_of(job.steps.begin(), job.steps.end(),
+                                      [](const step_record& step) { return step.is_done(); });
+    if (!all_done || is_final(job.phase)) {
+        return;
+    }
+    ++counts_.completed;
+    note("completed", job.spec.id, "all tasks are done");
+    close_job(job, job_phase::completed, wall);
+}
+
+void workflow_state::close_job(job_record& job, job_phase phase, wall_time wall)
+{
+    job.phase = phase;
+    job.ended = wall;
+    for (int step = 0; step < static_cast<int>(job.steps.size()); ++step) {
+        holds_.drop(job.spec.id, step);
+    }
+    if (phase != job_phase::completed) {
+        stop_runs_of(job);
+    }
+    ended_.emplace(wall + options_.ended_retention, job.spec.id);
+    open_.erase(job.sequence);
+    change(job);
+    pass_wanted_ = true;
+}
+
+void workflow_state::stop_runs_of(const job_record& job)
+{
+    for (std::size_t step = 0; step < job.steps.size(); ++step) {
+        const auto& tasks = job.steps[step].tasks;
+        for (std::size_t index = 0; index < tasks.size(); ++index) {
+            if (tasks[index].phase != task_phase::placed) {
+                continue;
+            }
+            const run_name name{{job.spec.id, static_cast<int>(step), static_cast<int>(index)},
+                                tasks[index].run};
+            if (auto* run = fleet_.find_run(tasks[index].worker, name)) {
+                want_stop(tasks[index].worker, name, *run);
+            }
+        }
+    }
+}
+
+void workflow_state::return_task(job_record& job, int step, int index)
+{
+    const auto phase =
+        job.steps[static_cast<std::size_t>(step)].tasks[static_cast<std::size_t>(index)].phase;
+    if (phase == task_phase::placed) {
+        set_task_phase(job, step, index, task_phase::waiting);
+    }
+}
+
+void workflow_state::break_gang(job_record& job, int step)
+{
+    auto& record = job.steps[static_cast<std::size_t>(step)];
+    if (record.gang_run != 0 && !record.gang_broken) {
+        record.gang_broken = true;
+        for (int index = 0; index < static_cast<int>(record.tasks.size()); ++index) {
+            const auto& task = record.tasks[static_cast<std::size_t>(index)];
+            if (task.phase != task_phase::placed) {
+                continue;
+            }
+            const run_name name{{job.spec.id, step, index}, task.run};
+            if (auto* run = fleet_.find_run(task.worker, name)) {
+                want_stop(task.worker, name, *run);
+            } else {
+                return_task(job, step, index);
+            }
+        }
+    }
+    clear_broken_gang(job, step);
+}
+
+void workflow_state::clear_broken_gang(job_record& job, int step)
+{
+    auto& record = job.steps[static_cast<std::size_t>(step)];
+    if (record.gang_broken && record.placed == 0) {
+        record.gang_broken = false;
+        record.gang_run = 0;
+        pass_wanted_ = true;
+    }
+}
+
+void workflow_state::note_failure(job_record& job, int step, int index, time_point time,
+                                  wall_time wall)
+{
+    constexpr milliseconds pause_after_failure{50};
+    auto& record = job.steps[static_cast<std::size_t>(step)];
+    const bool gang = job.spec.steps[static_cast<std::size_t>(step)].gang;
+    auto& task = record.tasks[static_cast<std::size_t>(index)];
+    const int failures = gang ? ++record.gang_failures : ++task.failures;
+    ++counts_.failed_runs;
+    record.not_before = time + pause_after_failure;
+    change(job);
+    if (failures >= job.terms.most_attempts && !is_final(job.phase)) {
+        ++counts_.failed;
+        note("failed", job.spec.id,
+             "task " + std::to_string(step) + "/" + std::to_string(index) + " failed " +
+                 std::to_string(failures) + " times");
+        close_job(job, job_phase::failed, wall);
+    }
+}
+
+void workflow_state::keep_checkpoint(job_record& job, const ended_run& end)
+{
+    const auto step = static_cast<std::size_t>(end.name.task.step);
+    if (end.checkpoint.empty() || !job.spec.steps[step].checkpoints) {
+        return;
+    }
+    auto& tasks = job.steps[step].tasks;
+    if (job.spec.steps[step].gang) {
+        for (auto& task : tasks) {
+            task.checkpoint = end.checkpoint;
+        }
+    } else {
+        tasks[static_cast<std::size_t>(end.name.task.index)].checkpoint = end.checkpoint;
+    }
+    change(job);
+}
+
+void workflow_state::want_stop(std::size_t worker, const run_name& name, held_run& run)
+{
+    if (run.stop_wanted) {
+        return;
+    }
+    run.stop_wanted = true;
+    run.stop_sent = {};
+    note("stop", name.task.job, to_string(name) + " on " + fleet_.at(worker).entry.id);
+}
+
+workflow_actions workflow_state::take_actions()
+{
+    return std::exchange(actions_, {});
+}
+
+} // namespace flamingoseam::workflow
--- /dev/null
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -0,0 +1,280 @@
+#pragma once
+
+#include "flamingoseam/shard/worker_health.hpp"
+#include "flamingoseam/workflow/change_log.hpp"
+#include "flamingoseam/workflow/fleet.hpp"
+#include "flamingoseam/workflow/gang_holds.hpp"
+#include "flamingoseam/workflow/job_record.hpp"
+#include "flamingoseam/workflow/stored_job.hpp"
+#include "flamingoseam/workflow/work_order.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace flamingoseam::workflow {
+
+/// Settings of the jobs' state.
+struct workflow_options {
+    std::uint64_t epoch = 1; ///< Grows with each owner; run numbers begin above earlier owners'.
+    record_keys keys{.prefix = "fs/"};
+    std::size_t most_open_jobs = 6'000;
+    milliseconds ended_retention{150'000}; ///< How long the state of an ended job can be asked for.
+};
+
+/// What a caller is told.
+struct caller_answer {
+    enum class kind {
+        stored,  ///< The job or its cancellation stands in the store.
+        unknown, ///< No such job.
+        refused, ///< Nothing was stored and nothing will run.
+    };
+    std::uint64_t token = 0;
+    kind what = kind::stored;
+    std::string reason;
+    milliseconds retry_after{0};
+};
+
+/// A decision for the log.
+struct decision_note {
+    std::string event;
+    std::string job;
+    std::string detail;
+};
+
+/// What is to be done after a step of the state.
+struct workflow_actions {
+    std::vector<start_order> starts;
+    std::vector<stop_order> stops;
+    std::vector<forget_order> forgets;
+    std::vector<permission_request> permissions;
+    std::vector<caller_answer> answers;
+    std::vector<decision_note> notes;
+};
+
+/// Sums for metrics.
+struct workflow_counts {
+    std::int64_t accepted = 0;
+    std::int64_t completed = 0;
+    std::int64_t failed = 0;
+    std::int64_t cancelled = 0;
+    std::int64_t starts = 0;
+    std::int64_t doubtful_starts = 0;
+    std::int64_t failed_runs = 0;
+    std::int64_t lost_runs = 0;
+    std::int64_t permission_requests = 0;
+    std::int64_t stuck_runs = 0;
+};
+
+/// All decisions about jobs of several steps, without clocks, threads or sockets: what happens is
+/// told by calls, what is to be done is fetched by take_actions(). Not safe from two threads.
+class workflow_state {
+public:
+    explicit workflow_state(workflow_options options);
+
+    /// Takes in what an earlier owner has stored. Tasks that it may have started stay unplaced
+    /// until every worker of its roster has reported or holds nothing for certain.
+    void load(std::vector<job_record> jobs, const std::vector<worker_entry>& roster,
+              time_point time, wall_time wall);
+
+    /// Takes a job in; the answer comes under `token` once the job is stored. A repeat of a known
+    /// id is the same job. Complexity: linear in its tasks.
+    void submit(std::uint64_t token, const job_spec& spec, const queue_terms& terms,
+                time_point time, wall_time wall);
+
+    /// Cancels a job; the answer comes under `token` once that is stored.
+    void cancel(std::uint64_t token, const std::string& job, wall_time wall);
+
+    /// Returns a job's phase as far as it is stored, none when the job is unknown.
+    [[nodiscard]] std::optional<job_phase> find(const std::string& job) const;
+
+    /// Returns the number of a queue's accepted jobs of which no task has started.
+    [[nodiscard]] int count_pending(const std::string& queue) const;
+
+    /// Takes in the platform's whole list of workers.
+    void on_worker_list(const std::vector<worker_entry>& workers, time_point time);
+
+    /// Takes in a worker's report, which it gave after accepting this owner's epoch.
+    void on_report(std::size_t worker, const worker_report& report, time_point time,
+                   wall_time wall);
+
+    /// Takes in what became of a start.
+    void on_start(std::size_t worker, const run_name& name, start_outcome outcome, time_point time);
+
+    /// Takes in that a worker has accepted a stop.
+    void on_stop(std::size_t worker, const run_name& name, time_point time);
+
+    /// Tells whether a worker answers at present.
+    void on_silence(std::size_t worker, bool silent);
+
+    /// Takes in that a worker certainly holds nothing any more.
+    void on_emptied(std::size_t worker);
+
+    /// Takes in the answer to a permission request, none when the request failed.
+    void on_permission(std::uint64_t number, const std::optional<std::vector<ticket_grant>>& grants,
+                       time_point time);
+
+    /// Tells whether changes wait for the store.
+    [[nodiscard]] bool has_changes() const { return !changes_.empty() || roster_changed_; }
+
+    /// Returns the number of jobs whose newest change is not stored yet.
+    [[nodiscard]] std::size_t unstored_jobs() const { return changes_.size(); }
+
+    /// Returns the next changes to write, at most `most` records; empty when there are none. One
+    /// batch is under way at a time.
+    record_batch take_batch(std::size_t most, wall_time wall);
+
+    /// Takes in that the batch last taken stands in the store.
+    void on_stored();
+
+    /// Refuses new jobs while the store does not answer.
+    void set_store_available(bool available) { store_available_ = available; }
+
+    /// Repeats orders that were not answered, looks for runs that stand still and places what
+    /// waits. To be called at least every 50 ms and after each group of events.
+    void tick(time_point time);
+
+    /// Returns what is to be done and forgets it.
+    workflow_actions take_actions();
+
+    [[nodiscard]] const fleet& workers() const { return fleet_; }
+    [[nodiscard]] const workflow_counts& counts() const { return counts_; }
+    [[nodiscard]] std::size_t open_jobs() const { return open_.size(); }
+    [[nodiscard]] bool is_recovering() const { return !unreported_.empty(); }
+
+    /// Returns the worker's index. Complexity: constant.
+    [[nodiscard]] std::optional<std::size_t> find_worker(const std::string& id) const
+    {
+        return fleet_.find(id);
+    }
+
+private:
+    struct open_end {
+        std::size_t worker;
+        std::int64_t life;
+        std::int64_t number;
+    };
+    struct waiting_answer {
+        std::uint64_t change;
+        std::uint64_t token;
+    };
+    /// What waits until a job's changes are stored.
+    struct waiters {
+        std::vector<waiting_answer> answers;
+        std::vector<std::pair<std::uint64_t, open_end>> ends;
+    };
+    struct batch_job {
+        job_record* job;
+        std::uint64_t change;
+        bool writes_specification;
+    };
+
+    // jobs and their tasks
+    job_record* find_job(const std::string& id);
+    void change(job_record& job);
+    void set_task_phase(job_record& job, int step, int index, task_phase phase);
+    void finish_task(job_record& job, int step, int index, wall_time wall);
+    void finish_gang(job_record& job, int step, wall_time wall);
+    void close_job(job_record& job, job_phase phase, wall_time wall);
+    void check_completed(job_record& job, wall_time wall);
+    void stop_runs_of(const job_record& job);
+    void return_task(job_record& job, int step, int index);
+    void break_gang(job_record& job, int step);
+    void clear_broken_gang(job_record& job, int step);
+    void note_failure(job_record& job, int step, int index, time_point time, wall_time wall);
+    void keep_checkpoint(job_record& job, const ended_run& end);
+    void note(std::string event, const std::string& job, std::string detail);
+
+    // workers' reports
+    void begin_life(std::size_t worker, std::int64_t life, time_point time);
+    void take_end(std::size_t worker, const ended_run& end, time_point time, wall_time wall);
+    void apply_end(job_record& job, std::size_t worker, const ended_run& end, time_point time,
+                   wall_time wall);
+    void interrupt(std::size_t worker, const run_name& name);
+    void take_present(std::size_t worker, const present_run& run, time_point time);
+    void adopt(std::size_t worker, const present_run& run, time_point time);
+    void take_missing(std::size_t worker, const worker_report& report);
+    void apply_refusal(job_record& job, std::size_t worker, const run_name& name,
+                       start_outcome outcome, time_point time);
+    void want_stop(std::size_t worker, const run_name& name, held_run& run);
+    void lose_run(std::size_t worker, const run_name& name);
+    void settle(std::size_t worker, std::int64_t life, std::int64_t number);
+    void note_located(std::size_t worker);
+    void release_unlocated();
+    void note_health(std::size_t worker, const std::string& job, bool failed, time_point time);
+
+    // placing
+    void schedule(time_point time);
+    std::vector<ready_step> ready_steps(time_point time);
+    struct candidate {
+        std::size_t worker = 0;
+        int fits = 0;
+        const permission_record::ticket* ticket = nullptr;
+        bool is_held = false;
+    };
+    /// A number of tasks for one worker.
+    struct place {
+        std::size_t worker = 0;
+        int tasks = 0;
+    };
+    std::vector<candidate> find_candidates(const ready_step& step, time_point time);
+    bool may_use(const ready_step& step, std::size_t worker, bool& held, time_point time);
+    void place_tasks(const ready_step& step, time_point time);
+    candidate* best_for_task(const ready_step& step, std::vector<candidate>& candidates) const;
+    void ask_for_more(const ready_step& step, const std::vector<candidate>& candidates,
+                      time_point time);
+    void place_gang(const ready_step& step, time_point time);
+    std::optional<std::vector<place>> choose_for_gang(const ready_step& step,
+                                                      const std::vector<candidate>& candidates,
+                                                      time_point time) const;
+    void start_gang(const ready_step& step, const std::vector<place>& places, time_point time);
+    void start_task(const ready_step& step, int index, std::size_t worker, std::int64_t run,
+                    time_point time);
+    void hold_for_gang(const ready_step& step, time_point time);
+    bool ask_permission(const ready_step& step, std::vector<std::size_t> workers, time_point time);
+    std::vector<std::size_t> unasked_workers(const ready_step& step, time_point time);
+    std::size_t workers_to_ask(const ready_step& step) const;
+    [[nodiscard]] std::int64_t next_run(const step_record& step, int index) const;
+
+    // upkeep
+    void repeat_stops(time_point time);
+    void stop_stuck_runs(time_point time);
+    void forget_ended(wall_time wall);
+    void release_waiters(job_record& job);
+    void add_job_changes(job_record& job, record_batch& batch);
+
+    workflow_options options_;
+    fleet fleet_;
+    worker_health health_;
+    change_log changes_;
+    gang_holds holds_;
+    std::unordered_map<std::string, std::unique_ptr<job_record>> jobs_;
+    std::map<std::uint64_t, job_record*> open_; ///< By the order in which they were taken in.
+    std::map<const job_record*, waiters> waiters_;
+    std::map<std::uint64_t, permission_request> requests_; ///< Under way.
+    std::multimap<wall_time, std::string> ended_;          ///< For the end of their retention.
+    std::vector<std::string> removals_;                    ///< Keys that the store may drop.
+    std::vector<batch_job> batch_jobs_;
+    std::set<std::size_t> batch_roster_;
+    bool roster_in_batch_ = false;
+    std::set<std::size_t> roster_;     ///< Workers that may hold runs.
+    std::set<std::size_t> unreported_; ///< Of an earlier owner's roster.
+    workflow_actions actions_;
+    workflow_counts counts_;
+    std::uint64_t last_request_ = 0;
+    std::uint64_t last_batch_ = 0;
+    std::uint64_t last_sequence_ = 0;
+    bool roster_changed_ = false;
+    bool store_available_ = true;
+    bool pass_wanted_ = false;
+    time_point last_pass_{};
+    time_point last_upkeep_{};
+};
+
+} // namespace flamingoseam::workflow
--- /dev/null
+++ b/flamingoseam/workflow/workflow_upkeep.cpp
@@ -0,0 +1,196 @@
+#include "flamingoseam/workflow/workflow_state.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace flamingoseam::workflow {
+
+namespace {
+
+constexpr milliseconds upkeep_interval{100};
+constexpr milliseconds longest_between_passes{50};
+constexpr milliseconds stop_repeat{500};
+constexpr milliseconds still_limit{1'500};      ///< A task without progress for this stands still.
+constexpr milliseconds gang_still_limit{3'500}; ///< The same for a gang that may wait for members.
+constexpr milliseconds aside_after_stuck{3'000};
+constexpr std::size_t most_removals_per_batch = 10;
+constexpr std::size_t removals_worth_a_write = 20;
+
+} // namespace
+
+void workflow_state::tick(time_point time)
+{
+    if (time - last_upkeep_ >= upkeep_interval) {
+        last_upkeep_ = time;
+        stop_stuck_runs(time);
+    }
+    repeat_stops(time);
+    if (pass_wanted_ || time - last_pass_ >= longest_between_passes) {
+        pass_wanted_ = false;
+        last_pass_ = time;
+        schedule(time);
+    }
+}
+
+void workflow_state::repeat_stops(time_point time)
+{
+    for (std::size_t worker = 0; worker < fleet_.size(); ++worker) {
+        for (auto& [name, run] : fleet_.at(worker).runs) {
+            const bool is_due =
+                run.stop_sent == time_point{} || run.stop_sent + stop_repeat <= time;
+            if (run.stop_wanted && run.stop_answered == time_point{} && is_due) {
+                run.stop_sent = time;
+                actions_.stops.push_back({worker, name});
+            }
+        }
+    }
+}
+
+void workflow_state::stop_stuck_runs(time_point time)
+{
+    for (std::size_t worker = 0; worker < fleet_.size(); ++worker) {
+        auto& one = fleet_.at(worker);
+        for (auto& [name, run] : one.runs) {
+            const auto* job = find_job(name.task.job);
+            if (run.state != held_run::knowledge::present || run.stop_wanted || job == nullptr ||
+                is_final(job->phase)) {
+                continue;
+            }
+            const bool gang = job->spec.steps[static_cast<std::size_t>(name.task.step)].gang;
+            const auto limit = gang ? gang_still_limit : still_limit;
+            if (one.last_report < run.percent_changed + limit) {
+                continue;
+            }
+            ++counts_.stuck_runs;
+            note("run_stands_still", name.task.job, to_string(name) + " on " + one.entry.id);
+            want_stop(worker, name, run);
+            if (!gang) {
+                one.set_aside_until = time + aside_after_stuck;
+            }
+        }
+    }
+}
+
+void workflow_state::forget_ended(wall_time wall)
+{
+    while (!ended_.empty() && ended_.begin()->first <= wall) {
+        const auto id = ended_.begin()->second;
+        auto* job = find_job(id);
+        if (job != nullptr && !job->is_stored()) {
+            return;
+        }
+        if (job != nullptr) {
+            waiters_.erase(job);
+            removals_.push_back(options_.keys.progress(id));
+            jobs_.erase(id);
+        }
+        ended_.erase(ended_.begin());
+    }
+}
+
+void workflow_state::add_job_changes(job_record& job, record_batch& batch)
+{
+    const auto& id = job.spec.id;
+    if (is_final(job.phase)) {
+        batch.changes.push_back({options_.keys.progress(id), write_progress(job)});
+        if (job.spec_stored) {
+            batch.changes.push_back({options_.keys.specification(id), std::nullopt});
+        }
+        batch_jobs_.push_back({&job, job.changed_at, false});
+        return;
+    }
+    const bool writes_specification = !job.spec_stored;
+    if (writes_specification) {
+        batch.changes.push_back({options_.keys.specification(id), write_specification(job)});
+    } else {
+        batch.changes.push_back({options_.keys.progress(id), write_progress(job)});
+    }
+    batch_jobs_.push_back({&job, job.changed_at, writes_specification});
+}
+
+record_batch workflow_state::take_batch(std::size_t most, wall_time wall)
+{
+    forget_ended(wall);
+    record_batch batch;
+    batch_jobs_.clear();
+    batch_roster_.clear();
+    roster_in_batch_ = std::exchange(roster_changed_, false);
+    if (roster_in_batch_) {
+        std::vector<worker_entry> workers;
+        for (const auto worker : roster_) {
+            workers.push_back(fleet_.at(worker).entry);
+        }
+        batch_roster_ = roster_;
+        batch.changes.push_back({options_.keys.roster(), write_roster(workers)});
+    }
+    constexpr std::size_t changes_per_job = 2;
+    for (auto* job : changes_.oldest(most / changes_per_job + most)) {
+        if (batch.changes.size() + changes_per_job > most) {
+            break;
+        }
+        add_job_changes(*job, batch);
+    }
+    if (!batch.changes.empty() || removals_.size() >= removals_worth_a_write) {
+        for (std::size_t count = 0;
+             count < most_removals_per_batch && !removals_.empty() && batch.changes.size() < most;
+             ++count) {
+            batch.changes.push_back({removals_.back(), std::nullopt});
+            removals_.pop_back();
+        }
+    }
+    batch.number = ++last_batch_;
+    return batch;
+}
+
+void workflow_state::on_stored()
+{
+    if (roster_in_batch_) {
+        for (const auto worker : batch_roster_) {
+            fleet_.at(worker).rostered = roster_.count(worker) > 0;
+        }
+        pass_wanted_ = true;
+    }
+    for (const auto& [job, change, wrote_specification] : batch_jobs_) {
+        if (wrote_specification) {
+            job->spec_stored = true;
+            ++counts_.accepted;
+            note("accepted", job->spec.id, job->spec.queue);
+            pass_wanted_ = true;
+        }
+        changes_.note_stored(*job, change);
+        release_waiters(*job);
+    }
+    batch_jobs_.clear();
+}
+
+void workflow_state::release_waiters(job_record& job)
+{
+    const auto found = waiters_.find(&job);
+    if (found != waiters_.end()) {
+        auto& waiting = found->second;
+        std::erase_if(waiting.answers, [&](const waiting_answer& one) {
+            if (one.change <= job.stored_at) {
+                actions_.answers.push_back({.token = one.token});
+                return true;
+            }
+            return false;
+        });
+        std::erase_if(waiting.ends, [&](const auto& row) {
+            if (row.first <= job.stored_at) {
+                settle(row.second.worker, row.second.life, row.second.number);
+                return true;
+            }
+            return false;
+        });
+        if (waiting.answers.empty() && waiting.ends.empty()) {
+            waiters_.erase(found);
+        }
+    }
+    if (is_final(job.phase) && job.is_stored()) {
+        job.steps = {};
+        job.spec.steps = {};
+        job.spec.payload = {};
+    }
+}
+
+} // namespace flamingoseam::workflow
