--- a/flamingoseam/node/job_owner.cpp
+++ b/flamingoseam/node/job_owner.cpp
@@ -228,6 +228,11 @@
             on_start(order.worker, order.name, workflow::start_outcome::not_sent);
         }
     }
+    for (const auto worker : actions.unsettled) {
+        if (auto* session = session_of(worker)) {
+            session->expect_report();
+        }
+    }
     for (const auto& order : actions.forgets) {
         if (auto* session = session_of(order.worker)) {
             session->forget(order);
--- a/flamingoseam/node/node.cpp
+++ b/flamingoseam/node/node.cpp
@@ -280,7 +280,12 @@
     const auto current = store.get(head_key());
     chain_head head{.epoch = 1, .sequence = 0, .owner = options_.name + "/" + incarnation_};
     if (current) {
-        head.epoch = read_head(current->value).epoch + 1;
+        const auto newest = read_head(current->value).epoch;
+        const auto view = membership_->view();
+        if (newest > (view.owner ? view.owner->epoch : 0)) {
+            return std::nullopt; // Somebody has taken over whom the view does not show yet.
+        }
+        head.epoch = newest + 1;
     }
     const owner_record record{.epoch = head.epoch, .owner = membership_->self()};
     shared_transaction transaction;
--- a/flamingoseam/node/worker_session.cpp
+++ b/flamingoseam/node/worker_session.cpp
@@ -108,6 +108,12 @@
     changed_.notify_all();
 }
 
+void worker_session::expect_report()
+{
+    const std::lock_guard lock(mutex_);
+    report_expected_until_ = now() + options_.expect_for;
+}
+
 void worker_session::run_orders()
 {
     std::unique_lock lock(mutex_);
@@ -201,7 +207,11 @@
     {
         const std::lock_guard lock(mutex_);
         call.forget_up_to = forget_up_to_;
-        call.wait = clock_.is_known() ? options_.poll_wait : milliseconds(0);
+        const bool is_expected = now() < report_expected_until_;
+        call.wait = is_expected ? options_.short_wait : options_.poll_wait;
+        if (!clock_.is_known()) {
+            call.wait = milliseconds(0);
+        }
     }
     const auto asked = now();
     try {
--- a/flamingoseam/node/worker_session.hpp
+++ b/flamingoseam/node/worker_session.hpp
@@ -37,6 +37,8 @@
     milliseconds answer_timeout{500}; ///< Beyond the wait.
     milliseconds order_timeout{600};  ///< Of a start or stop.
     milliseconds oldest_start{1'000}; ///< A start that was queued longer is not sent.
+    milliseconds short_wait{80};      ///< The same while a report is needed soon.
+    milliseconds expect_for{400};     ///< How long polls stay short.
     milliseconds settle_wait{250};    ///< How long a poll waits for ends to be stored.
 };
 
@@ -80,6 +82,9 @@
     /// The worker may forget its ends up to a number.
     void forget(const workflow::forget_order& order);
 
+    /// Makes the polls of the next moments short, since a report is needed soon.
+    void expect_report();
+
     /// Makes the threads end soon, without waiting for them.
     void request_end();
 
@@ -121,6 +126,7 @@
     std::int64_t forget_up_to_ = 0;
     bool silent_ = false;
     bool emptied_ = false;
+    time_point report_expected_until_{};
     time_point began_;
     milliseconds next_pause_;
     std::atomic<bool> ending_{false};
--- a/flamingoseam/workflow/fleet.hpp
+++ b/flamingoseam/workflow/fleet.hpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace flamingoseam::workflow {
@@ -24,6 +25,7 @@
     milliseconds estimate{0};
     time_point ordered_at{};
     time_point doubtful_since{};
+    time_point confirmed_at{}; ///< A report that was asked for later must show the run.
     bool stop_wanted = false;
     time_point stop_sent{};     ///< Of the newest stop order; zero when none was sent.
     time_point stop_answered{}; ///< When a worker took a stop in; zero when none has.
@@ -43,6 +45,9 @@
     time_point last_report{};
     resources used;
     std::map<run_name, held_run> runs;
+    /// Runs whose orders went unanswered and were ruled out in this life, and when. Such an order
+    /// may still arrive in the worker's next life, which knows nothing of the stop.
+    std::map<run_name, std::pair<held_run, time_point>> ruled_out;
     std::int64_t last_end = 0;              ///< Number of the newest end taken in.
     std::map<std::int64_t, bool> open_ends; ///< By number: whether its meaning is stored.
     std::int64_t forget_up_to = 0;
--- a/flamingoseam/workflow/job_record.hpp
+++ b/flamingoseam/workflow/job_record.hpp
@@ -38,8 +38,8 @@
 /// One task of a step.
 struct task_record {
     task_phase phase = task_phase::waiting;
-    int failures = 0;     ///< Runs that failed, as far as they were reported.
-    std::int64_t run = 0; ///< Of the newest run.
+    std::vector<std::int64_t> failed_runs; ///< As far as they were reported; each once.
+    std::int64_t run = 0;                  ///< Of the newest run.
     std::size_t worker = 0;
     std::string checkpoint;
 };
@@ -88,11 +88,10 @@
     int done = 0;
     int placed = 0;
     int unlocated = 0;
-    int gang_failures = 0;       ///< Runs of the whole gang that failed.
-    std::int64_t gang_run = 0;   ///< The gang's run under way, 0 for none.
-    std::int64_t failed_run = 0; ///< The gang's run that was last counted as failed.
-    bool gang_broken = false;    ///< That run has ended; its members are being cleared away.
-    time_point not_before{};     ///< After a failure, the next run waits a little.
+    std::vector<std::int64_t> gang_failed_runs; ///< Runs of the whole gang that failed.
+    std::int64_t gang_run = 0;                  ///< The gang's run under way, 0 for none.
+    bool gang_broken = false; ///< That run has ended; its members are being cleared away.
+    time_point not_before{};  ///< After a failure, the next run waits a little.
     permission_record permission;
 
     [[nodiscard]] int waiting() const
--- a/flamingoseam/workflow/stored_job.cpp
+++ b/flamingoseam/workflow/stored_job.cpp
@@ -123,8 +123,8 @@
     for (std::size_t index = 0; index < step.tasks.size(); ++index) {
         const auto& task = step.tasks[index];
         done += task.phase == task_phase::done ? '1' : '0';
-        if (task.failures > 0) {
-            failures.push_back({index, task.failures});
+        if (!task.failed_runs.empty()) {
+            failures.push_back({index, task.failed_runs});
         }
         if (!task.checkpoint.empty() && task.phase != task_phase::done) {
             checkpoints.push_back({index, task.checkpoint});
@@ -132,13 +132,13 @@
     }
     json value = {{"done", done}};
     if (!failures.empty()) {
-        value["failures"] = failures;
+        value["failed_runs"] = failures;
     }
     if (!checkpoints.empty()) {
         value["checkpoints"] = checkpoints;
     }
-    if (step.gang_failures > 0) {
-        value["gang_failures"] = step.gang_failures;
+    if (!step.gang_failed_runs.empty()) {
+        value["gang_failed_runs"] = step.gang_failed_runs;
     }
     return value;
 }
@@ -153,13 +153,14 @@
             --step.unlocated;
         }
     }
-    for (const auto& row : value.value("failures", json::array())) {
-        step.tasks.at(row.at(0).get<std::size_t>()).failures = row.at(1).get<int>();
+    for (const auto& row : value.value("failed_runs", json::array())) {
+        step.tasks.at(row.at(0).get<std::size_t>()).failed_runs =
+            row.at(1).get<std::vector<std::int64_t>>();
     }
     for (const auto& row : value.value("checkpoints", json::array())) {
         step.tasks.at(row.at(0).get<std::size_t>()).checkpoint = row.at(1).get<std::string>();
     }
-    step.gang_failures = value.value("gang_failures", 0);
+    step.gang_failed_runs = value.value("gang_failed_runs", std::vector<std::int64_t>());
 }
 
 } // namespace
--- a/flamingoseam/workflow/workflow_jobs.cpp
+++ b/flamingoseam/workflow/workflow_jobs.cpp
@@ -271,14 +271,22 @@
     }
 }
 
-void workflow_state::note_failure(job_record& job, int step, int index, time_point time,
+void workflow_state::note_failure(job_record& job, const run_name& name, time_point time,
                                   wall_time wall)
 {
+    const int step = name.task.step;
+    const int index = name.task.index;
+    const auto run = name.run;
     constexpr milliseconds pause_after_failure{50};
     auto& record = job.steps[static_cast<std::size_t>(step)];
     const bool gang = job.spec.steps[static_cast<std::size_t>(step)].gang;
     auto& task = record.tasks[static_cast<std::size_t>(index)];
-    const int failures = gang ? ++record.gang_failures : ++task.failures;
+    auto& failed = gang ? record.gang_failed_runs : task.failed_runs;
+    if (std::find(failed.begin(), failed.end(), run) != failed.end()) {
+        return; // Told again by a worker that an earlier owner had not let forget it.
+    }
+    failed.push_back(run);
+    const int failures = static_cast<int>(failed.size());
     ++counts_.failed_runs;
     record.not_before = time + pause_after_failure;
     change(job);
--- a/flamingoseam/workflow/workflow_reports.cpp
+++ b/flamingoseam/workflow/workflow_reports.cpp
@@ -1,6 +1,7 @@
 #include "flamingoseam/workflow/workflow_state.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace flamingoseam::workflow {
 
@@ -11,6 +12,7 @@
 constexpr milliseconds aside_when_unhealthy{500};
 constexpr milliseconds aside_in_quarantine{4'000};
 constexpr milliseconds pause_after_rejection{500};
+constexpr milliseconds latest_arrival{13'000}; ///< An unanswered order is not carried out later.
 
 } // namespace
 
@@ -75,19 +77,19 @@
     one.last_end = 0;
     one.open_ends.clear();
     one.forget_up_to = 0;
-    const auto runs = one.runs;
-    for (const auto& [name, run] : runs) {
-        if (run.state == held_run::knowledge::present) {
-            lose_run(worker, name);
-            continue;
+    for (auto& [name, run] : one.runs) {
+        // Confirmed runs may belong to either life; the next report tells. An order that was not
+        // answered may still arrive in the new life, so it has to be ruled out there.
+        run.stop_wanted = run.stop_wanted || run.state != held_run::knowledge::present;
+        run.state = held_run::knowledge::doubtful;
+        run.doubtful_since = time;
+        run.stop_sent = {};
+        run.stop_answered = {};
+    }
+    for (const auto& [name, ruled_out] : std::exchange(one.ruled_out, {})) {
+        if (time - ruled_out.second < latest_arrival) {
+            fleet_.hold(worker, name, ruled_out.first);
         }
-        // The order may still arrive in the new life, so it has to be ruled out there.
-        auto& held = *fleet_.find_run(worker, name);
-        held.state = held_run::knowledge::doubtful;
-        held.doubtful_since = time;
-        held.stop_wanted = true;
-        held.stop_sent = {};
-        held.stop_answered = {};
     }
     for (const auto& [sequence, job] : open_) {
         for (auto& step : job->steps) {
@@ -156,11 +158,7 @@
         return;
     }
     note_health(worker, job.spec.id, true, time);
-    if (gang && record.failed_run == end.name.run) {
-        return;
-    }
-    record.failed_run = end.name.run;
-    note_failure(job, end.name.task.step, end.name.task.index, time, wall);
+    note_failure(job, end.name, time, wall);
 }
 
 void workflow_state::interrupt(std::size_t worker, const run_name& name)
@@ -199,6 +197,7 @@
     held->missing_reports = 0;
     if (held->state != held_run::knowledge::present) {
         held->state = held_run::knowledge::present;
+        held->confirmed_at = time;
         held->percent_changed = time;
         if (auto* job = find_job(run.name.task.job); job != nullptr && !is_final(job->phase)) {
             job->has_begun = true;
@@ -222,6 +221,7 @@
     held_run held{.size = is_open ? job->spec.steps[step].size : fleet_.at(worker).entry.capacity,
                   .state = held_run::knowledge::present,
                   .ordered_at = time,
+                  .confirmed_at = time,
                   .percent = run.percent,
                   .percent_changed = time};
     if (!is_open) {
@@ -274,13 +274,17 @@
         const bool stop_taken =
             run->stop_answered != time_point{} && run->stop_answered < report.asked;
         if (run->stop_wanted && stop_taken) {
+            if (run->state == held_run::knowledge::doubtful) {
+                run->stop_answered = {};
+                fleet_.at(worker).ruled_out[name] = {*run, report.asked};
+            }
             lose_run(worker, name);
             continue;
         }
         if (run->state == held_run::knowledge::doubtful && run->doubtful_since < report.asked) {
             want_stop(worker, name, *run);
         }
-        if (run->state == held_run::knowledge::present &&
+        if (run->state == held_run::knowledge::present && run->confirmed_at < report.asked &&
             ++run->missing_reports >= reports_until_vanished) {
             lose_run(worker, name);
         }
@@ -348,6 +352,7 @@
     if (outcome == start_outcome::started) {
         if (run->state != held_run::knowledge::present) {
             run->state = held_run::knowledge::present;
+            run->confirmed_at = time;
             run->percent_changed = time;
         }
         if (!is_final(job->phase)) {
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -53,6 +53,7 @@
     std::vector<start_order> starts;
     std::vector<stop_order> stops;
     std::vector<forget_order> forgets;
+    std::vector<std::size_t> unsettled; ///< Workers whose next report is needed soon.
     std::vector<permission_request> permissions;
     std::vector<caller_answer> answers;
     std::vector<decision_note> notes;
@@ -187,7 +188,7 @@
     void return_task(job_record& job, int step, int index);
     void break_gang(job_record& job, int step);
     void clear_broken_gang(job_record& job, int step);
-    void note_failure(job_record& job, int step, int index, time_point time, wall_time wall);
+    void note_failure(job_record& job, const run_name& name, time_point time, wall_time wall);
     void keep_checkpoint(job_record& job, const ended_run& end);
     void note(std::string event, const std::string& job, std::string detail);
 
@@ -244,6 +245,7 @@
 
     // upkeep
     void repeat_stops(time_point time);
+    void ask_for_reports(time_point time);
     void stop_stuck_runs(time_point time);
     void forget_ended(wall_time wall);
     void release_waiters(job_record& job);
@@ -275,6 +277,7 @@
     bool pass_wanted_ = false;
     time_point last_pass_{};
     time_point last_upkeep_{};
+    time_point last_ask_{};
 };
 
 } // namespace flamingoseam::workflow
--- a/flamingoseam/workflow/workflow_upkeep.cpp
+++ b/flamingoseam/workflow/workflow_upkeep.cpp
@@ -25,6 +25,7 @@
         stop_stuck_runs(time);
     }
     repeat_stops(time);
+    ask_for_reports(time);
     if (pass_wanted_ || time - last_pass_ >= longest_between_passes) {
         pass_wanted_ = false;
         last_pass_ = time;
@@ -46,6 +47,23 @@
     }
 }
 
+void workflow_state::ask_for_reports(time_point time)
+{
+    if (time - last_ask_ < upkeep_interval) {
+        return;
+    }
+    last_ask_ = time;
+    for (std::size_t worker = 0; worker < fleet_.size(); ++worker) {
+        const auto& runs = fleet_.at(worker).runs;
+        const bool is_open = std::any_of(runs.begin(), runs.end(), [](const auto& row) {
+            return row.second.stop_wanted || row.second.state == held_run::knowledge::doubtful;
+        });
+        if (is_open) {
+            actions_.unsettled.push_back(worker);
+        }
+    }
+}
+
 void workflow_state::stop_stuck_runs(time_point time)
 {
     for (std::size_t worker = 0; worker < fleet_.size(); ++worker) {
