--- a/flamingoseam/node/worker_session.cpp
+++ b/flamingoseam/node/worker_session.cpp
@@ -139,7 +139,8 @@
 void worker_session::send_start(const queued_start& one)
 {
     const auto& order = one.order;
-    const auto lease_until = extend_lease();
+    // A silent worker's lease is left alone, so that it is known when nothing runs there any more.
+    const auto lease_until = is_silent() ? worker_time(0) : extend_lease();
     if (now() - one.queued > options_.oldest_start || lease_until == worker_time(0)) {
         listener_.on_start(options_.worker, order.name, workflow::start_outcome::not_sent);
         return;
@@ -178,6 +179,12 @@
     }
 }
 
+bool worker_session::is_silent()
+{
+    const std::lock_guard lock(mutex_);
+    return silent_;
+}
+
 worker_time worker_session::extend_lease()
 {
     const std::lock_guard lock(mutex_);
@@ -203,7 +210,8 @@
 
 bool worker_session::poll()
 {
-    renew_call call{.epoch = options_.epoch, .lease_until = extend_lease()};
+    renew_call call{.epoch = options_.epoch,
+                    .lease_until = is_silent() ? worker_time(0) : extend_lease()};
     {
         const std::lock_guard lock(mutex_);
         call.forget_up_to = forget_up_to_;
--- a/flamingoseam/node/worker_session.hpp
+++ b/flamingoseam/node/worker_session.hpp
@@ -109,6 +109,7 @@
     void wait_until_settled(std::int64_t newest_end);
     void pause(milliseconds length);
     void set_silent(bool silent);
+    bool is_silent();
     worker_time extend_lease();
     void note_clock(worker_time clock);
 
--- /dev/null
+++ b/flamingoseam/node/worker_session_test.cpp
@@ -0,0 +1,140 @@
+#include "flamingoseam/node/worker_session.hpp"
+
+#include "flamingoseam/core/error.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+
+using namespace flamingoseam;
+using namespace flamingoseam::node;
+
+namespace {
+
+/// A worker that answers until it is told to fall silent.
+struct fake_worker {
+    std::atomic<bool> silent{false};
+    std::atomic<int> starts{0};
+    time_point began = now();
+
+    worker_time clock() const
+    {
+        return worker_time(1'000) + std::chrono::duration_cast<milliseconds>(now() - began);
+    }
+};
+
+class fake_channel final : public worker_channel {
+public:
+    explicit fake_channel(fake_worker& worker) : worker_(worker) {}
+
+    order_answer start(const start_call& /*call*/, milliseconds /*timeout*/) override
+    {
+        answer_or_throw();
+        ++worker_.starts;
+        return {.outcome = workflow::start_outcome::started, .clock = worker_.clock()};
+    }
+
+    order_answer stop(const workflow::run_name& /*name*/, std::uint64_t /*epoch*/,
+                      milliseconds /*timeout*/) override
+    {
+        answer_or_throw();
+        return {.outcome = workflow::start_outcome::started, .clock = worker_.clock()};
+    }
+
+    renew_answer renew(const renew_call& /*call*/, milliseconds /*timeout*/) override
+    {
+        std::this_thread::sleep_for(milliseconds(5));
+        answer_or_throw();
+        return {.clock = worker_.clock()};
+    }
+
+private:
+    void answer_or_throw() const
+    {
+        if (worker_.silent) {
+            throw transport_error(304, "silent", true);
+        }
+    }
+
+    fake_worker& worker_;
+};
+
+class counting_listener final : public worker_listener {
+public:
+    void on_report(std::size_t /*worker*/, workflow::worker_report /*report*/) override
+    {
+        ++reports;
+    }
+    void on_start(std::size_t /*worker*/, const workflow::run_name& /*name*/,
+                  workflow::start_outcome outcome) override
+    {
+        last_start = outcome;
+        ++starts;
+    }
+    void on_stop(std::size_t /*worker*/, const workflow::run_name& /*name*/) override {}
+    void on_silence(std::size_t /*worker*/, bool silent) override { is_silent = silent; }
+    void on_emptied(std::size_t /*worker*/) override { ++emptied; }
+    void on_fenced(std::size_t /*worker*/) override {}
+
+    std::atomic<int> reports{0};
+    std::atomic<int> starts{0};
+    std::atomic<int> emptied{0};
+    std::atomic<bool> is_silent{false};
+    std::atomic<workflow::start_outcome> last_start{workflow::start_outcome::unknown};
+};
+
+template <typename Condition> bool holds_within(milliseconds limit, const Condition& condition)
+{
+    const auto end = now() + limit;
+    while (now() < end) {
+        if (condition()) {
+            return true;
+        }
+        std::this_thread::sleep_for(milliseconds(5));
+    }
+    return condition();
+}
+
+} // namespace
+
+TEST_CASE("a session with a worker")
+{
+    fake_worker worker;
+    counting_listener listener;
+    worker_session session(
+        {.worker = 0, .epoch = 1, .lease = milliseconds(400)}, {.id = "w"},
+        [&](const workflow::worker_entry& /*entry*/) {
+            return std::make_unique<fake_channel>(worker);
+        },
+        listener);
+    REQUIRE(holds_within(milliseconds(2'000), [&] { return listener.reports > 1; }));
+
+    SECTION("a worker that answers is never taken to be empty")
+    {
+        std::this_thread::sleep_for(milliseconds(800));
+        CHECK(listener.emptied == 0);
+        CHECK_FALSE(listener.is_silent);
+    }
+    SECTION("a silent worker is empty once its lease has run out, and only then")
+    {
+        worker.silent = true;
+        REQUIRE(holds_within(milliseconds(2'000), [&] { return listener.is_silent.load(); }));
+        std::this_thread::sleep_for(milliseconds(100));
+        CHECK(listener.emptied == 0);
+        CHECK(holds_within(milliseconds(5'000), [&] { return listener.emptied == 1; }));
+
+        SECTION("and is back when it answers again")
+        {
+            worker.silent = false;
+            CHECK(holds_within(milliseconds(3'000), [&] { return !listener.is_silent; }));
+        }
+    }
+    SECTION("a start for a silent worker is not sent, so its lease can run out")
+    {
+        worker.silent = true;
+        REQUIRE(holds_within(milliseconds(2'000), [&] { return listener.is_silent.load(); }));
+        session.start({.worker = 0, .name = {{"job", 0, 0}, 1}});
+        REQUIRE(holds_within(milliseconds(2'000), [&] { return listener.starts == 1; }));
+        CHECK(listener.last_start == workflow::start_outcome::not_sent);
+    }
+}
