Take over faster: shorter leases of nodes, smaller steps between candidates, silent workers noted in the roster

Change: node lease 1 s renewed every 200 ms, grace 250 ms, step 60 ms; the roster tells since when a worker is silent and drops leavers that hold nothing.

--- a/flamingoseam/log/event_log.cpp
+++ b/flamingoseam/log/event_log.cpp
@@ -62,6 +62,14 @@
     }
 }
 
+void event_log::flush()
+{
+    std::unique_lock lock(mutex_);
+    auto text = take();
+    lock.unlock();
+    write_out(std::move(text));
+}
+
 std::uint64_t event_log::left_out() const
 {
     const std::lock_guard lock(mutex_);
--- a/flamingoseam/log/event_log.hpp
+++ b/flamingoseam/log/event_log.hpp
@@ -43,6 +43,9 @@
     /// Queues one line; never waits for the reader. Complexity: linear in the text.
     void write(const log_event& event);
 
+    /// Writes what waits before it returns, as far as the reader takes it.
+    void flush();
+
     /// Returns how many lines were left out so far.
     [[nodiscard]] std::uint64_t left_out() const;
 
--- a/flamingoseam/node/job_owner.cpp
+++ b/flamingoseam/node/job_owner.cpp
@@ -146,7 +146,7 @@
 
 void job_owner::on_silence(std::size_t worker, bool silent)
 {
-    loop_.post([this, worker, silent] { state_.on_silence(worker, silent); });
+    loop_.post([this, worker, silent] { state_.on_silence(worker, silent, wall_now()); });
 }
 
 void job_owner::on_emptied(std::size_t worker)
--- a/flamingoseam/node/membership.cpp
+++ b/flamingoseam/node/membership.cpp
@@ -14,7 +14,8 @@
 
 using nlohmann::json;
 
-constexpr milliseconds watch_pause{150};
+constexpr milliseconds watch_pause{20};
+constexpr milliseconds failed_renewal_pause{50};
 constexpr milliseconds failed_watch_pause{300};
 constexpr milliseconds commit_timeout{500};
 
@@ -132,12 +133,14 @@
 void membership::run_lease()
 {
     while (!stopping_ && !leaving_) {
+        auto interval = options_.renew_interval;
         try {
             renew(*lease_store_);
         } catch (const error& cause) {
             LOG_EVERY_N(WARNING, 10) << "the node's lease can't be renewed: " << cause.what();
+            interval = failed_renewal_pause;
         }
-        pause(options_.renew_interval);
+        pause(interval);
     }
     try {
         if (lease_ != 0) {
--- a/flamingoseam/node/membership.hpp
+++ b/flamingoseam/node/membership.hpp
@@ -55,10 +55,10 @@
 struct membership_options {
     std::string prefix = "fs/m/";
     member self;
-    milliseconds time_to_live{1'500}; ///< A node that does not renew it counts as dead.
-    milliseconds renew_interval{350};
+    milliseconds time_to_live{1'000}; ///< A node that does not renew it counts as dead.
+    milliseconds renew_interval{200};
     milliseconds watch_wait{15'000};
-    milliseconds certain_for{1'000}; ///< After a renewal, nobody can have taken over so soon.
+    milliseconds certain_for{800}; ///< After a renewal, nobody can have taken over so soon.
 };
 
 /// This node's lease in the store and its view of the others, kept by two threads.
--- a/flamingoseam/node/node.cpp
+++ b/flamingoseam/node/node.cpp
@@ -15,8 +15,8 @@
 
 namespace {
 
-constexpr milliseconds election_interval{1'000};       ///< Between looks when nothing changes.
-constexpr milliseconds election_interval_without{100}; ///< The same while there is no owner.
+constexpr milliseconds election_interval{1'000};      ///< Between looks when nothing changes.
+constexpr milliseconds election_interval_without{30}; ///< The same while there is no owner.
 constexpr milliseconds claim_timeout{500};
 constexpr milliseconds permission_margin{400}; ///< Beyond the service's own time.
 constexpr milliseconds retry_without_owner{1'000};
--- a/flamingoseam/node/node.hpp
+++ b/flamingoseam/node/node.hpp
@@ -19,8 +19,8 @@
     endpoint rpc;                     ///< Where other nodes reach it.
     std::string store_prefix = "fs/"; ///< Of all keys.
     milliseconds worker_lease{6'000};
-    milliseconds take_over_grace{400}; ///< A missing owner may come back within this.
-    milliseconds take_over_step{300};  ///< Each further candidate waits this much longer.
+    milliseconds take_over_grace{250}; ///< A missing owner may come back within this.
+    milliseconds take_over_step{60};   ///< Each further candidate waits this much longer.
     milliseconds hand_over_limit{1'500};
 };
 
--- a/flamingoseam/node/worker_session.cpp
+++ b/flamingoseam/node/worker_session.cpp
@@ -56,6 +56,10 @@
     : options_(options), entry_(entry), listener_(listener), order_channel_(channels(entry)),
       poll_channel_(channels(entry)), life_(entry.life), began_(now()), next_pause_(first_pause)
 {
+    if (entry.silent_since != wall_time(0)) {
+        // The earlier owner stopped renewing the lease before this one began.
+        began_ -= std::clamp(wall_now() - entry.silent_since, milliseconds(0), options_.lease);
+    }
     order_thread_ = std::thread([this] {
         run_orders();
         --running_threads_;
--- a/flamingoseam/workflow/fleet.hpp
+++ b/flamingoseam/workflow/fleet.hpp
@@ -37,10 +37,11 @@
 /// A worker, the runs that it holds and what its reports have shown.
 struct fleet_worker {
     worker_entry entry;
-    bool listed = false;   ///< The platform's list shows it.
-    bool reported = false; ///< It has accepted this owner and told what it holds.
-    bool silent = false;   ///< It does not answer at present.
-    bool rostered = false; ///< The store knows that it may hold runs.
+    bool listed = false;       ///< The platform's list shows it.
+    bool reported = false;     ///< It has accepted this owner and told what it holds.
+    bool silent = false;       ///< It does not answer at present.
+    wall_time silent_since{0}; ///< Since then its lease is not renewed; 0 while it answers.
+    bool rostered = false;     ///< The store knows that it may hold runs.
     time_point set_aside_until{};
     time_point last_report{};
     resources used;
--- a/flamingoseam/workflow/messages.hpp
+++ b/flamingoseam/workflow/messages.hpp
@@ -42,6 +42,8 @@
     std::vector<std::string> labels;
     resources capacity;
     bool leaving = false; ///< It ends soon; nothing new is started on it.
+    /// In a roster: since when the owner has not renewed the worker's lease; 0 while it answers.
+    wall_time silent_since{0};
 };
 
 /// A run that is present on a worker.
--- a/flamingoseam/workflow/stored_job.cpp
+++ b/flamingoseam/workflow/stored_job.cpp
@@ -248,7 +248,7 @@
     json rows = json::array();
     for (const auto& worker : workers) {
         rows.push_back({worker.id, worker.life, worker.address.address, worker.address.port,
-                        worker.service, worker.zone});
+                        worker.service, worker.zone, worker.silent_since.count()});
     }
     return rows.dump();
 }
@@ -264,6 +264,7 @@
             worker.address = {row.at(2).get<std::string>(), row.at(3).get<unsigned short>()};
             worker.service = row.at(4).get<std::string>();
             worker.zone = row.at(5).get<std::string>();
+            worker.silent_since = wall_time(row.at(6).get<std::int64_t>());
             worker.leaving = true;
             workers.push_back(std::move(worker));
         }
--- a/flamingoseam/workflow/workflow_reports.cpp
+++ b/flamingoseam/workflow/workflow_reports.cpp
@@ -31,7 +31,7 @@
             begin_life(index, listed_life, time);
         }
         fleet_.at(index).listed = true;
-        if (roster_.insert(index).second) {
+        if (!entry.leaving && roster_.insert(index).second) {
             roster_changed_ = true;
         }
     }
@@ -411,11 +411,13 @@
     }
 }
 
-void workflow_state::on_silence(std::size_t worker, bool silent)
+void workflow_state::on_silence(std::size_t worker, bool silent, wall_time wall)
 {
     auto& one = fleet_.at(worker);
     if (one.silent != silent) {
         one.silent = silent;
+        one.silent_since = silent ? wall : wall_time(0);
+        roster_changed_ = roster_changed_ || one.rostered;
         note(silent ? "worker_silent" : "worker_answers", "", one.entry.id);
         pass_wanted_ = true;
     }
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -112,7 +112,7 @@
     void on_stop(std::size_t worker, const run_name& name, time_point time);
 
     /// Tells whether a worker answers at present.
-    void on_silence(std::size_t worker, bool silent);
+    void on_silence(std::size_t worker, bool silent, wall_time wall);
 
     /// Takes in that a worker certainly holds nothing any more.
     void on_emptied(std::size_t worker);
@@ -247,6 +247,7 @@
     void repeat_stops(time_point time);
     void ask_for_reports(time_point time);
     void stop_stuck_runs(time_point time);
+    void drop_idle_leavers();
     void forget_ended(wall_time wall);
     void release_waiters(job_record& job);
     void add_job_changes(job_record& job, record_batch& batch);
--- a/flamingoseam/workflow/workflow_upkeep.cpp
+++ b/flamingoseam/workflow/workflow_upkeep.cpp
@@ -23,6 +23,7 @@
     if (time - last_upkeep_ >= upkeep_interval) {
         last_upkeep_ = time;
         stop_stuck_runs(time);
+        drop_idle_leavers();
     }
     repeat_stops(time);
     ask_for_reports(time);
@@ -64,6 +65,20 @@
     }
 }
 
+/// A worker that leaves and holds nothing need not be waited for by a later owner.
+void workflow_state::drop_idle_leavers()
+{
+    std::erase_if(roster_, [this](std::size_t worker) {
+        auto& one = fleet_.at(worker);
+        if (!one.entry.leaving || !one.reported || !one.runs.empty()) {
+            return false;
+        }
+        one.rostered = false;
+        roster_changed_ = true;
+        return true;
+    });
+}
+
 void workflow_state::stop_stuck_runs(time_point time)
 {
     for (std::size_t worker = 0; worker < fleet_.size(); ++worker) {
@@ -137,6 +152,7 @@
         std::vector<worker_entry> workers;
         for (const auto worker : roster_) {
             workers.push_back(fleet_.at(worker).entry);
+            workers.back().silent_since = fleet_.at(worker).silent_since;
         }
         batch_roster_ = roster_;
         batch.changes.push_back({options_.keys.roster(), write_roster(workers)});
