--- a/flamingoseam/node/node.cpp
+++ b/flamingoseam/node/node.cpp
@@ -238,8 +238,10 @@
             drop_owner();
         }
         update_lanes();
-        if (!leaving && wants_to_take_over(now())) {
-            take_over();
+        log_members();
+        const auto view = membership_->view();
+        if (!leaving && wants_to_take_over(view, now())) {
+            take_over(view.owner ? view.owner->epoch : 0);
         }
         lock.lock();
     }
@@ -260,9 +262,27 @@
     return grace + ahead * options_.take_over_step;
 }
 
-bool node::wants_to_take_over(time_point time)
+void node::log_members()
+{
+    std::set<std::string> members;
+    for (const auto& [name, one] : membership_->view().members) {
+        members.insert(name + " " + one.incarnation);
+    }
+    for (const auto& one : members) {
+        if (logged_members_.count(one) == 0) {
+            parts_.log->write({.event = "member_joined", .request = {}, .detail = one});
+        }
+    }
+    for (const auto& one : logged_members_) {
+        if (members.count(one) == 0) {
+            parts_.log->write({.event = "member_left", .request = {}, .detail = one});
+        }
+    }
+    logged_members_ = std::move(members);
+}
+
+bool node::wants_to_take_over(const membership_view& view, time_point time)
 {
-    const auto view = membership_->view();
     const std::lock_guard lock(mutex_);
     if (view.live_owner() || owner_ || !membership_->has_joined() || !membership_->is_certain()) {
         owner_missing_since_.reset();
@@ -275,15 +295,15 @@
 }
 
 /// Returns the new head when this node has become the owner.
-std::optional<chain_head> node::claim(shared_store& store, std::uint64_t& revision)
+std::optional<chain_head> node::claim(shared_store& store, std::uint64_t known_epoch,
+                                      std::uint64_t& revision)
 {
     const auto current = store.get(head_key());
     chain_head head{.epoch = 1, .sequence = 0, .owner = options_.name + "/" + incarnation_};
     if (current) {
         const auto newest = read_head(current->value).epoch;
-        const auto view = membership_->view();
-        if (newest > (view.owner ? view.owner->epoch : 0)) {
-            return std::nullopt; // Somebody has taken over whom the view does not show yet.
+        if (newest > known_epoch) {
+            return std::nullopt; // Somebody has taken over since this node decided to.
         }
         head.epoch = newest + 1;
     }
@@ -313,12 +333,12 @@
     return std::nullopt;
 }
 
-void node::take_over()
+void node::take_over(std::uint64_t known_epoch)
 {
     try {
         const auto store = parts_.stores();
         std::uint64_t revision = 0;
-        const auto head = claim(*store, revision);
+        const auto head = claim(*store, known_epoch, revision);
         if (!head) {
             return;
         }
--- a/flamingoseam/node/node.hpp
+++ b/flamingoseam/node/node.hpp
@@ -8,6 +8,7 @@
 #include <condition_variable>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 
@@ -69,10 +70,12 @@
     void on_view_changed();
     void update_lanes();
     void run_election();
-    bool wants_to_take_over(time_point time);
+    bool wants_to_take_over(const membership_view& view, time_point time);
     milliseconds own_delay(const membership_view& view) const;
-    void take_over();
-    std::optional<chain_head> claim(shared_store& store, std::uint64_t& revision);
+    void take_over(std::uint64_t known_epoch);
+    std::optional<chain_head> claim(shared_store& store, std::uint64_t known_epoch,
+                                    std::uint64_t& revision);
+    void log_members();
     void begin_ownership(shared_store& store, const chain_head& head, std::uint64_t revision);
     void drop_owner();
     permission_call lane_call(const std::string& name);
@@ -94,6 +97,7 @@
     std::atomic<bool> leaving_{false};
     bool stopping_ = false;
     std::optional<time_point> owner_missing_since_;
+    std::set<std::string> logged_members_; ///< Of the election thread.
     std::unique_ptr<membership> membership_;
     std::unique_ptr<coordinator_server> server_;
     std::thread election_thread_;
--- a/flamingoseam/node/worker_session.hpp
+++ b/flamingoseam/node/worker_session.hpp
@@ -33,7 +33,7 @@
     std::size_t worker = 0;
     std::uint64_t epoch = 0;
     milliseconds lease{6'000};        ///< Of everything that runs there.
-    milliseconds poll_wait{1'500};    ///< How long the worker holds a poll without news.
+    milliseconds poll_wait{400};      ///< How long the worker holds a poll without news.
     milliseconds answer_timeout{500}; ///< Beyond the wait.
     milliseconds order_timeout{600};  ///< Of a start or stop.
     milliseconds oldest_start{1'000}; ///< A start that was queued longer is not sent.
--- a/flamingoseam/workflow/workflow_schedule.cpp
+++ b/flamingoseam/workflow/workflow_schedule.cpp
@@ -139,6 +139,7 @@
         });
     }
     const auto& tasks = step.record().tasks;
+    const int waiting = step.record().waiting();
     for (int index = 0; index < static_cast<int>(tasks.size()); ++index) {
         if (tasks[static_cast<std::size_t>(index)].phase != task_phase::waiting) {
             continue;
@@ -150,6 +151,7 @@
         start_task(step, index, best->worker, next_run(step.record(), index), time);
         --best->fits;
     }
+    note_placed(step, waiting - step.record().waiting(), time);
     if (step.record().waiting() > 0) {
         ask_for_more(step, candidates, time);
     }
@@ -416,9 +418,21 @@
             start_task(step, index++, place.worker, run, time);
         }
     }
+    note_placed(step, index, time);
     holds_.drop(step.job->spec.id, step.step);
 }
 
+void workflow_state::note_placed(const ready_step& step, int tasks, time_point time)
+{
+    if (tasks > 0) {
+        const auto age = std::chrono::duration_cast<milliseconds>(time - step.job->received);
+        note("placed", step.job->spec.id,
+             "step " + std::to_string(step.step) + ": " + std::to_string(tasks) + " tasks, " +
+                 std::to_string(step.record().waiting()) + " wait, age " +
+                 std::to_string(age.count()) + " ms");
+    }
+}
+
 std::int64_t workflow_state::next_run(const step_record& step, int index) const
 {
     const auto base = static_cast<std::int64_t>(options_.epoch - 1) * runs_per_epoch;
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -237,6 +237,7 @@
     void start_gang(const ready_step& step, const std::vector<place>& places, time_point time);
     void start_task(const ready_step& step, int index, std::size_t worker, std::int64_t run,
                     time_point time);
+    void note_placed(const ready_step& step, int tasks, time_point time);
     void hold_for_gang(const ready_step& step, time_point time);
     bool ask_permission(const ready_step& step, std::vector<std::size_t> workers, time_point time);
     std::vector<std::size_t> unasked_workers(const ready_step& step, time_point time);
--- a/flamingoseam/workflow/workflow_upkeep.cpp
+++ b/flamingoseam/workflow/workflow_upkeep.cpp
@@ -10,14 +10,29 @@
 constexpr milliseconds upkeep_interval{100};
 constexpr milliseconds longest_between_passes{50};
 constexpr milliseconds stop_repeat{500};
-constexpr milliseconds still_limit{1'500};      ///< A task without progress for this stands still.
-constexpr milliseconds gang_still_limit{3'500}; ///< The same for a gang that may wait for members.
+/// A task stands still when it makes no progress for this share of its estimate, within bounds.
+constexpr double still_share = 0.6;
+constexpr milliseconds least_still{300};
+constexpr milliseconds most_still{1'500};
+constexpr milliseconds gang_still_allowance{500}; ///< A gang may wait for its last member.
 constexpr milliseconds aside_after_stuck{3'000};
 constexpr std::size_t most_removals_per_batch = 10;
 constexpr std::size_t removals_worth_a_write = 20;
 
 } // namespace
 
+namespace {
+
+milliseconds still_limit(milliseconds estimate, bool gang)
+{
+    const auto share = static_cast<double>(estimate.count()) * still_share;
+    const auto limit =
+        std::clamp(milliseconds(static_cast<std::int64_t>(share)), least_still, most_still);
+    return gang ? limit + gang_still_allowance : limit;
+}
+
+} // namespace
+
 void workflow_state::tick(time_point time)
 {
     if (time - last_upkeep_ >= upkeep_interval) {
@@ -90,7 +105,7 @@
                 continue;
             }
             const bool gang = job->spec.steps[static_cast<std::size_t>(name.task.step)].gang;
-            const auto limit = gang ? gang_still_limit : still_limit;
+            const auto limit = still_limit(run.estimate, gang);
             if (one.last_report < run.percent_changed + limit) {
                 continue;
             }
