--- a/flamingoseam/node/commit_chain.cpp
+++ b/flamingoseam/node/commit_chain.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr milliseconds first_pause{20};
+constexpr int attempts_until_away = 2;  ///< One lost answer is no sign of an absent store.
 constexpr std::size_t head_entries = 2; ///< The condition on the head and its new value.
 
 } // namespace
@@ -59,10 +60,11 @@
     changed_.notify_all();
 }
 
-void commit_chain::finish_with(workflow::record_change last)
+void commit_chain::finish(std::optional<workflow::record_change> last)
 {
     {
         const std::lock_guard lock(mutex_);
+        finishing_ = true;
         last_ = std::move(last);
         work_waits_ = true;
     }
@@ -79,7 +81,7 @@
 {
     std::unique_lock lock(mutex_);
     changed_.wait(lock, [this] { return stopping_ || work_waits_; });
-    if (!stopping_ && !last_) {
+    if (!stopping_ && !finishing_) {
         changed_.wait_for(lock, options_.gather, [this] { return stopping_.load(); });
     }
     work_waits_ = false;
@@ -90,26 +92,25 @@
 {
     while (wait_for_work()) {
         auto batch = source_.take_batch(options_.most_entries - head_entries);
-        std::optional<workflow::record_change> last;
+        bool is_last = false;
         if (batch.changes.empty()) {
             const std::lock_guard lock(mutex_);
-            last = last_;
-        }
-        if (last) {
-            batch.changes.push_back(*last);
-        }
-        if (batch.changes.empty()) {
-            continue;
+            is_last = finishing_;
+            if (is_last && last_) {
+                batch.changes.push_back(*last_);
+            }
         }
-        if (!write(batch)) {
-            break;
+        if (!batch.changes.empty()) {
+            const auto began = now();
+            if (!write(batch)) {
+                break;
+            }
+            source_.on_stored(std::chrono::duration_cast<milliseconds>(now() - began));
+            wake(); // More may have come meanwhile.
         }
-        source_.on_stored();
-        if (last) {
+        if (is_last) {
             break;
         }
-        const std::lock_guard lock(mutex_);
-        work_waits_ = true; // More may have come meanwhile.
     }
     {
         const std::lock_guard lock(mutex_);
@@ -180,8 +181,10 @@
 
 void commit_chain::note_attempt(bool answered, time_point began)
 {
-    const bool available = answered && now() - began < options_.away_after;
-    if (available != available_) {
+    failed_attempts_ = answered ? 0 : failed_attempts_ + 1;
+    const bool slow = now() - began >= options_.away_after;
+    const bool available = !slow && failed_attempts_ < attempts_until_away;
+    if (available != available_ || !available) {
         available_ = available;
         source_.on_store_available(available);
     }
--- a/flamingoseam/node/commit_chain.hpp
+++ b/flamingoseam/node/commit_chain.hpp
@@ -35,8 +35,8 @@
 struct commit_chain_options {
     std::string head_key;
     std::size_t most_entries = 32;   ///< Conditions, writes and removals of one transaction.
-    milliseconds gather{12};         ///< Changes are collected for this long.
-    milliseconds timeout{700};       ///< Of one attempt.
+    milliseconds gather{25};         ///< Changes are collected for this long.
+    milliseconds timeout{400};       ///< Of one attempt.
     milliseconds longest_pause{200}; ///< Between attempts.
     milliseconds away_after{600};    ///< The store counts as away when a write takes longer.
 };
@@ -49,13 +49,13 @@
     /// Returns the next changes, at most `most`.
     virtual workflow::record_batch take_batch(std::size_t most) = 0;
 
-    /// The changes last taken stand in the store.
-    virtual void on_stored() = 0;
+    /// The changes last taken stand in the store, after so long a write.
+    virtual void on_stored(milliseconds write_time) = 0;
 
     /// Another owner has taken over; nothing can be written any more.
     virtual void on_superseded() = 0;
 
-    /// The store has stopped or begun to answer.
+    /// The store has begun to answer, or has left one more write without an answer.
     virtual void on_store_available(bool available) = 0;
 };
 
@@ -76,8 +76,8 @@
     /// Tells that there are changes to write.
     void wake();
 
-    /// Adds a write to the next transaction and makes it the last one; for a hand-over.
-    void finish_with(workflow::record_change last);
+    /// Ends the chain once all changes are written, for a hand-over; `last` is written then.
+    void finish(std::optional<workflow::record_change> last);
 
     /// Waits until the last transaction has ended, at most `limit`. Returns whether it has.
     bool wait_finished(milliseconds limit);
@@ -96,9 +96,11 @@
     std::uint64_t revision_;
     commit_source& source_;
     bool available_ = true;
+    int failed_attempts_ = 0; ///< In a row.
     std::mutex mutex_;
     std::condition_variable changed_;
     bool work_waits_ = false;
+    bool finishing_ = false;
     std::optional<workflow::record_change> last_;
     bool finished_ = false;
     std::atomic<bool> stopping_{false};
--- a/flamingoseam/node/coordinator.capnp
+++ b/flamingoseam/node/coordinator.capnp
@@ -61,4 +61,6 @@
   # Asks the permission service on behalf of the owner; `answered` is false when it failed.
   askPermission @4 (job :Text, step :Int32, workers :List(Text))
       -> (answered :Bool, grants :List(TicketGrant));
+  # The owner of this epoch can't reach the store and asks the callee to take over.
+  offerOwnership @5 (epoch :UInt64) -> (accepted :Bool);
 }
--- a/flamingoseam/node/coordinator.capnp.c++
+++ b/flamingoseam/node/coordinator.capnp.c++
@@ -673,7 +673,7 @@
   0, 2, i_acbaabe7022d6688, nullptr, nullptr, { &s_acbaabe7022d6688, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<71> b_edc252c094bcf7fd = {
+static const ::capnp::_::AlignedData<82> b_edc252c094bcf7fd = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     253, 247, 188, 148, 192,  82, 194, 237,
      18,   0,   0,   0,   3,   0,   0,   0,
@@ -683,55 +683,63 @@
      21,   0,   0,   0, 242,   0,   0,   0,
      33,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0,  71,   1,   0,   0,
-    237,   0,   0,   0,   7,   0,   0,   0,
+     29,   0,   0,   0, 135,   1,   0,   0,
+     25,   1,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      99, 111, 111, 114, 100, 105, 110,  97,
     116, 111, 114,  46,  99,  97, 112, 110,
     112,  58,  67, 111, 111, 114, 100, 105,
     110,  97, 116, 111, 114,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     20,   0,   0,   0,   3,   0,   5,   0,
+     24,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      82, 216, 237, 100, 104, 244, 113, 142,
     235,  13,  91, 119,  55,  54,  34, 164,
-    145,   0,   0,   0,  58,   0,   0,   0,
+    177,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    133,   0,   0,   0,   7,   0,   0,   0,
+    165,   0,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
     114, 114, 212, 216,  96,  22, 200, 142,
     138,  12, 183, 186, 243,  99,  90, 157,
-    121,   0,   0,   0,  58,   0,   0,   0,
+    153,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    109,   0,   0,   0,   7,   0,   0,   0,
+    141,   0,   0,   0,   7,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
     153, 178, 140, 223, 234,   0, 175, 248,
      66, 136, 130,  84, 195, 209, 159, 172,
-     97,   0,   0,   0,  42,   0,   0,   0,
+    129,   0,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     85,   0,   0,   0,   7,   0,   0,   0,
+    117,   0,   0,   0,   7,   0,   0,   0,
       3,   0,   0,   0,   0,   0,   0,   0,
      96, 218,  22,  58, 183,  20, 182, 182,
      41,  54, 130,  63, 225, 210, 180, 198,
-     73,   0,   0,   0, 106,   0,   0,   0,
+    105,   0,   0,   0, 106,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     65,   0,   0,   0,   7,   0,   0,   0,
+     97,   0,   0,   0,   7,   0,   0,   0,
       4,   0,   0,   0,   0,   0,   0,   0,
     105,   3, 105,  65,   1,  41, 202, 192,
     120, 173, 100,   0,  65,  42,  75, 138,
-     53,   0,   0,   0, 114,   0,   0,   0,
+     85,   0,   0,   0, 114,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     45,   0,   0,   0,   7,   0,   0,   0,
+     77,   0,   0,   0,   7,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+    149,  57, 131,  16, 210,  65, 117, 186,
+     51, 227,   7, 205,  77, 170, 218, 132,
+     65,   0,   0,   0, 122,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     57,   0,   0,   0,   7,   0,   0,   0,
     115, 117,  98, 109, 105, 116,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
      99,  97, 110,  99, 101, 108,   0,   0,
@@ -744,11 +752,15 @@
      97, 115, 107,  80, 101, 114, 109, 105,
     115, 115, 105, 111, 110,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    111, 102, 102, 101, 114,  79, 119, 110,
+    101, 114, 115, 104, 105, 112,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_edc252c094bcf7fd = b_edc252c094bcf7fd.words;
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_edc252c094bcf7fd[] = {
+  &s_84daaa4dcd07e333,
   &s_8a4b2a410064ad78,
   &s_8e71f46864edd852,
   &s_8ec81660d8d47272,
@@ -756,14 +768,15 @@
   &s_a4223637775b0deb,
   &s_ac9fd1c354828842,
   &s_b6b614b73a16da60,
+  &s_ba7541d210833995,
   &s_c0ca290141690369,
   &s_c6b4d2e13f823629,
   &s_f8af00eadf8cb299,
 };
-static const uint16_t m_edc252c094bcf7fd[] = {4, 1, 3, 2, 0};
+static const uint16_t m_edc252c094bcf7fd[] = {4, 1, 3, 2, 5, 0};
 const ::capnp::_::RawSchema s_edc252c094bcf7fd = {
-  0xedc252c094bcf7fd, b_edc252c094bcf7fd.words, 71, d_edc252c094bcf7fd, m_edc252c094bcf7fd,
-  10, 5, nullptr, nullptr, nullptr, { &s_edc252c094bcf7fd, nullptr, nullptr, 0, 0, nullptr }
+  0xedc252c094bcf7fd, b_edc252c094bcf7fd.words, 82, d_edc252c094bcf7fd, m_edc252c094bcf7fd,
+  12, 6, nullptr, nullptr, nullptr, { &s_edc252c094bcf7fd, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<49> b_8e71f46864edd852 = {
@@ -1308,6 +1321,99 @@
   1, 2, i_8a4b2a410064ad78, nullptr, nullptr, { &s_8a4b2a410064ad78, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<35> b_ba7541d210833995 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    149,  57, 131,  16, 210,  65, 117, 186,
+     30,   0,   0,   0,   1,   0,   1,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 162,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     37,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     99, 111, 111, 114, 100, 105, 110,  97,
+    116, 111, 114,  46,  99,  97, 112, 110,
+    112,  58,  67, 111, 111, 114, 100, 105,
+    110,  97, 116, 111, 114,  46, 111, 102,
+    102, 101, 114,  79, 119, 110, 101, 114,
+    115, 104, 105, 112,  36,  80,  97, 114,
+     97, 109, 115,   0,   0,   0,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     20,   0,   0,   0,   2,   0,   1,   0,
+    101, 112, 111,  99, 104,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_ba7541d210833995 = b_ba7541d210833995.words;
+#if !CAPNP_LITE
+static const uint16_t m_ba7541d210833995[] = {0};
+static const uint16_t i_ba7541d210833995[] = {0};
+const ::capnp::_::RawSchema s_ba7541d210833995 = {
+  0xba7541d210833995, b_ba7541d210833995.words, 35, nullptr, m_ba7541d210833995,
+  0, 1, i_ba7541d210833995, nullptr, nullptr, { &s_ba7541d210833995, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<36> b_84daaa4dcd07e333 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     51, 227,   7, 205,  77, 170, 218, 132,
+     30,   0,   0,   0,   1,   0,   1,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 170,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     37,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     99, 111, 111, 114, 100, 105, 110,  97,
+    116, 111, 114,  46,  99,  97, 112, 110,
+    112,  58,  67, 111, 111, 114, 100, 105,
+    110,  97, 116, 111, 114,  46, 111, 102,
+    102, 101, 114,  79, 119, 110, 101, 114,
+    115, 104, 105, 112,  36,  82, 101, 115,
+    117, 108, 116, 115,   0,   0,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  74,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   3,   0,   1,   0,
+     24,   0,   0,   0,   2,   0,   1,   0,
+     97,  99,  99, 101, 112, 116, 101, 100,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_84daaa4dcd07e333 = b_84daaa4dcd07e333.words;
+#if !CAPNP_LITE
+static const uint16_t m_84daaa4dcd07e333[] = {0};
+static const uint16_t i_84daaa4dcd07e333[] = {0};
+const ::capnp::_::RawSchema s_84daaa4dcd07e333 = {
+  0x84daaa4dcd07e333, b_84daaa4dcd07e333.words, 36, nullptr, m_84daaa4dcd07e333,
+  0, 1, i_84daaa4dcd07e333, nullptr, nullptr, { &s_84daaa4dcd07e333, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 }  // namespace schemas
 }  // namespace capnp
 
@@ -1407,6 +1513,16 @@
       "coordinator.capnp:Coordinator", "askPermission",
       0xedc252c094bcf7fdull, 4);
 }
+::capnp::Request< ::flamingoseam::rpc::Coordinator::OfferOwnershipParams,  ::flamingoseam::rpc::Coordinator::OfferOwnershipResults>
+Coordinator::Client::offerOwnershipRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::flamingoseam::rpc::Coordinator::OfferOwnershipParams,  ::flamingoseam::rpc::Coordinator::OfferOwnershipResults>(
+      0xedc252c094bcf7fdull, 5, sizeHint);
+}
+::kj::Promise<void> Coordinator::Server::offerOwnership(OfferOwnershipContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "coordinator.capnp:Coordinator", "offerOwnership",
+      0xedc252c094bcf7fdull, 5);
+}
 ::capnp::Capability::Server::DispatchCallResult Coordinator::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -1451,6 +1567,12 @@
              ::flamingoseam::rpc::Coordinator::AskPermissionParams,  ::flamingoseam::rpc::Coordinator::AskPermissionResults>(context)),
         false
       };
+    case 5:
+      return {
+        offerOwnership(::capnp::Capability::Server::internalGetTypedContext<
+             ::flamingoseam::rpc::Coordinator::OfferOwnershipParams,  ::flamingoseam::rpc::Coordinator::OfferOwnershipResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -1546,6 +1668,22 @@
 constexpr ::capnp::_::RawSchema const* Coordinator::AskPermissionResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Coordinator::OfferOwnershipParams
+constexpr uint16_t Coordinator::OfferOwnershipParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Coordinator::OfferOwnershipParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Coordinator::OfferOwnershipParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Coordinator::OfferOwnershipParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Coordinator::OfferOwnershipResults
+constexpr uint16_t Coordinator::OfferOwnershipResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Coordinator::OfferOwnershipResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Coordinator::OfferOwnershipResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Coordinator::OfferOwnershipResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 
 }  // namespace
 }  // namespace
--- a/flamingoseam/node/coordinator.capnp.h
+++ b/flamingoseam/node/coordinator.capnp.h
@@ -35,6 +35,8 @@
 CAPNP_DECLARE_SCHEMA(c6b4d2e13f823629);
 CAPNP_DECLARE_SCHEMA(c0ca290141690369);
 CAPNP_DECLARE_SCHEMA(8a4b2a410064ad78);
+CAPNP_DECLARE_SCHEMA(ba7541d210833995);
+CAPNP_DECLARE_SCHEMA(84daaa4dcd07e333);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -135,6 +137,8 @@
   struct CountPendingResults;
   struct AskPermissionParams;
   struct AskPermissionResults;
+  struct OfferOwnershipParams;
+  struct OfferOwnershipResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -294,6 +298,36 @@
   };
 };
 
+struct Coordinator::OfferOwnershipParams {
+  OfferOwnershipParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ba7541d210833995, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Coordinator::OfferOwnershipResults {
+  OfferOwnershipResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(84daaa4dcd07e333, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class StepSpec::Reader {
@@ -911,6 +945,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::flamingoseam::rpc::Coordinator::AskPermissionParams,  ::flamingoseam::rpc::Coordinator::AskPermissionResults> askPermissionRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::flamingoseam::rpc::Coordinator::OfferOwnershipParams,  ::flamingoseam::rpc::Coordinator::OfferOwnershipResults> offerOwnershipRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -947,6 +983,10 @@
   typedef  ::flamingoseam::rpc::Coordinator::AskPermissionResults AskPermissionResults;
   typedef ::capnp::CallContext<AskPermissionParams, AskPermissionResults> AskPermissionContext;
   virtual ::kj::Promise<void> askPermission(AskPermissionContext context);
+  typedef  ::flamingoseam::rpc::Coordinator::OfferOwnershipParams OfferOwnershipParams;
+  typedef  ::flamingoseam::rpc::Coordinator::OfferOwnershipResults OfferOwnershipResults;
+  typedef ::capnp::CallContext<OfferOwnershipParams, OfferOwnershipResults> OfferOwnershipContext;
+  virtual ::kj::Promise<void> offerOwnership(OfferOwnershipContext context);
 
   inline  ::flamingoseam::rpc::Coordinator::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -1806,6 +1846,158 @@
 };
 #endif  // !CAPNP_LITE
 
+class Coordinator::OfferOwnershipParams::Reader {
+public:
+  typedef OfferOwnershipParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getEpoch() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Coordinator::OfferOwnershipParams::Builder {
+public:
+  typedef OfferOwnershipParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getEpoch();
+  inline void setEpoch( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Coordinator::OfferOwnershipParams::Pipeline {
+public:
+  typedef OfferOwnershipParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Coordinator::OfferOwnershipResults::Reader {
+public:
+  typedef OfferOwnershipResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool getAccepted() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Coordinator::OfferOwnershipResults::Builder {
+public:
+  typedef OfferOwnershipResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool getAccepted();
+  inline void setAccepted(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Coordinator::OfferOwnershipResults::Pipeline {
+public:
+  typedef OfferOwnershipResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 inline  ::int32_t StepSpec::Reader::getTasks() const {
@@ -3028,6 +3220,34 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Coordinator::OfferOwnershipParams::Reader::getEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Coordinator::OfferOwnershipParams::Builder::getEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Coordinator::OfferOwnershipParams::Builder::setEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Coordinator::OfferOwnershipResults::Reader::getAccepted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Coordinator::OfferOwnershipResults::Builder::getAccepted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Coordinator::OfferOwnershipResults::Builder::setAccepted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/flamingoseam/node/coordinator_rpc.cpp
+++ b/flamingoseam/node/coordinator_rpc.cpp
@@ -177,6 +177,13 @@
             });
     }
 
+    kj::Promise<void> offerOwnership(OfferOwnershipContext context) override
+    {
+        const auto epoch = context.getParams().getEpoch();
+        return detail::promise_of<bool>([&](auto reply) { service_.offer_ownership(epoch, reply); })
+            .then([context](bool accepted) mutable { context.getResults().setAccepted(accepted); });
+    }
+
 private:
     template <typename Context, typename Call>
     static kj::Promise<void> answer(Context context, Call&& call)
@@ -307,6 +314,19 @@
         true);
 }
 
+bool coordinator_client::offer_ownership(const endpoint& node, std::uint64_t epoch,
+                                         milliseconds timeout)
+{
+    return impl_->call<bool>(
+        node, timeout,
+        [&](rpc::Coordinator::Client& client) {
+            auto message = client.offerOwnershipRequest();
+            message.setEpoch(epoch);
+            return message.send().then([](auto response) { return response.getAccepted(); });
+        },
+        true);
+}
+
 class coordinator_server::impl : public detail::rpc_listener {
 public:
     impl(const endpoint& listen, owner_service& service)
--- a/flamingoseam/node/coordinator_rpc.hpp
+++ b/flamingoseam/node/coordinator_rpc.hpp
@@ -28,6 +28,9 @@
                                                     const workflow::permission_request& request,
                                                     milliseconds timeout);
 
+    /// Returns whether the node will try to take over from the owner of this epoch.
+    bool offer_ownership(const endpoint& node, std::uint64_t epoch, milliseconds timeout);
+
 private:
     class impl;
     std::unique_ptr<impl> impl_;
--- a/flamingoseam/node/job_owner.cpp
+++ b/flamingoseam/node/job_owner.cpp
@@ -4,6 +4,7 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace flamingoseam::node {
@@ -16,9 +17,46 @@
 
 } // namespace
 
+class job_owner::chain_link final : private commit_source {
+public:
+    chain_link(job_owner& owner, std::size_t index, const job_owner_start& start)
+        : owner_(owner), index_(index)
+    {
+        commit_source& source = *this;
+        chain_ = std::make_unique<commit_chain>(
+            commit_chain_options{.head_key = owner.parts_.head_keys[index]}, owner.parts_.stores(),
+            start.head, start.revision, source);
+    }
+
+    commit_chain& chain() { return *chain_; }
+
+private:
+    workflow::record_batch take_batch(std::size_t most) override
+    {
+        return owner_.loop_.ask<workflow::record_batch>(
+            [this, most] { return owner_.state_.take_batch(index_, most, wall_now()); });
+    }
+
+    void on_stored(milliseconds write_time) override
+    {
+        owner_.loop_.post([this, write_time] { owner_.state_.on_stored(index_, write_time); });
+    }
+
+    void on_superseded() override { owner_.report_superseded(); }
+
+    void on_store_available(bool available) override
+    {
+        owner_.loop_.post([this, available] { owner_.on_store_available(index_, available); });
+    }
+
+    job_owner& owner_;
+    std::size_t index_;
+    std::unique_ptr<commit_chain> chain_;
+};
+
 job_owner::job_owner(job_owner_start start, job_owner_parts parts)
     : parts_(std::move(parts)), epoch_(start.head.epoch),
-      state_({.epoch = start.head.epoch, .keys = parts_.keys})
+      state_({.epoch = start.head.epoch, .keys = parts_.keys, .chains = parts_.head_keys.size()})
 {
     state_.load(std::move(start.jobs), start.roster, now(), wall_now());
     lanes_ = std::make_unique<permission_lanes>(
@@ -27,9 +65,9 @@
                 state_.on_permission(number, grants, now());
             });
         });
-    commit_source& source = *this;
-    chain_ = std::make_unique<commit_chain>(parts_.chain, std::move(parts_.chain_store), start.head,
-                                            start.revision, source);
+    for (std::size_t index = 0; index < parts_.head_keys.size(); ++index) {
+        chains_.push_back(std::make_unique<chain_link>(*this, index, start));
+    }
     loop_.post([this] { open_sessions(); });
     loop_thread_ = std::thread([this] { loop_.run(tick, [this] { after_batch(); }); });
     directory_thread_ = std::thread([this] { watch_workers(); });
@@ -38,7 +76,7 @@
 job_owner::~job_owner()
 {
     request_end();
-    chain_.reset();
+    chains_.clear();
     loop_.stop();
     loop_thread_.join();
     lanes_.reset();
@@ -120,8 +158,16 @@
 bool job_owner::hand_over(workflow::record_change last, milliseconds limit)
 {
     loop_.post([this] { leaving_ = true; });
-    chain_->finish_with(std::move(last));
-    const bool finished = chain_->wait_finished(limit);
+    const auto end = now() + limit;
+    const auto left = [end] {
+        return std::max(milliseconds(0), std::chrono::duration_cast<milliseconds>(end - now()));
+    };
+    bool finished = true;
+    for (std::size_t index = chains_.size(); index-- > 0;) {
+        auto& chain = chains_[index]->chain();
+        chain.finish(index == 0 ? std::optional(last) : std::nullopt);
+        finished = chain.wait_finished(left()) && finished;
+    }
     request_end();
     return finished;
 }
@@ -168,26 +214,22 @@
     report_superseded();
 }
 
-workflow::record_batch job_owner::take_batch(std::size_t most)
+void job_owner::on_store_available(std::size_t chain, bool available)
 {
-    return loop_.ask<workflow::record_batch>(
-        [this, most] { return state_.take_batch(most, wall_now()); });
-}
-
-void job_owner::on_stored()
-{
-    loop_.post([this] { state_.on_stored(); });
-}
-
-void job_owner::on_superseded()
-{
-    report_superseded();
-}
-
-void job_owner::on_store_available(bool available)
-{
-    parts_.log->write({.event = available ? "store_answers" : "store_silent"});
-    loop_.post([this, available] { state_.set_store_available(available); });
+    const bool was_available = silent_chains_.empty();
+    if (available) {
+        silent_chains_.erase(chain);
+    } else {
+        silent_chains_.insert(chain);
+    }
+    const bool is_available = silent_chains_.empty();
+    state_.set_store_available(is_available);
+    if (is_available != was_available) {
+        parts_.log->write({.event = is_available ? "store_answers" : "store_silent"});
+    }
+    if (!is_available) {
+        parts_.on_store_away();
+    }
 }
 
 void job_owner::report_superseded()
@@ -205,8 +247,10 @@
     }
     state_.tick(now());
     dispatch(state_.take_actions());
-    if (state_.has_changes()) {
-        chain_->wake();
+    for (std::size_t index = 0; index < chains_.size(); ++index) {
+        if (state_.has_changes(index)) {
+            chains_[index]->chain().wake();
+        }
     }
 }
 
@@ -228,9 +272,9 @@
             on_start(order.worker, order.name, workflow::start_outcome::not_sent);
         }
     }
-    for (const auto worker : actions.unsettled) {
+    for (const auto& [worker, time] : actions.reports_needed) {
         if (auto* session = session_of(worker)) {
-            session->expect_report();
+            session->expect_report(time);
         }
     }
     for (const auto& order : actions.forgets) {
--- a/flamingoseam/node/job_owner.hpp
+++ b/flamingoseam/node/job_owner.hpp
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <thread>
 #include <unordered_map>
@@ -30,8 +31,8 @@
 
 /// What an owner works with.
 struct job_owner_parts {
-    commit_chain_options chain;
-    std::unique_ptr<shared_store> chain_store;
+    std::vector<std::string> head_keys; ///< One for each chain of transactions.
+    shared_store_factory stores;
     workflow::record_keys keys;
     milliseconds worker_lease{6'000};
     worker_channel_factory channels;
@@ -42,13 +43,16 @@
     /// Tells whether this node is certain to be the only owner now.
     std::function<bool()> is_certain;
 
+    /// Called when writes to the store get no answer.
+    std::function<void()> on_store_away;
+
     /// Called once when another owner has taken over.
     std::function<void()> on_superseded;
 };
 
 /// The owner of all jobs: their state on one control thread, and the threads that carry its
 /// decisions to workers, to the store and to the permission service.
-class job_owner final : private worker_listener, private commit_source {
+class job_owner final : private worker_listener {
 public:
     job_owner(job_owner_start start, job_owner_parts parts);
 
@@ -83,10 +87,9 @@
     void on_emptied(std::size_t worker) override;
     void on_fenced(std::size_t worker) override;
 
-    workflow::record_batch take_batch(std::size_t most) override;
-    void on_stored() override;
-    void on_superseded() override;
-    void on_store_available(bool available) override;
+    /// One chain with what it is told and asks for.
+    class chain_link;
+    void on_store_available(std::size_t chain, bool available);
 
     void after_batch();
     void dispatch(workflow::workflow_actions actions);
@@ -107,7 +110,8 @@
     std::map<std::size_t, std::unique_ptr<worker_session>> sessions_;
     std::vector<std::unique_ptr<worker_session>> retired_;
     std::unique_ptr<permission_lanes> lanes_;
-    std::unique_ptr<commit_chain> chain_;
+    std::vector<std::unique_ptr<chain_link>> chains_;
+    std::set<std::size_t> silent_chains_; ///< Whose writes get no answer.
     std::atomic<bool> ending_{false};
     std::atomic<bool> superseded_{false};
     bool leaving_ = false;
--- a/flamingoseam/node/membership.cpp
+++ b/flamingoseam/node/membership.cpp
@@ -114,7 +114,12 @@
 
 bool membership::is_certain() const
 {
-    return boot_time_ms() - renewed_at_ms_ < options_.certain_for.count();
+    return was_renewed_within(options_.certain_for);
+}
+
+bool membership::was_renewed_within(milliseconds length) const
+{
+    return boot_time_ms() - renewed_at_ms_ < length.count();
 }
 
 bool membership::has_joined() const
--- a/flamingoseam/node/membership.hpp
+++ b/flamingoseam/node/membership.hpp
@@ -77,6 +77,9 @@
     /// dead.
     [[nodiscard]] bool is_certain() const;
 
+    /// Tells whether this node's lease was renewed so lately.
+    [[nodiscard]] bool was_renewed_within(milliseconds length) const;
+
     /// Tells whether this node is a member by its own view.
     [[nodiscard]] bool has_joined() const;
 
--- a/flamingoseam/node/node.cpp
+++ b/flamingoseam/node/node.cpp
@@ -21,6 +21,9 @@
 constexpr milliseconds permission_margin{400}; ///< Beyond the service's own time.
 constexpr milliseconds retry_without_owner{1'000};
 constexpr int most_claim_attempts = 10;
+constexpr milliseconds offer_timeout{150};
+constexpr milliseconds fresh_renewal{300}; ///< A node that renewed so lately reaches the store.
+constexpr milliseconds owner_retry{100};   ///< Between looks for the next owner.
 
 std::string make_incarnation()
 {
@@ -75,6 +78,27 @@
 
 template <typename LocalCall, typename RemoteCall>
 owner_answer node::pass_on(milliseconds timeout, const LocalCall& local, const RemoteCall& remote)
+{
+    const auto began = now();
+    const auto give_up = began + std::min(options_.owner_wait, timeout / 2);
+    while (true) {
+        const auto passed = std::chrono::duration_cast<milliseconds>(now() - began);
+        auto answer = pass_once(timeout - passed, local, remote);
+        if (answer.verdict != owner_verdict::no_owner || now() >= give_up) {
+            return answer;
+        }
+        wait_for_change(std::min(give_up, now() + owner_retry));
+    }
+}
+
+void node::wait_for_change(time_point until)
+{
+    std::unique_lock lock(mutex_);
+    changed_.wait_until(lock, until, [this] { return stopping_; });
+}
+
+template <typename LocalCall, typename RemoteCall>
+owner_answer node::pass_once(milliseconds timeout, const LocalCall& local, const RemoteCall& remote)
 {
     if (const auto owner = local_owner()) {
         auto promise = std::make_shared<std::promise<owner_answer>>();
@@ -90,7 +114,7 @@
         return without_owner("no_owner");
     }
     try {
-        return remote(owner->owner.address);
+        return remote(owner->owner.address, timeout);
     } catch (const transport_error& cause) {
         LOG_EVERY_N(WARNING, 20) << "the owner does not answer: " << cause.what();
         if (!cause.sent()) {
@@ -105,21 +129,23 @@
 {
     return pass_on(
         timeout, [&](job_owner& owner, auto reply) { owner.submit(job, terms, std::move(reply)); },
-        [&](const endpoint& owner) { return client_.submit(owner, job, terms, timeout); });
+        [&](const endpoint& owner, milliseconds left) {
+            return client_.submit(owner, job, terms, left);
+        });
 }
 
 owner_answer node::cancel_job(const std::string& job, milliseconds timeout)
 {
     return pass_on(
         timeout, [&](job_owner& owner, auto reply) { owner.cancel(job, std::move(reply)); },
-        [&](const endpoint& owner) { return client_.cancel(owner, job, timeout); });
+        [&](const endpoint& owner, milliseconds left) { return client_.cancel(owner, job, left); });
 }
 
 owner_answer node::find_job(const std::string& job, milliseconds timeout)
 {
     return pass_on(
         timeout, [&](job_owner& owner, auto reply) { owner.find(job, std::move(reply)); },
-        [&](const endpoint& owner) { return client_.find(owner, job, timeout); });
+        [&](const endpoint& owner, milliseconds left) { return client_.find(owner, job, left); });
 }
 
 owner_answer node::count_pending_jobs(const std::string& queue, milliseconds timeout)
@@ -127,7 +153,9 @@
     return pass_on(
         timeout,
         [&](job_owner& owner, auto reply) { owner.count_pending(queue, std::move(reply)); },
-        [&](const endpoint& owner) { return client_.count_pending(owner, queue, timeout); });
+        [&](const endpoint& owner, milliseconds left) {
+            return client_.count_pending(owner, queue, left);
+        });
 }
 
 void node::submit(const workflow::job_spec& job, const workflow::queue_terms& terms,
@@ -228,9 +256,13 @@
     std::unique_lock lock(mutex_);
     while (!stopping_) {
         const bool has_owner = !owner_missing_since_;
-        changed_.wait_for(lock, has_owner ? election_interval : election_interval_without,
-                          [this] { return stopping_ || view_changed_ || owner_lost_; });
+        changed_.wait_for(lock, has_owner ? election_interval : election_interval_without, [this] {
+            return stopping_ || view_changed_ || owner_lost_ || store_is_away_ ||
+                   offered_epoch_ != 0;
+        });
         view_changed_ = false;
+        const bool store_is_away = std::exchange(store_is_away_, false);
+        const auto offered_epoch = std::exchange(offered_epoch_, 0);
         const bool lost = owner_lost_;
         const bool leaving = leaving_;
         lock.unlock();
@@ -240,7 +272,12 @@
         update_lanes();
         log_members();
         const auto view = membership_->view();
-        if (!leaving && wants_to_take_over(view, now())) {
+        if (store_is_away) {
+            offer_to_others(view);
+        }
+        const bool is_offered = offered_epoch != 0 && view.owner &&
+                                view.owner->epoch == offered_epoch && !local_owner();
+        if (!leaving && (is_offered || wants_to_take_over(view, now()))) {
             take_over(view.owner ? view.owner->epoch : 0);
         }
         lock.lock();
@@ -262,6 +299,42 @@
     return grace + ahead * options_.take_over_step;
 }
 
+/// An owner whose store is silent lets a node go on that still reaches it.
+void node::offer_to_others(const membership_view& view)
+{
+    if (!local_owner() || !view.owner) {
+        return;
+    }
+    for (const auto& [name, one] : view.members) {
+        if (name == options_.name) {
+            continue;
+        }
+        try {
+            if (client_.offer_ownership(one.address, view.owner->epoch, offer_timeout)) {
+                parts_.log->write(
+                    {.event = "ownership_offered", .request = {}, .detail = "to " + name});
+                return;
+            }
+        } catch (const transport_error& cause) {
+            LOG_EVERY_N(WARNING, 10) << "ownership can't be offered: " << cause.what();
+        }
+    }
+}
+
+void node::offer_ownership(std::uint64_t epoch, reply_flag reply)
+{
+    const bool can_take = !leaving_ && !local_owner() && membership_->has_joined() &&
+                          membership_->was_renewed_within(fresh_renewal);
+    if (can_take) {
+        {
+            const std::lock_guard lock(mutex_);
+            offered_epoch_ = epoch;
+        }
+        changed_.notify_all();
+    }
+    reply(can_take);
+}
+
 void node::log_members()
 {
     std::set<std::string> members;
@@ -298,19 +371,26 @@
 std::optional<chain_head> node::claim(shared_store& store, std::uint64_t known_epoch,
                                       std::uint64_t& revision)
 {
-    const auto current = store.get(head_key());
-    chain_head head{.epoch = 1, .sequence = 0, .owner = options_.name + "/" + incarnation_};
-    if (current) {
-        const auto newest = read_head(current->value).epoch;
-        if (newest > known_epoch) {
-            return std::nullopt; // Somebody has taken over since this node decided to.
-        }
-        head.epoch = newest + 1;
+    std::map<std::string, shared_record> current;
+    std::uint64_t newest = 0;
+    std::uint64_t ignored = 0;
+    for (auto& record : list_all(store, head_prefix(), ignored)) {
+        newest = std::max(newest, read_head(record.value).epoch);
+        current[record.key] = std::move(record);
     }
-    const owner_record record{.epoch = head.epoch, .owner = membership_->self()};
+    if (newest > known_epoch) {
+        return std::nullopt; // Somebody has taken over since this node decided to.
+    }
+    const chain_head head{
+        .epoch = newest + 1, .sequence = 0, .owner = options_.name + "/" + incarnation_};
     shared_transaction transaction;
-    transaction.conditions.push_back({head_key(), current ? current->revision : 0});
-    transaction.writes.push_back({head_key(), write_head(head)});
+    for (const auto& key : head_keys()) {
+        const auto found = current.find(key);
+        transaction.conditions.push_back(
+            {key, found == current.end() ? 0 : found->second.revision});
+        transaction.writes.push_back({key, write_head(head)});
+    }
+    const owner_record record{.epoch = head.epoch, .owner = membership_->self()};
     transaction.writes.push_back({membership_->owner_key(), write_owner(record)});
     for (int attempt = 0; attempt < most_claim_attempts; ++attempt) {
         try {
@@ -320,8 +400,8 @@
                 return head;
             }
             for (const auto& one : result.conflicting) {
-                if (one.key == head_key() && read_head(one.value) == head) {
-                    revision = one.revision;
+                if (one.key == head_keys().front() && read_head(one.value) == head) {
+                    revision = one.revision; // An earlier attempt was carried out.
                     return head;
                 }
             }
@@ -333,6 +413,15 @@
     return std::nullopt;
 }
 
+std::vector<std::string> node::head_keys() const
+{
+    std::vector<std::string> keys;
+    for (std::size_t index = 0; index < options_.chains; ++index) {
+        keys.push_back(head_prefix() + std::to_string(index));
+    }
+    return keys;
+}
+
 void node::take_over(std::uint64_t known_epoch)
 {
     try {
@@ -355,30 +444,23 @@
     parts_.log->write(
         {.event = "owner_begins", .request = {}, .detail = "epoch " + std::to_string(head.epoch)});
     job_owner_start start{.head = head, .revision = revision, .jobs = {}, .roster = {}};
-    std::map<std::string, std::string> progress;
-    std::uint64_t ignored = 0;
     const auto record_keys = keys();
-    for (const auto& record : list_all(store, record_keys.progresses(), ignored)) {
-        progress.emplace(record.key.substr(record_keys.progresses().size()), record.value);
-    }
-    for (const auto& record : list_all(store, record_keys.specifications(), ignored)) {
-        auto job = workflow::read_specification(record.value);
-        job.spec.id = record.key.substr(record_keys.specifications().size());
-        if (const auto found = progress.find(job.spec.id); found != progress.end()) {
-            workflow::read_progress(found->second, job);
-            progress.erase(found);
+    const auto read = [&store](const std::string& prefix) {
+        std::map<std::string, std::string> values;
+        std::uint64_t ignored = 0;
+        for (const auto& record : list_all(store, prefix, ignored)) {
+            values.emplace(record.key.substr(prefix.size()), record.value);
         }
-        start.jobs.push_back(std::move(job));
-    }
-    for (const auto& [id, text] : progress) {
-        start.jobs.push_back(workflow::read_final_progress(id, text));
-    }
+        return values;
+    };
+    const auto progress = read(record_keys.progresses());
+    start.jobs = workflow::read_jobs(read(record_keys.specifications()), progress);
     if (const auto roster = store.get(record_keys.roster())) {
         start.roster = workflow::read_roster(roster->value);
     }
     job_owner_parts parts{
-        .chain = {.head_key = head_key()},
-        .chain_store = parts_.stores(),
+        .head_keys = head_keys(),
+        .stores = parts_.stores,
         .keys = record_keys,
         .worker_lease = options_.worker_lease,
         .channels = parts_.channels,
@@ -386,6 +468,14 @@
         .permissions = [this](const std::string& name) { return lane_call(name); },
         .log = parts_.log,
         .is_certain = [this] { return membership_->is_certain(); },
+        .on_store_away =
+            [this] {
+                {
+                    const std::lock_guard lock(mutex_);
+                    store_is_away_ = true;
+                }
+                changed_.notify_all();
+            },
         .on_superseded =
             [this] {
                 {
--- a/flamingoseam/node/node.hpp
+++ b/flamingoseam/node/node.hpp
@@ -23,6 +23,8 @@
     milliseconds take_over_grace{250}; ///< A missing owner may come back within this.
     milliseconds take_over_step{60};   ///< Each further candidate waits this much longer.
     milliseconds hand_over_limit{1'500};
+    std::size_t chains = 6;       ///< Chains of transactions that an owner may use.
+    milliseconds owner_wait{700}; ///< A call waits so long for the next owner.
 };
 
 /// What a node reaches the platform with.
@@ -64,6 +66,7 @@
     void count_pending(const std::string& queue, reply_owner reply) override;
     void ask_permission(const workflow::permission_request& request,
                         reply_permission reply) override;
+    void offer_ownership(std::uint64_t epoch, reply_flag reply) override;
 
 private:
     std::shared_ptr<job_owner> local_owner() const;
@@ -76,14 +79,21 @@
     std::optional<chain_head> claim(shared_store& store, std::uint64_t known_epoch,
                                     std::uint64_t& revision);
     void log_members();
+    void offer_to_others(const membership_view& view);
     void begin_ownership(shared_store& store, const chain_head& head, std::uint64_t revision);
     void drop_owner();
     permission_call lane_call(const std::string& name);
-    std::string head_key() const { return options_.store_prefix + "head"; }
+    std::string head_prefix() const { return options_.store_prefix + "head/"; }
+    std::vector<std::string> head_keys() const;
     workflow::record_keys keys() const { return {.prefix = options_.store_prefix}; }
 
+    /// Passes a call to the owner, again when ownership changes meanwhile; a call that found no
+    /// owner had no effect.
     template <typename LocalCall, typename RemoteCall>
     owner_answer pass_on(milliseconds timeout, const LocalCall& local, const RemoteCall& remote);
+    template <typename LocalCall, typename RemoteCall>
+    owner_answer pass_once(milliseconds timeout, const LocalCall& local, const RemoteCall& remote);
+    void wait_for_change(time_point until);
 
     node_options options_;
     node_parts parts_;
@@ -94,6 +104,8 @@
     std::shared_ptr<job_owner> owner_;
     bool owner_lost_ = false;
     bool view_changed_ = false;
+    bool store_is_away_ = false;
+    std::uint64_t offered_epoch_ = 0; ///< Of the owner that asks this node to go on; 0 for none.
     std::atomic<bool> leaving_{false};
     bool stopping_ = false;
     std::optional<time_point> owner_missing_since_;
--- a/flamingoseam/node/owner_service.hpp
+++ b/flamingoseam/node/owner_service.hpp
@@ -37,6 +37,7 @@
 class owner_service {
 public:
     using reply_owner = std::function<void(owner_answer)>;
+    using reply_flag = std::function<void(bool)>;
     using reply_permission = std::function<void(std::optional<permission_answer>)>;
 
     virtual ~owner_service() = default;
@@ -47,6 +48,10 @@
     virtual void count_pending(const std::string& queue, reply_owner reply) = 0;
     virtual void ask_permission(const workflow::permission_request& request,
                                 reply_permission reply) = 0;
+
+    /// The owner of this epoch can't reach the store and asks this node to take over. The reply
+    /// tells whether it will try.
+    virtual void offer_ownership(std::uint64_t epoch, reply_flag reply) = 0;
 };
 
 } // namespace flamingoseam::node
--- a/flamingoseam/node/worker_session.cpp
+++ b/flamingoseam/node/worker_session.cpp
@@ -112,10 +112,10 @@
     changed_.notify_all();
 }
 
-void worker_session::expect_report()
+void worker_session::expect_report(time_point time)
 {
     const std::lock_guard lock(mutex_);
-    report_expected_until_ = now() + options_.expect_for;
+    report_expected_ = time;
 }
 
 void worker_session::run_orders()
@@ -219,11 +219,7 @@
     {
         const std::lock_guard lock(mutex_);
         call.forget_up_to = forget_up_to_;
-        const bool is_expected = now() < report_expected_until_;
-        call.wait = is_expected ? options_.short_wait : options_.poll_wait;
-        if (!clock_.is_known()) {
-            call.wait = milliseconds(0);
-        }
+        call.wait = clock_.is_known() ? next_wait() : milliseconds(0);
     }
     const auto asked = now();
     try {
@@ -238,6 +234,16 @@
     }
 }
 
+milliseconds worker_session::next_wait()
+{
+    if (!report_expected_) {
+        return options_.poll_wait;
+    }
+    const auto left = std::chrono::ceil<milliseconds>(*report_expected_ - now());
+    report_expected_.reset();
+    return std::clamp(left, options_.least_wait, options_.poll_wait);
+}
+
 void worker_session::take_answer(renew_answer answer, time_point asked)
 {
     using kind = renew_answer::kind;
@@ -284,6 +290,9 @@
     std::unique_lock lock(mutex_);
     changed_.wait_for(lock, options_.settle_wait,
                       [&] { return ending_ || forget_up_to_ >= newest_end; });
+    if (!report_expected_) {
+        changed_.wait_for(lock, options_.spacing, [this] { return ending_.load(); });
+    }
 }
 
 void worker_session::note_failed_poll()
--- a/flamingoseam/node/worker_session.hpp
+++ b/flamingoseam/node/worker_session.hpp
@@ -7,6 +7,7 @@
 #include <deque>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <thread>
 
 namespace flamingoseam::node {
@@ -33,12 +34,12 @@
     std::size_t worker = 0;
     std::uint64_t epoch = 0;
     milliseconds lease{6'000};        ///< Of everything that runs there.
-    milliseconds poll_wait{400};      ///< How long the worker holds a poll without news.
+    milliseconds poll_wait{800};      ///< How long the worker holds a poll without news.
     milliseconds answer_timeout{500}; ///< Beyond the wait.
     milliseconds order_timeout{600};  ///< Of a start or stop.
     milliseconds oldest_start{1'000}; ///< A start that was queued longer is not sent.
-    milliseconds short_wait{80};      ///< The same while a report is needed soon.
-    milliseconds expect_for{400};     ///< How long polls stay short.
+    milliseconds least_wait{80};      ///< The same when a report is needed soon.
+    milliseconds spacing{50};         ///< After a report with ends, so that others join it.
     milliseconds settle_wait{250};    ///< How long a poll waits for ends to be stored.
 };
 
@@ -82,8 +83,8 @@
     /// The worker may forget its ends up to a number.
     void forget(const workflow::forget_order& order);
 
-    /// Makes the polls of the next moments short, since a report is needed soon.
-    void expect_report();
+    /// A report is needed at `time`: a poll that begins before ends by then.
+    void expect_report(time_point time);
 
     /// Makes the threads end soon, without waiting for them.
     void request_end();
@@ -104,6 +105,7 @@
     void send_stop(const workflow::run_name& name);
     void run_polls();
     bool poll();
+    milliseconds next_wait();
     void take_answer(renew_answer answer, time_point asked);
     void note_failed_poll();
     void wait_until_settled(std::int64_t newest_end);
@@ -127,7 +129,7 @@
     std::int64_t forget_up_to_ = 0;
     bool silent_ = false;
     bool emptied_ = false;
-    time_point report_expected_until_{};
+    std::optional<time_point> report_expected_;
     time_point began_;
     milliseconds next_pause_;
     std::atomic<bool> ending_{false};
--- a/flamingoseam/workflow/stored_job.cpp
+++ b/flamingoseam/workflow/stored_job.cpp
@@ -243,6 +243,26 @@
     });
 }
 
+std::vector<job_record> read_jobs(const std::map<std::string, std::string>& specifications,
+                                  const std::map<std::string, std::string>& progresses)
+{
+    std::vector<job_record> jobs;
+    for (const auto& [id, text] : specifications) {
+        auto job = read_specification(text);
+        job.spec.id = id;
+        if (const auto found = progresses.find(id); found != progresses.end()) {
+            read_progress(found->second, job);
+        }
+        jobs.push_back(std::move(job));
+    }
+    for (const auto& [id, text] : progresses) {
+        if (specifications.count(id) == 0) {
+            jobs.push_back(read_final_progress(id, text));
+        }
+    }
+    return jobs;
+}
+
 std::string write_roster(const std::vector<worker_entry>& workers)
 {
     json rows = json::array();
--- a/flamingoseam/workflow/stored_job.hpp
+++ b/flamingoseam/workflow/stored_job.hpp
@@ -2,6 +2,7 @@
 
 #include "flamingoseam/workflow/job_record.hpp"
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -40,6 +41,11 @@
 /// (id 126).
 job_record read_final_progress(const std::string& id, const std::string& text);
 
+/// Returns all jobs of a store, from the values under specifications() and progresses() by job id.
+/// Throws parse_error (id 126).
+std::vector<job_record> read_jobs(const std::map<std::string, std::string>& specifications,
+                                  const std::map<std::string, std::string>& progresses);
+
 /// Returns the workers that may hold runs, as JSON text.
 std::string write_roster(const std::vector<worker_entry>& workers);
 
--- a/flamingoseam/workflow/workflow_jobs.cpp
+++ b/flamingoseam/workflow/workflow_jobs.cpp
@@ -12,7 +12,10 @@
 
 } // namespace
 
-workflow_state::workflow_state(workflow_options options) : options_(std::move(options)) {}
+workflow_state::workflow_state(workflow_options options)
+    : options_(std::move(options)), chains_(options_.chains)
+{
+}
 
 void workflow_state::load(std::vector<job_record> jobs, const std::vector<worker_entry>& roster,
                           time_point time, wall_time wall)
@@ -20,6 +23,7 @@
     for (auto& one : jobs) {
         auto job = std::make_unique<job_record>(std::move(one));
         job->sequence = ++last_sequence_;
+        job->chain = choose_chain();
         job->received = time;
         if (is_final(job->phase)) {
             ended_.emplace(job->ended + options_.ended_retention, job->spec.id);
@@ -76,6 +80,7 @@
     job->received = time;
     job->due = time + target_time(spec, terms);
     job->sequence = ++last_sequence_;
+    job->chain = choose_chain();
     fill_steps(*job, task_phase::waiting);
     auto& record = *job;
     open_.emplace(record.sequence, &record);
@@ -132,7 +137,17 @@
 
 void workflow_state::change(job_record& job)
 {
-    changes_.note(job);
+    chains_[job.chain].changes.note(job);
+}
+
+std::size_t workflow_state::choose_chain()
+{
+    // One chain writes the most in one transaction; several hide the time of a slow store.
+    if (write_time_ < options_.slow_write) {
+        return 0;
+    }
+    next_chain_ = (next_chain_ + 1) % chains_.size();
+    return next_chain_;
 }
 
 void workflow_state::note(std::string event, const std::string& job, std::string detail)
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -26,6 +26,9 @@
     record_keys keys{.prefix = "fs/"};
     std::size_t most_open_jobs = 6'000;
     milliseconds ended_retention{150'000}; ///< How long the state of an ended job can be asked for.
+    /// Transactions of different chains are under way at one time; a job keeps to one chain.
+    std::size_t chains = 1;
+    milliseconds slow_write{60}; ///< From this time a write on, new jobs use all chains.
 };
 
 /// What a caller is told.
@@ -53,7 +56,7 @@
     std::vector<start_order> starts;
     std::vector<stop_order> stops;
     std::vector<forget_order> forgets;
-    std::vector<std::size_t> unsettled; ///< Workers whose next report is needed soon.
+    std::vector<std::pair<std::size_t, time_point>> reports_needed; ///< By worker, by when.
     std::vector<permission_request> permissions;
     std::vector<caller_answer> answers;
     std::vector<decision_note> notes;
@@ -121,18 +124,18 @@
     void on_permission(std::uint64_t number, const std::optional<std::vector<ticket_grant>>& grants,
                        time_point time);
 
-    /// Tells whether changes wait for the store.
-    [[nodiscard]] bool has_changes() const { return !changes_.empty() || roster_changed_; }
-
-    /// Returns the number of jobs whose newest change is not stored yet.
-    [[nodiscard]] std::size_t unstored_jobs() const { return changes_.size(); }
+    /// Tells whether changes of a chain wait for the store.
+    [[nodiscard]] bool has_changes(std::size_t chain) const
+    {
+        return !chains_[chain].changes.empty() || (chain == 0 && roster_changed_);
+    }
 
-    /// Returns the next changes to write, at most `most` records; empty when there are none. One
-    /// batch is under way at a time.
-    record_batch take_batch(std::size_t most, wall_time wall);
+    /// Returns the next changes of a chain, at most `most` records; empty when there are none. One
+    /// batch of a chain is under way at a time.
+    record_batch take_batch(std::size_t chain, std::size_t most, wall_time wall);
 
-    /// Takes in that the batch last taken stands in the store.
-    void on_stored();
+    /// Takes in that the batch last taken stands in the store, after so long a write.
+    void on_stored(std::size_t chain, milliseconds write_time);
 
     /// Refuses new jobs while the store does not answer.
     void set_store_available(bool available) { store_available_ = available; }
@@ -251,12 +254,23 @@
     void drop_idle_leavers();
     void forget_ended(wall_time wall);
     void release_waiters(job_record& job);
-    void add_job_changes(job_record& job, record_batch& batch);
+    struct chain_state;
+    void add_job_changes(chain_state& chain, job_record& job, record_batch& batch);
+    void add_roster(record_batch& batch);
+    void add_removals(std::size_t most, record_batch& batch);
+    [[nodiscard]] std::size_t choose_chain();
 
     workflow_options options_;
     fleet fleet_;
     worker_health health_;
-    change_log changes_;
+    /// Changes that one chain of transactions carries.
+    struct chain_state {
+        change_log changes;
+        std::vector<batch_job> batch; ///< Under way.
+    };
+    std::vector<chain_state> chains_;
+    std::size_t next_chain_ = 0;
+    milliseconds write_time_{0}; ///< Of the newest write.
     gang_holds holds_;
     std::unordered_map<std::string, std::unique_ptr<job_record>> jobs_;
     std::map<std::uint64_t, job_record*> open_; ///< By the order in which they were taken in.
@@ -264,7 +278,6 @@
     std::map<std::uint64_t, permission_request> requests_; ///< Under way.
     std::multimap<wall_time, std::string> ended_;          ///< For the end of their retention.
     std::vector<std::string> removals_;                    ///< Keys that the store may drop.
-    std::vector<batch_job> batch_jobs_;
     std::set<std::size_t> batch_roster_;
     bool roster_in_batch_ = false;
     std::set<std::size_t> roster_;     ///< Workers that may hold runs.
--- a/flamingoseam/workflow/workflow_upkeep.cpp
+++ b/flamingoseam/workflow/workflow_upkeep.cpp
@@ -14,6 +14,7 @@
 constexpr double still_share = 0.6;
 constexpr milliseconds least_still{300};
 constexpr milliseconds most_still{1'500};
+constexpr int nearly_done_percent = 98; ///< A gang's member that is done waits for the others.
 constexpr milliseconds gang_still_allowance{500}; ///< A gang may wait for its last member.
 constexpr milliseconds aside_after_stuck{3'000};
 constexpr std::size_t most_removals_per_batch = 10;
@@ -31,6 +32,19 @@
     return gang ? limit + gang_still_allowance : limit;
 }
 
+/// Returns when a report has to show what became of a run: at once while it is in doubt or being
+/// stopped, and once early in its life, since a worker that stands still shows it only there.
+std::optional<time_point> report_needed(const held_run& run, time_point time)
+{
+    if (run.stop_wanted || run.state == held_run::knowledge::doubtful) {
+        return time;
+    }
+    if (run.state == held_run::knowledge::present && run.percent == 0) {
+        return run.confirmed_at + still_limit(run.estimate, false);
+    }
+    return std::nullopt;
+}
+
 } // namespace
 
 void workflow_state::tick(time_point time)
@@ -70,12 +84,15 @@
     }
     last_ask_ = time;
     for (std::size_t worker = 0; worker < fleet_.size(); ++worker) {
-        const auto& runs = fleet_.at(worker).runs;
-        const bool is_open = std::any_of(runs.begin(), runs.end(), [](const auto& row) {
-            return row.second.stop_wanted || row.second.state == held_run::knowledge::doubtful;
-        });
-        if (is_open) {
-            actions_.unsettled.push_back(worker);
+        std::optional<time_point> needed;
+        for (const auto& [name, run] : fleet_.at(worker).runs) {
+            const auto moment = report_needed(run, time);
+            if (moment && (!needed || *moment < *needed)) {
+                needed = moment;
+            }
+        }
+        if (needed) {
+            actions_.reports_needed.emplace_back(worker, *needed);
         }
     }
 }
@@ -101,7 +118,7 @@
         for (auto& [name, run] : one.runs) {
             const auto* job = find_job(name.task.job);
             if (run.state != held_run::knowledge::present || run.stop_wanted || job == nullptr ||
-                is_final(job->phase)) {
+                is_final(job->phase) || run.percent >= nearly_done_percent) {
                 continue;
             }
             const bool gang = job->spec.steps[static_cast<std::size_t>(name.task.step)].gang;
@@ -136,7 +153,7 @@
     }
 }
 
-void workflow_state::add_job_changes(job_record& job, record_batch& batch)
+void workflow_state::add_job_changes(chain_state& chain, job_record& job, record_batch& batch)
 {
     const auto& id = job.spec.id;
     if (is_final(job.phase)) {
@@ -144,7 +161,7 @@
         if (job.spec_stored) {
             batch.changes.push_back({options_.keys.specification(id), std::nullopt});
         }
-        batch_jobs_.push_back({&job, job.changed_at, false});
+        chain.batch.push_back({&job, job.changed_at, false});
         return;
     }
     const bool writes_specification = !job.spec_stored;
@@ -153,63 +170,80 @@
     } else {
         batch.changes.push_back({options_.keys.progress(id), write_progress(job)});
     }
-    batch_jobs_.push_back({&job, job.changed_at, writes_specification});
+    chain.batch.push_back({&job, job.changed_at, writes_specification});
 }
 
-record_batch workflow_state::take_batch(std::size_t most, wall_time wall)
+void workflow_state::add_roster(record_batch& batch)
 {
-    forget_ended(wall);
-    record_batch batch;
-    batch_jobs_.clear();
     batch_roster_.clear();
     roster_in_batch_ = std::exchange(roster_changed_, false);
-    if (roster_in_batch_) {
-        std::vector<worker_entry> workers;
-        for (const auto worker : roster_) {
-            workers.push_back(fleet_.at(worker).entry);
-            workers.back().silent_since = fleet_.at(worker).silent_since;
-        }
-        batch_roster_ = roster_;
-        batch.changes.push_back({options_.keys.roster(), write_roster(workers)});
+    if (!roster_in_batch_) {
+        return;
+    }
+    std::vector<worker_entry> workers;
+    for (const auto worker : roster_) {
+        workers.push_back(fleet_.at(worker).entry);
+        workers.back().silent_since = fleet_.at(worker).silent_since;
     }
+    batch_roster_ = roster_;
+    batch.changes.push_back({options_.keys.roster(), write_roster(workers)});
+}
+
+void workflow_state::add_removals(std::size_t most, record_batch& batch)
+{
+    if (batch.changes.empty() && removals_.size() < removals_worth_a_write) {
+        return;
+    }
+    for (std::size_t count = 0;
+         count < most_removals_per_batch && !removals_.empty() && batch.changes.size() < most;
+         ++count) {
+        batch.changes.push_back({removals_.back(), std::nullopt});
+        removals_.pop_back();
+    }
+}
+
+record_batch workflow_state::take_batch(std::size_t chain, std::size_t most, wall_time wall)
+{
     constexpr std::size_t changes_per_job = 2;
-    for (auto* job : changes_.oldest(most / changes_per_job + most)) {
+    record_batch batch;
+    auto& own = chains_[chain];
+    own.batch.clear();
+    if (chain == 0) {
+        forget_ended(wall);
+        add_roster(batch);
+    }
+    for (auto* job : own.changes.oldest(most)) {
         if (batch.changes.size() + changes_per_job > most) {
             break;
         }
-        add_job_changes(*job, batch);
-    }
-    if (!batch.changes.empty() || removals_.size() >= removals_worth_a_write) {
-        for (std::size_t count = 0;
-             count < most_removals_per_batch && !removals_.empty() && batch.changes.size() < most;
-             ++count) {
-            batch.changes.push_back({removals_.back(), std::nullopt});
-            removals_.pop_back();
-        }
+        add_job_changes(own, *job, batch);
+    }
+    if (chain == 0) {
+        add_removals(most, batch);
     }
     batch.number = ++last_batch_;
     return batch;
 }
 
-void workflow_state::on_stored()
+void workflow_state::on_stored(std::size_t chain, milliseconds write_time)
 {
-    if (roster_in_batch_) {
+    write_time_ = write_time;
+    if (chain == 0 && roster_in_batch_) {
         for (const auto worker : batch_roster_) {
             fleet_.at(worker).rostered = roster_.count(worker) > 0;
         }
         pass_wanted_ = true;
     }
-    for (const auto& [job, change, wrote_specification] : batch_jobs_) {
+    for (const auto& [job, change, wrote_specification] : std::exchange(chains_[chain].batch, {})) {
         if (wrote_specification) {
             job->spec_stored = true;
             ++counts_.accepted;
             note("accepted", job->spec.id, job->spec.queue);
             pass_wanted_ = true;
         }
-        changes_.note_stored(*job, change);
+        chains_[chain].changes.note_stored(*job, change);
         release_waiters(*job);
     }
-    batch_jobs_.clear();
 }
 
 void workflow_state::release_waiters(job_record& job)
--- a/tests/workflow_model.cpp
+++ b/tests/workflow_model.cpp
@@ -14,6 +14,7 @@
 constexpr milliseconds finish_limit{90'000};
 constexpr wall_time day_begins{1'000'000'000};
 constexpr int attempts = 3;
+constexpr std::size_t chains = 3;
 constexpr milliseconds time_to_learn_of_life{400};
 
 queue_terms terms_of(int priority)
@@ -31,7 +32,8 @@
 
 struct workflow_model::run_record {
     resources size;
-    std::uint64_t ends = 0; ///< Number of the event that ends it.
+    milliseconds began{0};
+    milliseconds length{0};
 };
 
 struct workflow_model::worker {
@@ -71,7 +73,7 @@
     workflow_state state;
     std::uint64_t epoch = 0;
     bool alive = true;
-    bool writing = false;
+    std::set<std::size_t> writing; ///< Chains with a transaction under way.
     std::map<std::size_t, forget_order> forget;
     std::map<std::size_t, milliseconds> leased_until; ///< By worker, in model time.
     std::map<std::uint64_t, std::string> tokens;
@@ -122,7 +124,7 @@
 
 void workflow_model::trace(const std::string& job, const std::string& what) const
 {
-    if (!job.empty() && job == options_.traced_job) {
+    if (options_.traced_job == "*" || (!job.empty() && job == options_.traced_job)) {
         std::cerr << now_.count() << " ms " << job << ": " << what << '\n';
     }
 }
@@ -203,29 +205,16 @@
         return;
     }
     const record_keys keys{.prefix = "fs/"};
-    owner_ = std::make_shared<owner>(workflow_options{.epoch = ++epoch_, .keys = keys});
+    owner_ = std::make_shared<owner>(
+        workflow_options{.epoch = ++epoch_, .keys = keys, .chains = chains});
     owner_->epoch = epoch_;
-    std::vector<job_record> jobs;
     std::vector<worker_entry> roster;
-    for (const auto& [key, value] : records_) {
-        if (key.starts_with(keys.specifications())) {
-            auto job = read_specification(value);
-            job.spec.id = key.substr(keys.specifications().size());
-            const auto progress = records_.find(keys.progress(job.spec.id));
-            if (progress != records_.end()) {
-                read_progress(progress->second, job);
-            }
-            jobs.push_back(std::move(job));
-        } else if (key.starts_with(keys.progresses())) {
-            const auto id = key.substr(keys.progresses().size());
-            if (records_.count(keys.specification(id)) == 0) {
-                jobs.push_back(read_final_progress(id, value));
-            }
-        } else if (key == keys.roster()) {
-            roster = read_roster(value);
-        }
+    if (const auto found = records_.find(keys.roster()); found != records_.end()) {
+        roster = read_roster(found->second);
     }
-    owner_->state.load(std::move(jobs), roster, clock(), day_begins + now_);
+    owner_->state.load(
+        read_jobs(records_below(keys.specifications()), records_below(keys.progresses())), roster,
+        clock(), day_begins + now_);
     owner_->state.on_worker_list(list_of_workers(), clock());
     const auto one = owner_;
     for (std::size_t index = 0; index < workers_.size(); ++index) {
@@ -234,6 +223,17 @@
     pump(one);
 }
 
+std::map<std::string, std::string> workflow_model::records_below(const std::string& prefix) const
+{
+    std::map<std::string, std::string> values;
+    for (const auto& [key, value] : records_) {
+        if (key.starts_with(prefix)) {
+            values.emplace(key.substr(prefix.size()), value);
+        }
+    }
+    return values;
+}
+
 void workflow_model::end_owner()
 {
     if (!owner_) {
@@ -396,28 +396,35 @@
 
 void workflow_model::write_store(const std::shared_ptr<owner>& one)
 {
-    if (one->writing || !one->alive || !one->state.has_changes()) {
+    for (std::size_t chain = 0; chain < chains; ++chain) {
+        write_chain(one, chain);
+    }
+}
+
+void workflow_model::write_chain(const std::shared_ptr<owner>& one, std::size_t chain)
+{
+    if (one->writing.count(chain) > 0 || !one->alive || !one->state.has_changes(chain)) {
         return;
     }
+    one->writing.insert(chain);
     if (store_silent_) {
-        one->writing = true;
-        at(milliseconds(100), [this, one] {
-            one->writing = false;
-            write_store(one);
+        at(milliseconds(100), [this, one, chain] {
+            one->writing.erase(chain);
+            write_chain(one, chain);
         });
         return;
     }
-    const auto batch = one->state.take_batch(6, day_begins + now_);
-    one->writing = true;
-    at(between(5, 60), [this, one, batch] {
+    const auto batch = one->state.take_batch(chain, 6, day_begins + now_);
+    const auto began = now_;
+    at(between(5, 150), [this, one, batch, chain, began] {
         if (one->epoch != epoch_) {
             return; // The chain's condition refuses an earlier owner.
         }
         apply(batch);
-        at(between(1, 20), [this, one] {
-            one->writing = false;
+        at(between(1, 20), [this, one, chain, began] {
+            one->writing.erase(chain);
             if (one->alive) {
-                one->state.on_stored();
+                one->state.on_stored(chain, now_ - began);
                 pump(one);
             }
         });
@@ -460,13 +467,13 @@
     one.lease_until = std::max(one.lease_until, lease_until);
     const auto& spec = jobs_[order.name.task.job]->spec;
     const auto& step = spec.steps[static_cast<std::size_t>(order.name.task.step)];
-    one.runs.emplace(order.name, run_record{.size = step.size});
     const auto life = one.entry.life;
     const bool fails = chance(options_.failing_run_share);
     // All members of a gang's run end at one time, known from the run's name.
     const auto length = step.gang ? step.estimate + milliseconds(200)
                                   : std::chrono::duration_cast<milliseconds>(
                                         step.estimate * between(70, 130).count() / 100);
+    one.runs.emplace(order.name, run_record{.size = step.size, .began = now_, .length = length});
     at(length, [this, &one, name = order.name, life, fails] {
         if (one.entry.life == life && one.runs.count(name) > 0) {
             end_run(one, name, fails ? run_end::failed : run_end::done);
@@ -552,7 +559,9 @@
     }
     worker_report report{.life = one.entry.life, .present = {}, .ended = one.ended};
     for (const auto& [name, run] : one.runs) {
-        report.present.push_back({.name = name, .checkpoint = {}, .percent = 0});
+        const auto percent = 100 * (now_ - run.began) / std::max(run.length, milliseconds(1));
+        report.present.push_back(
+            {.name = name, .checkpoint = {}, .percent = static_cast<int>(percent)});
     }
     return report;
 }
@@ -650,7 +659,7 @@
             pump(owner_);
         }
         const bool quiet = owner_ && now_ > options_.load_time + milliseconds(15'000) &&
-                           owner_->state.open_jobs() == 0 && !owner_->state.has_changes();
+                           owner_->state.open_jobs() == 0 && owner_->writing.empty();
         if (quiet) {
             break;
         }
--- a/tests/workflow_model.hpp
+++ b/tests/workflow_model.hpp
@@ -26,7 +26,7 @@
     int worker_restarts = 2;
     int worker_cuts = 2; ///< A worker can't be reached but works on.
     int silent_stores = 1;
-    std::string traced_job = {};      ///< What happens to it is printed.
+    std::string traced_job = {};      ///< What happens to it is printed; "*" for everything.
     bool check_fence = true;          ///< Workers refuse lower epochs.
     bool check_run_numbers = true;    ///< Workers refuse runs that were stopped or ended there.
     bool forget_after_storing = true; ///< Ends are forgotten only once their meaning is stored.
@@ -54,6 +54,7 @@
     void at(milliseconds delay, action what);
     void plan_day();
     void submit_job(int number);
+    [[nodiscard]] std::map<std::string, std::string> records_below(const std::string& prefix) const;
     void begin_owner();
     void end_owner();
     void pump(const std::shared_ptr<owner>& one);
@@ -62,6 +63,7 @@
     void send_stop(const std::shared_ptr<owner>& one, const workflow::stop_order& order);
     void poll(const std::shared_ptr<owner>& one, std::size_t index);
     void write_store(const std::shared_ptr<owner>& one);
+    void write_chain(const std::shared_ptr<owner>& one, std::size_t chain);
     void apply(const workflow::record_batch& batch);
     workflow::start_outcome accept_start(worker& one, std::uint64_t epoch,
                                          const workflow::start_order& order,
