Give no room away on a worker that holds a run of unknown size

Ruled out: a late order of the earlier owner (fenced), a vanished run (listed as present). Test: workflow_state_test 'an owner takes over workers whose runs it does not know' failed before.

--- a/flamingoseam/node/membership.cpp
+++ b/flamingoseam/node/membership.cpp
@@ -186,7 +186,7 @@
 bool membership::is_missing_from_view() const
 {
     const std::lock_guard lock(mutex_);
-    return watched_ != 0 && view_.members.count(options_.self.name) == 0;
+    return watched_ != 0 && !view_.members.contains(options_.self.name);
 }
 
 void membership::run_watch()
--- a/flamingoseam/node/node.cpp
+++ b/flamingoseam/node/node.cpp
@@ -342,12 +342,12 @@
         members.insert(name + " " + one.incarnation);
     }
     for (const auto& one : members) {
-        if (logged_members_.count(one) == 0) {
+        if (!logged_members_.contains(one)) {
             parts_.log->write({.event = "member_joined", .request = {}, .detail = one});
         }
     }
     for (const auto& one : logged_members_) {
-        if (members.count(one) == 0) {
+        if (!members.contains(one)) {
             parts_.log->write({.event = "member_left", .request = {}, .detail = one});
         }
     }
--- a/flamingoseam/workflow/fleet.cpp
+++ b/flamingoseam/workflow/fleet.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <limits>
-#include <utility>
 
 namespace flamingoseam::workflow {
 
@@ -49,9 +48,10 @@
 held_run& fleet::hold(std::size_t worker, const run_name& name, held_run run)
 {
     auto& one = workers_.at(worker);
-    const auto [found, is_new] = one.runs.try_emplace(name, std::move(run));
+    const auto [found, is_new] = one.runs.try_emplace(name, run);
     if (is_new) {
         one.used += found->second.size;
+        one.unsized_runs += found->second.is_sized ? 0 : 1;
     }
     return found->second;
 }
@@ -71,6 +71,7 @@
         return false;
     }
     one.used -= found->second.size;
+    one.unsized_runs -= found->second.is_sized ? 0 : 1;
     one.runs.erase(found);
     return true;
 }
--- a/flamingoseam/workflow/fleet.hpp
+++ b/flamingoseam/workflow/fleet.hpp
@@ -21,6 +21,7 @@
         doubtful, ///< The order was not answered; it may be carried out until it is ruled out.
     };
     resources size;
+    bool is_sized = true; ///< False for a run of a job that is not known; it may take all room.
     knowledge state = knowledge::ordered;
     milliseconds estimate{0};
     time_point ordered_at{};
@@ -45,6 +46,7 @@
     time_point set_aside_until{};
     time_point last_report{};
     resources used;
+    int unsized_runs = 0;
     std::map<run_name, held_run> runs;
     /// Runs whose orders went unanswered and were ruled out in this life, and when. Such an order
     /// may still arrive in the worker's next life, which knows nothing of the stop.
@@ -53,7 +55,10 @@
     std::map<std::int64_t, bool> open_ends; ///< By number: whether its meaning is stored.
     std::int64_t forget_up_to = 0;
 
-    [[nodiscard]] resources free() const { return entry.capacity - used; }
+    [[nodiscard]] resources free() const
+    {
+        return unsized_runs > 0 ? resources{} : entry.capacity - used;
+    }
 
     /// Tells whether new runs may be started here. Complexity: constant.
     [[nodiscard]] bool is_usable(time_point time) const
--- a/flamingoseam/workflow/gang_holds.cpp
+++ b/flamingoseam/workflow/gang_holds.cpp
@@ -76,7 +76,7 @@
 const gang_hold* gang_holds::on_worker(std::size_t worker) const
 {
     const auto found = std::find_if(holds_.begin(), holds_.end(), [&](const gang_hold& hold) {
-        return hold.workers.count(worker) > 0;
+        return hold.workers.contains(worker);
     });
     return found == holds_.end() ? nullptr : &*found;
 }
--- a/flamingoseam/workflow/job_record.hpp
+++ b/flamingoseam/workflow/job_record.hpp
@@ -62,11 +62,11 @@
     /// Tells whether the worker is known to be permitted. Complexity: logarithmic.
     [[nodiscard]] bool is_permitted(std::size_t worker) const
     {
-        return permitted_.count(worker) > 0;
+        return permitted_.contains(worker);
     }
 
     /// Tells whether the service was ever asked about the worker. Complexity: logarithmic.
-    [[nodiscard]] bool is_known(std::size_t worker) const { return known_.count(worker) > 0; }
+    [[nodiscard]] bool is_known(std::size_t worker) const { return known_.contains(worker); }
 
     /// Returns a ticket that is valid until `needed` at least, null when there is none.
     [[nodiscard]] const ticket* find_ticket(std::size_t worker, time_point needed) const;
--- a/flamingoseam/workflow/stored_job.cpp
+++ b/flamingoseam/workflow/stored_job.cpp
@@ -256,7 +256,7 @@
         jobs.push_back(std::move(job));
     }
     for (const auto& [id, text] : progresses) {
-        if (specifications.count(id) == 0) {
+        if (!specifications.contains(id)) {
             jobs.push_back(read_final_progress(id, text));
         }
     }
--- a/flamingoseam/workflow/workflow_reports.cpp
+++ b/flamingoseam/workflow/workflow_reports.cpp
@@ -36,7 +36,7 @@
         }
     }
     for (std::size_t index = 0; index < fleet_.size(); ++index) {
-        if (listed.count(index) == 0 && fleet_.at(index).listed) {
+        if (!listed.contains(index) && fleet_.at(index).listed) {
             fleet_.at(index).listed = false;
             note("worker_unlisted", "", fleet_.at(index).entry.id);
         }
@@ -218,7 +218,8 @@
     const auto index = static_cast<std::size_t>(name.task.index);
     const bool is_open = job != nullptr && !is_final(job->phase) && step < job->steps.size() &&
                          index < job->steps[step].tasks.size();
-    held_run held{.size = is_open ? job->spec.steps[step].size : fleet_.at(worker).entry.capacity,
+    held_run held{.size = is_open ? job->spec.steps[step].size : resources{},
+                  .is_sized = is_open,
                   .state = held_run::knowledge::present,
                   .ordered_at = time,
                   .confirmed_at = time,
@@ -264,7 +265,7 @@
     }
     const auto runs = fleet_.at(worker).runs;
     for (const auto& [name, seen] : runs) {
-        if (present.count(name) > 0) {
+        if (present.contains(name)) {
             continue;
         }
         auto* run = fleet_.find_run(worker, name);
--- /dev/null
+++ b/flamingoseam/workflow/workflow_state_test.cpp
@@ -0,0 +1,189 @@
+#include "flamingoseam/workflow/workflow_state.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace flamingoseam;
+using namespace flamingoseam::workflow;
+
+namespace {
+
+constexpr wall_time wall{1'000'000};
+
+/// A state with one worker, driven by hand.
+struct bench {
+    workflow_state state{{.epoch = 2}};
+    time_point time{std::chrono::hours(1)};
+
+    worker_entry worker(std::int64_t milli_cpus = 8'000) const
+    {
+        return {.id = "w",
+                .life = 1,
+                .service = "service",
+                .address = {"127.0.0.1", 1},
+                .capacity = {.milli_cpus = milli_cpus, .memory_mb = 16'000}};
+    }
+
+    job_spec job(const std::string& id, std::int64_t milli_cpus, int tasks = 1) const
+    {
+        return {.id = id,
+                .queue = "queue",
+                .payload = {},
+                .steps = {{.tasks = tasks,
+                           .size = {.milli_cpus = milli_cpus, .memory_mb = 1},
+                           .estimate = milliseconds(1'000)}}};
+    }
+
+    queue_terms terms() const
+    {
+        return {.name = "queue",
+                .service = "service",
+                .most_attempts = 2,
+                .stretch = 2,
+                .target = milliseconds(500)};
+    }
+
+    /// Lists and reports the worker, and stores what is waiting, so that it can be used.
+    void make_usable(const worker_report& report = {.life = 1})
+    {
+        state.on_worker_list({worker()}, time);
+        state.on_report(0, report, time, wall);
+        store();
+    }
+
+    void store()
+    {
+        while (state.has_changes(0)) {
+            state.take_batch(0, 30, wall);
+            state.on_stored(0, milliseconds(5));
+        }
+    }
+
+    void submit(const job_spec& spec)
+    {
+        state.submit(1, spec, terms(), time, wall);
+        store();
+    }
+
+    workflow_actions next(milliseconds later = milliseconds(60))
+    {
+        time += later;
+        state.tick(time);
+        return state.take_actions();
+    }
+};
+
+} // namespace
+
+TEST_CASE("an owner takes over workers whose runs it does not know")
+{
+    bench one;
+    auto in_roster = one.worker();
+    in_roster.capacity = {};
+    in_roster.leaving = true;
+    one.state.load({}, {in_roster}, one.time, wall);
+    const run_name unknown{{"0123456789abcdef", 0, 0}, 7};
+
+    SECTION("a run of a job that has ended is stopped and takes all room until it has ended")
+    {
+        one.state.on_report(0, {.life = 1, .present = {{.name = unknown}}}, one.time, wall);
+        one.state.on_worker_list({one.worker()}, one.time);
+        one.submit(one.job("fedcba9876543210", 1'000));
+        auto actions = one.next();
+        REQUIRE(actions.stops.size() == 1);
+        CHECK(actions.stops[0].name == unknown);
+        CHECK(actions.starts.empty());
+
+        one.state.on_stop(0, unknown, one.time);
+        CHECK(one.next().starts.empty());
+
+        one.state.on_report(0,
+                            {.life = 1,
+                             .present = {},
+                             .ended = {{.number = 1, .name = unknown, .how = run_end::stopped}}},
+                            one.time, wall);
+        CHECK(one.next().starts.size() == 1);
+    }
+}
+
+TEST_CASE("a failed run counts once, however often its worker tells of it")
+{
+    bench one;
+    one.make_usable();
+    one.submit(one.job("fedcba9876543210", 1'000));
+    const auto first = one.next().starts;
+    REQUIRE(first.size() == 1);
+    one.state.on_start(0, first[0].name, start_outcome::started, one.time);
+    const ended_run failed{.number = 1, .name = first[0].name, .how = run_end::failed};
+    one.state.on_report(0, {.life = 1, .present = {}, .ended = {failed}}, one.time, wall);
+    one.store();
+    CHECK(one.state.find("fedcba9876543210") == job_phase::running);
+
+    SECTION("to the same owner")
+    {
+        one.state.on_report(0, {.life = 1, .present = {}, .ended = {failed}}, one.time, wall);
+        one.store();
+        CHECK(one.state.find("fedcba9876543210") == job_phase::running);
+    }
+    SECTION("as the same end of a later life's list")
+    {
+        auto again = failed;
+        again.number = 2;
+        one.state.on_report(0, {.life = 1, .present = {}, .ended = {again}}, one.time, wall);
+        one.store();
+        CHECK(one.state.find("fedcba9876543210") == job_phase::running);
+    }
+    SECTION("but a second failed run reaches the limit of two")
+    {
+        const auto second = one.next(milliseconds(200)).starts;
+        REQUIRE(second.size() == 1);
+        CHECK(second[0].name.run > first[0].name.run);
+        one.state.on_report(
+            0,
+            {.life = 1,
+             .present = {},
+             .ended = {{.number = 2, .name = second[0].name, .how = run_end::failed}}},
+            one.time, wall);
+        one.store();
+        CHECK(one.state.find("fedcba9876543210") == job_phase::failed);
+    }
+}
+
+TEST_CASE("a job is shown and acted on only once it is stored")
+{
+    bench one;
+    one.make_usable();
+    one.state.submit(5, one.job("fedcba9876543210", 1'000), one.terms(), one.time, wall);
+
+    SECTION("it is neither answered nor started before")
+    {
+        const auto actions = one.next();
+        CHECK(actions.answers.empty());
+        CHECK(actions.starts.empty());
+    }
+    SECTION("it is answered once it is")
+    {
+        one.store();
+        const auto actions = one.next();
+        REQUIRE(actions.answers.size() == 1);
+        CHECK(actions.answers[0].token == 5);
+        CHECK(actions.answers[0].what == caller_answer::kind::stored);
+        CHECK(actions.starts.size() == 1);
+    }
+    SECTION("a repeat of its id is the same job")
+    {
+        one.state.submit(6, one.job("fedcba9876543210", 1'000), one.terms(), one.time, wall);
+        one.store();
+        const auto actions = one.next();
+        CHECK(actions.answers.size() == 2);
+        CHECK(actions.starts.size() == 1);
+    }
+    SECTION("while the store is away new jobs are refused at once")
+    {
+        one.state.set_store_available(false);
+        one.state.submit(7, one.job("0000000000000001", 1'000), one.terms(), one.time, wall);
+        const auto actions = one.next();
+        REQUIRE(actions.answers.size() == 1);
+        CHECK(actions.answers[0].what == caller_answer::kind::refused);
+        CHECK(actions.answers[0].retry_after > milliseconds(0));
+    }
+}
--- a/flamingoseam/workflow/workflow_upkeep.cpp
+++ b/flamingoseam/workflow/workflow_upkeep.cpp
@@ -230,7 +230,7 @@
     write_time_ = write_time;
     if (chain == 0 && roster_in_batch_) {
         for (const auto worker : batch_roster_) {
-            fleet_.at(worker).rostered = roster_.count(worker) > 0;
+            fleet_.at(worker).rostered = roster_.contains(worker);
         }
         pass_wanted_ = true;
     }
--- a/tests/workflow_model.cpp
+++ b/tests/workflow_model.cpp
@@ -215,8 +215,12 @@
     owner_->state.load(
         read_jobs(records_below(keys.specifications()), records_below(keys.progresses())), roster,
         clock(), day_begins + now_);
-    owner_->state.on_worker_list(list_of_workers(), clock());
     const auto one = owner_;
+    at(between(0, 100), [this, one] {
+        if (one->alive) {
+            one->state.on_worker_list(list_of_workers(), clock());
+        }
+    });
     for (std::size_t index = 0; index < workers_.size(); ++index) {
         poll(one, index);
     }
@@ -359,6 +363,10 @@
     if (!one->alive) {
         return;
     }
+    if (index >= one->state.workers().size()) {
+        at(milliseconds(20), [this, one, index] { poll(one, index); });
+        return; // Not known to the owner yet.
+    }
     auto& target = *workers_[index];
     const auto asked = clock();
     if (target.cut) {
