--- /dev/null
+++ b/flamingoseam/node/commit_chain_test.cpp
@@ -0,0 +1,167 @@
+#include "flamingoseam/node/commit_chain.hpp"
+
+#include "flamingoseam/core/error.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <deque>
+
+using namespace flamingoseam;
+using namespace flamingoseam::node;
+
+namespace {
+
+/// What the fake store does with a transaction.
+enum class fate { apply, apply_and_lose, lose, late };
+
+/// A store with one head, for one chain and the copies of its transactions that arrive late.
+struct fake_records {
+    std::mutex mutex;
+    std::uint64_t revision = 10;
+    std::string head;
+    std::map<std::string, std::string> values;
+    std::deque<fate> fates;
+    std::vector<shared_transaction> delayed;
+    int commits = 0;
+
+    shared_result apply(const shared_transaction& changes)
+    {
+        if (changes.conditions.at(0).revision != revision) {
+            return {.applied = false,
+                    .conflicting = {{.key = "head", .value = head, .revision = revision}}};
+        }
+        ++revision;
+        for (const auto& one : changes.writes) {
+            (one.key == "head" ? head : values[one.key]) = one.value;
+        }
+        return {.applied = true, .revision = revision};
+    }
+};
+
+class fake_store final : public shared_store {
+public:
+    explicit fake_store(fake_records& records) : records_(records) {}
+
+    shared_result commit(const shared_transaction& changes, milliseconds /*timeout*/) override
+    {
+        const std::lock_guard lock(records_.mutex);
+        ++records_.commits;
+        auto what = fate::apply;
+        if (!records_.fates.empty()) {
+            what = records_.fates.front();
+            records_.fates.pop_front();
+        }
+        if (what == fate::late) {
+            records_.delayed.push_back(changes);
+        }
+        if (what == fate::apply_and_lose) {
+            records_.apply(changes);
+        }
+        if (what != fate::apply) {
+            throw transport_error(304, "no answer", true);
+        }
+        return records_.apply(changes);
+    }
+
+    std::optional<shared_record> get(const std::string& /*key*/) override { return std::nullopt; }
+    shared_page list(const std::string& /*prefix*/, const std::string& /*after*/) override
+    {
+        return {};
+    }
+    shared_changes watch(const std::string& /*prefix*/, std::uint64_t /*revision*/,
+                         milliseconds /*wait*/) override
+    {
+        return {};
+    }
+    std::uint64_t grant_lease(milliseconds /*time_to_live*/) override { return 1; }
+    bool renew_lease(std::uint64_t /*lease*/) override { return true; }
+    void end_lease(std::uint64_t /*lease*/) override {}
+
+private:
+    fake_records& records_;
+};
+
+/// Writes the numbers 1, 2, 3 … to one key, one in each batch.
+class counting_source final : public commit_source {
+public:
+    explicit counting_source(int batches) : batches_(batches) {}
+
+    workflow::record_batch take_batch(std::size_t /*most*/) override
+    {
+        const std::lock_guard lock(mutex_);
+        workflow::record_batch batch;
+        if (taken_ < batches_) {
+            batch.changes.push_back({"value", std::to_string(++taken_)});
+        }
+        return batch;
+    }
+    void on_stored(milliseconds /*write_time*/) override { ++stored; }
+    void on_superseded() override { superseded = true; }
+    void on_store_available(bool available) override { seen_away = seen_away || !available; }
+
+    std::atomic<int> stored{0};
+    std::atomic<bool> superseded{false};
+    std::atomic<bool> seen_away{false};
+
+private:
+    std::mutex mutex_;
+    int batches_;
+    int taken_ = 0;
+};
+
+const chain_head first_head{.epoch = 3, .sequence = 0, .owner = "node"};
+
+} // namespace
+
+TEST_CASE("a chain of transactions")
+{
+    fake_records records;
+    records.head = write_head(first_head);
+    counting_source source(3);
+    const auto run = [&] {
+        commit_chain chain({.head_key = "head", .gather = milliseconds(1)},
+                           std::make_unique<fake_store>(records), first_head, 10, source);
+        chain.finish(std::nullopt);
+        return chain.wait_finished(milliseconds(5'000));
+    };
+
+    SECTION("writes one batch after the other")
+    {
+        REQUIRE(run());
+        CHECK(source.stored == 3);
+        CHECK(records.values["value"] == "3");
+        CHECK(records.commits == 3);
+    }
+    SECTION("knows its own transaction again after a lost answer")
+    {
+        records.fates = {fate::apply_and_lose, fate::apply, fate::lose};
+        REQUIRE(run());
+        CHECK(source.stored == 3);
+        CHECK(records.values["value"] == "3");
+        CHECK_FALSE(source.superseded);
+    }
+    SECTION("an old transaction that arrives late changes nothing")
+    {
+        records.fates = {fate::late, fate::apply};
+        REQUIRE(run());
+        REQUIRE(records.delayed.size() == 1);
+        CHECK_FALSE(records.apply(records.delayed[0]).applied);
+        CHECK(records.values["value"] == "3");
+    }
+    SECTION("ends when another owner has replaced the head")
+    {
+        records.revision = 11;
+        records.head = write_head({.epoch = 4, .sequence = 0, .owner = "other"});
+        REQUIRE(run());
+        CHECK(source.superseded);
+        CHECK(source.stored == 0);
+        CHECK_FALSE(records.values.contains("value"));
+    }
+    SECTION("tells when the store has left two attempts without an answer")
+    {
+        records.fates = {fate::lose, fate::lose};
+        REQUIRE(run());
+        CHECK(source.seen_away);
+        CHECK(source.stored == 3);
+    }
+}
--- a/flamingoseam/node/node.cpp
+++ b/flamingoseam/node/node.cpp
@@ -31,6 +31,13 @@
     return std::to_string(device()) + "-" + std::to_string(wall_now().count());
 }
 
+/// Whoever lets go of an owner last must not wait: its threads may be in calls that take seconds.
+void end_in_background(job_owner* owner)
+{
+    owner->request_end();
+    std::thread([owner] { delete owner; }).detach();
+}
+
 owner_answer without_owner(std::string reason)
 {
     return {.verdict = owner_verdict::no_owner,
@@ -484,7 +491,8 @@
                 }
                 changed_.notify_all();
             }};
-    auto owner = std::make_shared<job_owner>(std::move(start), std::move(parts));
+    std::shared_ptr<job_owner> owner(new job_owner(std::move(start), std::move(parts)),
+                                     end_in_background);
     {
         const std::lock_guard lock(mutex_);
         owner_ = std::move(owner);
@@ -505,8 +513,6 @@
         return;
     }
     dropped->request_end();
-    // Its threads may be in calls that take seconds; nobody waits for them.
-    std::thread([owner = std::move(dropped)]() mutable { owner.reset(); }).detach();
 }
 
 void node::leave()
--- /dev/null
+++ b/flamingoseam/node/permission_lanes_test.cpp
@@ -0,0 +1,95 @@
+#include "flamingoseam/node/permission_lanes.hpp"
+
+#include "flamingoseam/core/error.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+
+using namespace flamingoseam;
+using namespace flamingoseam::node;
+
+namespace {
+
+workflow::permission_request request_of(std::uint64_t number, int priority, milliseconds time)
+{
+    return {.number = number,
+            .job = "job",
+            .step = 0,
+            .priority = priority,
+            .workers = {"w"},
+            .service_time = time};
+}
+
+template <typename Condition> bool holds_within(milliseconds limit, const Condition& condition)
+{
+    const auto end = now() + limit;
+    while (now() < end && !condition()) {
+        std::this_thread::sleep_for(milliseconds(5));
+    }
+    return condition();
+}
+
+} // namespace
+
+TEST_CASE("lanes to the permission service")
+{
+    std::mutex mutex;
+    std::vector<std::uint64_t> answered;
+    std::vector<bool> granted;
+    std::atomic<int> long_calls{0};
+    std::atomic<int> most_long_calls{0};
+    std::atomic<bool> failing{false};
+    permission_lanes lanes(
+        [&](const std::string& /*node*/) {
+            return [&](const workflow::permission_request& request) -> permission_answer {
+                if (failing) {
+                    throw transport_error(304, "silent", true);
+                }
+                if (request.service_time > milliseconds(100)) {
+                    most_long_calls = std::max(most_long_calls.load(), ++long_calls);
+                    std::this_thread::sleep_for(request.service_time);
+                    --long_calls;
+                }
+                return {.grants = {{"w", "ticket"}}};
+            };
+        },
+        [&](std::uint64_t number, const auto& grants) {
+            const std::lock_guard lock(mutex);
+            answered.push_back(number);
+            granted.push_back(grants.has_value());
+        });
+    const auto count = [&] {
+        const std::lock_guard lock(mutex);
+        return answered.size();
+    };
+
+    SECTION("urgent requests go first")
+    {
+        lanes.ask(request_of(1, 2, milliseconds(1)));
+        lanes.ask(request_of(2, 0, milliseconds(1)));
+        lanes.set_nodes({"a"});
+        REQUIRE(holds_within(milliseconds(2'000), [&] { return count() == 2; }));
+        CHECK(answered == std::vector<std::uint64_t>{2, 1});
+    }
+    SECTION("long requests take at most half of the lanes")
+    {
+        lanes.set_nodes({"a", "b", "c", "d"});
+        for (std::uint64_t number = 1; number <= 6; ++number) {
+            lanes.ask(request_of(number, 0, milliseconds(200)));
+        }
+        lanes.ask(request_of(7, 2, milliseconds(1)));
+        REQUIRE(holds_within(milliseconds(150), [&] { return count() == 1; }));
+        CHECK(answered[0] == 7);
+        REQUIRE(holds_within(milliseconds(5'000), [&] { return count() == 7; }));
+        CHECK(most_long_calls == 2);
+    }
+    SECTION("a failed request is answered as such")
+    {
+        failing = true;
+        lanes.set_nodes({"a"});
+        lanes.ask(request_of(1, 0, milliseconds(1)));
+        REQUIRE(holds_within(milliseconds(2'000), [&] { return count() == 1; }));
+        CHECK_FALSE(granted[0]);
+    }
+}
--- a/flamingoseam/workflow/workflow_schedule.cpp
+++ b/flamingoseam/workflow/workflow_schedule.cpp
@@ -253,8 +253,12 @@
     pass_wanted_ = true;
     if (!grants) {
         permission.next_request = time + pause_after_failed_request;
+        note("permission_failed", job->spec.id, "step " + std::to_string(request.mapped().step));
         return;
     }
+    note("permission_learnt", job->spec.id,
+         "step " + std::to_string(request.mapped().step) + ": " + std::to_string(grants->size()) +
+             " of " + std::to_string(request.mapped().workers.size()) + " workers");
     std::vector<std::size_t> asked;
     for (const auto& id : request.mapped().workers) {
         asked.push_back(*fleet_.find(id));
--- /dev/null
+++ b/scenarios/platform.lua
@@ -0,0 +1,93 @@
+-- Verbs for cells on the stand-in of the users' platform.
+
+local function spec(steps, length_ms)
+    local parts = {}
+    for i, step in ipairs(steps) do
+        parts[i] = string.format('{"count":%d,"cpu":%d,"memMb":100,"estimatedMs":%d%s%s}', step.count,
+            step.cpu or 1000, length_ms, step.gang and ',"gang":true' or "",
+            i > 1 and string.format(',"after":[%d]', i - 2) or "")
+    end
+    return string.format('{"spec":"ms=%d","steps":[%s]}', length_ms, table.concat(parts, ","))
+end
+
+function start_platform(workers, nodes)
+    local cell = { store = address(1, 1) .. ":7100", nodes = {} }
+    local hosts = {}
+    for i = 1, workers do hosts[i] = address(20, i) end
+    cell.pid = start("platform", { "standin-platform", "--address=" .. address(1, 1),
+        "--worker_addresses=" .. table.concat(hosts, ",") })
+    for i = 1, nodes do
+        local host = address(5, i)
+        cell.nodes[i] = { name = "node" .. i, front = host .. ":8080", ready = host .. ":8081" }
+        write_file("node" .. i .. ".toml", string.format([[
+name = "node%d"
+zone = "zone"
+front = "%s:8080"
+ready = "%s:8081"
+rpc = "%s:8082"
+store = %q
+permissions = %q
+]], i, host, host, host, cell.store, cell.store))
+    end
+    for _, node in ipairs(cell.nodes) do start_node(node) end
+    for _, node in ipairs(cell.nodes) do wait_ready(node) end
+    return cell
+end
+
+function start_node(node)
+    node.pid = start(node.name, { "flamingoseam-node", "--settings=" .. OUT .. "/" .. node.name .. ".toml" })
+end
+
+function wait_ready(node)
+    wait(node.name .. " is ready", 10000, function()
+        return request { server = node.ready, path = "/api/ready", timeout_ms = 500 } == 200
+    end)
+end
+
+function submit(node, number, steps, length_ms)
+    local id = string.format("%016x", number)
+    local code = request { method = "POST", server = node.front, path = "/jobs/" .. id,
+        body = spec(steps, length_ms), timeout_ms = 4000 }
+    return code, id
+end
+
+function state_of(node, id)
+    local code, answer = request { server = node.front, path = "/jobs/" .. id, timeout_ms = 3000 }
+    return code == 200 and answer.state or code
+end
+
+function wait_completed(node, ids, limit_ms)
+    for _, id in ipairs(ids) do
+        wait("job " .. id .. " is completed", limit_ms, function() return state_of(node, id) == "completed" end)
+    end
+end
+
+function ledger(cell)
+    local _, counts = request { server = cell.store, path = "/standin/ledger" }
+    return counts
+end
+
+function must_run_once(cell)
+    local counts = ledger(cell)
+    expect("no task ran in two places", counts.doubled == 0)
+    expect("no task ran again after it was done", counts.started_again == 0)
+    return counts
+end
+
+function store_fault(cell, mode)
+    request { server = cell.store, path = "/standin/fault?mode=" .. mode }
+end
+
+-- The owner is the node whose log says so last.
+function owner_of(cell)
+    local owner, newest = nil, -1
+    for _, node in ipairs(cell.nodes) do
+        local file = io.open(OUT .. "/" .. node.name .. ".log")
+        for line in file and file:lines() or function() end do
+            local epoch = line:match('"detail":"epoch (%d+)","event":"owner_begins"')
+            if epoch and tonumber(epoch) > newest then owner, newest = node, tonumber(epoch) end
+        end
+        if file then file:close() end
+    end
+    return owner
+end
--- /dev/null
+++ b/scenarios/platform_path.lua
@@ -0,0 +1,27 @@
+-- Jobs of several steps are handed in at every node, survive the death of their owner and are each
+-- run once.
+dofile("scenarios/platform.lua")
+local cell = start_platform(6, 3)
+local ids = {}
+for number = 1, 40 do
+    local node = cell.nodes[number % 3 + 1]
+    local code, id = submit(node, number, { { count = 2 }, { count = 3, gang = number % 2 == 0 } }, 150)
+    expect("job " .. number .. " is accepted", code == 200)
+    ids[#ids + 1] = id
+end
+local owner = wait("an owner is known", 5000, function() return owner_of(cell) end)
+signal(owner.pid, "KILL")
+wait_exit(owner.pid, 2000)
+local other
+for _, node in ipairs(cell.nodes) do
+    if node ~= owner then other = node end
+end
+wait_completed(other, ids, 20000)
+
+local code, id = submit(other, 41, { { count = 1 } }, 100)
+expect("a job is accepted after the take-over", code == 200)
+expect("its repeat is the same job", submit(other, 41, { { count = 1 } }, 100) == 200)
+wait_completed(other, { id }, 5000)
+expect("an unknown job is told so", state_of(other, "ffffffffffffffff") == 410)
+expect("an unknown queue is told so", request { server = other.front, path = "/nothing/" .. id } == 404)
+must_run_once(cell)
--- /dev/null
+++ b/standins/platform_store.cpp
@@ -0,0 +1,263 @@
+#include "standins/platform_store.hpp"
+
+#include <sodium.h>
+
+namespace flamingoseam::standin {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr milliseconds watch_look{50}; ///< Between looks for leases that have run out.
+constexpr int lost_write_interval = 3; ///< Every third answer of a lossy store is lost.
+
+std::string to_base64(const std::string& bytes)
+{
+    constexpr int variant = sodium_base64_VARIANT_ORIGINAL;
+    std::string text(sodium_base64_ENCODED_LEN(bytes.size(), variant), '\0');
+    sodium_bin2base64(text.data(), text.size(),
+                      reinterpret_cast<const unsigned char*>(bytes.data()), bytes.size(), variant);
+    text.pop_back();
+    return text;
+}
+
+http_response respond(int status, const json& body)
+{
+    return {.status = status, .body = body.dump()};
+}
+
+} // namespace
+
+void platform_store::put(const std::string& key, const std::string& value)
+{
+    const std::lock_guard lock(mutex_);
+    ++revision_;
+    write(key, to_base64(value), 0);
+    changed_.notify_all();
+}
+
+std::optional<http_response> platform_store::handle(const http_request& request)
+{
+    const std::string keep_path = "/api/kv-keep/";
+    const std::string end_path = "/api/kv-lease-end/";
+    if (request.path == "/standin/fault") {
+        return set_fault(request);
+    }
+    if (!request.path.starts_with("/api/kv-")) {
+        return std::nullopt;
+    }
+    {
+        const std::lock_guard lock(mutex_);
+        if (fault_ == fault::down) {
+            return respond(503, json::object());
+        }
+        expire_leases();
+    }
+    if (request.path == "/api/kv-key") {
+        return get(request);
+    }
+    if (request.path == "/api/kv-range") {
+        return list(request);
+    }
+    if (request.path == "/api/kv-watch") {
+        return watch(request);
+    }
+    if (request.path == "/api/kv-txn") {
+        return commit(request);
+    }
+    if (request.path == "/api/kv-lease") {
+        return grant(request);
+    }
+    if (request.path.starts_with(keep_path)) {
+        return keep(std::stoull(request.path.substr(keep_path.size())));
+    }
+    if (request.path.starts_with(end_path)) {
+        return end(std::stoull(request.path.substr(end_path.size())));
+    }
+    return std::nullopt;
+}
+
+http_response platform_store::set_fault(const http_request& request)
+{
+    const auto mode = request.query_or("mode", "none");
+    const std::lock_guard lock(mutex_);
+    fault_ = mode == "down" ? fault::down : mode == "lossy" ? fault::lossy : fault::none;
+    changed_.notify_all();
+    return respond(200, json::object());
+}
+
+json platform_store::to_json(const std::string& key, const item& one) const
+{
+    return {{"key", key},
+            {"value", one.value},
+            {"revision", one.revision},
+            {"created", one.created},
+            {"lease", one.lease}};
+}
+
+http_response platform_store::get(const http_request& request)
+{
+    const std::lock_guard lock(mutex_);
+    const auto found = items_.find(request.query_or("key", ""));
+    if (found == items_.end()) {
+        return respond(404, json::object());
+    }
+    return respond(200, to_json(found->first, found->second));
+}
+
+http_response platform_store::list(const http_request& request)
+{
+    const auto prefix = request.query_or("prefix", "");
+    const auto after = request.query_or("after", "");
+    constexpr std::size_t page_size = 500;
+    const std::lock_guard lock(mutex_);
+    json items = json::array();
+    bool has_more = false;
+    for (auto row = items_.lower_bound(prefix);
+         row != items_.end() && row->first.starts_with(prefix); ++row) {
+        if (row->first <= after) {
+            continue;
+        }
+        if (items.size() >= page_size) {
+            has_more = true;
+            break;
+        }
+        items.push_back(to_json(row->first, row->second));
+    }
+    return respond(200, {{"items", items}, {"hasMore", has_more}, {"currentRev", revision_}});
+}
+
+http_response platform_store::watch(const http_request& request)
+{
+    const auto prefix = request.query_or("prefix", "");
+    const auto after = std::stoull(request.query_or("after", "0"));
+    const auto until = now() + milliseconds(std::stoi(request.query_or("waitMs", "0")));
+    std::unique_lock lock(mutex_);
+    while (true) {
+        if (fault_ == fault::down) {
+            return respond(503, json::object());
+        }
+        expire_leases();
+        json events = json::array();
+        for (const auto& [revision, event] : history_) {
+            if (revision > after && event.at("key").get<std::string>().starts_with(prefix)) {
+                events.push_back(event);
+            }
+        }
+        if (!events.empty() || now() >= until) {
+            return respond(200, {{"events", events}, {"currentRev", revision_}});
+        }
+        changed_.wait_for(lock, watch_look);
+    }
+}
+
+http_response platform_store::commit(const http_request& request)
+{
+    const auto body = json::parse(request.body);
+    const std::lock_guard lock(mutex_);
+    json conflicting = json::array();
+    bool holds = true;
+    for (const auto& row : body.at("precondition")) {
+        const auto found = items_.find(row.at("key").get<std::string>());
+        const auto revision = found == items_.end() ? 0 : found->second.revision;
+        holds = holds && revision == row.at("revision").get<std::uint64_t>();
+        if (found != items_.end()) {
+            conflicting.push_back(to_json(found->first, found->second));
+        }
+    }
+    if (!holds) {
+        return respond(412, {{"items", conflicting}});
+    }
+    for (const auto& row : body.at("puts")) {
+        const auto lease = row.value("lease", std::uint64_t{0});
+        if (lease != 0 && !leases_.contains(lease)) {
+            return respond(404, json::object());
+        }
+    }
+    ++revision_; // All changes of a transaction have one revision.
+    for (const auto& row : body.at("puts")) {
+        write(row.at("key").get<std::string>(), row.at("value").get<std::string>(),
+              row.value("lease", std::uint64_t{0}));
+    }
+    for (const auto& key : body.at("remove")) {
+        remove(key.get<std::string>());
+    }
+    changed_.notify_all();
+    auto response = respond(200, {{"revision", revision_}});
+    if (fault_ == fault::lossy && ++writes_until_lost_ % lost_write_interval == 0) {
+        response.close_without_answer = true;
+    }
+    return response;
+}
+
+http_response platform_store::grant(const http_request& request)
+{
+    const milliseconds time_to_live(json::parse(request.body).at("ttlMs").get<std::int64_t>());
+    const std::lock_guard lock(mutex_);
+    const auto lease = next_lease_++;
+    leases_[lease] = {time_to_live, now() + time_to_live};
+    return respond(200, {{"lease", lease}, {"ttlMs", time_to_live.count()}});
+}
+
+http_response platform_store::keep(std::uint64_t lease)
+{
+    const std::lock_guard lock(mutex_);
+    const auto found = leases_.find(lease);
+    if (found == leases_.end()) {
+        return respond(404, json::object());
+    }
+    found->second.expires = now() + found->second.time_to_live;
+    return respond(200, {{"ttlMs", found->second.time_to_live.count()}});
+}
+
+http_response platform_store::end(std::uint64_t lease)
+{
+    const std::lock_guard lock(mutex_);
+    const auto found = leases_.find(lease);
+    if (found != leases_.end()) {
+        found->second.expires = now();
+        expire_leases();
+    }
+    return respond(200, json::object());
+}
+
+void platform_store::write(const std::string& key, const std::string& value, std::uint64_t lease)
+{
+    auto& one = items_[key];
+    one.value = value;
+    one.revision = revision_;
+    one.created = one.created == 0 ? revision_ : one.created;
+    one.lease = lease;
+    history_.emplace_back(revision_, to_json(key, one));
+}
+
+void platform_store::remove(const std::string& key)
+{
+    if (items_.erase(key) > 0) {
+        history_.emplace_back(revision_,
+                              json{{"key", key}, {"revision", revision_}, {"tombstone", true}});
+    }
+}
+
+void platform_store::expire_leases()
+{
+    std::erase_if(leases_, [this](const auto& row) {
+        if (row.second.expires > now()) {
+            return false;
+        }
+        std::vector<std::string> keys;
+        for (const auto& [key, one] : items_) {
+            if (one.lease == row.first) {
+                keys.push_back(key);
+            }
+        }
+        ++revision_;
+        for (const auto& key : keys) {
+            remove(key);
+        }
+        changed_.notify_all();
+        return true;
+    });
+}
+
+} // namespace flamingoseam::standin
--- /dev/null
+++ b/standins/platform_worker.cpp
@@ -0,0 +1,210 @@
+#include "standins/platform_worker.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace flamingoseam::standin {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr milliseconds step{10}; ///< Between looks for runs that have ended.
+constexpr milliseconds default_length{200};
+constexpr std::int64_t longest_lease_ms = 6'000;
+
+milliseconds length_of(const std::string& payload)
+{
+    const auto found = payload.find("ms=");
+    return found == std::string::npos ? default_length
+                                      : milliseconds(std::stoi(payload.substr(found + 3)));
+}
+
+} // namespace
+
+void run_ledger::begin(const std::string& task)
+{
+    const std::lock_guard lock(mutex_);
+    ++starts_;
+    doubled_ += running_[task]++ > 0 ? 1 : 0;
+    again_ += done_.contains(task) ? 1 : 0;
+}
+
+void run_ledger::end(const std::string& task, bool done)
+{
+    const std::lock_guard lock(mutex_);
+    --running_[task];
+    if (done) {
+        ++done_[task];
+    }
+}
+
+json run_ledger::to_json() const
+{
+    const std::lock_guard lock(mutex_);
+    return {{"starts", starts_},
+            {"done", done_.size()},
+            {"doubled", doubled_},
+            {"started_again", again_}};
+}
+
+platform_worker::platform_worker(std::string id, run_ledger& ledger)
+    : id_(std::move(id)), ledger_(ledger)
+{
+    thread_ = std::thread([this] {
+        std::unique_lock lock(mutex_);
+        while (!stopping_) {
+            advance();
+            changed_.wait_for(lock, step);
+        }
+    });
+}
+
+platform_worker::~platform_worker()
+{
+    {
+        const std::lock_guard lock(mutex_);
+        stopping_ = true;
+    }
+    changed_.notify_all();
+    thread_.join();
+}
+
+std::int64_t platform_worker::clock_ms() const
+{
+    return std::chrono::duration_cast<milliseconds>(now() - born_).count() + 1;
+}
+
+http_response platform_worker::handle(const http_request& request)
+{
+    const auto body = json::parse(request.body, nullptr, false);
+    if (body.is_discarded()) {
+        return {.status = 400, .body = "{}"};
+    }
+    const auto named = request.headers.find("X-Expect-Instance");
+    if (named != request.headers.end() && !named->second.empty() && named->second != id_) {
+        return {.status = 421, .body = "{}"};
+    }
+    std::unique_lock lock(mutex_);
+    if (!accepts(body)) {
+        return refuse("fence");
+    }
+    if (request.path == "/api/run-start") {
+        return start(body);
+    }
+    if (request.path == "/api/run-stop") {
+        return stop(body);
+    }
+    if (request.path == "/api/hold") {
+        return hold(lock, body);
+    }
+    return {.status = 404, .body = "{}"};
+}
+
+bool platform_worker::accepts(const json& body)
+{
+    const auto token = body.value("fencingToken", std::int64_t{0});
+    if (token < token_) {
+        return false;
+    }
+    token_ = token;
+    return true;
+}
+
+http_response platform_worker::refuse(const char* reason) const
+{
+    return {.status = 409, .body = json{{"clockMs", clock_ms()}, {"reason", reason}}.dump()};
+}
+
+http_response platform_worker::start(const json& body)
+{
+    const auto task = body.at("task").get<std::string>();
+    const auto number = body.at("run").get<std::int64_t>();
+    const auto lease_until = body.at("deadlineMs").get<std::int64_t>();
+    const auto answer = json{{"clockMs", clock_ms()}}.dump();
+    const bool is_there = std::any_of(runs_.begin(), runs_.end(), [&](const run& one) {
+        return one.task == task && one.number == number;
+    });
+    if (is_there) {
+        return {.status = 200, .body = answer};
+    }
+    if (number <= barred_[task]) {
+        return refuse("old");
+    }
+    if (lease_until <= clock_ms()) {
+        return refuse("late");
+    }
+    lease_until_ms_ =
+        std::max(lease_until_ms_, std::min(lease_until, clock_ms() + longest_lease_ms));
+    runs_.push_back({.task = task,
+                     .number = number,
+                     .began = now(),
+                     .ends = now() + length_of(body.value("spec", ""))});
+    ledger_.begin(task);
+    changed_.notify_all();
+    return {.status = 200, .body = answer};
+}
+
+http_response platform_worker::stop(const json& body)
+{
+    const auto task = body.at("task").get<std::string>();
+    const auto number = body.at("run").get<std::int64_t>();
+    barred_[task] = std::max(barred_[task], number);
+    for (std::size_t index = runs_.size(); index-- > 0;) {
+        if (runs_[index].task == task && runs_[index].number <= number) {
+            end_run(index, "stopped");
+        }
+    }
+    return {.status = 200, .body = json{{"clockMs", clock_ms()}}.dump()};
+}
+
+http_response platform_worker::hold(std::unique_lock<std::mutex>& lock, const json& body)
+{
+    const auto forget = body.value("lastSeen", std::int64_t{0});
+    std::erase_if(ended_,
+                  [forget](const json& row) { return row.at(0).get<std::int64_t>() <= forget; });
+    if (body.contains("deadlineMs")) {
+        const auto until = body.at("deadlineMs").get<std::int64_t>();
+        lease_until_ms_ = std::max(lease_until_ms_, std::min(until, clock_ms() + longest_lease_ms));
+    }
+    const auto limit = now() + milliseconds(body.value("waitMs", 0));
+    changed_.wait_until(lock, limit,
+                        [&] { return stopping_ || !ended_.empty() || now() >= limit; });
+    return {.status = 200, .body = lists().dump()};
+}
+
+json platform_worker::lists() const
+{
+    json running = json::array();
+    for (const auto& one : runs_) {
+        const auto percent =
+            100 * (now() - one.began) / std::max(one.ends - one.began, time_point::duration(1));
+        running.push_back({one.task, one.number, "", std::min<std::int64_t>(99, percent)});
+    }
+    return {
+        {"clockMs", clock_ms()}, {"born", born_wall_ms_}, {"running", running}, {"ended", ended_}};
+}
+
+void platform_worker::end_run(std::size_t index, const char* how)
+{
+    const auto one = runs_[index];
+    runs_.erase(runs_.begin() + static_cast<std::ptrdiff_t>(index));
+    barred_[one.task] = std::max(barred_[one.task], one.number);
+    ended_.push_back({next_end_++, one.task, one.number, how, ""});
+    ledger_.end(one.task, std::string(how) == "done");
+    changed_.notify_all();
+}
+
+void platform_worker::advance()
+{
+    const bool has_lapsed = clock_ms() > lease_until_ms_;
+    for (std::size_t index = runs_.size(); index-- > 0;) {
+        if (has_lapsed) {
+            end_run(index, "lapsed");
+        } else if (runs_[index].ends <= now()) {
+            end_run(index, "done");
+        }
+    }
+}
+
+} // namespace flamingoseam::standin
