--- a/flamingoseam/workflow/workflow_reports.cpp
+++ b/flamingoseam/workflow/workflow_reports.cpp
@@ -158,6 +158,7 @@
         return;
     }
     note_health(worker, job.spec.id, true, time);
+    note("run_failed", job.spec.id, to_string(end.name) + " on " + fleet_.at(worker).entry.id);
     note_failure(job, end.name, time, wall);
 }
 
