Keep ended jobs as long as the settings say; drop what nothing uses

Cause, found on reading the diff: ended_kept_ms was read and checked but not passed on (150 s were kept whatever it said, the platform asks for 120 s). Now it is kept for that and 10 s more. Dropped: fleet::could_hold, record_batch::number, permission_record::was_asked.

--- a/flamingoseam/node/job_owner.cpp
+++ b/flamingoseam/node/job_owner.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr milliseconds tick{25};
+constexpr milliseconds ended_margin{10'000}; ///< Owners' clocks differ by less.
 constexpr milliseconds directory_wait{10'000};
 constexpr milliseconds directory_pause{250}; ///< Between readings that found a change.
 
@@ -56,7 +57,10 @@
 
 job_owner::job_owner(job_owner_start start, job_owner_parts parts)
     : parts_(std::move(parts)), epoch_(start.head.epoch),
-      state_({.epoch = start.head.epoch, .keys = parts_.keys, .chains = parts_.head_keys.size()})
+      state_({.epoch = start.head.epoch,
+              .keys = parts_.keys,
+              .ended_retention = parts_.ended_kept + ended_margin,
+              .chains = parts_.head_keys.size()})
 {
     state_.load(std::move(start.jobs), start.roster, now(), wall_now());
     lanes_ = std::make_unique<permission_lanes>(
--- a/flamingoseam/node/job_owner.hpp
+++ b/flamingoseam/node/job_owner.hpp
@@ -35,6 +35,7 @@
     shared_store_factory stores;
     workflow::record_keys keys;
     milliseconds worker_lease{6'000};
+    milliseconds ended_kept{150'000}; ///< How long an ended job can be asked for.
     worker_channel_factory channels;
     worker_directory_factory directory;
     permission_call_factory permissions;
--- a/flamingoseam/node/node.cpp
+++ b/flamingoseam/node/node.cpp
@@ -470,6 +470,7 @@
         .stores = parts_.stores,
         .keys = record_keys,
         .worker_lease = options_.worker_lease,
+        .ended_kept = options_.ended_kept,
         .channels = parts_.channels,
         .directory = parts_.directory,
         .permissions = [this](const std::string& name) { return lane_call(name); },
--- a/flamingoseam/node/node.hpp
+++ b/flamingoseam/node/node.hpp
@@ -20,6 +20,7 @@
     endpoint rpc;                     ///< Where other nodes reach it.
     std::string store_prefix = "fs/"; ///< Of all keys.
     milliseconds worker_lease{6'000};
+    milliseconds ended_kept{150'000};  ///< How long an ended job can be asked for.
     milliseconds take_over_grace{250}; ///< A missing owner may come back within this.
     milliseconds take_over_step{60};   ///< Each further candidate waits this much longer.
     milliseconds hand_over_limit{1'500};
--- a/flamingoseam/workflow/change_log.hpp
+++ b/flamingoseam/workflow/change_log.hpp
@@ -19,7 +19,6 @@
 
 /// Changes that are written in one transaction.
 struct record_batch {
-    std::uint64_t number = 0;
     std::vector<record_change> changes;
 };
 
--- a/flamingoseam/workflow/fleet.cpp
+++ b/flamingoseam/workflow/fleet.cpp
@@ -84,15 +84,6 @@
     }));
 }
 
-bool fleet::could_hold(const std::string& service, const resources& size,
-                       const std::string& label) const
-{
-    return std::any_of(workers_.begin(), workers_.end(), [&](const fleet_worker& one) {
-        return one.entry.service == service && has_label(one.entry, label) &&
-               tasks_that_fit(size, one.entry.capacity) > 0;
-    });
-}
-
 bool fleet::settle_end(std::size_t worker, std::int64_t life, std::int64_t number)
 {
     auto& one = workers_.at(worker);
--- a/flamingoseam/workflow/fleet.hpp
+++ b/flamingoseam/workflow/fleet.hpp
@@ -96,10 +96,6 @@
     /// Returns how many runs of one step a worker holds. Complexity: linear in its runs.
     [[nodiscard]] int count_of_step(std::size_t worker, const std::string& job, int step) const;
 
-    /// Tells whether any worker of a service could hold a task when it is empty.
-    [[nodiscard]] bool could_hold(const std::string& service, const resources& size,
-                                  const std::string& label) const;
-
     /// Marks an end as stored and moves the number up to which the worker may forget.
     /// Returns whether that number has moved.
     bool settle_end(std::size_t worker, std::int64_t life, std::int64_t number);
--- a/flamingoseam/workflow/job_record.hpp
+++ b/flamingoseam/workflow/job_record.hpp
@@ -71,8 +71,6 @@
     /// Returns a ticket that is valid until `needed` at least, null when there is none.
     [[nodiscard]] const ticket* find_ticket(std::size_t worker, time_point needed) const;
 
-    [[nodiscard]] bool was_asked() const { return !known_.empty(); }
-
     std::uint64_t outstanding = 0; ///< Number of the request under way, 0 for none.
     time_point next_request{};     ///< Not before this after a failed request.
 
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -285,7 +285,6 @@
     workflow_actions actions_;
     workflow_counts counts_;
     std::uint64_t last_request_ = 0;
-    std::uint64_t last_batch_ = 0;
     std::uint64_t last_sequence_ = 0;
     bool roster_changed_ = false;
     bool store_available_ = true;
--- a/flamingoseam/workflow/workflow_upkeep.cpp
+++ b/flamingoseam/workflow/workflow_upkeep.cpp
@@ -221,7 +221,6 @@
     if (chain == 0) {
         add_removals(most, batch);
     }
-    batch.number = ++last_batch_;
     return batch;
 }
 
