--- a/flamingoseam/node/commit_chain.cpp
+++ b/flamingoseam/node/commit_chain.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr milliseconds first_pause{20};
+constexpr int slow_factor = 3; ///< An attempt may take so many times as long as the last answer.
 constexpr int attempts_until_away = 2;  ///< One lost answer is no sign of an absent store.
 constexpr std::size_t head_entries = 2; ///< The condition on the head and its new value.
 
@@ -39,7 +40,7 @@
 commit_chain::commit_chain(commit_chain_options options, std::unique_ptr<shared_store> store,
                            chain_head head, std::uint64_t revision, commit_source& source)
     : options_(std::move(options)), store_(std::move(store)), head_(std::move(head)),
-      revision_(revision), source_(source)
+      revision_(revision), source_(source), attempt_timeout_(options_.timeout)
 {
     thread_ = std::thread([this] { run(); });
 }
@@ -101,11 +102,10 @@
             }
         }
         if (!batch.changes.empty()) {
-            const auto began = now();
             if (!write(batch)) {
                 break;
             }
-            source_.on_stored(std::chrono::duration_cast<milliseconds>(now() - began));
+            source_.on_stored();
             wake(); // More may have come meanwhile.
         }
         if (is_last) {
@@ -161,7 +161,7 @@
 std::optional<bool> commit_chain::attempt(const shared_transaction& transaction)
 {
     try {
-        const auto result = store_->commit(transaction, options_.timeout);
+        const auto result = store_->commit(transaction, attempt_timeout_);
         if (result.applied) {
             revision_ = result.revision;
             return true;
@@ -181,9 +181,12 @@
 
 void commit_chain::note_attempt(bool answered, time_point began)
 {
+    // Answers of a slow store take many times as long; the next attempt waits for them.
+    const auto took = std::chrono::duration_cast<milliseconds>(now() - began);
+    attempt_timeout_ = std::clamp(answered ? slow_factor * took : 2 * attempt_timeout_,
+                                  options_.timeout, options_.longest_timeout);
     failed_attempts_ = answered ? 0 : failed_attempts_ + 1;
-    const bool slow = now() - began >= options_.away_after;
-    const bool available = !slow && failed_attempts_ < attempts_until_away;
+    const bool available = failed_attempts_ < attempts_until_away;
     if (available != available_ || !available) {
         available_ = available;
         source_.on_store_available(available);
--- a/flamingoseam/node/commit_chain.hpp
+++ b/flamingoseam/node/commit_chain.hpp
@@ -34,11 +34,11 @@
 /// How the chain is run.
 struct commit_chain_options {
     std::string head_key;
-    std::size_t most_entries = 32;   ///< Conditions, writes and removals of one transaction.
-    milliseconds gather{25};         ///< Changes are collected for this long.
-    milliseconds timeout{400};       ///< Of one attempt.
-    milliseconds longest_pause{200}; ///< Between attempts.
-    milliseconds away_after{600};    ///< The store counts as away when a write takes longer.
+    std::size_t most_entries = 32;     ///< Conditions, writes and removals of one transaction.
+    milliseconds gather{25};           ///< Changes are collected for this long.
+    milliseconds timeout{400};         ///< Of one attempt, while the store is fast.
+    milliseconds longest_timeout{800}; ///< Of one attempt, after others had no answer.
+    milliseconds longest_pause{200};   ///< Between attempts.
 };
 
 /// What the chain is told and asks for; called from the chain's thread.
@@ -49,8 +49,8 @@
     /// Returns the next changes, at most `most`.
     virtual workflow::record_batch take_batch(std::size_t most) = 0;
 
-    /// The changes last taken stand in the store, after so long a write.
-    virtual void on_stored(milliseconds write_time) = 0;
+    /// The changes last taken stand in the store.
+    virtual void on_stored() = 0;
 
     /// Another owner has taken over; nothing can be written any more.
     virtual void on_superseded() = 0;
@@ -97,6 +97,7 @@
     commit_source& source_;
     bool available_ = true;
     int failed_attempts_ = 0; ///< In a row.
+    milliseconds attempt_timeout_;
     std::mutex mutex_;
     std::condition_variable changed_;
     bool work_waits_ = false;
--- a/flamingoseam/node/commit_chain_test.cpp
+++ b/flamingoseam/node/commit_chain_test.cpp
@@ -95,7 +95,7 @@
         }
         return batch;
     }
-    void on_stored(milliseconds /*write_time*/) override { ++stored; }
+    void on_stored() override { ++stored; }
     void on_superseded() override { superseded = true; }
     void on_store_available(bool available) override { seen_away = seen_away || !available; }
 
--- a/flamingoseam/node/coordinator.capnp
+++ b/flamingoseam/node/coordinator.capnp
@@ -61,6 +61,8 @@
   # Asks the permission service on behalf of the owner; `answered` is false when it failed.
   askPermission @4 (job :Text, step :Int32, workers :List(Text))
       -> (answered :Bool, grants :List(TicketGrant));
-  # The owner of this epoch can't reach the store and asks the callee to take over.
-  offerOwnership @5 (epoch :UInt64) -> (accepted :Bool);
+  # The owner of this epoch asks the callee to take over: it is leaving, or can't reach the store.
+  offerOwnership @5 (epoch :UInt64, leaving :Bool) -> (accepted :Bool);
+  # Tells whether the owner of this epoch refuses the callee's connections as well.
+  confirmOwnerGone @6 (epoch :UInt64) -> (gone :Bool);
 }
--- a/flamingoseam/node/coordinator.capnp.c++
+++ b/flamingoseam/node/coordinator.capnp.c++
@@ -673,7 +673,7 @@
   0, 2, i_acbaabe7022d6688, nullptr, nullptr, { &s_acbaabe7022d6688, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<82> b_edc252c094bcf7fd = {
+static const ::capnp::_::AlignedData<94> b_edc252c094bcf7fd = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     253, 247, 188, 148, 192,  82, 194, 237,
      18,   0,   0,   0,   3,   0,   0,   0,
@@ -683,63 +683,71 @@
      21,   0,   0,   0, 242,   0,   0,   0,
      33,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0, 135,   1,   0,   0,
-     25,   1,   0,   0,   7,   0,   0,   0,
+     29,   0,   0,   0, 199,   1,   0,   0,
+     73,   1,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      99, 111, 111, 114, 100, 105, 110,  97,
     116, 111, 114,  46,  99,  97, 112, 110,
     112,  58,  67, 111, 111, 114, 100, 105,
     110,  97, 116, 111, 114,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     24,   0,   0,   0,   3,   0,   5,   0,
+     28,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      82, 216, 237, 100, 104, 244, 113, 142,
     235,  13,  91, 119,  55,  54,  34, 164,
-    177,   0,   0,   0,  58,   0,   0,   0,
+    209,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    165,   0,   0,   0,   7,   0,   0,   0,
+    197,   0,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
     114, 114, 212, 216,  96,  22, 200, 142,
     138,  12, 183, 186, 243,  99,  90, 157,
-    153,   0,   0,   0,  58,   0,   0,   0,
+    185,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    141,   0,   0,   0,   7,   0,   0,   0,
+    173,   0,   0,   0,   7,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
     153, 178, 140, 223, 234,   0, 175, 248,
      66, 136, 130,  84, 195, 209, 159, 172,
-    129,   0,   0,   0,  42,   0,   0,   0,
+    161,   0,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    117,   0,   0,   0,   7,   0,   0,   0,
+    149,   0,   0,   0,   7,   0,   0,   0,
       3,   0,   0,   0,   0,   0,   0,   0,
      96, 218,  22,  58, 183,  20, 182, 182,
      41,  54, 130,  63, 225, 210, 180, 198,
-    105,   0,   0,   0, 106,   0,   0,   0,
+    137,   0,   0,   0, 106,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     97,   0,   0,   0,   7,   0,   0,   0,
+    129,   0,   0,   0,   7,   0,   0,   0,
       4,   0,   0,   0,   0,   0,   0,   0,
     105,   3, 105,  65,   1,  41, 202, 192,
     120, 173, 100,   0,  65,  42,  75, 138,
-     85,   0,   0,   0, 114,   0,   0,   0,
+    117,   0,   0,   0, 114,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     77,   0,   0,   0,   7,   0,   0,   0,
+    109,   0,   0,   0,   7,   0,   0,   0,
       5,   0,   0,   0,   0,   0,   0,   0,
     149,  57, 131,  16, 210,  65, 117, 186,
      51, 227,   7, 205,  77, 170, 218, 132,
-     65,   0,   0,   0, 122,   0,   0,   0,
+     97,   0,   0,   0, 122,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     57,   0,   0,   0,   7,   0,   0,   0,
+     89,   0,   0,   0,   7,   0,   0,   0,
+      6,   0,   0,   0,   0,   0,   0,   0,
+    145,  37,  95,  16, 152,  19, 153, 153,
+     72,  36,  58,  40, 213,  31, 156, 145,
+     77,   0,   0,   0, 138,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     73,   0,   0,   0,   7,   0,   0,   0,
     115, 117,  98, 109, 105, 116,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
      99,  97, 110,  99, 101, 108,   0,   0,
@@ -755,6 +763,10 @@
     111, 102, 102, 101, 114,  79, 119, 110,
     101, 114, 115, 104, 105, 112,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+     99, 111, 110, 102, 105, 114, 109,  79,
+    119, 110, 101, 114,  71, 111, 110, 101,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_edc252c094bcf7fd = b_edc252c094bcf7fd.words;
@@ -764,6 +776,8 @@
   &s_8a4b2a410064ad78,
   &s_8e71f46864edd852,
   &s_8ec81660d8d47272,
+  &s_919c1fd5283a2448,
+  &s_99991398105f2591,
   &s_9d5a63f3bab70c8a,
   &s_a4223637775b0deb,
   &s_ac9fd1c354828842,
@@ -773,10 +787,10 @@
   &s_c6b4d2e13f823629,
   &s_f8af00eadf8cb299,
 };
-static const uint16_t m_edc252c094bcf7fd[] = {4, 1, 3, 2, 5, 0};
+static const uint16_t m_edc252c094bcf7fd[] = {4, 1, 6, 3, 2, 5, 0};
 const ::capnp::_::RawSchema s_edc252c094bcf7fd = {
-  0xedc252c094bcf7fd, b_edc252c094bcf7fd.words, 82, d_edc252c094bcf7fd, m_edc252c094bcf7fd,
-  12, 6, nullptr, nullptr, nullptr, { &s_edc252c094bcf7fd, nullptr, nullptr, 0, 0, nullptr }
+  0xedc252c094bcf7fd, b_edc252c094bcf7fd.words, 94, d_edc252c094bcf7fd, m_edc252c094bcf7fd,
+  14, 7, nullptr, nullptr, nullptr, { &s_edc252c094bcf7fd, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<49> b_8e71f46864edd852 = {
@@ -1321,17 +1335,17 @@
   1, 2, i_8a4b2a410064ad78, nullptr, nullptr, { &s_8a4b2a410064ad78, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<35> b_ba7541d210833995 = {
+static const ::capnp::_::AlignedData<50> b_ba7541d210833995 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     149,  57, 131,  16, 210,  65, 117, 186,
-     30,   0,   0,   0,   1,   0,   1,   0,
+     30,   0,   0,   0,   1,   0,   2,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      21,   0,   0,   0, 162,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     37,   0,   0,   0,  63,   0,   0,   0,
+     37,   0,   0,   0, 119,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      99, 111, 111, 114, 100, 105, 110,  97,
@@ -1341,14 +1355,21 @@
     102, 101, 114,  79, 119, 110, 101, 114,
     115, 104, 105, 112,  36,  80,  97, 114,
      97, 109, 115,   0,   0,   0,   0,   0,
-      4,   0,   0,   0,   3,   0,   4,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     13,   0,   0,   0,  50,   0,   0,   0,
+     41,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      8,   0,   0,   0,   3,   0,   1,   0,
-     20,   0,   0,   0,   2,   0,   1,   0,
+     36,   0,   0,   0,   3,   0,   1,   0,
+     48,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,  64,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     45,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     40,   0,   0,   0,   3,   0,   1,   0,
+     52,   0,   0,   0,   2,   0,   1,   0,
     101, 112, 111,  99, 104,   0,   0,   0,
       9,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -1356,15 +1377,23 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       9,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    108, 101,  97, 118, 105, 110, 103,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
 ::capnp::word const* const bp_ba7541d210833995 = b_ba7541d210833995.words;
 #if !CAPNP_LITE
-static const uint16_t m_ba7541d210833995[] = {0};
-static const uint16_t i_ba7541d210833995[] = {0};
+static const uint16_t m_ba7541d210833995[] = {0, 1};
+static const uint16_t i_ba7541d210833995[] = {0, 1};
 const ::capnp::_::RawSchema s_ba7541d210833995 = {
-  0xba7541d210833995, b_ba7541d210833995.words, 35, nullptr, m_ba7541d210833995,
-  0, 1, i_ba7541d210833995, nullptr, nullptr, { &s_ba7541d210833995, nullptr, nullptr, 0, 0, nullptr }
+  0xba7541d210833995, b_ba7541d210833995.words, 50, nullptr, m_ba7541d210833995,
+  0, 2, i_ba7541d210833995, nullptr, nullptr, { &s_ba7541d210833995, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<36> b_84daaa4dcd07e333 = {
@@ -1414,6 +1443,98 @@
   0, 1, i_84daaa4dcd07e333, nullptr, nullptr, { &s_84daaa4dcd07e333, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<35> b_99991398105f2591 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    145,  37,  95,  16, 152,  19, 153, 153,
+     30,   0,   0,   0,   1,   0,   1,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 178,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     37,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     99, 111, 111, 114, 100, 105, 110,  97,
+    116, 111, 114,  46,  99,  97, 112, 110,
+    112,  58,  67, 111, 111, 114, 100, 105,
+    110,  97, 116, 111, 114,  46,  99, 111,
+    110, 102, 105, 114, 109,  79, 119, 110,
+    101, 114,  71, 111, 110, 101,  36,  80,
+     97, 114,  97, 109, 115,   0,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     20,   0,   0,   0,   2,   0,   1,   0,
+    101, 112, 111,  99, 104,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_99991398105f2591 = b_99991398105f2591.words;
+#if !CAPNP_LITE
+static const uint16_t m_99991398105f2591[] = {0};
+static const uint16_t i_99991398105f2591[] = {0};
+const ::capnp::_::RawSchema s_99991398105f2591 = {
+  0x99991398105f2591, b_99991398105f2591.words, 35, nullptr, m_99991398105f2591,
+  0, 1, i_99991398105f2591, nullptr, nullptr, { &s_99991398105f2591, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<35> b_919c1fd5283a2448 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     72,  36,  58,  40, 213,  31, 156, 145,
+     30,   0,   0,   0,   1,   0,   1,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 186,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     37,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     99, 111, 111, 114, 100, 105, 110,  97,
+    116, 111, 114,  46,  99,  97, 112, 110,
+    112,  58,  67, 111, 111, 114, 100, 105,
+    110,  97, 116, 111, 114,  46,  99, 111,
+    110, 102, 105, 114, 109,  79, 119, 110,
+    101, 114,  71, 111, 110, 101,  36,  82,
+    101, 115, 117, 108, 116, 115,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     20,   0,   0,   0,   2,   0,   1,   0,
+    103, 111, 110, 101,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_919c1fd5283a2448 = b_919c1fd5283a2448.words;
+#if !CAPNP_LITE
+static const uint16_t m_919c1fd5283a2448[] = {0};
+static const uint16_t i_919c1fd5283a2448[] = {0};
+const ::capnp::_::RawSchema s_919c1fd5283a2448 = {
+  0x919c1fd5283a2448, b_919c1fd5283a2448.words, 35, nullptr, m_919c1fd5283a2448,
+  0, 1, i_919c1fd5283a2448, nullptr, nullptr, { &s_919c1fd5283a2448, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 }  // namespace schemas
 }  // namespace capnp
 
@@ -1523,6 +1644,16 @@
       "coordinator.capnp:Coordinator", "offerOwnership",
       0xedc252c094bcf7fdull, 5);
 }
+::capnp::Request< ::flamingoseam::rpc::Coordinator::ConfirmOwnerGoneParams,  ::flamingoseam::rpc::Coordinator::ConfirmOwnerGoneResults>
+Coordinator::Client::confirmOwnerGoneRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::flamingoseam::rpc::Coordinator::ConfirmOwnerGoneParams,  ::flamingoseam::rpc::Coordinator::ConfirmOwnerGoneResults>(
+      0xedc252c094bcf7fdull, 6, sizeHint);
+}
+::kj::Promise<void> Coordinator::Server::confirmOwnerGone(ConfirmOwnerGoneContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "coordinator.capnp:Coordinator", "confirmOwnerGone",
+      0xedc252c094bcf7fdull, 6);
+}
 ::capnp::Capability::Server::DispatchCallResult Coordinator::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -1573,6 +1704,12 @@
              ::flamingoseam::rpc::Coordinator::OfferOwnershipParams,  ::flamingoseam::rpc::Coordinator::OfferOwnershipResults>(context)),
         false
       };
+    case 6:
+      return {
+        confirmOwnerGone(::capnp::Capability::Server::internalGetTypedContext<
+             ::flamingoseam::rpc::Coordinator::ConfirmOwnerGoneParams,  ::flamingoseam::rpc::Coordinator::ConfirmOwnerGoneResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -1684,6 +1821,22 @@
 constexpr ::capnp::_::RawSchema const* Coordinator::OfferOwnershipResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Coordinator::ConfirmOwnerGoneParams
+constexpr uint16_t Coordinator::ConfirmOwnerGoneParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Coordinator::ConfirmOwnerGoneParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Coordinator::ConfirmOwnerGoneParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Coordinator::ConfirmOwnerGoneParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Coordinator::ConfirmOwnerGoneResults
+constexpr uint16_t Coordinator::ConfirmOwnerGoneResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Coordinator::ConfirmOwnerGoneResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Coordinator::ConfirmOwnerGoneResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Coordinator::ConfirmOwnerGoneResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 
 }  // namespace
 }  // namespace
--- a/flamingoseam/node/coordinator.capnp.h
+++ b/flamingoseam/node/coordinator.capnp.h
@@ -37,6 +37,8 @@
 CAPNP_DECLARE_SCHEMA(8a4b2a410064ad78);
 CAPNP_DECLARE_SCHEMA(ba7541d210833995);
 CAPNP_DECLARE_SCHEMA(84daaa4dcd07e333);
+CAPNP_DECLARE_SCHEMA(99991398105f2591);
+CAPNP_DECLARE_SCHEMA(919c1fd5283a2448);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -139,6 +141,8 @@
   struct AskPermissionResults;
   struct OfferOwnershipParams;
   struct OfferOwnershipResults;
+  struct ConfirmOwnerGoneParams;
+  struct ConfirmOwnerGoneResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -306,7 +310,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ba7541d210833995, 1, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(ba7541d210833995, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -328,6 +332,36 @@
   };
 };
 
+struct Coordinator::ConfirmOwnerGoneParams {
+  ConfirmOwnerGoneParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(99991398105f2591, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Coordinator::ConfirmOwnerGoneResults {
+  ConfirmOwnerGoneResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(919c1fd5283a2448, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class StepSpec::Reader {
@@ -947,6 +981,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::flamingoseam::rpc::Coordinator::OfferOwnershipParams,  ::flamingoseam::rpc::Coordinator::OfferOwnershipResults> offerOwnershipRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::flamingoseam::rpc::Coordinator::ConfirmOwnerGoneParams,  ::flamingoseam::rpc::Coordinator::ConfirmOwnerGoneResults> confirmOwnerGoneRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -987,6 +1023,10 @@
   typedef  ::flamingoseam::rpc::Coordinator::OfferOwnershipResults OfferOwnershipResults;
   typedef ::capnp::CallContext<OfferOwnershipParams, OfferOwnershipResults> OfferOwnershipContext;
   virtual ::kj::Promise<void> offerOwnership(OfferOwnershipContext context);
+  typedef  ::flamingoseam::rpc::Coordinator::ConfirmOwnerGoneParams ConfirmOwnerGoneParams;
+  typedef  ::flamingoseam::rpc::Coordinator::ConfirmOwnerGoneResults ConfirmOwnerGoneResults;
+  typedef ::capnp::CallContext<ConfirmOwnerGoneParams, ConfirmOwnerGoneResults> ConfirmOwnerGoneContext;
+  virtual ::kj::Promise<void> confirmOwnerGone(ConfirmOwnerGoneContext context);
 
   inline  ::flamingoseam::rpc::Coordinator::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -1865,6 +1905,8 @@
 
   inline  ::uint64_t getEpoch() const;
 
+  inline bool getLeaving() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1896,6 +1938,9 @@
   inline  ::uint64_t getEpoch();
   inline void setEpoch( ::uint64_t value);
 
+  inline bool getLeaving();
+  inline void setLeaving(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1998,6 +2043,158 @@
 };
 #endif  // !CAPNP_LITE
 
+class Coordinator::ConfirmOwnerGoneParams::Reader {
+public:
+  typedef ConfirmOwnerGoneParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getEpoch() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Coordinator::ConfirmOwnerGoneParams::Builder {
+public:
+  typedef ConfirmOwnerGoneParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getEpoch();
+  inline void setEpoch( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Coordinator::ConfirmOwnerGoneParams::Pipeline {
+public:
+  typedef ConfirmOwnerGoneParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Coordinator::ConfirmOwnerGoneResults::Reader {
+public:
+  typedef ConfirmOwnerGoneResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool getGone() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Coordinator::ConfirmOwnerGoneResults::Builder {
+public:
+  typedef ConfirmOwnerGoneResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool getGone();
+  inline void setGone(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Coordinator::ConfirmOwnerGoneResults::Pipeline {
+public:
+  typedef ConfirmOwnerGoneResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 inline  ::int32_t StepSpec::Reader::getTasks() const {
@@ -3234,6 +3431,20 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Coordinator::OfferOwnershipParams::Reader::getLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool Coordinator::OfferOwnershipParams::Builder::getLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void Coordinator::OfferOwnershipParams::Builder::setLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Coordinator::OfferOwnershipResults::Reader::getAccepted() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3248,6 +3459,34 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Coordinator::ConfirmOwnerGoneParams::Reader::getEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Coordinator::ConfirmOwnerGoneParams::Builder::getEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Coordinator::ConfirmOwnerGoneParams::Builder::setEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Coordinator::ConfirmOwnerGoneResults::Reader::getGone() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Coordinator::ConfirmOwnerGoneResults::Builder::getGone() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Coordinator::ConfirmOwnerGoneResults::Builder::setGone(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/flamingoseam/node/coordinator_rpc.cpp
+++ b/flamingoseam/node/coordinator_rpc.cpp
@@ -179,11 +179,20 @@
 
     kj::Promise<void> offerOwnership(OfferOwnershipContext context) override
     {
-        const auto epoch = context.getParams().getEpoch();
-        return detail::promise_of<bool>([&](auto reply) { service_.offer_ownership(epoch, reply); })
+        const auto params = context.getParams();
+        const ownership_offer offer{.epoch = params.getEpoch(), .is_leaving = params.getLeaving()};
+        return detail::promise_of<bool>([&](auto reply) { service_.offer_ownership(offer, reply); })
             .then([context](bool accepted) mutable { context.getResults().setAccepted(accepted); });
     }
 
+    kj::Promise<void> confirmOwnerGone(ConfirmOwnerGoneContext context) override
+    {
+        const auto epoch = context.getParams().getEpoch();
+        return detail::promise_of<bool>(
+                   [&](auto reply) { service_.confirm_owner_gone(epoch, reply); })
+            .then([context](bool gone) mutable { context.getResults().setGone(gone); });
+    }
+
 private:
     template <typename Context, typename Call>
     static kj::Promise<void> answer(Context context, Call&& call)
@@ -314,19 +323,33 @@
         true);
 }
 
-bool coordinator_client::offer_ownership(const endpoint& node, std::uint64_t epoch,
+bool coordinator_client::offer_ownership(const endpoint& node, const ownership_offer& offer,
                                          milliseconds timeout)
 {
     return impl_->call<bool>(
         node, timeout,
         [&](rpc::Coordinator::Client& client) {
             auto message = client.offerOwnershipRequest();
-            message.setEpoch(epoch);
+            message.setEpoch(offer.epoch);
+            message.setLeaving(offer.is_leaving);
             return message.send().then([](auto response) { return response.getAccepted(); });
         },
         true);
 }
 
+bool coordinator_client::confirms_owner_gone(const endpoint& node, std::uint64_t epoch,
+                                             milliseconds timeout)
+{
+    return impl_->call<bool>(
+        node, timeout,
+        [&](rpc::Coordinator::Client& client) {
+            auto message = client.confirmOwnerGoneRequest();
+            message.setEpoch(epoch);
+            return message.send().then([](auto response) { return response.getGone(); });
+        },
+        true);
+}
+
 class coordinator_server::impl : public detail::rpc_listener {
 public:
     impl(const endpoint& listen, owner_service& service)
--- a/flamingoseam/node/coordinator_rpc.hpp
+++ b/flamingoseam/node/coordinator_rpc.hpp
@@ -2,13 +2,18 @@
 
 #include "flamingoseam/http/http_client.hpp"
 #include "flamingoseam/node/owner_service.hpp"
+#include "flamingoseam/peer/rpc_errors.hpp"
 
 #include <memory>
 
 namespace flamingoseam::node {
 
+/// The id of the transport_error that says that nothing listens at the other node's address.
+inline constexpr int refused_connection = detail::refused_connection;
+
 /// Calls other nodes over Cap'n Proto RPC; safe for use from many threads. Calls throw
-/// transport_error: id 306 when nothing was sent, id 307 when the answer did not come in time.
+/// transport_error: id 306 when nothing was sent, id 316 when nothing listens there either, id 307
+/// when the answer did not come in time.
 class coordinator_client {
 public:
     coordinator_client();
@@ -29,7 +34,10 @@
                                                     milliseconds timeout);
 
     /// Returns whether the node will try to take over from the owner of this epoch.
-    bool offer_ownership(const endpoint& node, std::uint64_t epoch, milliseconds timeout);
+    bool offer_ownership(const endpoint& node, const ownership_offer& offer, milliseconds timeout);
+
+    /// Returns whether the node was refused by the owner of this epoch as well.
+    bool confirms_owner_gone(const endpoint& node, std::uint64_t epoch, milliseconds timeout);
 
 private:
     class impl;
--- a/flamingoseam/node/job_owner.cpp
+++ b/flamingoseam/node/job_owner.cpp
@@ -35,12 +35,12 @@
     workflow::record_batch take_batch(std::size_t most) override
     {
         return owner_.loop_.ask<workflow::record_batch>(
-            [this, most] { return owner_.state_.take_batch(index_, most, wall_now()); });
+            [this, most] { return owner_.state_.take_batch(index_, most, now(), wall_now()); });
     }
 
-    void on_stored(milliseconds write_time) override
+    void on_stored() override
     {
-        owner_.loop_.post([this, write_time] { owner_.state_.on_stored(index_, write_time); });
+        owner_.loop_.post([this] { owner_.state_.on_stored(index_); });
     }
 
     void on_superseded() override { owner_.report_superseded(); }
@@ -87,9 +87,7 @@
     sessions_.clear();
     retired_.clear();
     directory_thread_.join();
-    for (auto& [token, reply] : replies_) {
-        reply({.verdict = owner_verdict::unknown, .reason = "owner_changed"});
-    }
+    answer_unknown();
 }
 
 void job_owner::request_end()
@@ -100,9 +98,18 @@
         for (auto& [worker, session] : sessions_) {
             session->request_end();
         }
+        answer_unknown();
     });
 }
 
+/// Answers the calls that wait for the store; the next owner knows what became of their changes.
+void job_owner::answer_unknown()
+{
+    for (auto& [token, reply] : std::exchange(replies_, {})) {
+        reply({.verdict = owner_verdict::unknown, .reason = "owner_changed"});
+    }
+}
+
 std::uint64_t job_owner::keep(owner_service::reply_owner reply)
 {
     replies_.emplace(next_token_, std::move(reply));
@@ -252,7 +259,7 @@
     state_.tick(now());
     dispatch(state_.take_actions());
     for (std::size_t index = 0; index < chains_.size(); ++index) {
-        if (state_.has_changes(index)) {
+        if (state_.has_changes(index, now())) {
             chains_[index]->chain().wake();
         }
     }
--- a/flamingoseam/node/job_owner.hpp
+++ b/flamingoseam/node/job_owner.hpp
@@ -76,9 +76,12 @@
     /// go on. Returns whether all was written within `limit`.
     bool hand_over(workflow::record_change last, milliseconds limit);
 
-    /// Makes all threads end soon; nothing is sent to workers any more.
+    /// Makes all threads end soon; nothing is sent to workers any more, and calls whose outcome is
+    /// not stored yet are answered as unknown.
     void request_end();
 
+    [[nodiscard]] std::uint64_t epoch() const { return epoch_; }
+
 private:
     void on_report(std::size_t worker, workflow::worker_report report) override;
     void on_start(std::size_t worker, const workflow::run_name& name,
@@ -96,6 +99,7 @@
     void dispatch(workflow::workflow_actions actions);
     void answer(const workflow::caller_answer& one);
     std::uint64_t keep(owner_service::reply_owner reply);
+    void answer_unknown();
     void watch_workers();
     void take_worker_list(const std::vector<workflow::worker_entry>& workers);
     void open_sessions();
--- a/flamingoseam/node/membership.cpp
+++ b/flamingoseam/node/membership.cpp
@@ -5,6 +5,7 @@
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <ctime>
 #include <utility>
 
@@ -139,8 +140,12 @@
 {
     while (!stopping_ && !leaving_) {
         auto interval = options_.renew_interval;
+        const auto began = now();
         try {
             renew(*lease_store_);
+            // The next renewal of a slow store begins sooner, so that the lease is never in doubt.
+            const auto took = std::chrono::duration_cast<milliseconds>(now() - began);
+            interval = std::max(milliseconds(0), interval - took);
         } catch (const error& cause) {
             LOG_EVERY_N(WARNING, 10) << "the node's lease can't be renewed: " << cause.what();
             interval = failed_renewal_pause;
@@ -238,6 +243,7 @@
         if (record.key == owner_key()) {
             if (!record.removed) {
                 view_.owner = read_owner(record.value);
+                view_.owner_revision = record.revision;
             }
             return;
         }
--- a/flamingoseam/node/membership.hpp
+++ b/flamingoseam/node/membership.hpp
@@ -46,6 +46,7 @@
 struct membership_view {
     std::map<std::string, member> members; ///< By name.
     std::optional<owner_record> owner;
+    std::uint64_t owner_revision = 0; ///< Of the owner's record; 0 when there is none.
 
     /// Returns the owner if its process is alive, none otherwise.
     [[nodiscard]] std::optional<owner_record> live_owner() const;
--- a/flamingoseam/node/node.cpp
+++ b/flamingoseam/node/node.cpp
@@ -1,6 +1,7 @@
 #include "flamingoseam/node/node.hpp"
 
 #include "flamingoseam/core/error.hpp"
+#include "flamingoseam/node/owner_call.hpp"
 
 #include <glog/logging.h>
 
@@ -17,13 +18,13 @@
 
 constexpr milliseconds election_interval{1'000};      ///< Between looks when nothing changes.
 constexpr milliseconds election_interval_without{30}; ///< The same while there is no owner.
-constexpr milliseconds claim_timeout{500};
-constexpr milliseconds permission_margin{400}; ///< Beyond the service's own time.
+constexpr milliseconds permission_margin{400};        ///< Beyond the service's own time.
 constexpr milliseconds retry_without_owner{1'000};
-constexpr int most_claim_attempts = 10;
 constexpr milliseconds offer_timeout{150};
-constexpr milliseconds fresh_renewal{300}; ///< A node that renewed so lately reaches the store.
-constexpr milliseconds owner_retry{100};   ///< Between looks for the next owner.
+constexpr milliseconds offer_interval{500};  ///< The node that was asked needs some time.
+constexpr milliseconds fresh_renewal{300};   ///< A node that renewed so lately reaches the store.
+constexpr milliseconds confirm_timeout{100}; ///< Of the question whether the owner is gone.
+constexpr milliseconds hand_over_check{10};
 
 std::string make_incarnation()
 {
@@ -86,22 +87,17 @@
 template <typename LocalCall, typename RemoteCall>
 owner_answer node::pass_on(milliseconds timeout, const LocalCall& local, const RemoteCall& remote)
 {
-    const auto began = now();
-    const auto give_up = began + std::min(options_.owner_wait, timeout / 2);
-    while (true) {
-        const auto passed = std::chrono::duration_cast<milliseconds>(now() - began);
-        auto answer = pass_once(timeout - passed, local, remote);
-        if (answer.verdict != owner_verdict::no_owner || now() >= give_up) {
-            return answer;
-        }
-        wait_for_change(std::min(give_up, now() + owner_retry));
-    }
+    return call_owner(
+        {.timeout = timeout, .owner_wait = std::min(options_.owner_wait, timeout / 2)},
+        [&](milliseconds limit) { return pass_once(limit, local, remote); },
+        [this](milliseconds limit) { wait_for_change(limit); });
 }
 
-void node::wait_for_change(time_point until)
+void node::wait_for_change(milliseconds limit)
 {
     std::unique_lock lock(mutex_);
-    changed_.wait_until(lock, until, [this] { return stopping_; });
+    const auto seen = changes_;
+    changed_.wait_for(lock, limit, [&] { return stopping_ || changes_ != seen; });
 }
 
 template <typename LocalCall, typename RemoteCall>
@@ -124,6 +120,9 @@
         return remote(owner->owner.address, timeout);
     } catch (const transport_error& cause) {
         LOG_EVERY_N(WARNING, 20) << "the owner does not answer: " << cause.what();
+        if (cause.id() == refused_connection) {
+            note_refused_by(owner->epoch);
+        }
         if (!cause.sent()) {
             return without_owner("owner_unreachable");
         }
@@ -131,6 +130,20 @@
     }
 }
 
+/// Nothing listens at the owner's address, so its process has probably ended.
+void node::note_refused_by(std::uint64_t epoch)
+{
+    {
+        const std::lock_guard lock(mutex_);
+        if (suspected_epoch_ >= epoch) {
+            return;
+        }
+        suspected_epoch_ = epoch;
+        view_changed_ = true;
+    }
+    changed_.notify_all();
+}
+
 owner_answer node::submit_job(const workflow::job_spec& job, const workflow::queue_terms& terms,
                               milliseconds timeout)
 {
@@ -219,6 +232,7 @@
     {
         const std::lock_guard lock(mutex_);
         view_changed_ = true;
+        ++changes_;
     }
     changed_.notify_all();
 }
@@ -260,37 +274,98 @@
 
 void node::run_election()
 {
-    std::unique_lock lock(mutex_);
-    while (!stopping_) {
-        const bool has_owner = !owner_missing_since_;
-        changed_.wait_for(lock, has_owner ? election_interval : election_interval_without, [this] {
-            return stopping_ || view_changed_ || owner_lost_ || store_is_away_ ||
-                   offered_epoch_ != 0;
-        });
-        view_changed_ = false;
-        const bool store_is_away = std::exchange(store_is_away_, false);
-        const auto offered_epoch = std::exchange(offered_epoch_, 0);
-        const bool lost = owner_lost_;
-        const bool leaving = leaving_;
-        lock.unlock();
-        if (lost) {
+    while (const auto events = next_events()) {
+        if (events->owner_lost || is_replaced(membership_->view())) {
             drop_owner();
         }
         update_lanes();
         log_members();
         const auto view = membership_->view();
-        if (store_is_away) {
-            offer_to_others(view);
+        if (events->store_is_away && now() >= next_offer_) {
+            next_offer_ = now() + offer_interval;
+            offer_to_others(false);
+        }
+        confirm_suspicion(view);
+        const bool is_offered = events->offered_epoch != 0 && view.owner &&
+                                view.owner->epoch == events->offered_epoch && !local_owner();
+        if (!leaving_ && (is_offered || wants_to_take_over(view, now()))) {
+            take_over(view);
+        }
+    }
+}
+
+/// Waits for something to look at. Returns none when the node ends.
+std::optional<node::election_events> node::next_events()
+{
+    std::unique_lock lock(mutex_);
+    const bool is_calm = !owner_missing_since_ && suspected_epoch_ <= gone_epoch_;
+    changed_.wait_for(lock, is_calm ? election_interval : election_interval_without, [this] {
+        return stopping_ || view_changed_ || owner_lost_ || store_is_away_ || offered_epoch_ != 0;
+    });
+    if (stopping_) {
+        return std::nullopt;
+    }
+    view_changed_ = false;
+    return election_events{.owner_lost = owner_lost_,
+                           .store_is_away = std::exchange(store_is_away_, false),
+                           .offered_epoch = std::exchange(offered_epoch_, 0)};
+}
+
+/// Tells whether another node has become the owner in place of this one.
+bool node::is_replaced(const membership_view& view) const
+{
+    const auto owner = local_owner();
+    return owner && view.owner && view.owner->epoch > owner->epoch();
+}
+
+/// A refused connection alone may come from a cut of this node's own links, so another node has to
+/// see it too before the owner counts as gone.
+void node::confirm_suspicion(const membership_view& view)
+{
+    std::uint64_t epoch = 0;
+    {
+        const std::lock_guard lock(mutex_);
+        epoch = suspected_epoch_;
+    }
+    if (!view.owner || view.owner->epoch != epoch || local_owner() || is_gone(epoch)) {
+        return;
+    }
+    for (const auto& [name, one] : view.members) {
+        if (name == options_.name || name == view.owner->owner.name) {
+            continue;
         }
-        const bool is_offered = offered_epoch != 0 && view.owner &&
-                                view.owner->epoch == offered_epoch && !local_owner();
-        if (!leaving && (is_offered || wants_to_take_over(view, now()))) {
-            take_over(view.owner ? view.owner->epoch : 0);
+        try {
+            if (client_.confirms_owner_gone(one.address, epoch, confirm_timeout)) {
+                const std::lock_guard lock(mutex_);
+                gone_epoch_ = epoch;
+                parts_.log->write({.event = "owner_gone",
+                                   .request = {},
+                                   .detail = view.owner->owner.name + " refuses connections, as " +
+                                             name + " confirms"});
+                return;
+            }
+        } catch (const transport_error& cause) {
+            LOG_EVERY_N(WARNING, 10) << "a node can't be asked about the owner: " << cause.what();
         }
-        lock.lock();
     }
 }
 
+bool node::is_gone(std::uint64_t epoch) const
+{
+    const std::lock_guard lock(mutex_);
+    return gone_epoch_ == epoch;
+}
+
+void node::confirm_owner_gone(std::uint64_t epoch, reply_flag reply)
+{
+    bool is_suspected = false;
+    {
+        const std::lock_guard lock(mutex_);
+        is_suspected = suspected_epoch_ == epoch;
+    }
+    reply(is_suspected);
+}
+
 milliseconds node::own_delay(const membership_view& view) const
 {
     // Candidates take their turns in an order that differs from epoch to epoch.
@@ -301,41 +376,69 @@
     const auto own = rank_of(options_.name);
     const auto ahead = std::count_if(view.members.begin(), view.members.end(),
                                      [&](const auto& row) { return rank_of(row.first) < own; });
-    const bool handed_over = view.owner && view.owner->owner.name.empty();
-    const auto grace = handed_over || !view.owner ? milliseconds(0) : options_.take_over_grace;
+    const auto grace = has_ended(view) ? milliseconds(0) : options_.take_over_grace;
     return grace + ahead * options_.take_over_step;
 }
 
-/// An owner whose store is silent lets a node go on that still reaches it.
-void node::offer_to_others(const membership_view& view)
+/// Tells whether the owner has certainly ended and will not come back: it has handed over, its
+/// process was started anew, or its port is closed.
+bool node::has_ended(const membership_view& view) const
+{
+    if (!view.owner || view.owner->owner.name.empty() || is_gone(view.owner->epoch)) {
+        return true;
+    }
+    const auto member = view.members.find(view.owner->owner.name);
+    return member != view.members.end() &&
+           member->second.incarnation != view.owner->owner.incarnation;
+}
+
+/// Tells whether some process answers for the jobs, as far as this node knows.
+bool node::is_served(const membership_view& view) const
 {
+    const auto owner = view.live_owner();
+    if (!owner || is_gone(owner->epoch)) {
+        return false;
+    }
+    // A claim of this node that got no answer may have been carried out after all.
+    return owner->owner.incarnation != incarnation_ || local_owner() != nullptr;
+}
+
+/// Asks the other nodes, one after the other, to take ownership over: when this node no longer
+/// reaches the store, or is about to end. Returns whether one will try.
+bool node::offer_to_others(bool is_leaving)
+{
+    const auto view = membership_->view();
     if (!local_owner() || !view.owner) {
-        return;
+        return false;
     }
     for (const auto& [name, one] : view.members) {
         if (name == options_.name) {
             continue;
         }
         try {
-            if (client_.offer_ownership(one.address, view.owner->epoch, offer_timeout)) {
+            const ownership_offer offer{.epoch = view.owner->epoch, .is_leaving = is_leaving};
+            if (client_.offer_ownership(one.address, offer, offer_timeout)) {
                 parts_.log->write(
                     {.event = "ownership_offered", .request = {}, .detail = "to " + name});
-                return;
+                return true;
             }
         } catch (const transport_error& cause) {
             LOG_EVERY_N(WARNING, 10) << "ownership can't be offered: " << cause.what();
         }
     }
+    return false;
 }
 
-void node::offer_ownership(std::uint64_t epoch, reply_flag reply)
+void node::offer_ownership(const ownership_offer& offer, reply_flag reply)
 {
-    const bool can_take = !leaving_ && !local_owner() && membership_->has_joined() &&
-                          membership_->was_renewed_within(fresh_renewal);
+    // An owner that does not reach the store needs a node that does, however slow the store is.
+    const bool reaches_store = offer.is_leaving ? membership_->is_certain()
+                                                : membership_->was_renewed_within(fresh_renewal);
+    const bool can_take = !leaving_ && !local_owner() && membership_->has_joined() && reaches_store;
     if (can_take) {
         {
             const std::lock_guard lock(mutex_);
-            offered_epoch_ = epoch;
+            offered_epoch_ = offer.epoch;
         }
         changed_.notify_all();
     }
@@ -363,61 +466,17 @@
 
 bool node::wants_to_take_over(const membership_view& view, time_point time)
 {
+    const bool is_needed = !is_served(view) && !local_owner();
+    const auto delay = own_delay(view);
     const std::lock_guard lock(mutex_);
-    if (view.live_owner() || owner_ || !membership_->has_joined() || !membership_->is_certain()) {
+    if (!is_needed || !membership_->has_joined() || !membership_->is_certain()) {
         owner_missing_since_.reset();
         return false;
     }
     if (!owner_missing_since_) {
         owner_missing_since_ = time;
     }
-    return time >= *owner_missing_since_ + own_delay(view);
-}
-
-/// Returns the new head when this node has become the owner.
-std::optional<chain_head> node::claim(shared_store& store, std::uint64_t known_epoch,
-                                      std::uint64_t& revision)
-{
-    std::map<std::string, shared_record> current;
-    std::uint64_t newest = 0;
-    std::uint64_t ignored = 0;
-    for (auto& record : list_all(store, head_prefix(), ignored)) {
-        newest = std::max(newest, read_head(record.value).epoch);
-        current[record.key] = std::move(record);
-    }
-    if (newest > known_epoch) {
-        return std::nullopt; // Somebody has taken over since this node decided to.
-    }
-    const chain_head head{
-        .epoch = newest + 1, .sequence = 0, .owner = options_.name + "/" + incarnation_};
-    shared_transaction transaction;
-    for (const auto& key : head_keys()) {
-        const auto found = current.find(key);
-        transaction.conditions.push_back(
-            {key, found == current.end() ? 0 : found->second.revision});
-        transaction.writes.push_back({key, write_head(head)});
-    }
-    const owner_record record{.epoch = head.epoch, .owner = membership_->self()};
-    transaction.writes.push_back({membership_->owner_key(), write_owner(record)});
-    for (int attempt = 0; attempt < most_claim_attempts; ++attempt) {
-        try {
-            const auto result = store.commit(transaction, claim_timeout);
-            revision = result.revision;
-            if (result.applied) {
-                return head;
-            }
-            for (const auto& one : result.conflicting) {
-                if (one.key == head_keys().front() && read_head(one.value) == head) {
-                    revision = one.revision; // An earlier attempt was carried out.
-                    return head;
-                }
-            }
-            return std::nullopt;
-        } catch (const transport_error& cause) {
-            LOG(WARNING) << "the claim got no answer and is sent again: " << cause.what();
-        }
-    }
-    return std::nullopt;
+    return time >= *owner_missing_since_ + delay;
 }
 
 std::vector<std::string> node::head_keys() const
@@ -429,16 +488,18 @@
     return keys;
 }
 
-void node::take_over(std::uint64_t known_epoch)
+void node::take_over(const membership_view& view)
 {
     try {
-        const auto store = parts_.stores();
-        std::uint64_t revision = 0;
-        const auto head = claim(*store, known_epoch, revision);
-        if (!head) {
-            return;
+        const auto claimed =
+            claim_ownership(*parts_.stores(), {.owner_key = membership_->owner_key(),
+                                               .head_keys = head_keys(),
+                                               .self = membership_->self(),
+                                               .known_epoch = view.owner ? view.owner->epoch : 0,
+                                               .known_revision = view.owner_revision});
+        if (claimed) {
+            begin_ownership(*claimed);
         }
-        begin_ownership(*store, *head, revision);
     } catch (const error& cause) {
         LOG(WARNING) << "taking over failed: " << cause.what();
     }
@@ -446,25 +507,17 @@
     owner_missing_since_.reset();
 }
 
-void node::begin_ownership(shared_store& store, const chain_head& head, std::uint64_t revision)
+void node::begin_ownership(const claimed_head& claimed)
 {
-    parts_.log->write(
-        {.event = "owner_begins", .request = {}, .detail = "epoch " + std::to_string(head.epoch)});
-    job_owner_start start{.head = head, .revision = revision, .jobs = {}, .roster = {}};
+    parts_.log->write({.event = "owner_begins",
+                       .request = {},
+                       .detail = "epoch " + std::to_string(claimed.head.epoch)});
     const auto record_keys = keys();
-    const auto read = [&store](const std::string& prefix) {
-        std::map<std::string, std::string> values;
-        std::uint64_t ignored = 0;
-        for (const auto& record : list_all(store, prefix, ignored)) {
-            values.emplace(record.key.substr(prefix.size()), record.value);
-        }
-        return values;
-    };
-    const auto progress = read(record_keys.progresses());
-    start.jobs = workflow::read_jobs(read(record_keys.specifications()), progress);
-    if (const auto roster = store.get(record_keys.roster())) {
-        start.roster = workflow::read_roster(roster->value);
-    }
+    auto stored = read_stored_state(parts_.stores, record_keys);
+    job_owner_start start{.head = claimed.head,
+                          .revision = claimed.revision,
+                          .jobs = std::move(stored.jobs),
+                          .roster = std::move(stored.roster)};
     job_owner_parts parts{
         .head_keys = head_keys(),
         .stores = parts_.stores,
@@ -498,7 +551,9 @@
         const std::lock_guard lock(mutex_);
         owner_ = std::move(owner);
         owner_lost_ = false;
+        ++changes_;
     }
+    changed_.notify_all();
     update_lanes();
 }
 
@@ -516,6 +571,20 @@
     dropped->request_end();
 }
 
+/// Goes on serving while another node takes over, so that hardly a moment is without an owner.
+/// Returns whether one has.
+bool node::hand_over_to_another()
+{
+    const auto end = now() + options_.hand_over_limit;
+    if (!offer_to_others(true)) {
+        return false;
+    }
+    while (local_owner() && now() < end) {
+        std::this_thread::sleep_for(hand_over_check);
+    }
+    return local_owner() == nullptr;
+}
+
 void node::leave()
 {
     std::shared_ptr<job_owner> owner;
@@ -524,7 +593,7 @@
         leaving_ = true;
         owner = owner_lost_ ? nullptr : owner_;
     }
-    if (owner) {
+    if (owner && !hand_over_to_another()) {
         const auto view = membership_->view();
         const owner_record nobody{.epoch = view.owner ? view.owner->epoch : 0, .owner = {}};
         const bool written = owner->hand_over({membership_->owner_key(), write_owner(nobody)},
--- a/flamingoseam/node/node.hpp
+++ b/flamingoseam/node/node.hpp
@@ -3,6 +3,7 @@
 #include "flamingoseam/node/coordinator_rpc.hpp"
 #include "flamingoseam/node/job_owner.hpp"
 #include "flamingoseam/node/membership.hpp"
+#include "flamingoseam/node/owner_claim.hpp"
 
 #include <atomic>
 #include <condition_variable>
@@ -67,21 +68,35 @@
     void count_pending(const std::string& queue, reply_owner reply) override;
     void ask_permission(const workflow::permission_request& request,
                         reply_permission reply) override;
-    void offer_ownership(std::uint64_t epoch, reply_flag reply) override;
+    void offer_ownership(const ownership_offer& offer, reply_flag reply) override;
+    void confirm_owner_gone(std::uint64_t epoch, reply_flag reply) override;
 
 private:
+    /// What the election thread has to look at.
+    struct election_events {
+        bool owner_lost = false;
+        bool store_is_away = false;
+        std::uint64_t offered_epoch = 0; ///< Of an owner that asks this node to go on.
+    };
+
     std::shared_ptr<job_owner> local_owner() const;
     void on_view_changed();
     void update_lanes();
     void run_election();
     bool wants_to_take_over(const membership_view& view, time_point time);
     milliseconds own_delay(const membership_view& view) const;
-    void take_over(std::uint64_t known_epoch);
-    std::optional<chain_head> claim(shared_store& store, std::uint64_t known_epoch,
-                                    std::uint64_t& revision);
+    std::optional<election_events> next_events();
+    bool is_replaced(const membership_view& view) const;
+    bool has_ended(const membership_view& view) const;
+    bool is_served(const membership_view& view) const;
+    bool is_gone(std::uint64_t epoch) const;
+    void note_refused_by(std::uint64_t epoch);
+    void confirm_suspicion(const membership_view& view);
+    void take_over(const membership_view& view);
     void log_members();
-    void offer_to_others(const membership_view& view);
-    void begin_ownership(shared_store& store, const chain_head& head, std::uint64_t revision);
+    bool offer_to_others(bool is_leaving);
+    void begin_ownership(const claimed_head& claimed);
+    bool hand_over_to_another();
     void drop_owner();
     permission_call lane_call(const std::string& name);
     std::string head_prefix() const { return options_.store_prefix + "head/"; }
@@ -94,7 +109,7 @@
     owner_answer pass_on(milliseconds timeout, const LocalCall& local, const RemoteCall& remote);
     template <typename LocalCall, typename RemoteCall>
     owner_answer pass_once(milliseconds timeout, const LocalCall& local, const RemoteCall& remote);
-    void wait_for_change(time_point until);
+    void wait_for_change(milliseconds limit);
 
     node_options options_;
     node_parts parts_;
@@ -105,11 +120,15 @@
     std::shared_ptr<job_owner> owner_;
     bool owner_lost_ = false;
     bool view_changed_ = false;
+    std::uint64_t changes_ = 0;         ///< Counts what may have changed the owner.
+    std::uint64_t suspected_epoch_ = 0; ///< Newest owner that refused a connection of this node.
+    std::uint64_t gone_epoch_ = 0; ///< Newest owner whose process has ended, as others confirm.
     bool store_is_away_ = false;
     std::uint64_t offered_epoch_ = 0; ///< Of the owner that asks this node to go on; 0 for none.
     std::atomic<bool> leaving_{false};
     bool stopping_ = false;
     std::optional<time_point> owner_missing_since_;
+    time_point next_offer_{};              ///< Of the election thread.
     std::set<std::string> logged_members_; ///< Of the election thread.
     std::unique_ptr<membership> membership_;
     std::unique_ptr<coordinator_server> server_;
--- /dev/null
+++ b/flamingoseam/node/owner_claim.cpp
@@ -0,0 +1,96 @@
+#include "flamingoseam/node/owner_claim.hpp"
+
+#include "flamingoseam/core/error.hpp"
+
+#include <glog/logging.h>
+
+#include <future>
+#include <map>
+#include <utility>
+
+namespace flamingoseam::node {
+
+namespace {
+
+shared_transaction make_transaction(const owner_claim& claim, const chain_head& head)
+{
+    shared_transaction transaction;
+    transaction.conditions.push_back({claim.owner_key, claim.known_revision});
+    const owner_record record{.epoch = head.epoch, .owner = claim.self};
+    transaction.writes.push_back({claim.owner_key, write_owner(record)});
+    for (const auto& key : claim.head_keys) {
+        transaction.writes.push_back({key, write_head(head)});
+    }
+    return transaction;
+}
+
+/// Tells whether the conflicting record was written by an earlier attempt of the same claim.
+bool is_own_record(const shared_record& record, const owner_claim& claim, const chain_head& head)
+{
+    if (record.key != claim.owner_key || record.value.empty()) {
+        return false;
+    }
+    const auto owner = read_owner(record.value);
+    return owner.epoch == head.epoch && owner.owner.incarnation == claim.self.incarnation;
+}
+
+std::optional<claimed_head> outcome_of(const shared_result& result, const owner_claim& claim,
+                                       const chain_head& head)
+{
+    if (result.applied) {
+        return claimed_head{.head = head, .revision = result.revision};
+    }
+    for (const auto& record : result.conflicting) {
+        if (is_own_record(record, claim, head)) {
+            return claimed_head{.head = head, .revision = record.revision};
+        }
+    }
+    return std::nullopt;
+}
+
+std::map<std::string, std::string> read_values(shared_store& store, const std::string& prefix)
+{
+    std::map<std::string, std::string> values;
+    std::uint64_t ignored = 0;
+    for (const auto& record : list_all(store, prefix, ignored)) {
+        values.emplace(record.key.substr(prefix.size()), record.value);
+    }
+    return values;
+}
+
+} // namespace
+
+std::optional<claimed_head> claim_ownership(shared_store& store, const owner_claim& claim)
+{
+    const chain_head head{.epoch = claim.known_epoch + 1,
+                          .sequence = 0,
+                          .owner = claim.self.name + "/" + claim.self.incarnation};
+    const auto transaction = make_transaction(claim, head);
+    for (int attempt = 0; attempt < claim.most_attempts; ++attempt) {
+        try {
+            return outcome_of(store.commit(transaction, claim.timeout), claim, head);
+        } catch (const transport_error& cause) {
+            LOG(WARNING) << "the claim got no answer and is sent again: " << cause.what();
+        }
+    }
+    return std::nullopt;
+}
+
+stored_state read_stored_state(const shared_store_factory& stores,
+                               const workflow::record_keys& keys)
+{
+    const auto read = [&stores](const std::string& prefix) {
+        return std::async(std::launch::async,
+                          [&stores, prefix] { return read_values(*stores(), prefix); });
+    };
+    auto specifications = read(keys.specifications());
+    auto progresses = read(keys.progresses());
+    stored_state state;
+    if (const auto roster = stores()->get(keys.roster())) {
+        state.roster = workflow::read_roster(roster->value);
+    }
+    state.jobs = workflow::read_jobs(specifications.get(), progresses.get());
+    return state;
+}
+
+} // namespace flamingoseam::node
--- /dev/null
+++ b/flamingoseam/node/owner_claim_test.cpp
@@ -0,0 +1,127 @@
+#include "flamingoseam/node/owner_claim.hpp"
+
+#include "flamingoseam/core/error.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+
+using namespace flamingoseam;
+using namespace flamingoseam::node;
+
+namespace {
+
+/// A store in memory that can lose answers.
+class memory_store final : public shared_store {
+public:
+    shared_result commit(const shared_transaction& changes, milliseconds /*timeout*/) override
+    {
+        auto result = apply(changes);
+        if (answers_lost > 0) {
+            --answers_lost;
+            throw transport_error(304, "no answer", true);
+        }
+        return result;
+    }
+
+    shared_result apply(const shared_transaction& changes)
+    {
+        ++commits;
+        shared_result result;
+        for (const auto& one : changes.conditions) {
+            if (records[one.key].revision != one.revision) {
+                auto current = records[one.key];
+                current.key = one.key;
+                result.conflicting.push_back(current);
+            }
+        }
+        if (!result.conflicting.empty()) {
+            return result;
+        }
+        ++revision;
+        for (const auto& one : changes.writes) {
+            records[one.key] = {.key = one.key, .value = one.value, .revision = revision};
+        }
+        result.applied = true;
+        result.revision = revision;
+        return result;
+    }
+
+    std::optional<shared_record> get(const std::string& /*key*/) override { return std::nullopt; }
+    shared_page list(const std::string& /*prefix*/, const std::string& /*after*/) override
+    {
+        return {};
+    }
+    shared_changes watch(const std::string& /*prefix*/, std::uint64_t /*revision*/,
+                         milliseconds /*wait*/) override
+    {
+        return {};
+    }
+    std::uint64_t grant_lease(milliseconds /*time_to_live*/) override { return 1; }
+    bool renew_lease(std::uint64_t /*lease*/) override { return true; }
+    void end_lease(std::uint64_t /*lease*/) override {}
+
+    std::map<std::string, shared_record> records;
+    std::uint64_t revision = 10;
+    int answers_lost = 0;
+    int commits = 0;
+};
+
+owner_claim claim_of(const std::string& node)
+{
+    return {.owner_key = "m/owner",
+            .head_keys = {"head/0", "head/1"},
+            .self = {.name = node, .incarnation = node + "-1", .address = {}}};
+}
+
+} // namespace
+
+TEST_CASE("a claim of ownership")
+{
+    memory_store store;
+    const auto first = claim_ownership(store, claim_of("a"));
+    REQUIRE(first);
+    CHECK(first->head.epoch == 1);
+    CHECK(store.commits == 1);
+
+    SECTION("replaces the heads of all chains")
+    {
+        CHECK(store.records["head/0"].revision == first->revision);
+        CHECK(store.records["head/1"].revision == first->revision);
+    }
+    SECTION("succeeds although the owner goes on writing")
+    {
+        store.apply({.conditions = {{"head/0", first->revision}},
+                     .writes = {{"head/0", write_head(first->head)}, {"job/1", "{}"}},
+                     .removals = {}});
+        auto claim = claim_of("b");
+        claim.known_epoch = 1;
+        claim.known_revision = first->revision;
+        const auto second = claim_ownership(store, claim);
+        REQUIRE(second);
+        CHECK(second->head.epoch == 2);
+        const auto late =
+            store.apply({.conditions = {{"head/0", first->revision + 1}}, .writes = {}});
+        CHECK_FALSE(late.applied);
+    }
+    SECTION("fails when another node was first")
+    {
+        CHECK_FALSE(claim_ownership(store, claim_of("b")));
+    }
+    SECTION("that was carried out without an answer is recognised")
+    {
+        store.answers_lost = 1;
+        auto claim = claim_of("b");
+        claim.known_epoch = 1;
+        claim.known_revision = first->revision;
+        const auto second = claim_ownership(store, claim);
+        REQUIRE(second);
+        CHECK(second->revision == store.records["head/0"].revision);
+        CHECK(second->revision == store.revision);
+    }
+    SECTION("without any answer leaves the node without ownership")
+    {
+        store.answers_lost = 100;
+        CHECK_FALSE(claim_ownership(store, claim_of("c")));
+    }
+}
--- a/flamingoseam/node/owner_service.hpp
+++ b/flamingoseam/node/owner_service.hpp
@@ -32,7 +32,13 @@
     int pending = 0;   ///< Jobs of a queue that have not begun, in answer to a question about it.
 };
 
-/// The calls that the owner of the jobs answers, and the one that any node answers for the owner.
+/// An owner's wish that another node takes over.
+struct ownership_offer {
+    std::uint64_t epoch = 0; ///< Of the owner that asks.
+    bool is_leaving = false; ///< It is about to end; otherwise it does not reach the store.
+};
+
+/// The calls that the owner of the jobs answers, and those that any node answers for the others.
 /// Replies may come from any thread.
 class owner_service {
 public:
@@ -49,9 +55,12 @@
     virtual void ask_permission(const workflow::permission_request& request,
                                 reply_permission reply) = 0;
 
-    /// The owner of this epoch can't reach the store and asks this node to take over. The reply
-    /// tells whether it will try.
-    virtual void offer_ownership(std::uint64_t epoch, reply_flag reply) = 0;
+    /// The owner asks this node to take over. The reply tells whether it will try.
+    virtual void offer_ownership(const ownership_offer& offer, reply_flag reply) = 0;
+
+    /// Another node could not connect to the owner of this epoch and asks whether it was the same
+    /// here.
+    virtual void confirm_owner_gone(std::uint64_t epoch, reply_flag reply) = 0;
 };
 
 } // namespace flamingoseam::node
--- a/flamingoseam/peer/rpc_connections.hpp
+++ b/flamingoseam/peer/rpc_connections.hpp
@@ -2,6 +2,7 @@
 
 #include "flamingoseam/core/error.hpp"
 #include "flamingoseam/http/http_client.hpp"
+#include "flamingoseam/peer/rpc_errors.hpp"
 
 #include <capnp/rpc-twoparty.h>
 #include <kj/async-io.h>
@@ -35,8 +36,9 @@
     rpc_connections& operator=(const rpc_connections&) = delete;
 
     /// Runs `use` with a connection on the connections' thread and waits for what it promises.
-    /// Throws transport_error: id 306 when no connection could be made (nothing was sent), id 307
-    /// when the answer did not come in time or the connection failed. A failed connection is
+    /// Throws transport_error: id 306 when no connection could be made in time and id 316 when it
+    /// was refused (nothing was sent), id 307 when the answer did not come in time or the
+    /// connection failed. A failed connection is
     /// replaced by the next call; one that was only silent as well when `drop_on_timeout` is set.
     template <typename Result, typename Use>
     Result call(const endpoint& server, milliseconds timeout, Use&& use, bool drop_on_timeout)
@@ -58,8 +60,9 @@
             if (!timed_out || drop_on_timeout) {
                 drop(server, used);
             }
-            throw transport_error(sent ? 307 : 306,
-                                  to_string(server) + ": " + cause.getDescription().cStr(), sent);
+            const int id = sent ? no_answer : timed_out ? not_connected : refused_connection;
+            throw transport_error(id, to_string(server) + ": " + cause.getDescription().cStr(),
+                                  sent);
         }
     }
 
--- a/flamingoseam/workflow/change_log.cpp
+++ b/flamingoseam/workflow/change_log.cpp
@@ -5,38 +5,43 @@
 void change_log::note(job_record& job)
 {
     job.changed_at = ++last_change_;
+    if (is_being_written(job)) {
+        return; // It waits again once that batch is stored.
+    }
     const auto [found, is_new] = since_.try_emplace(&job, job.changed_at);
     if (is_new) {
         waiting_.emplace(found->second, &job);
     }
 }
 
-std::vector<job_record*> change_log::oldest(std::size_t most) const
+job_record* change_log::take_oldest()
 {
-    std::vector<job_record*> jobs;
-    for (const auto& [change, job] : waiting_) {
-        if (jobs.size() >= most) {
-            break;
-        }
-        jobs.push_back(job);
+    if (waiting_.empty()) {
+        return nullptr;
     }
-    return jobs;
+    auto* job = waiting_.begin()->second;
+    drop(*job);
+    written_.insert(job);
+    return job;
 }
 
 void change_log::note_stored(job_record& job, std::uint64_t up_to)
 {
     job.stored_at = up_to;
-    const auto found = since_.find(&job);
-    if (found == since_.end()) {
-        return;
+    written_.erase(&job);
+    if (!job.is_stored()) {
+        since_[&job] = job.changed_at;
+        waiting_.emplace(job.changed_at, &job);
     }
-    waiting_.erase(found->second);
-    if (job.is_stored()) {
+}
+
+void change_log::drop(const job_record& job)
+{
+    const auto found = since_.find(&job);
+    if (found != since_.end()) {
+        waiting_.erase(found->second);
         since_.erase(found);
-        return;
     }
-    found->second = job.changed_at;
-    waiting_.emplace(found->second, &job);
 }
 
 } // namespace flamingoseam::workflow
--- a/flamingoseam/workflow/change_log.hpp
+++ b/flamingoseam/workflow/change_log.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -22,18 +23,29 @@
     std::vector<record_change> changes;
 };
 
-/// Which jobs have changes that the store does not have yet, oldest change first.
+/// Which jobs have changes that the store does not have yet. A job is in one batch at a time, so
+/// that its changes reach the store in their order.
 class change_log {
 public:
     /// Notes a change of a job. Complexity: logarithmic.
     void note(job_record& job);
 
-    /// Returns up to `most` jobs with the oldest changes. Complexity: linear in `most`.
-    [[nodiscard]] std::vector<job_record*> oldest(std::size_t most) const;
+    /// Returns the job whose change waits longest and marks it as being written; null when no job
+    /// waits. Complexity: logarithmic.
+    [[nodiscard]] job_record* take_oldest();
 
     /// Takes in that the store has a job as it was at change number `up_to`.
     void note_stored(job_record& job, std::uint64_t up_to);
 
+    /// Forgets a job that waits. Complexity: logarithmic.
+    void drop(const job_record& job);
+
+    [[nodiscard]] bool is_being_written(const job_record& job) const
+    {
+        return written_.contains(&job);
+    }
+
+    /// Tells whether no job waits, apart from those that are being written.
     [[nodiscard]] bool empty() const { return waiting_.empty(); }
     [[nodiscard]] std::size_t size() const { return waiting_.size(); }
 
@@ -41,6 +53,7 @@
     std::uint64_t last_change_ = 0;
     std::map<std::uint64_t, job_record*> waiting_; ///< By the change that waits longest.
     std::map<const job_record*, std::uint64_t> since_;
+    std::set<const job_record*> written_; ///< In batches that are under way.
 };
 
 } // namespace flamingoseam::workflow
--- a/flamingoseam/workflow/job_record.hpp
+++ b/flamingoseam/workflow/job_record.hpp
@@ -109,7 +109,6 @@
     job_phase phase = job_phase::queued;
     bool has_begun = false; ///< A task was started.
     std::vector<step_record> steps;
-    std::size_t chain = 0;        ///< Which chain of transactions carries its changes.
     std::uint64_t sequence = 0;   ///< Order in which this owner took the jobs in.
     std::uint64_t changed_at = 0; ///< Change number of the newest change.
     std::uint64_t stored_at = 0;  ///< Change number up to which the store has it.
--- a/flamingoseam/workflow/workflow_jobs.cpp
+++ b/flamingoseam/workflow/workflow_jobs.cpp
@@ -9,6 +9,7 @@
 
 constexpr milliseconds retry_when_store_is_away{1'500};
 constexpr milliseconds retry_when_full{2'000};
+constexpr const char* store_unavailable = "store_unavailable";
 
 } // namespace
 
@@ -23,7 +24,6 @@
     for (auto& one : jobs) {
         auto job = std::make_unique<job_record>(std::move(one));
         job->sequence = ++last_sequence_;
-        job->chain = choose_chain();
         job->received = time;
         if (is_final(job->phase)) {
             ended_.emplace(job->ended + options_.ended_retention, job->spec.id);
@@ -58,19 +58,12 @@
         }
         return;
     }
-    const auto refuse = [&](std::string reason, milliseconds retry_after) {
-        note("refused", spec.id, reason);
-        actions_.answers.push_back({.token = token,
-                                    .what = caller_answer::kind::refused,
-                                    .reason = std::move(reason),
-                                    .retry_after = retry_after});
-    };
     if (!store_available_) {
-        refuse("store_unavailable", retry_when_store_is_away);
+        refuse(token, spec.id, store_unavailable, retry_when_store_is_away);
         return;
     }
     if (open_.size() >= options_.most_open_jobs) {
-        refuse("too_many_open_jobs", retry_when_full);
+        refuse(token, spec.id, "too_many_open_jobs", retry_when_full);
         return;
     }
     auto job = std::make_unique<job_record>();
@@ -80,7 +73,6 @@
     job->received = time;
     job->due = time + target_time(spec, terms);
     job->sequence = ++last_sequence_;
-    job->chain = choose_chain();
     fill_steps(*job, task_phase::waiting);
     auto& record = *job;
     open_.emplace(record.sequence, &record);
@@ -89,6 +81,44 @@
     waiters_[&record].answers.push_back({record.changed_at, token});
 }
 
+void workflow_state::refuse(std::uint64_t token, const std::string& job, const std::string& reason,
+                            milliseconds retry_after)
+{
+    note("refused", job, reason);
+    actions_.answers.push_back({.token = token,
+                                .what = caller_answer::kind::refused,
+                                .reason = reason,
+                                .retry_after = retry_after});
+}
+
+void workflow_state::set_store_available(bool available)
+{
+    if (store_available_ && !available) {
+        refuse_unwritten();
+    }
+    store_available_ = available;
+}
+
+/// Refuses the jobs that no transaction has tried to store, instead of letting them wait.
+void workflow_state::refuse_unwritten()
+{
+    std::vector<job_record*> unwritten;
+    for (const auto& [sequence, job] : open_) {
+        if (!job->spec_stored && !changes_.is_being_written(*job)) {
+            unwritten.push_back(job);
+        }
+    }
+    for (auto* job : unwritten) {
+        for (const auto& waiting : waiters_[job].answers) {
+            refuse(waiting.token, job->spec.id, store_unavailable, retry_when_store_is_away);
+        }
+        changes_.drop(*job);
+        waiters_.erase(job);
+        open_.erase(job->sequence);
+        jobs_.erase(std::string(job->spec.id));
+    }
+}
+
 void workflow_state::cancel(std::uint64_t token, const std::string& job, wall_time wall)
 {
     auto* known = find_job(job);
@@ -135,21 +165,6 @@
     return found == jobs_.end() ? nullptr : found->second.get();
 }
 
-void workflow_state::change(job_record& job)
-{
-    chains_[job.chain].changes.note(job);
-}
-
-std::size_t workflow_state::choose_chain()
-{
-    // One chain writes the most in one transaction; several hide the time of a slow store.
-    if (write_time_ < options_.slow_write) {
-        return 0;
-    }
-    next_chain_ = (next_chain_ + 1) % chains_.size();
-    return next_chain_;
-}
-
 void workflow_state::note(std::string event, const std::string& job, std::string detail)
 {
     actions_.notes.push_back({.event = std::move(event), .job = job, .detail = std::move(detail)});
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -26,9 +26,9 @@
     record_keys keys{.prefix = "fs/"};
     std::size_t most_open_jobs = 6'000;
     milliseconds ended_retention{150'000}; ///< How long the state of an ended job can be asked for.
-    /// Transactions of different chains are under way at one time; a job keeps to one chain.
+    /// Transactions of different chains are under way at one time.
     std::size_t chains = 1;
-    milliseconds slow_write{60}; ///< From this time a write on, new jobs use all chains.
+    milliseconds slow_write{60}; ///< A chain that writes for so long lets the next one help.
 };
 
 /// What a caller is told.
@@ -124,21 +124,21 @@
     void on_permission(std::uint64_t number, const std::optional<std::vector<ticket_grant>>& grants,
                        time_point time);
 
-    /// Tells whether changes of a chain wait for the store.
-    [[nodiscard]] bool has_changes(std::size_t chain) const
-    {
-        return !chains_[chain].changes.empty() || (chain == 0 && roster_changed_);
-    }
+    /// Tells whether a chain should write now. The first chain writes the most in one transaction;
+    /// the others help when all before them have been writing for long, since the store is slow or
+    /// an answer was lost. Complexity: linear in the chains.
+    [[nodiscard]] bool has_changes(std::size_t chain, time_point time) const;
 
-    /// Returns the next changes of a chain, at most `most` records; empty when there are none. One
-    /// batch of a chain is under way at a time.
-    record_batch take_batch(std::size_t chain, std::size_t most, wall_time wall);
+    /// Returns the next changes for a chain, at most `most` records; empty when it should not write
+    /// now. One batch of a chain is under way at a time.
+    record_batch take_batch(std::size_t chain, std::size_t most, time_point time, wall_time wall);
 
-    /// Takes in that the batch last taken stands in the store, after so long a write.
-    void on_stored(std::size_t chain, milliseconds write_time);
+    /// Takes in that the batch last taken by a chain stands in the store.
+    void on_stored(std::size_t chain);
 
-    /// Refuses new jobs while the store does not answer.
-    void set_store_available(bool available) { store_available_ = available; }
+    /// Tells whether the store answers. While it does not, new jobs are refused, and so are those
+    /// that no transaction has tried to store yet. Complexity: linear in the open jobs.
+    void set_store_available(bool available);
 
     /// Repeats orders that were not answered, looks for runs that stand still and places what
     /// waits. To be called at least every 50 ms and after each group of events.
@@ -181,7 +181,10 @@
 
     // jobs and their tasks
     job_record* find_job(const std::string& id);
-    void change(job_record& job);
+    void change(job_record& job) { changes_.note(job); }
+    void refuse(std::uint64_t token, const std::string& job, const std::string& reason,
+                milliseconds retry_after);
+    void refuse_unwritten();
     void set_task_phase(job_record& job, int step, int index, task_phase phase);
     void finish_task(job_record& job, int step, int index, wall_time wall);
     void finish_gang(job_record& job, int step, wall_time wall);
@@ -256,21 +259,20 @@
     void release_waiters(job_record& job);
     struct chain_state;
     void add_job_changes(chain_state& chain, job_record& job, record_batch& batch);
+    [[nodiscard]] bool may_write(std::size_t chain, time_point time) const;
     void add_roster(record_batch& batch);
     void add_removals(std::size_t most, record_batch& batch);
-    [[nodiscard]] std::size_t choose_chain();
 
     workflow_options options_;
     fleet fleet_;
     worker_health health_;
-    /// Changes that one chain of transactions carries.
+    /// What one chain of transactions is writing.
     struct chain_state {
-        change_log changes;
-        std::vector<batch_job> batch; ///< Under way.
+        std::vector<batch_job> batch;
+        std::optional<time_point> writes_since; ///< None when no transaction is under way.
     };
+    change_log changes_;
     std::vector<chain_state> chains_;
-    std::size_t next_chain_ = 0;
-    milliseconds write_time_{0}; ///< Of the newest write.
     gang_holds holds_;
     std::unordered_map<std::string, std::unique_ptr<job_record>> jobs_;
     std::map<std::uint64_t, job_record*> open_; ///< By the order in which they were taken in.
--- a/flamingoseam/workflow/workflow_state_test.cpp
+++ b/flamingoseam/workflow/workflow_state_test.cpp
@@ -1,82 +1,13 @@
-#include "flamingoseam/workflow/workflow_state.hpp"
+#include "tests/driven_state.hpp"
 
 #include <catch2/catch.hpp>
 
 using namespace flamingoseam;
 using namespace flamingoseam::workflow;
 
-namespace {
-
-constexpr wall_time wall{1'000'000};
-
-/// A state with one worker, driven by hand.
-struct bench {
-    workflow_state state{{.epoch = 2}};
-    time_point time{std::chrono::hours(1)};
-
-    worker_entry worker(std::int64_t milli_cpus = 8'000) const
-    {
-        return {.id = "w",
-                .life = 1,
-                .service = "service",
-                .address = {"127.0.0.1", 1},
-                .capacity = {.milli_cpus = milli_cpus, .memory_mb = 16'000}};
-    }
-
-    job_spec job(const std::string& id, std::int64_t milli_cpus, int tasks = 1) const
-    {
-        return {.id = id,
-                .queue = "queue",
-                .payload = {},
-                .steps = {{.tasks = tasks,
-                           .size = {.milli_cpus = milli_cpus, .memory_mb = 1},
-                           .estimate = milliseconds(1'000)}}};
-    }
-
-    queue_terms terms() const
-    {
-        return {.name = "queue",
-                .service = "service",
-                .most_attempts = 2,
-                .stretch = 2,
-                .target = milliseconds(500)};
-    }
-
-    /// Lists and reports the worker, and stores what is waiting, so that it can be used.
-    void make_usable(const worker_report& report = {.life = 1})
-    {
-        state.on_worker_list({worker()}, time);
-        state.on_report(0, report, time, wall);
-        store();
-    }
-
-    void store()
-    {
-        while (state.has_changes(0)) {
-            state.take_batch(0, 30, wall);
-            state.on_stored(0, milliseconds(5));
-        }
-    }
-
-    void submit(const job_spec& spec)
-    {
-        state.submit(1, spec, terms(), time, wall);
-        store();
-    }
-
-    workflow_actions next(milliseconds later = milliseconds(60))
-    {
-        time += later;
-        state.tick(time);
-        return state.take_actions();
-    }
-};
-
-} // namespace
-
 TEST_CASE("an owner takes over workers whose runs it does not know")
 {
-    bench one;
+    driven_state one;
     auto in_roster = one.worker();
     in_roster.capacity = {};
     in_roster.leaving = true;
@@ -107,7 +38,7 @@
 
 TEST_CASE("a failed run counts once, however often its worker tells of it")
 {
-    bench one;
+    driven_state one;
     one.make_usable();
     one.submit(one.job("fedcba9876543210", 1'000));
     const auto first = one.next().starts;
@@ -150,7 +81,7 @@
 
 TEST_CASE("a job is shown and acted on only once it is stored")
 {
-    bench one;
+    driven_state one;
     one.make_usable();
     one.state.submit(5, one.job("fedcba9876543210", 1'000), one.terms(), one.time, wall);
 
@@ -182,8 +113,11 @@
         one.state.set_store_available(false);
         one.state.submit(7, one.job("0000000000000001", 1'000), one.terms(), one.time, wall);
         const auto actions = one.next();
-        REQUIRE(actions.answers.size() == 1);
-        CHECK(actions.answers[0].what == caller_answer::kind::refused);
-        CHECK(actions.answers[0].retry_after > milliseconds(0));
+        REQUIRE(actions.answers.size() == 2); // The first job was in no transaction yet.
+        for (const auto& answer : actions.answers) {
+            CHECK(answer.what == caller_answer::kind::refused);
+            CHECK(answer.retry_after > milliseconds(0));
+        }
+        CHECK(actions.starts.empty());
     }
 }
--- /dev/null
+++ b/flamingoseam/workflow/workflow_storing_test.cpp
@@ -0,0 +1,96 @@
+#include "tests/driven_state.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace flamingoseam;
+using namespace flamingoseam::workflow;
+
+namespace {
+
+constexpr std::size_t most_entries = 30;
+
+record_batch take(driven_state& one, std::size_t chain)
+{
+    return one.state.take_batch(chain, most_entries, one.time, wall);
+}
+
+void hand_in(driven_state& one, const std::string& id)
+{
+    one.state.submit(1, one.job(id, 1'000), one.terms(), one.time, wall);
+}
+
+} // namespace
+
+TEST_CASE("several chains of transactions share the changes")
+{
+    driven_state one;
+    one.make_usable();
+    hand_in(one, "0000000000000001");
+    const auto first = take(one, 0);
+    REQUIRE(first.changes.size() == 1);
+    hand_in(one, "0000000000000002");
+
+    SECTION("the first chain alone writes while the store is fast")
+    {
+        CHECK_FALSE(one.state.has_changes(1, one.time));
+        CHECK(take(one, 1).changes.empty());
+        one.state.on_stored(0);
+        CHECK(one.state.has_changes(0, one.time));
+        CHECK(take(one, 0).changes.size() == 1);
+    }
+    SECTION("the next one helps when a write takes long")
+    {
+        one.time += milliseconds(60);
+        CHECK(one.state.has_changes(1, one.time));
+        CHECK_FALSE(one.state.has_changes(2, one.time));
+        const auto second = take(one, 1);
+        REQUIRE(second.changes.size() == 1);
+        CHECK(second.changes[0].key == "fs/job/0000000000000002");
+    }
+    SECTION("a job that is being written is in no other transaction")
+    {
+        one.time += milliseconds(60);
+        one.state.cancel(2, "0000000000000001", wall);
+        const auto second = take(one, 1);
+        REQUIRE(second.changes.size() == 1);
+        CHECK(second.changes[0].key == "fs/job/0000000000000002");
+        one.state.on_stored(0);
+        const auto third = take(one, 0);
+        REQUIRE_FALSE(third.changes.empty());
+        CHECK(third.changes[0].key == "fs/progress/0000000000000001");
+    }
+}
+
+TEST_CASE("a store that falls silent")
+{
+    driven_state one;
+    one.make_usable();
+    hand_in(one, "0000000000000001");
+    REQUIRE(take(one, 0).changes.size() == 1);
+    hand_in(one, "0000000000000002");
+    one.state.set_store_available(false);
+
+    SECTION("lets jobs be refused that were in no transaction yet, at once")
+    {
+        const auto actions = one.next();
+        REQUIRE(actions.answers.size() == 1);
+        CHECK(actions.answers[0].what == caller_answer::kind::refused);
+        CHECK_FALSE(one.state.find("0000000000000002"));
+    }
+    SECTION("leaves a job open that may have been stored")
+    {
+        CHECK(one.state.find("0000000000000001"));
+        one.state.on_stored(0);
+        const auto actions = one.next();
+        REQUIRE(actions.answers.size() == 2);
+        CHECK(actions.answers[1].what == caller_answer::kind::stored);
+    }
+    SECTION("a refused job may be handed in again")
+    {
+        one.state.set_store_available(true);
+        one.state.on_stored(0);
+        hand_in(one, "0000000000000002");
+        one.store();
+        CHECK(one.state.find("0000000000000002"));
+    }
+}
--- /dev/null
+++ b/tests/driven_state.hpp
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "flamingoseam/workflow/workflow_state.hpp"
+
+namespace flamingoseam::workflow {
+
+inline constexpr wall_time wall{1'000'000};
+
+/// A state with one worker, driven by hand.
+struct driven_state {
+    workflow_state state{{.epoch = 2, .chains = 3}};
+    time_point time{std::chrono::hours(1)};
+
+    worker_entry worker(std::int64_t milli_cpus = 8'000) const
+    {
+        return {.id = "w",
+                .life = 1,
+                .service = "service",
+                .address = {"127.0.0.1", 1},
+                .capacity = {.milli_cpus = milli_cpus, .memory_mb = 16'000}};
+    }
+
+    job_spec job(const std::string& id, std::int64_t milli_cpus, int tasks = 1) const
+    {
+        return {.id = id,
+                .queue = "queue",
+                .payload = {},
+                .steps = {{.tasks = tasks,
+                           .size = {.milli_cpus = milli_cpus, .memory_mb = 1},
+                           .estimate = milliseconds(1'000)}}};
+    }
+
+    queue_terms terms() const
+    {
+        return {.name = "queue",
+                .service = "service",
+                .most_attempts = 2,
+                .stretch = 2,
+                .target = milliseconds(500)};
+    }
+
+    /// Lists and reports the worker, and stores what is waiting, so that it can be used.
+    void make_usable(const worker_report& report = {.life = 1})
+    {
+        state.on_worker_list({worker()}, time);
+        state.on_report(0, report, time, wall);
+        store();
+    }
+
+    void store()
+    {
+        while (state.has_changes(0, time)) {
+            state.take_batch(0, 30, time, wall);
+            state.on_stored(0);
+        }
+    }
+
+    void submit(const job_spec& spec)
+    {
+        state.submit(1, spec, terms(), time, wall);
+        store();
+    }
+
+    workflow_actions next(milliseconds later = milliseconds(60))
+    {
+        time += later;
+        state.tick(time);
+        return state.take_actions();
+    }
+};
+
+} // namespace flamingoseam::workflow
--- a/tests/workflow_model.cpp
+++ b/tests/workflow_model.cpp
@@ -411,7 +411,7 @@
 
 void workflow_model::write_chain(const std::shared_ptr<owner>& one, std::size_t chain)
 {
-    if (one->writing.count(chain) > 0 || !one->alive || !one->state.has_changes(chain)) {
+    if (one->writing.count(chain) > 0 || !one->alive || !one->state.has_changes(chain, clock())) {
         return;
     }
     one->writing.insert(chain);
@@ -422,17 +422,20 @@
         });
         return;
     }
-    const auto batch = one->state.take_batch(chain, 6, day_begins + now_);
-    const auto began = now_;
-    at(between(5, 150), [this, one, batch, chain, began] {
+    const auto batch = one->state.take_batch(chain, 6, clock(), day_begins + now_);
+    if (batch.changes.empty()) {
+        one->writing.erase(chain);
+        return;
+    }
+    at(between(5, 150), [this, one, batch, chain] {
         if (one->epoch != epoch_) {
             return; // The chain's condition refuses an earlier owner.
         }
         apply(batch);
-        at(between(1, 20), [this, one, chain, began] {
+        at(between(1, 20), [this, one, chain] {
             one->writing.erase(chain);
             if (one->alive) {
-                one->state.on_stored(chain, now_ - began);
+                one->state.on_stored(chain);
                 pump(one);
             }
         });
