Let runs of less urgent queues yield to gangs; measure decisions in simulated time

Room that drains for a gang is used by nobody meanwhile.

Change: when a gang would wait 0.3 s longer without it, runs that checkpoint, belong to a less urgent queue and whose job keeps 2 s of slack are stopped on the gang's workers once its tickets are there. Stops leave in the pass that decides them, no longer in the next one.

--- /dev/null
+++ b/bench/workflow_bench.cpp
@@ -0,0 +1,771 @@
+/// Measures the decisions about jobs of several steps in simulated time: both deployments' loads,
+/// at several multiples, with sound and with slow workers, beside simpler orders of work. No
+/// processes, sockets or clocks; the same seed gives the same work.
+#include "flamingoseam/workflow/workflow_state.hpp"
+
+#include <gflags/gflags.h>
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstdio>
+#include <functional>
+#include <queue>
+#include <random>
+
+DEFINE_uint64(seed, 1, "seed of sizes, arrivals and run times");
+DEFINE_int32(seconds, 34, "length of the traffic in simulated seconds");
+DEFINE_string(deployment, "", "leisure or gallery; both when empty");
+DEFINE_string(day, "", "calm, bursts, slow, high or double; all when empty");
+DEFINE_string(order, "", "order of work; several when empty");
+
+namespace {
+
+using namespace flamingoseam;
+using namespace flamingoseam::workflow;
+
+constexpr wall_time day_begins{1'000'000'000};
+constexpr milliseconds tick{50};
+constexpr milliseconds report_interval{800};
+constexpr milliseconds message_time{3};
+constexpr milliseconds store_time{30};
+constexpr std::size_t batch_entries = 30;
+constexpr std::size_t lanes = 8; ///< Nodes that ask the permission service.
+constexpr milliseconds long_call{150};
+constexpr double most_worth = 4; ///< Of a job, as a multiple of its queue's mean.
+constexpr double late_share = 0.2;
+constexpr std::size_t workers = 48;
+constexpr double usable_share = 0.7; ///< Of the permitted workers, that the widest gang takes.
+constexpr double rate_of_failure = 0.02;
+
+/// A queue's load.
+struct load_class {
+    queue_terms terms;
+    double per_second = 0;
+    double worth = 0;
+    double steps = 1;
+    double most_steps = 3;
+    double tasks = 1;
+    double most_tasks = 48;
+    milliseconds work{0};
+    milliseconds most_work{0};
+    std::int64_t milli_cpus = 0;
+    std::int64_t most_milli_cpus = 0;
+    std::int64_t memory_mb = 0;
+    double estimate_error = 0; ///< Spread of the declared run time around the real one.
+    double gangs = 0;
+    double checkpoints = 0; ///< Share of the jobs whose tasks can go on after a stop.
+    double permitted = 1;   ///< Share of the workers that may run a step.
+};
+
+struct deployment {
+    std::string name;
+    resources worker;
+    std::vector<load_class> queues;
+};
+
+queue_terms terms_of(const std::string& name, int priority, int attempts, double stretch,
+                     int target_ms, permission_terms permission)
+{
+    return {.name = name,
+            .service = "service",
+            .priority = priority,
+            .most_attempts = attempts,
+            .stretch = stretch,
+            .target = milliseconds(target_ms),
+            .permission = permission};
+}
+
+deployment leisure()
+{
+    using ms = milliseconds;
+    const auto advice = [](double call, double worker) {
+        return permission_terms{fractional_ms(call), fractional_ms(worker), ms(2'000)};
+    };
+    return {.name = "leisure",
+            .worker = {.milli_cpus = 64'000, .memory_mb = 131'072},
+            .queues = {{.terms = terms_of("batch", 1, 3, 2.2, 1'000, advice(410, 5.9)),
+                        .per_second = 1.8,
+                        .worth = 13.2,
+                        .steps = 1.2,
+                        .tasks = 8,
+                        .most_tasks = 48,
+                        .work = ms(4'000),
+                        .most_work = ms(10'000),
+                        .milli_cpus = 18'000,
+                        .most_milli_cpus = 30'000,
+                        .memory_mb = 33'000,
+                        .estimate_error = 0.2,
+                        .gangs = 1,
+                        .permitted = 0.3},
+                       {.terms = terms_of("review", 2, 2, 4, 3'000, advice(53, 0.75)),
+                        .per_second = 6.79,
+                        .worth = 2.18,
+                        .steps = 1.5,
+                        .tasks = 10,
+                        .most_tasks = 60,
+                        .work = ms(2'200),
+                        .most_work = ms(5'400),
+                        .milli_cpus = 3'900,
+                        .most_milli_cpus = 12'000,
+                        .memory_mb = 7'200,
+                        .estimate_error = 0.9,
+                        .checkpoints = 0.8,
+                        .permitted = 0.45},
+                       {.terms = terms_of("gate", 0, 4, 1.5, 250, advice(7.4, 0.11)),
+                        .per_second = 48.1,
+                        .worth = 0.431,
+                        .tasks = 2,
+                        .most_tasks = 12,
+                        .work = ms(640),
+                        .most_work = ms(1'600),
+                        .milli_cpus = 5'600,
+                        .most_milli_cpus = 17'000,
+                        .memory_mb = 10'000,
+                        .estimate_error = 0.2,
+                        .gangs = 0.3,
+                        .permitted = 0.7}}};
+}
+
+deployment gallery()
+{
+    auto result = leisure();
+    result.name = "gallery";
+    result.worker = {.milli_cpus = 16'000, .memory_mb = 32'768};
+    const std::array<double, 3> rates{1.18, 5.46, 38.7};
+    const std::array<double, 3> worths{15.9, 2.15, 0.425};
+    const std::array<int, 3> work_ms{6'200, 2'700, 800};
+    for (std::size_t index = 0; index < result.queues.size(); ++index) {
+        auto& queue = result.queues[index];
+        queue.per_second = rates.at(index);
+        queue.worth = worths.at(index);
+        queue.work = milliseconds(work_ms.at(index));
+        queue.most_work = queue.work * 5 / 2;
+        queue.milli_cpus /= 4;
+        queue.most_milli_cpus /= 4;
+        queue.memory_mb /= 4;
+    }
+    return result;
+}
+
+/// What is unusual about a day.
+struct scenario {
+    std::string name;
+    double load = 1;
+    bool bursts = false;   ///< Of gate checks, then of batches.
+    double slow_share = 0; ///< Workers that are slow for some seconds.
+};
+
+constexpr double gate_burst = 2.0;
+constexpr double batch_burst = 1.7;
+constexpr std::array gate_burst_s{8.0, 12.0};
+constexpr std::array batch_burst_s{20.0, 24.0};
+constexpr std::array<milliseconds, 2> slow_time{milliseconds(5'000), milliseconds(12'000)};
+constexpr double slowness = 5;
+
+/// One job as it is: what it needs, where it may run, how long its tasks take.
+struct real_job {
+    const load_class* queue = nullptr;
+    job_spec spec;
+    milliseconds arrival{0};
+    milliseconds target{0};
+    double worth = 0;
+    std::vector<std::vector<milliseconds>> lengths; ///< By step and task, on a worker of speed 1.
+    std::optional<milliseconds> completed;
+    std::optional<milliseconds> first_start;
+    std::uint64_t permit_seed = 0;
+};
+
+struct sim_run {
+    milliseconds begins{0}; ///< When a gang's last member came.
+    milliseconds length{0}; ///< On a worker of speed 1.
+    std::size_t pace = 0;   ///< The worker that sets the pace; of a gang the slowest.
+    bool running = false;
+};
+
+struct sim_worker {
+    double speed = 1;
+    bool slow_later = false;
+    std::map<run_name, sim_run> runs;
+    std::vector<ended_run> ended;
+    std::int64_t last_end = 0;
+    bool report_due = false;
+};
+
+class simulation {
+public:
+    simulation(const deployment& place, const scenario& day, std::uint64_t seed, step_order order)
+        : place_(place), day_(day), random_(seed), state_({.order = std::move(order)})
+    {
+        make_workers();
+        make_jobs();
+    }
+
+    void run()
+    {
+        at(milliseconds(0), [this] { step(); });
+        const auto end = milliseconds(FLAGS_seconds * 1'000 + 40'000);
+        while (!events_.empty() && events_.top().time <= end) {
+            auto event = events_.top();
+            events_.pop();
+            now_ = event.time;
+            event.what();
+        }
+    }
+
+    void print(const std::string& name) const
+    {
+        double owed = 0;
+        double earned = 0;
+        std::map<std::string, std::pair<double, double>> by_queue;
+        std::map<std::string, std::vector<double>> waits;
+        for (const auto& job : jobs_) {
+            const double credit = credit_of(job);
+            owed += job.worth;
+            earned += credit;
+            auto& sums = by_queue[job.spec.queue];
+            sums.first += credit;
+            sums.second += job.worth;
+        }
+        std::printf("%-8s %-6s | %-9s | %5.3f |", place_.name.c_str(), day_.name.c_str(),
+                    name.c_str(), earned / owed);
+        for (const auto& [queue, sums] : by_queue) {
+            std::printf(" %s %5.3f", queue.c_str(), sums.first / sums.second);
+        }
+        std::printf(" | %5.3f | %lld starts, %lld asked, %lld yielded\n", bound(),
+                    (long long)state_.counts().starts,
+                    (long long)state_.counts().permission_requests,
+                    (long long)state_.counts().yielded_runs);
+    }
+
+private:
+    struct event {
+        milliseconds time;
+        std::uint64_t number;
+        std::function<void()> what;
+        bool operator<(const event& other) const
+        {
+            return std::tie(other.time, other.number) < std::tie(time, number);
+        }
+    };
+
+    time_point clock() const { return time_point(now_ + std::chrono::hours(1)); }
+    wall_time wall() const { return day_begins + now_; }
+
+    void at(milliseconds delay, std::function<void()> what)
+    {
+        events_.push({now_ + delay, ++last_event_, std::move(what)});
+    }
+
+    double lognormal(double mean, double spread)
+    {
+        const double sigma = std::sqrt(std::log(1 + spread * spread));
+        return std::lognormal_distribution<double>(std::log(mean) - sigma * sigma / 2,
+                                                   sigma)(random_);
+    }
+
+    int count(double mean, double spread, double most)
+    {
+        return static_cast<int>(std::clamp(std::round(lognormal(mean, spread)), 1.0, most));
+    }
+
+    void make_workers()
+    {
+        constexpr std::array speeds{0.8, 1.0, 1.25};
+        std::vector<worker_entry> entries;
+        for (std::size_t index = 0; index < workers; ++index) {
+            sim_worker one{.speed = speeds.at(index % speeds.size())};
+            one.slow_later = static_cast<double>(index) < day_.slow_share * workers;
+            workers_.push_back(one);
+            entries.push_back({.id = "w" + std::to_string(index),
+                               .life = 1,
+                               .service = "service",
+                               .address = {"127.0.0.1", static_cast<unsigned short>(index + 1)},
+                               .rack = "r" + std::to_string(index / 8),
+                               .capacity = place_.worker});
+        }
+        state_.on_worker_list(entries, clock());
+        for (std::size_t index = 0; index < workers; ++index) {
+            state_.on_report(index, {.life = 1}, clock(), wall());
+            at(milliseconds(static_cast<int>(index) * 16), [this, index] { report_often(index); });
+        }
+    }
+
+    void make_jobs()
+    {
+        for (const auto& queue : place_.queues) {
+            double time = 0;
+            while (true) {
+                time += std::exponential_distribution<double>(rate_at(queue, time))(random_);
+                if (time >= FLAGS_seconds) {
+                    break;
+                }
+                jobs_.push_back(make_job(queue, milliseconds(static_cast<int>(time * 1'000))));
+            }
+        }
+        std::ranges::sort(jobs_, {}, &real_job::arrival);
+        std::map<std::string, std::pair<double, int>> work;
+        for (auto& job : jobs_) {
+            char id[17];
+            std::snprintf(id, sizeof id, "%016zx",
+                          static_cast<std::size_t>(&job - jobs_.data()) + 1);
+            job.spec.id = id;
+            auto& sum = work[job.spec.queue];
+            sum.first += core_seconds(job);
+            ++sum.second;
+        }
+        for (std::size_t index = 0; index < jobs_.size(); ++index) {
+            auto& job = jobs_[index];
+            const auto& [sum, number] = work[job.spec.queue];
+            const double relative = core_seconds(job) / (sum / number);
+            job.worth = job.queue->worth * std::min(most_worth, 0.3 + 0.7 * relative);
+            at(job.arrival, [this, index] { submit(index); });
+        }
+    }
+
+    double rate_at(const load_class& queue, double time) const
+    {
+        const auto is_in = [time](const std::array<double, 2>& span) {
+            return span[0] <= time && time < span[1];
+        };
+        const double usual = queue.per_second * day_.load;
+        if (day_.bursts && queue.terms.name == "gate" && is_in(gate_burst_s)) {
+            return usual * gate_burst;
+        }
+        return day_.bursts && queue.terms.name == "batch" && is_in(batch_burst_s)
+                   ? usual * batch_burst
+                   : usual;
+    }
+
+    static double core_seconds(const real_job& job)
+    {
+        double sum = 0;
+        for (std::size_t step = 0; step < job.lengths.size(); ++step) {
+            for (const auto length : job.lengths[step]) {
+                sum += static_cast<double>(length.count()) * 1e-6 *
+                       static_cast<double>(job.spec.steps[step].size.milli_cpus);
+            }
+        }
+        return sum;
+    }
+
+    real_job make_job(const load_class& queue, milliseconds arrival)
+    {
+        real_job job{.queue = &queue, .arrival = arrival, .permit_seed = random_()};
+        job.spec.queue = queue.terms.name;
+        const int steps = count(queue.steps, 0.4, queue.most_steps);
+        const bool checkpoints = std::bernoulli_distribution(queue.checkpoints)(random_);
+        milliseconds chain{0};
+        for (int index = 0; index < steps; ++index) {
+            step_spec step;
+            step.tasks = count(queue.tasks, 0.8, queue.most_tasks);
+            step.size.milli_cpus = std::min<std::int64_t>(
+                queue.most_milli_cpus,
+                static_cast<std::int64_t>(lognormal(static_cast<double>(queue.milli_cpus), 0.4)));
+            step.size.memory_mb = std::min<std::int64_t>(
+                2 * queue.memory_mb,
+                static_cast<std::int64_t>(lognormal(static_cast<double>(queue.memory_mb), 0.5)));
+            step.gang = std::bernoulli_distribution(queue.gangs)(random_);
+            if (step.gang) {
+                const int room = tasks_that_fit(step.size, place_.worker);
+                const double usable = usable_share * queue.permitted * workers;
+                step.tasks = std::min(step.tasks, static_cast<int>(usable * room));
+            }
+            const auto work =
+                std::min<double>(static_cast<double>(queue.most_work.count()),
+                                 lognormal(static_cast<double>(queue.work.count()), 0.5));
+            step.estimate =
+                milliseconds(static_cast<int>(work * lognormal(1, queue.estimate_error)) + 1);
+            step.checkpoints = checkpoints;
+            if (index > 0) {
+                step.after = {index - 1};
+            }
+            std::vector<milliseconds> lengths;
+            double longest = 0;
+            for (int task = 0; task < step.tasks; ++task) {
+                const double length = work * lognormal(1, step.gang ? 0.01 : 0.2);
+                longest = std::max(longest, length);
+                lengths.emplace_back(static_cast<int>(length) + 1);
+            }
+            chain += milliseconds(static_cast<int>(longest));
+            job.lengths.push_back(std::move(lengths));
+            job.spec.steps.push_back(std::move(step));
+        }
+        job.target =
+            queue.terms.target + milliseconds(static_cast<int>(static_cast<double>(chain.count()) *
+                                                               queue.terms.stretch));
+        return job;
+    }
+
+    void submit(std::size_t index)
+    {
+        const auto& job = jobs_[index];
+        state_.submit(0, job.spec, job.queue->terms, clock(), wall());
+        pump();
+    }
+
+    /// The steps that the real owner takes at each tick.
+    void step()
+    {
+        pump();
+        at(tick, [this] { step(); });
+    }
+
+    void pump()
+    {
+        state_.tick(clock());
+        for (auto actions = state_.take_actions(); !is_empty(actions);
+             actions = state_.take_actions()) {
+            carry_out(std::move(actions));
+        }
+        store();
+    }
+
+    static bool is_empty(const workflow_actions& actions)
+    {
+        return actions.starts.empty() && actions.stops.empty() && actions.permissions.empty() &&
+               actions.notes.empty() && actions.answers.empty() && actions.forgets.empty() &&
+               actions.reports_needed.empty();
+    }
+
+    void carry_out(workflow_actions actions)
+    {
+        for (const auto& order : actions.starts) {
+            at(message_time, [this, order] { start(order); });
+        }
+        for (const auto& order : actions.stops) {
+            at(message_time, [this, order] { stop(order); });
+        }
+        for (const auto& request : actions.permissions) {
+            waiting_.emplace(std::pair(request.priority, request.number), request);
+        }
+        for (const auto& note : actions.notes) {
+            if (note.event == "completed") {
+                jobs_[std::stoul(note.job, nullptr, 16) - 1].completed = now_ + store_time;
+            }
+        }
+        ask();
+    }
+
+    void store()
+    {
+        if (storing_ || !state_.has_changes(0, clock())) {
+            return;
+        }
+        if (state_.take_batch(0, batch_entries, clock(), wall()).changes.empty()) {
+            return;
+        }
+        storing_ = true;
+        at(store_time, [this] {
+            storing_ = false;
+            state_.on_stored(0);
+            pump();
+        });
+    }
+
+    void ask()
+    {
+        for (auto one = waiting_.begin(); one != waiting_.end() && asking_ < lanes;) {
+            const bool is_long = one->second.service_time >= long_call;
+            if (is_long && long_calls_ >= lanes / 2) {
+                ++one;
+                continue;
+            }
+            ++asking_;
+            long_calls_ += is_long ? 1 : 0;
+            at(one->second.service_time + message_time, [this, request = one->second, is_long] {
+                --asking_;
+                long_calls_ -= is_long ? 1 : 0;
+                state_.on_permission(request.number, grants_of(request), clock());
+                pump();
+                ask();
+            });
+            one = waiting_.erase(one);
+        }
+    }
+
+    std::vector<ticket_grant> grants_of(const permission_request& request) const
+    {
+        const auto& job = jobs_[std::stoul(request.job, nullptr, 16) - 1];
+        std::vector<ticket_grant> grants;
+        for (const auto& worker : request.workers) {
+            std::mt19937_64 draw(job.permit_seed + std::stoul(worker.substr(1)) * 977 +
+                                 static_cast<std::uint64_t>(request.step) * 7919);
+            if (std::uniform_real_distribution<double>(0, 1)(draw) < job.queue->permitted) {
+                grants.push_back({worker, "ticket"});
+            }
+        }
+        return grants;
+    }
+
+    void start(const start_order& order)
+    {
+        auto& job = jobs_[std::stoul(order.name.task.job, nullptr, 16) - 1];
+        auto& worker = workers_[order.worker];
+        const auto step = static_cast<std::size_t>(order.name.task.step);
+        const auto length = job.lengths[step][static_cast<std::size_t>(order.name.task.index)];
+        auto& run = worker.runs[order.name];
+        run.length = left_of(length, order.checkpoint);
+        if (!job.first_start) {
+            job.first_start = now_;
+        }
+        state_.on_start(order.worker, order.name, start_outcome::started, clock());
+        if (!job.spec.steps[step].gang) {
+            begin(order.worker, order.name, run.length, order.worker);
+            return;
+        }
+        auto& gang = gangs_[{order.name.task.job, order.name.task.step, order.name.run}];
+        gang.push_back({order.worker, order.name});
+        if (static_cast<int>(gang.size()) == job.spec.steps[step].tasks) {
+            begin_gang(gang);
+        }
+    }
+
+    /// Returns the work that is left after a checkpoint, which names the work that was done.
+    static milliseconds left_of(milliseconds length, const std::string& checkpoint)
+    {
+        constexpr milliseconds restore_time{100};
+        if (checkpoint.empty()) {
+            return length;
+        }
+        const milliseconds done(std::stol(checkpoint));
+        return std::max(milliseconds(1), length - done) + restore_time;
+    }
+
+    void begin_gang(const std::vector<std::pair<std::size_t, run_name>>& gang)
+    {
+        milliseconds longest{0};
+        auto slowest = gang.front().first;
+        for (const auto& [worker, name] : gang) {
+            const auto found = workers_[worker].runs.find(name);
+            if (found == workers_[worker].runs.end()) {
+                return; // Stopped meanwhile.
+            }
+            longest = std::max(longest, found->second.length);
+            if (time_for(worker, longest) > time_for(slowest, longest)) {
+                slowest = worker;
+            }
+        }
+        for (const auto& [worker, name] : gang) {
+            begin(worker, name, longest, slowest);
+        }
+    }
+
+    void begin(std::size_t worker, const run_name& name, milliseconds length, std::size_t pace)
+    {
+        auto& run = workers_[worker].runs[name];
+        run.begins = now_;
+        run.length = length;
+        run.pace = pace;
+        run.running = true;
+        const bool fails = std::bernoulli_distribution(rate_of_failure / 4)(random_);
+        at(time_for(pace, length), [this, worker, name, fails] {
+            end(worker, name, fails ? run_end::failed : run_end::done);
+        });
+    }
+
+    double speed_at(std::size_t worker, milliseconds time) const
+    {
+        const auto& one = workers_[worker];
+        const bool slow = one.slow_later && slow_time[0] <= time && time < slow_time[1];
+        return slow ? one.speed / slowness : one.speed;
+    }
+
+    /// Returns the work, in milliseconds of a worker of speed 1, that is done in a span of time.
+    double work_between(std::size_t worker, milliseconds from, milliseconds to) const
+    {
+        double work = 0;
+        for (auto time = from; time < to;) {
+            auto next = to;
+            for (const auto change : slow_time) {
+                next = change > time ? std::min(next, change) : next;
+            }
+            work += speed_at(worker, time) * static_cast<double>((next - time).count());
+            time = next;
+        }
+        return work;
+    }
+
+    /// Returns how long a worker takes from now for work of such a length.
+    milliseconds time_for(std::size_t worker, milliseconds length) const
+    {
+        constexpr milliseconds precision{10};
+        auto end = now_;
+        double left = static_cast<double>(length.count());
+        while (left > 0) {
+            left -= work_between(worker, end, end + precision);
+            end += precision;
+        }
+        return end - now_;
+    }
+
+    void end(std::size_t worker, const run_name& name, run_end how)
+    {
+        auto& one = workers_[worker];
+        const auto run = one.runs.find(name);
+        if (run == one.runs.end()) {
+            return;
+        }
+        const auto checkpoint = how == run_end::stopped ? checkpoint_of(name, run->second) : "";
+        one.runs.erase(run);
+        one.ended.push_back(
+            {.number = ++one.last_end, .name = name, .how = how, .checkpoint = checkpoint});
+        if (!one.report_due) {
+            one.report_due = true;
+            at(message_time * 2, [this, worker] { report(worker); });
+        }
+    }
+
+    std::string checkpoint_of(const run_name& name, const sim_run& run) const
+    {
+        const auto& job = jobs_[std::stoul(name.task.job, nullptr, 16) - 1];
+        const auto step = static_cast<std::size_t>(name.task.step);
+        const auto whole = job.lengths[step][static_cast<std::size_t>(name.task.index)];
+        const double done = run.running ? work_between(run.pace, run.begins, now_) : 0;
+        return std::to_string((whole - run.length).count() + static_cast<long>(done));
+    }
+
+    void stop(const stop_order& order)
+    {
+        state_.on_stop(order.worker, order.name, clock());
+        end(order.worker, order.name, run_end::stopped);
+    }
+
+    void report(std::size_t worker)
+    {
+        auto& one = workers_[worker];
+        one.report_due = false;
+        worker_report said{.life = 1, .ended = std::exchange(one.ended, {}), .asked = clock()};
+        for (const auto& [name, run] : one.runs) {
+            const double done = run.running ? work_between(run.pace, run.begins, now_) : 0;
+            const double percent = 100 * done / static_cast<double>(run.length.count() + 1);
+            said.present.push_back(
+                {.name = name, .percent = static_cast<int>(std::min(99.0, percent))});
+        }
+        state_.on_report(worker, said, clock(), wall());
+        pump();
+    }
+
+    void report_often(std::size_t worker)
+    {
+        report(worker);
+        at(report_interval, [this, worker] { report_often(worker); });
+    }
+
+    static double credit_of(const real_job& job)
+    {
+        constexpr int late_multiple = 3;
+        if (!job.completed) {
+            return 0;
+        }
+        const auto took = *job.completed - job.arrival;
+        if (took <= job.target) {
+            return job.worth;
+        }
+        return took <= late_multiple * job.target ? late_share * job.worth : 0;
+    }
+
+    /// The share of the worth that fits into the workers' time when work may be cut at will and is
+    /// done in the order of its worth for each second of a processor.
+    double bound() const
+    {
+        double room = 0;
+        for (const auto& worker : workers_) {
+            room += worker.speed * static_cast<double>(place_.worker.milli_cpus) / 1'000 *
+                    (FLAGS_seconds + 8.0);
+        }
+        auto by_density = std::vector<const real_job*>();
+        double owed = 0;
+        for (const auto& job : jobs_) {
+            by_density.push_back(&job);
+            owed += job.worth;
+        }
+        std::ranges::sort(by_density, std::greater(),
+                          [](const real_job* job) { return job->worth / core_seconds(*job); });
+        double earned = 0;
+        for (const auto* job : by_density) {
+            const double need = core_seconds(*job);
+            const double share = std::clamp(room / need, 0.0, 1.0);
+            earned += share * job->worth;
+            room -= share * need;
+        }
+        return earned / owed;
+    }
+
+    const deployment& place_;
+    scenario day_;
+    std::mt19937_64 random_;
+    workflow_state state_;
+    std::vector<sim_worker> workers_;
+    std::vector<real_job> jobs_;
+    std::map<std::tuple<std::string, int, std::int64_t>,
+             std::vector<std::pair<std::size_t, run_name>>>
+        gangs_;
+    std::map<std::pair<int, std::uint64_t>, permission_request> waiting_;
+    std::size_t asking_ = 0;
+    std::size_t long_calls_ = 0;
+    bool storing_ = false;
+    std::priority_queue<event> events_;
+    std::uint64_t last_event_ = 0;
+    milliseconds now_{0};
+};
+
+struct named_order {
+    std::string name;
+    step_order order;
+};
+
+template <typename Key> step_order by(Key key)
+{
+    return [key](std::vector<ready_step>& steps, time_point /*time*/) {
+        std::ranges::stable_sort(steps, {}, key);
+    };
+}
+
+std::vector<named_order> all_orders()
+{
+    std::mt19937_64 random(FLAGS_seed);
+    return {{"urgency", sort_by_urgency},
+            {"arrival", by([](const ready_step& step) { return step.job->sequence; })},
+            {"priority", by([](const ready_step& step) {
+                 return std::pair(step.job->terms.priority, step.job->sequence);
+             })},
+            {"shortest", by([](const ready_step& step) { return remaining_chain(*step.job); })},
+            {"random", [random](std::vector<ready_step>& steps, time_point /*time*/) mutable {
+                 std::ranges::shuffle(steps, random);
+             }}};
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::SetUsageMessage("prints the share of the worth that each order of work earns");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    std::printf("seed %llu, %d s of traffic\n", static_cast<unsigned long long>(FLAGS_seed),
+                FLAGS_seconds);
+    std::printf("place    day    | order     | worth | by queue | bound | messages\n");
+    const std::vector<scenario> days = {{.name = "calm"},
+                                        {.name = "bursts", .bursts = true},
+                                        {.name = "slow", .bursts = true, .slow_share = 0.17},
+                                        {.name = "high", .load = 1.5},
+                                        {.name = "double", .load = 2.0, .slow_share = 0.35}};
+    for (const auto& place : {leisure(), gallery()}) {
+        if (!FLAGS_deployment.empty() && FLAGS_deployment != place.name) {
+            continue;
+        }
+        for (const auto& day : days) {
+            if (!FLAGS_day.empty() && FLAGS_day != day.name) {
+                continue;
+            }
+            for (const auto& [name, order] : all_orders()) {
+                if (FLAGS_order.empty() || FLAGS_order == name) {
+                    simulation one(place, day, FLAGS_seed, order);
+                    one.run();
+                    one.print(name);
+                }
+            }
+        }
+    }
+    return 0;
+}
--- a/flamingoseam/workflow/gang_holds.cpp
+++ b/flamingoseam/workflow/gang_holds.cpp
@@ -25,11 +25,14 @@
 }
 
 /// Returns how many tasks will fit on a worker at a moment, going by its runs' expected ends.
-int fits_at(const fleet_worker& worker, const resources& size, time_point moment, time_point time)
+int fits_at(const fleet_worker& worker, const resources& size, time_point moment, time_point time,
+            const yield_test& may_yield)
 {
     auto room = worker.free();
     for (const auto& [name, run] : worker.runs) {
-        if (run.stop_wanted || expected_end(run, time) <= moment) {
+        const bool yields =
+            may_yield && time + gang_holds::yield_time <= moment && may_yield(name, run);
+        if (run.stop_wanted || yields || expected_end(run, time) <= moment) {
             room += run.size;
         }
     }
@@ -40,13 +43,15 @@
 
 std::optional<gang_hold> plan_gang_hold(const fleet& workers,
                                         const std::vector<std::size_t>& offered,
-                                        const ready_step& step, time_point time)
+                                        const ready_step& step, time_point time,
+                                        const yield_test& may_yield)
 {
     const int needed = step.record().waiting();
     for (const auto ahead : look_ahead) {
         std::vector<std::pair<int, std::size_t>> places;
         for (const auto worker : offered) {
-            const int fits = fits_at(workers.at(worker), step.spec().size, time + ahead, time);
+            const int fits =
+                fits_at(workers.at(worker), step.spec().size, time + ahead, time, may_yield);
             if (fits > 0) {
                 places.emplace_back(fits, worker);
             }
@@ -57,7 +62,8 @@
                        .priority = step.job->terms.priority,
                        .workers = {},
                        .expected = time + ahead,
-                       .expires = time + ahead + grace};
+                       .expires = time + ahead + grace,
+                       .needs_yielding = may_yield != nullptr};
         int found = 0;
         for (const auto& [fits, worker] : places) {
             if (found >= needed) {
--- a/flamingoseam/workflow/work_order.hpp
+++ b/flamingoseam/workflow/work_order.hpp
@@ -2,6 +2,7 @@
 
 #include "flamingoseam/workflow/job_record.hpp"
 
+#include <functional>
 #include <vector>
 
 namespace flamingoseam::workflow {
@@ -28,6 +29,9 @@
 /// Returns the lateness of a job that would go on now without waiting. Complexity: linear in steps.
 lateness lateness_of(const job_record& job, time_point time);
 
+/// Brings steps into the order in which they are placed.
+using step_order = std::function<void(std::vector<ready_step>& steps, time_point time)>;
+
 /// Sorts steps into the order in which they are placed. Work that can still be on time goes before
 /// work that is late already; within that, by the contract's priority, then by the time at which a
 /// job has to be done. This answers a burst: without it, late jobs would make others late, too.
--- a/flamingoseam/workflow/workflow_schedule.cpp
+++ b/flamingoseam/workflow/workflow_schedule.cpp
@@ -53,7 +53,7 @@
 {
     holds_.drop_expired(time);
     auto steps = ready_steps(time);
-    sort_by_urgency(steps, time);
+    options_.order(steps, time);
     for (const auto& step : steps) {
         if (step.spec().gang) {
             place_gang(step, time);
@@ -374,16 +374,7 @@
         if (holds_.is_full()) {
             return;
         }
-        std::vector<std::size_t> offered;
-        for (std::size_t worker = 0; worker < fleet_.size(); ++worker) {
-            const auto& one = fleet_.at(worker);
-            if (one.entry.service == step.job->terms.service && one.is_usable(time) &&
-                has_label(one.entry, step.spec().label) && holds_.on_worker(worker) == nullptr &&
-                (!needs_permission || permission.is_permitted(worker))) {
-                offered.push_back(worker);
-            }
-        }
-        auto planned = plan_gang_hold(fleet_, offered, step, time);
+        auto planned = plan_hold(step, time);
         if (!planned) {
             return;
         }
@@ -391,6 +382,7 @@
         hold = holds_.of_step(step.job->spec.id, step.step);
     }
     if (!needs_permission) {
+        make_room(step, *hold, time);
         return;
     }
     std::vector<std::size_t> lapsed;
@@ -402,7 +394,9 @@
     const auto& terms = *step.job->terms.permission;
     const auto service = std::chrono::ceil<milliseconds>(
         terms.decision + terms.per_worker * static_cast<double>(lapsed.size()));
-    if (hold->expected <= time + service + run_ahead_margin) {
+    if (lapsed.empty()) {
+        make_room(step, *hold, time);
+    } else if (hold->expected <= time + service + run_ahead_margin) {
         ask_permission(step, std::move(lapsed), time);
     }
 }
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -28,6 +28,7 @@
     milliseconds ended_retention{150'000}; ///< How long the state of an ended job can be asked for.
     /// Transactions of different chains are under way at one time.
     std::size_t chains = 1;
+    step_order order = sort_by_urgency;
     milliseconds slow_write{60}; ///< A chain that writes for so long lets the next one help.
 };
 
@@ -74,6 +75,7 @@
     std::int64_t lost_runs = 0;
     std::int64_t permission_requests = 0;
     std::int64_t stuck_runs = 0;
+    std::int64_t yielded_runs = 0;
 };
 
 /// All decisions about jobs of several steps, without clocks, threads or sockets: what happens is
@@ -245,6 +247,10 @@
                     time_point time);
     void note_placed(const ready_step& step, int tasks, time_point time);
     void hold_for_gang(const ready_step& step, time_point time);
+    std::optional<gang_hold> plan_hold(const ready_step& step, time_point time);
+    bool may_yield(const run_name& name, const held_run& run, const ready_step& gang,
+                   time_point time);
+    void make_room(const ready_step& gang, const gang_hold& hold, time_point time);
     bool ask_permission(const ready_step& step, std::vector<std::size_t> workers, time_point time);
     std::vector<std::size_t> unasked_workers(const ready_step& step, time_point time);
     std::size_t workers_to_ask(const ready_step& step) const;
--- a/flamingoseam/workflow/workflow_upkeep.cpp
+++ b/flamingoseam/workflow/workflow_upkeep.cpp
@@ -48,13 +48,13 @@
         stop_stuck_runs(time);
         drop_idle_leavers();
     }
-    repeat_stops(time);
-    ask_for_reports(time);
     if (pass_wanted_ || time - last_pass_ >= longest_between_passes) {
         pass_wanted_ = false;
         last_pass_ = time;
         schedule(time);
     }
+    repeat_stops(time);
+    ask_for_reports(time);
 }
 
 void workflow_state::repeat_stops(time_point time)
--- /dev/null
+++ b/flamingoseam/workflow/workflow_yield.cpp
@@ -0,0 +1,96 @@
+#include "flamingoseam/workflow/workflow_state.hpp"
+
+#include <algorithm>
+
+namespace flamingoseam::workflow {
+
+namespace {
+
+/// Waiting that is spared must be worth the work that is done again.
+constexpr milliseconds least_gain{300};
+constexpr milliseconds least_run_time{300};   ///< A run that began just now does not yield.
+constexpr milliseconds slack_to_yield{2'000}; ///< What a job that yields must have left.
+constexpr int nearly_done_percent = 80;
+
+milliseconds slack_of(const job_record& job, time_point time)
+{
+    const auto slack = job.due - time - remaining_chain(job);
+    return std::chrono::duration_cast<milliseconds>(slack);
+}
+
+} // namespace
+
+/// A run yields to a gang of a more urgent queue when it can go on elsewhere from its checkpoint
+/// and its job stays on time all the same. This answers steady load with wide gangs: room that
+/// drains while a gang waits for it is room that nobody uses.
+bool workflow_state::may_yield(const run_name& name, const held_run& run, const ready_step& gang,
+                               time_point time)
+{
+    const auto* job = find_job(name.task.job);
+    if (job == nullptr || is_final(job->phase) || run.stop_wanted ||
+        run.state != held_run::knowledge::present || run.percent >= nearly_done_percent ||
+        time - run.confirmed_at < least_run_time) {
+        return false;
+    }
+    const auto& spec = job->spec.steps[static_cast<std::size_t>(name.task.step)];
+    return spec.checkpoints && !spec.gang && job->terms.priority > gang.job->terms.priority &&
+           slack_of(*job, time) >= slack_to_yield;
+}
+
+/// Plans room for a gang from what ends by itself, and from runs that yield when that is much
+/// sooner.
+std::optional<gang_hold> workflow_state::plan_hold(const ready_step& step, time_point time)
+{
+    const auto& permission = step.record().permission;
+    const bool needs_permission = step.job->terms.permission.has_value();
+    std::vector<std::size_t> offered;
+    for (std::size_t worker = 0; worker < fleet_.size(); ++worker) {
+        const auto& one = fleet_.at(worker);
+        if (one.entry.service == step.job->terms.service && one.is_usable(time) &&
+            has_label(one.entry, step.spec().label) && holds_.on_worker(worker) == nullptr &&
+            (!needs_permission || permission.is_permitted(worker))) {
+            offered.push_back(worker);
+        }
+    }
+    auto patient = plan_gang_hold(fleet_, offered, step, time);
+    const bool is_on_time = lateness_of(*step.job, time) == lateness::on_time;
+    if (!is_on_time || (patient && patient->expected <= time + least_gain)) {
+        return patient;
+    }
+    const auto test = [&](const run_name& name, const held_run& run) {
+        return may_yield(name, run, step, time);
+    };
+    auto yielding = plan_gang_hold(fleet_, offered, step, time, test);
+    const bool is_sooner =
+        yielding && (!patient || yielding->expected + least_gain <= patient->expected);
+    return is_sooner ? yielding : patient;
+}
+
+/// Stops the runs that yield on a gang's workers, as many as it needs.
+void workflow_state::make_room(const ready_step& gang, const gang_hold& hold, time_point time)
+{
+    if (!hold.needs_yielding) {
+        return;
+    }
+    int missing = gang.record().waiting();
+    for (const auto worker : hold.workers) {
+        auto& one = fleet_.at(worker);
+        auto room = one.free();
+        for (const auto& [name, run] : one.runs) {
+            room += run.stop_wanted ? run.size : resources{};
+        }
+        for (auto& [name, run] : one.runs) {
+            const int fits = tasks_that_fit(gang.spec().size, room);
+            if (fits >= missing || !may_yield(name, run, gang, time)) {
+                continue;
+            }
+            room += run.size;
+            ++counts_.yielded_runs;
+            note("run_yields", name.task.job, to_string(name) + " to " + gang.job->spec.id);
+            want_stop(worker, name, run);
+        }
+        missing -= std::min(missing, tasks_that_fit(gang.spec().size, room));
+    }
+}
+
+} // namespace flamingoseam::workflow
