--- a/flamingoseam/node/worker_session.cpp
+++ b/flamingoseam/node/worker_session.cpp
@@ -158,10 +158,10 @@
                                                    .lease_until = lease_until},
                                                   options_.order_timeout);
         note_clock(answer.clock);
-        listener_.on_start(options_.worker, order.name, answer.outcome);
         if (answer.outcome == workflow::start_outcome::fenced) {
-            listener_.on_fenced(options_.worker);
+            listener_.on_fenced(options_.worker); // First, so that nothing is placed anew.
         }
+        listener_.on_start(options_.worker, order.name, answer.outcome);
     } catch (const transport_error& cause) {
         LOG_EVERY_N(WARNING, 50) << "a start got no answer: " << cause.what();
         listener_.on_start(options_.worker, order.name, workflow::start_outcome::unknown);
--- a/flamingoseam/workflow/messages.hpp
+++ b/flamingoseam/workflow/messages.hpp
@@ -82,7 +82,8 @@
     time_point asked{}; ///< When the report was asked for, so it shows a later moment.
 };
 
-/// What became of an order to start a run.
+/// What became of an order to start a run. A refusal does not say that nothing ran: the connection
+/// may have delivered an earlier copy of the order, whose answer was lost.
 enum class start_outcome {
     started,
     not_sent,   ///< The worker has not seen the order and never will.
@@ -92,7 +93,7 @@
     unhealthy,  ///< Refused: the worker takes no work.
     wrong_life, ///< Refused: the worker has started anew.
     fenced,     ///< Refused: the worker obeys a newer owner.
-    rejected,   ///< Refused for any other reason; nothing runs.
+    rejected,   ///< Refused for any other reason.
     unknown,    ///< No answer; the order may be carried out, now or later.
 };
 
--- a/flamingoseam/workflow/workflow_reports.cpp
+++ b/flamingoseam/workflow/workflow_reports.cpp
@@ -276,8 +276,9 @@
         const bool stop_taken =
             run->stop_answered != time_point{} && run->stop_answered < report.asked;
         if (run->stop_wanted && stop_taken) {
-            if (run->state == held_run::knowledge::doubtful) {
+            if (run->state != held_run::knowledge::present) {
                 run->stop_answered = {};
+                run->stop_sent = {};
                 fleet_.at(worker).ruled_out[name] = {*run, report.asked};
             }
             lose_run(worker, name);
@@ -379,9 +380,29 @@
     note("start_refused", name.task.job,
          to_string(name) + " on " + fleet_.at(worker).entry.id + ": " + to_string(outcome));
     apply_refusal(*job, worker, name, outcome, time);
-    fleet_.release(worker, name);
-    interrupt(worker, name);
-    pass_wanted_ = true;
+    if (outcome == start_outcome::not_sent || outcome == start_outcome::wrong_life) {
+        fleet_.release(worker, name);
+        interrupt(worker, name);
+        pass_wanted_ = true;
+    } else {
+        rule_out(worker, name, *run, time);
+    }
+}
+
+/// A refusal answers the newest copy of an order; the connection may have delivered an earlier one,
+/// whose answer was lost and whose run may have ended already. A report asked for after a stop
+/// tells.
+void workflow_state::rule_out(std::size_t worker, const run_name& name, held_run& run,
+                              time_point time)
+{
+    run.state = held_run::knowledge::doubtful;
+    run.doubtful_since = time;
+    want_stop(worker, name, run);
+    auto* job = find_job(name.task.job);
+    const auto step = static_cast<std::size_t>(name.task.step);
+    if (!is_final(job->phase) && job->spec.steps[step].gang) {
+        break_gang(*job, name.task.step);
+    }
 }
 
 void workflow_state::apply_refusal(job_record& job, std::size_t worker, const run_name& name,
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -211,6 +211,7 @@
     void take_missing(std::size_t worker, const worker_report& report);
     void apply_refusal(job_record& job, std::size_t worker, const run_name& name,
                        start_outcome outcome, time_point time);
+    void rule_out(std::size_t worker, const run_name& name, held_run& run, time_point time);
     void want_stop(std::size_t worker, const run_name& name, held_run& run);
     void lose_run(std::size_t worker, const run_name& name);
     void settle(std::size_t worker, std::int64_t life, std::int64_t number);
--- a/flamingoseam/workflow/workflow_state_test.cpp
+++ b/flamingoseam/workflow/workflow_state_test.cpp
@@ -79,6 +79,61 @@
     }
 }
 
+TEST_CASE("a run that is stopped before its order was answered")
+{
+    driven_state one;
+    one.make_usable();
+    one.submit(one.job("0123456789abcdef", 1'000));
+    const auto name = one.next().starts.at(0).name;
+    one.state.cancel(2, "0123456789abcdef", wall);
+    one.store();
+    REQUIRE(one.next().stops.size() == 1);
+    one.state.on_stop(0, name, one.time);
+    one.time += milliseconds(10);
+    one.state.on_report(0, {.life = 1, .asked = one.time}, one.time, wall);
+    REQUIRE(one.state.workers().at(0).runs.empty());
+
+    SECTION("is stopped again in the worker's next life, where the order may still arrive")
+    {
+        one.state.on_report(0, {.life = 2, .asked = one.time}, one.time, wall);
+        const auto stops = one.next().stops;
+        REQUIRE(stops.size() == 1);
+        CHECK(stops[0].name == name);
+    }
+}
+
+TEST_CASE("a refused start, of which an earlier copy may have been carried out")
+{
+    driven_state one;
+    one.make_usable();
+    one.submit(one.job("0123456789abcdef", 1'000));
+    const auto starts = one.next().starts;
+    REQUIRE(starts.size() == 1);
+    const auto name = starts[0].name;
+    const auto outcome =
+        GENERATE(start_outcome::superseded, start_outcome::no_room, start_outcome::no_ticket,
+                 start_outcome::unhealthy, start_outcome::rejected);
+    one.state.on_start(0, name, outcome, one.time);
+
+    SECTION("is not made again before a report has shown that the run is not there")
+    {
+        CHECK(one.next(milliseconds(600)).starts.empty());
+        one.state.on_stop(0, name, one.time);
+        one.time += milliseconds(10);
+        one.state.on_report(0, {.life = 1, .asked = one.time}, one.time, wall);
+        CHECK(one.next(milliseconds(600)).starts.size() == 1);
+    }
+    SECTION("is not made again when the run has ended as done")
+    {
+        CHECK(one.next(milliseconds(600)).starts.empty());
+        one.state.on_report(0, {.life = 1, .ended = {{.number = 1, .name = name}}, .asked = {}},
+                            one.time, wall);
+        one.store();
+        CHECK(one.next(milliseconds(600)).starts.empty());
+        CHECK(one.state.find("0123456789abcdef") == job_phase::completed);
+    }
+}
+
 TEST_CASE("a job is shown and acted on only once it is stored")
 {
     driven_state one;
--- a/tests/workflow_model.cpp
+++ b/tests/workflow_model.cpp
@@ -321,10 +321,18 @@
         unanswered();
         return;
     }
-    at(between(1, 30), [this, one, &target, epoch, order, lease_until, life, unanswered] {
-        const auto outcome = target.entry.life == life
-                                 ? accept_start(target, epoch, order, lease_until)
-                                 : start_outcome::wrong_life;
+    const auto deliver = [this, &target, epoch, order, lease_until, life] {
+        return target.entry.life == life ? accept_start(target, epoch, order, lease_until)
+                                         : start_outcome::wrong_life;
+    };
+    auto arrival = between(1, 30);
+    if (chance(options_.repeated_order_share)) {
+        // The connection breaks before the answer, and the order is sent again over a new one.
+        at(arrival, deliver);
+        arrival += between(10, 550);
+    }
+    at(arrival, [this, one, &target, order, deliver, unanswered] {
+        const auto outcome = deliver();
         if (target.cut || chance(options_.lost_answer_share)) {
             unanswered();
             return;
@@ -468,7 +476,7 @@
         return start_outcome::superseded;
     }
     if (lease_until <= now_) {
-        return start_outcome::not_sent;
+        return start_outcome::rejected;
     }
     if (one.runs.count(order.name) > 0) {
         return start_outcome::started;
--- a/tests/workflow_model.hpp
+++ b/tests/workflow_model.hpp
@@ -21,6 +21,8 @@
     milliseconds load_time{6'000};   ///< Jobs come and faults happen within this.
     double lost_answer_share = 0.05; ///< Of orders: the answer is lost.
     double late_order_share = 0.02;  ///< Of orders: carried out seconds later, unanswered.
+    double repeated_order_share =
+        0.05; ///< Of starts: delivered twice, only the second is answered.
     double failing_run_share = 0.1;
     int owner_deaths = 2;
     int worker_restarts = 2;
