Serve metrics on every node; tell a request's story from the logs

`flamingoseamctl trace ID [FILE ...]` sorts nodes' logs into one request's story, with changes of ownership and of the store in between; no cell has to run.

--- a/daemons/ctl_main.cpp
+++ b/daemons/ctl_main.cpp
@@ -5,6 +5,7 @@
 #include "flamingoseam/http/http_client.hpp"
 #include "flamingoseam/http/json.hpp"
 #include "flamingoseam/job/request_id.hpp"
+#include "flamingoseam/log/request_trace.hpp"
 #include "flamingoseam/scheduler/operator_messages.hpp"
 #include "flamingoseam/shard/shard_state.hpp"
 
@@ -12,10 +13,12 @@
 #include <sodium.h>
 
 #include <cstdlib>
+#include <fstream>
 #include <functional>
 #include <iomanip>
 #include <iostream>
 #include <map>
+#include <sstream>
 
 DEFINE_string(servers, "", "operators' interfaces of schedulers, ADDRESS:PORT separated by commas");
 DEFINE_string(key, "", "operator's key; FLAMINGOSEAM_KEY is used when it is empty");
@@ -54,6 +57,8 @@
     "  cancel CUSTOMER ID        cancel a call or job\n"
     "  explain CUSTOMER ID       why a piece of work waits, or what became of it\n"
     "  hash KEY                  the hash of a key, for key_hashes\n"
+    "  trace ID [FILE ...]       a request's story from nodes' logs, or from standard input;\n"
+    "                            needs no running cell\n"
     "exit codes: 0 done, 1 refused or failed, 2 usage, 3 another change was first,\n"
     "            4 not known whether it was done";
 
@@ -337,6 +342,30 @@
     return from_json<outcome>(answer.body).reason == "unknown_request" ? exit_unknown : exit_done;
 }
 
+/// Prints the story of a request from logs, which need not be in order.
+int trace(const std::string& request, const std::vector<std::string>& files)
+{
+    std::stringstream logs;
+    if (files.empty()) {
+        logs << std::cin.rdbuf();
+    }
+    for (const auto& name : files) {
+        const std::ifstream file(name);
+        if (!file) {
+            std::cerr << name << " can't be read\n";
+            return exit_failed;
+        }
+        logs << file.rdbuf() << '\n';
+    }
+    const auto story = trace_request(logs, request);
+    if (story.empty()) {
+        std::cerr << "no line of these logs names " << request << '\n';
+        return exit_failed;
+    }
+    std::cout << to_text(story);
+    return exit_done;
+}
+
 int run(const std::vector<std::string>& words)
 {
     const auto is = [&words](const std::vector<std::string>& names, std::size_t arguments) {
@@ -380,6 +409,9 @@
     if (is({"explain"}, 2)) {
         return explain(words.at(1), words.at(2));
     }
+    if (words.size() >= 2 && words.front() == "trace") {
+        return trace(words.at(1), {words.begin() + 2, words.end()});
+    }
     if (is({"hash"}, 1)) {
         std::cout << hash_key(words.back()) << '\n';
         return exit_done;
--- a/flamingoseam/log/event_log.cpp
+++ b/flamingoseam/log/event_log.cpp
@@ -49,6 +49,9 @@
 
 void event_log::write(const log_event& event)
 {
+    if (options_.observer) {
+        options_.observer(event);
+    }
     auto line = to_line(options_, event);
     const std::lock_guard lock(mutex_);
     if (waiting_.size() + line.size() > options_.most_waiting_bytes) {
--- a/flamingoseam/log/event_log.hpp
+++ b/flamingoseam/log/event_log.hpp
@@ -5,6 +5,7 @@
 #include <condition_variable>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -26,6 +27,9 @@
     std::size_t most_waiting_bytes = 256 * 1024; ///< Beyond, lines are left out and counted.
     std::size_t most_bytes_per_second = 256 * 1024;
     milliseconds flush{100};
+
+    /// Hears of each event, also of those that are left out, if it is given.
+    std::function<void(const log_event&)> observer = nullptr;
 };
 
 /// Writes events as JSON lines from a thread of its own, so that a reader that stops reading stops
--- a/flamingoseam/node/job_owner.cpp
+++ b/flamingoseam/node/job_owner.cpp
@@ -11,6 +11,7 @@
 
 namespace {
 
+constexpr milliseconds gauge_interval{1'000};
 constexpr milliseconds tick{25};
 constexpr milliseconds ended_margin{10'000}; ///< Owners' clocks differ by less.
 constexpr milliseconds directory_wait{10'000};
@@ -93,6 +94,7 @@
 void job_owner::request_end()
 {
     ending_ = true;
+    parts_.metrics->set_owner({.is_owner = false});
     lanes_->request_end();
     loop_.post([this] {
         for (auto& [worker, session] : sessions_) {
@@ -193,6 +195,7 @@
 void job_owner::on_start(std::size_t worker, const workflow::run_name& name,
                          workflow::start_outcome outcome)
 {
+    parts_.metrics->count_start(outcome);
     loop_.post([this, worker, name, outcome] { state_.on_start(worker, name, outcome, now()); });
 }
 
@@ -256,8 +259,15 @@
     if (ending_ || superseded_) {
         return;
     }
-    state_.tick(now());
-    dispatch(state_.take_actions());
+    const auto began = now();
+    state_.tick(began);
+    auto actions = state_.take_actions();
+    measure(actions, began);
+    dispatch(std::move(actions));
+    if (began >= next_gauges_) {
+        next_gauges_ = began + gauge_interval;
+        set_gauges();
+    }
     for (std::size_t index = 0; index < chains_.size(); ++index) {
         if (state_.has_changes(index, now())) {
             chains_[index]->chain().wake();
@@ -265,6 +275,29 @@
     }
 }
 
+void job_owner::measure(const workflow::workflow_actions& actions, time_point began)
+{
+    for (const auto& timing : actions.first_starts) {
+        parts_.metrics->observe_first_start(timing);
+    }
+    for (const auto& timing : actions.ends) {
+        parts_.metrics->observe_end(timing);
+    }
+    parts_.metrics->observe_decisions(
+        std::chrono::duration_cast<std::chrono::microseconds>(now() - began));
+}
+
+void job_owner::set_gauges()
+{
+    owner_gauges gauges{.is_owner = true,
+                        .open_jobs = state_.open_jobs(),
+                        .doubtful_runs = state_.count_doubtful()};
+    for (std::size_t worker = 0; worker < state_.workers().size(); ++worker) {
+        gauges.silent_workers += state_.workers().at(worker).silent ? 1 : 0;
+    }
+    parts_.metrics->set_owner(gauges);
+}
+
 void job_owner::dispatch(workflow::workflow_actions actions)
 {
     const auto session_of = [this](std::size_t worker) -> worker_session* {
--- a/flamingoseam/node/job_owner.hpp
+++ b/flamingoseam/node/job_owner.hpp
@@ -3,6 +3,7 @@
 #include "flamingoseam/core/control_loop.hpp"
 #include "flamingoseam/log/event_log.hpp"
 #include "flamingoseam/node/commit_chain.hpp"
+#include "flamingoseam/node/node_metrics.hpp"
 #include "flamingoseam/node/owner_service.hpp"
 #include "flamingoseam/node/permission_lanes.hpp"
 #include "flamingoseam/node/worker_directory.hpp"
@@ -40,6 +41,7 @@
     worker_directory_factory directory;
     permission_call_factory permissions;
     event_log* log = nullptr;
+    node_metrics* metrics = nullptr;
 
     /// Tells whether this node is certain to be the only owner now.
     std::function<bool()> is_certain;
@@ -98,6 +100,8 @@
     void after_batch();
     void dispatch(workflow::workflow_actions actions);
     void answer(const workflow::caller_answer& one);
+    void measure(const workflow::workflow_actions& actions, time_point began);
+    void set_gauges();
     std::uint64_t keep(owner_service::reply_owner reply);
     void answer_unknown();
     void watch_workers();
@@ -120,6 +124,7 @@
     std::atomic<bool> ending_{false};
     std::atomic<bool> superseded_{false};
     bool leaving_ = false;
+    time_point next_gauges_{};
     std::thread loop_thread_;
     std::thread directory_thread_;
 };
--- a/flamingoseam/node/node.cpp
+++ b/flamingoseam/node/node.cpp
@@ -528,6 +528,7 @@
         .directory = parts_.directory,
         .permissions = [this](const std::string& name) { return lane_call(name); },
         .log = parts_.log,
+        .metrics = parts_.metrics,
         .is_certain = [this] { return membership_->is_certain(); },
         .on_store_away =
             [this] {
--- a/flamingoseam/node/node.hpp
+++ b/flamingoseam/node/node.hpp
@@ -36,6 +36,7 @@
     worker_directory_factory directory;
     permission_call permission; ///< From this node itself.
     event_log* log = nullptr;
+    node_metrics* metrics = nullptr;
 };
 
 /// One node of the cell. Every node answers calls about jobs by passing them to the owner; one of
--- /dev/null
+++ b/flamingoseam/node/node_metrics.cpp
@@ -0,0 +1,116 @@
+#include "flamingoseam/node/node_metrics.hpp"
+
+#include <prometheus/text_serializer.h>
+
+#include <ctime>
+
+namespace flamingoseam::node {
+
+namespace {
+
+using bounds = prometheus::Histogram::BucketBoundaries;
+
+const bounds job_bounds_s = {0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 16, 32, 64};
+const bounds store_bounds_s = {0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2};
+const bounds decision_bounds_s = {0.0001, 0.0005, 0.001, 0.0025, 0.005, 0.01, 0.05, 0.25};
+
+template <typename Duration> double seconds(Duration length)
+{
+    return std::chrono::duration<double>(length).count();
+}
+
+prometheus::Family<prometheus::Counter>& counter(prometheus::Registry& registry,
+                                                 const std::string& name, const std::string& help)
+{
+    return prometheus::BuildCounter().Name(name).Help(help).Register(registry);
+}
+
+prometheus::Family<prometheus::Histogram>&
+histogram(prometheus::Registry& registry, const std::string& name, const std::string& help)
+{
+    return prometheus::BuildHistogram().Name(name).Help(help).Register(registry);
+}
+
+} // namespace
+
+node_metrics::node_metrics()
+    : registry_(std::make_shared<prometheus::Registry>()),
+      events_(counter(*registry_, "flamingoseam_events_total", "Events of the log, by name")),
+      refusals_(counter(*registry_, "flamingoseam_refusals_total", "Jobs refused, by reason")),
+      starts_(counter(*registry_, "flamingoseam_start_answers_total",
+                      "Orders that start a run, by their outcome")),
+      waits_(histogram(*registry_, "flamingoseam_wait_seconds",
+                       "Time from a job's acceptance to its first start, by priority")),
+      ends_(histogram(*registry_, "flamingoseam_job_seconds",
+                      "Time from a job's acceptance to its end, by priority")),
+      store_calls_(histogram(*registry_, "flamingoseam_store_call_seconds",
+                             "Calls to the platform's store, by call and outcome")),
+      decisions_(histogram(*registry_, "flamingoseam_decision_seconds",
+                           "Time of the control thread for one group of events")
+                     .Add({}, decision_bounds_s)),
+      gauges_(prometheus::BuildGauge()
+                  .Name("flamingoseam_node")
+                  .Help("What is true of this node now, by name")
+                  .Register(*registry_))
+{
+}
+
+void node_metrics::count_event(const std::string& event, const std::string& detail)
+{
+    events_.Add({{"event", event}}).Increment();
+    if (event == "refused") {
+        refusals_.Add({{"reason", detail}}).Increment();
+    }
+}
+
+void node_metrics::observe_first_start(const workflow::job_timing& timing)
+{
+    waits_.Add({{"priority", std::to_string(timing.priority)}}, job_bounds_s)
+        .Observe(seconds(timing.length));
+}
+
+void node_metrics::observe_end(const workflow::job_timing& timing)
+{
+    ends_.Add({{"priority", std::to_string(timing.priority)}}, job_bounds_s)
+        .Observe(seconds(timing.length));
+}
+
+void node_metrics::observe_decisions(std::chrono::microseconds length)
+{
+    decisions_.Observe(seconds(length));
+}
+
+void node_metrics::observe_store_call(const std::string& call, const std::string& outcome,
+                                      milliseconds length)
+{
+    store_calls_.Add({{"call", call}, {"outcome", outcome}}, store_bounds_s)
+        .Observe(seconds(length));
+}
+
+void node_metrics::count_start(workflow::start_outcome outcome)
+{
+    starts_.Add({{"outcome", workflow::to_string(outcome)}}).Increment();
+}
+
+void node_metrics::set_owner(const owner_gauges& gauges)
+{
+    const auto set = [this](const std::string& name, double value) {
+        gauges_.Add({{"name", name}}).Set(value);
+    };
+    set("is_owner", gauges.is_owner ? 1 : 0);
+    set("open_jobs", static_cast<double>(gauges.open_jobs));
+    set("doubtful_runs", static_cast<double>(gauges.doubtful_runs));
+    set("silent_workers", static_cast<double>(gauges.silent_workers));
+}
+
+std::string node_metrics::text(std::uint64_t lines_left_out)
+{
+    const auto set = [this](const std::string& name, double value) {
+        gauges_.Add({{"name", name}}).Set(value);
+    };
+    set("log_lines_left_out", static_cast<double>(lines_left_out));
+    set("processor_seconds", static_cast<double>(std::clock()) / CLOCKS_PER_SEC);
+    return prometheus::TextSerializer().Serialize(registry_->Collect());
+}
+
+} // namespace flamingoseam::node
--- /dev/null
+++ b/flamingoseam/node/node_metrics.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "flamingoseam/node/owner_service.hpp"
+#include "flamingoseam/workflow/messages.hpp"
+#include "flamingoseam/workflow/workflow_state.hpp"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <memory>
+#include <string>
+
+namespace flamingoseam::node {
+
+/// What an owner looks like at one moment.
+struct owner_gauges {
+    bool is_owner = false;
+    std::size_t open_jobs = 0;
+    std::size_t doubtful_runs = 0; ///< Unanswered starts that are not ruled out yet.
+    std::size_t silent_workers = 0;
+};
+
+/// The metrics of a node: waiting time and the cost of control come first. Safe for use from
+/// several threads.
+class node_metrics {
+public:
+    node_metrics();
+
+    /// Counts an event of the log by its name, and a refusal by its reason.
+    void count_event(const std::string& event, const std::string& detail);
+
+    /// Counts a job's first start or its end, by its queue's priority.
+    void observe_first_start(const workflow::job_timing& timing);
+    void observe_end(const workflow::job_timing& timing);
+
+    /// Counts the time that the control thread took for one group of events.
+    void observe_decisions(std::chrono::microseconds length);
+
+    /// Counts a call to the store; `outcome` is "answered" or "failed".
+    void observe_store_call(const std::string& call, const std::string& outcome,
+                            milliseconds length);
+
+    /// Counts the answer to an order that started a run.
+    void count_start(workflow::start_outcome outcome);
+
+    /// Sets what is true now.
+    void set_owner(const owner_gauges& gauges);
+
+    /// Returns every metric in the text format of Prometheus. `lines_left_out` is the log's.
+    [[nodiscard]] std::string text(std::uint64_t lines_left_out);
+
+private:
+    std::shared_ptr<prometheus::Registry> registry_;
+    prometheus::Family<prometheus::Counter>& events_;
+    prometheus::Family<prometheus::Counter>& refusals_;
+    prometheus::Family<prometheus::Counter>& starts_;
+    prometheus::Family<prometheus::Histogram>& waits_;
+    prometheus::Family<prometheus::Histogram>& ends_;
+    prometheus::Family<prometheus::Histogram>& store_calls_;
+    prometheus::Histogram& decisions_;
+    prometheus::Family<prometheus::Gauge>& gauges_;
+};
+
+} // namespace flamingoseam::node
--- a/flamingoseam/workflow/workflow_jobs.cpp
+++ b/flamingoseam/workflow/workflow_jobs.cpp
@@ -232,6 +232,7 @@
 {
     job.phase = phase;
     job.ended = wall;
+    actions_.ends.push_back({job.terms.priority, wall - job.accepted});
     for (int step = 0; step < static_cast<int>(job.steps.size()); ++step) {
         holds_.drop(job.spec.id, step);
     }
@@ -356,6 +357,17 @@
     note("stop", name.task.job, to_string(name) + " on " + fleet_.at(worker).entry.id);
 }
 
+std::size_t workflow_state::count_doubtful() const
+{
+    std::size_t count = 0;
+    for (std::size_t worker = 0; worker < fleet_.size(); ++worker) {
+        for (const auto& [name, run] : fleet_.at(worker).runs) {
+            count += run.state == held_run::knowledge::doubtful ? 1 : 0;
+        }
+    }
+    return count;
+}
+
 workflow_actions workflow_state::take_actions()
 {
     return std::exchange(actions_, {});
--- a/flamingoseam/workflow/workflow_schedule.cpp
+++ b/flamingoseam/workflow/workflow_schedule.cpp
@@ -424,6 +424,9 @@
 {
     if (tasks > 0) {
         const auto age = std::chrono::duration_cast<milliseconds>(time - step.job->received);
+        if (!step.job->has_begun) {
+            actions_.first_starts.push_back({step.job->terms.priority, age});
+        }
         note("placed", step.job->spec.id,
              "step " + std::to_string(step.step) + ": " + std::to_string(tasks) + " tasks, " +
                  std::to_string(step.record().waiting()) + " wait, age " +
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -52,6 +52,12 @@
     std::string detail;
 };
 
+/// How long a job took to its first start or to its end.
+struct job_timing {
+    int priority = 0; ///< Of its queue.
+    milliseconds length{0};
+};
+
 /// What is to be done after a step of the state.
 struct workflow_actions {
     std::vector<start_order> starts;
@@ -61,6 +67,8 @@
     std::vector<permission_request> permissions;
     std::vector<caller_answer> answers;
     std::vector<decision_note> notes;
+    std::vector<job_timing> first_starts;
+    std::vector<job_timing> ends;
 };
 
 /// Sums for metrics.
@@ -154,6 +162,9 @@
     [[nodiscard]] std::size_t open_jobs() const { return open_.size(); }
     [[nodiscard]] bool is_recovering() const { return !unreported_.empty(); }
 
+    /// Returns the number of unanswered starts that are not ruled out. Complexity: linear in runs.
+    [[nodiscard]] std::size_t count_doubtful() const;
+
     /// Returns the worker's index. Complexity: constant.
     [[nodiscard]] std::optional<std::size_t> find_worker(const std::string& id) const
     {
--- a/scenarios/platform.lua
+++ b/scenarios/platform.lua
@@ -18,16 +18,18 @@
         "--worker_addresses=" .. table.concat(hosts, ",") })
     for i = 1, nodes do
         local host = address(5, i)
-        cell.nodes[i] = { name = "node" .. i, front = host .. ":8080", ready = host .. ":8081" }
+        cell.nodes[i] = { name = "node" .. i, front = host .. ":8080", ready = host .. ":8081",
+            metrics = host .. ":8083" }
         write_file("node" .. i .. ".toml", string.format([[
 name = "node%d"
 zone = "zone"
 front = "%s:8080"
 ready = "%s:8081"
 rpc = "%s:8082"
+metrics = "%s:8083"
 store = %q
 permissions = %q
-]], i, host, host, host, cell.store, cell.store))
+]], i, host, host, host, host, cell.store, cell.store))
     end
     for _, node in ipairs(cell.nodes) do start_node(node) end
     for _, node in ipairs(cell.nodes) do wait_ready(node) end
--- a/scenarios/platform_path.lua
+++ b/scenarios/platform_path.lua
@@ -24,4 +24,18 @@
 wait_completed(other, { id }, 5000)
 expect("an unknown job is told so", state_of(other, "ffffffffffffffff") == 410)
 expect("an unknown queue is told so", request { server = other.front, path = "/nothing/" .. id } == 404)
+local status, page = request { server = other.metrics, path = "/metrics" }
+expect("metrics are served", status == 200)
+expect("they tell the waiting time", page:find("flamingoseam_wait_seconds", 1, true) ~= nil
+    or page:find("flamingoseam_store_call_seconds", 1, true) ~= nil)
+-- The log is written a little after the decisions.
+wait("the job's story is told from the logs", 5000, function()
+    local pid = start("trace", { "flamingoseamctl", "trace", id, OUT .. "/node1.log", OUT .. "/node2.log",
+        OUT .. "/node3.log" })
+    local found = wait_exit(pid, 5000) == 0
+    local file = io.open(OUT .. "/trace.log")
+    local story = file:read("a")
+    file:close()
+    return found and story:find("accepted", 1, true) and story:find("completed", 1, true)
+end)
 must_run_once(cell)
