--- a/bench/workflow_bench.cpp
+++ b/bench/workflow_bench.cpp
@@ -591,7 +591,7 @@
     {
         constexpr milliseconds precision{10};
         auto end = now_;
-        double left = static_cast<double>(length.count());
+        auto left = static_cast<double>(length.count());
         while (left > 0) {
             left -= work_between(worker, end, end + precision);
             end += precision;
--- /dev/null
+++ b/flamingoseam/workflow/workflow_permission.cpp
@@ -0,0 +1,131 @@
+#include "flamingoseam/workflow/workflow_state.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace flamingoseam::workflow {
+
+namespace {
+
+constexpr milliseconds ticket_answer_margin{100}; ///< The grant was issued before it arrived.
+constexpr milliseconds pause_after_failed_request{200};
+constexpr std::size_t most_workers_asked = 100; ///< The service takes no more in one call.
+constexpr double least_workers_asked = 16;
+constexpr double asked_per_worker_needed = 8;
+
+} // namespace
+
+void workflow_state::ask_for_more(const ready_step& step, const std::vector<candidate>& candidates,
+                                  time_point time)
+{
+    if (!step.job->terms.permission) {
+        return;
+    }
+    std::vector<std::size_t> lapsed;
+    for (const auto& one : candidates) {
+        if (one.fits > 0 && one.ticket == nullptr) {
+            lapsed.push_back(one.worker);
+        }
+    }
+    if (!lapsed.empty()) {
+        const auto most = static_cast<std::size_t>(step.record().waiting()) + 2;
+        lapsed.resize(std::min(lapsed.size(), most));
+        ask_permission(step, std::move(lapsed), time);
+        return;
+    }
+    ask_permission(step, unasked_workers(step, time), time);
+}
+
+std::size_t workflow_state::workers_to_ask(const ready_step& step) const
+{
+    if (fleet_.size() == 0) {
+        return 0;
+    }
+    const auto total = step.spec().size * step.record().waiting();
+    const double workers_needed = dominant_share(total, fleet_.at(0).entry.capacity);
+    const double wanted = least_workers_asked + asked_per_worker_needed * workers_needed;
+    return std::min(most_workers_asked, static_cast<std::size_t>(std::ceil(wanted)));
+}
+
+std::vector<std::size_t> workflow_state::unasked_workers(const ready_step& step, time_point time)
+{
+    const auto& permission = step.record().permission;
+    std::vector<std::pair<std::int64_t, std::size_t>> by_room;
+    for (std::size_t worker = 0; worker < fleet_.size(); ++worker) {
+        if (can_run(step, worker, time) && !permission.is_known(worker)) {
+            by_room.emplace_back(fleet_.at(worker).free().milli_cpus, worker);
+        }
+    }
+    std::sort(by_room.rbegin(), by_room.rend());
+    by_room.resize(std::min(by_room.size(), workers_to_ask(step)));
+    std::vector<std::size_t> workers;
+    workers.reserve(by_room.size());
+    for (const auto& [room, worker] : by_room) {
+        workers.push_back(worker);
+    }
+    return workers;
+}
+
+bool workflow_state::ask_permission(const ready_step& step, std::vector<std::size_t> workers,
+                                    time_point time)
+{
+    auto& permission = step.record().permission;
+    if (workers.empty() || permission.outstanding != 0 || permission.next_request > time) {
+        return false;
+    }
+    workers.resize(std::min(workers.size(), most_workers_asked));
+    const auto& terms = *step.job->terms.permission;
+    const auto service = terms.decision + terms.per_worker * static_cast<double>(workers.size());
+    permission_request request{.number = ++last_request_,
+                               .job = step.job->spec.id,
+                               .step = step.step,
+                               .priority = step.job->terms.priority,
+                               .workers = {},
+                               .service_time = std::chrono::ceil<milliseconds>(service)};
+    for (const auto worker : workers) {
+        request.workers.push_back(fleet_.at(worker).entry.id);
+    }
+    permission.outstanding = request.number;
+    ++counts_.permission_requests;
+    requests_.emplace(request.number, request);
+    actions_.permissions.push_back(std::move(request));
+    return true;
+}
+
+void workflow_state::on_permission(std::uint64_t number,
+                                   const std::optional<std::vector<ticket_grant>>& grants,
+                                   time_point time)
+{
+    const auto request = requests_.extract(number);
+    if (request.empty()) {
+        return;
+    }
+    auto* job = find_job(request.mapped().job);
+    if (job == nullptr || is_final(job->phase)) {
+        return;
+    }
+    auto& permission = job->steps[static_cast<std::size_t>(request.mapped().step)].permission;
+    permission.outstanding = 0;
+    pass_wanted_ = true;
+    if (!grants) {
+        permission.next_request = time + pause_after_failed_request;
+        note("permission_failed", job->spec.id, "step " + std::to_string(request.mapped().step));
+        return;
+    }
+    note("permission_learnt", job->spec.id,
+         "step " + std::to_string(request.mapped().step) + ": " + std::to_string(grants->size()) +
+             " of " + std::to_string(request.mapped().workers.size()) + " workers");
+    std::vector<std::size_t> asked;
+    for (const auto& id : request.mapped().workers) {
+        asked.push_back(*fleet_.find(id));
+    }
+    std::map<std::size_t, std::string> granted;
+    for (const auto& grant : *grants) {
+        if (const auto worker = fleet_.find(grant.worker)) {
+            granted.emplace(*worker, grant.ticket);
+        }
+    }
+    permission.learn(asked, granted, time + job->terms.permission->validity - ticket_answer_margin);
+}
+
+} // namespace flamingoseam::workflow
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -246,6 +246,8 @@
     };
     std::vector<candidate> find_candidates(const ready_step& step, time_point time);
     bool may_use(const ready_step& step, std::size_t worker, bool& held, time_point time);
+    [[nodiscard]] bool can_run(const ready_step& step, std::size_t worker, time_point time) const;
+    [[nodiscard]] bool is_permitted(const ready_step& step, std::size_t worker) const;
     void place_tasks(const ready_step& step, time_point time);
     candidate* best_for_task(const ready_step& step, std::vector<candidate>& candidates) const;
     void ask_for_more(const ready_step& step, const std::vector<candidate>& candidates,
@@ -311,7 +313,6 @@
     bool pass_wanted_ = false;
     time_point last_pass_{};
     time_point last_upkeep_{};
-    time_point last_ask_{};
 };
 
 } // namespace flamingoseam::workflow
--- a/flamingoseam/workflow/workflow_upkeep.cpp
+++ b/flamingoseam/workflow/workflow_upkeep.cpp
@@ -43,7 +43,8 @@
 
 void workflow_state::tick(time_point time)
 {
-    if (time - last_upkeep_ >= upkeep_interval) {
+    const bool upkeep_is_due = time - last_upkeep_ >= upkeep_interval;
+    if (upkeep_is_due) {
         last_upkeep_ = time;
         stop_stuck_runs(time);
         drop_idle_leavers();
@@ -54,7 +55,9 @@
         schedule(time);
     }
     repeat_stops(time);
-    ask_for_reports(time);
+    if (upkeep_is_due) {
+        ask_for_reports(time);
+    }
 }
 
 void workflow_state::repeat_stops(time_point time)
@@ -73,10 +76,6 @@
 
 void workflow_state::ask_for_reports(time_point time)
 {
-    if (time - last_ask_ < upkeep_interval) {
-        return;
-    }
-    last_ask_ = time;
     for (std::size_t worker = 0; worker < fleet_.size(); ++worker) {
         std::optional<time_point> needed;
         for (const auto& [name, run] : fleet_.at(worker).runs) {
--- a/flamingoseam/workflow/workflow_yield.cpp
+++ b/flamingoseam/workflow/workflow_yield.cpp
@@ -41,14 +41,10 @@
 /// sooner.
 std::optional<gang_hold> workflow_state::plan_hold(const ready_step& step, time_point time)
 {
-    const auto& permission = step.record().permission;
-    const bool needs_permission = step.job->terms.permission.has_value();
     std::vector<std::size_t> offered;
     for (std::size_t worker = 0; worker < fleet_.size(); ++worker) {
-        const auto& one = fleet_.at(worker);
-        if (one.entry.service == step.job->terms.service && one.is_usable(time) &&
-            has_label(one.entry, step.spec().label) && holds_.on_worker(worker) == nullptr &&
-            (!needs_permission || permission.is_permitted(worker))) {
+        if (can_run(step, worker, time) && is_permitted(step, worker) &&
+            holds_.on_worker(worker) == nullptr) {
             offered.push_back(worker);
         }
     }
