--- a/flamingoseam/http/http_client.hpp
+++ b/flamingoseam/http/http_client.hpp
@@ -54,7 +54,9 @@
     http_client(const http_client&) = delete;
     http_client& operator=(const http_client&) = delete;
 
-    /// Sends a request and waits for its answer.
+    /// Sends a request and waits for its answer. When a kept connection breaks or stays silent for
+    /// the whole time-out, the library sends the request again over a new one, so the server may
+    /// get it twice and the answer is that to the second copy.
     /// Throws transport_error (id 304) when no connection could be made or when it failed or stayed
     /// silent; the request may have reached the server. The connection is given up, so the next
     /// call makes a new one.
