Let a suspicion of the owner end by itself

Cause, found on reading: a node whose connection was refused once kept the suspicion until that owner was confirmed gone. Where a cut refuses connections and heals, the node would have asked all others each 30 ms for as long as the owner lived, and its election thread never slept longer again. Change: owner_suspicion holds what refused connections tell; a suspicion is fresh for 1 s after the newest refusal. Test: owner_suspicion_test.

--- a/flamingoseam/node/node.hpp
+++ b/flamingoseam/node/node.hpp
@@ -4,6 +4,7 @@
 #include "flamingoseam/node/job_owner.hpp"
 #include "flamingoseam/node/membership.hpp"
 #include "flamingoseam/node/owner_claim.hpp"
+#include "flamingoseam/node/owner_suspicion.hpp"
 
 #include <atomic>
 #include <condition_variable>
@@ -121,9 +122,8 @@
     std::shared_ptr<job_owner> owner_;
     bool owner_lost_ = false;
     bool view_changed_ = false;
-    std::uint64_t changes_ = 0;         ///< Counts what may have changed the owner.
-    std::uint64_t suspected_epoch_ = 0; ///< Newest owner that refused a connection of this node.
-    std::uint64_t gone_epoch_ = 0; ///< Newest owner whose process has ended, as others confirm.
+    std::uint64_t changes_ = 0; ///< Counts what may have changed the owner.
+    owner_suspicion suspicion_;
     bool store_is_away_ = false;
     std::uint64_t offered_epoch_ = 0; ///< Of the owner that asks this node to go on; 0 for none.
     std::atomic<bool> leaving_{false};
--- a/flamingoseam/node/node_election.cpp
+++ b/flamingoseam/node/node_election.cpp
@@ -35,10 +35,9 @@
 {
     {
         const std::lock_guard lock(mutex_);
-        if (suspected_epoch_ >= epoch) {
+        if (!suspicion_.note_refused(epoch, now())) {
             return;
         }
-        suspected_epoch_ = epoch;
         view_changed_ = true;
     }
     changed_.notify_all();
@@ -80,7 +79,7 @@
 std::optional<node::election_events> node::next_events()
 {
     std::unique_lock lock(mutex_);
-    const bool is_calm = !owner_missing_since_ && suspected_epoch_ <= gone_epoch_;
+    const bool is_calm = !owner_missing_since_ && !suspicion_.is_open(now());
     changed_.wait_for(lock, is_calm ? election_interval : election_interval_without, [this] {
         return stopping_ || view_changed_ || owner_lost_ || store_is_away_ || offered_epoch_ != 0;
     });
@@ -104,13 +103,15 @@
 /// see it too before the owner counts as gone.
 void node::confirm_suspicion(const membership_view& view)
 {
-    std::uint64_t epoch = 0;
+    if (!view.owner || local_owner()) {
+        return;
+    }
+    const auto epoch = view.owner->epoch;
     {
         const std::lock_guard lock(mutex_);
-        epoch = suspected_epoch_;
-    }
-    if (!view.owner || view.owner->epoch != epoch || local_owner() || is_gone(epoch)) {
-        return;
+        if (!suspicion_.is_suspected(epoch, now()) || suspicion_.is_gone(epoch)) {
+            return;
+        }
     }
     for (const auto& [name, one] : view.members) {
         if (name == options_.name || name == view.owner->owner.name) {
@@ -119,7 +120,7 @@
         try {
             if (client_.confirms_owner_gone(one.address, epoch, confirm_timeout)) {
                 const std::lock_guard lock(mutex_);
-                gone_epoch_ = epoch;
+                suspicion_.confirm(epoch);
                 parts_.log->write({.event = "owner_gone",
                                    .request = {},
                                    .detail = view.owner->owner.name + " refuses connections, as " +
@@ -135,7 +136,7 @@
 bool node::is_gone(std::uint64_t epoch) const
 {
     const std::lock_guard lock(mutex_);
-    return gone_epoch_ == epoch;
+    return suspicion_.is_gone(epoch);
 }
 
 void node::confirm_owner_gone(std::uint64_t epoch, reply_flag reply)
@@ -143,7 +144,7 @@
     bool is_suspected = false;
     {
         const std::lock_guard lock(mutex_);
-        is_suspected = suspected_epoch_ == epoch;
+        is_suspected = suspicion_.is_suspected(epoch, now());
     }
     reply(is_suspected);
 }
