Take the store for answering as soon as one chain of transactions is answered

The owner's log has store_silent at 0.3 s, the store's return at 4.3 s and no store_answers: the ten jobs before the outage completed, so that some chain wrote, and the thirty after it were refused. Cause: the store counted as away while any chain had two attempts without an answer. Since chains help each other, one that waited for its next attempt kept the store "away" although others were answered, and while answers are lost that goes on. Ruled out: the lease (the node joined again with the same incarnation), the workers. Change: an answer to any chain means that the store answers.

--- a/flamingoseam/node/job_owner.cpp
+++ b/flamingoseam/node/job_owner.cpp
@@ -41,7 +41,10 @@
 
     void on_stored() override
     {
-        owner_.loop_.post([this] { owner_.state_.on_stored(index_); });
+        owner_.loop_.post([this] {
+            owner_.state_.on_stored(index_);
+            owner_.on_store_answered();
+        });
     }
 
     void on_superseded() override { owner_.report_superseded(); }
@@ -246,6 +249,17 @@
     }
 }
 
+/// A store that answers one chain is there, although another chain waits for its next attempt.
+void job_owner::on_store_answered()
+{
+    if (silent_chains_.empty()) {
+        return;
+    }
+    silent_chains_.clear();
+    state_.set_store_available(true);
+    parts_.log->write({.event = "store_answers"});
+}
+
 void job_owner::report_superseded()
 {
     if (!superseded_.exchange(true)) {
--- a/flamingoseam/node/job_owner.hpp
+++ b/flamingoseam/node/job_owner.hpp
@@ -96,6 +96,7 @@
     /// One chain with what it is told and asks for.
     class chain_link;
     void on_store_available(std::size_t chain, bool available);
+    void on_store_answered();
 
     void after_batch();
     void dispatch(workflow::workflow_actions actions);
