Let one piece of code serve where the change had written it twice

Found on reading the whole change since again; no decision changes. - commit_chain told "available" and "silent" of one chain, and job_owner kept a set of silent chains beside the rule that any stored batch means the store answers. Two tests share one store in which only transactions matter. - a round of the election copied the membership view up to four times; it takes one now.

Left: node::ask_permission starts a thread for each request of the owner.

--- a/flamingoseam/core/clock.hpp
+++ b/flamingoseam/core/clock.hpp
@@ -16,6 +16,12 @@
     return std::chrono::steady_clock::now();
 }
 
+/// Returns a multiple of a length of time, rounded towards zero. Complexity: constant.
+inline milliseconds scaled(milliseconds length, double factor)
+{
+    return milliseconds(static_cast<std::int64_t>(static_cast<double>(length.count()) * factor));
+}
+
 /// Time since 1970-01-01 UTC, as request ids and spans carry it.
 using wall_time = std::chrono::milliseconds;
 
--- a/flamingoseam/node/commit_chain.cpp
+++ b/flamingoseam/node/commit_chain.cpp
@@ -1,9 +1,8 @@
 #include "flamingoseam/node/commit_chain.hpp"
 
-#include "flamingoseam/core/error.hpp"
+#include "flamingoseam/core/read_json.hpp"
 
 #include <glog/logging.h>
-#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -27,14 +26,11 @@
 
 chain_head read_head(const std::string& text)
 {
-    try {
-        const auto value = nlohmann::json::parse(text);
-        return {.epoch = value.at("epoch").get<std::uint64_t>(),
-                .sequence = value.at("sequence").get<std::uint64_t>(),
-                .owner = value.at("owner").get<std::string>()};
-    } catch (const nlohmann::json::exception& cause) {
-        throw parse_error(127, std::string("the head of the chain can't be read: ") + cause.what());
-    }
+    return read_json(text, 127, "the head of the chain", [](const nlohmann::json& value) {
+        return chain_head{.epoch = value.at("epoch").get<std::uint64_t>(),
+                          .sequence = value.at("sequence").get<std::uint64_t>(),
+                          .owner = value.at("owner").get<std::string>()};
+    });
 }
 
 commit_chain::commit_chain(commit_chain_options options, std::unique_ptr<shared_store> store,
@@ -186,10 +182,8 @@
     attempt_timeout_ = std::clamp(answered ? slow_factor * took : 2 * attempt_timeout_,
                                   options_.timeout, options_.longest_timeout);
     failed_attempts_ = answered ? 0 : failed_attempts_ + 1;
-    const bool available = failed_attempts_ < attempts_until_away;
-    if (available != available_ || !available) {
-        available_ = available;
-        source_.on_store_available(available);
+    if (failed_attempts_ >= attempts_until_away) {
+        source_.on_store_silent();
     }
 }
 
--- a/flamingoseam/node/commit_chain.hpp
+++ b/flamingoseam/node/commit_chain.hpp
@@ -55,8 +55,8 @@
     /// Another owner has taken over; nothing can be written any more.
     virtual void on_superseded() = 0;
 
-    /// The store has begun to answer, or has left one more write without an answer.
-    virtual void on_store_available(bool available) = 0;
+    /// The store has left one more attempt without an answer, after others in a row.
+    virtual void on_store_silent() = 0;
 };
 
 /// Writes an owner's changes to the store, one transaction after the other, each repeated until it
@@ -95,7 +95,6 @@
     chain_head head_;
     std::uint64_t revision_;
     commit_source& source_;
-    bool available_ = true;
     int failed_attempts_ = 0; ///< In a row.
     milliseconds attempt_timeout_;
     std::mutex mutex_;
--- a/flamingoseam/node/commit_chain_test.cpp
+++ b/flamingoseam/node/commit_chain_test.cpp
@@ -1,6 +1,7 @@
 #include "flamingoseam/node/commit_chain.hpp"
 
 #include "flamingoseam/core/error.hpp"
+#include "tests/commit_only_store.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -38,7 +39,7 @@
     }
 };
 
-class fake_store final : public shared_store {
+class fake_store final : public commit_only_store {
 public:
     explicit fake_store(fake_records& records) : records_(records) {}
 
@@ -63,20 +64,6 @@
         return records_.apply(changes);
     }
 
-    std::optional<shared_record> get(const std::string& /*key*/) override { return std::nullopt; }
-    shared_page list(const std::string& /*prefix*/, const std::string& /*after*/) override
-    {
-        return {};
-    }
-    shared_changes watch(const std::string& /*prefix*/, std::uint64_t /*revision*/,
-                         milliseconds /*wait*/) override
-    {
-        return {};
-    }
-    std::uint64_t grant_lease(milliseconds /*time_to_live*/) override { return 1; }
-    bool renew_lease(std::uint64_t /*lease*/) override { return true; }
-    void end_lease(std::uint64_t /*lease*/) override {}
-
 private:
     fake_records& records_;
 };
@@ -97,7 +84,7 @@
     }
     void on_stored() override { ++stored; }
     void on_superseded() override { superseded = true; }
-    void on_store_available(bool available) override { seen_away = seen_away || !available; }
+    void on_store_silent() override { seen_away = true; }
 
     std::atomic<int> stored{0};
     std::atomic<bool> superseded{false};
--- a/flamingoseam/node/coordinator_rpc.hpp
+++ b/flamingoseam/node/coordinator_rpc.hpp
@@ -12,7 +12,7 @@
 inline constexpr int refused_connection = detail::refused_connection;
 
 /// Calls other nodes over Cap'n Proto RPC; safe for use from many threads. Calls throw
-/// transport_error: id 306 when nothing was sent, id 316 when nothing listens there either, id 307
+/// transport_error: id 306 when nothing was sent, id 317 when nothing listens there either, id 307
 /// when the answer did not come in time.
 class coordinator_client {
 public:
--- a/flamingoseam/node/job_owner.cpp
+++ b/flamingoseam/node/job_owner.cpp
@@ -43,15 +43,15 @@
     {
         owner_.loop_.post([this] {
             owner_.state_.on_stored(index_);
-            owner_.on_store_answered();
+            owner_.set_store_silent(false); // Although another chain may wait for its next attempt.
         });
     }
 
     void on_superseded() override { owner_.report_superseded(); }
 
-    void on_store_available(bool available) override
+    void on_store_silent() override
     {
-        owner_.loop_.post([this, available] { owner_.on_store_available(index_, available); });
+        owner_.loop_.post([this] { owner_.on_store_silent(); });
     }
 
     job_owner& owner_;
@@ -231,33 +231,20 @@
     report_superseded();
 }
 
-void job_owner::on_store_available(std::size_t chain, bool available)
+void job_owner::on_store_silent()
 {
-    const bool was_available = silent_chains_.empty();
-    if (available) {
-        silent_chains_.erase(chain);
-    } else {
-        silent_chains_.insert(chain);
-    }
-    const bool is_available = silent_chains_.empty();
-    state_.set_store_available(is_available);
-    if (is_available != was_available) {
-        parts_.log->write({.event = is_available ? "store_answers" : "store_silent"});
-    }
-    if (!is_available) {
-        parts_.on_store_away();
-    }
+    set_store_silent(true);
+    parts_.on_store_away();
 }
 
-/// A store that answers one chain is there, although another chain waits for its next attempt.
-void job_owner::on_store_answered()
+void job_owner::set_store_silent(bool silent)
 {
-    if (silent_chains_.empty()) {
+    if (store_is_silent_ == silent) {
         return;
     }
-    silent_chains_.clear();
-    state_.set_store_available(true);
-    parts_.log->write({.event = "store_answers"});
+    store_is_silent_ = silent;
+    state_.set_store_available(!silent);
+    parts_.log->write({.event = silent ? "store_silent" : "store_answers"});
 }
 
 void job_owner::report_superseded()
--- a/flamingoseam/node/job_owner.hpp
+++ b/flamingoseam/node/job_owner.hpp
@@ -14,7 +14,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <thread>
 #include <unordered_map>
@@ -95,8 +94,8 @@
 
     /// One chain with what it is told and asks for.
     class chain_link;
-    void on_store_available(std::size_t chain, bool available);
-    void on_store_answered();
+    void on_store_silent();
+    void set_store_silent(bool silent);
 
     void after_batch();
     void dispatch(workflow::workflow_actions actions);
@@ -121,7 +120,7 @@
     std::vector<std::unique_ptr<worker_session>> retired_;
     std::unique_ptr<permission_lanes> lanes_;
     std::vector<std::unique_ptr<chain_link>> chains_;
-    std::set<std::size_t> silent_chains_; ///< Whose writes get no answer.
+    bool store_is_silent_ = false; ///< Of the control thread.
     std::atomic<bool> ending_{false};
     std::atomic<bool> superseded_{false};
     bool leaving_ = false;
--- a/flamingoseam/node/membership.cpp
+++ b/flamingoseam/node/membership.cpp
@@ -1,9 +1,8 @@
 #include "flamingoseam/node/membership.hpp"
 
-#include "flamingoseam/core/error.hpp"
+#include "flamingoseam/core/read_json.hpp"
 
 #include <glog/logging.h>
-#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <ctime>
@@ -44,13 +43,10 @@
                         value.at("port").get<unsigned short>()}};
 }
 
-template <typename Read> auto read_json(const std::string& text, const Read& read)
+/// Reads a record of a member or of the owner.
+template <typename Read> auto read_record(const std::string& text, const Read& read)
 {
-    try {
-        return read(json::parse(text));
-    } catch (const json::exception& cause) {
-        throw parse_error(129, std::string("a membership record can't be read: ") + cause.what());
-    }
+    return read_json(text, 129, "a membership record", read);
 }
 
 } // namespace
@@ -62,7 +58,7 @@
 
 member read_member(const std::string& text)
 {
-    return read_json(text, member_from_json);
+    return read_record(text, member_from_json);
 }
 
 std::string write_owner(const owner_record& value)
@@ -72,7 +68,7 @@
 
 owner_record read_owner(const std::string& text)
 {
-    return read_json(text, [](const json& value) {
+    return read_record(text, [](const json& value) {
         return owner_record{.epoch = value.at("epoch").get<std::uint64_t>(),
                             .owner = member_from_json(value.at("owner"))};
     });
--- a/flamingoseam/node/node.cpp
+++ b/flamingoseam/node/node.cpp
@@ -196,14 +196,14 @@
     }).detach();
 }
 
-void node::update_lanes()
+void node::update_lanes(const membership_view& view)
 {
     const auto owner = local_owner();
     if (!owner) {
         return;
     }
     std::vector<std::string> names{options_.name};
-    for (const auto& [name, one] : membership_->view().members) {
+    for (const auto& [name, one] : view.members) {
         if (name != options_.name) {
             names.push_back(name);
         }
--- a/flamingoseam/node/node.hpp
+++ b/flamingoseam/node/node.hpp
@@ -83,7 +83,7 @@
 
     std::shared_ptr<job_owner> local_owner() const;
     void on_view_changed();
-    void update_lanes();
+    void update_lanes(const membership_view& view);
     void run_election();
     bool wants_to_take_over(const membership_view& view, time_point time);
     milliseconds own_delay(const membership_view& view) const;
@@ -95,8 +95,8 @@
     void note_refused_by(std::uint64_t epoch);
     void confirm_suspicion(const membership_view& view);
     void take_over(const membership_view& view);
-    void log_members();
-    bool offer_to_others(bool is_leaving);
+    void log_members(const membership_view& view);
+    bool offer_to_others(const membership_view& view, bool is_leaving);
     void begin_ownership(const claimed_head& claimed);
     bool hand_over_to_another();
     void drop_owner();
--- a/flamingoseam/node/node_election.cpp
+++ b/flamingoseam/node/node_election.cpp
@@ -56,15 +56,15 @@
 void node::run_election()
 {
     while (const auto events = next_events()) {
-        if (events->owner_lost || is_replaced(membership_->view())) {
+        const auto view = membership_->view();
+        if (events->owner_lost || is_replaced(view)) {
             drop_owner();
         }
-        update_lanes();
-        log_members();
-        const auto view = membership_->view();
+        update_lanes(view);
+        log_members(view);
         if (events->store_is_away && now() >= next_offer_) {
             next_offer_ = now() + offer_interval;
-            offer_to_others(false);
+            offer_to_others(view, false);
         }
         confirm_suspicion(view);
         const bool is_offered = events->offered_epoch != 0 && view.owner &&
@@ -188,9 +188,8 @@
 
 /// Asks the other nodes, one after the other, to take ownership over: when this node no longer
 /// reaches the store, or is about to end. Returns whether one will try.
-bool node::offer_to_others(bool is_leaving)
+bool node::offer_to_others(const membership_view& view, bool is_leaving)
 {
-    const auto view = membership_->view();
     if (!local_owner() || !view.owner) {
         return false;
     }
@@ -228,10 +227,10 @@
     reply(can_take);
 }
 
-void node::log_members()
+void node::log_members(const membership_view& view)
 {
     std::set<std::string> members;
-    for (const auto& [name, one] : membership_->view().members) {
+    for (const auto& [name, one] : view.members) {
         members.insert(name + " " + one.incarnation);
     }
     for (const auto& one : members) {
@@ -338,7 +337,7 @@
         ++changes_;
     }
     changed_.notify_all();
-    update_lanes();
+    update_lanes(membership_->view());
 }
 
 void node::drop_owner()
@@ -360,7 +359,7 @@
 bool node::hand_over_to_another()
 {
     const auto end = now() + options_.hand_over_limit;
-    if (!offer_to_others(true)) {
+    if (!offer_to_others(membership_->view(), true)) {
         return false;
     }
     while (local_owner() && now() < end) {
--- a/flamingoseam/node/node_metrics.cpp
+++ b/flamingoseam/node/node_metrics.cpp
@@ -92,24 +92,23 @@
     starts_.Add({{"outcome", workflow::to_string(outcome)}}).Increment();
 }
 
+void node_metrics::set_gauge(const std::string& name, double value)
+{
+    gauges_.Add({{"name", name}}).Set(value);
+}
+
 void node_metrics::set_owner(const owner_gauges& gauges)
 {
-    const auto set = [this](const std::string& name, double value) {
-        gauges_.Add({{"name", name}}).Set(value);
-    };
-    set("is_owner", gauges.is_owner ? 1 : 0);
-    set("open_jobs", static_cast<double>(gauges.open_jobs));
-    set("doubtful_runs", static_cast<double>(gauges.doubtful_runs));
-    set("silent_workers", static_cast<double>(gauges.silent_workers));
+    set_gauge("is_owner", gauges.is_owner ? 1 : 0);
+    set_gauge("open_jobs", static_cast<double>(gauges.open_jobs));
+    set_gauge("doubtful_runs", static_cast<double>(gauges.doubtful_runs));
+    set_gauge("silent_workers", static_cast<double>(gauges.silent_workers));
 }
 
 std::string node_metrics::text(std::uint64_t lines_left_out)
 {
-    const auto set = [this](const std::string& name, double value) {
-        gauges_.Add({{"name", name}}).Set(value);
-    };
-    set("log_lines_left_out", static_cast<double>(lines_left_out));
-    set("processor_seconds", static_cast<double>(std::clock()) / CLOCKS_PER_SEC);
+    set_gauge("log_lines_left_out", static_cast<double>(lines_left_out));
+    set_gauge("processor_seconds", static_cast<double>(std::clock()) / CLOCKS_PER_SEC);
     return prometheus::TextSerializer().Serialize(registry_->Collect());
 }
 
--- a/flamingoseam/node/node_metrics.hpp
+++ b/flamingoseam/node/node_metrics.hpp
@@ -52,6 +52,8 @@
     [[nodiscard]] std::string text(std::uint64_t lines_left_out);
 
 private:
+    void set_gauge(const std::string& name, double value);
+
     std::shared_ptr<prometheus::Registry> registry_;
     prometheus::Family<prometheus::Counter>& events_;
     prometheus::Family<prometheus::Counter>& refusals_;
--- a/flamingoseam/node/owner_claim_test.cpp
+++ b/flamingoseam/node/owner_claim_test.cpp
@@ -1,6 +1,7 @@
 #include "flamingoseam/node/owner_claim.hpp"
 
 #include "flamingoseam/core/error.hpp"
+#include "tests/commit_only_store.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -12,7 +13,7 @@
 namespace {
 
 /// A store in memory that can lose answers.
-class memory_store final : public shared_store {
+class memory_store final : public commit_only_store {
 public:
     shared_result commit(const shared_transaction& changes, milliseconds /*timeout*/) override
     {
@@ -47,20 +48,6 @@
         return result;
     }
 
-    std::optional<shared_record> get(const std::string& /*key*/) override { return std::nullopt; }
-    shared_page list(const std::string& /*prefix*/, const std::string& /*after*/) override
-    {
-        return {};
-    }
-    shared_changes watch(const std::string& /*prefix*/, std::uint64_t /*revision*/,
-                         milliseconds /*wait*/) override
-    {
-        return {};
-    }
-    std::uint64_t grant_lease(milliseconds /*time_to_live*/) override { return 1; }
-    bool renew_lease(std::uint64_t /*lease*/) override { return true; }
-    void end_lease(std::uint64_t /*lease*/) override {}
-
     std::map<std::string, shared_record> records;
     std::uint64_t revision = 10;
     int answers_lost = 0;
--- a/flamingoseam/peer/rpc_connections.hpp
+++ b/flamingoseam/peer/rpc_connections.hpp
@@ -36,7 +36,7 @@
     rpc_connections& operator=(const rpc_connections&) = delete;
 
     /// Runs `use` with a connection on the connections' thread and waits for what it promises.
-    /// Throws transport_error: id 306 when no connection could be made in time and id 316 when it
+    /// Throws transport_error: id 306 when no connection could be made in time and id 317 when it
     /// was refused (nothing was sent), id 307 when the answer did not come in time or the
     /// connection failed. A failed connection is
     /// replaced by the next call; one that was only silent as well when `drop_on_timeout` is set.
--- a/flamingoseam/workflow/job_spec.cpp
+++ b/flamingoseam/workflow/job_spec.cpp
@@ -69,8 +69,7 @@
 milliseconds target_time(const job_spec& job, const queue_terms& terms)
 {
     const auto chain = longest_chain(job.steps, [](std::size_t) { return true; });
-    const auto stretched = static_cast<double>(chain.count()) * terms.stretch;
-    return milliseconds(static_cast<std::int64_t>(stretched)) + terms.target;
+    return scaled(chain, terms.stretch) + terms.target;
 }
 
 } // namespace flamingoseam::workflow
--- a/flamingoseam/workflow/job_spec.hpp
+++ b/flamingoseam/workflow/job_spec.hpp
@@ -19,6 +19,13 @@
     fractional_ms decision{0};   ///< Service time of one call.
     fractional_ms per_worker{0}; ///< Service time added by each worker named in the call.
     milliseconds validity{0};    ///< How long a ticket may be used after it was issued.
+
+    /// Returns how long the service works on a call that names so many workers.
+    [[nodiscard]] milliseconds service_time(std::size_t workers) const
+    {
+        return std::chrono::ceil<milliseconds>(decision +
+                                               per_worker * static_cast<double>(workers));
+    }
 };
 
 /// The line of a contract that governs one queue of jobs.
--- a/flamingoseam/workflow/placing.hpp
+++ b/flamingoseam/workflow/placing.hpp
@@ -1,8 +1,6 @@
 #pragma once
 
-#include "flamingoseam/core/clock.hpp"
-
-#include <cstdint>
+#include "flamingoseam/workflow/work_order.hpp"
 
 namespace flamingoseam::workflow::detail {
 
@@ -11,10 +9,11 @@
 inline constexpr double waits_for_rack =
     2.0; ///< Estimates that a step waits for its preferred rack.
 
-/// Returns a multiple of a length of time. Complexity: constant.
-inline milliseconds scaled(milliseconds length, double factor)
+/// Tells whether a step would rather wait than run away from its preferred rack. Complexity:
+/// constant.
+inline bool is_waiting_for_rack(const ready_step& step, time_point time)
 {
-    return milliseconds(static_cast<std::int64_t>(static_cast<double>(length.count()) * factor));
+    return time < step.job->received + scaled(step.spec().estimate, waits_for_rack);
 }
 
 } // namespace flamingoseam::workflow::detail
--- a/flamingoseam/workflow/stored_job.cpp
+++ b/flamingoseam/workflow/stored_job.cpp
@@ -1,8 +1,6 @@
 #include "flamingoseam/workflow/stored_job.hpp"
 
-#include "flamingoseam/core/error.hpp"
-
-#include <nlohmann/json.hpp>
+#include "flamingoseam/core/read_json.hpp"
 
 namespace flamingoseam::workflow {
 
@@ -10,13 +8,10 @@
 
 using nlohmann::json;
 
-template <typename Read> auto read_json(const std::string& text, const Read& read)
+/// Reads a record of the store.
+template <typename Read> auto read_record(const std::string& text, const Read& read)
 {
-    try {
-        return read(json::parse(text));
-    } catch (const json::exception& cause) {
-        throw parse_error(126, std::string("a stored record can't be read: ") + cause.what());
-    }
+    return read_json(text, 126, "a stored record", read);
 }
 
 json size_to_json(const resources& size)
@@ -181,7 +176,7 @@
 
 job_record read_specification(const std::string& text)
 {
-    return read_json(text, [](const json& value) {
+    return read_record(text, [](const json& value) {
         job_record job;
         job.spec.queue = value.at("queue").get<std::string>();
         job.terms = terms_from_json(job.spec.queue, value.at("terms"));
@@ -215,7 +210,7 @@
 
 void read_progress(const std::string& text, job_record& job)
 {
-    read_json(text, [&job](const json& value) {
+    read_record(text, [&job](const json& value) {
         job.phase = job_phase_from_string(value.at("phase").get<std::string>());
         job.has_begun = value.value("has_begun", false);
         if (is_final(job.phase)) {
@@ -232,7 +227,7 @@
 
 job_record read_final_progress(const std::string& id, const std::string& text)
 {
-    return read_json(text, [&id](const json& value) {
+    return read_record(text, [&id](const json& value) {
         job_record job;
         job.spec.id = id;
         job.spec.queue = value.value("queue", "");
@@ -275,7 +270,7 @@
 
 std::vector<worker_entry> read_roster(const std::string& text)
 {
-    return read_json(text, [](const json& rows) {
+    return read_record(text, [](const json& rows) {
         std::vector<worker_entry> workers;
         for (const auto& row : rows) {
             worker_entry worker;
--- a/flamingoseam/workflow/work_order.cpp
+++ b/flamingoseam/workflow/work_order.cpp
@@ -23,15 +23,19 @@
 
 } // namespace
 
+time_point::duration slack_of(const job_record& job, time_point time)
+{
+    return job.due - time - remaining_chain(job);
+}
+
 lateness lateness_of(const job_record& job, time_point time)
 {
-    const auto earliest_end = time + remaining_chain(job);
-    if (earliest_end <= job.due) {
+    const auto slack = slack_of(job, time);
+    if (slack >= time_point::duration::zero()) {
         return lateness::on_time;
     }
-    const auto target = target_time(job.spec, job.terms);
-    const auto last_use = job.due + (late_multiple - 1) * target;
-    return earliest_end <= last_use ? lateness::late : lateness::hopeless;
+    const auto most_late = (late_multiple - 1) * target_time(job.spec, job.terms);
+    return slack + most_late >= time_point::duration::zero() ? lateness::late : lateness::hopeless;
 }
 
 void sort_by_urgency(std::vector<ready_step>& steps, time_point time)
--- a/flamingoseam/workflow/work_order.hpp
+++ b/flamingoseam/workflow/work_order.hpp
@@ -26,6 +26,10 @@
     hopeless, ///< So late that only completeness asks for it.
 };
 
+/// Returns how long a job can still wait and be done within its target time; below zero when it can
+/// not. Complexity: linear in steps.
+time_point::duration slack_of(const job_record& job, time_point time);
+
 /// Returns the lateness of a job that would go on now without waiting. Complexity: linear in steps.
 lateness lateness_of(const job_record& job, time_point time);
 
--- a/flamingoseam/workflow/workflow_gangs.cpp
+++ b/flamingoseam/workflow/workflow_gangs.cpp
@@ -6,9 +6,8 @@
 
 namespace flamingoseam::workflow {
 
-using detail::scaled;
+using detail::is_waiting_for_rack;
 using detail::ticket_use_margin;
-using detail::waits_for_rack;
 
 namespace {
 
@@ -63,7 +62,7 @@
             return places;
         }
     }
-    if (time < step.job->received + scaled(spec.estimate, waits_for_rack)) {
+    if (is_waiting_for_rack(step, time)) {
         return std::nullopt;
     }
     return choose([](const candidate&) { return true; });
@@ -136,9 +135,7 @@
             lapsed.push_back(worker);
         }
     }
-    const auto& terms = *step.job->terms.permission;
-    const auto service = std::chrono::ceil<milliseconds>(
-        terms.decision + terms.per_worker * static_cast<double>(lapsed.size()));
+    const auto service = step.job->terms.permission->service_time(lapsed.size());
     if (lapsed.empty()) {
         make_room(step, *hold, time);
     } else if (hold->expected <= time + service + run_ahead_margin) {
--- a/flamingoseam/workflow/workflow_permission.cpp
+++ b/flamingoseam/workflow/workflow_permission.cpp
@@ -74,14 +74,13 @@
         return false;
     }
     workers.resize(std::min(workers.size(), most_workers_asked));
-    const auto& terms = *step.job->terms.permission;
-    const auto service = terms.decision + terms.per_worker * static_cast<double>(workers.size());
     permission_request request{.number = ++last_request_,
                                .job = step.job->spec.id,
                                .step = step.step,
                                .priority = step.job->terms.priority,
                                .workers = {},
-                               .service_time = std::chrono::ceil<milliseconds>(service)};
+                               .service_time =
+                                   step.job->terms.permission->service_time(workers.size())};
     for (const auto worker : workers) {
         request.workers.push_back(fleet_.at(worker).entry.id);
     }
--- a/flamingoseam/workflow/workflow_schedule.cpp
+++ b/flamingoseam/workflow/workflow_schedule.cpp
@@ -6,9 +6,8 @@
 
 namespace flamingoseam::workflow {
 
-using detail::scaled;
+using detail::is_waiting_for_rack;
 using detail::ticket_use_margin;
-using detail::waits_for_rack;
 
 namespace {
 
@@ -133,8 +132,7 @@
 {
     auto candidates = find_candidates(step, time);
     const auto& spec = step.spec();
-    if (!spec.preferred_rack.empty() &&
-        time < step.job->received + scaled(spec.estimate, waits_for_rack)) {
+    if (!spec.preferred_rack.empty() && is_waiting_for_rack(step, time)) {
         std::erase_if(candidates, [&](const candidate& one) {
             return fleet_.at(one.worker).entry.rack != spec.preferred_rack;
         });
--- a/flamingoseam/workflow/workflow_upkeep.cpp
+++ b/flamingoseam/workflow/workflow_upkeep.cpp
@@ -20,9 +20,7 @@
 
 milliseconds still_limit(milliseconds estimate, bool gang)
 {
-    const auto share = static_cast<double>(estimate.count()) * still_share;
-    const auto limit =
-        std::clamp(milliseconds(static_cast<std::int64_t>(share)), least_still, most_still);
+    const auto limit = std::clamp(scaled(estimate, still_share), least_still, most_still);
     return gang ? limit + gang_still_allowance : limit;
 }
 
--- a/flamingoseam/workflow/workflow_yield.cpp
+++ b/flamingoseam/workflow/workflow_yield.cpp
@@ -12,12 +12,6 @@
 constexpr milliseconds slack_to_yield{2'000}; ///< What a job that yields must have left.
 constexpr int nearly_done_percent = 80;
 
-milliseconds slack_of(const job_record& job, time_point time)
-{
-    const auto slack = job.due - time - remaining_chain(job);
-    return std::chrono::duration_cast<milliseconds>(slack);
-}
-
 } // namespace
 
 /// A run yields to a gang of a more urgent queue when it can go on elsewhere from its checkpoint
