Let the strongest nodes own the jobs first

Callers on deployments with machines of 0.12 and 0.5 processors: the owner uses up to 0.42 of a processor and 115 MB with 350 workers, and candidates took their turns in an order that did not look at their size, so that after the first owner's end a machine of 0.12 processors and 160 MB was four times as likely to be next. Change: a node tells its share of a processor (setting processor_share, from the template) in its member's record; candidates, and nodes that are offered ownership, are taken by that share, then in turns as before. An owner that sees a node 1.5 times as strong for 3 s passes ownership on. Nodes of equal size behave as before. Test: candidate_order_test.

--- a/flamingoseam/config/checked_table.cpp
+++ b/flamingoseam/config/checked_table.cpp
@@ -64,6 +64,24 @@
     return value;
 }
 
+double checked_table::get_number(const std::string& key, double fallback, number_bounds bounds)
+{
+    const auto* node = find(key);
+    if (node == nullptr) {
+        return fallback;
+    }
+    const auto value = node->value<double>();
+    if (!value) {
+        fail_type(key, *node, "a number");
+    }
+    if (!(*value >= bounds.least && *value <= bounds.most)) {
+        std::ostringstream what;
+        what << "is " << *value << ", must be from " << bounds.least << " to " << bounds.most;
+        fail(203, key, what.str());
+    }
+    return *value;
+}
+
 milliseconds checked_table::get_duration(const std::string& key, milliseconds fallback,
                                          integer_bounds bounds)
 {
--- a/flamingoseam/config/checked_table.hpp
+++ b/flamingoseam/config/checked_table.hpp
@@ -17,6 +17,12 @@
     std::int64_t most = 0;
 };
 
+/// The smallest and the largest value that a number may have, both allowed.
+struct number_bounds {
+    double least = 0;
+    double most = 0;
+};
+
 /// Reads one TOML table key by key and refuses what it does not expect. Every error names the file,
 /// the key, the value seen and the bounds.
 class checked_table {
@@ -28,6 +34,10 @@
     /// Throws config_error: id 202 for another type, id 203 out of bounds.
     std::int64_t get_integer(const std::string& key, std::int64_t fallback, integer_bounds bounds);
 
+    /// Returns a number, or `fallback` when the key is absent.
+    /// Throws config_error: id 202 for another type, id 203 out of bounds.
+    double get_number(const std::string& key, double fallback, number_bounds bounds);
+
     /// Returns a duration that the file gives in milliseconds. Throws as get_integer does.
     milliseconds get_duration(const std::string& key, milliseconds fallback, integer_bounds bounds);
 
--- a/flamingoseam/node/membership.cpp
+++ b/flamingoseam/node/membership.cpp
@@ -32,15 +32,17 @@
     return {{"name", value.name},
             {"incarnation", value.incarnation},
             {"address", value.address.address},
-            {"port", value.address.port}};
+            {"port", value.address.port},
+            {"processor_share", value.processor_share}};
 }
 
 member member_from_json(const json& value)
 {
-    return {.name = value.at("name").get<std::string>(),
-            .incarnation = value.at("incarnation").get<std::string>(),
-            .address = {value.at("address").get<std::string>(),
-                        value.at("port").get<unsigned short>()}};
+    return {
+        .name = value.at("name").get<std::string>(),
+        .incarnation = value.at("incarnation").get<std::string>(),
+        .address = {value.at("address").get<std::string>(), value.at("port").get<unsigned short>()},
+        .processor_share = value.value("processor_share", 1.0)};
 }
 
 /// Reads a record of a member or of the owner.
--- a/flamingoseam/node/membership.hpp
+++ b/flamingoseam/node/membership.hpp
@@ -20,8 +20,9 @@
 /// A node as the others see it.
 struct member {
     std::string name;
-    std::string incarnation; ///< New after each start of the node's process.
-    endpoint address;        ///< Of its RPC interface.
+    std::string incarnation;    ///< New after each start of the node's process.
+    endpoint address;           ///< Of its RPC interface.
+    double processor_share = 1; ///< Of one processor, that the machine has.
 };
 
 /// The owner of the jobs as the store names it; the name is empty after a hand-over.
--- a/flamingoseam/node/node.hpp
+++ b/flamingoseam/node/node.hpp
@@ -20,6 +20,7 @@
 struct node_options {
     std::string name;
     endpoint rpc;                     ///< Where other nodes reach it.
+    double processor_share = 1;       ///< Of one processor, that the machine has.
     std::string store_prefix = "fs/"; ///< Of all keys.
     milliseconds worker_lease{6'000};
     milliseconds ended_kept{150'000};  ///< How long an ended job can be asked for.
@@ -97,6 +98,8 @@
     void take_over(const membership_view& view);
     void log_members(const membership_view& view);
     bool offer_to_others(const membership_view& view, bool is_leaving);
+    bool offer_to(const member& other, const ownership_offer& offer);
+    void offer_to_stronger(const membership_view& view);
     void begin_ownership(const claimed_head& claimed);
     bool hand_over_to_another();
     void drop_owner();
@@ -129,8 +132,9 @@
     std::atomic<bool> leaving_{false};
     bool stopping_ = false;
     std::optional<time_point> owner_missing_since_;
-    time_point next_offer_{};              ///< Of the election thread.
-    std::set<std::string> logged_members_; ///< Of the election thread.
+    time_point next_offer_{};                  ///< Of the election thread.
+    std::optional<time_point> stronger_since_; ///< Of the election thread.
+    std::set<std::string> logged_members_;     ///< Of the election thread.
     std::unique_ptr<membership> membership_;
     std::unique_ptr<coordinator_server> server_;
     std::thread election_thread_;
--- a/flamingoseam/node/node_election.cpp
+++ b/flamingoseam/node/node_election.cpp
@@ -1,11 +1,11 @@
 #include "flamingoseam/node/node.hpp"
 
 #include "flamingoseam/core/error.hpp"
+#include "flamingoseam/node/candidate_order.hpp"
 
 #include <glog/logging.h>
 
 #include <algorithm>
-#include <functional>
 #include <set>
 #include <utility>
 
@@ -17,6 +17,7 @@
 constexpr milliseconds election_interval_without{30}; ///< The same while there is no owner.
 constexpr milliseconds offer_timeout{150};
 constexpr milliseconds offer_interval{500};  ///< The node that was asked needs some time.
+constexpr milliseconds stronger_for{3'000};  ///< A node that joined just now may go again.
 constexpr milliseconds fresh_renewal{300};   ///< A node that renewed so lately reaches the store.
 constexpr milliseconds confirm_timeout{100}; ///< Of the question whether the owner is gone.
 constexpr milliseconds hand_over_check{10};
@@ -66,6 +67,7 @@
             next_offer_ = now() + offer_interval;
             offer_to_others(view, false);
         }
+        offer_to_stronger(view);
         confirm_suspicion(view);
         const bool is_offered = events->offered_epoch != 0 && view.owner &&
                                 view.owner->epoch == events->offered_epoch && !local_owner();
@@ -151,14 +153,9 @@
 
 milliseconds node::own_delay(const membership_view& view) const
 {
-    // Candidates take their turns in an order that differs from epoch to epoch.
-    const auto epoch = view.owner ? view.owner->epoch : 0;
-    const auto rank_of = [&](const std::string& name) {
-        return std::hash<std::string>{}(name + "#" + std::to_string(epoch));
-    };
-    const auto own = rank_of(options_.name);
-    const auto ahead = std::count_if(view.members.begin(), view.members.end(),
-                                     [&](const auto& row) { return rank_of(row.first) < own; });
+    const auto order = candidate_order(view, view.owner ? view.owner->epoch : 0);
+    const auto own = std::ranges::find(order, options_.name, &member::name);
+    const auto ahead = std::distance(order.begin(), own);
     const auto grace = has_ended(view) ? milliseconds(0) : options_.take_over_grace;
     return grace + ahead * options_.take_over_step;
 }
@@ -193,24 +190,52 @@
     if (!local_owner() || !view.owner) {
         return false;
     }
-    for (const auto& [name, one] : view.members) {
-        if (name == options_.name) {
-            continue;
-        }
-        try {
-            const ownership_offer offer{.epoch = view.owner->epoch, .is_leaving = is_leaving};
-            if (client_.offer_ownership(one.address, offer, offer_timeout)) {
-                parts_.log->write(
-                    {.event = "ownership_offered", .request = {}, .detail = "to " + name});
-                return true;
-            }
-        } catch (const transport_error& cause) {
-            LOG_EVERY_N(WARNING, 10) << "ownership can't be offered: " << cause.what();
+    const ownership_offer offer{.epoch = view.owner->epoch, .is_leaving = is_leaving};
+    for (const auto& one : candidate_order(view, offer.epoch)) {
+        if (one.name != options_.name && offer_to(one, offer)) {
+            return true;
         }
     }
     return false;
 }
 
+/// Asks one node to take ownership over. Returns whether it will try.
+bool node::offer_to(const member& other, const ownership_offer& offer)
+{
+    try {
+        if (!client_.offer_ownership(other.address, offer, offer_timeout)) {
+            return false;
+        }
+        parts_.log->write(
+            {.event = "ownership_offered", .request = {}, .detail = "to " + other.name});
+        return true;
+    } catch (const transport_error& cause) {
+        LOG_EVERY_N(WARNING, 10) << "ownership can't be offered: " << cause.what();
+        return false;
+    }
+}
+
+/// Passes ownership to a much stronger node that has been a member for some time.
+void node::offer_to_stronger(const membership_view& view)
+{
+    const auto stronger = local_owner() && view.owner
+                              ? find_stronger(view, membership_->self(), view.owner->epoch)
+                              : std::nullopt;
+    if (!stronger) {
+        stronger_since_.reset();
+        return;
+    }
+    const auto time = now();
+    if (!stronger_since_) {
+        stronger_since_ = time;
+    }
+    if (time - *stronger_since_ >= stronger_for && time >= next_offer_) {
+        stronger_since_ = time;
+        next_offer_ = time + offer_interval;
+        offer_to(*stronger, {.epoch = view.owner->epoch, .is_leaving = false});
+    }
+}
+
 void node::offer_ownership(const ownership_offer& offer, reply_flag reply)
 {
     // An owner that does not reach the store needs a node that does, however slow the store is.
