--- /dev/null
+++ b/flamingoseam/worker/worker_link_test.cpp
@@ -0,0 +1,121 @@
+#include "flamingoseam/worker/worker_link.hpp"
+
+#include "flamingoseam/http/http_server.hpp"
+#include "flamingoseam/http/json.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+
+using namespace flamingoseam;
+
+namespace {
+
+const endpoint worker_address{"127.77.0.1", 7300};
+constexpr milliseconds longer_than_a_command{1'500};
+
+/// A worker that carries the first start out, answers too late and refuses every later copy.
+class forgetful_worker {
+public:
+    explicit forgetful_worker(std::string refusal)
+        : refusal_(std::move(refusal)),
+          server_({.address = worker_address.address, .port = worker_address.port},
+                  [this](const http_request& request) { return handle(request); })
+    {
+    }
+
+    int starts_seen()
+    {
+        const std::lock_guard lock(mutex_);
+        return starts_seen_;
+    }
+
+private:
+    http_response handle(const http_request& request)
+    {
+        std::unique_lock lock(mutex_);
+        if (request.path != "/v1/command") {
+            return {.body = to_json(event_batch{.accepted = true, .incarnation = "A"})};
+        }
+        const auto command = from_json<worker_command>(request.body);
+        command_answer answer{.accepted = true, .epoch = command.epoch, .incarnation = "A"};
+        if (command.starts.empty()) {
+            return {.body = to_json(answer)};
+        }
+        if (++starts_seen_ == 1) {
+            lock.unlock();
+            std::this_thread::sleep_for(longer_than_a_command);
+            return {.body = to_json(answer)};
+        }
+        answer.accepted = false;
+        answer.reason = refusal_;
+        return {.body = to_json(answer)};
+    }
+
+    std::string refusal_;
+    std::mutex mutex_;
+    int starts_seen_ = 0;
+    http_server server_;
+};
+
+/// Keeps what the link says of starts.
+class start_listener final : public worker_listener {
+public:
+    void on_report(const std::string& /*address*/, const command_answer& /*report*/) override
+    {
+        const std::lock_guard lock(mutex_);
+        ++reports_;
+        changed_.notify_all();
+    }
+    void on_start_result(const std::string& /*address*/, const start_result& result) override
+    {
+        const std::lock_guard lock(mutex_);
+        results_.push_back(result);
+        changed_.notify_all();
+    }
+    void on_event(const std::string& /*address*/, const task_event& /*event*/) override {}
+    void on_lost(const std::string& /*address*/) override {}
+    void on_stale(const std::string& /*address*/, std::uint64_t /*newest_epoch*/) override {}
+
+    /// Waits until a number of reports has come.
+    bool wait_for_reports(int number)
+    {
+        std::unique_lock lock(mutex_);
+        return changed_.wait_for(lock, milliseconds(5'000), [&] { return reports_ >= number; });
+    }
+
+    std::vector<start_result> results()
+    {
+        const std::lock_guard lock(mutex_);
+        return results_;
+    }
+
+private:
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    int reports_ = 0;
+    std::vector<start_result> results_;
+};
+
+} // namespace
+
+// A refusal answers the newest copy of a command only; an earlier one may have begun the task.
+TEST_CASE("a refused command of which an earlier copy may have been carried out")
+{
+    const auto refusal = GENERATE(as<std::string>(), "other_incarnation", "no_session");
+    forgetful_worker worker(refusal);
+    start_listener listener;
+    http_worker_link link({.worker = worker_address, .shard = "s", .owner = "o", .epoch = 1},
+                          listener);
+    REQUIRE(listener.wait_for_reports(1));
+    link.resume();
+    link.start({.task_id = "t1", .customer = "c", .request_id = "r"});
+    REQUIRE(listener.wait_for_reports(2));
+
+    CHECK(worker.starts_seen() >= 2);
+    for (const auto& result : listener.results()) {
+        CHECK(result.reason == "may_have_run");
+    }
+}
