Let only a report settle what became of a refused start in a cell's links

Callers: work that must run once at most could run twice, or be told not_run although it had begun, when a worker stayed silent for longer than a command's time-out. Cause: the HTTP library repeats a request on its own; the link knew only of the repeats that it makes itself, and told the shard of refusals that answer the newest copy. Change: a link tells the shard of starts that were taken and of starts that were never sent; after any other answer it asks for a report, which shows or loses them. The shard's verdict may_have_run by a link's reason is not needed any more, and the model follows.

--- a/flamingoseam/shard/shard_worker.cpp
+++ b/flamingoseam/shard/shard_worker.cpp
@@ -290,10 +290,6 @@
         return;
     }
     const auto task = found->second;
-    if (result.reason == "may_have_run") {
-        task_lost(*task.record, task.index, "worker_restarted", time);
-        return;
-    }
     const auto worker = pool_.find(address);
     if (worker && pool_.at(*worker).accepts()) {
         set_status(*worker, worker_status::unfenced);
--- a/flamingoseam/worker/worker_link.cpp
+++ b/flamingoseam/worker/worker_link.cpp
@@ -222,30 +222,18 @@
 
 void http_worker_link::send_batch(worker_command command)
 {
-    bool repeated = false;
     while (!stopping_) {
         command.lease = options_.lease;
         command.answered = answered_;
         try {
             const auto answer = call(command);
-            if (!answer.accepted) {
-                take_refusal(command, answer, repeated);
-                return;
-            }
-            bool refused = false;
-            for (const auto& result : answer.results) {
-                refused |= !result.started;
-                // An earlier copy of this command may still arrive; only a report settles it.
-                if (result.started || !repeated) {
-                    listener_.on_start_result(to_string(options_.worker), result);
-                }
-            }
-            if (refused) {
-                need_report();
+            if (answer.accepted) {
+                take_results(answer);
+            } else {
+                take_refusal(answer);
             }
             return;
         } catch (const error&) {
-            repeated = true;
             check_lost();
             if (lost_) {
                 return;
@@ -255,13 +243,22 @@
     }
 }
 
-void http_worker_link::take_refusal(const worker_command& command, const command_answer& answer,
-                                    bool repeated)
+void http_worker_link::take_results(const command_answer& answer)
 {
-    const auto reason = repeated ? "may_have_run" : answer.reason;
-    for (const auto& task : command.starts) {
-        refuse(task, reason);
+    bool refused = false;
+    for (const auto& result : answer.results) {
+        refused |= !result.started;
+        if (result.started) {
+            listener_.on_start_result(to_string(options_.worker), result);
+        }
     }
+    if (refused) {
+        need_report();
+    }
+}
+
+void http_worker_link::take_refusal(const command_answer& answer)
+{
     need_report();
     if (answer.reason == "stale_epoch") {
         listener_.on_stale(to_string(options_.worker), answer.epoch);
--- a/flamingoseam/worker/worker_link.hpp
+++ b/flamingoseam/worker/worker_link.hpp
@@ -87,7 +87,10 @@
     void run_events();
     bool send_report();
     void send_batch(worker_command command);
-    void take_refusal(const worker_command& command, const command_answer& answer, bool repeated);
+    // A refusal answers the newest copy of a command. The connection may have delivered an earlier
+    // one, or deliver it still; only a report settles what became of its starts.
+    void take_results(const command_answer& answer);
+    void take_refusal(const command_answer& answer);
     void refuse(const task_start& task, const std::string& reason);
     void need_report();
     void refuse_unsent();
--- a/flamingoseam/worker/worker_link_test.cpp
+++ b/flamingoseam/worker/worker_link_test.cpp
@@ -49,8 +49,9 @@
             std::this_thread::sleep_for(longer_than_a_command);
             return {.body = to_json(answer)};
         }
-        answer.accepted = false;
+        answer.accepted = refusal_ == "no_capacity";
         answer.reason = refusal_;
+        answer.results.push_back({.task_id = "t1", .started = false, .reason = refusal_});
         return {.body = to_json(answer)};
     }
 
@@ -104,7 +105,8 @@
 // A refusal answers the newest copy of a command only; an earlier one may have begun the task.
 TEST_CASE("a refused command of which an earlier copy may have been carried out")
 {
-    const auto refusal = GENERATE(as<std::string>(), "other_incarnation", "no_session");
+    const auto refusal =
+        GENERATE(as<std::string>(), "other_incarnation", "no_session", "no_capacity");
     forgetful_worker worker(refusal);
     start_listener listener;
     http_worker_link link({.worker = worker_address, .shard = "s", .owner = "o", .epoch = 1},
@@ -115,7 +117,5 @@
     REQUIRE(listener.wait_for_reports(2));
 
     CHECK(worker.starts_seen() >= 2);
-    for (const auto& result : listener.results()) {
-        CHECK(result.reason == "may_have_run");
-    }
+    CHECK(listener.results().empty());
 }
--- a/tests/cell_model.cpp
+++ b/tests/cell_model.cpp
@@ -244,19 +244,15 @@
         to.current.report = true;
         to.current.session = ++to.session;
         to.waiting = true;
-        to.repeated = false;
     } else if (!to.waiting && !(to.pending.starts.empty() && to.pending.stops.empty())) {
         to.current = std::exchange(to.pending, {});
         to.current.session = to.session;
         to.current.incarnation = to.incarnation;
         to.waiting = true;
-        to.repeated = false;
     } else if (!to.waiting) {
         return;
     } else if (to.current.report) {
         to.current.session = ++to.session;
-    } else {
-        to.repeated = true;
     }
     to.current.epoch = one.epoch;
     to.current.lease = lease;
@@ -329,8 +325,6 @@
         to.answered = std::max(to.answered, message.answer.contact);
     }
     if (!message.answer.accepted) {
-        const auto reason = to.repeated ? "may_have_run" : message.answer.reason;
-        fail_starts(one, message.worker, to.current.starts, reason);
         to.needs_report = true;
         to.accepts = false;
         if (message.answer.reason == "stale_epoch") {
@@ -348,7 +342,7 @@
         to.accepts = true;
     } else {
         for (const auto& result : message.answer.results) {
-            if (result.started || !to.repeated) {
+            if (result.started) {
                 one.state->on_start_result(address(message.worker), result, time_);
             }
             to.needs_report |= !result.started;
--- a/tests/cell_model.hpp
+++ b/tests/cell_model.hpp
@@ -60,7 +60,6 @@
         bool needs_report = true;
         bool accepts = false;
         bool waiting = false; ///< A command is under way.
-        bool repeated = false;
         bool lost = false;
         bool fenced = false;
         worker_command current;
