Tell once a second what the owner's control thread does and what waits for it

The control loop now measures how long each step waits and takes; the owner writes one line `owner_load` a second and sets the gauges and histograms beside it: time in steps, in decisions and in handing them out, processor time of the thread and of the process, changes that wait for the store and transactions stored, permission requests that wait for a lane, repeated requests after lapsed tickets, overdue jobs. The state still reads no clock: the ages of changes come from their numbers.

An event of the log may carry whole numbers under names of their own. No decision changes. The unit tests and the scenarios platform_path, platform_shutdown and platform_store pass; the last one now checks that the line comes at most once a second.

--- a/flamingoseam/core/control_loop.hpp
+++ b/flamingoseam/core/control_loop.hpp
@@ -7,13 +7,25 @@
 #include <functional>
 #include <future>
 #include <mutex>
+#include <utility>
 
 namespace flamingoseam {
 
+/// How one step fared.
+struct step_times {
+    time_point::duration waited{0}; ///< From post() until it ran.
+    time_point::duration took{0};
+    std::size_t queued = 0; ///< Steps that were taken off the queue together, this one included.
+};
+
 /// The one thread that may touch control state. Others post steps to it; it runs them in order.
 class control_loop {
 public:
     using step = std::function<void()>;
+    using step_observer = std::function<void(const step_times&)>;
+
+    /// `observer` hears of each step on the loop's thread, if it is given.
+    explicit control_loop(step_observer observer = nullptr) : observer_(std::move(observer)) {}
 
     /// Queues a step; safe from any thread. Complexity: constant.
     void post(step one);
@@ -35,11 +47,18 @@
     void stop();
 
 private:
-    std::deque<step> take_batch(milliseconds tick);
+    struct queued_step {
+        step run;
+        time_point posted{};
+    };
+
+    std::deque<queued_step> take_batch(milliseconds tick);
+    void run_batch(std::deque<queued_step> batch) const;
 
+    step_observer observer_;
     std::mutex mutex_;
     std::condition_variable changed_;
-    std::deque<step> steps_;
+    std::deque<queued_step> steps_;
     bool stopping_ = false;
 };
 
--- /dev/null
+++ b/flamingoseam/core/control_loop_test.cpp
@@ -0,0 +1,25 @@
+#include "flamingoseam/core/control_loop.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <thread>
+#include <vector>
+
+using namespace flamingoseam;
+using namespace std::chrono_literals;
+
+TEST_CASE("a control loop tells how long each step waited and took")
+{
+    std::vector<step_times> seen;
+    control_loop loop([&](const step_times& times) { seen.push_back(times); });
+    loop.post([] { std::this_thread::sleep_for(20ms); });
+    loop.post([] {});
+    loop.stop();
+    loop.run(1ms, [] {});
+
+    REQUIRE(seen.size() == 2);
+    CHECK(seen[0].took >= 20ms);
+    CHECK(seen[1].waited >= 20ms);
+    CHECK(seen[0].queued == 2);
+    CHECK(seen[1].queued == 2);
+}
--- a/flamingoseam/log/event_log.cpp
+++ b/flamingoseam/log/event_log.cpp
@@ -27,6 +27,9 @@
     if (!event.detail.empty()) {
         line["detail"] = event.detail;
     }
+    for (const auto& field : event.fields) {
+        line[field.name] = field.value;
+    }
     return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
 }
 
--- a/flamingoseam/log/event_log_test.cpp
+++ b/flamingoseam/log/event_log_test.cpp
@@ -59,6 +59,19 @@
         CHECK(line.at("node") == "n1");
         CHECK(line.contains("time_ms"));
     }
+    SECTION("measured values are numbers of their own")
+    {
+        {
+            event_log log(options);
+            log.write({.event = "owner_load",
+                       .request = {},
+                       .detail = {},
+                       .fields = {{"open_jobs", 7}, {"loop_delay_ms", 12}}});
+        }
+        const auto line = nlohmann::json::parse(pipe.read_all());
+        CHECK(line.at("open_jobs") == 7);
+        CHECK(line.at("loop_delay_ms") == 12);
+    }
     SECTION("a reader that does not read stops nothing; what does not fit is counted")
     {
         options.most_waiting_bytes = 2'000;
--- a/flamingoseam/node/job_owner.cpp
+++ b/flamingoseam/node/job_owner.cpp
@@ -1,6 +1,7 @@
 #include "flamingoseam/node/job_owner.hpp"
 
 #include "flamingoseam/core/error.hpp"
+#include "flamingoseam/node/load_line.hpp"
 
 #include <glog/logging.h>
 
@@ -11,7 +12,6 @@
 
 namespace {
 
-constexpr milliseconds gauge_interval{1'000};
 constexpr milliseconds tick{25};
 constexpr milliseconds ended_margin{10'000}; ///< Owners' clocks differ by less.
 constexpr milliseconds directory_wait{10'000};
@@ -35,13 +35,16 @@
 private:
     workflow::record_batch take_batch(std::size_t most) override
     {
-        return owner_.loop_.ask<workflow::record_batch>(
+        auto batch = owner_.loop_.ask<workflow::record_batch>(
             [this, most] { return owner_.state_.take_batch(index_, most, now(), wall_now()); });
+        records_ = batch.changes.size();
+        return batch;
     }
 
     void on_stored() override
     {
-        owner_.loop_.post([this] {
+        owner_.loop_.post([this, records = records_] {
+            owner_.meter_.note_transaction(records);
             owner_.state_.on_stored(index_);
             owner_.set_store_silent(false); // Although another chain may wait for its next attempt.
         });
@@ -56,11 +59,14 @@
 
     job_owner& owner_;
     std::size_t index_;
+    std::size_t records_ = 0; ///< Of the batch under way; of the chain's thread.
     std::unique_ptr<commit_chain> chain_;
 };
 
 job_owner::job_owner(job_owner_start start, job_owner_parts parts)
     : parts_(std::move(parts)), epoch_(start.head.epoch),
+      meter_(now(), {.process = read_processor_times().process}),
+      loop_([this](const step_times& times) { note_step(times); }),
       state_({.epoch = start.head.epoch,
               .keys = parts_.keys,
               .ended_retention = parts_.ended_kept + ended_margin,
@@ -68,11 +74,13 @@
 {
     state_.load(std::move(start.jobs), start.roster, now(), wall_now());
     lanes_ = std::make_unique<permission_lanes>(
-        parts_.permissions, [this](std::uint64_t number, auto grants) {
+        parts_.permissions,
+        [this](std::uint64_t number, auto grants) {
             loop_.post([this, number, grants = std::move(grants)] {
                 state_.on_permission(number, grants, now());
             });
-        });
+        },
+        [this](const permission_timing& timing) { parts_.metrics->observe_permission(timing); });
     for (std::size_t index = 0; index < parts_.head_keys.size(); ++index) {
         chains_.push_back(std::make_unique<chain_link>(*this, index, start));
     }
@@ -98,6 +106,7 @@
 {
     ending_ = true;
     parts_.metrics->set_owner({.is_owner = false});
+    parts_.metrics->set_load({});
     lanes_->request_end();
     loop_.post([this] {
         for (auto& [worker, session] : sessions_) {
@@ -261,19 +270,55 @@
         return;
     }
     const auto began = now();
+    const auto passes = state_.counts().passes;
     state_.tick(began);
     auto actions = state_.take_actions();
     measure(actions, began);
-    dispatch(std::move(actions));
-    if (began >= next_gauges_) {
-        next_gauges_ = began + gauge_interval;
-        set_gauges();
+    const auto decided = now();
+    if (state_.counts().passes != passes) {
+        parts_.metrics->observe_pass(decided - began);
     }
+    const auto starts = actions.starts.size();
+    dispatch(std::move(actions));
     for (std::size_t index = 0; index < chains_.size(); ++index) {
         if (state_.has_changes(index, now())) {
             chains_[index]->chain().wake();
         }
     }
+    note_decisions({.deciding = decided - began, .dispatching = now() - decided, .starts = starts},
+                   began);
+}
+
+void job_owner::note_step(const step_times& times)
+{
+    meter_.note_step(times);
+    parts_.metrics->observe_step(times);
+}
+
+void job_owner::note_decisions(const decision_times& times, time_point time)
+{
+    meter_.note_decisions(times);
+    change_ages_.note(state_.changes().last_change(), time);
+    if (meter_.is_due(time)) {
+        set_gauges();
+        report_load(time);
+    }
+}
+
+void job_owner::report_load(time_point time)
+{
+    const auto& changes = state_.changes();
+    const state_load state{.open_jobs = state_.open_jobs(),
+                           .overdue_jobs = state_.count_overdue(time),
+                           .waiting_steps = state_.waiting_steps(),
+                           .changes = changes.size(),
+                           .oldest_change = change_ages_.age_of(changes.oldest_change(), time),
+                           .permissions = lanes_->waiting(time),
+                           .passes = state_.counts().passes,
+                           .repeated_requests = state_.counts().repeated_permission_requests};
+    const auto load = meter_.take(state, time, read_processor_times());
+    parts_.metrics->set_load(load);
+    parts_.log->write(to_event(load));
 }
 
 void job_owner::measure(const workflow::workflow_actions& actions, time_point began)
--- a/flamingoseam/node/job_owner.hpp
+++ b/flamingoseam/node/job_owner.hpp
@@ -3,6 +3,7 @@
 #include "flamingoseam/core/control_loop.hpp"
 #include "flamingoseam/log/event_log.hpp"
 #include "flamingoseam/node/commit_chain.hpp"
+#include "flamingoseam/node/load_meter.hpp"
 #include "flamingoseam/node/node_metrics.hpp"
 #include "flamingoseam/node/owner_service.hpp"
 #include "flamingoseam/node/permission_lanes.hpp"
@@ -101,6 +102,9 @@
     void dispatch(workflow::workflow_actions actions);
     void answer(const workflow::caller_answer& one);
     void measure(const workflow::workflow_actions& actions, time_point began);
+    void note_step(const step_times& times);
+    void note_decisions(const decision_times& times, time_point time);
+    void report_load(time_point time);
     void set_gauges();
     std::uint64_t keep(owner_service::reply_owner reply);
     void answer_unknown();
@@ -112,6 +116,8 @@
 
     job_owner_parts parts_;
     std::uint64_t epoch_;
+    load_meter meter_;        ///< Of the control thread.
+    change_ages change_ages_; ///< Likewise.
     control_loop loop_;
     workflow::workflow_state state_;
     std::unordered_map<std::uint64_t, owner_service::reply_owner> replies_;
@@ -124,7 +130,6 @@
     std::atomic<bool> ending_{false};
     std::atomic<bool> superseded_{false};
     bool leaving_ = false;
-    time_point next_gauges_{};
     std::thread loop_thread_;
     std::thread directory_thread_;
 };
--- /dev/null
+++ b/flamingoseam/node/load_line.cpp
@@ -0,0 +1,55 @@
+#include "flamingoseam/node/load_line.hpp"
+
+namespace flamingoseam::node {
+
+namespace {
+
+std::int64_t whole_ms(time_point::duration length)
+{
+    return std::chrono::duration_cast<milliseconds>(length).count();
+}
+
+std::int64_t percent(time_point::duration part, time_point::duration whole)
+{
+    return whole.count() == 0 ? 0 : 100 * part / whole;
+}
+
+std::int64_t number(std::size_t value)
+{
+    return static_cast<std::int64_t>(value);
+}
+
+} // namespace
+
+log_event to_event(const owner_load& load)
+{
+    const auto& state = load.state;
+    return {.event = "owner_load",
+            .request = {},
+            .detail = {},
+            .fields = {
+                {"span_ms", whole_ms(load.span)},
+                {"open_jobs", number(state.open_jobs)},
+                {"overdue_jobs", number(state.overdue_jobs)},
+                {"waiting_steps", number(state.waiting_steps)},
+                {"starts", number(load.starts)},
+                {"loop_delay_ms", whole_ms(load.longest_wait)},
+                {"loop_steps", number(load.steps)},
+                {"loop_queue", number(load.most_queued)},
+                {"passes", state.passes},
+                {"steps_percent", percent(load.in_steps, load.span)},
+                {"deciding_percent", percent(load.deciding, load.span)},
+                {"dispatching_percent", percent(load.dispatching, load.span)},
+                {"control_cpu_percent", percent(load.processor.thread, load.span)},
+                {"process_cpu_percent", percent(load.processor.process, load.span)},
+                {"changes_waiting", number(state.changes)},
+                {"oldest_change_ms", whole_ms(state.oldest_change)},
+                {"transactions", number(load.transactions)},
+                {"records_written", number(load.records)},
+                {"permissions_queued", number(state.permissions.requests)},
+                {"oldest_permission_ms", whole_ms(state.permissions.oldest)},
+                {"repeated_permissions", state.repeated_requests},
+            }};
+}
+
+} // namespace flamingoseam::node
--- /dev/null
+++ b/flamingoseam/node/load_meter.cpp
@@ -0,0 +1,90 @@
+#include "flamingoseam/node/load_meter.hpp"
+
+#include <algorithm>
+#include <ctime>
+
+namespace flamingoseam::node {
+
+namespace {
+
+constexpr milliseconds span{1'000};
+
+time_point::duration read_clock(clockid_t clock)
+{
+    timespec time{};
+    ::clock_gettime(clock, &time);
+    return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+}
+
+} // namespace
+
+processor_times read_processor_times()
+{
+    return {.thread = read_clock(CLOCK_THREAD_CPUTIME_ID),
+            .process = read_clock(CLOCK_PROCESS_CPUTIME_ID)};
+}
+
+void change_ages::note(std::uint64_t newest, time_point time)
+{
+    if (newest_.empty() || newest_.back().first < newest) {
+        newest_.emplace_back(newest, time);
+    }
+}
+
+time_point::duration change_ages::age_of(std::optional<std::uint64_t> change, time_point time)
+{
+    if (!change) {
+        newest_.clear();
+        return {};
+    }
+    while (!newest_.empty() && newest_.front().first < *change) {
+        newest_.pop_front();
+    }
+    return newest_.empty() ? time_point::duration{} : time - newest_.front().second;
+}
+
+load_meter::load_meter(time_point time, processor_times processor)
+    : began_(time), processor_(processor)
+{
+}
+
+void load_meter::note_step(const step_times& times)
+{
+    ++load_.steps;
+    load_.longest_wait = std::max(load_.longest_wait, times.waited);
+    load_.most_queued = std::max(load_.most_queued, times.queued);
+    load_.in_steps += times.took;
+}
+
+void load_meter::note_decisions(const decision_times& times)
+{
+    load_.deciding += times.deciding;
+    load_.dispatching += times.dispatching;
+    load_.starts += times.starts;
+}
+
+void load_meter::note_transaction(std::size_t records)
+{
+    ++load_.transactions;
+    load_.records += records;
+}
+
+bool load_meter::is_due(time_point time) const
+{
+    return time - began_ >= span;
+}
+
+owner_load load_meter::take(const state_load& state, time_point time, processor_times processor)
+{
+    auto load = std::exchange(load_, {});
+    load.state = state;
+    load.state.passes -= std::exchange(passes_, state.passes);
+    load.state.repeated_requests -= std::exchange(repeated_requests_, state.repeated_requests);
+    load.span = time - std::exchange(began_, time);
+    load.processor = {.thread = processor.thread - processor_.thread,
+                      .process = processor.process - processor_.process};
+    processor_ = processor;
+    return load;
+}
+
+} // namespace flamingoseam::node
--- a/flamingoseam/node/node_metrics.cpp
+++ b/flamingoseam/node/node_metrics.cpp
@@ -12,6 +12,7 @@
 
 const bounds job_bounds_s = {0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 16, 32, 64};
 const bounds store_bounds_s = {0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2};
+const bounds queue_bounds_s = {0.001, 0.005, 0.025, 0.1, 0.25, 0.5, 1, 2, 4, 8, 16};
 const bounds decision_bounds_s = {0.0001, 0.0005, 0.001, 0.0025, 0.005, 0.01, 0.05, 0.25};
 
 template <typename Duration> double seconds(Duration length)
@@ -48,6 +49,20 @@
       decisions_(histogram(*registry_, "flamingoseam_decision_seconds",
                            "Time of the control thread for one group of events")
                      .Add({}, decision_bounds_s)),
+      step_waits_(histogram(*registry_, "flamingoseam_step_wait_seconds",
+                            "Time of a step in the queue of the control thread")
+                      .Add({}, queue_bounds_s)),
+      passes_(histogram(*registry_, "flamingoseam_pass_seconds",
+                        "Time of one pass over the waiting steps")
+                  .Add({}, decision_bounds_s)),
+      permission_waits_(histogram(*registry_, "flamingoseam_permission_wait_seconds",
+                                  "Time from the decision to ask for permission until a lane "
+                                  "takes the request, by priority")),
+      permission_calls_(histogram(*registry_, "flamingoseam_permission_call_seconds",
+                                  "Calls to the permission service, by outcome")),
+      repeated_requests_(counter(*registry_, "flamingoseam_repeated_permission_requests_total",
+                                 "Permission requests for workers whose tickets had lapsed")
+                             .Add({})),
       gauges_(prometheus::BuildGauge()
                   .Name("flamingoseam_node")
                   .Help("What is true of this node now, by name")
@@ -80,6 +95,24 @@
     decisions_.Observe(seconds(length));
 }
 
+void node_metrics::observe_step(const step_times& times)
+{
+    step_waits_.Observe(seconds(times.waited));
+}
+
+void node_metrics::observe_pass(time_point::duration length)
+{
+    passes_.Observe(seconds(length));
+}
+
+void node_metrics::observe_permission(const permission_timing& timing)
+{
+    permission_waits_.Add({{"priority", std::to_string(timing.priority)}}, queue_bounds_s)
+        .Observe(seconds(timing.waited));
+    permission_calls_.Add({{"outcome", timing.answered ? "answered" : "failed"}}, store_bounds_s)
+        .Observe(seconds(timing.took));
+}
+
 void node_metrics::observe_store_call(const std::string& call, const std::string& outcome,
                                       milliseconds length)
 {
@@ -105,6 +138,19 @@
     set_gauge("silent_workers", static_cast<double>(gauges.silent_workers));
 }
 
+void node_metrics::set_load(const owner_load& load)
+{
+    const auto& state = load.state;
+    set_gauge("overdue_jobs", static_cast<double>(state.overdue_jobs));
+    set_gauge("waiting_steps", static_cast<double>(state.waiting_steps));
+    set_gauge("loop_queue", static_cast<double>(load.most_queued));
+    set_gauge("changes_waiting", static_cast<double>(state.changes));
+    set_gauge("oldest_change_seconds", seconds(state.oldest_change));
+    set_gauge("permissions_queued", static_cast<double>(state.permissions.requests));
+    set_gauge("oldest_permission_seconds", seconds(state.permissions.oldest));
+    repeated_requests_.Increment(static_cast<double>(state.repeated_requests));
+}
+
 std::string node_metrics::text(std::uint64_t lines_left_out)
 {
     set_gauge("log_lines_left_out", static_cast<double>(lines_left_out));
--- a/flamingoseam/node/node_metrics.hpp
+++ b/flamingoseam/node/node_metrics.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "flamingoseam/node/owner_service.hpp"
+#include "flamingoseam/node/permission_lanes.hpp"
 #include "flamingoseam/workflow/messages.hpp"
 #include "flamingoseam/workflow/workflow_state.hpp"
 
@@ -38,6 +39,15 @@
     /// Counts the time that the control thread took for one group of events.
     void observe_decisions(std::chrono::microseconds length);
 
+    /// Counts how long a step waited for the control thread.
+    void observe_step(const step_times& times);
+
+    /// Counts one pass over the waiting steps, with the upkeep beside it.
+    void observe_pass(time_point::duration length);
+
+    /// Counts a permission request's wait for a lane and the service's answer.
+    void observe_permission(const permission_timing& timing);
+
     /// Counts a call to the store; `outcome` is "answered" or "failed".
     void observe_store_call(const std::string& call, const std::string& outcome,
                             milliseconds length);
@@ -47,6 +57,7 @@
 
     /// Sets what is true now.
     void set_owner(const owner_gauges& gauges);
+    void set_load(const owner_load& load);
 
     /// Returns every metric in the text format of Prometheus. `lines_left_out` is the log's.
     [[nodiscard]] std::string text(std::uint64_t lines_left_out);
@@ -62,6 +73,11 @@
     prometheus::Family<prometheus::Histogram>& ends_;
     prometheus::Family<prometheus::Histogram>& store_calls_;
     prometheus::Histogram& decisions_;
+    prometheus::Histogram& step_waits_;
+    prometheus::Histogram& passes_;
+    prometheus::Family<prometheus::Histogram>& permission_waits_;
+    prometheus::Family<prometheus::Histogram>& permission_calls_;
+    prometheus::Counter& repeated_requests_;
     prometheus::Family<prometheus::Gauge>& gauges_;
 };
 
--- a/flamingoseam/node/node_metrics_test.cpp
+++ b/flamingoseam/node/node_metrics_test.cpp
@@ -29,6 +29,47 @@
         CHECK(text.find("flamingoseam_wait_seconds_bucket{priority=\"1\",le=\"0.25\"} 0") !=
               std::string::npos);
     }
+    SECTION("tell what events and permission requests wait for")
+    {
+        metrics.observe_step({.waited = milliseconds(200)});
+        metrics.observe_pass(milliseconds(20));
+        metrics.observe_permission({.priority = 1,
+                                    .waited = milliseconds(300),
+                                    .took = milliseconds(20),
+                                    .answered = true});
+        const auto text = metrics.text(0);
+        for (const auto* line :
+             {"flamingoseam_step_wait_seconds_bucket{le=\"0.1\"} 0",
+              "flamingoseam_step_wait_seconds_bucket{le=\"0.25\"} 1",
+              "flamingoseam_pass_seconds_bucket{le=\"0.01\"} 0",
+              "flamingoseam_pass_seconds_bucket{le=\"0.05\"} 1",
+              "flamingoseam_permission_wait_seconds_bucket{priority=\"1\",le=\"0.25\"} 0",
+              "flamingoseam_permission_wait_seconds_bucket{priority=\"1\",le=\"0.5\"} 1",
+              "flamingoseam_permission_call_seconds_count{outcome=\"answered\"} 1"}) {
+            CHECK_THAT(text, Catch::Contains(line));
+        }
+    }
+    SECTION("tell an owner's load")
+    {
+        metrics.set_load({.state = {.overdue_jobs = 2,
+                                    .waiting_steps = 5,
+                                    .changes = 6,
+                                    .oldest_change = milliseconds(250),
+                                    .permissions = {.requests = 8, .oldest = milliseconds(500)},
+                                    .repeated_requests = 3},
+                          .most_queued = 4});
+        const auto text = metrics.text(0);
+        for (const auto* line : {"flamingoseam_node{name=\"overdue_jobs\"} 2",
+                                 "flamingoseam_node{name=\"waiting_steps\"} 5",
+                                 "flamingoseam_node{name=\"loop_queue\"} 4",
+                                 "flamingoseam_node{name=\"changes_waiting\"} 6",
+                                 "flamingoseam_node{name=\"oldest_change_seconds\"} 0.25",
+                                 "flamingoseam_node{name=\"permissions_queued\"} 8",
+                                 "flamingoseam_node{name=\"oldest_permission_seconds\"} 0.5",
+                                 "flamingoseam_repeated_permission_requests_total 3"}) {
+            CHECK_THAT(text, Catch::Contains(line));
+        }
+    }
     SECTION("tell what is true now")
     {
         metrics.set_owner({.is_owner = true, .open_jobs = 7, .doubtful_runs = 2});
--- a/flamingoseam/node/permission_lanes.cpp
+++ b/flamingoseam/node/permission_lanes.cpp
@@ -21,8 +21,9 @@
 
 } // namespace
 
-permission_lanes::permission_lanes(permission_call_factory calls, on_answer answer)
-    : calls_(std::move(calls)), answer_(std::move(answer))
+permission_lanes::permission_lanes(permission_call_factory calls, on_answer answer,
+                                   call_observer observer)
+    : calls_(std::move(calls)), answer_(std::move(answer)), observer_(std::move(observer))
 {
 }
 
@@ -78,6 +79,27 @@
     changed_.notify_all();
 }
 
+permission_queue permission_lanes::waiting(time_point time)
+{
+    const std::lock_guard lock(mutex_);
+    permission_queue queue{.requests = waiting_.size()};
+    for (const auto& [rank, request] : waiting_) {
+        queue.oldest = std::max(queue.oldest, time - request.asked);
+    }
+    return queue;
+}
+
+void permission_lanes::observe(const workflow::permission_request& request, time_point began,
+                               bool answered)
+{
+    if (observer_) {
+        observer_({.priority = request.priority,
+                   .waited = began - request.asked,
+                   .took = now() - began,
+                   .answered = answered});
+    }
+}
+
 std::optional<workflow::permission_request> permission_lanes::take(lane& one)
 {
     std::unique_lock lock(mutex_);
@@ -101,6 +123,7 @@
 {
     const auto call = calls_(one.node);
     while (auto request = take(one)) {
+        const auto began = now();
         std::optional<std::vector<workflow::ticket_grant>> grants;
         try {
             grants = call(*request).grants;
@@ -109,6 +132,7 @@
                 << "a permission request through " << one.node << " failed: " << cause.what();
         }
         const bool failed = !grants;
+        observe(*request, began, !failed);
         answer_(request->number, std::move(grants));
         {
             const std::lock_guard lock(mutex_);
--- a/flamingoseam/node/permission_lanes.hpp
+++ b/flamingoseam/node/permission_lanes.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "flamingoseam/http/http_client.hpp"
+#include "flamingoseam/node/load_meter.hpp"
 #include "flamingoseam/workflow/messages.hpp"
 
 #include <condition_variable>
@@ -27,6 +28,14 @@
 /// Makes the call of one lane: from this node itself for its own name, through the peer otherwise.
 using permission_call_factory = std::function<permission_call(const std::string& node)>;
 
+/// How one call of a lane fared.
+struct permission_timing {
+    int priority = 0;
+    time_point::duration waited{0}; ///< From the decision to ask until a lane took the request.
+    time_point::duration took{0};
+    bool answered = false;
+};
+
 /// Spreads permission requests over the nodes, since the service works on one call of each calling
 /// node at a time. A lane stands for one node. Long calls take at most half of the lanes, so that
 /// short ones, which belong to urgent work, find a lane free.
@@ -37,7 +46,11 @@
     using on_answer =
         std::function<void(std::uint64_t, std::optional<std::vector<workflow::ticket_grant>>)>;
 
-    permission_lanes(permission_call_factory calls, on_answer answer);
+    /// Hears of each call from the lanes' threads.
+    using call_observer = std::function<void(const permission_timing&)>;
+
+    permission_lanes(permission_call_factory calls, on_answer answer,
+                     call_observer observer = nullptr);
 
     /// Waits for the calls under way.
     ~permission_lanes();
@@ -51,6 +64,9 @@
     /// Queues a request: the lowest priority number first, then the oldest.
     void ask(workflow::permission_request request);
 
+    /// Returns what waits for a lane. Complexity: linear in it.
+    [[nodiscard]] permission_queue waiting(time_point time);
+
     /// Makes the lanes end soon, without waiting for them.
     void request_end();
 
@@ -62,11 +78,13 @@
     };
 
     void run(lane& one);
+    void observe(const workflow::permission_request& request, time_point began, bool answered);
     std::optional<workflow::permission_request> take(lane& one);
     std::size_t open_lanes() const;
 
     permission_call_factory calls_;
     on_answer answer_;
+    call_observer observer_;
     std::mutex mutex_;
     std::condition_variable changed_;
     std::map<std::pair<int, std::uint64_t>, workflow::permission_request> waiting_;
--- a/flamingoseam/node/permission_lanes_test.cpp
+++ b/flamingoseam/node/permission_lanes_test.cpp
@@ -40,6 +40,7 @@
     std::atomic<int> long_calls{0};
     std::atomic<int> most_long_calls{0};
     std::atomic<bool> failing{false};
+    std::vector<permission_timing> timings;
     permission_lanes lanes(
         [&](const std::string& /*node*/) {
             return [&](const workflow::permission_request& request) -> permission_answer {
@@ -58,6 +59,10 @@
             const std::lock_guard lock(mutex);
             answered.push_back(number);
             granted.push_back(grants.has_value());
+        },
+        [&](const permission_timing& timing) {
+            const std::lock_guard lock(mutex);
+            timings.push_back(timing);
         });
     const auto count = [&] {
         const std::lock_guard lock(mutex);
@@ -72,6 +77,23 @@
         REQUIRE(holds_within(milliseconds(2'000), [&] { return count() == 2; }));
         CHECK(answered == std::vector<std::uint64_t>{2, 1});
     }
+    SECTION("the age of a request tells how long it waits for a lane")
+    {
+        auto request = request_of(1, 2, milliseconds(120));
+        request.asked = now() - milliseconds(300);
+        lanes.ask(request);
+        const auto queue = lanes.waiting(now());
+        CHECK(queue.requests == 1);
+        CHECK(queue.oldest >= milliseconds(300));
+        lanes.set_nodes({"a"});
+        REQUIRE(holds_within(milliseconds(2'000), [&] { return count() == 1; }));
+        CHECK(lanes.waiting(now()).requests == 0);
+        REQUIRE(timings.size() == 1);
+        CHECK(timings[0].priority == 2);
+        CHECK(timings[0].answered);
+        CHECK(timings[0].waited >= milliseconds(300));
+        CHECK(timings[0].took >= milliseconds(120));
+    }
     SECTION("long requests take at most half of the lanes")
     {
         lanes.set_nodes({"a", "b", "c", "d"});
@@ -91,5 +113,7 @@
         lanes.ask(request_of(1, 0, milliseconds(1)));
         REQUIRE(holds_within(milliseconds(2'000), [&] { return count() == 1; }));
         CHECK_FALSE(granted[0]);
+        REQUIRE(timings.size() == 1);
+        CHECK_FALSE(timings[0].answered);
     }
 }
--- a/flamingoseam/workflow/change_log.hpp
+++ b/flamingoseam/workflow/change_log.hpp
@@ -49,6 +49,15 @@
     [[nodiscard]] bool empty() const { return waiting_.empty(); }
     [[nodiscard]] std::size_t size() const { return waiting_.size(); }
 
+    /// Returns the number of the newest change; numbers grow by one.
+    [[nodiscard]] std::uint64_t last_change() const { return last_change_; }
+
+    /// Returns the number of the change that waits longest, none when no job waits.
+    [[nodiscard]] std::optional<std::uint64_t> oldest_change() const
+    {
+        return waiting_.empty() ? std::nullopt : std::optional(waiting_.begin()->first);
+    }
+
 private:
     std::uint64_t last_change_ = 0;
     std::map<std::uint64_t, job_record*> waiting_; ///< By the change that waits longest.
--- a/flamingoseam/workflow/messages.hpp
+++ b/flamingoseam/workflow/messages.hpp
@@ -137,6 +137,7 @@
     int priority = 0;
     std::vector<std::string> workers;
     milliseconds service_time{0}; ///< How long the permission service works on it.
+    time_point asked{};           ///< When the owner decided to ask; not passed on to other nodes.
 };
 
 } // namespace flamingoseam::workflow
--- a/flamingoseam/workflow/workflow_jobs.cpp
+++ b/flamingoseam/workflow/workflow_jobs.cpp
@@ -357,6 +357,12 @@
     note("stop", name.task.job, to_string(name) + " on " + fleet_.at(worker).entry.id);
 }
 
+std::size_t workflow_state::count_overdue(time_point time) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        open_.begin(), open_.end(), [time](const auto& row) { return row.second->due < time; }));
+}
+
 std::size_t workflow_state::count_doubtful() const
 {
     std::size_t count = 0;
--- a/flamingoseam/workflow/workflow_permission.cpp
+++ b/flamingoseam/workflow/workflow_permission.cpp
@@ -30,7 +30,8 @@
     if (!lapsed.empty()) {
         const auto most = static_cast<std::size_t>(step.record().waiting()) + 2;
         lapsed.resize(std::min(lapsed.size(), most));
-        ask_permission(step, std::move(lapsed), time);
+        const bool asked = ask_permission(step, std::move(lapsed), time);
+        counts_.repeated_permission_requests += asked ? 1 : 0;
         return;
     }
     ask_permission(step, unasked_workers(step, time), time);
@@ -80,7 +81,8 @@
                                .priority = step.job->terms.priority,
                                .workers = {},
                                .service_time =
-                                   step.job->terms.permission->service_time(workers.size())};
+                                   step.job->terms.permission->service_time(workers.size()),
+                               .asked = time};
     for (const auto worker : workers) {
         request.workers.push_back(fleet_.at(worker).entry.id);
     }
--- a/flamingoseam/workflow/workflow_schedule.cpp
+++ b/flamingoseam/workflow/workflow_schedule.cpp
@@ -42,6 +42,8 @@
 {
     holds_.drop_expired(time);
     auto steps = ready_steps(time);
+    ++counts_.passes;
+    waiting_steps_ = steps.size();
     options_.order(steps, time);
     for (const auto& step : steps) {
         if (step.spec().gang) {
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -82,6 +82,8 @@
     std::int64_t failed_runs = 0;
     std::int64_t lost_runs = 0;
     std::int64_t permission_requests = 0;
+    std::int64_t repeated_permission_requests = 0; ///< For permitted workers without a ticket.
+    std::int64_t passes = 0;                       ///< Over all waiting steps.
     std::int64_t stuck_runs = 0;
     std::int64_t yielded_runs = 0;
 };
@@ -162,6 +164,15 @@
     [[nodiscard]] std::size_t open_jobs() const { return open_.size(); }
     [[nodiscard]] bool is_recovering() const { return !unreported_.empty(); }
 
+    /// Returns the number of steps that the last pass looked at.
+    [[nodiscard]] std::size_t waiting_steps() const { return waiting_steps_; }
+
+    /// Returns the number of open jobs that should have ended by `time`. Complexity: linear in
+    /// them.
+    [[nodiscard]] std::size_t count_overdue(time_point time) const;
+
+    [[nodiscard]] const change_log& changes() const { return changes_; }
+
     /// Returns the number of unanswered starts that are not ruled out. Complexity: linear in runs.
     [[nodiscard]] std::size_t count_doubtful() const;
 
@@ -311,6 +322,7 @@
     bool roster_changed_ = false;
     bool store_available_ = true;
     bool pass_wanted_ = false;
+    std::size_t waiting_steps_ = 0;
     time_point last_pass_{};
     time_point last_upkeep_{};
 };
--- a/scenarios/platform_store.lua
+++ b/scenarios/platform_store.lua
@@ -31,3 +31,18 @@
 expect("most jobs are accepted although answers are lost", #certain >= 20)
 wait_completed(node, certain, 15000)
 must_run_once(cell)
+
+-- Each owner tells its load once a second, whatever it has to do.
+local lines = 0
+for index in ipairs(cell.nodes) do
+    local last
+    for line in io.lines(OUT .. "/node" .. index .. ".log") do
+        if line:find('"event":"owner_load"', 1, true) then
+            local time = tonumber(line:match('"time_ms":(%d+)'))
+            expect("lines of load are a second apart", last == nil or time - last >= 990)
+            expect("they tell the loop's delay", line:find('"loop_delay_ms":%d+') ~= nil)
+            last, lines = time, lines + 1
+        end
+    end
+end
+expect("an owner tells its load", lines >= 3)
