Show that new jobs wait for the store behind other jobs' progress

Callers saw a 2xx and a `completed` late on the deployments with 350 workers.

The test plays that load in simulated time, without permission and with room for all.

--- /dev/null
+++ b/flamingoseam/workflow/workflow_storing_load_test.cpp
@@ -0,0 +1,66 @@
+#include "tests/workflow_load.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace flamingoseam;
+using namespace flamingoseam::workflow;
+
+namespace {
+
+constexpr milliseconds longest_wait_of_progress{100};
+constexpr int most_writes_per_second = 600; ///< Half of what the store of such a deployment takes.
+
+/// Returns the time that a share of the times does not exceed.
+milliseconds quantile(std::vector<milliseconds> times, double share)
+{
+    std::ranges::sort(times);
+    return times.at(static_cast<std::size_t>(share * static_cast<double>(times.size() - 1)));
+}
+
+} // namespace
+
+// SHORT, issue 16: records of new jobs queued behind the progress of hundreds of others.
+TEST_CASE("new jobs and completions are stored in time at 1050 ends a second")
+{
+    load_options options{
+        .queues = load_of_350_workers(), .workers = 8, .rest = milliseconds(1'000)};
+    options.milli_cpus *= 350; // Room is not short here.
+    options.state.chains = 3;
+    SECTION("under the usual load") {}
+    SECTION("in a burst")
+    {
+        options.burst = 1.5;
+        options.burst_begins = milliseconds(2'000);
+        options.burst_ends = milliseconds(6'000);
+    }
+    workflow_load load(options);
+    load.run();
+
+    std::vector<milliseconds> to_stored;
+    std::vector<milliseconds> to_shown;
+    for (const auto& job : load.jobs()) {
+        REQUIRE(job.answered);
+        to_stored.push_back(*job.answered - job.arrival);
+        if (job.completed) {
+            to_shown.push_back(*job.completed - *job.last_end);
+        }
+    }
+    // A change misses the transaction under way and takes the next one.
+    const auto bound = 2 * (options.gather + options.store_answer);
+    CHECK(quantile(to_stored, 0.99) <= bound);
+    CHECK(quantile(to_shown, 0.99) <= bound);
+    CHECK(load.longest_acknowledgement() <= longest_wait_of_progress + bound);
+    const auto seconds = (options.traffic + options.rest) / std::chrono::seconds(1);
+    CHECK(load.transactions() <= most_writes_per_second * seconds);
+    INFO(load.jobs().size() << " jobs, " << load.ends() << " ends, " << load.records()
+                            << " records in " << load.transactions() << " transactions in "
+                            << seconds << " s");
+    INFO("half and 99 of 100 and all stored after "
+         << quantile(to_stored, 0.5).count() << ", " << quantile(to_stored, 0.99).count() << ", "
+         << quantile(to_stored, 1).count() << " ms, shown after " << quantile(to_shown, 0.5).count()
+         << ", " << quantile(to_shown, 0.99).count() << ", " << quantile(to_shown, 1).count()
+         << " ms, acknowledged after at most " << load.longest_acknowledgement().count() << " ms");
+    CHECK(load.ends() > 900 * (options.traffic / std::chrono::seconds(1)));
+}
