Store what callers wait for first, in full transactions without gathering

Callers with 350 workers saw a 2xx and a `completed` late. Cause: at 155 jobs and 1,050 ends a second the owner changes about 890 records a second after joining changes of one job, and one chain that gathers for 25 ms writes 870. The next chain helped only after 60 ms of one write, and a new job's record queued behind the progress of hundreds of running jobs. The store itself was not short: it takes 1,200 transactions a second.

A chain now stops gathering when a full transaction waits, further chains write as soon as those before them are writing and another full transaction waits, and records of new jobs and final states go first, while a third of each transaction stays for progress, so that the age of an end that waits to be acknowledged is bounded. A job is still in one transaction at a time.

The simulated chain of the test skips gathering where the node's chain does.

--- a/flamingoseam/node/commit_chain.cpp
+++ b/flamingoseam/node/commit_chain.cpp
@@ -48,11 +48,12 @@
     thread_.join();
 }
 
-void commit_chain::wake()
+void commit_chain::wake(bool full)
 {
     {
         const std::lock_guard lock(mutex_);
         work_waits_ = true;
+        full_batch_waits_ = full_batch_waits_ || full;
     }
     changed_.notify_all();
 }
@@ -79,9 +80,11 @@
     std::unique_lock lock(mutex_);
     changed_.wait(lock, [this] { return stopping_ || work_waits_; });
     if (!stopping_ && !finishing_) {
-        changed_.wait_for(lock, options_.gather, [this] { return stopping_.load(); });
+        changed_.wait_for(lock, options_.gather,
+                          [this] { return stopping_ || finishing_ || full_batch_waits_; });
     }
     work_waits_ = false;
+    full_batch_waits_ = false;
     return !stopping_;
 }
 
--- a/flamingoseam/node/commit_chain.hpp
+++ b/flamingoseam/node/commit_chain.hpp
@@ -34,9 +34,9 @@
 /// How the chain is run.
 struct commit_chain_options {
     std::string head_key;
-    std::size_t most_entries = 32;     ///< Conditions, writes and removals of one transaction.
-    milliseconds gather{25};           ///< Changes are collected for this long.
-    milliseconds timeout{400};         ///< Of one attempt, while the store is fast.
+    std::size_t most_entries = 32; ///< Conditions, writes and removals of one transaction.
+    milliseconds gather{25};   ///< Changes that fill no transaction are collected for this long.
+    milliseconds timeout{400}; ///< Of one attempt, while the store is fast.
     milliseconds longest_timeout{800}; ///< Of one attempt, after others had no answer.
     milliseconds longest_pause{200};   ///< Between attempts.
 };
@@ -73,8 +73,8 @@
     commit_chain(const commit_chain&) = delete;
     commit_chain& operator=(const commit_chain&) = delete;
 
-    /// Tells that there are changes to write.
-    void wake();
+    /// Tells that there are changes to write; no more are gathered when they fill a transaction.
+    void wake(bool full = false);
 
     /// Ends the chain once all changes are written, for a hand-over; `last` is written then.
     void finish(std::optional<workflow::record_change> last);
@@ -100,6 +100,7 @@
     std::mutex mutex_;
     std::condition_variable changed_;
     bool work_waits_ = false;
+    bool full_batch_waits_ = false;
     bool finishing_ = false;
     std::optional<workflow::record_change> last_;
     bool finished_ = false;
--- a/flamingoseam/node/commit_chain_test.cpp
+++ b/flamingoseam/node/commit_chain_test.cpp
@@ -100,6 +100,23 @@
 
 } // namespace
 
+TEST_CASE("changes that fill a transaction are not gathered any longer")
+{
+    fake_records records;
+    records.head = write_head(first_head);
+    counting_source source(1);
+    commit_chain chain({.head_key = "head", .gather = std::chrono::hours(1)},
+                       std::make_unique<fake_store>(records), first_head, 10, source);
+    chain.wake();
+    std::this_thread::sleep_for(milliseconds(50));
+    CHECK(source.stored == 0);
+    chain.wake(true);
+    for (int wait = 0; wait < 500 && source.stored == 0; ++wait) {
+        std::this_thread::sleep_for(milliseconds(10));
+    }
+    CHECK(source.stored == 1);
+}
+
 TEST_CASE("a chain of transactions")
 {
     fake_records records;
--- a/flamingoseam/node/job_owner.cpp
+++ b/flamingoseam/node/job_owner.cpp
@@ -269,9 +269,10 @@
         next_gauges_ = began + gauge_interval;
         set_gauges();
     }
+    const bool full = state_.has_full_batch();
     for (std::size_t index = 0; index < chains_.size(); ++index) {
         if (state_.has_changes(index, now())) {
-            chains_[index]->chain().wake();
+            chains_[index]->chain().wake(full);
         }
     }
 }
--- a/flamingoseam/workflow/change_log.cpp
+++ b/flamingoseam/workflow/change_log.cpp
@@ -2,24 +2,39 @@
 
 namespace flamingoseam::workflow {
 
+namespace {
+
+bool is_awaited(const job_record& job)
+{
+    return !job.spec_stored || is_final(job.phase);
+}
+
+} // namespace
+
 void change_log::note(job_record& job)
 {
     job.changed_at = ++last_change_;
     if (is_being_written(job)) {
         return; // It waits again once that batch is stored.
     }
-    const auto [found, is_new] = since_.try_emplace(&job, job.changed_at);
-    if (is_new) {
-        waiting_.emplace(found->second, &job);
+    const auto since = since_.try_emplace(&job, job.changed_at).first->second;
+    if (is_awaited(job)) {
+        progress_.erase(since);
     }
+    queue_of(job).emplace(since, &job);
+}
+
+change_log::queue& change_log::queue_of(const job_record& job)
+{
+    return is_awaited(job) ? awaited_ : progress_;
 }
 
-job_record* change_log::take_oldest()
+job_record* change_log::take_oldest(queue& from)
 {
-    if (waiting_.empty()) {
+    if (from.empty()) {
         return nullptr;
     }
-    auto* job = waiting_.begin()->second;
+    auto* job = from.begin()->second;
     drop(*job);
     written_.insert(job);
     return job;
@@ -31,7 +46,7 @@
     written_.erase(&job);
     if (!job.is_stored()) {
         since_[&job] = job.changed_at;
-        waiting_.emplace(job.changed_at, &job);
+        queue_of(job).emplace(job.changed_at, &job);
     }
 }
 
@@ -39,7 +54,8 @@
 {
     const auto found = since_.find(&job);
     if (found != since_.end()) {
-        waiting_.erase(found->second);
+        awaited_.erase(found->second);
+        progress_.erase(found->second);
         since_.erase(found);
     }
 }
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -29,7 +29,8 @@
     /// Transactions of different chains are under way at one time.
     std::size_t chains = 1;
     step_order order = sort_by_urgency;
-    milliseconds slow_write{60}; ///< A chain that writes for so long lets the next one help.
+    std::size_t most_records = 30; ///< That one transaction writes or removes.
+    milliseconds slow_write{60};   ///< A chain that writes for so long lets the next one help.
 };
 
 /// What a caller is told.
@@ -135,12 +136,18 @@
                        time_point time);
 
     /// Tells whether a chain should write now. The first chain writes the most in one transaction;
-    /// the others help when all before them have been writing for long, since the store is slow or
-    /// an answer was lost. Complexity: linear in the chains.
+    /// the others help while all before them are writing and a full transaction waits, or all have
+    /// been writing for long, since the store is slow or an answer was lost. Complexity: linear in
+    /// the chains.
     [[nodiscard]] bool has_changes(std::size_t chain, time_point time) const;
 
+    /// Tells whether enough changes wait to fill a transaction, so that gathering more is of no
+    /// use. Complexity: constant.
+    [[nodiscard]] bool has_full_batch() const;
+
     /// Returns the next changes for a chain, at most `most` records; empty when it should not write
-    /// now. One batch of a chain is under way at a time.
+    /// now. New jobs and final states go before mere progress. One batch of a chain is under way at
+    /// a time.
     record_batch take_batch(std::size_t chain, std::size_t most, time_point time, wall_time wall);
 
     /// Takes in that the batch last taken by a chain stands in the store.
@@ -279,6 +286,7 @@
     void release_waiters(job_record& job);
     struct chain_state;
     void add_job_changes(chain_state& chain, job_record& job, record_batch& batch);
+    void add_changes(chain_state& chain, std::size_t most, record_batch& batch);
     [[nodiscard]] bool may_write(std::size_t chain, time_point time) const;
     void add_roster(record_batch& batch);
     void add_removals(std::size_t most, record_batch& batch);
--- a/flamingoseam/workflow/workflow_storing.cpp
+++ b/flamingoseam/workflow/workflow_storing.cpp
@@ -11,6 +11,7 @@
 constexpr std::size_t most_changes_per_job = 2;
 constexpr std::size_t most_removals_per_batch = 10;
 constexpr std::size_t removals_worth_a_write = 20;
+constexpr std::size_t share_of_progress = 3; ///< One in so many records, when others wait, too.
 
 } // namespace
 
@@ -83,11 +84,17 @@
 bool workflow_state::may_write(std::size_t chain, time_point time) const
 {
     const auto earlier = chains_.begin() + static_cast<std::ptrdiff_t>(chain);
+    const bool is_urgent = has_full_batch();
     return std::all_of(chains_.begin(), earlier, [&](const chain_state& one) {
-        return one.writes_since && time - *one.writes_since >= options_.slow_write;
+        return one.writes_since && (is_urgent || time - *one.writes_since >= options_.slow_write);
     });
 }
 
+bool workflow_state::has_full_batch() const
+{
+    return changes_.size() + most_changes_per_job > options_.most_records;
+}
+
 bool workflow_state::has_changes(std::size_t chain, time_point time) const
 {
     if (chains_[chain].writes_since) {
@@ -97,6 +104,24 @@
     return has_roster || (!changes_.empty() && may_write(chain, time));
 }
 
+/// Takes what somebody waits for first, but leaves a share of the batch to progress, so that its
+/// age stays bounded.
+void workflow_state::add_changes(chain_state& chain, std::size_t most, record_batch& batch)
+{
+    const auto add_up_to = [&](std::size_t limit, job_record* (change_log::*take)()) {
+        while (batch.changes.size() + most_changes_per_job <= limit) {
+            auto* job = (changes_.*take)();
+            if (job == nullptr) {
+                return;
+            }
+            add_job_changes(chain, *job, batch);
+        }
+    };
+    add_up_to(most - most / share_of_progress, &change_log::take_awaited);
+    add_up_to(most, &change_log::take_progress);
+    add_up_to(most, &change_log::take_awaited);
+}
+
 record_batch workflow_state::take_batch(std::size_t chain, std::size_t most, time_point time,
                                         wall_time wall)
 {
@@ -109,9 +134,7 @@
         forget_ended(wall);
         add_roster(batch);
     }
-    while (!changes_.empty() && batch.changes.size() + most_changes_per_job <= most) {
-        add_job_changes(own, *changes_.take_oldest(), batch);
-    }
+    add_changes(own, most, batch);
     if (chain == first_chain) {
         add_removals(most, batch);
     }
--- a/flamingoseam/workflow/workflow_storing_test.cpp
+++ b/flamingoseam/workflow/workflow_storing_test.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 using namespace flamingoseam;
 using namespace flamingoseam::workflow;
 
@@ -61,6 +63,57 @@
     }
 }
 
+TEST_CASE("a transaction takes what somebody waits for first")
+{
+    driven_state one;
+    one.make_usable();
+    for (int number = 0; number < 30; ++number) {
+        one.submit(one.job("b" + std::to_string(number), 1, 2));
+    }
+    worker_report report{.life = 1};
+    for (const auto& order : one.next().starts) {
+        one.state.on_start(0, order.name, start_outcome::started, one.time);
+        if (order.name.task.index == 0) {
+            report.ended.push_back(
+                {.number = static_cast<std::int64_t>(report.ended.size()) + 1, .name = order.name});
+        }
+    }
+    one.state.on_report(0, report, one.time, wall);
+    const auto count_of = [](const record_batch& batch, const std::string& kind) {
+        return std::ranges::count_if(batch.changes, [&](const record_change& change) {
+            return change.key.starts_with("fs/" + kind);
+        });
+    };
+
+    SECTION("new jobs go before older progress")
+    {
+        hand_in(one, "a");
+        const auto first = take(one, 0);
+        CHECK(first.changes.at(0).key == "fs/job/a");
+    }
+    SECTION("progress keeps its share")
+    {
+        for (int number = 0; number < 30; ++number) {
+            hand_in(one, "a" + std::to_string(number));
+        }
+        const auto first = take(one, 0);
+        CHECK(count_of(first, "job/") >= 15);
+        CHECK(count_of(first, "progress/") >= 9);
+    }
+    SECTION("the next chain writes at once when a full transaction waits")
+    {
+        for (int number = 0; number < 30; ++number) {
+            hand_in(one, "a" + std::to_string(number));
+        }
+        CHECK(one.state.has_full_batch());
+        CHECK_FALSE(take(one, 0).changes.empty());
+        CHECK(one.state.has_changes(1, one.time));
+        CHECK_FALSE(take(one, 1).changes.empty());
+        CHECK_FALSE(one.state.has_full_batch());
+        CHECK_FALSE(one.state.has_changes(2, one.time));
+    }
+}
+
 TEST_CASE("a store that falls silent")
 {
     driven_state one;
--- a/tests/workflow_load.cpp
+++ b/tests/workflow_load.cpp
@@ -12,7 +12,6 @@
 constexpr milliseconds tick_interval{25};
 constexpr milliseconds report_interval{800};
 constexpr milliseconds message_time{3};
-constexpr std::size_t batch_entries = 30;
 constexpr double late_share = 0.2;
 constexpr int late_multiple = 3;
 
@@ -65,7 +64,7 @@
 
 workflow_load::workflow_load(load_options options)
     : options_(std::move(options)), random_(options_.seed), state_(options_.state),
-      chain_is_busy_(options_.state.chains)
+      chains_(options_.state.chains)
 {
     make_workers();
     make_jobs();
@@ -319,25 +318,42 @@
 
 void workflow_load::store()
 {
-    for (std::size_t chain = 0; chain < chain_is_busy_.size(); ++chain) {
-        if (!chain_is_busy_[chain] && state_.has_changes(chain, clock())) {
-            chain_is_busy_[chain] = true;
-            at(options_.gather, [this, chain] { write(chain); });
+    for (std::size_t chain = 0; chain < chains_.size(); ++chain) {
+        const auto& one = chains_[chain];
+        if (one.is_writing || !state_.has_changes(chain, clock())) {
+            continue;
+        }
+        if (state_.has_full_batch()) {
+            write(chain);
+        } else if (one.gathering == 0) {
+            gather(chain);
         }
     }
 }
 
+void workflow_load::gather(std::size_t chain)
+{
+    const auto number = ++last_gathering_;
+    chains_[chain].gathering = number;
+    at(options_.gather, [this, chain, number] {
+        if (chains_[chain].gathering == number) {
+            write(chain);
+        }
+    });
+}
+
 void workflow_load::write(std::size_t chain)
 {
-    const auto batch = state_.take_batch(chain, batch_entries, clock(), wall());
+    chains_[chain].gathering = 0;
+    const auto batch = state_.take_batch(chain, options_.state.most_records, clock(), wall());
     if (batch.changes.empty()) {
-        chain_is_busy_[chain] = false;
         return;
     }
+    chains_[chain].is_writing = true;
     ++transactions_;
     records_ += static_cast<int>(batch.changes.size());
     at(options_.store_answer, [this, chain] {
-        chain_is_busy_[chain] = false;
+        chains_[chain].is_writing = false;
         state_.on_stored(chain);
         std::erase_if(unshown_, [this](auto& row) {
             const bool is_shown = state_.find(row.first) == job_phase::completed;
--- a/tests/workflow_load.hpp
+++ b/tests/workflow_load.hpp
@@ -94,6 +94,10 @@
         milliseconds length{0};
         bool running = false;
     };
+    struct chain_link {
+        bool is_writing = false;
+        std::uint64_t gathering = 0; ///< Number of the span of gathering, 0 for none.
+    };
     struct worker {
         std::map<run_name, live_run> runs;
         std::vector<ended_run> ended;
@@ -122,6 +126,7 @@
     void report_often(std::size_t index);
     void forget(const forget_order& one);
     void store();
+    void gather(std::size_t chain);
     void write(std::size_t chain);
 
     load_options options_;
@@ -131,9 +136,10 @@
     std::vector<load_job> jobs_;
     std::map<std::pair<std::string, int>, std::vector<std::pair<std::size_t, run_name>>> gangs_;
     std::map<std::string, std::pair<milliseconds, load_job*>> unshown_; ///< Completed, not stored.
-    std::vector<bool> chain_is_busy_;
+    std::vector<chain_link> chains_;
     std::priority_queue<event> events_;
     std::uint64_t last_event_ = 0;
+    std::uint64_t last_gathering_ = 0;
     milliseconds now_{0};
     double next_order_ms_ = 0;
     int transactions_ = 0;
