--- a/flamingoseam/node/job_owner.cpp
+++ b/flamingoseam/node/job_owner.cpp
@@ -280,9 +280,10 @@
     }
     const auto starts = actions.starts.size();
     dispatch(std::move(actions));
+    const bool full = state_.has_full_batch();
     for (std::size_t index = 0; index < chains_.size(); ++index) {
         if (state_.has_changes(index, now())) {
-            chains_[index]->chain().wake();
+            chains_[index]->chain().wake(full);
         }
     }
     note_decisions({.deciding = decided - began, .dispatching = now() - decided, .starts = starts},
