--- a/flamingoseam/workflow/change_log.cpp
+++ b/flamingoseam/workflow/change_log.cpp
@@ -60,4 +60,15 @@
     }
 }
 
+std::optional<std::uint64_t> change_log::oldest_change() const
+{
+    std::optional<std::uint64_t> oldest;
+    for (const auto* one : {&awaited_, &progress_}) {
+        if (!one->empty() && (!oldest || one->begin()->first < *oldest)) {
+            oldest = one->begin()->first;
+        }
+    }
+    return oldest;
+}
+
 } // namespace flamingoseam::workflow
--- a/flamingoseam/workflow/change_log.hpp
+++ b/flamingoseam/workflow/change_log.hpp
@@ -57,10 +57,7 @@
     [[nodiscard]] std::uint64_t last_change() const { return last_change_; }
 
     /// Returns the number of the change that waits longest, none when no job waits.
-    [[nodiscard]] std::optional<std::uint64_t> oldest_change() const
-    {
-        return waiting_.empty() ? std::nullopt : std::optional(waiting_.begin()->first);
-    }
+    [[nodiscard]] std::optional<std::uint64_t> oldest_change() const;
 
 private:
     /// Jobs by the change that waits longest.
