Choose the next permission request in a class without threads

The rule by which a lane takes its next request stood inside the threads of the lanes, where no test in simulated time could reach it. permission_queue holds it now, unchanged; the lanes call it.

--- a/flamingoseam/node/permission_lanes.cpp
+++ b/flamingoseam/node/permission_lanes.cpp
@@ -11,14 +11,8 @@
 
 namespace {
 
-constexpr milliseconds long_call{150}; ///< Service time from which a call counts as long.
 constexpr milliseconds pause_after_failure{500};
 
-bool is_long(const workflow::permission_request& request)
-{
-    return request.service_time >= long_call;
-}
-
 } // namespace
 
 permission_lanes::permission_lanes(permission_call_factory calls, on_answer answer)
@@ -73,7 +67,7 @@
 {
     {
         const std::lock_guard lock(mutex_);
-        waiting_.emplace(std::pair(request.priority, request.number), std::move(request));
+        queue_.add(std::move(request));
     }
     changed_.notify_all();
 }
@@ -82,15 +76,10 @@
 {
     std::unique_lock lock(mutex_);
     while (!ending_) {
-        const auto most_long = std::max<std::size_t>(1, open_lanes() / 2);
-        const auto found = std::find_if(waiting_.begin(), waiting_.end(), [&](const auto& row) {
-            return !is_long(row.second) || long_calls_ < most_long;
-        });
-        if (!one.ending && found != waiting_.end()) {
-            auto request = std::move(found->second);
-            waiting_.erase(found);
-            long_calls_ += is_long(request) ? 1 : 0;
-            return request;
+        if (!one.ending) {
+            if (auto request = queue_.take(open_lanes(), now())) {
+                return request;
+            }
         }
         changed_.wait(lock);
     }
@@ -112,7 +101,7 @@
         answer_(request->number, std::move(grants));
         {
             const std::lock_guard lock(mutex_);
-            long_calls_ -= is_long(*request) ? 1 : 0;
+            queue_.finish(*request);
         }
         changed_.notify_all();
         if (failed) {
--- a/flamingoseam/node/permission_lanes.hpp
+++ b/flamingoseam/node/permission_lanes.hpp
@@ -1,11 +1,10 @@
 #pragma once
 
 #include "flamingoseam/http/http_client.hpp"
-#include "flamingoseam/workflow/messages.hpp"
+#include "flamingoseam/workflow/permission_queue.hpp"
 
 #include <condition_variable>
 #include <functional>
-#include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -28,8 +27,8 @@
 using permission_call_factory = std::function<permission_call(const std::string& node)>;
 
 /// Spreads permission requests over the nodes, since the service works on one call of each calling
-/// node at a time. A lane stands for one node. Long calls take at most half of the lanes, so that
-/// short ones, which belong to urgent work, find a lane free.
+/// node at a time. A lane stands for one node. What it works on next is chosen by a
+/// permission_queue.
 class permission_lanes {
 public:
     /// `answer` gets each request's number and its grants, none when the request failed; it is
@@ -48,7 +47,7 @@
     /// Sets the nodes that lanes lead through. Complexity: linear.
     void set_nodes(const std::vector<std::string>& nodes);
 
-    /// Queues a request: the lowest priority number first, then the oldest.
+    /// Queues a request.
     void ask(workflow::permission_request request);
 
     /// Makes the lanes end soon, without waiting for them.
@@ -69,9 +68,8 @@
     on_answer answer_;
     std::mutex mutex_;
     std::condition_variable changed_;
-    std::map<std::pair<int, std::uint64_t>, workflow::permission_request> waiting_;
+    workflow::permission_queue queue_;
     std::vector<std::unique_ptr<lane>> lanes_;
-    std::size_t long_calls_ = 0;
     bool ending_ = false;
 };
 
