Let gangs that wait ask the permission service when their turn comes

Each waiting gang queued a request as soon as it saw room, and kept that room for 1.5 s, but with more gangs than lanes the answer came after the room was given up, when requests of other gangs kept it: rounds of requests for what could not begin.

Cause, on a play in simulated time: 30 gangs, four lanes for long calls, first come first served within a priority. Change: - A long call is asked for only while a lane is free for it. Steps are looked at in the order of urgency, so what asks next is what is most urgent then, and it begins with the answer. - Long calls may take all lanes; while short ones come in they leave them a quarter.

The gangs' test now tells the state how many lanes it has.

--- a/flamingoseam/node/job_owner.cpp
+++ b/flamingoseam/node/job_owner.cpp
@@ -169,6 +169,7 @@
 void job_owner::set_nodes(const std::vector<std::string>& nodes)
 {
     lanes_->set_nodes(nodes);
+    loop_.post([this, lanes = nodes.size()] { state_.set_permission_lanes(lanes); });
 }
 
 bool job_owner::hand_over(workflow::record_change last, milliseconds limit)
@@ -330,6 +331,9 @@
     for (auto& request : actions.permissions) {
         lanes_->ask(std::move(request));
     }
+    for (const auto number : actions.withdrawn_permissions) {
+        lanes_->withdraw(number);
+    }
     for (const auto& one : actions.answers) {
         answer(one);
     }
--- a/flamingoseam/node/permission_lanes.cpp
+++ b/flamingoseam/node/permission_lanes.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr milliseconds pause_after_failure{500};
+constexpr milliseconds longest_wait{100}; ///< Of a request that the queue holds back.
 
 } // namespace
 
@@ -72,6 +73,12 @@
     changed_.notify_all();
 }
 
+void permission_lanes::withdraw(std::uint64_t number)
+{
+    const std::lock_guard lock(mutex_);
+    queue_.drop(number);
+}
+
 std::optional<workflow::permission_request> permission_lanes::take(lane& one)
 {
     std::unique_lock lock(mutex_);
@@ -81,7 +88,11 @@
                 return request;
             }
         }
-        changed_.wait(lock);
+        if (queue_.size() == 0) {
+            changed_.wait(lock);
+        } else {
+            changed_.wait_for(lock, longest_wait);
+        }
     }
     return std::nullopt;
 }
--- a/flamingoseam/node/permission_lanes.hpp
+++ b/flamingoseam/node/permission_lanes.hpp
@@ -50,6 +50,9 @@
     /// Queues a request.
     void ask(workflow::permission_request request);
 
+    /// Takes a request back if no lane works on it yet; it is not answered then.
+    void withdraw(std::uint64_t number);
+
     /// Makes the lanes end soon, without waiting for them.
     void request_end();
 
--- a/flamingoseam/workflow/messages.hpp
+++ b/flamingoseam/workflow/messages.hpp
@@ -3,6 +3,7 @@
 #include "flamingoseam/core/clock.hpp"
 #include "flamingoseam/core/resources.hpp"
 #include "flamingoseam/http/http_client.hpp"
+#include "flamingoseam/workflow/urgency.hpp"
 
 #include <compare>
 #include <cstdint>
@@ -134,7 +135,7 @@
     std::uint64_t number = 0;
     std::string job;
     int step = 0;
-    int priority = 0;
+    urgency order;
     std::vector<std::string> workers;
     milliseconds service_time{0}; ///< How long the permission service works on it.
 };
--- /dev/null
+++ b/flamingoseam/workflow/permission_budget.cpp
@@ -0,0 +1,46 @@
+#include "flamingoseam/workflow/permission_budget.hpp"
+
+#include <algorithm>
+
+namespace flamingoseam::workflow {
+
+namespace {
+
+constexpr milliseconds long_call{150};              ///< Service time from which a call is long.
+constexpr milliseconds short_calls_expected{1'000}; ///< Lanes are kept for so long after one.
+constexpr std::size_t lanes_per_reserved = 4;
+
+bool is_long(milliseconds service_time)
+{
+    return service_time >= long_call;
+}
+
+} // namespace
+
+bool permission_budget::has_lane(milliseconds service_time, time_point time) const
+{
+    if (!is_long(service_time)) {
+        return true;
+    }
+    const bool expects_short =
+        last_short_call_ != time_point{} && time < last_short_call_ + short_calls_expected;
+    const auto reserved =
+        expects_short ? (lanes_ + lanes_per_reserved - 1) / lanes_per_reserved : 0;
+    return long_calls_ < std::max<std::size_t>(1, lanes_ - std::min(lanes_, reserved));
+}
+
+void permission_budget::begin(milliseconds service_time, time_point time)
+{
+    if (is_long(service_time)) {
+        ++long_calls_;
+    } else {
+        last_short_call_ = time;
+    }
+}
+
+void permission_budget::end(milliseconds service_time)
+{
+    long_calls_ -= is_long(service_time) ? 1 : 0;
+}
+
+} // namespace flamingoseam::workflow
--- a/flamingoseam/workflow/permission_queue.cpp
+++ b/flamingoseam/workflow/permission_queue.cpp
@@ -1,43 +1,40 @@
 #include "flamingoseam/workflow/permission_queue.hpp"
 
-#include <algorithm>
+#include <tuple>
+#include <utility>
 
 namespace flamingoseam::workflow {
 
-namespace {
-
-constexpr milliseconds long_call{150}; ///< Service time from which a call counts as long.
-
-bool is_long(const permission_request& request)
+std::optional<permission_request> permission_queue::take(std::size_t lanes, time_point time)
 {
-    return request.service_time >= long_call;
-}
-
-} // namespace
-
-void permission_queue::add(permission_request request)
-{
-    waiting_.emplace(std::pair(request.priority, request.number), std::move(request));
-}
-
-std::optional<permission_request> permission_queue::take(std::size_t lanes, time_point /*time*/)
-{
-    const auto most_long = std::max<std::size_t>(1, lanes / 2);
-    const auto found = std::find_if(waiting_.begin(), waiting_.end(), [&](const auto& row) {
-        return !is_long(row.second) || long_calls_ < most_long;
-    });
-    if (found == waiting_.end()) {
+    budget_.set_lanes(lanes);
+    const auto place_of = [time](const permission_request& one) {
+        return std::tuple(one.order.rank_at(time), one.number);
+    };
+    auto next = waiting_.end();
+    for (auto one = waiting_.begin(); one != waiting_.end(); ++one) {
+        const bool may_go = budget_.has_lane(one->service_time, time);
+        if (may_go && (next == waiting_.end() || place_of(*one) < place_of(*next))) {
+            next = one;
+        }
+    }
+    if (next == waiting_.end()) {
         return std::nullopt;
     }
-    auto request = std::move(found->second);
-    waiting_.erase(found);
-    long_calls_ += is_long(request) ? 1 : 0;
+    auto request = std::move(*next);
+    waiting_.erase(next);
+    budget_.begin(request.service_time, time);
     return request;
 }
 
+void permission_queue::drop(std::uint64_t number)
+{
+    std::erase_if(waiting_, [number](const auto& one) { return one.number == number; });
+}
+
 void permission_queue::finish(const permission_request& request)
 {
-    long_calls_ -= is_long(request) ? 1 : 0;
+    budget_.end(request.service_time);
 }
 
 } // namespace flamingoseam::workflow
--- a/flamingoseam/workflow/permission_queue.hpp
+++ b/flamingoseam/workflow/permission_queue.hpp
@@ -1,24 +1,27 @@
 #pragma once
 
 #include "flamingoseam/workflow/messages.hpp"
+#include "flamingoseam/workflow/permission_budget.hpp"
 
 #include <cstddef>
-#include <map>
 #include <optional>
-#include <utility>
+#include <vector>
 
 namespace flamingoseam::workflow {
 
-/// Chooses the next request for a lane to the permission service. Long calls take at most half of
-/// the lanes, so that short ones, which belong to urgent work, find a lane free. Without threads
-/// and clocks; not safe from two threads.
+/// Chooses the next request for a lane to the permission service: the most urgent one at that
+/// moment, as far as the permission_budget has a lane for it. Without threads and clocks; not safe
+/// from two threads.
 class permission_queue {
 public:
     /// Queues a request.
-    void add(permission_request request);
+    void add(permission_request request) { waiting_.push_back(std::move(request)); }
 
-    /// Returns the request that a free lane works on next, none when it has to wait: the lowest
-    /// priority number first, then the oldest. Complexity: linear in the waiting requests.
+    /// Forgets a request that waits; one that a lane works on goes on. Complexity: linear.
+    void drop(std::uint64_t number);
+
+    /// Returns the request that a free lane of so many works on next, none when what waits has to
+    /// wait on. Complexity: linear in the waiting requests.
     std::optional<permission_request> take(std::size_t lanes, time_point time);
 
     /// Takes in that a lane has done with a request.
@@ -27,8 +30,8 @@
     [[nodiscard]] std::size_t size() const { return waiting_.size(); }
 
 private:
-    std::map<std::pair<int, std::uint64_t>, permission_request> waiting_;
-    std::size_t long_calls_ = 0;
+    std::vector<permission_request> waiting_;
+    permission_budget budget_;
 };
 
 } // namespace flamingoseam::workflow
--- a/flamingoseam/workflow/permission_queue_test.cpp
+++ b/flamingoseam/workflow/permission_queue_test.cpp
@@ -40,6 +40,7 @@
             .permission = permission};
 }
 
+const permission_terms quick_advice{fractional_ms(7), fractional_ms(0.1), milliseconds(2'000)};
 const permission_terms slow_advice{fractional_ms(410), fractional_ms(5.9), milliseconds(2'000)};
 
 job_spec job_of(const std::string& id, int tasks, std::int64_t milli_cpus)
@@ -65,6 +66,7 @@
                                .address = {"127.0.0.1", 1},
                                .capacity = {.milli_cpus = worker_cpus, .memory_mb = 100'000}});
         }
+        state_.set_permission_lanes(lanes);
         state_.on_worker_list(entries, time_);
         for (std::size_t worker = 0; worker < workers; ++worker) {
             state_.on_report(worker, {.life = 1}, time_, wall);
@@ -90,7 +92,14 @@
         }
     }
 
+    void cancel(const std::string& id)
+    {
+        state_.cancel(1, id, wall);
+        store();
+    }
+
     [[nodiscard]] time_point time() const { return time_; }
+    [[nodiscard]] int requests_out() const { return requests_out_; }
     [[nodiscard]] int answered() const { return answered_; }
 
     /// Returns when a job's first task was started, none when it still waits.
@@ -123,8 +132,13 @@
             running_.push_back({end, std::move(order)});
         }
         for (auto& request : actions.permissions) {
+            ++requests_out_;
             queue_.add(std::move(request));
         }
+        for (const auto number : actions.withdrawn_permissions) {
+            --requests_out_;
+            queue_.drop(number);
+        }
         while (calls_.size() < lanes) {
             auto request = queue_.take(lanes, time_);
             if (!request) {
@@ -168,6 +182,7 @@
             }
             queue_.finish(one.request);
             ++answered_;
+            --requests_out_;
             state_.on_permission(one.request.number, grants_of(one.request), time_);
         }
     }
@@ -198,6 +213,7 @@
     time_point time_{std::chrono::hours(1)};
     std::vector<call> calls_;
     int answered_ = 0;
+    int requests_out_ = 0; ///< As the owner knows them.
     std::map<std::string, std::pair<time_point, milliseconds>> submitted_;
     std::map<std::string, time_point> begun_;
     std::vector<std::pair<time_point, start_order>> running_; ///< By when they end.
@@ -246,3 +262,83 @@
     CHECK(std::chrono::duration_cast<milliseconds>(last - room_since) <= target);
     CHECK(play.answered() - asked_before <= gangs * 3 / 2);
 }
+
+TEST_CASE("the next request to the permission service")
+{
+    permission_queue queue;
+    const time_point time{std::chrono::hours(1)};
+    const auto request = [&](std::uint64_t number, milliseconds service, milliseconds left) {
+        return permission_request{.number = number,
+                                  .job = job_id(static_cast<int>(number)),
+                                  .order = {.on_time_until = time + left,
+                                            .useful_until = time + left + milliseconds(1'000),
+                                            .priority = static_cast<int>(number),
+                                            .due = time + left},
+                                  .service_time = service};
+    };
+    constexpr milliseconds quick{7};
+    constexpr milliseconds slow{430};
+
+    SECTION("is the most urgent at that moment")
+    {
+        queue.add(request(1, quick, milliseconds(100)));
+        queue.add(request(2, quick, milliseconds(500)));
+        queue.add(request(3, quick, milliseconds(500)));
+        CHECK(queue.take(lanes, time + milliseconds(200))->number == 2);
+        CHECK(queue.take(lanes, time + milliseconds(200))->number == 3);
+        CHECK(queue.take(lanes, time + milliseconds(200))->number == 1);
+    }
+    SECTION("is none that was taken back")
+    {
+        queue.add(request(1, quick, milliseconds(100)));
+        queue.drop(1);
+        CHECK_FALSE(queue.take(lanes, time));
+    }
+    SECTION("is a long one on every lane while no short ones come")
+    {
+        for (std::uint64_t number = 1; number <= lanes; ++number) {
+            queue.add(request(number, slow, milliseconds(100)));
+            CHECK(queue.take(lanes, time));
+        }
+    }
+    SECTION("is a long one on three of four lanes while short ones come")
+    {
+        queue.add(request(20, quick, milliseconds(100)));
+        REQUIRE(queue.take(lanes, time));
+        for (std::uint64_t number = 1; number <= lanes; ++number) {
+            queue.add(request(number, slow, milliseconds(100)));
+            CHECK(queue.take(lanes, time).has_value() == (number <= 6));
+        }
+        CHECK(queue.take(lanes, time + milliseconds(1'100)));
+    }
+}
+
+// Issue 16: gangs that wait must not make short work wait for the permission service.
+TEST_CASE("single tasks are not kept waiting by the calls of gangs")
+{
+    permission_play play;
+    let_gangs_wait(play, milliseconds(6'000));
+    constexpr int checks = 40;
+    for (int number = 0; number < checks; ++number) {
+        play.submit(job_of("c" + job_id(number).substr(1), 1, 1'000), terms_of(0, quick_advice),
+                    milliseconds(600));
+        play.play(milliseconds(50));
+    }
+    for (int number = 1; number < checks; ++number) {
+        INFO("check " << number);
+        CHECK(play.waited("c" + job_id(number).substr(1)) <= milliseconds(100));
+    }
+    // The first one finds long calls on all lanes; the longest takes 0.7 s.
+    CHECK(play.waited("c" + job_id(0).substr(1)) <= milliseconds(800));
+}
+
+TEST_CASE("a request for a job that is cancelled is taken back")
+{
+    permission_play play;
+    play.submit(job_of(job_id(1), 1, 1'000), terms_of(1, slow_advice), milliseconds(600));
+    play.play(step);
+    REQUIRE(play.requests_out() == 1);
+    play.cancel(job_id(1));
+    play.play(milliseconds(200));
+    CHECK(play.requests_out() == 0);
+}
--- a/flamingoseam/workflow/work_order.cpp
+++ b/flamingoseam/workflow/work_order.cpp
@@ -28,6 +28,16 @@
     return job.due - time - remaining_chain(job);
 }
 
+urgency urgency_of(const job_record& job)
+{
+    const auto on_time_until = job.due - remaining_chain(job);
+    const auto most_late = (late_multiple - 1) * target_time(job.spec, job.terms);
+    return {.on_time_until = on_time_until,
+            .useful_until = on_time_until + most_late,
+            .priority = job.terms.priority,
+            .due = job.due};
+}
+
 lateness lateness_of(const job_record& job, time_point time)
 {
     const auto slack = slack_of(job, time);
--- a/flamingoseam/workflow/work_order.hpp
+++ b/flamingoseam/workflow/work_order.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "flamingoseam/workflow/job_record.hpp"
+#include "flamingoseam/workflow/urgency.hpp"
 
 #include <functional>
 #include <vector>
@@ -19,17 +20,13 @@
     }
 };
 
-/// How much a job can still gain by being served now.
-enum class lateness {
-    on_time,  ///< It can still be done within its target time.
-    late,     ///< It will be late, but a late answer is still of use.
-    hopeless, ///< So late that only completeness asks for it.
-};
-
 /// Returns how long a job can still wait and be done within its target time; below zero when it can
 /// not. Complexity: linear in steps.
 time_point::duration slack_of(const job_record& job, time_point time);
 
+/// Returns a job's urgency as its progress is now. Complexity: linear in steps.
+urgency urgency_of(const job_record& job);
+
 /// Returns the lateness of a job that would go on now without waiting. Complexity: linear in steps.
 lateness lateness_of(const job_record& job, time_point time);
 
--- a/flamingoseam/workflow/workflow_gangs.cpp
+++ b/flamingoseam/workflow/workflow_gangs.cpp
@@ -85,6 +85,7 @@
         return;
     }
     if (const auto places = choose_for_gang(step, candidates, time)) {
+        const auto service = step.job->terms.permission->service_time(places->size());
         std::vector<std::size_t> lapsed;
         gang_hold hold{.job = step.job->spec.id,
                        .step = step.step,
@@ -94,8 +95,8 @@
                        .expires = time + ticket_hold};
         for (const auto& place : *places) {
             hold.workers.insert(place.worker);
-            if (step.record().permission.find_ticket(place.worker, time + ticket_use_margin) ==
-                nullptr) {
+            const auto needed = time + service + ticket_use_margin;
+            if (step.record().permission.find_ticket(place.worker, needed) == nullptr) {
                 lapsed.push_back(place.worker);
             }
         }
@@ -106,7 +107,7 @@
         return;
     }
     hold_for_gang(step, time);
-    ask_permission(step, unasked_workers(step, time), time);
+    ask_about_unasked(step, time);
 }
 
 void workflow_state::hold_for_gang(const ready_step& step, time_point time)
--- a/flamingoseam/workflow/workflow_permission.cpp
+++ b/flamingoseam/workflow/workflow_permission.cpp
@@ -15,10 +15,19 @@
 
 } // namespace
 
+/// A step asks for one thing at a time, and only while that is worth the service's time.
+bool workflow_state::may_ask(const ready_step& step, time_point time) const
+{
+    const auto& permission = step.record().permission;
+    const auto& terms = step.job->terms;
+    return terms.permission && permission.outstanding == 0 && permission.next_request <= time &&
+           permission_budget_.has_lane(terms.permission->service_time(1), time);
+}
+
 void workflow_state::ask_for_more(const ready_step& step, const std::vector<candidate>& candidates,
                                   time_point time)
 {
-    if (!step.job->terms.permission) {
+    if (!may_ask(step, time)) {
         return;
     }
     std::vector<std::size_t> lapsed;
@@ -33,7 +42,14 @@
         ask_permission(step, std::move(lapsed), time);
         return;
     }
-    ask_permission(step, unasked_workers(step, time), time);
+    ask_about_unasked(step, time);
+}
+
+void workflow_state::ask_about_unasked(const ready_step& step, time_point time)
+{
+    if (may_ask(step, time)) {
+        ask_permission(step, unasked_workers(step, time), time);
+    }
 }
 
 std::size_t workflow_state::workers_to_ask(const ready_step& step) const
@@ -69,18 +85,22 @@
 bool workflow_state::ask_permission(const ready_step& step, std::vector<std::size_t> workers,
                                     time_point time)
 {
-    auto& permission = step.record().permission;
-    if (workers.empty() || permission.outstanding != 0 || permission.next_request > time) {
+    if (workers.empty() || !may_ask(step, time)) {
         return false;
     }
     workers.resize(std::min(workers.size(), most_workers_asked));
+    const auto service = step.job->terms.permission->service_time(workers.size());
+    if (!permission_budget_.has_lane(service, time)) {
+        return false;
+    }
+    permission_budget_.begin(service, time);
+    auto& permission = step.record().permission;
     permission_request request{.number = ++last_request_,
                                .job = step.job->spec.id,
                                .step = step.step,
-                               .priority = step.job->terms.priority,
+                               .order = urgency_of(*step.job),
                                .workers = {},
-                               .service_time =
-                                   step.job->terms.permission->service_time(workers.size())};
+                               .service_time = service};
     for (const auto worker : workers) {
         request.workers.push_back(fleet_.at(worker).entry.id);
     }
@@ -91,6 +111,26 @@
     return true;
 }
 
+/// Takes back what was asked for jobs that have ended and steps that wait for nothing any more.
+void workflow_state::withdraw_requests()
+{
+    std::erase_if(requests_, [this](const auto& row) {
+        const auto& request = row.second;
+        auto* job = find_job(request.job);
+        const bool is_open = job != nullptr && !is_final(job->phase);
+        auto* step = is_open ? &job->steps[static_cast<std::size_t>(request.step)] : nullptr;
+        if (step != nullptr && step->waiting() > 0) {
+            return false;
+        }
+        if (step != nullptr) {
+            step->permission.outstanding = 0;
+        }
+        permission_budget_.end(request.service_time);
+        actions_.withdrawn_permissions.push_back(request.number);
+        return true;
+    });
+}
+
 void workflow_state::on_permission(std::uint64_t number,
                                    const std::optional<std::vector<ticket_grant>>& grants,
                                    time_point time)
@@ -99,13 +139,14 @@
     if (request.empty()) {
         return;
     }
+    permission_budget_.end(request.mapped().service_time);
+    pass_wanted_ = true;
     auto* job = find_job(request.mapped().job);
     if (job == nullptr || is_final(job->phase)) {
         return;
     }
     auto& permission = job->steps[static_cast<std::size_t>(request.mapped().step)].permission;
     permission.outstanding = 0;
-    pass_wanted_ = true;
     if (!grants) {
         permission.next_request = time + pause_after_failed_request;
         note("permission_failed", job->spec.id, "step " + std::to_string(request.mapped().step));
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -5,6 +5,7 @@
 #include "flamingoseam/workflow/fleet.hpp"
 #include "flamingoseam/workflow/gang_holds.hpp"
 #include "flamingoseam/workflow/job_record.hpp"
+#include "flamingoseam/workflow/permission_budget.hpp"
 #include "flamingoseam/workflow/stored_job.hpp"
 #include "flamingoseam/workflow/work_order.hpp"
 
@@ -65,6 +66,7 @@
     std::vector<forget_order> forgets;
     std::vector<std::pair<std::size_t, time_point>> reports_needed; ///< By worker, by when.
     std::vector<permission_request> permissions;
+    std::vector<std::uint64_t> withdrawn_permissions; ///< Numbers of requests no longer wanted.
     std::vector<caller_answer> answers;
     std::vector<decision_note> notes;
     std::vector<job_timing> first_starts;
@@ -130,6 +132,9 @@
     /// Takes in that a worker certainly holds nothing any more.
     void on_emptied(std::size_t worker);
 
+    /// Sets how many calls to the permission service may be worked on at one time.
+    void set_permission_lanes(std::size_t lanes) { permission_budget_.set_lanes(lanes); }
+
     /// Takes in the answer to a permission request, none when the request failed.
     void on_permission(std::uint64_t number, const std::optional<std::vector<ticket_grant>>& grants,
                        time_point time);
@@ -265,7 +270,10 @@
     bool may_yield(const run_name& name, const held_run& run, const ready_step& gang,
                    time_point time);
     void make_room(const ready_step& gang, const gang_hold& hold, time_point time);
+    [[nodiscard]] bool may_ask(const ready_step& step, time_point time) const;
     bool ask_permission(const ready_step& step, std::vector<std::size_t> workers, time_point time);
+    void ask_about_unasked(const ready_step& step, time_point time);
+    void withdraw_requests();
     std::vector<std::size_t> unasked_workers(const ready_step& step, time_point time);
     std::size_t workers_to_ask(const ready_step& step) const;
     [[nodiscard]] std::int64_t next_run(const step_record& step, int index) const;
@@ -298,8 +306,9 @@
     std::map<std::uint64_t, job_record*> open_; ///< By the order in which they were taken in.
     std::map<const job_record*, waiters> waiters_;
     std::map<std::uint64_t, permission_request> requests_; ///< Under way.
-    std::multimap<wall_time, std::string> ended_;          ///< For the end of their retention.
-    std::vector<std::string> removals_;                    ///< Keys that the store may drop.
+    permission_budget permission_budget_;
+    std::multimap<wall_time, std::string> ended_; ///< For the end of their retention.
+    std::vector<std::string> removals_;           ///< Keys that the store may drop.
     std::set<std::size_t> batch_roster_;
     bool roster_in_batch_ = false;
     std::set<std::size_t> roster_;     ///< Workers that may hold runs.
--- a/flamingoseam/workflow/workflow_upkeep.cpp
+++ b/flamingoseam/workflow/workflow_upkeep.cpp
@@ -46,6 +46,7 @@
         last_upkeep_ = time;
         stop_stuck_runs(time);
         drop_idle_leavers();
+        withdraw_requests();
     }
     if (pass_wanted_ || time - last_pass_ >= longest_between_passes) {
         pass_wanted_ = false;
