--- a/flamingoseam/node/load_meter.hpp
+++ b/flamingoseam/node/load_meter.hpp
@@ -26,7 +26,7 @@
 };
 
 /// Permission requests that no lane has taken yet.
-struct permission_queue {
+struct permission_backlog {
     std::size_t requests = 0;
     time_point::duration oldest{0}; ///< Age of the request that waits longest.
 };
@@ -38,7 +38,7 @@
     std::size_t waiting_steps = 0; ///< Steps that the last pass looked at.
     std::size_t changes = 0;       ///< Jobs with changes in no transaction yet.
     time_point::duration oldest_change{0};
-    permission_queue permissions;
+    permission_backlog permissions;
     std::int64_t passes = 0;            ///< Since the owner began.
     std::int64_t repeated_requests = 0; ///< Permission requests after lapsed tickets, likewise.
 };
--- a/flamingoseam/node/permission_lanes.cpp
+++ b/flamingoseam/node/permission_lanes.cpp
@@ -11,13 +11,8 @@
 
 namespace {
 
-constexpr milliseconds long_call{150}; ///< Service time from which a call counts as long.
 constexpr milliseconds pause_after_failure{500};
-
-bool is_long(const workflow::permission_request& request)
-{
-    return request.service_time >= long_call;
-}
+constexpr milliseconds longest_wait{100}; ///< Of a request that the queue holds back.
 
 } // namespace
 
@@ -74,47 +69,48 @@
 {
     {
         const std::lock_guard lock(mutex_);
-        waiting_.emplace(std::pair(request.priority, request.number), std::move(request));
+        queue_.add(std::move(request));
     }
     changed_.notify_all();
 }
 
-permission_queue permission_lanes::waiting(time_point time)
+permission_backlog permission_lanes::waiting(time_point time)
 {
     const std::lock_guard lock(mutex_);
-    permission_queue queue{.requests = waiting_.size()};
-    for (const auto& [rank, request] : waiting_) {
-        queue.oldest = std::max(queue.oldest, time - request.asked);
-    }
-    return queue;
+    return {.requests = queue_.size(), .oldest = queue_.oldest_age(time)};
 }
 
 void permission_lanes::observe(const workflow::permission_request& request, time_point began,
                                bool answered)
 {
     if (observer_) {
-        observer_({.priority = request.priority,
+        observer_({.priority = request.order.priority,
                    .waited = began - request.asked,
                    .took = now() - began,
                    .answered = answered});
     }
 }
 
+void permission_lanes::withdraw(std::uint64_t number)
+{
+    const std::lock_guard lock(mutex_);
+    queue_.drop(number);
+}
+
 std::optional<workflow::permission_request> permission_lanes::take(lane& one)
 {
     std::unique_lock lock(mutex_);
     while (!ending_) {
-        const auto most_long = std::max<std::size_t>(1, open_lanes() / 2);
-        const auto found = std::find_if(waiting_.begin(), waiting_.end(), [&](const auto& row) {
-            return !is_long(row.second) || long_calls_ < most_long;
-        });
-        if (!one.ending && found != waiting_.end()) {
-            auto request = std::move(found->second);
-            waiting_.erase(found);
-            long_calls_ += is_long(request) ? 1 : 0;
-            return request;
+        if (!one.ending) {
+            if (auto request = queue_.take(open_lanes(), now())) {
+                return request;
+            }
+        }
+        if (queue_.size() == 0) {
+            changed_.wait(lock);
+        } else {
+            changed_.wait_for(lock, longest_wait);
         }
-        changed_.wait(lock);
     }
     return std::nullopt;
 }
@@ -136,7 +132,7 @@
         answer_(request->number, std::move(grants));
         {
             const std::lock_guard lock(mutex_);
-            long_calls_ -= is_long(*request) ? 1 : 0;
+            queue_.finish(*request);
         }
         changed_.notify_all();
         if (failed) {
--- a/flamingoseam/node/permission_lanes.hpp
+++ b/flamingoseam/node/permission_lanes.hpp
@@ -2,11 +2,10 @@
 
 #include "flamingoseam/http/http_client.hpp"
 #include "flamingoseam/node/load_meter.hpp"
-#include "flamingoseam/workflow/messages.hpp"
+#include "flamingoseam/workflow/permission_queue.hpp"
 
 #include <condition_variable>
 #include <functional>
-#include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -37,8 +36,8 @@
 };
 
 /// Spreads permission requests over the nodes, since the service works on one call of each calling
-/// node at a time. A lane stands for one node. Long calls take at most half of the lanes, so that
-/// short ones, which belong to urgent work, find a lane free.
+/// node at a time. A lane stands for one node. What it works on next is chosen by a
+/// permission_queue.
 class permission_lanes {
 public:
     /// `answer` gets each request's number and its grants, none when the request failed; it is
@@ -61,11 +60,14 @@
     /// Sets the nodes that lanes lead through. Complexity: linear.
     void set_nodes(const std::vector<std::string>& nodes);
 
-    /// Queues a request: the lowest priority number first, then the oldest.
+    /// Queues a request.
     void ask(workflow::permission_request request);
 
+    /// Takes a request back if no lane works on it yet; it is not answered then.
+    void withdraw(std::uint64_t number);
+
     /// Returns what waits for a lane. Complexity: linear in it.
-    [[nodiscard]] permission_queue waiting(time_point time);
+    [[nodiscard]] permission_backlog waiting(time_point time);
 
     /// Makes the lanes end soon, without waiting for them.
     void request_end();
@@ -87,9 +89,8 @@
     call_observer observer_;
     std::mutex mutex_;
     std::condition_variable changed_;
-    std::map<std::pair<int, std::uint64_t>, workflow::permission_request> waiting_;
+    workflow::permission_queue queue_;
     std::vector<std::unique_ptr<lane>> lanes_;
-    std::size_t long_calls_ = 0;
     bool ending_ = false;
 };
 
