Measure what decisions cost with the grown deployments' workers and load

workflow-bench gets the grown deployments (350 workers, steps of 20, 25 and 3 tasks at 6, 12.3 and 137 jobs a second) and a number of workers with load to match, and prints the processor time of the decisions.

--- a/bench/workflow_bench.cpp
+++ b/bench/workflow_bench.cpp
@@ -1,6 +1,7 @@
-/// Measures the decisions about jobs of several steps in simulated time: both deployments' loads,
-/// at several multiples, with sound and with slow workers, beside simpler orders of work. No
-/// processes, sockets or clocks; the same seed gives the same work.
+/// Measures the decisions about jobs of several steps in simulated time: the deployments' loads, at
+/// several multiples, with sound and with slow workers, beside simpler orders of work. No
+/// processes or sockets; the same seed gives the same work. It also prints the processor time that
+/// the decisions took, the only figure that differs between runs.
 #include "flamingoseam/workflow/workflow_state.hpp"
 
 #include <gflags/gflags.h>
@@ -9,13 +10,16 @@
 #include <array>
 #include <cmath>
 #include <cstdio>
+#include <ctime>
 #include <functional>
 #include <queue>
 #include <random>
 
 DEFINE_uint64(seed, 1, "seed of sizes, arrivals and run times");
 DEFINE_int32(seconds, 34, "length of the traffic in simulated seconds");
-DEFINE_string(deployment, "", "leisure or gallery; both when empty");
+DEFINE_string(deployment, "",
+              "leisure, gallery, leisure-grown or gallery-grown; the first two when empty");
+DEFINE_uint64(workers, 0, "number of workers, with load to match; the deployment's when 0");
 DEFINE_string(day, "", "calm, bursts, slow, high or double; all when empty");
 DEFINE_string(order, "", "order of work; several when empty");
 
@@ -29,12 +33,9 @@
 constexpr milliseconds report_interval{800};
 constexpr milliseconds message_time{3};
 constexpr milliseconds store_time{30};
-constexpr std::size_t batch_entries = 30;
-constexpr std::size_t lanes = 8; ///< Nodes that ask the permission service.
 constexpr milliseconds long_call{150};
 constexpr double most_worth = 4; ///< Of a job, as a multiple of its queue's mean.
 constexpr double late_share = 0.2;
-constexpr std::size_t workers = 48;
 constexpr double usable_share = 0.7; ///< Of the permitted workers, that the widest gang takes.
 constexpr double rate_of_failure = 0.02;
 
@@ -60,6 +61,9 @@
 
 struct deployment {
     std::string name;
+    std::size_t workers = 48;
+    std::size_t lanes = 8;          ///< Nodes that ask the permission service.
+    std::size_t batch_entries = 30; ///< Records in one transaction of the store.
     resources worker;
     std::vector<load_class> queues;
 };
@@ -148,6 +152,110 @@
     return result;
 }
 
+/// Changes a queue of a small deployment to what the grown one has.
+struct grown_queue {
+    double per_second;
+    double worth;
+    double tasks;
+    double most_tasks;
+    double milli_cpus;
+    fractional_ms call;
+    fractional_ms worker;
+};
+
+deployment grown(deployment place, const std::array<grown_queue, 3>& queues)
+{
+    place.name += "-grown";
+    place.workers = 350;
+    place.lanes = 30;
+    place.batch_entries = 100;
+    for (std::size_t index = 0; index < queues.size(); ++index) {
+        auto& queue = place.queues[index];
+        const auto& now = queues.at(index);
+        const double larger = now.milli_cpus / static_cast<double>(queue.milli_cpus);
+        queue.per_second = now.per_second;
+        queue.worth = now.worth;
+        queue.tasks = now.tasks;
+        queue.most_tasks = now.most_tasks;
+        queue.memory_mb = static_cast<std::int64_t>(larger * static_cast<double>(queue.memory_mb));
+        queue.milli_cpus = static_cast<std::int64_t>(now.milli_cpus);
+        queue.most_milli_cpus =
+            static_cast<std::int64_t>(larger * static_cast<double>(queue.most_milli_cpus));
+        queue.terms.permission->decision = now.call;
+        queue.terms.permission->per_worker = now.worker;
+    }
+    return place;
+}
+
+deployment leisure_grown()
+{
+    using ms = fractional_ms;
+    return grown(leisure(), {{{5.96, 10.6, 20, 120, 18'000, ms(442), ms(6.37)},
+                              {12.3, 3.2, 25, 150, 6'900, ms(104), ms(1.43)},
+                              {137, 0.402, 3.2, 19, 9'900, ms(9.36), ms(0.13)}}});
+}
+
+deployment gallery_grown()
+{
+    using ms = fractional_ms;
+    return grown(gallery(), {{{3.76, 13.3, 20, 120, 4'500, ms(442), ms(6.37)},
+                              {9.84, 3.17, 25, 150, 1'700, ms(104), ms(1.43)},
+                              {110, 0.398, 3.2, 19, 2'500, ms(9.36), ms(0.13)}}});
+}
+
+/// Gives a deployment another number of workers and as much more or less load.
+deployment with_workers(deployment place, std::size_t workers)
+{
+    const double factor = static_cast<double>(workers) / static_cast<double>(place.workers);
+    const auto times = [factor](std::size_t count) {
+        return static_cast<std::size_t>(std::ceil(static_cast<double>(count) * factor));
+    };
+    place.workers = workers;
+    place.lanes = times(place.lanes);
+    place.batch_entries = times(place.batch_entries);
+    for (auto& queue : place.queues) {
+        queue.per_second *= factor;
+    }
+    return place;
+}
+
+/// Adds up the processor time of the decisions.
+class decision_clock {
+public:
+    template <typename Call> auto measure(const Call& call)
+    {
+        const auto began = now();
+        if constexpr (std::is_void_v<decltype(call())>) {
+            call();
+            add(now() - began);
+        } else {
+            auto result = call();
+            add(now() - began);
+            return result;
+        }
+    }
+
+    [[nodiscard]] fractional_ms total() const { return total_; }
+    [[nodiscard]] fractional_ms longest() const { return longest_; }
+
+private:
+    static std::chrono::nanoseconds now()
+    {
+        timespec time{};
+        clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+        return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+    }
+
+    void add(std::chrono::nanoseconds length)
+    {
+        total_ += length;
+        longest_ = std::max<std::chrono::nanoseconds>(longest_, length);
+    }
+
+    std::chrono::nanoseconds total_{0};
+    std::chrono::nanoseconds longest_{0};
+};
+
 /// What is unusual about a day.
 struct scenario {
     std::string name;
@@ -232,10 +340,17 @@
         for (const auto& [queue, sums] : by_queue) {
             std::printf(" %s %5.3f", queue.c_str(), sums.first / sums.second);
         }
-        std::printf(" | %5.3f | %lld starts, %lld asked, %lld yielded\n", bound(),
-                    (long long)state_.counts().starts,
-                    (long long)state_.counts().permission_requests,
-                    (long long)state_.counts().yielded_runs);
+        const auto& counts = state_.counts();
+        std::printf(" | %5.3f | %lld starts, %lld asked, %lld yielded, %zu open\n", bound(),
+                    (long long)counts.starts, (long long)counts.permission_requests,
+                    (long long)counts.yielded_runs, state_.open_jobs());
+        const auto total = decisions_.total().count();
+        std::printf("%-15s | %.1f ms for each second of traffic, %.0f us for each start, longest "
+                    "%.2f ms, %lld places for each start\n",
+                    "  decisions", total / FLAGS_seconds,
+                    total * 1'000 / static_cast<double>(counts.starts),
+                    decisions_.longest().count(),
+                    (long long)(counts.examined / std::max<std::int64_t>(1, counts.starts)));
     }
 
 private:
@@ -273,9 +388,10 @@
     {
         constexpr std::array speeds{0.8, 1.0, 1.25};
         std::vector<worker_entry> entries;
-        for (std::size_t index = 0; index < workers; ++index) {
+        for (std::size_t index = 0; index < place_.workers; ++index) {
             sim_worker one{.speed = speeds.at(index % speeds.size())};
-            one.slow_later = static_cast<double>(index) < day_.slow_share * workers;
+            one.slow_later =
+                static_cast<double>(index) < day_.slow_share * static_cast<double>(place_.workers);
             workers_.push_back(one);
             entries.push_back({.id = "w" + std::to_string(index),
                                .life = 1,
@@ -285,7 +401,7 @@
                                .capacity = place_.worker});
         }
         state_.on_worker_list(entries, clock());
-        for (std::size_t index = 0; index < workers; ++index) {
+        for (std::size_t index = 0; index < place_.workers; ++index) {
             state_.on_report(index, {.life = 1}, clock(), wall());
             at(milliseconds(static_cast<int>(index) * 16), [this, index] { report_often(index); });
         }
@@ -368,7 +484,8 @@
             step.gang = std::bernoulli_distribution(queue.gangs)(random_);
             if (step.gang) {
                 const int room = tasks_that_fit(step.size, place_.worker);
-                const double usable = usable_share * queue.permitted * workers;
+                const double usable =
+                    usable_share * queue.permitted * static_cast<double>(place_.workers);
                 step.tasks = std::min(step.tasks, static_cast<int>(usable * room));
             }
             const auto work =
@@ -400,7 +517,7 @@
     void submit(std::size_t index)
     {
         const auto& job = jobs_[index];
-        state_.submit(0, job.spec, job.queue->terms, clock(), wall());
+        decisions_.measure([&] { state_.submit(0, job.spec, job.queue->terms, clock(), wall()); });
         pump();
     }
 
@@ -413,7 +530,7 @@
 
     void pump()
     {
-        state_.tick(clock());
+        decisions_.measure([&] { state_.tick(clock()); });
         for (auto actions = state_.take_actions(); !is_empty(actions);
              actions = state_.take_actions()) {
             carry_out(std::move(actions));
@@ -452,22 +569,24 @@
         if (storing_ || !state_.has_changes(0, clock())) {
             return;
         }
-        if (state_.take_batch(0, batch_entries, clock(), wall()).changes.empty()) {
+        const auto batch = decisions_.measure(
+            [&] { return state_.take_batch(0, place_.batch_entries, clock(), wall()); });
+        if (batch.changes.empty()) {
             return;
         }
         storing_ = true;
         at(store_time, [this] {
             storing_ = false;
-            state_.on_stored(0);
+            decisions_.measure([&] { state_.on_stored(0); });
             pump();
         });
     }
 
     void ask()
     {
-        for (auto one = waiting_.begin(); one != waiting_.end() && asking_ < lanes;) {
+        for (auto one = waiting_.begin(); one != waiting_.end() && asking_ < place_.lanes;) {
             const bool is_long = one->second.service_time >= long_call;
-            if (is_long && long_calls_ >= lanes / 2) {
+            if (is_long && long_calls_ >= place_.lanes / 2) {
                 ++one;
                 continue;
             }
@@ -476,7 +595,8 @@
             at(one->second.service_time + message_time, [this, request = one->second, is_long] {
                 --asking_;
                 long_calls_ -= is_long ? 1 : 0;
-                state_.on_permission(request.number, grants_of(request), clock());
+                const auto grants = grants_of(request);
+                decisions_.measure([&] { state_.on_permission(request.number, grants, clock()); });
                 pump();
                 ask();
             });
@@ -509,7 +629,8 @@
         if (!job.first_start) {
             job.first_start = now_;
         }
-        state_.on_start(order.worker, order.name, start_outcome::started, clock());
+        decisions_.measure(
+            [&] { state_.on_start(order.worker, order.name, start_outcome::started, clock()); });
         if (!job.spec.steps[step].gang) {
             begin(order.worker, order.name, run.length, order.worker);
             return;
@@ -642,7 +763,7 @@
             said.present.push_back(
                 {.name = name, .percent = static_cast<int>(std::min(99.0, percent))});
         }
-        state_.on_report(worker, said, clock(), wall());
+        decisions_.measure([&] { state_.on_report(worker, said, clock(), wall()); });
         pump();
     }
 
@@ -696,6 +817,7 @@
     scenario day_;
     std::mt19937_64 random_;
     workflow_state state_;
+    decision_clock decisions_;
     std::vector<sim_worker> workers_;
     std::vector<real_job> jobs_;
     std::map<std::tuple<std::string, int, std::int64_t>,
@@ -750,9 +872,15 @@
                                         {.name = "slow", .bursts = true, .slow_share = 0.17},
                                         {.name = "high", .load = 1.5},
                                         {.name = "double", .load = 2.0, .slow_share = 0.35}};
-    for (const auto& place : {leisure(), gallery()}) {
-        if (!FLAGS_deployment.empty() && FLAGS_deployment != place.name) {
-            continue;
+    std::vector<deployment> places = {leisure(), gallery()};
+    if (!FLAGS_deployment.empty()) {
+        places.push_back(leisure_grown());
+        places.push_back(gallery_grown());
+        std::erase_if(places, [](const auto& one) { return one.name != FLAGS_deployment; });
+    }
+    for (auto place : places) {
+        if (FLAGS_workers > 0) {
+            place = with_workers(std::move(place), FLAGS_workers);
         }
         for (const auto& day : days) {
             if (!FLAGS_day.empty() && FLAGS_day != day.name) {
