Keep permission records and the look-up of holds in flat vectors

Placing asks of each worker whether a step is permitted there and whether a gang holds it. Sets and maps made that three searches through a tree for each worker of each waiting step. The permitted workers and their tickets now stand in one vector by worker, which can be walked, and the holds count themselves by worker, so that a worker without one costs one look. Decisions do not change.

--- a/flamingoseam/workflow/gang_holds.cpp
+++ b/flamingoseam/workflow/gang_holds.cpp
@@ -81,6 +81,9 @@
 
 const gang_hold* gang_holds::on_worker(std::size_t worker) const
 {
+    if (worker >= holds_on_.size() || holds_on_[worker] == 0) {
+        return nullptr;
+    }
     const auto found = std::find_if(holds_.begin(), holds_.end(), [&](const gang_hold& hold) {
         return hold.workers.contains(worker);
     });
@@ -95,15 +98,36 @@
     return found == holds_.end() ? nullptr : &*found;
 }
 
+void gang_holds::add(gang_hold hold)
+{
+    for (const auto worker : hold.workers) {
+        holds_on_.resize(std::max(holds_on_.size(), worker + 1));
+        ++holds_on_[worker];
+    }
+    holds_.push_back(std::move(hold));
+}
+
+template <typename Condition> void gang_holds::drop_if(const Condition& condition)
+{
+    std::erase_if(holds_, [&](const gang_hold& hold) {
+        if (!condition(hold)) {
+            return false;
+        }
+        for (const auto worker : hold.workers) {
+            --holds_on_[worker];
+        }
+        return true;
+    });
+}
+
 void gang_holds::drop(const std::string& job, int step)
 {
-    std::erase_if(holds_,
-                  [&](const gang_hold& hold) { return hold.step == step && hold.job == job; });
+    drop_if([&](const gang_hold& hold) { return hold.step == step && hold.job == job; });
 }
 
 void gang_holds::drop_expired(time_point time)
 {
-    std::erase_if(holds_, [&](const gang_hold& hold) { return hold.expires <= time; });
+    drop_if([&](const gang_hold& hold) { return hold.expires <= time; });
 }
 
 } // namespace flamingoseam::workflow
--- a/flamingoseam/workflow/gang_holds.hpp
+++ b/flamingoseam/workflow/gang_holds.hpp
@@ -48,13 +48,16 @@
     /// How long a run that yields may take to end.
     static constexpr milliseconds yield_time{500};
 
-    void add(gang_hold hold) { holds_.push_back(std::move(hold)); }
+    void add(gang_hold hold);
     void drop(const std::string& job, int step);
     void drop_expired(time_point time);
     [[nodiscard]] bool is_full() const { return holds_.size() >= most_holds; }
 
 private:
+    template <typename Condition> void drop_if(const Condition& condition);
+
     std::vector<gang_hold> holds_;
+    std::vector<int> holds_on_; ///< Their number by worker.
 };
 
 } // namespace flamingoseam::workflow
--- a/flamingoseam/workflow/job_record.cpp
+++ b/flamingoseam/workflow/job_record.cpp
@@ -39,21 +39,51 @@
                               const std::map<std::size_t, std::string>& granted,
                               time_point valid_until)
 {
-    known_.insert(asked.begin(), asked.end());
+    for (const auto worker : asked) {
+        known_.resize(std::max(known_.size(), worker + 1));
+        known_[worker] = true;
+    }
     for (const auto& [worker, text] : granted) {
-        permitted_.insert(worker);
-        tickets_[worker] = {text, valid_until};
+        const auto place = permitted_.begin() + (find(worker) - permitted_.cbegin());
+        if (place != permitted_.end() && place->worker == worker) {
+            *place = {worker, text, valid_until};
+        } else {
+            permitted_.insert(place, {worker, text, valid_until});
+        }
+        newest_until_ = std::max(newest_until_, valid_until);
     }
 }
 
+void permission_record::drop_ticket(std::size_t worker)
+{
+    const auto place = permitted_.begin() + (find(worker) - permitted_.cbegin());
+    if (place != permitted_.end() && place->worker == worker) {
+        *place = {.worker = worker, .text = {}, .valid_until = time_point::min()};
+    }
+}
+
+bool permission_record::is_permitted(std::size_t worker) const
+{
+    const auto place = find(worker);
+    return place != permitted_.end() && place->worker == worker;
+}
+
 const permission_record::ticket* permission_record::find_ticket(std::size_t worker,
                                                                 time_point needed) const
 {
-    const auto found = tickets_.find(worker);
-    if (found == tickets_.end() || found->second.valid_until < needed) {
-        return nullptr;
-    }
-    return &found->second;
+    const auto place = find(worker);
+    const bool is_valid =
+        place != permitted_.end() && place->worker == worker && place->valid_until >= needed;
+    return is_valid ? &*place : nullptr;
+}
+
+/// Returns the first permitted worker from `worker` on.
+std::vector<permission_record::ticket>::const_iterator
+permission_record::find(std::size_t worker) const
+{
+    return std::lower_bound(
+        permitted_.begin(), permitted_.end(), worker,
+        [](const ticket& one, std::size_t wanted) { return one.worker < wanted; });
 }
 
 bool job_record::is_turn_of(std::size_t step) const
--- a/flamingoseam/workflow/job_record.hpp
+++ b/flamingoseam/workflow/job_record.hpp
@@ -5,7 +5,6 @@
 
 #include <cstdint>
 #include <map>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -47,7 +46,9 @@
 /// Which workers may run a step, as far as the permission service has told.
 class permission_record {
 public:
+    /// For a permitted worker; its text is empty after it was dropped.
     struct ticket {
+        std::size_t worker = 0;
         std::string text;
         time_point valid_until{};
     };
@@ -57,27 +58,37 @@
                const std::map<std::size_t, std::string>& granted, time_point valid_until);
 
     /// Forgets the ticket for a worker, as after a refusal or a new life.
-    void drop_ticket(std::size_t worker) { tickets_.erase(worker); }
+    void drop_ticket(std::size_t worker);
 
     /// Tells whether the worker is known to be permitted. Complexity: logarithmic.
-    [[nodiscard]] bool is_permitted(std::size_t worker) const
+    [[nodiscard]] bool is_permitted(std::size_t worker) const;
+
+    /// Returns the permitted workers by index, each with its newest ticket, valid or not.
+    [[nodiscard]] const std::vector<ticket>& permitted() const { return permitted_; }
+
+    /// Tells whether the service was ever asked about the worker. Complexity: constant.
+    [[nodiscard]] bool is_known(std::size_t worker) const
     {
-        return permitted_.contains(worker);
+        return worker < known_.size() && known_[worker];
     }
 
-    /// Tells whether the service was ever asked about the worker. Complexity: logarithmic.
-    [[nodiscard]] bool is_known(std::size_t worker) const { return known_.contains(worker); }
+    /// Tells whether any ticket may be valid until `needed`. Complexity: constant.
+    [[nodiscard]] bool has_ticket(time_point needed) const { return needed <= newest_until_; }
 
     /// Returns a ticket that is valid until `needed` at least, null when there is none.
+    /// Complexity: logarithmic.
     [[nodiscard]] const ticket* find_ticket(std::size_t worker, time_point needed) const;
 
     std::uint64_t outstanding = 0; ///< Number of the request under way, 0 for none.
     time_point next_request{};     ///< Not before this after a failed request.
+    time_point next_search{};      ///< Not before this when all workers were asked about.
 
 private:
-    std::set<std::size_t> known_;
-    std::set<std::size_t> permitted_;
-    std::map<std::size_t, ticket> tickets_;
+    [[nodiscard]] std::vector<ticket>::const_iterator find(std::size_t worker) const;
+
+    std::vector<bool> known_;       ///< By worker.
+    std::vector<ticket> permitted_; ///< By worker.
+    time_point newest_until_{};     ///< No ticket is valid for longer.
 };
 
 /// One step of a job as it runs.
