Make the cost of a scheduling pass independent of the backlog

With 350 workers callers saw everything slow down at the first burst and never recover: storing a job took 1.5 s, an answer about permission was used 8.7 s after it was given, 76 of 100 requests failed. The cause is that each event wanted a pass over all waiting steps, each of which looked at every worker, and that every pass wanted the next one. More backlog made each pass dearer, and reports, submissions and answers queued behind the passes on the control thread: work spent on what can't begin kept what can from beginning.

Now the ready steps are kept in their order, and only jobs that change are ranked anew. A pass takes the workers' free room in once, skips a step at once whose task is larger than the largest room or whose request is under way, looks only at the permitted workers of a step that needs permission, and ends after a number of places that goes by the workers. The most urgent steps have the larger part of it; the others take turns from where the last pass ended, so that nothing waits for ever. A pass that does not reach the end is continued; one that does is not repeated before something changes. Passes are spaced by what the last one cost. Stops that wait for an answer stand in a set of their own. A step that has asked about all workers looks for new ones every 100 ms only.

--- a/bench/workflow_bench.cpp
+++ b/bench/workflow_bench.cpp
@@ -302,7 +302,7 @@
 
 class simulation {
 public:
-    simulation(const deployment& place, const scenario& day, std::uint64_t seed, step_order order)
+    simulation(const deployment& place, const scenario& day, std::uint64_t seed, step_ranking order)
         : place_(place), day_(day), random_(seed), state_({.order = std::move(order)})
     {
         make_workers();
@@ -834,28 +834,27 @@
 
 struct named_order {
     std::string name;
-    step_order order;
+    step_ranking order;
 };
 
-template <typename Key> step_order by(Key key)
+template <typename Key> step_ranking by(Key key)
 {
-    return [key](std::vector<ready_step>& steps, time_point /*time*/) {
-        std::ranges::stable_sort(steps, {}, key);
+    return [key](const ready_step& step, time_point /*time*/) {
+        return work_rank{.key = static_cast<std::int64_t>(key(*step.job))};
     };
 }
 
 std::vector<named_order> all_orders()
 {
-    std::mt19937_64 random(FLAGS_seed);
-    return {{"urgency", sort_by_urgency},
-            {"arrival", by([](const ready_step& step) { return step.job->sequence; })},
-            {"priority", by([](const ready_step& step) {
-                 return std::pair(step.job->terms.priority, step.job->sequence);
-             })},
-            {"shortest", by([](const ready_step& step) { return remaining_chain(*step.job); })},
-            {"random", [random](std::vector<ready_step>& steps, time_point /*time*/) mutable {
-                 std::ranges::shuffle(steps, random);
-             }}};
+    return {{"urgency", rank_by_urgency},
+            {"arrival", by([](const job_record& job) { return job.sequence; })},
+            {"priority",
+             [](const ready_step& step, time_point /*time*/) {
+                 return work_rank{.priority = step.job->terms.priority};
+             }},
+            {"shortest", by([](const job_record& job) { return remaining_chain(job).count(); })},
+            {"random",
+             by([](const job_record& job) { return std::mt19937(FLAGS_seed + job.sequence)(); })}};
 }
 
 } // namespace
--- a/flamingoseam/workflow/fleet.cpp
+++ b/flamingoseam/workflow/fleet.cpp
@@ -33,9 +33,16 @@
     } else {
         workers_[found->second].entry = entry;
     }
+    workers_[found->second].pool = pools_.try_emplace(entry.service, pools_.size()).first->second;
     return found->second;
 }
 
+std::optional<std::size_t> fleet::find_pool(const std::string& service) const
+{
+    const auto found = pools_.find(service);
+    return found == pools_.end() ? std::nullopt : std::optional(found->second);
+}
+
 std::optional<std::size_t> fleet::find(const std::string& id) const
 {
     const auto found = by_id_.find(id);
--- a/flamingoseam/workflow/fleet.hpp
+++ b/flamingoseam/workflow/fleet.hpp
@@ -38,6 +38,7 @@
 /// A worker, the runs that it holds and what its reports have shown.
 struct fleet_worker {
     worker_entry entry;
+    std::size_t pool = 0;      ///< Number of its service.
     bool listed = false;       ///< The platform's list shows it.
     bool reported = false;     ///< It has accepted this owner and told what it holds.
     bool silent = false;       ///< It does not answer at present.
@@ -80,6 +81,11 @@
     /// Returns the index of a worker's id, none when unknown. Complexity: constant.
     [[nodiscard]] std::optional<std::size_t> find(const std::string& id) const;
 
+    /// Returns the number of the pool of workers that run a service, none when no worker does.
+    /// Complexity: constant.
+    [[nodiscard]] std::optional<std::size_t> find_pool(const std::string& service) const;
+
+    [[nodiscard]] std::size_t pools() const { return pools_.size(); }
     [[nodiscard]] std::size_t size() const { return workers_.size(); }
     [[nodiscard]] fleet_worker& at(std::size_t index) { return workers_.at(index); }
     [[nodiscard]] const fleet_worker& at(std::size_t index) const { return workers_.at(index); }
@@ -103,6 +109,7 @@
 private:
     std::vector<fleet_worker> workers_;
     std::unordered_map<std::string, std::size_t> by_id_;
+    std::unordered_map<std::string, std::size_t> pools_; ///< By service.
 };
 
 /// Tells whether a worker carries a label; every worker carries the empty one.
--- /dev/null
+++ b/flamingoseam/workflow/ready_queue.cpp
@@ -0,0 +1,91 @@
+#include "flamingoseam/workflow/ready_queue.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace flamingoseam::workflow {
+
+namespace {
+
+/// Tells whether a step's turn has come and tasks of it can be placed.
+bool is_ready(const job_record& job, std::size_t index)
+{
+    const auto& step = job.steps[index];
+    const bool gang_is_out =
+        job.spec.steps[index].gang && (step.placed > 0 || step.unlocated > 0 || step.gang_broken);
+    return step.waiting() > 0 && !gang_is_out && job.is_turn_of(index);
+}
+
+} // namespace
+
+bool ready_queue::entry::operator<(const entry& other) const
+{
+    return std::tie(rank.late, rank.priority, rank.key, sequence, step.step) <
+           std::tie(other.rank.late, other.rank.priority, other.rank.key, other.sequence,
+                    other.step.step);
+}
+
+void ready_queue::note_changed(job_record& job)
+{
+    if (!is_final(job.phase)) {
+        changed_.insert(&job);
+    }
+}
+
+void ready_queue::drop(job_record& job)
+{
+    erase(job);
+    changed_.erase(&job);
+}
+
+void ready_queue::refresh(time_point time)
+{
+    while (!ranked_until_.empty() && ranked_until_.begin()->first < time) {
+        auto* job = ranked_until_.begin()->second;
+        ranked_until_.erase(ranked_until_.begin());
+        changed_.insert(job);
+    }
+    for (auto* job : changed_) {
+        put(*job, time);
+    }
+    changed_.clear();
+}
+
+void ready_queue::put(job_record& job, time_point time)
+{
+    erase(job);
+    if (!job.spec_stored) {
+        return;
+    }
+    job_entries made{.entries = {}, .ranked_until = time_point::max()};
+    for (std::size_t index = 0; index < job.steps.size(); ++index) {
+        if (!is_ready(job, index)) {
+            continue;
+        }
+        const ready_step step{&job, static_cast<int>(index)};
+        const entry one{.rank = ranking_(step, time), .sequence = job.sequence, .step = step};
+        made.ranked_until = std::min(made.ranked_until, one.rank.valid_until);
+        order_.insert(one);
+        made.entries.push_back(one);
+    }
+    if (made.entries.empty()) {
+        return;
+    }
+    ranked_until_.emplace(made.ranked_until, &job);
+    by_job_.emplace(&job, std::move(made));
+}
+
+void ready_queue::erase(job_record& job)
+{
+    const auto found = by_job_.find(&job);
+    if (found == by_job_.end()) {
+        return;
+    }
+    for (const auto& one : found->second.entries) {
+        order_.erase(one);
+    }
+    ranked_until_.erase({found->second.ranked_until, &job});
+    by_job_.erase(found);
+}
+
+} // namespace flamingoseam::workflow
--- a/flamingoseam/workflow/work_order.cpp
+++ b/flamingoseam/workflow/work_order.cpp
@@ -1,24 +1,15 @@
 #include "flamingoseam/workflow/work_order.hpp"
 
-#include <algorithm>
-#include <tuple>
-
 namespace flamingoseam::workflow {
 
 namespace {
 
 constexpr int late_multiple = 3; ///< Of the target time; later than that a job is hopeless.
 
-struct rank {
-    lateness late;
-    int priority;
-    time_point due;
-    ready_step step;
-};
-
-rank rank_of(const ready_step& step, time_point time)
+/// Returns how much later than its target a job is still of use.
+milliseconds most_late(const job_record& job)
 {
-    return {lateness_of(*step.job, time), step.job->terms.priority, step.job->due, step};
+    return (late_multiple - 1) * target_time(job.spec, job.terms);
 }
 
 } // namespace
@@ -34,24 +25,23 @@
     if (slack >= time_point::duration::zero()) {
         return lateness::on_time;
     }
-    const auto most_late = (late_multiple - 1) * target_time(job.spec, job.terms);
-    return slack + most_late >= time_point::duration::zero() ? lateness::late : lateness::hopeless;
+    const bool is_of_use = slack + most_late(job) >= time_point::duration::zero();
+    return is_of_use ? lateness::late : lateness::hopeless;
 }
 
-void sort_by_urgency(std::vector<ready_step>& steps, time_point time)
+work_rank rank_by_urgency(const ready_step& step, time_point time)
 {
-    std::vector<rank> ranks;
-    ranks.reserve(steps.size());
-    for (const auto& step : steps) {
-        ranks.push_back(rank_of(step, time));
-    }
-    std::stable_sort(ranks.begin(), ranks.end(), [](const rank& left, const rank& right) {
-        return std::tie(left.late, left.priority, left.due) <
-               std::tie(right.late, right.priority, right.due);
-    });
-    for (std::size_t index = 0; index < steps.size(); ++index) {
-        steps[index] = ranks[index].step;
+    const auto& job = *step.job;
+    const auto latest_start = job.due - remaining_chain(job);
+    work_rank rank{.late = lateness_of(job, time),
+                   .priority = job.terms.priority,
+                   .key = job.due.time_since_epoch().count()};
+    if (rank.late == lateness::on_time) {
+        rank.valid_until = latest_start;
+    } else if (rank.late == lateness::late) {
+        rank.valid_until = latest_start + most_late(job);
     }
+    return rank;
 }
 
 } // namespace flamingoseam::workflow
--- a/flamingoseam/workflow/work_order.hpp
+++ b/flamingoseam/workflow/work_order.hpp
@@ -2,8 +2,8 @@
 
 #include "flamingoseam/workflow/job_record.hpp"
 
+#include <cstdint>
 #include <functional>
-#include <vector>
 
 namespace flamingoseam::workflow {
 
@@ -33,13 +33,21 @@
 /// Returns the lateness of a job that would go on now without waiting. Complexity: linear in steps.
 lateness lateness_of(const job_record& job, time_point time);
 
-/// Brings steps into the order in which they are placed.
-using step_order = std::function<void(std::vector<ready_step>& steps, time_point time)>;
+/// A step's place in the order of work: by lateness, then by priority, then by key; the least goes
+/// first.
+struct work_rank {
+    lateness late = lateness::on_time;
+    int priority = 0;
+    std::int64_t key = 0;
+    time_point valid_until = time_point::max(); ///< The last moment before it changes by itself.
+};
+
+/// Ranks a step at a moment. The rank may change when `valid_until` has passed or the job changes.
+using step_ranking = std::function<work_rank(const ready_step& step, time_point time)>;
 
-/// Sorts steps into the order in which they are placed. Work that can still be on time goes before
-/// work that is late already; within that, by the contract's priority, then by the time at which a
-/// job has to be done. This answers a burst: without it, late jobs would make others late, too.
-/// Complexity: n log n.
-void sort_by_urgency(std::vector<ready_step>& steps, time_point time);
+/// Ranks work that can still be on time before work that is late already; within that, by the
+/// contract's priority, then by the time at which a job has to be done. This answers a burst:
+/// without it, late jobs would make others late, too. Complexity: linear in the job's steps.
+work_rank rank_by_urgency(const ready_step& step, time_point time);
 
 } // namespace flamingoseam::workflow
--- a/flamingoseam/workflow/workflow_backlog_test.cpp
+++ b/flamingoseam/workflow/workflow_backlog_test.cpp
@@ -19,8 +19,7 @@
 /// A fleet that is full of tasks of one job, with a backlog behind it.
 class crowded_state {
 public:
-    explicit crowded_state(std::optional<permission_terms> permission)
-        : permission_(std::move(permission))
+    explicit crowded_state(std::optional<permission_terms> permission) : permission_(permission)
     {
         std::vector<worker_entry> entries;
         for (std::size_t index = 0; index < worker_count; ++index) {
--- a/flamingoseam/workflow/workflow_jobs.cpp
+++ b/flamingoseam/workflow/workflow_jobs.cpp
@@ -14,7 +14,7 @@
 } // namespace
 
 workflow_state::workflow_state(workflow_options options)
-    : options_(std::move(options)), chains_(options_.chains)
+    : options_(std::move(options)), chains_(options_.chains), ready_(options_.order)
 {
 }
 
@@ -30,6 +30,7 @@
         } else {
             job->due = time + (job->accepted - wall) + target_time(job->spec, job->terms);
             open_.emplace(job->sequence, job.get());
+            ready_.note_changed(*job);
         }
         jobs_.emplace(job->spec.id, std::move(job));
     }
@@ -114,6 +115,7 @@
         }
         changes_.drop(*job);
         waiters_.erase(job);
+        ready_.drop(*job);
         open_.erase(job->sequence);
         jobs_.erase(std::string(job->spec.id));
     }
@@ -182,6 +184,7 @@
     count(task.phase, -1);
     task.phase = phase;
     count(phase, 1);
+    ready_.note_changed(job);
     pass_wanted_ = true;
 }
 
@@ -240,6 +243,7 @@
         stop_runs_of(job);
     }
     ended_.emplace(wall + options_.ended_retention, job.spec.id);
+    ready_.drop(job);
     open_.erase(job.sequence);
     change(job);
     pass_wanted_ = true;
@@ -298,6 +302,7 @@
     if (record.gang_broken && record.placed == 0) {
         record.gang_broken = false;
         record.gang_run = 0;
+        ready_.note_changed(job);
         pass_wanted_ = true;
     }
 }
@@ -354,6 +359,7 @@
     }
     run.stop_wanted = true;
     run.stop_sent = {};
+    unsent_stops_.emplace(worker, name);
     note("stop", name.task.job, to_string(name) + " on " + fleet_.at(worker).entry.id);
 }
 
--- a/flamingoseam/workflow/workflow_permission.cpp
+++ b/flamingoseam/workflow/workflow_permission.cpp
@@ -9,7 +9,8 @@
 
 constexpr milliseconds ticket_answer_margin{100}; ///< The grant was issued before it arrived.
 constexpr milliseconds pause_after_failed_request{200};
-constexpr std::size_t most_workers_asked = 100; ///< The service takes no more in one call.
+constexpr milliseconds pause_after_vain_search{100}; ///< All workers were asked about.
+constexpr std::size_t most_workers_asked = 100;      ///< The service takes no more in one call.
 constexpr double least_workers_asked = 16;
 constexpr double asked_per_worker_needed = 8;
 
@@ -49,7 +50,11 @@
 
 std::vector<std::size_t> workflow_state::unasked_workers(const ready_step& step, time_point time)
 {
-    const auto& permission = step.record().permission;
+    auto& permission = step.record().permission;
+    if (permission.outstanding != 0 || permission.next_request > time ||
+        permission.next_search > time) {
+        return {};
+    }
     std::vector<std::pair<std::int64_t, std::size_t>> by_room;
     for (std::size_t worker = 0; worker < fleet_.size(); ++worker) {
         ++counts_.examined;
@@ -57,6 +62,9 @@
             by_room.emplace_back(fleet_.at(worker).free().milli_cpus, worker);
         }
     }
+    if (by_room.empty()) {
+        permission.next_search = time + pause_after_vain_search;
+    }
     std::sort(by_room.rbegin(), by_room.rend());
     by_room.resize(std::min(by_room.size(), workers_to_ask(step)));
     std::vector<std::size_t> workers;
--- a/flamingoseam/workflow/workflow_reports.cpp
+++ b/flamingoseam/workflow/workflow_reports.cpp
@@ -85,10 +85,12 @@
         run.doubtful_since = time;
         run.stop_sent = {};
         run.stop_answered = {};
+        unsent_stops_.emplace(worker, name);
     }
     for (const auto& [name, ruled_out] : std::exchange(one.ruled_out, {})) {
         if (time - ruled_out.second < latest_arrival) {
             fleet_.hold(worker, name, ruled_out.first);
+            unsent_stops_.emplace(worker, name);
         }
     }
     for (const auto& [sequence, job] : open_) {
--- a/flamingoseam/workflow/workflow_schedule.cpp
+++ b/flamingoseam/workflow/workflow_schedule.cpp
@@ -2,7 +2,8 @@
 #include "flamingoseam/workflow/workflow_state.hpp"
 
 #include <algorithm>
-#include <tuple>
+#include <functional>
+#include <queue>
 
 namespace flamingoseam::workflow {
 
@@ -13,46 +14,69 @@
 
 constexpr double estimate_allowance = 1.25; ///< A task may run that much longer than estimated.
 constexpr std::int64_t runs_per_epoch = 1'000;
+/// Places that one pass looks at for the most urgent steps and for the others, for each worker.
+constexpr std::int64_t urgent_per_worker = 4;
+constexpr std::int64_t others_per_worker = 2;
+constexpr std::int64_t least_examined = 500; ///< For each of both, however few workers there are.
 
 } // namespace
 
-std::vector<ready_step> workflow_state::ready_steps(time_point time)
+/// Places the most urgent steps, then goes on with the others from where the last pass ended, so
+/// that a pass costs the same however long the backlog is and every step has its turn. Returns
+/// whether the last step was reached.
+bool workflow_state::schedule(time_point time)
 {
-    std::vector<ready_step> ready;
-    for (const auto& [sequence, job] : open_) {
-        if (!job->spec_stored) {
-            continue;
-        }
-        for (int index = 0; index < static_cast<int>(job->steps.size()); ++index) {
-            ++counts_.examined;
-            const auto& step = job->steps[static_cast<std::size_t>(index)];
-            const bool gang = job->spec.steps[static_cast<std::size_t>(index)].gang;
-            const bool gang_is_out =
-                gang && (step.placed > 0 || step.unlocated > 0 || step.gang_broken);
-            if (step.waiting() == 0 || gang_is_out || step.not_before > time ||
-                !job->is_turn_of(static_cast<std::size_t>(index))) {
-                continue;
-            }
-            ready.push_back({job, index});
+    holds_.drop_expired(time);
+    ready_.refresh(time);
+    const auto& steps = ready_.in_order();
+    if (steps.empty()) {
+        return true;
+    }
+    room_.fill(fleet_, time);
+    const auto workers = static_cast<std::int64_t>(fleet_.size());
+    counts_.examined += workers;
+    auto next = steps.begin();
+    const auto go_on = [&](std::int64_t most) {
+        const auto limit = counts_.examined + std::max(least_examined, most);
+        while (next != steps.end() && counts_.examined < limit) {
+            place_step(next->step, time);
+            ++next;
         }
+    };
+    go_on(urgent_per_worker * workers);
+    if (resume_at_ && next != steps.end() && *next < *resume_at_) {
+        next = steps.lower_bound(*resume_at_);
     }
-    return ready;
+    go_on(others_per_worker * workers);
+    resume_at_ = next == steps.end() ? std::nullopt : std::optional(*next);
+    return next == steps.end();
 }
 
-void workflow_state::schedule(time_point time)
+void workflow_state::place_step(const ready_step& step, time_point time)
 {
-    holds_.drop_expired(time);
-    auto steps = ready_steps(time);
-    options_.order(steps, time);
-    for (const auto& step : steps) {
-        if (step.spec().gang) {
-            place_gang(step, time);
-        } else {
-            place_tasks(step, time);
-        }
+    ++counts_.examined;
+    if (step.record().not_before > time || !can_gain(step, time)) {
+        return;
+    }
+    if (step.spec().gang) {
+        place_gang(step, time);
+    } else {
+        place_tasks(step, time);
     }
 }
 
+/// Tells whether it is of use to look at a step: one without a ticket whose request is under way
+/// can neither start nor ask.
+bool workflow_state::can_gain(const ready_step& step, time_point time) const
+{
+    const auto& permission = step.record().permission;
+    if (!step.job->terms.permission || permission.outstanding == 0) {
+        return true;
+    }
+    return step.spec().gang ? !permission.permitted().empty()
+                            : permission.has_ticket(time + ticket_use_margin);
+}
+
 bool workflow_state::may_use(const ready_step& step, std::size_t worker, bool& held,
                              time_point time)
 {
@@ -81,53 +105,61 @@
                                                                        time_point time)
 {
     std::vector<candidate> candidates;
-    const auto& spec = step.spec();
-    const auto& permission = step.record().permission;
-    const bool needs_permission = step.job->terms.permission.has_value();
-    for (std::size_t worker = 0; worker < fleet_.size(); ++worker) {
-        ++counts_.examined;
-        if (!can_run(step, worker, time) || !is_permitted(step, worker)) {
-            continue;
-        }
-        const auto& one = fleet_.at(worker);
-        candidate found{.worker = worker, .fits = tasks_that_fit(spec.size, one.free())};
-        if (spec.most_per_worker > 0 && found.fits > 0) {
-            const int there = fleet_.count_of_step(worker, step.job->spec.id, step.step);
-            found.fits = std::min(found.fits, spec.most_per_worker - there);
+    const auto pool = fleet_.find_pool(step.job->terms.service);
+    if (!pool || !room_.may_fit(*pool, step.spec().size)) {
+        return candidates;
+    }
+    const auto add = [&](const open_room::row& room) {
+        if (auto found = find_candidate(step, room, time)) {
+            candidates.push_back(*found);
         }
-        if (found.fits <= 0 || !may_use(step, worker, found.is_held, time)) {
-            continue;
+    };
+    if (!step.job->terms.permission) {
+        for (const auto& room : room_.rows_of(*pool)) {
+            add(room);
         }
-        if (needs_permission) {
-            found.ticket = permission.find_ticket(worker, time + ticket_use_margin);
+        counts_.examined += static_cast<std::int64_t>(room_.rows_of(*pool).size());
+        return candidates;
+    }
+    const auto& permitted = step.record().permission.permitted();
+    for (const auto& ticket : permitted) {
+        if (const auto* room = room_.find(*pool, ticket.worker)) {
+            add(*room);
         }
-        candidates.push_back(found);
     }
+    counts_.examined += static_cast<std::int64_t>(permitted.size());
     return candidates;
 }
 
-workflow_state::candidate* workflow_state::best_for_task(const ready_step& step,
-                                                         std::vector<candidate>& candidates) const
+/// Tells how many tasks a usable worker of the pool that may run a step can take.
+std::optional<workflow_state::candidate>
+workflow_state::find_candidate(const ready_step& step, const open_room::row& room, time_point time)
 {
     const auto& spec = step.spec();
-    const bool needs_ticket = step.job->terms.permission.has_value();
-    candidate* best = nullptr;
-    std::tuple<bool, bool, std::int64_t> best_cost;
-    for (auto& one : candidates) {
-        if (one.fits <= 0 || (needs_ticket && one.ticket == nullptr)) {
-            continue;
-        }
-        const auto& worker = fleet_.at(one.worker);
-        const bool off_rack =
-            !spec.preferred_rack.empty() && worker.entry.rack != spec.preferred_rack;
-        const std::tuple cost{one.is_held, off_rack,
-                              worker.free().milli_cpus - spec.size.milli_cpus};
-        if (best == nullptr || cost < best_cost) {
-            best = &one;
-            best_cost = cost;
-        }
+    candidate found{.worker = room.worker, .fits = tasks_that_fit(spec.size, room.free)};
+    if (found.fits <= 0 || !has_label(fleet_.at(room.worker).entry, spec.label)) {
+        return std::nullopt;
+    }
+    if (spec.most_per_worker > 0) {
+        const int there = fleet_.count_of_step(room.worker, step.job->spec.id, step.step);
+        found.fits = std::min(found.fits, spec.most_per_worker - there);
+    }
+    if (found.fits <= 0 || !may_use(step, room.worker, found.is_held, time)) {
+        return std::nullopt;
+    }
+    if (step.job->terms.permission) {
+        found.ticket = step.record().permission.find_ticket(room.worker, time + ticket_use_margin);
     }
-    return best;
+    return found;
+}
+
+workflow_state::task_cost workflow_state::cost_of(const ready_step& step,
+                                                  const candidate& one) const
+{
+    const auto& spec = step.spec();
+    const auto& worker = fleet_.at(one.worker);
+    const bool off_rack = !spec.preferred_rack.empty() && worker.entry.rack != spec.preferred_rack;
+    return {one.is_held, off_rack, worker.free().milli_cpus - spec.size.milli_cpus, one.worker};
 }
 
 void workflow_state::place_tasks(const ready_step& step, time_point time)
@@ -139,22 +171,38 @@
             return fleet_.at(one.worker).entry.rack != spec.preferred_rack;
         });
     }
-    const auto& tasks = step.record().tasks;
     const int waiting = step.record().waiting();
-    for (int index = 0; index < static_cast<int>(tasks.size()); ++index) {
+    start_on_best(step, candidates, time);
+    note_placed(step, waiting - step.record().waiting(), time);
+    if (step.record().waiting() > 0) {
+        ask_for_more(step, candidates, time);
+    }
+}
+
+/// Starts as many tasks as the candidates can take, each where it costs least. Complexity: n log n.
+void workflow_state::start_on_best(const ready_step& step, std::vector<candidate>& candidates,
+                                   time_point time)
+{
+    const bool needs_ticket = step.job->terms.permission.has_value();
+    using choice = std::pair<task_cost, candidate*>;
+    std::vector<choice> choices;
+    for (auto& one : candidates) {
+        if (!needs_ticket || one.ticket != nullptr) {
+            choices.emplace_back(cost_of(step, one), &one);
+        }
+    }
+    std::priority_queue best(std::greater<>(), std::move(choices));
+    const auto& tasks = step.record().tasks;
+    for (int index = 0; index < static_cast<int>(tasks.size()) && !best.empty(); ++index) {
         if (tasks[static_cast<std::size_t>(index)].phase != task_phase::waiting) {
             continue;
         }
-        auto* best = best_for_task(step, candidates);
-        if (best == nullptr) {
-            break;
+        auto* one = best.top().second;
+        best.pop();
+        start_task(step, index, one->worker, next_run(step.record(), index), time);
+        if (--one->fits > 0) {
+            best.emplace(cost_of(step, *one), one);
         }
-        start_task(step, index, best->worker, next_run(step.record(), index), time);
-        --best->fits;
-    }
-    note_placed(step, waiting - step.record().waiting(), time);
-    if (step.record().waiting() > 0) {
-        ask_for_more(step, candidates, time);
     }
 }
 
@@ -186,6 +234,7 @@
     const run_name name{{job.spec.id, step.step, index}, run};
     fleet_.hold(worker, name,
                 {.size = step.spec().size, .estimate = step.spec().estimate, .ordered_at = time});
+    room_.take(worker, step.spec().size);
     set_task_phase(job, step.step, index, task_phase::placed);
     task.run = run;
     task.worker = worker;
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -5,6 +5,8 @@
 #include "flamingoseam/workflow/fleet.hpp"
 #include "flamingoseam/workflow/gang_holds.hpp"
 #include "flamingoseam/workflow/job_record.hpp"
+#include "flamingoseam/workflow/open_room.hpp"
+#include "flamingoseam/workflow/ready_queue.hpp"
 #include "flamingoseam/workflow/stored_job.hpp"
 #include "flamingoseam/workflow/work_order.hpp"
 
@@ -15,6 +17,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -28,7 +31,7 @@
     milliseconds ended_retention{150'000}; ///< How long the state of an ended job can be asked for.
     /// Transactions of different chains are under way at one time.
     std::size_t chains = 1;
-    step_order order = sort_by_urgency;
+    step_ranking order = rank_by_urgency;
     milliseconds slow_write{60}; ///< A chain that writes for so long lets the next one help.
 };
 
@@ -232,8 +235,9 @@
     void note_health(std::size_t worker, const std::string& job, bool failed, time_point time);
 
     // placing
-    void schedule(time_point time);
-    std::vector<ready_step> ready_steps(time_point time);
+    bool schedule(time_point time);
+    void place_step(const ready_step& step, time_point time);
+    bool can_gain(const ready_step& step, time_point time) const;
     struct candidate {
         std::size_t worker = 0;
         int fits = 0;
@@ -247,10 +251,15 @@
     };
     std::vector<candidate> find_candidates(const ready_step& step, time_point time);
     bool may_use(const ready_step& step, std::size_t worker, bool& held, time_point time);
+    std::optional<candidate> find_candidate(const ready_step& step, const open_room::row& room,
+                                            time_point time);
     [[nodiscard]] bool can_run(const ready_step& step, std::size_t worker, time_point time) const;
     [[nodiscard]] bool is_permitted(const ready_step& step, std::size_t worker) const;
     void place_tasks(const ready_step& step, time_point time);
-    candidate* best_for_task(const ready_step& step, std::vector<candidate>& candidates) const;
+    /// By a hold, by its rack, by the room that stays free, by index; the least is taken first.
+    using task_cost = std::tuple<bool, bool, std::int64_t, std::size_t>;
+    [[nodiscard]] task_cost cost_of(const ready_step& step, const candidate& one) const;
+    void start_on_best(const ready_step& step, std::vector<candidate>& candidates, time_point time);
     void ask_for_more(const ready_step& step, const std::vector<candidate>& candidates,
                       time_point time);
     void place_gang(const ready_step& step, time_point time);
@@ -272,6 +281,7 @@
     [[nodiscard]] std::int64_t next_run(const step_record& step, int index) const;
 
     // upkeep
+    void run_pass(time_point time);
     void repeat_stops(time_point time);
     void ask_for_reports(time_point time);
     void stop_stuck_runs(time_point time);
@@ -295,6 +305,10 @@
     change_log changes_;
     std::vector<chain_state> chains_;
     gang_holds holds_;
+    ready_queue ready_;
+    open_room room_;
+    std::optional<ready_queue::entry> resume_at_; ///< The next of the less urgent steps to look at.
+    std::set<std::pair<std::size_t, run_name>> unsent_stops_; ///< Wanted and not answered.
     std::unordered_map<std::string, std::unique_ptr<job_record>> jobs_;
     std::map<std::uint64_t, job_record*> open_; ///< By the order in which they were taken in.
     std::map<const job_record*, waiters> waiters_;
@@ -313,6 +327,7 @@
     bool store_available_ = true;
     bool pass_wanted_ = false;
     time_point last_pass_{};
+    time_point next_pass_{}; ///< Not before this, so that passes leave time for other things.
     time_point last_upkeep_{};
 };
 
--- a/flamingoseam/workflow/workflow_upkeep.cpp
+++ b/flamingoseam/workflow/workflow_upkeep.cpp
@@ -9,6 +9,9 @@
 
 constexpr milliseconds upkeep_interval{100};
 constexpr milliseconds longest_between_passes{50};
+/// Time until the next pass for each place that a pass looked at, which takes about 20 ns.
+constexpr std::chrono::nanoseconds pause_per_place{400};
+constexpr milliseconds longest_pause{10};
 constexpr milliseconds stop_repeat{500};
 /// A task stands still when it makes no progress for this share of its estimate, within bounds.
 constexpr double still_share = 0.6;
@@ -47,30 +50,44 @@
         stop_stuck_runs(time);
         drop_idle_leavers();
     }
-    if (pass_wanted_ || time - last_pass_ >= longest_between_passes) {
-        pass_wanted_ = false;
-        last_pass_ = time;
-        schedule(time);
-    }
+    run_pass(time);
     repeat_stops(time);
     if (upkeep_is_due) {
         ask_for_reports(time);
     }
 }
 
+/// Spaces the passes by what the last one cost, so that they can't take all the time.
+void workflow_state::run_pass(time_point time)
+{
+    const bool is_due =
+        pass_wanted_ ? time >= next_pass_ : time - last_pass_ >= longest_between_passes;
+    if (!is_due) {
+        return;
+    }
+    const auto before = counts_.examined;
+    const bool is_complete = schedule(time);
+    pass_wanted_ = !is_complete;
+    last_pass_ = time;
+    const auto pause = pause_per_place * (counts_.examined - before);
+    next_pass_ = time + std::min<std::chrono::nanoseconds>(pause, longest_pause);
+}
+
 void workflow_state::repeat_stops(time_point time)
 {
-    for (std::size_t worker = 0; worker < fleet_.size(); ++worker) {
-        for (auto& [name, run] : fleet_.at(worker).runs) {
-            ++counts_.examined;
-            const bool is_due =
-                run.stop_sent == time_point{} || run.stop_sent + stop_repeat <= time;
-            if (run.stop_wanted && run.stop_answered == time_point{} && is_due) {
-                run.stop_sent = time;
-                actions_.stops.push_back({worker, name});
-            }
+    std::erase_if(unsent_stops_, [&](const auto& one) {
+        ++counts_.examined;
+        const auto& [worker, name] = one;
+        auto* run = fleet_.find_run(worker, name);
+        if (run == nullptr || !run->stop_wanted || run->stop_answered != time_point{}) {
+            return true;
         }
-    }
+        if (run->stop_sent == time_point{} || run->stop_sent + stop_repeat <= time) {
+            run->stop_sent = time;
+            actions_.stops.push_back({worker, name});
+        }
+        return false;
+    });
 }
 
 void workflow_state::ask_for_reports(time_point time)
