Tell how busy the lanes to the permission service are

The load line showed requests that no lane takes, but not whether the lanes wait for the service. It now has the lanes, those with a call under way, and the number and time of the calls that ended. Unit tests pass.

--- a/flamingoseam/node/job_owner.cpp
+++ b/flamingoseam/node/job_owner.cpp
@@ -313,7 +313,7 @@
                            .waiting_steps = state_.waiting_steps(),
                            .changes = changes.size(),
                            .oldest_change = change_ages_.age_of(changes.oldest_change(), time),
-                           .permissions = lanes_->waiting(time),
+                           .permissions = lanes_->load(time),
                            .passes = state_.counts().passes,
                            .repeated_requests = state_.counts().repeated_permission_requests};
     const auto load = meter_.take(state, time, read_processor_times());
--- a/flamingoseam/node/load_line.cpp
+++ b/flamingoseam/node/load_line.cpp
@@ -48,6 +48,10 @@
                 {"records_written", number(load.records)},
                 {"permissions_queued", number(state.permissions.requests)},
                 {"oldest_permission_ms", whole_ms(state.permissions.oldest)},
+                {"lanes", number(state.permissions.lanes)},
+                {"busy_lanes", number(state.permissions.busy_lanes)},
+                {"permission_calls", state.permissions.calls},
+                {"permission_calls_ms", whole_ms(state.permissions.in_calls)},
                 {"repeated_permissions", state.repeated_requests},
             }};
 }
--- a/flamingoseam/node/load_meter.cpp
+++ b/flamingoseam/node/load_meter.cpp
@@ -1,7 +1,8 @@
 #include "flamingoseam/node/load_meter.hpp"
 
+#include <sys/resource.h>
+
 #include <algorithm>
-#include <ctime>
 
 namespace flamingoseam::node {
 
@@ -9,19 +10,23 @@
 
 constexpr milliseconds span{1'000};
 
-time_point::duration read_clock(clockid_t clock)
+time_point::duration to_duration(const timeval& time)
+{
+    return std::chrono::seconds(time.tv_sec) + std::chrono::microseconds(time.tv_usec);
+}
+
+time_point::duration read_usage(int of)
 {
-    timespec time{};
-    ::clock_gettime(clock, &time);
-    return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+    rusage usage{};
+    ::getrusage(of, &usage);
+    return to_duration(usage.ru_utime) + to_duration(usage.ru_stime);
 }
 
 } // namespace
 
 processor_times read_processor_times()
 {
-    return {.thread = read_clock(CLOCK_THREAD_CPUTIME_ID),
-            .process = read_clock(CLOCK_PROCESS_CPUTIME_ID)};
+    return {.thread = read_usage(RUSAGE_THREAD), .process = read_usage(RUSAGE_SELF)};
 }
 
 void change_ages::note(std::uint64_t newest, time_point time)
@@ -78,8 +83,11 @@
 {
     auto load = std::exchange(load_, {});
     load.state = state;
-    load.state.passes -= std::exchange(passes_, state.passes);
-    load.state.repeated_requests -= std::exchange(repeated_requests_, state.repeated_requests);
+    load.state.passes -= last_.passes;
+    load.state.repeated_requests -= last_.repeated_requests;
+    load.state.permissions.calls -= last_.permissions.calls;
+    load.state.permissions.in_calls -= last_.permissions.in_calls;
+    last_ = state;
     load.span = time - std::exchange(began_, time);
     load.processor = {.thread = processor.thread - processor_.thread,
                       .process = processor.process - processor_.process};
--- a/flamingoseam/node/load_meter.hpp
+++ b/flamingoseam/node/load_meter.hpp
@@ -25,10 +25,14 @@
     std::size_t starts = 0;              ///< Runs that were ordered.
 };
 
-/// Permission requests that no lane has taken yet.
-struct permission_queue {
-    std::size_t requests = 0;
-    time_point::duration oldest{0}; ///< Age of the request that waits longest.
+/// What the lanes to the permission service have to do.
+struct permission_load {
+    std::size_t requests = 0;       ///< That no lane has taken yet.
+    time_point::duration oldest{0}; ///< Age of the one that waits longest.
+    std::size_t lanes = 0;
+    std::size_t busy_lanes = 0;       ///< With a call under way.
+    std::int64_t calls = 0;           ///< Ended ones since the owner began.
+    time_point::duration in_calls{0}; ///< Their times together.
 };
 
 /// What an owner's state held at the end of a span.
@@ -38,7 +42,7 @@
     std::size_t waiting_steps = 0; ///< Steps that the last pass looked at.
     std::size_t changes = 0;       ///< Jobs with changes in no transaction yet.
     time_point::duration oldest_change{0};
-    permission_queue permissions;
+    permission_load permissions;
     std::int64_t passes = 0;            ///< Since the owner began.
     std::int64_t repeated_requests = 0; ///< Permission requests after lapsed tickets, likewise.
 };
@@ -92,8 +96,7 @@
     owner_load load_;
     time_point began_;
     processor_times processor_;
-    std::int64_t passes_ = 0;
-    std::int64_t repeated_requests_ = 0;
+    state_load last_; ///< Of the last span's end.
 };
 
 } // namespace flamingoseam::node
--- a/flamingoseam/node/load_meter_test.cpp
+++ b/flamingoseam/node/load_meter_test.cpp
@@ -43,7 +43,12 @@
                                                .waiting_steps = 5,
                                                .changes = 6,
                                                .oldest_change = 30ms,
-                                               .permissions = {.requests = 8, .oldest = 80ms},
+                                               .permissions = {.requests = 8,
+                                                               .oldest = 80ms,
+                                                               .lanes = 30,
+                                                               .busy_lanes = 3,
+                                                               .calls = 11,
+                                                               .in_calls = 700ms},
                                                .passes = 20,
                                                .repeated_requests = 1},
                                               begin + 2s, {.thread = 1'100ms, .process = 1'500ms}));
@@ -68,13 +73,23 @@
         CHECK(field(line, "records_written") == 12);
         CHECK(field(line, "permissions_queued") == 8);
         CHECK(field(line, "oldest_permission_ms") == 80);
+        CHECK(field(line, "lanes") == 30);
+        CHECK(field(line, "busy_lanes") == 3);
+        CHECK(field(line, "permission_calls") == 11);
+        CHECK(field(line, "permission_calls_ms") == 700);
         CHECK(field(line, "repeated_permissions") == 1);
     }
     SECTION("begins anew with each span")
     {
         meter.note_step({.waited = 40ms, .took = 1ms, .queued = 1});
-        meter.take({.passes = 20, .repeated_requests = 3}, begin + 1s, {});
-        const auto load = meter.take({.passes = 25, .repeated_requests = 3}, begin + 2s, {});
+        meter.take(
+            {.permissions = {.calls = 4, .in_calls = 90ms}, .passes = 20, .repeated_requests = 3},
+            begin + 1s, {});
+        const auto load = meter.take(
+            {.permissions = {.calls = 6, .in_calls = 95ms}, .passes = 25, .repeated_requests = 3},
+            begin + 2s, {});
+        CHECK(load.state.permissions.calls == 2);
+        CHECK(load.state.permissions.in_calls == 5ms);
         CHECK(load.steps == 0);
         CHECK(load.longest_wait == 0ms);
         CHECK(load.state.passes == 5);
--- a/flamingoseam/node/permission_lanes.cpp
+++ b/flamingoseam/node/permission_lanes.cpp
@@ -79,24 +79,33 @@
     changed_.notify_all();
 }
 
-permission_queue permission_lanes::waiting(time_point time)
+permission_load permission_lanes::load(time_point time)
 {
     const std::lock_guard lock(mutex_);
-    permission_queue queue{.requests = waiting_.size()};
+    auto load = load_;
+    load.requests = waiting_.size();
+    load.lanes = open_lanes();
     for (const auto& [rank, request] : waiting_) {
-        queue.oldest = std::max(queue.oldest, time - request.asked);
+        load.oldest = std::max(load.oldest, time - request.asked);
     }
-    return queue;
+    return load;
 }
 
-void permission_lanes::observe(const workflow::permission_request& request, time_point began,
-                               bool answered)
+void permission_lanes::note_call(const workflow::permission_request& request, time_point began,
+                                 bool answered)
 {
+    const permission_timing timing{.priority = request.priority,
+                                   .waited = began - request.asked,
+                                   .took = now() - began,
+                                   .answered = answered};
+    {
+        const std::lock_guard lock(mutex_);
+        --load_.busy_lanes;
+        ++load_.calls;
+        load_.in_calls += timing.took;
+    }
     if (observer_) {
-        observer_({.priority = request.priority,
-                   .waited = began - request.asked,
-                   .took = now() - began,
-                   .answered = answered});
+        observer_(timing);
     }
 }
 
@@ -112,6 +121,7 @@
             auto request = std::move(found->second);
             waiting_.erase(found);
             long_calls_ += is_long(request) ? 1 : 0;
+            ++load_.busy_lanes;
             return request;
         }
         changed_.wait(lock);
@@ -132,7 +142,7 @@
                 << "a permission request through " << one.node << " failed: " << cause.what();
         }
         const bool failed = !grants;
-        observe(*request, began, !failed);
+        note_call(*request, began, !failed);
         answer_(request->number, std::move(grants));
         {
             const std::lock_guard lock(mutex_);
--- a/flamingoseam/node/permission_lanes.hpp
+++ b/flamingoseam/node/permission_lanes.hpp
@@ -64,8 +64,8 @@
     /// Queues a request: the lowest priority number first, then the oldest.
     void ask(workflow::permission_request request);
 
-    /// Returns what waits for a lane. Complexity: linear in it.
-    [[nodiscard]] permission_queue waiting(time_point time);
+    /// Returns what the lanes have to do. Complexity: linear in what waits and in the lanes.
+    [[nodiscard]] permission_load load(time_point time);
 
     /// Makes the lanes end soon, without waiting for them.
     void request_end();
@@ -78,7 +78,7 @@
     };
 
     void run(lane& one);
-    void observe(const workflow::permission_request& request, time_point began, bool answered);
+    void note_call(const workflow::permission_request& request, time_point began, bool answered);
     std::optional<workflow::permission_request> take(lane& one);
     std::size_t open_lanes() const;
 
@@ -90,6 +90,7 @@
     std::map<std::pair<int, std::uint64_t>, workflow::permission_request> waiting_;
     std::vector<std::unique_ptr<lane>> lanes_;
     std::size_t long_calls_ = 0;
+    permission_load load_; ///< The sums of calls, and the calls under way.
     bool ending_ = false;
 };
 
