--- a/flamingoseam/node/permission_lanes.cpp
+++ b/flamingoseam/node/permission_lanes.cpp
@@ -74,20 +74,31 @@
     changed_.notify_all();
 }
 
-permission_backlog permission_lanes::waiting(time_point time)
+permission_load permission_lanes::load(time_point time)
 {
     const std::lock_guard lock(mutex_);
-    return {.requests = queue_.size(), .oldest = queue_.oldest_age(time)};
+    auto load = load_;
+    load.requests = queue_.size();
+    load.oldest = queue_.oldest_age(time);
+    load.lanes = open_lanes();
+    return load;
 }
 
-void permission_lanes::observe(const workflow::permission_request& request, time_point began,
-                               bool answered)
+void permission_lanes::note_call(const workflow::permission_request& request, time_point began,
+                                 bool answered)
 {
+    const permission_timing timing{.priority = request.order.priority,
+                                   .waited = began - request.asked,
+                                   .took = now() - began,
+                                   .answered = answered};
+    {
+        const std::lock_guard lock(mutex_);
+        --load_.busy_lanes;
+        ++load_.calls;
+        load_.in_calls += timing.took;
+    }
     if (observer_) {
-        observer_({.priority = request.order.priority,
-                   .waited = began - request.asked,
-                   .took = now() - began,
-                   .answered = answered});
+        observer_(timing);
     }
 }
 
@@ -103,6 +114,7 @@
     while (!ending_) {
         if (!one.ending) {
             if (auto request = queue_.take(open_lanes(), now())) {
+                ++load_.busy_lanes;
                 return request;
             }
         }
@@ -128,7 +140,7 @@
                 << "a permission request through " << one.node << " failed: " << cause.what();
         }
         const bool failed = !grants;
-        observe(*request, began, !failed);
+        note_call(*request, began, !failed);
         answer_(request->number, std::move(grants));
         {
             const std::lock_guard lock(mutex_);
--- a/flamingoseam/node/permission_lanes.hpp
+++ b/flamingoseam/node/permission_lanes.hpp
@@ -66,8 +66,8 @@
     /// Takes a request back if no lane works on it yet; it is not answered then.
     void withdraw(std::uint64_t number);
 
-    /// Returns what waits for a lane. Complexity: linear in it.
-    [[nodiscard]] permission_backlog waiting(time_point time);
+    /// Returns what the lanes have to do. Complexity: linear in what waits and in the lanes.
+    [[nodiscard]] permission_load load(time_point time);
 
     /// Makes the lanes end soon, without waiting for them.
     void request_end();
@@ -80,7 +80,7 @@
     };
 
     void run(lane& one);
-    void observe(const workflow::permission_request& request, time_point began, bool answered);
+    void note_call(const workflow::permission_request& request, time_point began, bool answered);
     std::optional<workflow::permission_request> take(lane& one);
     std::size_t open_lanes() const;
 
@@ -91,6 +91,7 @@
     std::condition_variable changed_;
     workflow::permission_queue queue_;
     std::vector<std::unique_ptr<lane>> lanes_;
+    permission_load load_; ///< The sums of calls, and the calls under way.
     bool ending_ = false;
 };
 
