--- a/flamingoseam/log/event_log.hpp
+++ b/flamingoseam/log/event_log.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "flamingoseam/core/clock.hpp"
+#include "flamingoseam/log/log_event.hpp"
 
 #include <condition_variable>
 #include <cstddef>
@@ -9,26 +10,9 @@
 #include <mutex>
 #include <string>
 #include <thread>
-#include <vector>
 
 namespace flamingoseam {
 
-/// A measured value of an event, under a name that tells its unit.
-struct log_field {
-    std::string name;
-    std::int64_t value = 0;
-};
-
-/// One decision, or a change of what the process believes.
-struct log_event {
-    std::string event;   ///< What happened, for example "placed".
-    std::string request; ///< Id of the job or call; empty when none is concerned.
-    std::string detail;  ///< What decided it, and how old that was.
-
-    /// Beside the texts; no name may be one of the line's own.
-    std::vector<log_field> fields = {};
-};
-
 /// How much the log keeps and writes.
 struct event_log_options {
     std::string program;
--- a/flamingoseam/log/request_trace.cpp
+++ b/flamingoseam/log/request_trace.cpp
@@ -23,6 +23,18 @@
     return std::find(shared_events.begin(), shared_events.end(), event) != shared_events.end();
 }
 
+/// Returns the measured values of a line, which are all numbers but its time.
+std::vector<log_field> read_fields(const nlohmann::json& line)
+{
+    std::vector<log_field> fields;
+    for (const auto& [name, value] : line.items()) {
+        if (value.is_number_integer() && name != "time_ms") {
+            fields.push_back({name, value.get<std::int64_t>()});
+        }
+    }
+    return fields;
+}
+
 std::optional<trace_line> read_line(const std::string& text, const std::string& request)
 {
     const auto value = nlohmann::json::parse(text, nullptr, false);
@@ -33,6 +45,7 @@
                     .node = value.value("node", ""),
                     .event = value.value("event", ""),
                     .detail = value.value("detail", ""),
+                    .fields = read_fields(value),
                     .is_of_request = value.value("request_id", "") == request};
     return line.is_of_request || is_shared(line.event) ? std::optional(line) : std::nullopt;
 }
@@ -64,7 +77,11 @@
         constexpr int time_width = 7;
         text << '+' << std::setw(time_width) << std::left
              << (line.time - story.front().time).count() << " ms  " << line.node << "  "
-             << (line.is_of_request ? "" : "(cell) ") << line.event << "  " << line.detail << '\n';
+             << (line.is_of_request ? "" : "(cell) ") << line.event << "  " << line.detail;
+        for (const auto& field : line.fields) {
+            text << ' ' << field.name << '=' << field.value;
+        }
+        text << '\n';
     }
     return text.str();
 }
--- a/flamingoseam/log/request_trace.hpp
+++ b/flamingoseam/log/request_trace.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "flamingoseam/core/clock.hpp"
+#include "flamingoseam/log/log_event.hpp"
 
 #include <iosfwd>
 #include <string>
@@ -14,6 +15,7 @@
     std::string node;
     std::string event;
     std::string detail;
+    std::vector<log_field> fields = {}; ///< By name.
     bool is_of_request = false; ///< Otherwise a change of ownership or of the store meanwhile.
 };
 
@@ -22,8 +24,8 @@
 /// Lines that are no events are passed over. Complexity: n log n in the lines.
 std::vector<trace_line> trace_request(std::istream& logs, const std::string& request);
 
-/// Returns a story as text, one line for each event: milliseconds since the first, node, event and
-/// detail. Complexity: linear.
+/// Returns a story as text, one line for each event: milliseconds since the first, node, event,
+/// detail and measured values. Complexity: linear.
 std::string to_text(const std::vector<trace_line>& story);
 
 } // namespace flamingoseam
--- a/flamingoseam/node/job_owner.cpp
+++ b/flamingoseam/node/job_owner.cpp
@@ -381,7 +381,8 @@
     for (auto& note : actions.notes) {
         parts_.log->write({.event = std::move(note.event),
                            .request = std::move(note.job),
-                           .detail = std::move(note.detail)});
+                           .detail = std::move(note.detail),
+                           .fields = std::move(note.fields)});
     }
 }
 
--- a/flamingoseam/workflow/workflow_jobs.cpp
+++ b/flamingoseam/workflow/workflow_jobs.cpp
@@ -84,7 +84,10 @@
 void workflow_state::refuse(std::uint64_t token, const std::string& job, const std::string& reason,
                             milliseconds retry_after)
 {
-    note("refused", job, reason);
+    note("refused", job, reason,
+         {{"open_jobs", static_cast<std::int64_t>(open_.size())},
+          {"most_open_jobs", static_cast<std::int64_t>(options_.most_open_jobs)},
+          {"changes_waiting", static_cast<std::int64_t>(changes_.size())}});
     actions_.answers.push_back({.token = token,
                                 .what = caller_answer::kind::refused,
                                 .reason = reason,
@@ -165,9 +168,13 @@
     return found == jobs_.end() ? nullptr : found->second.get();
 }
 
-void workflow_state::note(std::string event, const std::string& job, std::string detail)
+void workflow_state::note(std::string event, const std::string& job, std::string detail,
+                          std::vector<log_field> fields)
 {
-    actions_.notes.push_back({.event = std::move(event), .job = job, .detail = std::move(detail)});
+    actions_.notes.push_back({.event = std::move(event),
+                              .job = job,
+                              .detail = std::move(detail),
+                              .fields = std::move(fields)});
 }
 
 void workflow_state::set_task_phase(job_record& job, int step, int index, task_phase phase)
--- a/flamingoseam/workflow/workflow_schedule.cpp
+++ b/flamingoseam/workflow/workflow_schedule.cpp
@@ -165,11 +165,31 @@
         if (!step.job->has_begun) {
             actions_.first_starts.push_back({step.job->terms.priority, age});
         }
+        std::vector<log_field> fields;
+        if (const auto left = shortest_ticket(step, tasks, time)) {
+            fields.push_back({"ticket_left_ms", left->count()});
+        }
         note("placed", step.job->spec.id,
              "step " + std::to_string(step.step) + ": " + std::to_string(tasks) + " tasks, " +
                  std::to_string(step.record().waiting()) + " wait, age " +
-                 std::to_string(age.count()) + " ms");
+                 std::to_string(age.count()) + " ms",
+             std::move(fields));
+    }
+}
+
+/// Returns how long the tickets of the tasks that were placed last stay valid, the shortest; none
+/// without tickets.
+std::optional<milliseconds> workflow_state::shortest_ticket(const ready_step& step, int tasks,
+                                                            time_point time) const
+{
+    std::optional<milliseconds> shortest;
+    for (auto start = actions_.starts.end() - tasks; start != actions_.starts.end(); ++start) {
+        if (const auto* ticket = step.record().permission.find_ticket(start->worker, time)) {
+            const auto left = std::chrono::duration_cast<milliseconds>(ticket->valid_until - time);
+            shortest = shortest ? std::min(*shortest, left) : left;
+        }
     }
+    return shortest;
 }
 
 std::int64_t workflow_state::next_run(const step_record& step, int index) const
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "flamingoseam/log/log_event.hpp"
 #include "flamingoseam/shard/worker_health.hpp"
 #include "flamingoseam/workflow/change_log.hpp"
 #include "flamingoseam/workflow/fleet.hpp"
@@ -50,6 +51,7 @@
     std::string event;
     std::string job;
     std::string detail;
+    std::vector<log_field> fields = {}; ///< What was measured.
 };
 
 /// How long a job took to its first start or to its end.
@@ -220,7 +222,8 @@
     void clear_broken_gang(job_record& job, int step);
     void note_failure(job_record& job, const run_name& name, time_point time, wall_time wall);
     void keep_checkpoint(job_record& job, const ended_run& end);
-    void note(std::string event, const std::string& job, std::string detail);
+    void note(std::string event, const std::string& job, std::string detail,
+              std::vector<log_field> fields = {});
 
     // workers' reports
     void begin_life(std::size_t worker, std::int64_t life, time_point time);
@@ -271,6 +274,8 @@
     void start_task(const ready_step& step, int index, std::size_t worker, std::int64_t run,
                     time_point time);
     void note_placed(const ready_step& step, int tasks, time_point time);
+    [[nodiscard]] std::optional<milliseconds> shortest_ticket(const ready_step& step, int tasks,
+                                                              time_point time) const;
     void hold_for_gang(const ready_step& step, time_point time);
     std::optional<gang_hold> plan_hold(const ready_step& step, time_point time);
     bool may_yield(const run_name& name, const held_run& run, const ready_step& gang,
