Let the strongest node take the jobs over, and take them back from a weak owner

Cause, from the log: a machine of 0.12 processors claimed the jobs 0.14 s after the kill, because the strong machines that were left had made no call by which they could have noticed; it then had no processor time left to offer ownership on, as it should have after 3 s. Ruled out: placement and the store (2,124 open jobs were recovered within 0.8 s by the next strong owner). Change: a node that is sure that the owner is gone tells the strongest member, which claims at once; a node that knows a much stronger member waits 0.9 s longer, by which time leases have told the others; and a strong node that sees a much weaker owner for 2 s claims the jobs itself, in place of being offered them. A claim is safe at any time: its only condition is the owner's record it has seen, and workers are fenced.

--- a/flamingoseam/node/node.hpp
+++ b/flamingoseam/node/node.hpp
@@ -99,7 +99,9 @@
     void log_members(const membership_view& view);
     bool offer_to_others(const membership_view& view, bool is_leaving);
     bool offer_to(const member& other, const ownership_offer& offer);
-    void offer_to_stronger(const membership_view& view);
+    void offer_in_place_of(const membership_view& view);
+    bool outranks_owner(const membership_view& view, time_point time);
+    void note_owner_gone(const membership_view& view, const std::string& witness);
     void begin_ownership(const claimed_head& claimed);
     bool hand_over_to_another();
     void drop_owner();
@@ -133,7 +135,7 @@
     bool stopping_ = false;
     std::optional<time_point> owner_missing_since_;
     time_point next_offer_{};                  ///< Of the election thread.
-    std::optional<time_point> stronger_since_; ///< Of the election thread.
+    std::optional<time_point> outranks_since_; ///< Of the election thread.
     std::set<std::string> logged_members_;     ///< Of the election thread.
     std::unique_ptr<membership> membership_;
     std::unique_ptr<coordinator_server> server_;
--- a/flamingoseam/node/node_election.cpp
+++ b/flamingoseam/node/node_election.cpp
@@ -17,7 +17,8 @@
 constexpr milliseconds election_interval_without{30}; ///< The same while there is no owner.
 constexpr milliseconds offer_timeout{150};
 constexpr milliseconds offer_interval{500};  ///< The node that was asked needs some time.
-constexpr milliseconds stronger_for{3'000};  ///< A node that joined just now may go again.
+constexpr milliseconds outranks_for{2'000};  ///< A node that joined just now may go again.
+constexpr milliseconds weaker_delay{900};    ///< The stronger nodes have noticed by then.
 constexpr milliseconds fresh_renewal{300};   ///< A node that renewed so lately reaches the store.
 constexpr milliseconds confirm_timeout{100}; ///< Of the question whether the owner is gone.
 constexpr milliseconds hand_over_check{10};
@@ -67,11 +68,11 @@
             next_offer_ = now() + offer_interval;
             offer_to_others(view, false);
         }
-        offer_to_stronger(view);
         confirm_suspicion(view);
         const bool is_offered = events->offered_epoch != 0 && view.owner &&
                                 view.owner->epoch == events->offered_epoch && !local_owner();
-        if (!leaving_ && (is_offered || wants_to_take_over(view, now()))) {
+        const bool is_needed = wants_to_take_over(view, now()) || outranks_owner(view, now());
+        if (!leaving_ && (is_offered || is_needed)) {
             take_over(view);
         }
     }
@@ -121,12 +122,7 @@
         }
         try {
             if (client_.confirms_owner_gone(one.address, epoch, confirm_timeout)) {
-                const std::lock_guard lock(mutex_);
-                suspicion_.confirm(epoch);
-                parts_.log->write({.event = "owner_gone",
-                                   .request = {},
-                                   .detail = view.owner->owner.name + " refuses connections, as " +
-                                             name + " confirms"});
+                note_owner_gone(view, name);
                 return;
             }
         } catch (const transport_error& cause) {
@@ -135,6 +131,19 @@
     }
 }
 
+void node::note_owner_gone(const membership_view& view, const std::string& witness)
+{
+    {
+        const std::lock_guard lock(mutex_);
+        suspicion_.confirm(view.owner->epoch);
+    }
+    parts_.log->write(
+        {.event = "owner_gone",
+         .request = {},
+         .detail = view.owner->owner.name + " refuses connections, as " + witness + " confirms"});
+    offer_in_place_of(view);
+}
+
 bool node::is_gone(std::uint64_t epoch) const
 {
     const std::lock_guard lock(mutex_);
@@ -156,8 +165,11 @@
     const auto order = candidate_order(view, view.owner ? view.owner->epoch : 0);
     const auto own = std::ranges::find(order, options_.name, &member::name);
     const auto ahead = std::distance(order.begin(), own);
-    const auto grace = has_ended(view) ? milliseconds(0) : options_.take_over_grace;
-    return grace + ahead * options_.take_over_step;
+    auto delay = has_ended(view) ? milliseconds(0) : options_.take_over_grace;
+    if (find_stronger(view, membership_->self(), 0)) {
+        delay += weaker_delay;
+    }
+    return delay + ahead * options_.take_over_step;
 }
 
 /// Tells whether the owner has certainly ended and will not come back: it has handed over, its
@@ -215,24 +227,33 @@
     }
 }
 
-/// Passes ownership to a much stronger node that has been a member for some time.
-void node::offer_to_stronger(const membership_view& view)
+/// Tells whether this node should own the jobs in place of a much weaker owner, which may have no
+/// processor time left to pass them on.
+bool node::outranks_owner(const membership_view& view, time_point time)
 {
-    const auto stronger = local_owner() && view.owner
-                              ? find_stronger(view, membership_->self(), view.owner->epoch)
-                              : std::nullopt;
-    if (!stronger) {
-        stronger_since_.reset();
-        return;
+    const auto owner = view.live_owner();
+    const auto stronger = owner ? find_stronger(view, owner->owner, owner->epoch) : std::nullopt;
+    if (!stronger || stronger->name != options_.name || !membership_->is_certain()) {
+        outranks_since_.reset();
+        return false;
     }
-    const auto time = now();
-    if (!stronger_since_) {
-        stronger_since_ = time;
+    if (!outranks_since_) {
+        outranks_since_ = time;
     }
-    if (time - *stronger_since_ >= stronger_for && time >= next_offer_) {
-        stronger_since_ = time;
-        next_offer_ = time + offer_interval;
-        offer_to(*stronger, {.epoch = view.owner->epoch, .is_leaving = false});
+    return time - *outranks_since_ >= outranks_for;
+}
+
+/// Tells the strongest node that the owner is gone, since it may have had no call to notice it by.
+void node::offer_in_place_of(const membership_view& view)
+{
+    const ownership_offer offer{.epoch = view.owner->epoch, .is_leaving = false};
+    for (const auto& one : candidate_order(view, offer.epoch)) {
+        if (one.name == options_.name) {
+            return;
+        }
+        if (one.name != view.owner->owner.name && offer_to(one, offer)) {
+            return;
+        }
     }
 }
 
--- a/scenarios/platform.lua
+++ b/scenarios/platform.lua
@@ -10,7 +10,8 @@
     return string.format('{"spec":"ms=%d","steps":[%s]}', length_ms, table.concat(parts, ","))
 end
 
-function start_platform(workers, nodes)
+-- `settings`, if given, holds further lines of each node's settings.
+function start_platform(workers, nodes, settings)
     local cell = { store = address(1, 1) .. ":7100", nodes = {} }
     local hosts = {}
     for i = 1, workers do hosts[i] = address(20, i) end
@@ -29,7 +30,7 @@
 metrics = "%s:8083"
 store = %q
 permissions = %q
-]], i, host, host, host, host, cell.store, cell.store))
+]], i, host, host, host, host, cell.store, cell.store) .. (settings and settings[i] or ""))
     end
     for _, node in ipairs(cell.nodes) do start_node(node) end
     for _, node in ipairs(cell.nodes) do wait_ready(node) end
