Let no reader of the logs that has stopped reading keep a process from ending

A node whose standard output was a full pipe did not exit on SIGTERM: it waited for the pipe to take its last lines (still there after 12 s, with the same settings 2.5 s with a reader), so the platform would have had to kill it. The last lines are now given up when the reader takes nothing for 100 ms. Lines on standard error were written by the thread that had something to say, control threads included, and would have stopped it; they are now written only as far as the pipe takes them at once.

The test for the log failed before (`flamingoseam-tests "a reader that has stopped reading*"`, with the old flush). By hand, a node with both streams on a full pipe of 4 KB serves /metrics and exits after 2.6 s. Unit tests and the scenarios platform_path, platform_shutdown, platform_store and whole_path pass.

--- a/flamingoseam/log/event_log.cpp
+++ b/flamingoseam/log/event_log.cpp
@@ -1,19 +1,18 @@
 #include "flamingoseam/log/event_log.hpp"
 
-#include <nlohmann/json.hpp>
+#include "flamingoseam/log/ready_output.hpp"
 
-#include <fcntl.h>
-#include <poll.h>
-#include <unistd.h>
+#include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <string_view>
 #include <utility>
 
 namespace flamingoseam {
 
 namespace {
 
-constexpr int longest_poll_ms = 100;
+constexpr milliseconds patience{100}; ///< With a reader that does not read.
 
 std::string to_line(const event_log_options& options, const log_event& event)
 {
@@ -71,9 +70,9 @@
 void event_log::flush()
 {
     std::unique_lock lock(mutex_);
-    auto text = take();
+    const auto text = take();
     lock.unlock();
-    write_out(std::move(text));
+    write_ready(options_.descriptor, text, patience);
 }
 
 std::uint64_t event_log::left_out() const
@@ -106,40 +105,33 @@
     while (!stopping_) {
         changed_.wait(lock, [this] { return stopping_ || !waiting_.empty(); });
         changed_.wait_for(lock, options_.flush, [this] { return stopping_; });
-        auto text = take();
+        const auto text = take();
         const auto seconds =
             static_cast<double>(text.size()) / static_cast<double>(options_.most_bytes_per_second);
         lock.unlock();
-        write_out(std::move(text));
+        write_out(text);
         lock.lock();
         const auto pause = milliseconds(static_cast<std::int64_t>(seconds * 1'000));
         changed_.wait_for(lock, std::max(pause, milliseconds(0)), [this] { return stopping_; });
     }
-    auto rest = take();
+    const auto rest = take();
     lock.unlock();
-    write_out(std::move(rest));
+    write_out(rest);
 }
 
-void event_log::write_out(std::string text)
+void event_log::write_out(const std::string& text)
 {
-    std::size_t done = 0;
-    while (done < text.size()) {
-        pollfd ready{.fd = options_.descriptor, .events = POLLOUT, .revents = 0};
-        if (::poll(&ready, 1, longest_poll_ms) <= 0) {
-            const std::lock_guard lock(mutex_);
-            if (stopping_) {
-                return;
-            }
-            continue;
+    std::string_view rest = text;
+    while (!rest.empty()) {
+        const auto written = write_ready(options_.descriptor, rest, patience);
+        if (!written) {
+            return;
         }
-        // A pipe that is ready takes PIPE_BUF bytes without blocking.
-        constexpr std::size_t most_at_once = 4'096;
-        const auto size = std::min(most_at_once, text.size() - done);
-        const auto written = ::write(options_.descriptor, text.data() + done, size);
-        if (written <= 0) {
+        rest.remove_prefix(*written);
+        const std::lock_guard lock(mutex_);
+        if (stopping_) {
             return;
         }
-        done += static_cast<std::size_t>(written);
     }
 }
 
--- a/flamingoseam/log/event_log.hpp
+++ b/flamingoseam/log/event_log.hpp
@@ -41,7 +41,7 @@
     /// Queues one line; never waits for the reader. Complexity: linear in the text.
     void write(const log_event& event);
 
-    /// Writes what waits before it returns, as far as the reader takes it.
+    /// Writes what waits before it returns, as far as the reader takes it soon; the rest is lost.
     void flush();
 
     /// Returns how many lines were left out so far.
@@ -49,7 +49,7 @@
 
 private:
     void run();
-    void write_out(std::string text);
+    void write_out(const std::string& text);
     std::string take();
     void append_left_out(std::string& text);
 
--- a/flamingoseam/log/event_log_test.cpp
+++ b/flamingoseam/log/event_log_test.cpp
@@ -1,4 +1,5 @@
 #include "flamingoseam/log/event_log.hpp"
+#include "flamingoseam/log/ready_output.hpp"
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
@@ -7,6 +8,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <atomic>
 #include <thread>
 
 using namespace flamingoseam;
@@ -37,6 +39,16 @@
         }
     }
 
+    /// Fills the pipe as a reader that has stopped reading leaves it.
+    void fill()
+    {
+        ::fcntl(ends[1], F_SETFL, O_NONBLOCK);
+        const std::string text(64, 'x');
+        while (::write(ends[1], text.data(), text.size()) > 0) {
+        }
+        ::fcntl(ends[1], F_SETFL, 0);
+    }
+
     std::array<int, 2> ends{};
 };
 
@@ -96,3 +108,38 @@
         CHECK(text.find("lines_left_out") != std::string::npos);
     }
 }
+
+// A node whose reader had stopped did not exit on SIGTERM: it waited for the pipe to take its last
+// line.
+TEST_CASE("a reader that has stopped reading does not keep a process from ending")
+{
+    pipe_ends pipe;
+    pipe.fill();
+    std::atomic<bool> ended{false};
+    std::thread process([&] {
+        event_log log({.program = "node", .node = "n1", .descriptor = pipe.ends[1]});
+        log.write({.event = "stopped"});
+        log.flush();
+        ended = true;
+    });
+    const auto limit = now() + std::chrono::seconds(2);
+    while (!ended && now() < limit) {
+        std::this_thread::sleep_for(milliseconds(10));
+    }
+    CHECK(ended);
+    while (!ended) {
+        pipe.read_all(); // So that the test ends, whatever the log does.
+        std::this_thread::sleep_for(milliseconds(10));
+    }
+    process.join();
+}
+
+TEST_CASE("a line for a full pipe is given up at once")
+{
+    pipe_ends pipe;
+    pipe.fill();
+    CHECK(write_ready(pipe.ends[1], "line\n", milliseconds(0)) == 0);
+    pipe.read_all();
+    CHECK(write_ready(pipe.ends[1], "line\n", milliseconds(0)) == 5);
+    CHECK(pipe.read_all() == "line\n");
+}
--- a/flamingoseam/log/log.cpp
+++ b/flamingoseam/log/log.cpp
@@ -2,16 +2,20 @@
 
 #include "flamingoseam/core/clock.hpp"
 #include "flamingoseam/http/json.hpp"
+#include "flamingoseam/log/ready_output.hpp"
 
 #include <glog/logging.h>
 
-#include <cstdio>
+#include <unistd.h>
+
 #include <utility>
 
 namespace flamingoseam {
 
 namespace {
 
+constexpr milliseconds no_patience{0};
+
 thread_local log_fields current_fields;
 
 /// One line of the log.
@@ -60,7 +64,7 @@
                                            .message = std::string(message, size),
                                            .fields = current_fields}) +
                           "\n";
-        std::fwrite(text.data(), 1, text.size(), stderr);
+        write_ready(STDERR_FILENO, text, no_patience); // A line that does not fit is lost.
     }
 
 private:
--- /dev/null
+++ b/flamingoseam/log/ready_output.cpp
@@ -0,0 +1,34 @@
+#include "flamingoseam/log/ready_output.hpp"
+
+#include <poll.h>
+#include <unistd.h>
+
+#include <algorithm>
+
+namespace flamingoseam {
+
+namespace {
+
+constexpr std::size_t most_at_once = 4'096; ///< A pipe that is ready takes PIPE_BUF bytes.
+
+} // namespace
+
+std::optional<std::size_t> write_ready(int descriptor, std::string_view text, milliseconds patience)
+{
+    std::size_t done = 0;
+    while (done < text.size()) {
+        pollfd ready{.fd = descriptor, .events = POLLOUT, .revents = 0};
+        if (::poll(&ready, 1, static_cast<int>(patience.count())) <= 0) {
+            return done;
+        }
+        const auto piece = text.substr(done, most_at_once);
+        const auto written = ::write(descriptor, piece.data(), piece.size());
+        if (written <= 0) {
+            return std::nullopt;
+        }
+        done += static_cast<std::size_t>(written);
+    }
+    return done;
+}
+
+} // namespace flamingoseam
