--- a/flamingoseam/node/node_election.cpp
+++ b/flamingoseam/node/node_election.cpp
@@ -243,12 +243,13 @@
     return time - *outranks_since_ >= outranks_for;
 }
 
-/// Tells the strongest node that the owner is gone, since it may have had no call to notice it by.
+/// Tells the strongest node that the owner is gone, since it may have had no call to notice it by;
+/// nodes that are no stronger than this one are left to their turns.
 void node::offer_in_place_of(const membership_view& view)
 {
     const ownership_offer offer{.epoch = view.owner->epoch, .is_leaving = false};
     for (const auto& one : candidate_order(view, offer.epoch)) {
-        if (one.name == options_.name) {
+        if (one.processor_share <= options_.processor_share) {
             return;
         }
         if (one.name != view.owner->owner.name && offer_to(one, offer)) {
