Bound the orders under way, and refuse what can't be served in time

Callers with 350 workers got nothing in time after the first burst, and nothing was refused. Cause, of the class of queues that know no urgency and have no end: a pass ordered all that room allowed, so that the waiting work left the order of work and stood in a line in front of the workers, first come first served, up to seconds long. Besides, work was placed at the last moment at which it could still be on time, without the time that its order, its end's report and its storing take, so that under load nearly everything became just late.

Orders under way are now bounded by what is answered in 0.2 s (or one for each worker, or 64), a quarter of that for late work; orders without an answer for 1 s no longer count, so that hung workers hold nobody up. The order of work looks at the moment at which a start takes effect, by the measured time of orders. A new job is refused with 429 and would_be_too_late when neither the work on time before it nor all work before it, at the rates of the last 1 to 3 s, lets it end within three times its target, and only if half of what waits has waited for 0.5 s.

All unit tests and platform_path, platform_shutdown, platform_store pass.

--- a/flamingoseam/workflow/work_order.cpp
+++ b/flamingoseam/workflow/work_order.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-constexpr int late_multiple = 3; ///< Of the target time; later than that a job is hopeless.
-
 struct rank {
     lateness late;
     int priority;
--- a/flamingoseam/workflow/work_order.hpp
+++ b/flamingoseam/workflow/work_order.hpp
@@ -30,6 +30,9 @@
 /// not. Complexity: linear in steps.
 time_point::duration slack_of(const job_record& job, time_point time);
 
+/// How many times its target time a job may take until nobody needs it any more.
+inline constexpr int late_multiple = 3;
+
 /// Returns the lateness of a job that would go on now without waiting. Complexity: linear in steps.
 lateness lateness_of(const job_record& job, time_point time);
 
--- /dev/null
+++ b/flamingoseam/workflow/workflow_admission.cpp
@@ -0,0 +1,95 @@
+#include "flamingoseam/workflow/workflow_state.hpp"
+
+namespace flamingoseam::workflow {
+
+namespace {
+
+constexpr milliseconds between_looks{50};
+constexpr milliseconds time_to_show{100}; ///< An end is reported and stored within this.
+
+work_amount amount_of(const step_spec& step, int tasks)
+{
+    const auto count = static_cast<double>(tasks);
+    const auto seconds = std::chrono::duration<double>(step.estimate).count();
+    return {.tasks = count,
+            .processor_seconds =
+                count * seconds * static_cast<double>(step.size.milli_cpus) / 1'000};
+}
+
+/// Returns what a new job asks of the admission.
+admission_request admission_request_of(const job_spec& job, const queue_terms& terms)
+{
+    work_amount work;
+    for (const auto& step : job.steps) {
+        work += amount_of(step, step.tasks);
+    }
+    const auto chain = longest_chain(job.steps, [](std::size_t /*step*/) { return true; });
+    const auto target = target_time(job, terms);
+    return {.service = terms.service,
+            .priority = terms.priority,
+            .work = work,
+            .slack = target - chain,
+            .late_slack = late_multiple * target - chain};
+}
+
+} // namespace
+
+/// Returns how much later than it is placed a task begins, and later than it ends its job is shown.
+milliseconds workflow_state::lead_time() const
+{
+    return orders_.answer_time() + time_to_show;
+}
+
+admission_verdict workflow_state::may_admit(const job_spec& spec, const queue_terms& terms,
+                                            time_point time)
+{
+    auto request = admission_request_of(spec, terms);
+    const auto since_first = time - admission_.first_asked(spec.id, time);
+    const auto gone = std::chrono::duration_cast<milliseconds>(since_first) + lead_time();
+    request.slack -= gone;
+    request.late_slack -= gone;
+    const auto verdict = admission_.decide(request, time);
+    if (!verdict.is_accepted) {
+        admission_.note_refused(spec.id, time);
+    }
+    return verdict;
+}
+
+/// Tells the admission what waits, apart from what is hopeless and so behind everything else.
+void workflow_state::look_at_waiting(time_point time)
+{
+    if (time - last_look_ < between_looks) {
+        return;
+    }
+    last_look_ = time;
+    const auto begins = time + lead_time();
+    admission_.begin_look(time);
+    for (const auto& [sequence, job] : open_) {
+        const auto late = lateness_of(*job, begins);
+        if (late == lateness::hopeless) {
+            continue;
+        }
+        for (std::size_t index = 0; index < job->steps.size(); ++index) {
+            const int waiting = job->steps[index].waiting();
+            if (waiting > 0 && job->is_turn_of(index)) {
+                admission_.note_waiting(
+                    {.service = job->terms.service,
+                     .priority = job->terms.priority,
+                     .amount = amount_of(job->spec.steps[index], waiting),
+                     .late = late == lateness::late,
+                     .waited = std::chrono::duration_cast<milliseconds>(time - job->received)});
+            }
+        }
+    }
+}
+
+void workflow_state::note_start_taken(const job_record& job, int step, time_point time)
+{
+    if (!is_final(job.phase)) {
+        admission_.note_started(job.terms.service, job.terms.priority,
+                                amount_of(job.spec.steps[static_cast<std::size_t>(step)], 1),
+                                lateness_of(job, time) != lateness::on_time, time);
+    }
+}
+
+} // namespace flamingoseam::workflow
--- a/flamingoseam/workflow/workflow_jobs.cpp
+++ b/flamingoseam/workflow/workflow_jobs.cpp
@@ -66,12 +66,17 @@
         refuse(token, spec.id, "too_many_open_jobs", retry_when_full);
         return;
     }
+    const auto verdict = may_admit(spec, terms, time);
+    if (!verdict.is_accepted) {
+        refuse(token, spec.id, "would_be_too_late", verdict.retry_after);
+        return;
+    }
     auto job = std::make_unique<job_record>();
     job->spec = spec;
     job->terms = terms;
     job->accepted = wall;
     job->received = time;
-    job->due = time + target_time(spec, terms);
+    job->due = admission_.first_asked(spec.id, time) + target_time(spec, terms);
     job->sequence = ++last_sequence_;
     fill_steps(*job, task_phase::waiting);
     auto& record = *job;
--- a/flamingoseam/workflow/workflow_reports.cpp
+++ b/flamingoseam/workflow/workflow_reports.cpp
@@ -347,12 +347,14 @@
 void workflow_state::on_start(std::size_t worker, const run_name& name, start_outcome outcome,
                               time_point time)
 {
+    orders_.note_answered(name, time);
     auto* run = fleet_.find_run(worker, name);
     auto* job = find_job(name.task.job);
     if (run == nullptr || job == nullptr) {
         return;
     }
     if (outcome == start_outcome::started) {
+        note_start_taken(*job, name.task.step, time);
         if (run->state != held_run::knowledge::present) {
             run->state = held_run::knowledge::present;
             run->confirmed_at = time;
--- a/flamingoseam/workflow/workflow_schedule.cpp
+++ b/flamingoseam/workflow/workflow_schedule.cpp
@@ -42,8 +42,13 @@
 {
     holds_.drop_expired(time);
     auto steps = ready_steps(time);
-    options_.order(steps, time);
+    const auto begins = time + lead_time();
+    options_.order(steps, begins);
     for (const auto& step : steps) {
+        const bool is_on_time = lateness_of(*step.job, begins) == lateness::on_time;
+        if (!orders_.has_room(is_on_time, fleet_.size(), time)) {
+            break;
+        }
         if (step.spec().gang) {
             place_gang(step, time);
         } else {
@@ -193,6 +198,7 @@
                                .payload = job.spec.payload,
                                .checkpoint = task.checkpoint,
                                .ticket = ticket == nullptr ? "" : ticket->text});
+    orders_.note_ordered(name, time);
     ++counts_.starts;
 }
 
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "flamingoseam/shard/worker_health.hpp"
+#include "flamingoseam/workflow/admission.hpp"
 #include "flamingoseam/workflow/change_log.hpp"
 #include "flamingoseam/workflow/fleet.hpp"
 #include "flamingoseam/workflow/gang_holds.hpp"
 #include "flamingoseam/workflow/job_record.hpp"
+#include "flamingoseam/workflow/order_window.hpp"
 #include "flamingoseam/workflow/stored_job.hpp"
 #include "flamingoseam/workflow/work_order.hpp"
 
@@ -272,6 +274,10 @@
     bool may_yield(const run_name& name, const held_run& run, const ready_step& gang,
                    time_point time);
     void make_room(const ready_step& gang, const gang_hold& hold, time_point time);
+    [[nodiscard]] milliseconds lead_time() const;
+    admission_verdict may_admit(const job_spec& spec, const queue_terms& terms, time_point time);
+    void look_at_waiting(time_point time);
+    void note_start_taken(const job_record& job, int step, time_point time);
     bool ask_permission(const ready_step& step, std::vector<std::size_t> workers, time_point time);
     std::vector<std::size_t> unasked_workers(const ready_step& step, time_point time);
     std::size_t workers_to_ask(const ready_step& step) const;
@@ -294,6 +300,8 @@
     workflow_options options_;
     fleet fleet_;
     worker_health health_;
+    admission admission_;
+    order_window orders_;
     /// What one chain of transactions is writing.
     struct chain_state {
         std::vector<batch_job> batch;
@@ -320,6 +328,7 @@
     bool store_available_ = true;
     bool pass_wanted_ = false;
     time_point last_pass_{};
+    time_point last_look_{};
     time_point last_upkeep_{};
 };
 
--- a/flamingoseam/workflow/workflow_upkeep.cpp
+++ b/flamingoseam/workflow/workflow_upkeep.cpp
@@ -52,6 +52,7 @@
         last_pass_ = time;
         schedule(time);
     }
+    look_at_waiting(time);
     repeat_stops(time);
     if (upkeep_is_due) {
         ask_for_reports(time);
