--- a/flamingoseam/workflow/work_order.cpp
+++ b/flamingoseam/workflow/work_order.cpp
@@ -4,8 +4,6 @@
 
 namespace {
 
-constexpr int late_multiple = 3; ///< Of the target time; later than that a job is hopeless.
-
 /// Returns how much later than its target a job is still of use.
 milliseconds most_late(const job_record& job)
 {
--- a/flamingoseam/workflow/workflow_schedule.cpp
+++ b/flamingoseam/workflow/workflow_schedule.cpp
@@ -28,7 +28,8 @@
 {
     holds_.drop_expired(time);
     ++counts_.passes;
-    ready_.refresh(time);
+    const auto begins = time + lead_time();
+    ready_.refresh(begins);
     const auto& steps = ready_.in_order();
     waiting_steps_ = steps.size();
     if (steps.empty()) {
@@ -41,6 +42,10 @@
     const auto go_on = [&](std::int64_t most) {
         const auto limit = counts_.examined + std::max(least_examined, most);
         while (next != steps.end() && counts_.examined < limit) {
+            const bool is_on_time = next->rank.late == lateness::on_time;
+            if (!orders_.has_room(is_on_time, fleet_.size(), time)) {
+                return;
+            }
             place_step(next->step, time);
             ++next;
         }
@@ -266,6 +271,7 @@
                                .payload = job.spec.payload,
                                .checkpoint = task.checkpoint,
                                .ticket = ticket == nullptr ? "" : ticket->text});
+    orders_.note_ordered(name, time);
     ++counts_.starts;
 }
 
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -2,11 +2,13 @@
 
 #include "flamingoseam/log/log_event.hpp"
 #include "flamingoseam/shard/worker_health.hpp"
+#include "flamingoseam/workflow/admission.hpp"
 #include "flamingoseam/workflow/change_log.hpp"
 #include "flamingoseam/workflow/fleet.hpp"
 #include "flamingoseam/workflow/gang_holds.hpp"
 #include "flamingoseam/workflow/job_record.hpp"
 #include "flamingoseam/workflow/open_room.hpp"
+#include "flamingoseam/workflow/order_window.hpp"
 #include "flamingoseam/workflow/permission_budget.hpp"
 #include "flamingoseam/workflow/ready_queue.hpp"
 #include "flamingoseam/workflow/stored_job.hpp"
@@ -304,6 +306,10 @@
                    time_point time);
     void make_room(const ready_step& gang, const gang_hold& hold, time_point time);
     [[nodiscard]] bool may_ask(const ready_step& step, time_point time) const;
+    [[nodiscard]] milliseconds lead_time() const;
+    admission_verdict may_admit(const job_spec& spec, const queue_terms& terms, time_point time);
+    void look_at_waiting(time_point time);
+    void note_start_taken(const job_record& job, int step, time_point time);
     bool ask_permission(const ready_step& step, std::vector<std::size_t> workers, time_point time);
     void ask_about_unasked(const ready_step& step, time_point time);
     void withdraw_requests();
@@ -329,6 +335,8 @@
     workflow_options options_;
     fleet fleet_;
     worker_health health_;
+    admission admission_;
+    order_window orders_;
     /// What one chain of transactions is writing.
     struct chain_state {
         std::vector<batch_job> batch;
@@ -362,6 +370,7 @@
     std::size_t waiting_steps_ = 0;
     time_point last_pass_{};
     time_point next_pass_{}; ///< Not before this, so that passes leave time for other things.
+    time_point last_look_{};
     time_point last_upkeep_{};
 };
 
