--- a/flamingoseam/workflow/permission_budget.cpp
+++ b/flamingoseam/workflow/permission_budget.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr milliseconds long_call{50};              ///< Service time from which a call is long.
+constexpr milliseconds long_call{50};               ///< Service time from which a call is long.
 constexpr milliseconds short_calls_expected{1'000}; ///< Lanes are kept for so long after one.
 constexpr std::size_t lanes_per_reserved = 4;
 
