--- a/flamingoseam/core/control_loop.cpp
+++ b/flamingoseam/core/control_loop.cpp
@@ -14,15 +14,16 @@
 }
 
 std::deque<control_loop::queued_step> control_loop::take_batch(milliseconds tick,
-                                                               milliseconds gather)
+                                                               milliseconds spacing)
 {
     std::unique_lock lock(mutex_);
     changed_.wait_for(lock, tick, [this] { return stopping_ || !steps_.empty(); });
-    if (gather > milliseconds(0) && !stopping_ && !steps_.empty()) {
+    if (!stopping_ && now() < next_batch_) {
         lock.unlock();
-        std::this_thread::sleep_for(gather);
+        std::this_thread::sleep_until(next_batch_);
         lock.lock();
     }
+    next_batch_ = now() + spacing;
     return std::exchange(steps_, {});
 }
 
@@ -40,10 +41,10 @@
     }
 }
 
-void control_loop::run(milliseconds tick, const step& after_batch, milliseconds gather)
+void control_loop::run(milliseconds tick, const step& after_batch, milliseconds spacing)
 {
     while (true) {
-        run_batch(take_batch(tick, gather));
+        run_batch(take_batch(tick, spacing));
         after_batch();
         const std::lock_guard lock(mutex_);
         if (stopping_ && steps_.empty()) {
--- a/flamingoseam/core/control_loop.hpp
+++ b/flamingoseam/core/control_loop.hpp
@@ -41,8 +41,8 @@
 
     /// Runs steps on the calling thread until stop(). `after_batch` runs after every batch of steps
     /// and at least once per `tick`.
-    /// A step that wakes the loop waits `gather` for others, so that many share one batch.
-    void run(milliseconds tick, const step& after_batch, milliseconds gather = milliseconds(0));
+    /// Batches begin at least `spacing` apart, so that many steps share one when they come fast.
+    void run(milliseconds tick, const step& after_batch, milliseconds spacing = milliseconds(0));
 
     /// Makes run() return after the steps queued so far.
     void stop();
@@ -53,7 +53,7 @@
         time_point posted{};
     };
 
-    std::deque<queued_step> take_batch(milliseconds tick, milliseconds gather);
+    std::deque<queued_step> take_batch(milliseconds tick, milliseconds spacing);
     void run_batch(std::deque<queued_step> batch) const;
 
     step_observer observer_;
@@ -61,6 +61,7 @@
     std::condition_variable changed_;
     std::deque<queued_step> steps_;
     bool stopping_ = false;
+    time_point next_batch_{}; ///< Of the loop's thread.
 };
 
 } // namespace flamingoseam
--- a/flamingoseam/core/control_loop_test.cpp
+++ b/flamingoseam/core/control_loop_test.cpp
@@ -24,6 +24,10 @@
     }
     CHECK(loop.ask<int>([&] { return steps.load(); }) == 5);
     CHECK(batches <= 2);
+    std::this_thread::sleep_for(150ms);
+    const auto began = now();
+    CHECK(loop.ask<int>([] { return 1; }) == 1);
+    CHECK(now() - began < 50ms); // A step that comes alone waits for no others.
     loop.stop();
     runner.join();
 }
--- a/flamingoseam/node/job_owner.cpp
+++ b/flamingoseam/node/job_owner.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr milliseconds tick{25};
-constexpr milliseconds gather{2};            ///< Events so close together are decided on together.
+constexpr milliseconds batch_spacing{2};     ///< Events that come faster are decided on together.
 constexpr milliseconds ended_margin{10'000}; ///< Owners' clocks differ by less.
 constexpr milliseconds directory_wait{10'000};
 constexpr milliseconds directory_pause{250}; ///< Between readings that found a change.
@@ -88,7 +88,7 @@
     loop_.post([this] { open_sessions(); });
     loop_thread_ = std::thread([this] {
         loop_.run(
-            tick, [this] { after_batch(); }, gather);
+            tick, [this] { after_batch(); }, batch_spacing);
     });
     directory_thread_ = std::thread([this] { watch_workers(); });
 }
