Decide in batches that begin at least 4 ms apart

Calls of workers through other nodes, one message a call, were tried and not kept: see docs/PLATFORM.md.

--- a/flamingoseam/node/job_owner.cpp
+++ b/flamingoseam/node/job_owner.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr milliseconds tick{25};
-constexpr milliseconds batch_spacing{2};     ///< Events that come faster are decided on together.
+constexpr milliseconds batch_spacing{4};     ///< Events that come faster are decided on together.
 constexpr milliseconds ended_margin{10'000}; ///< Owners' clocks differ by less.
 constexpr milliseconds directory_wait{10'000};
 constexpr milliseconds directory_pause{250}; ///< Between readings that found a change.
