--- a/flamingoseam/node/permission_lanes.cpp
+++ b/flamingoseam/node/permission_lanes.cpp
@@ -11,18 +11,14 @@
 
 namespace {
 
-constexpr milliseconds long_call{150}; ///< Service time from which a call counts as long.
 constexpr milliseconds pause_after_failure{500};
-
-bool is_long(const workflow::permission_request& request)
-{
-    return request.service_time >= long_call;
-}
+constexpr milliseconds longest_wait{100}; ///< Of a request that the queue holds back.
 
 } // namespace
 
-permission_lanes::permission_lanes(permission_call_factory calls, on_answer answer)
-    : calls_(std::move(calls)), answer_(std::move(answer))
+permission_lanes::permission_lanes(permission_call_factory calls, on_answer answer,
+                                   call_observer observer)
+    : calls_(std::move(calls)), answer_(std::move(answer)), observer_(std::move(observer))
 {
 }
 
@@ -41,6 +37,7 @@
         ending_ = true;
     }
     changed_.notify_all();
+    ended_.notify_all();
 }
 
 std::size_t permission_lanes::open_lanes() const
@@ -67,32 +64,69 @@
         added.thread = std::thread([this, &added] { run(added); });
     }
     changed_.notify_all();
+    ended_.notify_all();
 }
 
 void permission_lanes::ask(workflow::permission_request request)
 {
     {
         const std::lock_guard lock(mutex_);
-        waiting_.emplace(std::pair(request.priority, request.number), std::move(request));
+        queue_.add(std::move(request));
     }
-    changed_.notify_all();
+    changed_.notify_one();
+}
+
+permission_load permission_lanes::load(time_point time)
+{
+    const std::lock_guard lock(mutex_);
+    auto load = load_;
+    load.requests = queue_.size();
+    load.oldest = queue_.oldest_age(time);
+    load.lanes = open_lanes();
+    return load;
+}
+
+void permission_lanes::note_call(const workflow::permission_request& request, time_point began,
+                                 bool answered)
+{
+    const permission_timing timing{.priority = request.order.priority,
+                                   .waited = began - request.asked,
+                                   .took = now() - began,
+                                   .answered = answered};
+    {
+        const std::lock_guard lock(mutex_);
+        --load_.busy_lanes;
+        ++load_.calls;
+        load_.in_calls += timing.took;
+    }
+    if (observer_) {
+        observer_(timing);
+    }
+}
+
+void permission_lanes::withdraw(std::uint64_t number)
+{
+    const std::lock_guard lock(mutex_);
+    queue_.drop(number);
 }
 
 std::optional<workflow::permission_request> permission_lanes::take(lane& one)
 {
     std::unique_lock lock(mutex_);
     while (!ending_) {
-        const auto most_long = std::max<std::size_t>(1, open_lanes() / 2);
-        const auto found = std::find_if(waiting_.begin(), waiting_.end(), [&](const auto& row) {
-            return !is_long(row.second) || long_calls_ < most_long;
-        });
-        if (!one.ending && found != waiting_.end()) {
-            auto request = std::move(found->second);
-            waiting_.erase(found);
-            long_calls_ += is_long(request) ? 1 : 0;
+        if (one.ending) {
+            ended_.wait(lock);
+            continue;
+        }
+        if (auto request = queue_.take(open_lanes(), now())) {
+            ++load_.busy_lanes;
             return request;
         }
-        changed_.wait(lock);
+        if (queue_.size() == 0) {
+            changed_.wait(lock);
+        } else {
+            changed_.wait_for(lock, longest_wait);
+        }
     }
     return std::nullopt;
 }
@@ -101,6 +135,7 @@
 {
     const auto call = calls_(one.node);
     while (auto request = take(one)) {
+        const auto began = now();
         std::optional<std::vector<workflow::ticket_grant>> grants;
         try {
             grants = call(*request).grants;
@@ -109,15 +144,13 @@
                 << "a permission request through " << one.node << " failed: " << cause.what();
         }
         const bool failed = !grants;
+        note_call(*request, began, !failed);
         answer_(request->number, std::move(grants));
-        {
-            const std::lock_guard lock(mutex_);
-            long_calls_ -= is_long(*request) ? 1 : 0;
-        }
-        changed_.notify_all();
+        std::unique_lock lock(mutex_);
+        queue_.finish(*request);
         if (failed) {
-            std::unique_lock lock(mutex_);
-            changed_.wait_for(lock, pause_after_failure, [this] { return ending_; });
+            changed_.notify_one(); // What this lane held back goes to another one.
+            ended_.wait_for(lock, pause_after_failure, [this] { return ending_; });
         }
     }
 }
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -5,6 +5,9 @@
 #include "flamingoseam/workflow/fleet.hpp"
 #include "flamingoseam/workflow/gang_holds.hpp"
 #include "flamingoseam/workflow/job_record.hpp"
+#include "flamingoseam/workflow/open_room.hpp"
+#include "flamingoseam/workflow/permission_budget.hpp"
+#include "flamingoseam/workflow/ready_queue.hpp"
 #include "flamingoseam/workflow/stored_job.hpp"
 #include "flamingoseam/workflow/work_order.hpp"
 
@@ -15,6 +18,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -28,8 +32,9 @@
     milliseconds ended_retention{150'000}; ///< How long the state of an ended job can be asked for.
     /// Transactions of different chains are under way at one time.
     std::size_t chains = 1;
-    step_order order = sort_by_urgency;
-    milliseconds slow_write{60}; ///< A chain that writes for so long lets the next one help.
+    step_ranking order = rank_by_urgency;
+    std::size_t most_records = 30; ///< That one transaction writes or removes.
+    milliseconds slow_write{60};   ///< A chain that writes for so long lets the next one help.
 };
 
 /// What a caller is told.
@@ -65,6 +70,7 @@
     std::vector<forget_order> forgets;
     std::vector<std::pair<std::size_t, time_point>> reports_needed; ///< By worker, by when.
     std::vector<permission_request> permissions;
+    std::vector<std::uint64_t> withdrawn_permissions; ///< Numbers of requests no longer wanted.
     std::vector<caller_answer> answers;
     std::vector<decision_note> notes;
     std::vector<job_timing> first_starts;
@@ -82,8 +88,11 @@
     std::int64_t failed_runs = 0;
     std::int64_t lost_runs = 0;
     std::int64_t permission_requests = 0;
+    std::int64_t repeated_permission_requests = 0; ///< For permitted workers without a ticket.
+    std::int64_t passes = 0;                       ///< Over all waiting steps.
     std::int64_t stuck_runs = 0;
     std::int64_t yielded_runs = 0;
+    std::int64_t examined = 0; ///< Steps, workers and runs looked at to place and stop runs.
 };
 
 /// All decisions about jobs of several steps, without clocks, threads or sockets: what happens is
@@ -130,17 +139,26 @@
     /// Takes in that a worker certainly holds nothing any more.
     void on_emptied(std::size_t worker);
 
+    /// Sets how many calls to the permission service may be worked on at one time.
+    void set_permission_lanes(std::size_t lanes) { permission_budget_.set_lanes(lanes); }
+
     /// Takes in the answer to a permission request, none when the request failed.
     void on_permission(std::uint64_t number, const std::optional<std::vector<ticket_grant>>& grants,
                        time_point time);
 
     /// Tells whether a chain should write now. The first chain writes the most in one transaction;
-    /// the others help when all before them have been writing for long, since the store is slow or
-    /// an answer was lost. Complexity: linear in the chains.
+    /// the others help while all before them are writing and a full transaction waits, or all have
+    /// been writing for long, since the store is slow or an answer was lost. Complexity: linear in
+    /// the chains.
     [[nodiscard]] bool has_changes(std::size_t chain, time_point time) const;
 
+    /// Tells whether enough changes wait to fill a transaction, so that gathering more is of no
+    /// use. Complexity: constant.
+    [[nodiscard]] bool has_full_batch() const;
+
     /// Returns the next changes for a chain, at most `most` records; empty when it should not write
-    /// now. One batch of a chain is under way at a time.
+    /// now. New jobs and final states go before mere progress. One batch of a chain is under way at
+    /// a time.
     record_batch take_batch(std::size_t chain, std::size_t most, time_point time, wall_time wall);
 
     /// Takes in that the batch last taken by a chain stands in the store.
@@ -162,6 +180,15 @@
     [[nodiscard]] std::size_t open_jobs() const { return open_.size(); }
     [[nodiscard]] bool is_recovering() const { return !unreported_.empty(); }
 
+    /// Returns the number of steps that the last pass looked at.
+    [[nodiscard]] std::size_t waiting_steps() const { return waiting_steps_; }
+
+    /// Returns the number of open jobs that should have ended by `time`. Complexity: linear in
+    /// them.
+    [[nodiscard]] std::size_t count_overdue(time_point time) const;
+
+    [[nodiscard]] const change_log& changes() const { return changes_; }
+
     /// Returns the number of unanswered starts that are not ruled out. Complexity: linear in runs.
     [[nodiscard]] std::size_t count_doubtful() const;
 
@@ -231,8 +258,9 @@
     void note_health(std::size_t worker, const std::string& job, bool failed, time_point time);
 
     // placing
-    void schedule(time_point time);
-    std::vector<ready_step> ready_steps(time_point time);
+    bool schedule(time_point time);
+    void place_step(const ready_step& step, time_point time);
+    bool can_gain(const ready_step& step, time_point time) const;
     struct candidate {
         std::size_t worker = 0;
         int fits = 0;
@@ -246,10 +274,15 @@
     };
     std::vector<candidate> find_candidates(const ready_step& step, time_point time);
     bool may_use(const ready_step& step, std::size_t worker, bool& held, time_point time);
+    std::optional<candidate> find_candidate(const ready_step& step, const open_room::row& room,
+                                            time_point time);
     [[nodiscard]] bool can_run(const ready_step& step, std::size_t worker, time_point time) const;
     [[nodiscard]] bool is_permitted(const ready_step& step, std::size_t worker) const;
     void place_tasks(const ready_step& step, time_point time);
-    candidate* best_for_task(const ready_step& step, std::vector<candidate>& candidates) const;
+    /// By a hold, by its rack, by the room that stays free, by index; the least is taken first.
+    using task_cost = std::tuple<bool, bool, std::int64_t, std::size_t>;
+    [[nodiscard]] task_cost cost_of(const ready_step& step, const candidate& one) const;
+    void start_on_best(const ready_step& step, std::vector<candidate>& candidates, time_point time);
     void ask_for_more(const ready_step& step, const std::vector<candidate>& candidates,
                       time_point time);
     void place_gang(const ready_step& step, time_point time);
@@ -265,12 +298,16 @@
     bool may_yield(const run_name& name, const held_run& run, const ready_step& gang,
                    time_point time);
     void make_room(const ready_step& gang, const gang_hold& hold, time_point time);
+    [[nodiscard]] bool may_ask(const ready_step& step, time_point time) const;
     bool ask_permission(const ready_step& step, std::vector<std::size_t> workers, time_point time);
+    void ask_about_unasked(const ready_step& step, time_point time);
+    void withdraw_requests();
     std::vector<std::size_t> unasked_workers(const ready_step& step, time_point time);
     std::size_t workers_to_ask(const ready_step& step) const;
     [[nodiscard]] std::int64_t next_run(const step_record& step, int index) const;
 
     // upkeep
+    void run_pass(time_point time);
     void repeat_stops(time_point time);
     void ask_for_reports(time_point time);
     void stop_stuck_runs(time_point time);
@@ -279,6 +316,7 @@
     void release_waiters(job_record& job);
     struct chain_state;
     void add_job_changes(chain_state& chain, job_record& job, record_batch& batch);
+    void add_changes(chain_state& chain, std::size_t most, record_batch& batch);
     [[nodiscard]] bool may_write(std::size_t chain, time_point time) const;
     void add_roster(record_batch& batch);
     void add_removals(std::size_t most, record_batch& batch);
@@ -294,12 +332,17 @@
     change_log changes_;
     std::vector<chain_state> chains_;
     gang_holds holds_;
+    ready_queue ready_;
+    open_room room_;
+    std::optional<ready_queue::entry> resume_at_; ///< The next of the less urgent steps to look at.
+    std::set<std::pair<std::size_t, run_name>> unsent_stops_; ///< Wanted and not answered.
     std::unordered_map<std::string, std::unique_ptr<job_record>> jobs_;
     std::map<std::uint64_t, job_record*> open_; ///< By the order in which they were taken in.
     std::map<const job_record*, waiters> waiters_;
     std::map<std::uint64_t, permission_request> requests_; ///< Under way.
-    std::multimap<wall_time, std::string> ended_;          ///< For the end of their retention.
-    std::vector<std::string> removals_;                    ///< Keys that the store may drop.
+    permission_budget permission_budget_;
+    std::multimap<wall_time, std::string> ended_; ///< For the end of their retention.
+    std::vector<std::string> removals_;           ///< Keys that the store may drop.
     std::set<std::size_t> batch_roster_;
     bool roster_in_batch_ = false;
     std::set<std::size_t> roster_;     ///< Workers that may hold runs.
@@ -311,7 +354,9 @@
     bool roster_changed_ = false;
     bool store_available_ = true;
     bool pass_wanted_ = false;
+    std::size_t waiting_steps_ = 0;
     time_point last_pass_{};
+    time_point next_pass_{}; ///< Not before this, so that passes leave time for other things.
     time_point last_upkeep_{};
 };
 
