Keep gangs out of what stands before a new job; give a test's server an address of its own

Two runs of the unit tests at one time met at worker_link_test's fixed address (127.77.0.1:7300 in use); it now comes from the process id. Unit tests pass (4,039 checks).

--- a/flamingoseam/worker/worker_link_test.cpp
+++ b/flamingoseam/worker/worker_link_test.cpp
@@ -4,6 +4,7 @@
 #include "flamingoseam/http/json.hpp"
 
 #include <catch2/catch.hpp>
+#include <unistd.h>
 
 #include <condition_variable>
 #include <mutex>
@@ -13,7 +14,15 @@
 
 namespace {
 
-const endpoint worker_address{"127.77.0.1", 7300};
+/// An address of this process's own, so that two runs at one time don't meet.
+endpoint worker_address()
+{
+    const auto process = static_cast<unsigned>(getpid());
+    return {"127.77." + std::to_string(process / 250 % 250) + "." +
+                std::to_string(process % 250 + 1),
+            7300};
+}
+
 constexpr milliseconds longer_than_a_command{1'500};
 
 /// A worker that carries the first start out, answers too late and refuses every later copy.
@@ -21,7 +30,7 @@
 public:
     explicit forgetful_worker(std::string refusal)
         : refusal_(std::move(refusal)),
-          server_({.address = worker_address.address, .port = worker_address.port},
+          server_({.address = worker_address().address, .port = worker_address().port},
                   [this](const http_request& request) { return handle(request); })
     {
     }
@@ -109,7 +118,7 @@
         GENERATE(as<std::string>(), "other_incarnation", "no_session", "no_capacity");
     forgetful_worker worker(refusal);
     start_listener listener;
-    http_worker_link link({.worker = worker_address, .shard = "s", .owner = "o", .epoch = 1},
+    http_worker_link link({.worker = worker_address(), .shard = "s", .owner = "o", .epoch = 1},
                           listener);
     REQUIRE(listener.wait_for_reports(1));
     link.resume();
--- a/flamingoseam/workflow/workflow_admission.cpp
+++ b/flamingoseam/workflow/workflow_admission.cpp
@@ -55,7 +55,8 @@
     return verdict;
 }
 
-/// Tells the admission what waits, apart from what is hopeless and so behind everything else.
+/// Tells the admission what waits, apart from what is hopeless and so behind everything else, and
+/// from gangs, which wait for room that other work does not need.
 void workflow_state::look_at_waiting(time_point time)
 {
     if (time - last_look_ < between_looks) {
@@ -71,7 +72,8 @@
         }
         for (std::size_t index = 0; index < job->steps.size(); ++index) {
             const int waiting = job->steps[index].waiting();
-            if (waiting > 0 && job->is_turn_of(index)) {
+            const bool is_gang = job->spec.steps[index].gang;
+            if (waiting > 0 && !is_gang && job->is_turn_of(index)) {
                 admission_.note_waiting(
                     {.service = job->terms.service,
                      .priority = job->terms.priority,
