Answer calls as not sent at once while nothing comes from the owner

A node now counts the time since the first call to the owner without any answer. After 400 ms it pings the owner's process with a question that its RPC thread answers at once, so that a slow store does not look like a silent path. A ping without an answer in 300 ms makes the path silent: new calls are answered 503 owner_unreachable before anything of them is sent, the node is not ready, and a ping every 300 ms ends it as soon as one is answered. Calls that were sent before keep waiting and stay in doubt. A refused connection counts as an answer; owner_suspicion deals with it. While answers come nothing is pinged.

--- a/flamingoseam/node/node.cpp
+++ b/flamingoseam/node/node.cpp
@@ -43,6 +43,7 @@
         parts_.stores, [this] { on_view_changed(); });
     server_ = std::make_unique<coordinator_server>(options_.rpc, *this);
     election_thread_ = std::thread([this] { run_election(); });
+    path_thread_ = std::thread([this] { watch_owner_path(); });
 }
 
 node::~node()
@@ -53,6 +54,7 @@
     }
     changed_.notify_all();
     election_thread_.join();
+    path_thread_.join();
     server_.reset();
     membership_.reset();
 }
@@ -65,13 +67,17 @@
 
 bool node::is_ready() const
 {
-    return !leaving_ && membership_->is_certain() &&
+    return !leaving_ && membership_->is_certain() && !is_owner_silent() &&
            (local_owner() != nullptr || membership_->view().live_owner());
 }
 
 template <typename LocalCall, typename RemoteCall>
 owner_answer node::pass_on(milliseconds timeout, const LocalCall& local, const RemoteCall& remote)
 {
+    // Nothing of this call has left yet, so its client may safely ask another node.
+    if (is_owner_silent()) {
+        return without_owner("owner_unreachable");
+    }
     return call_owner(
         {.timeout = timeout, .owner_wait = std::min(options_.owner_wait, timeout / 2)},
         [&](milliseconds limit) { return pass_once(limit, local, remote); },
@@ -101,12 +107,20 @@
     if (!owner || owner->owner.incarnation == incarnation_) {
         return without_owner("no_owner");
     }
+    const owner_process asked{.epoch = owner->epoch, .address = owner->owner.address};
+    {
+        const std::lock_guard lock(mutex_);
+        path_.note_sent(asked, now());
+    }
     try {
-        return remote(owner->owner.address, timeout);
+        auto answer = remote(asked.address, timeout);
+        note_owner_answered(asked);
+        return answer;
     } catch (const transport_error& cause) {
         LOG_EVERY_N(WARNING, 20) << "the owner does not answer: " << cause.what();
         if (cause.id() == refused_connection) {
-            note_refused_by(owner->epoch);
+            note_refused_by(asked.epoch);
+            note_owner_answered(asked); // The path is good; it is the process that is gone.
         }
         if (!cause.sent()) {
             return without_owner("owner_unreachable");
--- a/flamingoseam/node/node.hpp
+++ b/flamingoseam/node/node.hpp
@@ -4,6 +4,7 @@
 #include "flamingoseam/node/job_owner.hpp"
 #include "flamingoseam/node/membership.hpp"
 #include "flamingoseam/node/owner_claim.hpp"
+#include "flamingoseam/node/owner_path.hpp"
 #include "flamingoseam/node/owner_suspicion.hpp"
 
 #include <atomic>
@@ -57,7 +58,8 @@
     owner_answer find_job(const std::string& job, milliseconds timeout);
     owner_answer count_pending_jobs(const std::string& queue, milliseconds timeout);
 
-    /// Tells whether calls can be served now: an owner is known and this node is a member.
+    /// Tells whether calls can be served now: an owner is known and answers, and this node is a
+    /// member.
     [[nodiscard]] bool is_ready() const;
 
     /// Hands ownership over and stops counting as a member; calls are still passed on.
@@ -116,6 +118,15 @@
     owner_answer pass_once(milliseconds timeout, const LocalCall& local, const RemoteCall& remote);
     void wait_for_change(milliseconds limit);
 
+    /// Returns the owner's process if it is another one than this.
+    std::optional<owner_process> other_owner() const;
+
+    /// Tells whether this node's calls can't reach the owner at present.
+    bool is_owner_silent() const;
+    void note_owner_answered(const owner_process& owner);
+    void watch_owner_path();
+    void ping_owner(const owner_process& owner);
+
     node_options options_;
     node_parts parts_;
     std::string incarnation_;
@@ -127,6 +138,7 @@
     bool view_changed_ = false;
     std::uint64_t changes_ = 0; ///< Counts what may have changed the owner.
     owner_suspicion suspicion_;
+    owner_path path_;
     bool store_is_away_ = false;
     std::uint64_t offered_epoch_ = 0; ///< Of the owner that asks this node to go on; 0 for none.
     std::atomic<bool> leaving_{false};
@@ -138,6 +150,7 @@
     std::unique_ptr<membership> membership_;
     std::unique_ptr<coordinator_server> server_;
     std::thread election_thread_;
+    std::thread path_thread_;
 };
 
 } // namespace flamingoseam::node
