--- a/flamingoseam/node/permission_lanes.cpp
+++ b/flamingoseam/node/permission_lanes.cpp
@@ -37,7 +37,7 @@
         ending_ = true;
     }
     changed_.notify_all();
-    ended_.notify_all();
+    work_waits_.notify_all();
 }
 
 std::size_t permission_lanes::open_lanes() const
@@ -64,7 +64,7 @@
         added.thread = std::thread([this, &added] { run(added); });
     }
     changed_.notify_all();
-    ended_.notify_all();
+    work_waits_.notify_all();
 }
 
 void permission_lanes::ask(workflow::permission_request request)
@@ -73,7 +73,7 @@
         const std::lock_guard lock(mutex_);
         queue_.add(std::move(request));
     }
-    changed_.notify_one();
+    work_waits_.notify_one();
 }
 
 permission_load permission_lanes::load(time_point time)
@@ -113,22 +113,21 @@
 std::optional<workflow::permission_request> permission_lanes::take(lane& one)
 {
     std::unique_lock lock(mutex_);
-    while (!ending_) {
-        if (one.ending) {
-            ended_.wait(lock);
-            continue;
+    while (true) {
+        changed_.wait(lock, [&] { return ending_ || !one.ending; });
+        if (ending_) {
+            return std::nullopt;
         }
         if (auto request = queue_.take(open_lanes(), now())) {
             ++load_.busy_lanes;
             return request;
         }
         if (queue_.size() == 0) {
-            changed_.wait(lock);
+            work_waits_.wait(lock);
         } else {
-            changed_.wait_for(lock, longest_wait);
+            work_waits_.wait_for(lock, longest_wait);
         }
     }
-    return std::nullopt;
 }
 
 void permission_lanes::run(lane& one)
@@ -146,11 +145,14 @@
         const bool failed = !grants;
         note_call(*request, began, !failed);
         answer_(request->number, std::move(grants));
-        std::unique_lock lock(mutex_);
-        queue_.finish(*request);
+        {
+            const std::lock_guard lock(mutex_);
+            queue_.finish(*request);
+        }
         if (failed) {
-            changed_.notify_one(); // What this lane held back goes to another one.
-            ended_.wait_for(lock, pause_after_failure, [this] { return ending_; });
+            work_waits_.notify_one(); // Another lane may have to work on what waits.
+            std::unique_lock lock(mutex_);
+            changed_.wait_for(lock, pause_after_failure, [this] { return ending_; });
         }
     }
 }
--- a/flamingoseam/node/permission_lanes.hpp
+++ b/flamingoseam/node/permission_lanes.hpp
@@ -88,8 +88,8 @@
     on_answer answer_;
     call_observer observer_;
     std::mutex mutex_;
-    std::condition_variable changed_; ///< For lanes that look for a request, and for no others.
-    std::condition_variable ended_;   ///< For lanes that take none now.
+    std::condition_variable changed_;    ///< The lanes, or whether they end.
+    std::condition_variable work_waits_; ///< For one of the lanes that look for work.
     workflow::permission_queue queue_;
     std::vector<std::unique_ptr<lane>> lanes_;
     permission_load load_; ///< The sums of calls, and the calls under way.
