Let no step of the control thread touch a chain that has ended

The step held the chain itself, and an owner that ends destroys its chains while the control thread still has steps to run; since batches of steps begin 4 ms apart such steps wait longer. No test of its own yet: it needs a job_owner whose store falls silent while it ends.

--- a/flamingoseam/node/job_owner.cpp
+++ b/flamingoseam/node/job_owner.cpp
@@ -44,10 +44,10 @@
 
     void on_stored() override
     {
-        owner_.loop_.post([this, records = records_] {
-            owner_.meter_.note_transaction(records);
-            owner_.state_.on_stored(index_);
-            owner_.set_store_silent(false); // Although another chain may wait for its next attempt.
+        owner_.loop_.post([&owner = owner_, index = index_, records = records_] {
+            owner.meter_.note_transaction(records);
+            owner.state_.on_stored(index);
+            owner.set_store_silent(false); // Although another chain may wait for its next attempt.
         });
     }
 
@@ -55,7 +55,7 @@
 
     void on_store_silent() override
     {
-        owner_.loop_.post([this] { owner_.on_store_silent(); });
+        owner_.loop_.post([&owner = owner_] { owner.on_store_silent(); });
     }
 
     job_owner& owner_;
@@ -96,6 +96,7 @@
 job_owner::~job_owner()
 {
     request_end();
+    finish_batch();
     chains_.clear();
     loop_.stop();
     loop_thread_.join();
@@ -106,6 +107,15 @@
     answer_unknown();
 }
 
+/// Waits until the control thread has left the group of events that it may be in, after which it
+/// does not touch the chains any more.
+void job_owner::finish_batch()
+{
+    const auto wait_for_step = [this] { loop_.ask<bool>([] { return true; }); };
+    wait_for_step(); // The decisions that follow this step may still go on;
+    wait_for_step(); // this one begins after them.
+}
+
 void job_owner::request_end()
 {
     ending_ = true;
--- a/flamingoseam/node/job_owner.hpp
+++ b/flamingoseam/node/job_owner.hpp
@@ -98,6 +98,7 @@
     void on_store_silent();
     void set_store_silent(bool silent);
 
+    void finish_batch();
     void after_batch();
     void dispatch(workflow::workflow_actions actions);
     void answer(const workflow::caller_answer& one);
