Forget refused callers without reading an empty list

Found by review: a caller who is refused again after all earlier refusals are older than 30 s made the owner read the front of an empty list. The new test ends with a fault without the change in a build that checks (not run); a job that comes back after that time also no longer counts from its first attempt.

--- a/flamingoseam/workflow/admission.cpp
+++ b/flamingoseam/workflow/admission.cpp
@@ -197,11 +197,20 @@
 
 void admission::note_refused(const std::string& job, time_point time)
 {
-    if (refused_.emplace(job, time).second) {
-        refused_by_age_.emplace_back(time, job);
+    forget_refused(time);
+    if (!refused_.emplace(job, time).second) {
+        return;
     }
-    while (time - refused_by_age_.front().first > refusals_kept ||
-           refused_by_age_.size() > most_refusals) {
+    refused_by_age_.emplace_back(time, job);
+    if (refused_by_age_.size() > most_refusals) {
+        refused_.erase(refused_by_age_.front().second);
+        refused_by_age_.pop_front();
+    }
+}
+
+void admission::forget_refused(time_point time)
+{
+    while (!refused_by_age_.empty() && time - refused_by_age_.front().first > refusals_kept) {
         refused_.erase(refused_by_age_.front().second);
         refused_by_age_.pop_front();
     }
@@ -210,7 +219,8 @@
 time_point admission::first_asked(const std::string& job, time_point time) const
 {
     const auto found = refused_.find(job);
-    return found == refused_.end() ? time : found->second;
+    const bool is_known = found != refused_.end() && time - found->second <= refusals_kept;
+    return is_known ? found->second : time;
 }
 
 admission_verdict admission::decide(const admission_request& request, time_point time)
--- a/flamingoseam/workflow/admission.hpp
+++ b/flamingoseam/workflow/admission.hpp
@@ -104,6 +104,8 @@
     };
     using meter = start_meter level::*;
 
+    void forget_refused(time_point time);
+
     static work_amount rate(const pool& one, meter which, int most_urgent_up_to,
                             time_point measured_since, time_point time);
     static milliseconds wait_on_time(const pool& one, int priority, time_point time);
--- a/flamingoseam/workflow/admission_test.cpp
+++ b/flamingoseam/workflow/admission_test.cpp
@@ -97,3 +97,15 @@
     CHECK(decisions.first_asked("a", first + milliseconds(1'000)) == first);
     CHECK(decisions.first_asked("b", first + milliseconds(1'000)) == first + milliseconds(1'000));
 }
+
+// The owner read an empty list when a caller came back after all refusals were forgotten.
+TEST_CASE("a caller that is refused again long after the first time")
+{
+    admission decisions;
+    const time_point first{std::chrono::hours(1)};
+    const auto later = first + std::chrono::seconds(31);
+    decisions.note_refused("a", first);
+    CHECK(decisions.first_asked("a", later) == later);
+    decisions.note_refused("a", later);
+    CHECK(decisions.first_asked("a", later + milliseconds(1'000)) == later);
+}
