Leave the jobs where they were given to when the store did not answer

Found by review: a strong owner whose writes stay unanswered while its lease is renewed gives the jobs to a weaker node, and claimed them back 2 s later, as long as the fault lasted. It now leaves them there for 15 s.

--- a/flamingoseam/node/node.hpp
+++ b/flamingoseam/node/node.hpp
@@ -148,6 +148,7 @@
     std::optional<time_point> owner_missing_since_;
     time_point next_offer_{};                  ///< Of the election thread.
     std::optional<time_point> outranks_since_; ///< Of the election thread.
+    time_point may_outrank_from_{};            ///< Of the election thread.
     std::set<std::string> logged_members_;     ///< Of the election thread.
     std::unique_ptr<membership> membership_;
     std::unique_ptr<coordinator_server> server_;
--- a/flamingoseam/node/node_election.cpp
+++ b/flamingoseam/node/node_election.cpp
@@ -16,8 +16,10 @@
 constexpr milliseconds election_interval{1'000};      ///< Between looks when nothing changes.
 constexpr milliseconds election_interval_without{30}; ///< The same while there is no owner.
 constexpr milliseconds offer_timeout{150};
-constexpr milliseconds offer_interval{500};  ///< The node that was asked needs some time.
-constexpr milliseconds outranks_for{2'000};  ///< A node that joined just now may go again.
+constexpr milliseconds offer_interval{500}; ///< The node that was asked needs some time.
+constexpr milliseconds outranks_for{2'000}; ///< A node that joined just now may go again.
+/// A node that gave the jobs away since the store did not answer it leaves them there for so long.
+constexpr milliseconds pause_after_giving_away{15'000};
 constexpr milliseconds weaker_delay{900};    ///< The stronger nodes have noticed by then.
 constexpr milliseconds fresh_renewal{300};   ///< A node that renewed so lately reaches the store.
 constexpr milliseconds confirm_timeout{100}; ///< Of the question whether the owner is gone.
@@ -66,7 +68,9 @@
         log_members(view);
         if (events->store_is_away && now() >= next_offer_) {
             next_offer_ = now() + offer_interval;
-            offer_to_others(view, false);
+            if (offer_to_others(view, false)) {
+                may_outrank_from_ = now() + pause_after_giving_away;
+            }
         }
         confirm_suspicion(view);
         const bool is_offered = events->offered_epoch != 0 && view.owner &&
@@ -203,12 +207,9 @@
         return false;
     }
     const ownership_offer offer{.epoch = view.owner->epoch, .is_leaving = is_leaving};
-    for (const auto& one : candidate_order(view, offer.epoch)) {
-        if (one.name != options_.name && offer_to(one, offer)) {
-            return true;
-        }
-    }
-    return false;
+    return std::ranges::any_of(candidate_order(view, offer.epoch), [&](const member& one) {
+        return one.name != options_.name && offer_to(one, offer);
+    });
 }
 
 /// Asks one node to take ownership over. Returns whether it will try.
@@ -233,7 +234,8 @@
 {
     const auto owner = view.live_owner();
     const auto stronger = owner ? find_stronger(view, owner->owner, owner->epoch) : std::nullopt;
-    if (!stronger || stronger->name != options_.name || !membership_->is_certain()) {
+    const bool is_sound = membership_->is_certain() && time >= may_outrank_from_;
+    if (!stronger || stronger->name != options_.name || !is_sound) {
         outranks_since_.reset();
         return false;
     }
