Show that a long permission call through another node runs out of time

They name 100 workers, on which the service works for 1.73 s; a node that makes the call for the owner is told job, step and workers only, takes the service's time for 0 and gives up after its margin of 1.5 s.

--- /dev/null
+++ b/flamingoseam/node/coordinator_rpc_test.cpp
@@ -0,0 +1,62 @@
+#include "flamingoseam/node/coordinator_rpc.hpp"
+
+#include <catch2/catch.hpp>
+#include <unistd.h>
+
+using namespace flamingoseam;
+using namespace flamingoseam::node;
+
+namespace {
+
+/// Answers permission requests, and keeps the last one.
+class permission_service final : public owner_service {
+public:
+    void submit(const workflow::job_spec& /*job*/, const workflow::queue_terms& /*terms*/,
+                reply_owner reply) override
+    {
+        reply({});
+    }
+    void cancel(const std::string& /*job*/, reply_owner reply) override { reply({}); }
+    void find(const std::string& /*job*/, reply_owner reply) override { reply({}); }
+    void count_pending(const std::string& /*queue*/, reply_owner reply) override { reply({}); }
+    void ask_permission(const workflow::permission_request& request,
+                        reply_permission reply) override
+    {
+        asked = request;
+        reply(permission_answer{.grants = {{"w1", "ticket"}}});
+    }
+    void offer_ownership(const ownership_offer& /*offer*/, reply_flag reply) override
+    {
+        reply(false);
+    }
+    void confirm_owner_gone(std::uint64_t /*epoch*/, reply_flag reply) override { reply(false); }
+
+    workflow::permission_request asked;
+};
+
+endpoint own_address()
+{
+    const auto process = static_cast<unsigned>(getpid());
+    return {"127.78." + std::to_string(process / 250 % 250) + "." +
+                std::to_string(process % 250 + 1),
+            7301};
+}
+
+} // namespace
+
+// SHORT, issue 16: calls of over 1.5 s through other nodes always timed out, and gangs never began.
+TEST_CASE("a long permission call through another node ran out of time")
+{
+    permission_service service;
+    coordinator_server server(own_address(), service);
+    coordinator_client client;
+    const workflow::permission_request request{
+        .job = "j", .step = 1, .workers = {"w1", "w2"}, .service_time = milliseconds(1'729)};
+    const auto answer = client.ask_permission(own_address(), request, milliseconds(2'000));
+
+    REQUIRE(answer);
+    CHECK(answer->grants.size() == 1);
+    CHECK(service.asked.job == "j");
+    CHECK(service.asked.workers == request.workers);
+    CHECK(service.asked.service_time == milliseconds(1'729));
+}
