Tell the node that makes a permission call how long the service works on it

The call between nodes now carries the service's time, so that the node that makes the call waits for it.

--- a/flamingoseam/node/coordinator.capnp
+++ b/flamingoseam/node/coordinator.capnp
@@ -59,7 +59,8 @@
   find @2 (job :Text) -> (answer :OwnerAnswer);
   countPending @3 (queue :Text) -> (answer :OwnerAnswer);
   # Asks the permission service on behalf of the owner; `answered` is false when it failed.
-  askPermission @4 (job :Text, step :Int32, workers :List(Text))
+  # The service works on the call for `serviceMs`.
+  askPermission @4 (job :Text, step :Int32, workers :List(Text), serviceMs :Int64)
       -> (answered :Bool, grants :List(TicketGrant));
   # The owner of this epoch asks the callee to take over: it is leaving, or can't reach the store.
   offerOwnership @5 (epoch :UInt64, leaving :Bool) -> (accepted :Bool);
--- a/flamingoseam/node/coordinator.capnp.h
+++ b/flamingoseam/node/coordinator.capnp.h
@@ -280,7 +280,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c0ca290141690369, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(c0ca290141690369, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1728,6 +1728,8 @@
   inline bool hasWorkers() const;
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getWorkers() const;
 
+  inline  ::int64_t getServiceMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1774,6 +1776,9 @@
   inline void adoptWorkers(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownWorkers();
 
+  inline  ::int64_t getServiceMs();
+  inline void setServiceMs( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3369,6 +3374,20 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::int64_t Coordinator::AskPermissionParams::Reader::getServiceMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Coordinator::AskPermissionParams::Builder::getServiceMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Coordinator::AskPermissionParams::Builder::setServiceMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Coordinator::AskPermissionResults::Reader::getAnswered() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/flamingoseam/node/coordinator_rpc.cpp
+++ b/flamingoseam/node/coordinator_rpc.cpp
@@ -157,6 +157,7 @@
         workflow::permission_request request;
         request.job = params.getJob().cStr();
         request.step = params.getStep();
+        request.service_time = milliseconds(params.getServiceMs());
         for (const auto worker : params.getWorkers()) {
             request.workers.emplace_back(worker.cStr());
         }
@@ -305,6 +306,7 @@
             auto message = client.askPermissionRequest();
             message.setJob(request.job);
             message.setStep(request.step);
+            message.setServiceMs(request.service_time.count());
             auto workers = message.initWorkers(static_cast<unsigned>(request.workers.size()));
             for (unsigned index = 0; index < workers.size(); ++index) {
                 workers.set(index, request.workers[index].c_str());
