--- a/flamingoseam/node/node_owner_path.cpp
+++ b/flamingoseam/node/node_owner_path.cpp
@@ -23,6 +23,12 @@
 
 bool node::is_owner_silent() const
 {
+    {
+        const std::lock_guard lock(mutex_);
+        if (!path_.is_silent()) {
+            return false; // The usual case, without a copy of the members.
+        }
+    }
     const auto owner = other_owner();
     const std::lock_guard lock(mutex_);
     return owner && path_.is_silent(*owner);
--- a/flamingoseam/node/owner_path.hpp
+++ b/flamingoseam/node/owner_path.hpp
@@ -76,6 +76,9 @@
         return quiet_for(time);
     }
 
+    /// Tells whether the owner that was asked last can't be reached at present.
+    [[nodiscard]] bool is_silent() const { return is_silent_; }
+
     /// Tells whether this owner can't be reached at present.
     [[nodiscard]] bool is_silent(const owner_process& owner) const
     {
--- a/flamingoseam/workflow/workflow_permission.cpp
+++ b/flamingoseam/workflow/workflow_permission.cpp
@@ -68,8 +68,7 @@
 std::vector<std::size_t> workflow_state::unasked_workers(const ready_step& step, time_point time)
 {
     auto& permission = step.record().permission;
-    if (permission.outstanding != 0 || permission.next_request > time ||
-        permission.next_search > time) {
+    if (permission.next_search > time) {
         return {};
     }
     std::vector<std::pair<std::int64_t, std::size_t>> by_room;
