Tell what each queue's work asks of the permission service, and what it waits for

Once a second the owner now writes a queue_load line for each queue that waits or asked: steps without an answer and the oldest one's age, calls and their service time, steps that found no lane, runs that yielded, measured against declared run time. placed tells how many calls the step has made. The same as metrics by queue. No decision changes.

--- a/flamingoseam/node/job_owner.cpp
+++ b/flamingoseam/node/job_owner.cpp
@@ -16,7 +16,8 @@
 constexpr milliseconds batch_spacing{4};     ///< Events that come faster are decided on together.
 constexpr milliseconds ended_margin{10'000}; ///< Owners' clocks differ by less.
 constexpr milliseconds directory_wait{10'000};
-constexpr milliseconds directory_pause{250}; ///< Between readings that found a change.
+constexpr milliseconds directory_pause{250};   ///< Between readings that found a change.
+constexpr std::size_t most_queues_logged = 16; ///< In a second, those with the most waiting steps.
 
 } // namespace
 
@@ -335,6 +336,20 @@
     const auto load = meter_.take(state, time, read_processor_times());
     parts_.metrics->set_load(load);
     parts_.log->write(to_event(load));
+    report_queues(time);
+}
+
+void job_owner::report_queues(time_point time)
+{
+    auto queues = state_.take_queue_loads(time);
+    parts_.metrics->set_queues(queues);
+    const auto logged = std::min(queues.size(), most_queues_logged);
+    std::ranges::partial_sort(queues, queues.begin() + static_cast<std::ptrdiff_t>(logged),
+                              std::ranges::greater(), &workflow::queue_load::waiting_steps);
+    queues.resize(logged);
+    for (const auto& one : queues) {
+        parts_.log->write(to_event(one));
+    }
 }
 
 void job_owner::measure(const workflow::workflow_actions& actions, time_point began)
--- a/flamingoseam/node/job_owner.hpp
+++ b/flamingoseam/node/job_owner.hpp
@@ -106,6 +106,7 @@
     void note_step(const step_times& times);
     void note_decisions(const decision_times& times, time_point time);
     void report_load(time_point time);
+    void report_queues(time_point time);
     void set_gauges();
     std::uint64_t keep(owner_service::reply_owner reply);
     void answer_unknown();
--- a/flamingoseam/node/load_line.cpp
+++ b/flamingoseam/node/load_line.cpp
@@ -56,4 +56,25 @@
             }};
 }
 
+log_event to_event(const workflow::queue_load& load)
+{
+    return {.event = "queue_load",
+            .request = {},
+            .detail = load.queue,
+            .fields = {
+                {"priority", load.priority},
+                {"waiting_steps", load.waiting_steps},
+                {"unanswered_steps", load.unanswered_steps},
+                {"oldest_unanswered_ms", load.oldest_unanswered.count()},
+                {"permission_calls", load.permission_calls},
+                {"permission_service_ms", load.permission_service.count()},
+                {"repeated_calls", load.repeated_calls},
+                {"lane_refusals", load.lane_refusals},
+                {"starts", load.starts},
+                {"yielded_runs", load.yielded_runs},
+                {"done_runs", load.done_runs},
+                {"run_time_percent", percent(load.measured_run_time, load.declared_run_time)},
+            }};
+}
+
 } // namespace flamingoseam::node
--- a/flamingoseam/node/load_meter_test.cpp
+++ b/flamingoseam/node/load_meter_test.cpp
@@ -98,6 +98,33 @@
     }
 }
 
+TEST_CASE("the load of a queue as a line of the log")
+{
+    const auto line = to_event(workflow::queue_load{.queue = "reviews",
+                                                    .priority = 2,
+                                                    .waiting_steps = 9,
+                                                    .unanswered_steps = 4,
+                                                    .oldest_unanswered = 1'500ms,
+                                                    .permission_calls = 3,
+                                                    .permission_service = 510ms,
+                                                    .repeated_calls = 1,
+                                                    .lane_refusals = 7,
+                                                    .starts = 12,
+                                                    .yielded_runs = 2,
+                                                    .done_runs = 5,
+                                                    .declared_run_time = 1'000ms,
+                                                    .measured_run_time = 1'900ms});
+    CHECK(line.event == "queue_load");
+    CHECK(line.detail == "reviews");
+    CHECK(field(line, "waiting_steps") == 9);
+    CHECK(field(line, "unanswered_steps") == 4);
+    CHECK(field(line, "oldest_unanswered_ms") == 1'500);
+    CHECK(field(line, "permission_service_ms") == 510);
+    CHECK(field(line, "lane_refusals") == 7);
+    CHECK(field(line, "yielded_runs") == 2);
+    CHECK(field(line, "run_time_percent") == 190);
+}
+
 TEST_CASE("the age of the change that waits longest")
 {
     const time_point begin{};
--- a/flamingoseam/node/node_metrics.cpp
+++ b/flamingoseam/node/node_metrics.cpp
@@ -63,6 +63,18 @@
       repeated_requests_(counter(*registry_, "flamingoseam_repeated_permission_requests_total",
                                  "Permission requests for workers whose tickets had lapsed")
                              .Add({})),
+      queue_calls_(counter(*registry_, "flamingoseam_permission_requests_total",
+                           "Requests to the permission service, by queue")),
+      queue_service_(counter(*registry_, "flamingoseam_permission_service_seconds_total",
+                             "Time that the permission service works on them, by queue")),
+      lane_refusals_(counter(*registry_, "flamingoseam_permission_lane_refusals_total",
+                             "Steps that found no lane for a request, by queue")),
+      yielded_runs_(counter(*registry_, "flamingoseam_yielded_runs_total",
+                            "Runs stopped to make room for gangs, by their queue")),
+      unanswered_(prometheus::BuildGauge()
+                      .Name("flamingoseam_oldest_unanswered_seconds")
+                      .Help("Age of the oldest job whose step has had no answer about permission")
+                      .Register(*registry_)),
       gauges_(prometheus::BuildGauge()
                   .Name("flamingoseam_node")
                   .Help("What is true of this node now, by name")
@@ -151,6 +163,22 @@
     repeated_requests_.Increment(static_cast<double>(state.repeated_requests));
 }
 
+void node_metrics::set_queues(const std::vector<workflow::queue_load>& queues)
+{
+    for (const auto& queue : queues_) {
+        unanswered_.Add({{"queue", queue}}).Set(0);
+    }
+    for (const auto& one : queues) {
+        const prometheus::Labels labels{{"queue", one.queue}};
+        queues_.insert(one.queue);
+        queue_calls_.Add(labels).Increment(static_cast<double>(one.permission_calls));
+        queue_service_.Add(labels).Increment(seconds(one.permission_service));
+        lane_refusals_.Add(labels).Increment(static_cast<double>(one.lane_refusals));
+        yielded_runs_.Add(labels).Increment(static_cast<double>(one.yielded_runs));
+        unanswered_.Add(labels).Set(seconds(one.oldest_unanswered));
+    }
+}
+
 std::string node_metrics::text(std::uint64_t lines_left_out)
 {
     set_gauge("log_lines_left_out", static_cast<double>(lines_left_out));
--- a/flamingoseam/node/node_metrics.hpp
+++ b/flamingoseam/node/node_metrics.hpp
@@ -11,7 +11,9 @@
 #include <prometheus/registry.h>
 
 #include <memory>
+#include <set>
 #include <string>
+#include <vector>
 
 namespace flamingoseam::node {
 
@@ -59,6 +61,10 @@
     void set_owner(const owner_gauges& gauges);
     void set_load(const owner_load& load);
 
+    /// Takes in what the work of each queue asked for in a span; queues that are left out did
+    /// nothing. Complexity: linear in the queues seen so far.
+    void set_queues(const std::vector<workflow::queue_load>& queues);
+
     /// Returns every metric in the text format of Prometheus. `lines_left_out` is the log's.
     [[nodiscard]] std::string text(std::uint64_t lines_left_out);
 
@@ -78,6 +84,12 @@
     prometheus::Family<prometheus::Histogram>& permission_waits_;
     prometheus::Family<prometheus::Histogram>& permission_calls_;
     prometheus::Counter& repeated_requests_;
+    prometheus::Family<prometheus::Counter>& queue_calls_;
+    prometheus::Family<prometheus::Counter>& queue_service_;
+    prometheus::Family<prometheus::Counter>& lane_refusals_;
+    prometheus::Family<prometheus::Counter>& yielded_runs_;
+    prometheus::Family<prometheus::Gauge>& unanswered_;
+    std::set<std::string> queues_; ///< Only used by the owner's control thread.
     prometheus::Family<prometheus::Gauge>& gauges_;
 };
 
--- a/flamingoseam/node/node_metrics_test.cpp
+++ b/flamingoseam/node/node_metrics_test.cpp
@@ -70,6 +70,26 @@
             CHECK_THAT(text, Catch::Contains(line));
         }
     }
+    SECTION("tell what each queue asks of the permission service")
+    {
+        metrics.set_queues({{.queue = "reviews",
+                             .oldest_unanswered = milliseconds(1'500),
+                             .permission_calls = 3,
+                             .permission_service = milliseconds(500),
+                             .lane_refusals = 7,
+                             .yielded_runs = 2}});
+        const auto text = metrics.text(0);
+        for (const auto* line :
+             {"flamingoseam_permission_requests_total{queue=\"reviews\"} 3",
+              "flamingoseam_permission_service_seconds_total{queue=\"reviews\"} 0.5",
+              "flamingoseam_permission_lane_refusals_total{queue=\"reviews\"} 7",
+              "flamingoseam_yielded_runs_total{queue=\"reviews\"} 2",
+              "flamingoseam_oldest_unanswered_seconds{queue=\"reviews\"} 1.5"}) {
+            CHECK_THAT(text, Catch::Contains(line));
+        }
+        metrics.set_queues({});
+        CHECK_THAT(metrics.text(0), Catch::Contains("unanswered_seconds{queue=\"reviews\"} 0"));
+    }
     SECTION("tell what is true now")
     {
         metrics.set_owner({.is_owner = true, .open_jobs = 7, .doubtful_runs = 2});
--- a/flamingoseam/workflow/job_record.hpp
+++ b/flamingoseam/workflow/job_record.hpp
@@ -72,6 +72,9 @@
         return worker < known_.size() && known_[worker];
     }
 
+    /// Tells whether the service has answered about any worker. Complexity: constant.
+    [[nodiscard]] bool has_answer() const { return !known_.empty(); }
+
     /// Tells whether any ticket may be valid until `needed`. Complexity: constant.
     [[nodiscard]] bool has_ticket(time_point needed) const { return needed <= newest_until_; }
 
@@ -82,6 +85,7 @@
     std::uint64_t outstanding = 0; ///< Number of the request under way, 0 for none.
     time_point next_request{};     ///< Not before this after a failed request.
     time_point next_search{};      ///< Not before this when all workers were asked about.
+    int calls = 0;                 ///< Requests made so far.
 
 private:
     [[nodiscard]] std::vector<ticket>::const_iterator find(std::size_t worker) const;
--- a/flamingoseam/workflow/workflow_permission.cpp
+++ b/flamingoseam/workflow/workflow_permission.cpp
@@ -17,12 +17,22 @@
 } // namespace
 
 /// A step asks for one thing at a time, and only while that is worth the service's time.
-bool workflow_state::may_ask(const ready_step& step, time_point time) const
+bool workflow_state::may_ask(const ready_step& step, time_point time)
 {
     const auto& permission = step.record().permission;
     const auto& terms = step.job->terms;
-    return terms.permission && permission.outstanding == 0 && permission.next_request <= time &&
-           permission_budget_.has_lane(terms.permission->service_time(1), time);
+    if (!terms.permission || permission.outstanding != 0 || permission.next_request > time) {
+        return false;
+    }
+    return has_lane(step, terms.permission->service_time(1), time);
+}
+
+/// Tells whether a step may call the permission service for so long, and counts when it may not.
+bool workflow_state::has_lane(const ready_step& step, milliseconds service, time_point time)
+{
+    const bool found = permission_budget_.has_lane(service, time);
+    load_of(*step.job).lane_refusals += found ? 0 : 1;
+    return found;
 }
 
 void workflow_state::ask_for_more(const ready_step& step, const std::vector<candidate>& candidates,
@@ -99,11 +109,16 @@
     }
     workers.resize(std::min(workers.size(), most_workers_asked));
     const auto service = step.job->terms.permission->service_time(workers.size());
-    if (!permission_budget_.has_lane(service, time)) {
+    if (!has_lane(step, service, time)) {
         return false;
     }
     permission_budget_.begin(service, time);
     auto& permission = step.record().permission;
+    ++permission.calls;
+    auto& load = load_of(*step.job);
+    ++load.permission_calls;
+    load.permission_service += service;
+    load.repeated_calls += permission.is_permitted(workers.front()) ? 1 : 0;
     permission_request request{.number = ++last_request_,
                                .job = step.job->spec.id,
                                .step = step.step,
--- /dev/null
+++ b/flamingoseam/workflow/workflow_queue_load.cpp
@@ -0,0 +1,56 @@
+#include "flamingoseam/workflow/workflow_state.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace flamingoseam::workflow {
+
+queue_load& workflow_state::load_of(const job_record& job)
+{
+    auto& load = queue_loads_[job.terms.name];
+    load.queue = job.terms.name;
+    load.priority = job.terms.priority;
+    return load;
+}
+
+/// Counts how long a run took that began from the beginning and is done.
+void workflow_state::note_run_time(const job_record& job, const run_name& name, const held_run& run,
+                                   time_point time)
+{
+    const auto& task = job.steps.at(static_cast<std::size_t>(name.task.step))
+                           .tasks.at(static_cast<std::size_t>(name.task.index));
+    if (!task.checkpoint.empty() || run.state != held_run::knowledge::present) {
+        return;
+    }
+    auto& load = load_of(job);
+    ++load.done_runs;
+    load.declared_run_time += run.estimate;
+    load.measured_run_time += std::chrono::duration_cast<milliseconds>(time - run.confirmed_at);
+}
+
+std::vector<queue_load> workflow_state::take_queue_loads(time_point time)
+{
+    for (const auto& [sequence, job] : open_) {
+        for (std::size_t step = 0; step < job->steps.size(); ++step) {
+            const auto& record = job->steps[step];
+            if (record.waiting() == 0 || !job->is_turn_of(step)) {
+                continue;
+            }
+            auto& load = load_of(*job);
+            ++load.waiting_steps;
+            if (!job->terms.permission || record.permission.has_answer()) {
+                continue;
+            }
+            ++load.unanswered_steps;
+            const auto age = std::chrono::duration_cast<milliseconds>(time - job->received);
+            load.oldest_unanswered = std::max(load.oldest_unanswered, age);
+        }
+    }
+    std::vector<queue_load> loads;
+    for (auto& [queue, load] : std::exchange(queue_loads_, {})) {
+        loads.push_back(std::move(load));
+    }
+    return loads;
+}
+
+} // namespace flamingoseam::workflow
--- a/flamingoseam/workflow/workflow_schedule.cpp
+++ b/flamingoseam/workflow/workflow_schedule.cpp
@@ -223,6 +223,7 @@
         std::vector<log_field> fields;
         if (const auto left = shortest_ticket(step, tasks, time)) {
             fields.push_back({"ticket_left_ms", left->count()});
+            fields.push_back({"permission_calls", step.record().permission.calls});
         }
         note("placed", step.job->spec.id,
              "step " + std::to_string(step.step) + ": " + std::to_string(tasks) + " tasks, " +
@@ -273,6 +274,7 @@
                                .ticket = ticket == nullptr ? "" : ticket->text});
     orders_.note_ordered(name, time);
     ++counts_.starts;
+    ++load_of(job).starts;
 }
 
 } // namespace flamingoseam::workflow
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -10,6 +10,7 @@
 #include "flamingoseam/workflow/open_room.hpp"
 #include "flamingoseam/workflow/order_window.hpp"
 #include "flamingoseam/workflow/permission_budget.hpp"
+#include "flamingoseam/workflow/queue_load.hpp"
 #include "flamingoseam/workflow/ready_queue.hpp"
 #include "flamingoseam/workflow/stored_job.hpp"
 #include "flamingoseam/workflow/work_order.hpp"
@@ -191,6 +192,10 @@
     /// them.
     [[nodiscard]] std::size_t count_overdue(time_point time) const;
 
+    /// Returns what each queue's work waits for and has asked for since the last call, for the
+    /// queues where anything did. Complexity: linear in the open jobs.
+    std::vector<queue_load> take_queue_loads(time_point time);
+
     [[nodiscard]] const change_log& changes() const { return changes_; }
 
     /// Returns the number of unanswered starts that are not ruled out. Complexity: linear in runs.
@@ -262,6 +267,11 @@
     void release_unlocated();
     void note_health(std::size_t worker, const std::string& job, bool failed, time_point time);
 
+    // load of queues
+    queue_load& load_of(const job_record& job);
+    void note_run_time(const job_record& job, const run_name& name, const held_run& run,
+                       time_point time);
+
     // placing
     bool schedule(time_point time);
     void place_step(const ready_step& step, time_point time);
@@ -305,7 +315,8 @@
     bool may_yield(const run_name& name, const held_run& run, const ready_step& gang,
                    time_point time);
     void make_room(const ready_step& gang, const gang_hold& hold, time_point time);
-    [[nodiscard]] bool may_ask(const ready_step& step, time_point time) const;
+    bool may_ask(const ready_step& step, time_point time);
+    bool has_lane(const ready_step& step, milliseconds service, time_point time);
     [[nodiscard]] milliseconds lead_time() const;
     admission_verdict may_admit(const job_spec& spec, const queue_terms& terms, time_point time);
     void look_at_waiting(time_point time);
@@ -362,6 +373,7 @@
     std::set<std::size_t> unreported_; ///< Of an earlier owner's roster.
     workflow_actions actions_;
     workflow_counts counts_;
+    std::map<std::string, queue_load> queue_loads_; ///< Since they were last taken.
     std::uint64_t last_request_ = 0;
     std::uint64_t last_sequence_ = 0;
     bool roster_changed_ = false;
--- a/flamingoseam/workflow/workflow_yield.cpp
+++ b/flamingoseam/workflow/workflow_yield.cpp
@@ -77,6 +77,9 @@
             }
             room += run.size;
             ++counts_.yielded_runs;
+            if (const auto* job = find_job(name.task.job)) {
+                ++load_of(*job).yielded_runs;
+            }
             note("run_yields", name.task.job, to_string(name) + " to " + gang.job->spec.id);
             want_stop(worker, name, run);
         }
