Show that reviews wait for permission behind gangs that ask again and again

The earlier replay had 48 workers, all of which a gang knows after two calls: so it could not show this. The play of the owner, its workers and its lanes has moved from the test of the queue to tests/, unchanged but for its sizes and what it records.

--- a/flamingoseam/workflow/permission_queue_test.cpp
+++ b/flamingoseam/workflow/permission_queue_test.cpp
@@ -1,29 +1,21 @@
 #include "flamingoseam/workflow/permission_queue.hpp"
 
-#include "flamingoseam/workflow/workflow_state.hpp"
+#include "tests/permission_play.hpp"
 
 #include <catch2/catch.hpp>
 
 #include <algorithm>
-#include <map>
-#include <random>
 
 using namespace flamingoseam;
 using namespace flamingoseam::workflow;
 
 namespace {
 
-constexpr wall_time wall{1'000'000};
 constexpr std::size_t workers = 48;
 constexpr std::size_t lanes = 8;
 constexpr milliseconds step{10};
 constexpr std::int64_t worker_cpus = 64'000;
 
-std::string worker_id(std::size_t worker)
-{
-    return "w" + std::to_string(worker);
-}
-
 std::string job_id(int number)
 {
     return std::string(14, '0') + std::to_string(100 + number).substr(1);
@@ -53,173 +45,6 @@
                        .estimate = milliseconds(60'000)}}};
 }
 
-/// An owner with its workers and its lanes to the permission service, in simulated time.
-class permission_play {
-public:
-    permission_play()
-    {
-        std::vector<worker_entry> entries;
-        for (std::size_t worker = 0; worker < workers; ++worker) {
-            entries.push_back({.id = worker_id(worker),
-                               .life = 1,
-                               .service = "service",
-                               .address = {"127.0.0.1", 1},
-                               .capacity = {.milli_cpus = worker_cpus, .memory_mb = 100'000}});
-        }
-        state_.set_permission_lanes(lanes);
-        state_.on_worker_list(entries, time_);
-        for (std::size_t worker = 0; worker < workers; ++worker) {
-            state_.on_report(worker, {.life = 1}, time_, wall);
-        }
-        store();
-    }
-
-    /// Submits a job whose tasks run for so long.
-    void submit(const job_spec& spec, const queue_terms& terms, milliseconds length)
-    {
-        submitted_[spec.id] = {time_, length};
-        state_.submit(1, spec, terms, time_, wall);
-        store();
-    }
-
-    void play(milliseconds length)
-    {
-        for (const auto end = time_ + length; time_ < end;) {
-            time_ += step;
-            end_runs();
-            answer();
-            pump();
-        }
-    }
-
-    void cancel(const std::string& id)
-    {
-        state_.cancel(1, id, wall);
-        store();
-    }
-
-    [[nodiscard]] time_point time() const { return time_; }
-    [[nodiscard]] int requests_out() const { return requests_out_; }
-    [[nodiscard]] int answered() const { return answered_; }
-
-    /// Returns when a job's first task was started, none when it still waits.
-    [[nodiscard]] std::optional<time_point> begun(const std::string& id) const
-    {
-        const auto found = begun_.find(id);
-        return found == begun_.end() ? std::nullopt : std::optional(found->second);
-    }
-
-    [[nodiscard]] milliseconds waited(const std::string& id) const
-    {
-        return std::chrono::duration_cast<milliseconds>(begun(id).value_or(time_) -
-                                                        submitted_.at(id).first);
-    }
-
-private:
-    struct call {
-        time_point end;
-        permission_request request;
-    };
-
-    void pump()
-    {
-        state_.tick(time_);
-        auto actions = state_.take_actions();
-        for (auto& order : actions.starts) {
-            begun_.try_emplace(order.name.task.job, time_);
-            state_.on_start(order.worker, order.name, start_outcome::started, time_);
-            const auto end = time_ + submitted_.at(order.name.task.job).second;
-            running_.push_back({end, std::move(order)});
-        }
-        for (auto& request : actions.permissions) {
-            ++requests_out_;
-            queue_.add(std::move(request));
-        }
-        for (const auto number : actions.withdrawn_permissions) {
-            --requests_out_;
-            queue_.drop(number);
-        }
-        while (calls_.size() < lanes) {
-            auto request = queue_.take(lanes, time_);
-            if (!request) {
-                break;
-            }
-            calls_.push_back({time_ + request->service_time, std::move(*request)});
-        }
-        store();
-    }
-
-    void end_runs()
-    {
-        std::map<std::size_t, worker_report> reports;
-        for (auto& [end, order] : std::exchange(running_, {})) {
-            if (end > time_) {
-                running_.emplace_back(end, std::move(order));
-                continue;
-            }
-            reports[order.worker].ended.push_back(
-                {.number = ++last_end_[order.worker], .name = order.name});
-        }
-        for (const auto& [end, order] : running_) {
-            const auto report = reports.find(order.worker);
-            if (report != reports.end()) {
-                report->second.present.push_back({.name = order.name, .percent = 1});
-            }
-        }
-        for (auto& [worker, report] : reports) {
-            report.life = 1;
-            report.asked = time_;
-            state_.on_report(worker, report, time_, wall);
-        }
-    }
-
-    void answer()
-    {
-        for (auto& one : std::exchange(calls_, {})) {
-            if (one.end > time_) {
-                calls_.push_back(std::move(one));
-                continue;
-            }
-            queue_.finish(one.request);
-            ++answered_;
-            --requests_out_;
-            state_.on_permission(one.request.number, grants_of(one.request), time_);
-        }
-    }
-
-    /// Three in ten workers may run a step, always the same ones.
-    static std::vector<ticket_grant> grants_of(const permission_request& request)
-    {
-        std::vector<ticket_grant> grants;
-        for (const auto& worker : request.workers) {
-            std::mt19937_64 draw(std::hash<std::string>()(request.job + worker));
-            if (std::bernoulli_distribution(0.3)(draw)) {
-                grants.push_back({worker, "ticket"});
-            }
-        }
-        return grants;
-    }
-
-    void store()
-    {
-        while (state_.has_changes(0, time_)) {
-            state_.take_batch(0, 30, time_, wall);
-            state_.on_stored(0);
-        }
-    }
-
-    workflow_state state_{{.epoch = 2}};
-    permission_queue queue_;
-    time_point time_{std::chrono::hours(1)};
-    std::vector<call> calls_;
-    int answered_ = 0;
-    int requests_out_ = 0; ///< As the owner knows them.
-    std::map<std::string, std::pair<time_point, milliseconds>> submitted_;
-    std::map<std::string, time_point> begun_;
-    std::vector<std::pair<time_point, start_order>> running_; ///< By when they end.
-    std::map<std::size_t, std::int64_t> last_end_;
-};
-
 constexpr int gangs = 30;
 constexpr milliseconds gang_length{500};
 
--- /dev/null
+++ b/flamingoseam/workflow/permission_share_test.cpp
@@ -0,0 +1,135 @@
+#include "tests/permission_play.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <cstdio>
+
+using namespace flamingoseam;
+using namespace flamingoseam::workflow;
+
+namespace {
+
+constexpr std::size_t workers = 350;
+constexpr std::int64_t worker_cpus = 64'000;
+constexpr milliseconds tick{50};
+
+const permission_terms gang_advice{fractional_ms(442), fractional_ms(6.37), milliseconds(2'000)};
+const permission_terms review_advice{fractional_ms(104), fractional_ms(1.43), milliseconds(2'000)};
+
+/// What one queue hands in.
+struct queue_of_work {
+    queue_terms terms;
+    char letter = 'a'; ///< Begins the jobs' ids.
+    int tasks = 1;
+    std::int64_t milli_cpus = 0;
+    milliseconds estimate{0};
+    bool gang = false;
+};
+
+const queue_of_work other_work{.terms = {.name = "others", .service = "service", .priority = 0},
+                               .letter = 'f',
+                               .tasks = 1,
+                               .milli_cpus = worker_cpus,
+                               .estimate = milliseconds(60'000)};
+const queue_of_work batches{.terms = {.name = "batches",
+                                      .service = "service",
+                                      .priority = 1,
+                                      .most_attempts = 3,
+                                      .stretch = 2.2,
+                                      .target = milliseconds(1'000),
+                                      .permission = gang_advice},
+                            .letter = 'b',
+                            .tasks = 20,
+                            .milli_cpus = 18'000,
+                            .estimate = milliseconds(4'000),
+                            .gang = true};
+const queue_of_work reviews{.terms = {.name = "reviews",
+                                      .service = "service",
+                                      .priority = 2,
+                                      .most_attempts = 2,
+                                      .stretch = 4,
+                                      .target = milliseconds(3'000),
+                                      .permission = review_advice},
+                            .letter = 'c',
+                            .tasks = 25,
+                            .milli_cpus = 6'900,
+                            .estimate = milliseconds(2'200)};
+
+std::string job_id(const queue_of_work& queue, int number)
+{
+    char id[17];
+    std::snprintf(id, sizeof id, "%c%015d", queue.letter, number);
+    return id;
+}
+
+void submit(permission_play& play, const queue_of_work& queue, int number, milliseconds length)
+{
+    job_spec job{.id = job_id(queue, number), .queue = queue.terms.name, .payload = {}};
+    job.steps.push_back({.tasks = queue.tasks,
+                         .size = {.milli_cpus = queue.milli_cpus, .memory_mb = 1},
+                         .estimate = queue.estimate,
+                         .gang = queue.gang});
+    play.submit(job, queue.terms, length);
+}
+
+/// Fills all workers with work that takes so long.
+void fill_workers(permission_play& play, milliseconds length)
+{
+    for (std::size_t worker = 0; worker < workers; ++worker) {
+        submit(play, other_work, static_cast<int>(worker), length);
+    }
+    play.play(tick);
+}
+
+} // namespace
+
+// Issue 19: reviews waited 13 s for their first answer while batches asked again and again. Reviews
+// need 3 of the 30 lanes, so a call waits for one long call that is under way; twice that.
+TEST_CASE("a queue gets its share of the permission service while gangs of another wait")
+{
+    permission_play play({.workers = workers, .lanes = 30});
+    fill_workers(play, milliseconds(20'000));
+    constexpr int seconds = 10;
+    constexpr int batches_per_second = 10;
+    constexpr int reviews_per_second = 20;
+    int batch = 0;
+    int review = 0;
+    for (int second = 0; second < seconds; ++second) {
+        for (int part = 0; part < reviews_per_second; ++part) {
+            if (part < batches_per_second) {
+                submit(play, batches, batch++, milliseconds(4'000));
+            }
+            submit(play, reviews, review++, milliseconds(2'200));
+            play.play(milliseconds(1'000) / reviews_per_second);
+        }
+    }
+    const auto limit = 2 * gang_advice.service_time(100) + review_advice.service_time(100);
+    play.play(limit);
+    milliseconds longest{0};
+    for (int number = 0; number < review; ++number) {
+        longest = std::max(longest, play.unanswered(job_id(reviews, number)));
+    }
+    CHECK(longest <= limit);
+}
+
+// Issue 19: each of several hundred workers was asked about for every gang that waited for room.
+// One call tells where a gang may run, a second one gets the tickets once room has come.
+TEST_CASE("a gang that waits for room asks no more than it gains by")
+{
+    permission_play play({.workers = workers, .lanes = 30});
+    constexpr milliseconds until_room{8'000};
+    constexpr int gangs = 10;
+    fill_workers(play, until_room);
+    for (int number = 0; number < gangs; ++number) {
+        submit(play, batches, number, milliseconds(4'000));
+    }
+    play.play(until_room + 3 * gang_advice.service_time(100));
+    int calls = 0;
+    for (int number = 0; number < gangs; ++number) {
+        INFO("gang " << number);
+        CHECK(play.begun(job_id(batches, number)).has_value());
+        calls += play.answered(job_id(batches, number));
+    }
+    CHECK(calls <= 2 * gangs);
+}
--- /dev/null
+++ b/tests/permission_play.cpp
@@ -0,0 +1,174 @@
+#include "tests/permission_play.hpp"
+
+#include <algorithm>
+#include <functional>
+#include <random>
+
+namespace flamingoseam::workflow {
+
+namespace {
+
+constexpr wall_time wall{1'000'000};
+constexpr milliseconds step{10};
+
+} // namespace
+
+permission_play::permission_play(permission_play_options options) : options_(options)
+{
+    std::vector<worker_entry> entries;
+    for (std::size_t worker = 0; worker < options_.workers; ++worker) {
+        entries.push_back({.id = "w" + std::to_string(worker),
+                           .life = 1,
+                           .service = "service",
+                           .address = {"127.0.0.1", 1},
+                           .capacity = {.milli_cpus = options_.milli_cpus, .memory_mb = 100'000}});
+    }
+    state_.set_permission_lanes(options_.lanes);
+    state_.on_worker_list(entries, time_);
+    for (std::size_t worker = 0; worker < options_.workers; ++worker) {
+        state_.on_report(worker, {.life = 1}, time_, wall);
+    }
+    store();
+}
+
+void permission_play::submit(const job_spec& spec, const queue_terms& terms, milliseconds length)
+{
+    submitted_[spec.id] = {.time = time_, .length = length, .first_answer = {}};
+    state_.submit(1, spec, terms, time_, wall);
+    store();
+}
+
+void permission_play::cancel(const std::string& id)
+{
+    state_.cancel(1, id, wall);
+    store();
+}
+
+void permission_play::play(milliseconds length)
+{
+    for (const auto end = time_ + length; time_ < end;) {
+        time_ += step;
+        end_runs();
+        answer();
+        pump();
+    }
+}
+
+int permission_play::answered(const std::string& id) const
+{
+    return submitted_.at(id).answered;
+}
+
+std::optional<time_point> permission_play::begun(const std::string& id) const
+{
+    const auto found = begun_.find(id);
+    return found == begun_.end() ? std::nullopt : std::optional(found->second);
+}
+
+milliseconds permission_play::waited(const std::string& id) const
+{
+    return since_submitted(id, begun(id));
+}
+
+milliseconds permission_play::unanswered(const std::string& id) const
+{
+    return since_submitted(id, submitted_.at(id).first_answer);
+}
+
+milliseconds permission_play::since_submitted(const std::string& id,
+                                              std::optional<time_point> until) const
+{
+    return std::chrono::duration_cast<milliseconds>(until.value_or(time_) - submitted_.at(id).time);
+}
+
+void permission_play::pump()
+{
+    state_.tick(time_);
+    auto actions = state_.take_actions();
+    for (auto& order : actions.starts) {
+        begun_.try_emplace(order.name.task.job, time_);
+        state_.on_start(order.worker, order.name, start_outcome::started, time_);
+        const auto end = time_ + submitted_.at(order.name.task.job).length;
+        running_.push_back({end, std::move(order)});
+    }
+    for (auto& request : actions.permissions) {
+        ++requests_out_;
+        queue_.add(std::move(request));
+    }
+    for (const auto number : actions.withdrawn_permissions) {
+        --requests_out_;
+        queue_.drop(number);
+    }
+    while (calls_.size() < options_.lanes) {
+        auto request = queue_.take(options_.lanes, time_);
+        if (!request) {
+            break;
+        }
+        calls_.push_back({time_ + request->service_time, std::move(*request)});
+    }
+    store();
+}
+
+void permission_play::end_runs()
+{
+    std::map<std::size_t, worker_report> reports;
+    for (auto& [end, order] : std::exchange(running_, {})) {
+        if (end > time_) {
+            running_.emplace_back(end, std::move(order));
+            continue;
+        }
+        reports[order.worker].ended.push_back(
+            {.number = ++last_end_[order.worker], .name = order.name});
+    }
+    for (const auto& [end, order] : running_) {
+        const auto report = reports.find(order.worker);
+        if (report != reports.end()) {
+            report->second.present.push_back({.name = order.name, .percent = 1});
+        }
+    }
+    for (auto& [worker, report] : reports) {
+        report.life = 1;
+        report.asked = time_;
+        state_.on_report(worker, report, time_, wall);
+    }
+}
+
+void permission_play::answer()
+{
+    for (auto& one : std::exchange(calls_, {})) {
+        if (one.end > time_) {
+            calls_.push_back(std::move(one));
+            continue;
+        }
+        queue_.finish(one.request);
+        ++answered_;
+        --requests_out_;
+        auto& job = submitted_.at(one.request.job);
+        ++job.answered;
+        job.first_answer = job.first_answer.value_or(time_);
+        state_.on_permission(one.request.number, grants_of(one.request), time_);
+    }
+}
+
+/// A step may always run on the same workers.
+std::vector<ticket_grant> permission_play::grants_of(const permission_request& request) const
+{
+    std::vector<ticket_grant> grants;
+    for (const auto& worker : request.workers) {
+        std::mt19937_64 draw(std::hash<std::string>()(request.job + worker));
+        if (std::bernoulli_distribution(options_.permitted_share)(draw)) {
+            grants.push_back({worker, "ticket"});
+        }
+    }
+    return grants;
+}
+
+void permission_play::store()
+{
+    while (state_.has_changes(0, time_)) {
+        state_.take_batch(0, 30, time_, wall);
+        state_.on_stored(0);
+    }
+}
+
+} // namespace flamingoseam::workflow
