--- a/flamingoseam/workflow/workflow_queue_load.cpp
+++ b/flamingoseam/workflow/workflow_queue_load.cpp
@@ -13,19 +13,25 @@
     return load;
 }
 
-/// Counts how long a run took that began from the beginning and is done.
-void workflow_state::note_run_time(const job_record& job, const run_name& name, const held_run& run,
-                                   time_point time)
+/// Counts how long a run took that began from the beginning and is done. A job that has ended keeps
+/// no tasks, so its runs tell nothing.
+void workflow_state::note_run_time(std::size_t worker, const ended_run& end, time_point time)
 {
-    const auto& task = job.steps.at(static_cast<std::size_t>(name.task.step))
-                           .tasks.at(static_cast<std::size_t>(name.task.index));
-    if (!task.checkpoint.empty() || run.state != held_run::knowledge::present) {
+    const auto* job = find_job(end.name.task.job);
+    const auto* run = fleet_.find_run(worker, end.name);
+    if (end.how != run_end::done || job == nullptr || is_final(job->phase) || run == nullptr ||
+        !run->is_sized || run->state != held_run::knowledge::present) {
         return;
     }
-    auto& load = load_of(job);
+    const auto& task = job->steps.at(static_cast<std::size_t>(end.name.task.step))
+                           .tasks.at(static_cast<std::size_t>(end.name.task.index));
+    if (!task.checkpoint.empty()) {
+        return;
+    }
+    auto& load = load_of(*job);
     ++load.done_runs;
-    load.declared_run_time += run.estimate;
-    load.measured_run_time += std::chrono::duration_cast<milliseconds>(time - run.confirmed_at);
+    load.declared_run_time += run->estimate;
+    load.measured_run_time += std::chrono::duration_cast<milliseconds>(time - run->confirmed_at);
 }
 
 std::vector<queue_load> workflow_state::take_queue_loads(time_point time)
--- a/flamingoseam/workflow/workflow_reports.cpp
+++ b/flamingoseam/workflow/workflow_reports.cpp
@@ -112,13 +112,10 @@
     one.last_end = end.number;
     one.open_ends.emplace(end.number, false);
     const auto life = one.entry.life;
-    auto* job = find_job(end.name.task.job);
-    const auto* run = fleet_.find_run(worker, end.name);
-    if (job != nullptr && run != nullptr && run->is_sized && end.how == run_end::done) {
-        note_run_time(*job, end.name, *run, time);
-    }
+    note_run_time(worker, end, time);
     fleet_.release(worker, end.name);
     pass_wanted_ = true;
+    auto* job = find_job(end.name.task.job);
     if (job == nullptr) {
         settle(worker, life, end.number);
         return;
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -269,8 +269,7 @@
 
     // load of queues
     queue_load& load_of(const job_record& job);
-    void note_run_time(const job_record& job, const run_name& name, const held_run& run,
-                       time_point time);
+    void note_run_time(std::size_t worker, const ended_run& end, time_point time);
 
     // placing
     bool schedule(time_point time);
--- a/flamingoseam/workflow/workflow_state_test.cpp
+++ b/flamingoseam/workflow/workflow_state_test.cpp
@@ -176,3 +176,33 @@
         CHECK(actions.starts.empty());
     }
 }
+
+TEST_CASE("the load of a queue tells how long its runs took")
+{
+    driven_state one;
+    one.make_usable();
+    one.submit(one.job("fedcba9876543210", 1'000));
+    const auto first = one.next().starts;
+    REQUIRE(first.size() == 1);
+    one.state.on_start(0, first[0].name, start_outcome::started, one.time);
+    one.state.on_report(0, {.life = 1, .present = {{.name = first[0].name}}}, one.time, wall);
+    const worker_report ended{
+        .life = 1, .present = {}, .ended = {{.number = 1, .name = first[0].name}}};
+
+    SECTION("from their beginning to their end")
+    {
+        one.state.on_report(0, ended, one.time + milliseconds(1'500), wall);
+        const auto loads = one.state.take_queue_loads(one.time);
+        REQUIRE(loads.size() == 1);
+        CHECK(loads[0].starts == 1);
+        CHECK(loads[0].done_runs == 1);
+        CHECK(loads[0].measured_run_time == milliseconds(1'500));
+        CHECK(one.state.take_queue_loads(one.time).empty());
+    }
+    SECTION("but not of a job that was cancelled meanwhile")
+    {
+        one.state.cancel(2, "fedcba9876543210", wall);
+        one.state.on_report(0, ended, one.time + milliseconds(1'500), wall);
+        CHECK(one.state.take_queue_loads(one.time)[0].done_runs == 0);
+    }
+}
