Share the lanes for long permission calls among the queues

Cause: the service's time for long calls was handed out by priority alone. Class of fault: strict priority on a scarce resource, without a share kept for those behind.

Now each queue with calls has a share of the lanes: half as much for the second by priority as for the first, a third for the third.

Batches pay for it: the service's time is short for both.

--- a/flamingoseam/workflow/messages.hpp
+++ b/flamingoseam/workflow/messages.hpp
@@ -135,6 +135,7 @@
     std::uint64_t number = 0;
     std::string job;
     int step = 0;
+    std::string queue; ///< Of the job; not passed on to other nodes.
     urgency order;
     std::vector<std::string> workers;
     milliseconds service_time{0}; ///< How long the permission service works on it.
--- a/flamingoseam/workflow/permission_budget.cpp
+++ b/flamingoseam/workflow/permission_budget.cpp
@@ -11,23 +11,25 @@
 constexpr std::size_t lanes_per_reserved = 4;
 constexpr std::size_t always_reserved = 1; ///< For the first short call after a pause.
 
-bool is_long(milliseconds service_time)
+} // namespace
+
+bool permission_budget::is_long(milliseconds service_time)
 {
     return service_time >= long_call;
 }
 
-} // namespace
-
-bool permission_budget::has_lane(milliseconds service_time, time_point time) const
+std::size_t permission_budget::lanes_for_long(time_point time) const
 {
-    if (!is_long(service_time)) {
-        return true;
-    }
     const bool expects_short =
         last_short_call_ != time_point{} && time < last_short_call_ + short_calls_expected;
     const auto reserved =
         expects_short ? (lanes_ + lanes_per_reserved - 1) / lanes_per_reserved : always_reserved;
-    return long_calls_ < std::max<std::size_t>(1, lanes_ - std::min(lanes_, reserved));
+    return std::max<std::size_t>(1, lanes_ - std::min(lanes_, reserved));
+}
+
+bool permission_budget::has_lane(milliseconds service_time, time_point time) const
+{
+    return !is_long(service_time) || long_calls_ < lanes_for_long(time);
 }
 
 void permission_budget::begin(milliseconds service_time, time_point time)
--- a/flamingoseam/workflow/permission_budget.hpp
+++ b/flamingoseam/workflow/permission_budget.hpp
@@ -13,6 +13,12 @@
 public:
     void set_lanes(std::size_t lanes) { lanes_ = lanes; }
 
+    /// Tells whether calls of such a service time are long. Complexity: constant.
+    [[nodiscard]] static bool is_long(milliseconds service_time);
+
+    /// Returns how many lanes long calls may take now. Complexity: constant.
+    [[nodiscard]] std::size_t lanes_for_long(time_point time) const;
+
     /// Tells whether one more call of such a service time finds a lane, or soon will: short calls
     /// always do. Complexity: constant.
     [[nodiscard]] bool has_lane(milliseconds service_time, time_point time) const;
--- /dev/null
+++ b/flamingoseam/workflow/permission_shares_test.cpp
@@ -0,0 +1,66 @@
+#include "flamingoseam/workflow/permission_shares.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace flamingoseam;
+using namespace flamingoseam::workflow;
+
+namespace {
+
+constexpr std::size_t lanes = 6;
+constexpr int urgent = 1;
+constexpr int patient = 2;
+const time_point time_now{std::chrono::hours(1)};
+
+void begin(permission_shares& shares, const std::string& queue, int calls)
+{
+    for (int call = 0; call < calls; ++call) {
+        shares.begin(queue);
+    }
+}
+
+} // namespace
+
+TEST_CASE("the lanes for long calls are shared among the queues")
+{
+    permission_shares shares;
+    REQUIRE(shares.may_begin("batches", urgent, lanes, time_now));
+
+    SECTION("one queue may use all of them while no other wants any")
+    {
+        begin(shares, "batches", lanes - 1);
+        CHECK(shares.may_begin("batches", urgent, lanes, time_now));
+    }
+    SECTION("a queue that has its share gets no more while another one wants its own")
+    {
+        begin(shares, "batches", 4);
+        REQUIRE(shares.may_begin("reviews", patient, lanes, time_now));
+        shares.note_refused("reviews", time_now);
+        CHECK_FALSE(shares.may_begin("batches", urgent, lanes, time_now));
+
+        SECTION("until that one has found a lane")
+        {
+            shares.begin("reviews");
+            CHECK(shares.may_begin("batches", urgent, lanes, time_now));
+        }
+        SECTION("until that one has not looked for a lane for long")
+        {
+            CHECK(shares.may_begin("batches", urgent, lanes, time_now + milliseconds(1'100)));
+        }
+        SECTION("until enough of its calls have ended")
+        {
+            shares.end("batches");
+            CHECK(shares.may_begin("batches", urgent, lanes, time_now));
+        }
+    }
+    SECTION("the more urgent of two has two thirds of them, the other one third")
+    {
+        REQUIRE(shares.may_begin("reviews", patient, lanes, time_now));
+        begin(shares, "batches", 3);
+        begin(shares, "reviews", 2);
+        shares.note_refused("batches", time_now);
+        CHECK_FALSE(shares.may_begin("reviews", patient, lanes, time_now));
+        shares.note_refused("reviews", time_now);
+        CHECK(shares.may_begin("batches", urgent, lanes, time_now));
+    }
+}
--- a/flamingoseam/workflow/workflow_permission.cpp
+++ b/flamingoseam/workflow/workflow_permission.cpp
@@ -26,12 +26,41 @@
     return has_lane(step, terms.permission->service_time(1), time);
 }
 
-/// Tells whether a step may call the permission service for so long, and counts when it may not.
+/// Tells whether a step may call the permission service for so long. The share of the lanes that it
+/// does not get is kept for its queue only while it has no answer at all.
 bool workflow_state::has_lane(const ready_step& step, milliseconds service, time_point time)
 {
-    const bool found = permission_budget_.has_lane(service, time);
-    load_of(*step.job).lane_refusals += found ? 0 : 1;
-    return found;
+    const auto& queue = step.job->terms.name;
+    const int priority = step.job->terms.priority;
+    const bool is_long = permission_budget::is_long(service);
+    const auto lanes = permission_budget_.lanes_for_long(time);
+    const bool found = permission_budget_.has_lane(service, time) &&
+                       (!is_long || permission_shares_.may_begin(queue, priority, lanes, time));
+    if (found) {
+        return true;
+    }
+    ++load_of(*step.job).lane_refusals;
+    if (!step.record().permission.has_answer()) {
+        permission_shares_.note_refused(queue, time);
+    }
+    return false;
+}
+
+/// Takes a lane for a call, or gives it back.
+void workflow_state::begin_call(const permission_request& request, time_point time)
+{
+    permission_budget_.begin(request.service_time, time);
+    if (permission_budget::is_long(request.service_time)) {
+        permission_shares_.begin(request.queue);
+    }
+}
+
+void workflow_state::end_call(const permission_request& request)
+{
+    permission_budget_.end(request.service_time);
+    if (permission_budget::is_long(request.service_time)) {
+        permission_shares_.end(request.queue);
+    }
 }
 
 void workflow_state::ask_for_more(const ready_step& step, const std::vector<candidate>& candidates,
@@ -170,6 +199,7 @@
     permission_request request{.number = ++last_request_,
                                .job = step.job->spec.id,
                                .step = step.step,
+                               .queue = step.job->terms.name,
                                .order = urgency_of(*step.job),
                                .workers = {},
                                .service_time = service,
@@ -177,7 +207,7 @@
     for (const auto worker : workers) {
         request.workers.push_back(fleet_.at(worker).entry.id);
     }
-    permission_budget_.begin(service, time);
+    begin_call(request, time);
     permission.outstanding = request.number;
     ++counts_.permission_requests;
     requests_.emplace(request.number, request);
@@ -199,7 +229,7 @@
         if (step != nullptr) {
             step->permission.outstanding = 0;
         }
-        permission_budget_.end(request.service_time);
+        end_call(request);
         actions_.withdrawn_permissions.push_back(request.number);
         return true;
     });
@@ -213,7 +243,7 @@
     if (request.empty()) {
         return;
     }
-    permission_budget_.end(request.mapped().service_time);
+    end_call(request.mapped());
     pass_wanted_ = true;
     auto* job = find_job(request.mapped().job);
     if (job == nullptr || is_final(job->phase)) {
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -10,6 +10,7 @@
 #include "flamingoseam/workflow/open_room.hpp"
 #include "flamingoseam/workflow/order_window.hpp"
 #include "flamingoseam/workflow/permission_budget.hpp"
+#include "flamingoseam/workflow/permission_shares.hpp"
 #include "flamingoseam/workflow/queue_load.hpp"
 #include "flamingoseam/workflow/ready_queue.hpp"
 #include "flamingoseam/workflow/stored_job.hpp"
@@ -317,6 +318,8 @@
     void make_room(const ready_step& gang, const gang_hold& hold, time_point time);
     bool may_ask(const ready_step& step, time_point time);
     bool has_lane(const ready_step& step, milliseconds service, time_point time);
+    void begin_call(const permission_request& request, time_point time);
+    void end_call(const permission_request& request);
     [[nodiscard]] milliseconds lead_time() const;
     admission_verdict may_admit(const job_spec& spec, const queue_terms& terms, time_point time);
     void look_at_waiting(time_point time);
@@ -372,6 +375,7 @@
     std::map<const job_record*, waiters> waiters_;
     std::map<std::uint64_t, permission_request> requests_; ///< Under way.
     permission_budget permission_budget_;
+    permission_shares permission_shares_;         ///< Of the lanes for long calls.
     std::multimap<wall_time, std::string> ended_; ///< For the end of their retention.
     std::vector<std::string> removals_;           ///< Keys that the store may drop.
     std::set<std::size_t> batch_roster_;
