--- a/flamingoseam/workflow/placing.hpp
+++ b/flamingoseam/workflow/placing.hpp
@@ -2,10 +2,13 @@
 
 #include "flamingoseam/workflow/work_order.hpp"
 
+#include <cstddef>
+
 namespace flamingoseam::workflow::detail {
 
 /// What the placing of single tasks and of gangs share.
-inline constexpr milliseconds ticket_use_margin{60}; ///< A start needs this long to arrive.
+inline constexpr milliseconds ticket_use_margin{60};   ///< A start needs this long to arrive.
+inline constexpr std::size_t most_workers_asked = 100; ///< The permission service takes no more.
 inline constexpr double waits_for_rack =
     2.0; ///< Estimates that a step waits for its preferred rack.
 
--- a/flamingoseam/workflow/workflow_schedule.cpp
+++ b/flamingoseam/workflow/workflow_schedule.cpp
@@ -18,8 +18,6 @@
 constexpr std::int64_t urgent_per_worker = 4;
 constexpr std::int64_t others_per_worker = 2;
 constexpr std::int64_t least_examined = 500; ///< For each of both, however few workers there are.
-constexpr milliseconds least_search_pause{400};
-constexpr std::size_t searches_per_pause = 100; ///< Of all waiting steps together.
 
 } // namespace
 
@@ -74,14 +72,6 @@
     }
 }
 
-/// Returns how long a step that found no worker in the whole fleet waits until it searches again.
-/// It grows with the steps that wait, so that their searches leave time for others.
-milliseconds workflow_state::pause_after_vain_search() const
-{
-    const auto pauses = std::max<std::size_t>(1, waiting_steps_ / searches_per_pause);
-    return least_search_pause * static_cast<int>(pauses);
-}
-
 /// Tells whether it is of use to look at a step: one without a ticket whose request is under way
 /// can neither start nor ask.
 bool workflow_state::can_gain(const ready_step& step, time_point time) const
