Find the weights of the queues once a change, and forget queues that ask no more

By reading the diff: the sharing looked at all pairs of queues for each step that asked, and kept every queue's name as long as the owner lived. With 660 teams that is 400,000 looks a step. Now the weights are found anew when the set of queues changes, a query is linear in the queues that have asked in the last second, and the others are forgotten.

--- a/flamingoseam/workflow/permission_shares.cpp
+++ b/flamingoseam/workflow/permission_shares.cpp
@@ -1,6 +1,7 @@
 #include "flamingoseam/workflow/permission_shares.hpp"
 
 #include <algorithm>
+#include <map>
 
 namespace flamingoseam::workflow {
 
@@ -8,53 +9,85 @@
 
 /// A queue whose turn to look for a lane comes less often than this has no share kept for it.
 constexpr milliseconds want_kept{1'000};
+constexpr milliseconds between_forgetting{250};
 
 } // namespace
 
-/// Returns the weight of a queue that stands behind the active ones of lower priority numbers.
-double permission_shares::weight_of(const use& one, time_point time) const
+/// Leaves out the queues that neither call nor have asked lately.
+void permission_shares::forget_idle(time_point time)
 {
-    const auto before = std::ranges::count_if(queues_, [&](const auto& row) {
-        return row.second.is_active(time) && row.second.priority < one.priority;
+    if (time < next_forget_) {
+        return;
+    }
+    next_forget_ = time + between_forgetting;
+    const auto forgotten = std::erase_if(queues_, [time](const auto& row) {
+        return row.second.calls == 0 && row.second.kept_until <= time;
     });
-    return 1.0 / static_cast<double>(1 + before);
+    changed_ = changed_ || forgotten > 0;
 }
 
-bool permission_shares::has_share(const use& one, double whole, std::size_t lanes,
-                                  time_point time) const
+/// Gives each queue its weight, by how many queues come before it.
+void permission_shares::weigh()
 {
-    const auto share = static_cast<double>(lanes) * weight_of(one, time) / whole;
+    std::map<int, int> queues_of;
+    for (const auto& [name, one] : queues_) {
+        ++queues_of[one.priority];
+    }
+    std::map<int, double> weight_of;
+    int before = 0;
+    for (const auto& [priority, count] : queues_of) {
+        weight_of[priority] = 1.0 / (1 + before);
+        before += count;
+    }
+    whole_ = 0;
+    for (auto& [name, one] : queues_) {
+        one.weight = weight_of.at(one.priority);
+        whole_ += one.weight;
+    }
+    changed_ = false;
+}
+
+bool permission_shares::has_share(const use& one, std::size_t lanes) const
+{
+    const auto share = static_cast<double>(lanes) * one.weight / whole_;
     return static_cast<double>(one.calls) >= std::max(1.0, share);
 }
 
 bool permission_shares::may_begin(const std::string& queue, int priority, std::size_t lanes,
                                   time_point time)
 {
-    auto& own = queues_[queue];
+    forget_idle(time);
+    const auto [place, is_new] = queues_.try_emplace(queue);
+    auto& own = place->second;
+    changed_ = changed_ || is_new || own.priority != priority;
     own.priority = priority;
-    double whole = 0;
-    for (const auto& [name, one] : queues_) {
-        whole += &one == &own || one.is_active(time) ? weight_of(one, time) : 0;
+    own.kept_until = time + want_kept;
+    if (changed_) {
+        weigh();
     }
-    if (!has_share(own, whole, lanes, time)) {
+    if (!has_share(own, lanes)) {
         return true;
     }
     return std::ranges::none_of(queues_, [&](const auto& row) {
         const auto& other = row.second;
-        return &other != &own && time < other.wants_until && !has_share(other, whole, lanes, time);
+        return &other != &own && time < other.wants_until && !has_share(other, lanes);
     });
 }
 
 void permission_shares::note_refused(const std::string& queue, time_point time)
 {
-    queues_[queue].wants_until = time + want_kept;
+    const auto found = queues_.find(queue);
+    if (found != queues_.end()) {
+        found->second.wants_until = time + want_kept;
+    }
 }
 
 void permission_shares::begin(const std::string& queue)
 {
-    auto& one = queues_[queue];
-    ++one.calls;
-    one.wants_until = {};
+    const auto [place, is_new] = queues_.try_emplace(queue);
+    changed_ = changed_ || is_new;
+    ++place->second.calls;
+    place->second.wants_until = {};
 }
 
 void permission_shares::end(const std::string& queue)
--- a/flamingoseam/workflow/permission_shares.hpp
+++ b/flamingoseam/workflow/permission_shares.hpp
@@ -15,8 +15,8 @@
 /// first, the third one a third, and so on.
 class permission_shares {
 public:
-    /// Tells whether a queue may begin one more call on one of so many lanes. Complexity: quadratic
-    /// in the queues that call or want to.
+    /// Tells whether a queue may begin one more call on one of so many lanes. Complexity: linear in
+    /// the queues that have asked lately, n log n when these have changed.
     [[nodiscard]] bool may_begin(const std::string& queue, int priority, std::size_t lanes,
                                  time_point time);
 
@@ -29,23 +29,27 @@
     /// Takes in that a call of a queue has ended.
     void end(const std::string& queue);
 
+    /// Returns the number of queues that take part in the sharing.
+    [[nodiscard]] std::size_t size() const { return queues_.size(); }
+
 private:
+    /// A queue that has calls under way or has asked lately.
     struct use {
         int priority = 0;
+        double weight = 0;
         std::size_t calls = 0;    ///< Under way.
         time_point wants_until{}; ///< It has found no lane lately.
-
-        [[nodiscard]] bool is_active(time_point time) const
-        {
-            return calls > 0 || time < wants_until;
-        }
+        time_point kept_until{};  ///< It has asked lately.
     };
 
-    [[nodiscard]] double weight_of(const use& one, time_point time) const;
-    [[nodiscard]] bool has_share(const use& one, double whole, std::size_t lanes,
-                                 time_point time) const;
+    void forget_idle(time_point time);
+    void weigh();
+    [[nodiscard]] bool has_share(const use& one, std::size_t lanes) const;
 
     std::map<std::string, use> queues_;
+    double whole_ = 0;     ///< Sum of the weights.
+    bool changed_ = false; ///< The weights are to be found anew.
+    time_point next_forget_{};
 };
 
 } // namespace flamingoseam::workflow
--- a/flamingoseam/workflow/permission_shares_test.cpp
+++ b/flamingoseam/workflow/permission_shares_test.cpp
@@ -53,6 +53,14 @@
             CHECK(shares.may_begin("batches", urgent, lanes, time_now));
         }
     }
+    SECTION("a queue that has not asked for long and calls no more is forgotten")
+    {
+        shares.begin("batches");
+        REQUIRE(shares.may_begin("reviews", patient, lanes, time_now));
+        REQUIRE(shares.size() == 2);
+        REQUIRE(shares.may_begin("batches", urgent, lanes, time_now + milliseconds(1'100)));
+        CHECK(shares.size() == 1);
+    }
     SECTION("the more urgent of two has two thirds of them, the other one third")
     {
         REQUIRE(shares.may_begin("reviews", patient, lanes, time_now));
--- a/flamingoseam/workflow/workflow_permission.cpp
+++ b/flamingoseam/workflow/workflow_permission.cpp
@@ -31,11 +31,12 @@
 {
     const auto& queue = step.job->terms.name;
     const int priority = step.job->terms.priority;
-    const bool is_long = permission_budget::is_long(service);
+    if (!permission_budget::is_long(service)) {
+        return true;
+    }
     const auto lanes = permission_budget_.lanes_for_long(time);
-    const bool found = permission_budget_.has_lane(service, time) &&
-                       (!is_long || permission_shares_.may_begin(queue, priority, lanes, time));
-    if (found) {
+    const bool has_share = permission_shares_.may_begin(queue, priority, lanes, time);
+    if (has_share && permission_budget_.has_lane(service, time)) {
         return true;
     }
     ++load_of(*step.job).lane_refusals;
