Count all room in sight when a gang may ask, and no more tasks than a worker may have

By reading the diff: what a gang may expect was counted over the 100 workers that one call names, so that in a larger fleet a gang could wait beside room that it knows nothing of; and a step's limit of tasks on one worker was left out.

--- a/flamingoseam/workflow/permission_share_test.cpp
+++ b/flamingoseam/workflow/permission_share_test.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <random>
 
 using namespace flamingoseam;
 using namespace flamingoseam::workflow;
@@ -137,3 +138,44 @@
         CHECK(play.begun(job_id(batches, number)).has_value());
     }
 }
+
+// Issue 19: a gang that asks only with room in sight must not wait beside room that it knows
+// nothing of. It begins once what it may run on has room for it twice over, after at most as many
+// calls as it takes to know all workers.
+TEST_CASE("a gang begins where there is room for it twice over")
+{
+    constexpr milliseconds until_room{3'000};
+    constexpr int calls_to_know_all = 5;
+    for (unsigned seed = 1; seed <= 30; ++seed) {
+        std::mt19937 random(seed);
+        const auto between = [&random](int least, int most) {
+            return std::uniform_int_distribution<int>(least, most)(random);
+        };
+        auto gang = batches;
+        gang.tasks = between(2, 70);
+        gang.milli_cpus = between(18, 64) * 1'000;
+        const double share = between(2, 7) / 10.0;
+        const int free_percent = between(10, 90);
+        permission_play play({.workers = workers, .lanes = 30, .permitted_share = share});
+        const auto id = job_id(gang, static_cast<int>(seed));
+        int room = 0;
+        for (std::size_t worker = 0; worker < workers; ++worker) {
+            const bool ends_soon = between(1, 100) <= free_percent;
+            submit(play, other_work, static_cast<int>(worker),
+                   ends_soon ? until_room : 100 * until_room);
+        }
+        play.play(tick);
+        submit(play, gang, static_cast<int>(seed), gang.estimate);
+        play.play(until_room + tick);
+        for (std::size_t worker = 0; worker < workers; ++worker) {
+            const bool is_free = play.is_idle(worker);
+            room += is_free && play.is_permitted(id, worker)
+                        ? static_cast<int>(worker_cpus / gang.milli_cpus)
+                        : 0;
+        }
+        play.play((calls_to_know_all + 2) * gang_advice.service_time(100));
+        INFO("seed " << seed << ": " << gang.tasks << " tasks of " << gang.milli_cpus
+                     << ", room for " << room);
+        CHECK((room < 2 * gang.tasks || play.begun(id).has_value()));
+    }
+}
--- a/flamingoseam/workflow/queue_load.hpp
+++ b/flamingoseam/workflow/queue_load.hpp
@@ -17,7 +17,7 @@
     std::int64_t permission_calls = 0;
     milliseconds permission_service{0}; ///< That the service works on these calls.
     std::int64_t repeated_calls = 0;    ///< For permitted workers without a valid ticket.
-    std::int64_t lane_refusals = 0;     ///< A step would have asked, and no lane was left for it.
+    std::int64_t lane_refusals = 0;     ///< A step looked for a lane and found none.
     std::int64_t starts = 0;
     std::int64_t yielded_runs = 0;     ///< Stopped to make room for other queues' gangs.
     std::int64_t done_runs = 0;        ///< From the beginning, not from a checkpoint.
--- a/flamingoseam/workflow/workflow_search.cpp
+++ b/flamingoseam/workflow/workflow_search.cpp
@@ -15,6 +15,13 @@
 constexpr milliseconds least_search_pause{400};
 constexpr std::size_t searches_per_pause = 100; ///< Of all waiting steps together.
 
+/// Returns how many tasks of a step may be on one worker with so much room.
+int fits_in(const step_spec& step, const resources& room)
+{
+    const int fits = tasks_that_fit(step.size, room);
+    return step.most_per_worker > 0 ? std::min(fits, step.most_per_worker) : fits;
+}
+
 } // namespace
 
 void workflow_state::ask_about_unasked(const ready_step& step, time_point time)
@@ -35,7 +42,7 @@
 int workflow_state::fits_now(const ready_step& step, std::size_t worker, time_point time)
 {
     bool held = false;
-    const int fits = tasks_that_fit(step.spec().size, fleet_.at(worker).free());
+    const int fits = fits_in(step.spec(), fleet_.at(worker).free());
     return fits > 0 && may_use(step, worker, held, time) ? fits : 0;
 }
 
@@ -47,8 +54,7 @@
         ++counts_.examined;
         if (can_run(step, one.worker, time)) {
             room.now += fits_now(step, one.worker, time);
-            room.when_empty +=
-                tasks_that_fit(step.spec().size, fleet_.at(one.worker).entry.capacity);
+            room.when_empty += fits_in(step.spec(), fleet_.at(one.worker).entry.capacity);
         }
     }
     return room;
@@ -85,30 +91,32 @@
     struct offer {
         std::int64_t milli_cpus = 0; ///< Free ones.
         std::size_t worker = 0;
-        int fits = 0;
     };
+    int fits = 0;
     std::vector<offer> offers;
     for (std::size_t worker = 0; worker < fleet_.size(); ++worker) {
         ++counts_.examined;
         if (permission.is_known(worker) || !can_run(step, worker, time)) {
             continue;
         }
-        const int fits = fits_now(step, worker, time);
-        if (fits > 0 || !needs_room) {
-            offers.push_back({fleet_.at(worker).free().milli_cpus, worker, fits});
+        const int there = fits_now(step, worker, time);
+        if (there > 0 || !needs_room) {
+            fits += there;
+            offers.push_back({fleet_.at(worker).free().milli_cpus, worker});
         }
     }
+    const bool suffices = room.now + permission.permitted_share() * fits >= waiting;
+    if (needs_room && gang && !suffices) {
+        return {};
+    }
     std::ranges::sort(offers, std::ranges::greater(),
                       [](const offer& one) { return std::pair(one.milli_cpus, one.worker); });
     offers.resize(std::min(offers.size(), workers_to_ask(step)));
-    int fits = 0;
     std::vector<std::size_t> workers;
     for (const auto& one : offers) {
-        fits += one.fits;
         workers.push_back(one.worker);
     }
-    const bool suffices = room.now + permission.permitted_share() * fits >= waiting;
-    return needs_room && gang && !suffices ? std::vector<std::size_t>() : workers;
+    return workers;
 }
 
 /// Returns how long a step that found no worker in the whole fleet waits until it searches again.
--- a/tests/permission_play.cpp
+++ b/tests/permission_play.cpp
@@ -11,13 +11,18 @@
 constexpr wall_time wall{1'000'000};
 constexpr milliseconds step{10};
 
+std::string worker_id(std::size_t worker)
+{
+    return "w" + std::to_string(worker);
+}
+
 } // namespace
 
 permission_play::permission_play(permission_play_options options) : options_(options)
 {
     std::vector<worker_entry> entries;
     for (std::size_t worker = 0; worker < options_.workers; ++worker) {
-        entries.push_back({.id = "w" + std::to_string(worker),
+        entries.push_back({.id = worker_id(worker),
                            .life = 1,
                            .service = "service",
                            .address = {"127.0.0.1", 1},
@@ -156,13 +161,23 @@
     }
 }
 
-/// A step may always run on the same workers.
+bool permission_play::is_idle(std::size_t worker) const
+{
+    return std::ranges::none_of(running_,
+                                [worker](const auto& row) { return row.second.worker == worker; });
+}
+
+bool permission_play::is_permitted(const std::string& id, std::size_t worker) const
+{
+    std::mt19937_64 draw(std::hash<std::string>()(id + worker_id(worker)));
+    return std::bernoulli_distribution(options_.permitted_share)(draw);
+}
+
 std::vector<ticket_grant> permission_play::grants_of(const permission_request& request) const
 {
     std::vector<ticket_grant> grants;
     for (const auto& worker : request.workers) {
-        std::mt19937_64 draw(std::hash<std::string>()(request.job + worker));
-        if (std::bernoulli_distribution(options_.permitted_share)(draw)) {
+        if (is_permitted(request.job, state_.find_worker(worker).value())) {
             grants.push_back({worker, "ticket"});
         }
     }
--- a/tests/permission_play.hpp
+++ b/tests/permission_play.hpp
@@ -40,6 +40,12 @@
     [[nodiscard]] int requests_out() const { return requests_out_; }
     [[nodiscard]] int answered() const { return answered_; }
 
+    /// Tells whether nothing runs on a worker.
+    [[nodiscard]] bool is_idle(std::size_t worker) const;
+
+    /// Tells whether the service lets a job's steps run on a worker.
+    [[nodiscard]] bool is_permitted(const std::string& id, std::size_t worker) const;
+
     /// Returns how many calls the service has answered for a job.
     [[nodiscard]] int answered(const std::string& id) const;
 
