Log what watches believe, and how old the list of workers is

record_watch holds the loop of reading and watching that stood three times (list of workers, members, configuration). It reports records_read (and why), watch_failed, watch_answers, watch_answer_late and watch_history_lost, each with the time since the records were last known to be complete. The owner logs worker_leaving, and the age of its list with each placing (worker_list_ms) and each second (owner_load); metrics: flamingoseam_worker_list_age_seconds, a histogram at placing, and the gauge worker_list_age_seconds.

No decision is changed: waits, retries and re-reading are as before. One difference: a record whose key only begins like the configuration's is no longer read as a configuration.

--- a/flamingoseam/node/job_owner.cpp
+++ b/flamingoseam/node/job_owner.cpp
@@ -15,7 +15,6 @@
 constexpr milliseconds tick{25};
 constexpr milliseconds batch_spacing{4}; ///< Events in quicker succession are handled together.
 constexpr milliseconds clock_skew_margin{10'000}; ///< The clocks of two owners differ by less.
-constexpr milliseconds directory_wait{10'000};
 constexpr milliseconds directory_read_delay{250}; ///< Between two readings of the list.
 
 /// Maximum number of queues logged per second, which are those with the most waiting steps.
@@ -326,6 +325,9 @@
 {
     meter_.record_decisions(times);
     change_ages_.record(state_.changes().last_change(), time);
+    if (times.starts > 0) {
+        dependencies_.metrics->observe_worker_list_age(state_.worker_list_age(time));
+    }
     if (meter_.is_due(time)) {
         set_gauges();
         report_load(time);
@@ -342,7 +344,8 @@
                            .oldest_change_age = change_ages_.age_of(changes.oldest_change(), time),
                            .permissions = permission_dispatcher_->load(time),
                            .passes = state_.counts().passes,
-                           .repeated_requests = state_.counts().repeated_permission_requests};
+                           .repeated_requests = state_.counts().repeated_permission_requests,
+                           .worker_list_age = state_.worker_list_age(time)};
     const auto load = meter_.take(state, time, read_processor_times());
     dependencies_.metrics->set_load(load);
     dependencies_.log->write(to_event(load));
@@ -451,9 +454,12 @@
     const auto directory = dependencies_.directory();
     while (!ending_) {
         try {
-            auto workers = directory->next(directory_wait);
-            if (workers && !ending_) {
-                loop_.post([this, workers = std::move(*workers)] { handle_worker_list(workers); });
+            auto workers = directory->next();
+            if (!ending_) {
+                loop_.post(
+                    [this, workers = std::move(workers), confirmed = directory->confirmed_at()] {
+                        handle_worker_list(workers, confirmed);
+                    });
             }
         } catch (const error& cause) {
             LOG_EVERY_N(WARNING, 20) << "the list of workers cannot be read: " << cause.what();
@@ -462,12 +468,17 @@
     }
 }
 
-void job_owner::handle_worker_list(const std::vector<workflow::worker_entry>& workers)
+void job_owner::handle_worker_list(
+    const std::optional<std::vector<workflow::worker_entry>>& workers, time_point confirmed)
 {
     if (ending_) {
         return;
     }
-    state_.on_worker_list(workers, now());
+    state_.confirm_worker_list(confirmed);
+    if (!workers) {
+        return;
+    }
+    state_.on_worker_list(*workers, now());
     open_sessions();
     drop_finished_sessions();
 }
--- a/flamingoseam/node/job_owner.hpp
+++ b/flamingoseam/node/job_owner.hpp
@@ -112,7 +112,8 @@
     std::uint64_t store_reply(owner_service::owner_reply reply);
     void answer_all_unknown();
     void watch_workers();
-    void handle_worker_list(const std::vector<workflow::worker_entry>& workers);
+    void handle_worker_list(const std::optional<std::vector<workflow::worker_entry>>& workers,
+                            time_point confirmed);
     void open_sessions();
     void drop_finished_sessions();
     void report_superseded();
--- a/flamingoseam/node/load_event.cpp
+++ b/flamingoseam/node/load_event.cpp
@@ -53,6 +53,7 @@
                 {"permission_calls", state.permissions.calls},
                 {"permission_calls_ms", whole_ms(state.permissions.call_time)},
                 {"repeated_permissions", state.repeated_requests},
+                {"worker_list_ms", whole_ms(state.worker_list_age)},
             }};
 }
 
--- a/flamingoseam/node/load_meter.hpp
+++ b/flamingoseam/node/load_meter.hpp
@@ -48,6 +48,9 @@
 
     /// Permission requests repeated because their tickets had expired, since the owner started.
     std::int64_t repeated_requests = 0;
+
+    /// Time since the platform confirmed that the list of workers was current.
+    time_point::duration worker_list_age{0};
 };
 
 /// Work of an owner in one measuring interval of about a second.
--- a/flamingoseam/node/membership.cpp
+++ b/flamingoseam/node/membership.cpp
@@ -91,7 +91,11 @@
 membership::membership(membership_options options, const shared_store_factory& stores,
                        std::function<void()> on_change)
     : options_(std::move(options)), on_change_(std::move(on_change)), lease_store_(stores()),
-      watch_store_(stores())
+      watch_({.name = "members",
+              .prefix = options_.prefix,
+              .wait = options_.watch_wait,
+              .report = options_.report},
+             stores())
 {
     lease_thread_ = std::thread([this] { run_lease(); });
     watch_thread_ = std::thread([this] { run_watch(); });
@@ -190,27 +194,16 @@
 bool membership::is_missing_from_view() const
 {
     const std::lock_guard lock(mutex_);
-    return watched_revision_ != 0 && !view_.members.contains(options_.self.name);
+    return is_view_complete_ && !view_.members.contains(options_.self.name);
 }
 
 void membership::run_watch()
 {
     while (!stopping_) {
         try {
-            if (watched_revision_ == 0) {
-                reload_view(*watch_store_);
-                on_change_();
-            }
-            auto changes =
-                watch_store_->watch(options_.prefix, watched_revision_, options_.watch_wait);
-            {
-                const std::lock_guard lock(mutex_);
-                for (const auto& record : changes.records) {
-                    apply(record);
-                }
-                watched_revision_ = changes.history_lost ? 0 : changes.revision;
-            }
-            if (!changes.records.empty()) {
+            const auto update = watch_.next();
+            apply_update(update);
+            if (update.is_complete || !update.records.empty()) {
                 on_change_();
             }
             pause(watch_interval);
@@ -218,23 +211,23 @@
             LOG_EVERY_N(WARNING, 10) << "can't watch the membership records: " << cause.what();
             {
                 const std::lock_guard lock(mutex_);
-                watched_revision_ = 0; // The interrupted watch may have missed changes.
+                is_view_complete_ = false; // The interrupted watch may have missed changes.
             }
             pause(watch_retry_interval);
         }
     }
 }
 
-void membership::reload_view(shared_store& store)
+void membership::apply_update(const record_update& update)
 {
-    std::uint64_t revision = 0;
-    const auto records = list_all(store, options_.prefix, revision);
     const std::lock_guard lock(mutex_);
-    view_ = {};
-    for (const auto& record : records) {
+    if (update.is_complete) {
+        view_ = {};
+        is_view_complete_ = true;
+    }
+    for (const auto& record : update.records) {
         apply(record);
     }
-    watched_revision_ = revision;
 }
 
 void membership::apply(const shared_record& record)
--- a/flamingoseam/node/membership.hpp
+++ b/flamingoseam/node/membership.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "flamingoseam/http/http_client.hpp"
-#include "flamingoseam/store/shared_store.hpp"
+#include "flamingoseam/store/record_watch.hpp"
 
 #include <atomic>
 #include <condition_variable>
@@ -62,6 +62,7 @@
     milliseconds watch_wait{15'000};
     /// No other node can have taken over within this time after a renewal.
     milliseconds max_renewal_age{800};
+    std::function<void(const log_event&)> report = nullptr; ///< Called for each event to log.
 };
 
 /// Maintains this node's lease in the store and its view of the other nodes, on two threads.
@@ -100,7 +101,7 @@
     void renew(shared_store& store);
     void join(shared_store& store);
     void run_watch();
-    void reload_view(shared_store& store);
+    void apply_update(const record_update& update);
     void apply(const shared_record& record);
     bool is_missing_from_view() const;
     void pause(milliseconds length);
@@ -109,12 +110,12 @@
     membership_options options_;
     std::function<void()> on_change_;
     std::unique_ptr<shared_store> lease_store_;
-    std::unique_ptr<shared_store> watch_store_;
+    record_watch watch_;
     mutable std::mutex mutex_;
     std::condition_variable changed_;
     membership_view view_;
     std::uint64_t lease_ = 0;
-    std::uint64_t watched_revision_ = 0; ///< The view is complete up to it; 0 if to be reloaded.
+    bool is_view_complete_ = false; ///< False while the view may lack changes.
     /// Start of the latest renewal, on a clock that includes suspension.
     std::atomic<std::int64_t> renewed_at_ms_{0};
     std::atomic<bool> stopping_{false};
--- a/flamingoseam/node/node.cpp
+++ b/flamingoseam/node/node.cpp
@@ -37,11 +37,13 @@
       incarnation_(make_incarnation())
 {
     membership_ = std::make_unique<membership>(
-        membership_options{.prefix = options_.store_prefix + "m/",
-                           .self = {.name = options_.name,
-                                    .incarnation = incarnation_,
-                                    .address = options_.rpc,
-                                    .processor_share = options_.processor_share}},
+        membership_options{
+            .prefix = options_.store_prefix + "m/",
+            .self = {.name = options_.name,
+                     .incarnation = incarnation_,
+                     .address = options_.rpc,
+                     .processor_share = options_.processor_share},
+            .report = [this](const log_event& event) { dependencies_.log->write(event); }},
         dependencies_.stores, [this] { on_view_changed(); });
     server_ = std::make_unique<coordinator_server>(options_.rpc, *this);
     election_thread_ = std::thread([this] { run_election(); });
--- a/flamingoseam/node/node_metrics.cpp
+++ b/flamingoseam/node/node_metrics.cpp
@@ -13,6 +13,7 @@
 const bounds job_bounds_s = {0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 16, 32, 64};
 const bounds store_bounds_s = {0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2};
 const bounds queue_bounds_s = {0.001, 0.005, 0.025, 0.1, 0.25, 0.5, 1, 2, 4, 8, 16};
+const bounds list_age_bounds_s = {0.25, 0.5, 1, 1.5, 2, 3, 5, 10, 20};
 const bounds decision_bounds_s = {0.0001, 0.0005, 0.001, 0.0025, 0.005, 0.01, 0.05, 0.25};
 
 template <typename Duration> double seconds(Duration duration)
@@ -55,6 +56,9 @@
       pass_durations_(histogram(*registry_, "flamingoseam_pass_seconds",
                                 "Duration of one pass over the waiting steps")
                           .Add({}, decision_bounds_s)),
+      worker_list_ages_(histogram(*registry_, "flamingoseam_worker_list_age_seconds",
+                                  "Age of the list of workers when runs are placed")
+                            .Add({}, list_age_bounds_s)),
       permission_waits_(histogram(*registry_, "flamingoseam_permission_wait_seconds",
                                   "Time from the decision to ask for permission until a call "
                                   "slot takes the request, by priority")),
@@ -133,6 +137,11 @@
         .Observe(seconds(duration));
 }
 
+void node_metrics::observe_worker_list_age(time_point::duration age)
+{
+    worker_list_ages_.Observe(seconds(age));
+}
+
 void node_metrics::count_start(workflow::start_outcome outcome)
 {
     starts_.Add({{"outcome", workflow::to_string(outcome)}}).Increment();
@@ -161,6 +170,7 @@
     set_gauge("oldest_change_seconds", seconds(state.oldest_change_age));
     set_gauge("permissions_queued", static_cast<double>(state.permissions.requests));
     set_gauge("oldest_permission_seconds", seconds(state.permissions.oldest_age));
+    set_gauge("worker_list_age_seconds", seconds(state.worker_list_age));
     repeated_requests_.Increment(static_cast<double>(state.repeated_requests));
 }
 
--- a/flamingoseam/node/node_metrics.hpp
+++ b/flamingoseam/node/node_metrics.hpp
@@ -55,6 +55,9 @@
     void observe_store_call(const std::string& call, const std::string& outcome,
                             milliseconds duration);
 
+    /// Records how old the list of workers was when runs were placed.
+    void observe_worker_list_age(time_point::duration age);
+
     /// Counts the outcome of an order to start a run.
     void count_start(workflow::start_outcome outcome);
 
@@ -83,6 +86,7 @@
     prometheus::Histogram& decision_durations_;
     prometheus::Histogram& step_waits_;
     prometheus::Histogram& pass_durations_;
+    prometheus::Histogram& worker_list_ages_;
     prometheus::Family<prometheus::Histogram>& permission_waits_;
     prometheus::Family<prometheus::Histogram>& permission_calls_;
     prometheus::Counter& repeated_requests_;
--- /dev/null
+++ b/flamingoseam/store/record_watch.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "flamingoseam/log/log_event.hpp"
+#include "flamingoseam/store/shared_store.hpp"
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace flamingoseam {
+
+/// Options of a record_watch.
+struct record_watch_options {
+    std::string name;          ///< Names the records in log events, for example "workers".
+    std::string prefix;        ///< Prefix of the keys of the records.
+    milliseconds wait{10'000}; ///< How long the store may hold a call while nothing changes.
+
+    /// Called, if set, for each event that a log should contain.
+    std::function<void(const log_event&)> report = nullptr;
+};
+
+/// The records that a call of record_watch::next() has received.
+struct record_update {
+    bool is_complete = false; ///< All records; otherwise only those that have changed.
+    std::vector<shared_record> records;
+};
+
+/// Follows all records with one prefix: reads them once, then watches for changes, and reads them
+/// again when changes may have been missed. Reports each reading and each interruption. Not
+/// thread-safe.
+class record_watch {
+public:
+    record_watch(record_watch_options options, std::unique_ptr<shared_store> store);
+
+    /// Returns all records on the first call and whenever changes may have been missed, and
+    /// otherwise the records that have changed since the last call, after waiting for a change.
+    /// Throws transport_error when the store does not answer; the next call tries again.
+    /// Complexity: one store call, or one for each page when all records are read.
+    record_update next();
+
+    /// Returns when the store last confirmed that no change is missing from the records returned so
+    /// far; zero if it never did.
+    [[nodiscard]] time_point confirmed_at() const { return confirmed_at_; }
+
+private:
+    record_update read_all();
+    record_update wait_for_changes();
+    void record_answer(time_point asked);
+    void record_failure(const std::string& cause, time_point asked);
+    void report(const std::string& event, const std::string& detail,
+                std::vector<log_field> fields = {}) const;
+    [[nodiscard]] log_field age_field() const;
+
+    record_watch_options options_;
+    std::unique_ptr<shared_store> store_;
+    std::uint64_t revision_ = 0; ///< All changes up to it were returned; 0 to read all records.
+    std::string read_reason_ = "first reading";
+    time_point confirmed_at_{};
+    std::size_t failures_ = 0; ///< Calls that have failed since the last answer.
+};
+
+} // namespace flamingoseam
--- a/flamingoseam/workflow/workflow_reports.cpp
+++ b/flamingoseam/workflow/workflow_reports.cpp
@@ -25,6 +25,11 @@
         const auto known_incarnation = known ? fleet_.at(*known).entry.incarnation : 0;
         const auto listed_incarnation = entry.incarnation;
         entry.incarnation = std::max(known_incarnation, listed_incarnation);
+        const bool was_leaving =
+            known && fleet_.at(*known).listed && fleet_.at(*known).entry.leaving;
+        if (entry.leaving && !was_leaving) {
+            log_decision("worker_leaving", "", entry.id);
+        }
         const auto index = fleet_.put(entry);
         listed.insert(index);
         if (known && listed_incarnation > known_incarnation) {
@@ -45,6 +50,12 @@
     pass_requested_ = true;
 }
 
+time_point::duration workflow_state::worker_list_age(time_point time) const
+{
+    const bool is_known = worker_list_confirmed_ != time_point{};
+    return is_known ? time - worker_list_confirmed_ : time_point::duration::zero();
+}
+
 void workflow_state::on_report(std::size_t worker, const worker_report& report, time_point time,
                                wall_time wall)
 {
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -134,6 +134,12 @@
     /// Handles a new version of the platform's complete list of workers.
     void on_worker_list(const std::vector<worker_entry>& workers, time_point time);
 
+    /// Records that the platform confirmed at `time` that the list of workers was current.
+    void confirm_worker_list(time_point time) { worker_list_confirmed_ = time; }
+
+    /// Returns the time since the last confirmation of the list of workers; zero before the first.
+    [[nodiscard]] time_point::duration worker_list_age(time_point time) const;
+
     /// Handles a report of a worker that has accepted this owner's epoch.
     void on_report(std::size_t worker, const worker_report& report, time_point time,
                    wall_time wall);
@@ -408,6 +414,7 @@
     std::uint64_t last_sequence_ = 0;
     bool leased_workers_changed_ = false;
     bool store_available_ = true;
+    time_point worker_list_confirmed_{};
     bool pass_requested_ = false;
     std::size_t waiting_steps_ = 0;
     time_point last_pass_{};
