--- a/scenarios/platform.lua
+++ b/scenarios/platform.lua
@@ -100,3 +100,14 @@
     end
     return owner
 end
+
+-- Makes the stand-in store discard its history after `mute_ms`, during which watches report nothing; the watches that
+-- wait then are cut without a word.
+function discard_history(cell, mute_ms)
+    request { server = cell.store, path = "/standin/compact?mute_ms=" .. mute_ms }
+end
+
+-- Lets worker `number` announce in the store that it leaves.
+function announce_leaving(cell, number)
+    request { server = cell.store, path = "/standin/leave?number=" .. number }
+end
--- a/standins/platform_main.cpp
+++ b/standins/platform_main.cpp
@@ -1,5 +1,6 @@
 /// A stand-in for the users' platform in one process: its key-value service, its workers and its
-/// permission service, with a fixed configuration that has one queue.
+/// permission service, with a fixed configuration that has one queue. A worker announces that it
+/// leaves when a test calls /standin/leave?number=N.
 #include "flamingoseam/daemon/daemon.hpp"
 #include "flamingoseam/http/http_server.hpp"
 #include "flamingoseam/log/log.hpp"
@@ -12,6 +13,7 @@
 DEFINE_string(address, "127.0.0.1", "IP address of the store and of the permission service");
 DEFINE_string(worker_addresses, "", "IP addresses of the workers, separated by commas");
 DEFINE_int32(port, 7100, "TCP port of the store, the permission service and the workers");
+DEFINE_int32(drain_ms, 2'000, "time for which a leaving worker may be given work, in milliseconds");
 DEFINE_int32(processors, 16, "processors of each worker");
 
 namespace flamingoseam::standin {
@@ -56,13 +58,18 @@
     return {{"version", 1}, {"routes", json::array({route})}, {"services", json::array()}};
 }
 
+std::string worker_id(std::size_t index)
+{
+    return "w" + std::to_string(index + 1);
+}
+
 /// Returns the record of a worker in the list of servers.
-json server_record(const std::string& address, int number)
+json server_record(const std::string& address, std::size_t number, const char* state)
 {
     return {{"service", "service"},
             {"address", address + ":" + std::to_string(FLAGS_port)},
             {"zone", "zone"},
-            {"state", "ready"},
+            {"state", state},
             {"capacity", {{"cpu", FLAGS_processors * 1000}, {"memMb", 32'000}, {"gpu", 0}}},
             {"labels", {"a", "r" + std::to_string(number % 2)}}};
 }
@@ -74,18 +81,27 @@
     std::vector<std::unique_ptr<platform_worker>> workers;
     std::vector<std::unique_ptr<http_server>> servers;
     const auto port = static_cast<unsigned short>(FLAGS_port);
-    int number = 0;
-    for (const auto& address : split(FLAGS_worker_addresses)) {
-        const auto id = "w" + std::to_string(++number);
-        workers.push_back(std::make_unique<platform_worker>(id, ledger));
+    const auto addresses = split(FLAGS_worker_addresses);
+    for (std::size_t index = 0; index < addresses.size(); ++index) {
+        const auto& address = addresses[index];
+        const auto id = worker_id(index);
+        workers.push_back(
+            std::make_unique<platform_worker>(id, milliseconds(FLAGS_drain_ms), ledger));
         servers.push_back(std::make_unique<http_server>(
             http_server_options{
                 .address = address, .port = port, .kept_headers = {"X-Expect-Instance"}},
             [worker = workers.back().get()](const http_request& request) {
                 return worker->handle(request);
             }));
-        store.put("servers/" + id, server_record(address, number).dump());
+        store.put("servers/" + id, server_record(address, index, "ready").dump());
     }
+    const auto announce_leaving = [&](const http_request& request) {
+        const auto index = std::stoul(request.query_or("number", "1")) - 1;
+        const auto record = server_record(addresses.at(index), index, "draining");
+        store.put("servers/" + worker_id(index), record.dump());
+        workers.at(index)->begin_leaving();
+        return http_response{.body = "{}"};
+    };
     store.put("op/config", configuration().dump());
     const http_server platform(
         {.address = FLAGS_address, .port = port}, [&](const http_request& request) {
@@ -95,9 +111,13 @@
             if (request.path == "/standin/ledger") {
                 return http_response{.body = ledger.to_json().dump()};
             }
+            if (request.path == "/standin/leave") {
+                return announce_leaving(request);
+            }
             return store.handle(request).value_or(http_response{.status = 404, .body = "{}"});
         });
     wait_for_shutdown_signal(signals);
+    store.release_cut_watches();
 }
 
 } // namespace
--- a/standins/platform_store.cpp
+++ b/standins/platform_store.cpp
@@ -9,6 +9,7 @@
 using nlohmann::json;
 
 constexpr milliseconds watch_poll_interval{50}; ///< A watch checks for expired leases this often.
+constexpr std::chrono::seconds cut_watch_time{60}; ///< A cut watch is closed after this time.
 constexpr int lost_write_interval = 3; ///< A lossy store loses every third answer to a write.
 
 std::string to_base64(const std::string& bytes)
@@ -43,6 +44,9 @@
     if (request.path == "/standin/fault") {
         return set_fault(request);
     }
+    if (request.path == "/standin/compact") {
+        return begin_compaction(request);
+    }
     if (!request.path.starts_with("/api/kv-")) {
         return std::nullopt;
     }
@@ -86,6 +90,40 @@
     return respond(200, json::object());
 }
 
+http_response platform_store::begin_compaction(const http_request& request)
+{
+    const std::lock_guard lock(mutex_);
+    compaction_at_ = now() + milliseconds(std::stoi(request.query_or("mute_ms", "0")));
+    return respond(200, json::object());
+}
+
+/// Discards the history when the time for it has come, which cuts all waiting watches.
+void platform_store::compact_if_due()
+{
+    if (!compaction_at_ || now() < *compaction_at_) {
+        return;
+    }
+    compaction_at_.reset();
+    history_.clear();
+    discarded_revision_ = revision_;
+    ++compactions_;
+    changed_.notify_all();
+}
+
+void platform_store::release_cut_watches()
+{
+    const std::lock_guard lock(mutex_);
+    releasing_watches_ = true;
+    changed_.notify_all();
+}
+
+/// Keeps a connection open without an answer, as a cut that the client can't see.
+http_response platform_store::wait_as_cut_watch(std::unique_lock<std::mutex>& lock)
+{
+    changed_.wait_for(lock, cut_watch_time, [this] { return releasing_watches_; });
+    return {.close_without_answer = true};
+}
+
 json platform_store::to_json(const std::string& key, const stored_item& item) const
 {
     return {{"key", key},
@@ -133,17 +171,21 @@
     const auto after = std::stoull(request.query_or("after", "0"));
     const auto until = now() + milliseconds(std::stoi(request.query_or("waitMs", "0")));
     std::unique_lock lock(mutex_);
+    compact_if_due();
+    if (after < discarded_revision_) {
+        return respond(410, json::object());
+    }
+    const auto compactions = compactions_;
     while (true) {
         if (fault_ == fault::down) {
             return respond(503, json::object());
         }
         expire_leases();
-        json events = json::array();
-        for (const auto& [revision, event] : history_) {
-            if (revision > after && event.at("key").get<std::string>().starts_with(prefix)) {
-                events.push_back(event);
-            }
+        compact_if_due();
+        if (compactions_ != compactions) {
+            return wait_as_cut_watch(lock);
         }
+        const auto events = compaction_at_ ? json::array() : events_after(after, prefix);
         if (!events.empty() || now() >= until) {
             return respond(200, {{"events", events}, {"currentRev", revision_}});
         }
@@ -151,6 +193,17 @@
     }
 }
 
+json platform_store::events_after(std::uint64_t revision, const std::string& prefix) const
+{
+    json events = json::array();
+    for (const auto& [changed_at, event] : history_) {
+        if (changed_at > revision && event.at("key").get<std::string>().starts_with(prefix)) {
+            events.push_back(event);
+        }
+    }
+    return events;
+}
+
 http_response platform_store::commit(const http_request& request)
 {
     const auto body = json::parse(request.body);
--- a/standins/platform_store.hpp
+++ b/standins/platform_store.hpp
@@ -9,13 +9,16 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace flamingoseam::standin {
 
 /// An in-memory stand-in for the users' key-value service with transactions, leases and watches.
-/// Tests select a fault with /standin/fault?mode=down, lossy or none.
+/// Tests select a fault with /standin/fault?mode=down, lossy or none, and make the store discard
+/// its history with /standin/compact?mute_ms=N: watches report nothing for N ms, then the history
+/// is discarded and the watches that wait are cut without a word.
 class platform_store {
 public:
     /// Handles a request to the service. Returns nullopt when the path is not one of its paths.
@@ -24,6 +27,9 @@
     /// Writes a record as an operator or a worker would.
     void put(const std::string& key, const std::string& value);
 
+    /// Ends the watches that were cut, so that the server can shut down.
+    void release_cut_watches();
+
 private:
     struct stored_item {
         std::string value; ///< Base64 text, as received.
@@ -46,6 +52,11 @@
     http_response keep_alive(std::uint64_t lease);
     http_response end_lease(std::uint64_t lease);
     http_response set_fault(const http_request& request);
+    http_response begin_compaction(const http_request& request);
+    void compact_if_due();
+    http_response wait_as_cut_watch(std::unique_lock<std::mutex>& lock);
+    [[nodiscard]] nlohmann::json events_after(std::uint64_t revision,
+                                              const std::string& prefix) const;
     [[nodiscard]] nlohmann::json to_json(const std::string& key, const stored_item& item) const;
     void write(const std::string& key, const std::string& value, std::uint64_t lease);
     void remove(const std::string& key);
@@ -59,6 +70,10 @@
     std::vector<std::pair<std::uint64_t, nlohmann::json>> history_;
     std::uint64_t revision_ = 1;
     std::uint64_t next_lease_ = 1;
+    std::uint64_t discarded_revision_ = 0; ///< The history begins after it.
+    std::optional<time_point> compaction_at_;
+    int compactions_ = 0;
+    bool releasing_watches_ = false;
     fault fault_ = fault::none;
     int lossy_writes_ = 0;
 };
--- a/standins/platform_worker.cpp
+++ b/standins/platform_worker.cpp
@@ -39,17 +39,24 @@
     }
 }
 
+void run_ledger::record_late_start()
+{
+    const std::lock_guard lock(mutex_);
+    ++late_starts_;
+}
+
 json run_ledger::to_json() const
 {
     const std::lock_guard lock(mutex_);
     return {{"starts", starts_},
             {"done", done_.size()},
             {"doubled", concurrent_starts_},
-            {"started_again", repeated_starts_}};
+            {"started_again", repeated_starts_},
+            {"late_on_leaving", late_starts_}};
 }
 
-platform_worker::platform_worker(std::string id, run_ledger& ledger)
-    : id_(std::move(id)), ledger_(ledger)
+platform_worker::platform_worker(std::string id, milliseconds notice, run_ledger& ledger)
+    : id_(std::move(id)), notice_(notice), ledger_(ledger)
 {
     thread_ = std::thread([this] {
         std::unique_lock lock(mutex_);
@@ -70,6 +77,12 @@
     thread_.join();
 }
 
+void platform_worker::begin_leaving()
+{
+    const std::lock_guard lock(mutex_);
+    leaving_since_ = now();
+}
+
 std::int64_t platform_worker::clock_ms() const
 {
     return std::chrono::duration_cast<milliseconds>(now() - start_time_).count() + 1;
@@ -140,6 +153,9 @@
                      .began = now(),
                      .ends = now() + run_time_of(body.value("spec", ""))});
     ledger_.begin(task);
+    if (leaving_since_ && now() - *leaving_since_ > notice_) {
+        ledger_.record_late_start();
+    }
     changed_.notify_all();
     return {.status = 200, .body = answer};
 }
--- a/standins/platform_worker.hpp
+++ b/standins/platform_worker.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -22,8 +23,11 @@
     void begin(const std::string& task);
     void end(const std::string& task, bool done);
 
+    /// Counts a start on a worker that announced long before that it leaves.
+    void record_late_start();
+
     /// Returns as JSON the number of starts, of tasks done, of starts while the task was already
-    /// running and of starts after the task was done.
+    /// running, of starts after the task was done and of late starts on leaving workers.
     [[nodiscard]] nlohmann::json to_json() const;
 
 private:
@@ -33,6 +37,7 @@
     int starts_ = 0;
     int concurrent_starts_ = 0;
     int repeated_starts_ = 0;
+    int late_starts_ = 0;
 };
 
 /// A stand-in for one worker of the users' platform with a lease, fencing tokens and run numbers.
@@ -40,7 +45,9 @@
 /// run time, for example "ms=300".
 class platform_worker {
 public:
-    platform_worker(std::string id, run_ledger& ledger);
+    /// `notice` is the time after the announcement that it leaves within which the worker may be
+    /// given work.
+    platform_worker(std::string id, milliseconds notice, run_ledger& ledger);
     ~platform_worker();
     platform_worker(const platform_worker&) = delete;
     platform_worker& operator=(const platform_worker&) = delete;
@@ -48,6 +55,9 @@
     /// Handles a request to the worker.
     http_response handle(const http_request& request);
 
+    /// Records that the store has accepted the announcement that the worker leaves.
+    void begin_leaving();
+
 private:
     struct active_run {
         std::string task;
@@ -67,7 +77,9 @@
     void advance();
 
     std::string id_;
+    milliseconds notice_;
     run_ledger& ledger_;
+    std::optional<time_point> leaving_since_;
     std::mutex mutex_;
     std::condition_variable changed_;
     time_point start_time_ = now();
