Bound how long a silent watch of the workers is believed

Cause: the list of workers was followed by watches that wait 10 s. Silence was taken for 'no change', but a watch that waits while the store discards its history hears nothing until it ends, and a watch whose connection was cut without a reset never does. Departures announced meanwhile were not heard for up to 11 s.

Ruled out by the log lines of: starts that were chosen before (no worker_leaving line stands before them), a list applied late (loop delay 4 ms at most), a list read from an older state (the reading after the 410 was complete).

An interrupted watch goes on from its last answer in place of reading the whole list again, and after a lost history the list is read at once.

Cost: about 1.3 store calls a second by the owner, where it was 0.1.

--- a/flamingoseam/node/membership.cpp
+++ b/flamingoseam/node/membership.cpp
@@ -93,7 +93,7 @@
     : options_(std::move(options)), on_change_(std::move(on_change)), lease_store_(stores()),
       watch_({.name = "members",
               .prefix = options_.prefix,
-              .wait = options_.watch_wait,
+              .times = options_.watch,
               .report = options_.report},
              stores())
 {
--- a/flamingoseam/store/measured_store.cpp
+++ b/flamingoseam/store/measured_store.cpp
@@ -30,9 +30,9 @@
     }
 
     shared_changes watch(const std::string& prefix, std::uint64_t revision,
-                         milliseconds wait) override
+                         watch_times times) override
     {
-        return store_->watch(prefix, revision, wait);
+        return store_->watch(prefix, revision, times);
     }
 
     std::uint64_t grant_lease(milliseconds time_to_live) override
--- a/flamingoseam/store/record_watch.cpp
+++ b/flamingoseam/store/record_watch.cpp
@@ -27,7 +27,7 @@
 {
     const auto asked = now();
     try {
-        auto update = revision_ == 0 ? read_all() : wait_for_changes();
+        auto update = revision_ == 0 ? read_all("first reading") : wait_for_changes();
         record_answer(asked);
         return update;
     } catch (const transport_error& cause) {
@@ -36,12 +36,12 @@
     }
 }
 
-record_update record_watch::read_all()
+record_update record_watch::read_all(const std::string& reason)
 {
     std::uint64_t revision = 0;
     record_update update{.is_complete = true,
                          .records = list_all(*store_, options_.prefix, revision)};
-    report("records_read", read_reason_,
+    report("records_read", reason,
            {{"records", static_cast<std::int64_t>(update.records.size())},
             {"revision", static_cast<std::int64_t>(revision)},
             age_field()});
@@ -51,13 +51,12 @@
 
 record_update record_watch::wait_for_changes()
 {
-    auto changes = store_->watch(options_.prefix, revision_, options_.wait);
+    auto changes = store_->watch(options_.prefix, revision_, options_.times);
     if (changes.history_lost) {
         report("watch_history_lost", "",
                {{"revision", static_cast<std::int64_t>(revision_)}, age_field()});
         revision_ = 0;
-        read_reason_ = "history lost";
-        return {};
+        return read_all("history lost");
     }
     revision_ = changes.revision;
     return {.is_complete = false, .records = std::move(changes.records)};
@@ -71,13 +70,11 @@
                {{"failures", static_cast<std::int64_t>(failures_)}, age_field()});
         failures_ = 0;
     }
-    if (answered - asked > options_.wait + late_answer_margin) {
+    if (answered - asked > options_.times.wait + late_answer_margin) {
         report("watch_answer_late", "",
-               {{"took_ms", whole_ms(answered - asked)}, {"wait_ms", options_.wait.count()}});
-    }
-    if (revision_ != 0) {
-        confirmed_at_ = answered;
+               {{"took_ms", whole_ms(answered - asked)}, {"wait_ms", options_.times.wait.count()}});
     }
+    confirmed_at_ = answered;
 }
 
 void record_watch::record_failure(const std::string& cause, time_point asked)
@@ -85,8 +82,6 @@
     if (failures_++ == 0) {
         report("watch_failed", cause, {{"took_ms", whole_ms(now() - asked)}, age_field()});
     }
-    revision_ = 0; // The interrupted watch may have missed changes.
-    read_reason_ = "interrupted";
 }
 
 void record_watch::report(const std::string& event, const std::string& detail,
--- a/flamingoseam/store/record_watch.hpp
+++ b/flamingoseam/store/record_watch.hpp
@@ -13,9 +13,9 @@
 
 /// Options of a record_watch.
 struct record_watch_options {
-    std::string name;          ///< Names the records in log events, for example "workers".
-    std::string prefix;        ///< Prefix of the keys of the records.
-    milliseconds wait{10'000}; ///< How long the store may hold a call while nothing changes.
+    std::string name;   ///< Names the records in log events, for example "workers".
+    std::string prefix; ///< Prefix of the keys of the records.
+    watch_times times;  ///< They limit how long a cut watch stays unnoticed.
 
     /// Called, if set, for each event that a log should contain.
     std::function<void(const log_event&)> report = nullptr;
@@ -28,15 +28,16 @@
 };
 
 /// Follows all records with one prefix: reads them once, then watches for changes, and reads them
-/// again when changes may have been missed. Reports each reading and each interruption. Not
+/// again when the store has discarded changes that were not returned yet. After an interruption it
+/// asks for the changes since the last answer. Reports each reading and each interruption. Not
 /// thread-safe.
 class record_watch {
 public:
     record_watch(record_watch_options options, std::unique_ptr<shared_store> store);
 
-    /// Returns all records on the first call and whenever changes may have been missed, and
-    /// otherwise the records that have changed since the last call, after waiting for a change.
-    /// Throws transport_error when the store does not answer; the next call tries again.
+    /// Returns all records on the first call and whenever changes were discarded, and otherwise the
+    /// records that have changed since the last call, after waiting for a change. Throws
+    /// transport_error when the store does not answer; the next call tries again.
     /// Complexity: one store call, or one for each page when all records are read.
     record_update next();
 
@@ -45,7 +46,7 @@
     [[nodiscard]] time_point confirmed_at() const { return confirmed_at_; }
 
 private:
-    record_update read_all();
+    record_update read_all(const std::string& reason);
     record_update wait_for_changes();
     void record_answer(time_point asked);
     void record_failure(const std::string& cause, time_point asked);
@@ -56,7 +57,6 @@
     record_watch_options options_;
     std::unique_ptr<shared_store> store_;
     std::uint64_t revision_ = 0; ///< All changes up to it were returned; 0 to read all records.
-    std::string read_reason_ = "first reading";
     time_point confirmed_at_{};
     std::size_t failures_ = 0; ///< Calls that have failed since the last answer.
 };
--- a/flamingoseam/store/record_watch_test.cpp
+++ b/flamingoseam/store/record_watch_test.cpp
@@ -33,7 +33,7 @@
     }
 
     shared_changes watch(const std::string& /*prefix*/, std::uint64_t revision,
-                         milliseconds /*wait*/) override
+                         watch_times /*times*/) override
     {
         script_.watched.push_back(revision);
         if (script_.watches.empty()) {
@@ -105,13 +105,24 @@
         CHECK(was_reported(script, "watch_failed"));
         CHECK_FALSE(was_reported(script, "watch_answers"));
     }
+    SECTION("an interrupted watch goes on from its last answer")
+    {
+        CHECK_THROWS_AS(watch.next(), transport_error);
+        script.watches.push_back(
+            {.revision = 9, .records = {{.key = "w/2", .value = "b", .revision = 9}}});
+        const auto update = watch.next();
+        CHECK_FALSE(update.is_complete);
+        CHECK(update.records.size() == 1);
+        CHECK(script.watched == std::vector<std::uint64_t>{7, 7});
+        CHECK(script.lists == 1);
+        CHECK(was_reported(script, "watch_answers"));
+    }
     SECTION("records are read again after the store has discarded its history")
     {
         script.watches.push_back({.history_lost = true, .revision = 0, .records = {}});
         script.records = {{.key = "w/3", .value = "c", .revision = 11}};
         script.revision = 12;
-        auto update = watch.next();
-        update = update.is_complete ? update : watch.next();
+        const auto update = watch.next();
         CHECK(update.is_complete);
         REQUIRE(update.records.size() == 1);
         CHECK(update.records[0].key == "w/3");
--- a/flamingoseam/store/shared_store.hpp
+++ b/flamingoseam/store/shared_store.hpp
@@ -50,6 +50,12 @@
     std::vector<shared_record> conflicting; ///< Current records of the conditions' keys.
 };
 
+/// The times of a call to watch().
+struct watch_times {
+    milliseconds wait{1'000};         ///< How long the store holds the call while nothing changes.
+    milliseconds answer_timeout{500}; ///< Time for the answer beyond the wait.
+};
+
 /// The changes returned by a watch.
 struct shared_changes {
     bool history_lost = false; ///< Some changes were missed; the records must be read again.
@@ -74,9 +80,11 @@
     /// Applies all changes if every condition holds.
     virtual shared_result commit(const shared_transaction& changes, milliseconds timeout) = 0;
 
-    /// Waits up to `wait` for changes under `prefix` after `revision` and returns them.
+    /// Waits for changes under `prefix` after `revision` and returns them, or none after the wait.
+    /// An answer without changes shows that there are none; silence shows nothing, since the
+    /// connection of a waiting watch may be cut without a trace.
     virtual shared_changes watch(const std::string& prefix, std::uint64_t revision,
-                                 milliseconds wait) = 0;
+                                 watch_times times) = 0;
 
     /// Grants a lease and returns its id.
     virtual std::uint64_t grant_lease(milliseconds time_to_live) = 0;
--- a/tests/commit_only_store.hpp
+++ b/tests/commit_only_store.hpp
@@ -14,7 +14,7 @@
         return {};
     }
     shared_changes watch(const std::string& /*prefix*/, std::uint64_t /*revision*/,
-                         milliseconds /*wait*/) override
+                         watch_times /*times*/) override
     {
         return {};
     }
