Bound how long a silent watch of the members is believed

What callers saw: after the store has discarded its history and left the watches without an answer, the end of the owner leaves the whole cell without one for up to 15 s: the other nodes do not hear that its record has gone, nor that another node has begun, and refuse all work.

--- a/flamingoseam/node/membership.hpp
+++ b/flamingoseam/node/membership.hpp
@@ -59,7 +59,7 @@
     member self;
     milliseconds time_to_live{1'000}; ///< Lease duration; a node counts as dead after it.
     milliseconds renew_interval{200};
-    watch_times watch{.wait = milliseconds(15'000), .answer_timeout = milliseconds(700)};
+    watch_times watch; ///< They limit how long a change of the owner can stay unheard.
     /// No other node can have taken over within this time after a renewal.
     milliseconds max_renewal_age{800};
     std::function<void(const log_event&)> report = nullptr; ///< Called for each event to log.
