Withdraw starts that wait for a worker once it leaves

worker_session_test 'starts that wait for a slow worker are not sent once it leaves': the second of two starts is reported as not sent; without the withdrawal a queue is only bounded by max_start_age (1 s).

--- a/flamingoseam/node/job_owner.cpp
+++ b/flamingoseam/node/job_owner.cpp
@@ -492,6 +492,9 @@
         }
         auto& session = sessions_[worker];
         if (session && session->entry().address == state.entry.address) {
+            if (!state.listed || state.entry.leaving) {
+                session->withdraw_starts();
+            }
             continue;
         }
         if (session) {
--- a/flamingoseam/node/worker_session.cpp
+++ b/flamingoseam/node/worker_session.cpp
@@ -108,6 +108,23 @@
     orders_changed_.notify_one();
 }
 
+void worker_session::withdraw_starts()
+{
+    std::deque<queued_start> withdrawn;
+    {
+        const std::lock_guard lock(mutex_);
+        withdrawn.swap(starts_);
+    }
+    for (const auto& start : withdrawn) {
+        report_not_sent(start);
+    }
+}
+
+void worker_session::report_not_sent(const queued_start& start)
+{
+    listener_.on_start(options_.worker, start.order.name, workflow::start_outcome::not_sent);
+}
+
 void worker_session::forget(const workflow::forget_order& order)
 {
     {
@@ -157,7 +174,7 @@
     // left.
     const auto lease_until = is_unreachable() ? worker_time(0) : extend_lease();
     if (now() - start.queued_at > options_.max_start_age || lease_until == worker_time(0)) {
-        listener_.on_start(options_.worker, order.name, workflow::start_outcome::not_sent);
+        report_not_sent(start);
         return;
     }
     try {
--- a/flamingoseam/node/worker_session.hpp
+++ b/flamingoseam/node/worker_session.hpp
@@ -87,6 +87,10 @@
     void start(workflow::start_order order);
     void stop(const workflow::stop_order& order);
 
+    /// Reports all starts that are still queued as not sent, since the worker leaves or has
+    /// left.
+    void withdraw_starts();
+
     /// Lets the worker forget the ends of runs up to a number with the next poll.
     void forget(const workflow::forget_order& order);
 
@@ -109,6 +113,7 @@
 
     void run_orders();
     void send_start(const queued_start& start);
+    void report_not_sent(const queued_start& start);
     void send_stop(const workflow::run_name& name);
     void run_polls();
     bool poll();
--- a/flamingoseam/node/worker_session_test.cpp
+++ b/flamingoseam/node/worker_session_test.cpp
@@ -17,6 +17,7 @@
     std::atomic<std::int64_t> forgotten{0};
     std::atomic<bool> unreachable{false};
     std::atomic<int> starts{0};
+    std::atomic<int> start_time_ms{0}; ///< How long the worker takes to answer a start.
     time_point began = now();
 
     worker_time clock() const
@@ -33,6 +34,7 @@
     {
         throw_if_unreachable();
         ++worker_.starts;
+        std::this_thread::sleep_for(milliseconds(worker_.start_time_ms.load()));
         return {.outcome = workflow::start_outcome::started, .clock = worker_.clock()};
     }
 
@@ -150,6 +152,20 @@
         CHECK(holds_within(milliseconds(200), [&] { return worker.forgotten == 3; }));
         CHECK(holds_within(milliseconds(200), [&] { return worker.starts == 1; }));
     }
+    SECTION("starts that wait for a slow worker are not sent once it leaves")
+    {
+        worker.start_time_ms = 400;
+        session.start({.worker = 0, .name = {{"job", 0, 0}, 1}});
+        session.start({.worker = 0, .name = {{"job", 0, 1}, 1}});
+        REQUIRE(holds_within(milliseconds(2'000), [&] { return worker.starts == 1; }));
+        session.withdraw_starts();
+        CHECK(listener.starts == 1);
+        CHECK(listener.last_start == workflow::start_outcome::not_sent);
+        REQUIRE(holds_within(milliseconds(2'000), [&] { return listener.starts == 2; }));
+        CHECK(listener.last_start == workflow::start_outcome::started);
+        std::this_thread::sleep_for(milliseconds(100));
+        CHECK(worker.starts == 1);
+    }
     SECTION("a start for an unreachable worker is not sent, so that its lease can expire")
     {
         worker.unreachable = true;
