Let a scheduler's watch wait one second

Contracts and shards also come from its peers every half second, members only by the watch, so the end of a scheduler could stay unheard for 6 s. No test shows a failure before; store_outage and silent_connections pass.

--- a/flamingoseam/scheduler/scheduler.cpp
+++ b/flamingoseam/scheduler/scheduler.cpp
@@ -17,7 +17,7 @@
 namespace {
 
 constexpr milliseconds tick_interval{50};
-constexpr milliseconds watch_wait{5000};
+constexpr milliseconds watch_wait{1000};
 constexpr milliseconds vm_list_interval{1000};
 constexpr milliseconds peer_interval{500};
 constexpr milliseconds peer_timeout{500};
