--- a/flamingoseam/core/json_fields.cpp
+++ b/flamingoseam/core/json_fields.cpp
@@ -1,7 +1,5 @@
 #include "flamingoseam/core/json_fields.hpp"
 
-#include "flamingoseam/core/error.hpp"
-
 namespace flamingoseam {
 
 namespace {
@@ -10,15 +8,14 @@
 
 [[noreturn]] void throw_wrong_value(const std::string& key, const std::string& expected)
 {
-    throw parse_error(139, "'" + key + "' must be " + expected);
+    throw field_error("'" + key + "' must be " + expected);
 }
 
 /// Returns the value of a key, or null if the object lacks it.
 const json* find_field(const json& object, const std::string& key)
 {
     if (!object.is_object()) {
-        throw parse_error(139,
-                          "an object with '" + key + "' was expected, not " + object.type_name());
+        throw field_error("an object with '" + key + "' was expected, not " + object.type_name());
     }
     const auto found = object.find(key);
     return found == object.end() ? nullptr : &*found;
@@ -50,7 +47,7 @@
 {
     if (!is_within(value, bounds)) {
         throw_wrong_value(name, "a number from " + std::to_string(bounds.min) + " to " +
-                                   std::to_string(bounds.max));
+                                    std::to_string(bounds.max));
     }
     return value.get<std::int64_t>();
 }
--- a/flamingoseam/core/read_json.hpp
+++ b/flamingoseam/core/read_json.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "flamingoseam/core/error.hpp"
+#include "flamingoseam/core/json_fields.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -19,6 +20,8 @@
         return read(nlohmann::json::parse(text));
     } catch (const nlohmann::json::exception& cause) {
         throw parse_error(id, what + " can't be read: " + cause.what());
+    } catch (const field_error& cause) {
+        throw parse_error(id, what + " can't be read: " + cause.what());
     }
 }
 
--- a/flamingoseam/node/membership.cpp
+++ b/flamingoseam/node/membership.cpp
@@ -1,5 +1,6 @@
 #include "flamingoseam/node/membership.hpp"
 
+#include "flamingoseam/core/json_fields.hpp"
 #include "flamingoseam/core/read_json.hpp"
 
 #include <glog/logging.h>
@@ -18,6 +19,8 @@
 constexpr milliseconds renewal_retry_interval{50};
 constexpr milliseconds watch_retry_interval{300};
 constexpr milliseconds commit_timeout{500};
+constexpr integer_bounds port_bounds{0, 65'535}; ///< The owner's record has 0 after a handover.
+constexpr double max_processor_share = 1'024;
 
 /// Returns the milliseconds of a clock that also advances while the machine is suspended.
 std::int64_t boot_time_ms()
@@ -38,11 +41,11 @@
 
 member member_from_json(const json& value)
 {
-    return {
-        .name = value.at("name").get<std::string>(),
-        .incarnation = value.at("incarnation").get<std::string>(),
-        .address = {value.at("address").get<std::string>(), value.at("port").get<unsigned short>()},
-        .processor_share = value.value("processor_share", 1.0)};
+    return {.name = value.at("name").get<std::string>(),
+            .incarnation = value.at("incarnation").get<std::string>(),
+            .address = {value.at("address").get<std::string>(),
+                        static_cast<unsigned short>(read_integer(value, "port", port_bounds))},
+            .processor_share = read_positive(value, "processor_share", max_processor_share, 1.0)};
 }
 
 /// Parses a record of a member or of the owner.
@@ -240,17 +243,26 @@
             }
             return;
         }
-        const auto name = record.key.substr((options_.prefix + "node/").size());
-        if (record.removed) {
-            view_.members.erase(name);
+        const auto name = member_name(record.key);
+        if (!name) {
+            LOG(WARNING) << "ignoring record " << record.key << ": it is no member's";
+        } else if (record.removed) {
+            view_.members.erase(*name);
         } else {
-            view_.members[name] = read_member(record.value);
+            view_.members[*name] = read_member(record.value);
         }
     } catch (const error& cause) {
         LOG(WARNING) << "ignoring invalid record " << record.key << ": " << cause.what();
     }
 }
 
+/// Returns the name of the member whose record has the key, none if it is no member's.
+std::optional<std::string> membership::member_name(const std::string& key) const
+{
+    const auto prefix = options_.prefix + "node/";
+    return key.starts_with(prefix) ? std::optional(key.substr(prefix.size())) : std::nullopt;
+}
+
 void membership::pause(milliseconds length)
 {
     std::unique_lock lock(mutex_);
--- a/flamingoseam/node/membership.hpp
+++ b/flamingoseam/node/membership.hpp
@@ -104,6 +104,7 @@
     void apply_update(const record_update& update);
     void apply(const shared_record& record);
     bool is_missing_from_view() const;
+    std::optional<std::string> member_name(const std::string& key) const;
     void pause(milliseconds length);
     std::string member_key() const { return options_.prefix + "node/" + options_.self.name; }
 
--- /dev/null
+++ b/flamingoseam/node/membership_test.cpp
@@ -0,0 +1,69 @@
+#include "flamingoseam/node/membership.hpp"
+
+#include "flamingoseam/core/error.hpp"
+#include "tests/commit_only_store.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+
+using namespace flamingoseam;
+using namespace flamingoseam::node;
+
+namespace {
+
+const member self{.name = "node1", .incarnation = "i1", .address = {"10.0.0.1", 7720}};
+
+/// A store whose list contains the records of another writer beside that of a member.
+class shared_list final : public commit_only_store {
+public:
+    shared_page list(const std::string& prefix, const std::string& /*after*/) override
+    {
+        shared_page page{.records = {{.key = prefix, .value = "1"},
+                                     {.key = prefix + "x", .value = "{}"},
+                                     {.key = prefix + "node/odd", .value = "[]"},
+                                     {.key = prefix + "node/node1", .value = write_member(self)}},
+                         .revision = 7};
+        return page;
+    }
+    shared_result commit(const shared_transaction& /*changes*/, milliseconds /*timeout*/) override
+    {
+        return {.applied = true, .revision = 8};
+    }
+    shared_changes watch(const std::string& /*prefix*/, std::uint64_t revision,
+                         watch_times /*times*/) override
+    {
+        return {.revision = revision, .records = {}};
+    }
+};
+
+} // namespace
+
+TEST_CASE("a member's record with an odd value is rejected")
+{
+    CHECK(read_member(write_member(self)).address == self.address);
+    for (
+        const auto* text :
+        {R"({"name":"a","incarnation":"i","address":"10.0.0.1","port":70000})",
+         R"({"name":"a","incarnation":"i","address":"10.0.0.1","port":1e30})",
+         R"({"name":"a","incarnation":"i","address":"10.0.0.1","port":-1})",
+         R"({"name":"a","incarnation":"i","address":"10.0.0.1","port":1,"processor_share":1e300})",
+         R"({"name":"a","incarnation":"i","address":"10.0.0.1","port":1,"processor_share":"1"})"}) {
+        INFO(text);
+        CHECK_THROWS_AS(read_member(text), parse_error);
+    }
+}
+
+TEST_CASE("odd records among the members' do not end the process")
+{
+    std::atomic<int> changes{0};
+    const membership members(
+        {.self = self}, [] { return std::make_unique<shared_list>(); }, [&changes] { ++changes; });
+    const auto end = now() + std::chrono::seconds(2);
+    while (changes == 0 && now() < end) {
+        std::this_thread::sleep_for(milliseconds(5));
+    }
+    const auto view = members.view();
+    CHECK(view.members.size() == 1);
+    CHECK(view.members.contains("node1"));
+}
