Let a node take over although a stored job can't be read

Such a job is left out and logged (job_unreadable); callers who ask for it, submit it again or cancel it hear that its state is not known (504), since it may have been accepted. The record of leased workers still has to be readable: a take-over without it could run a task twice.

--- a/flamingoseam/node/job_owner.cpp
+++ b/flamingoseam/node/job_owner.cpp
@@ -76,7 +76,12 @@
               .ended_retention = dependencies_.ended_kept + clock_skew_margin,
               .streams = dependencies_.head_keys.size()})
 {
-    state_.load(std::move(start.jobs), start.leased_workers, now(), wall_now());
+    state_.load(std::move(start.jobs.jobs), start.leased_workers, now(), wall_now());
+    for (const auto& job : start.jobs.unreadable) {
+        unreadable_jobs_.insert(job.id);
+        dependencies_.log->write(
+            {.event = "job_unreadable", .request = job.id, .detail = job.reason});
+    }
     permission_dispatcher_ = std::make_unique<permission_dispatcher>(
         dependencies_.permissions,
         [this](std::uint64_t number, auto grants) {
@@ -144,6 +149,18 @@
     }
 }
 
+/// Answers that the state of a job is not known if its stored records can't be read. Returns
+/// whether it has answered.
+bool job_owner::answer_unreadable(const std::string& job,
+                                  const owner_service::owner_reply& reply) const
+{
+    if (!unreadable_jobs_.contains(job)) {
+        return false;
+    }
+    reply({.verdict = owner_verdict::unknown, .reason = "unreadable_record"});
+    return true;
+}
+
 std::uint64_t job_owner::store_reply(owner_service::owner_reply reply)
 {
     replies_.emplace(next_token_, std::move(reply));
@@ -158,6 +175,9 @@
             reply({.verdict = owner_verdict::no_owner, .reason = "owner_changes"});
             return;
         }
+        if (answer_unreadable(job.id, reply)) {
+            return;
+        }
         state_.submit(store_reply(std::move(reply)), job, terms, now(), wall_now());
     });
 }
@@ -170,13 +190,18 @@
             reply({.verdict = owner_verdict::no_owner, .reason = "owner_changes"});
             return;
         }
-        state_.cancel(store_reply(std::move(reply)), job, wall_now());
+        if (!answer_unreadable(job, reply)) {
+            state_.cancel(store_reply(std::move(reply)), job, wall_now());
+        }
     });
 }
 
 void job_owner::find(const std::string& job, owner_service::owner_reply reply)
 {
     loop_.post([this, job, reply = std::move(reply)] {
+        if (answer_unreadable(job, reply)) {
+            return;
+        }
         const auto phase = state_.find(job);
         if (phase) {
             reply({.verdict = owner_verdict::accepted, .phase = workflow::to_string(*phase)});
--- a/flamingoseam/node/job_owner.hpp
+++ b/flamingoseam/node/job_owner.hpp
@@ -9,12 +9,14 @@
 #include "flamingoseam/node/permission_dispatcher.hpp"
 #include "flamingoseam/node/worker_directory.hpp"
 #include "flamingoseam/node/worker_session.hpp"
+#include "flamingoseam/workflow/stored_job.hpp"
 #include "flamingoseam/workflow/workflow_state.hpp"
 
 #include <atomic>
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <thread>
 #include <unordered_map>
@@ -26,7 +28,7 @@
 struct job_owner_start {
     stream_head head;           ///< The head record by which the owner took over.
     std::uint64_t revision = 0; ///< Revision of that head record.
-    std::vector<workflow::job_record> jobs;
+    workflow::stored_jobs jobs;
     std::vector<workflow::worker_entry> leased_workers;
 };
 
@@ -109,6 +111,7 @@
     void report_load(time_point time);
     void report_queues(time_point time);
     void set_gauges();
+    bool answer_unreadable(const std::string& job, const owner_service::owner_reply& reply) const;
     std::uint64_t store_reply(owner_service::owner_reply reply);
     void answer_all_unknown();
     void watch_workers();
@@ -124,6 +127,7 @@
     change_ages change_ages_; ///< Used by the control thread only.
     control_loop loop_;
     workflow::workflow_state state_;
+    std::set<std::string> unreadable_jobs_; ///< Accepted, but their records can't be read.
     std::unordered_map<std::uint64_t, owner_service::owner_reply> replies_;
     std::uint64_t next_token_ = 1;
     std::map<std::size_t, std::unique_ptr<worker_session>> sessions_;
--- a/flamingoseam/node/owner_claim.hpp
+++ b/flamingoseam/node/owner_claim.hpp
@@ -35,7 +35,7 @@
 
 /// The state that earlier owners have stored.
 struct stored_state {
-    std::vector<workflow::job_record> jobs;
+    workflow::stored_jobs jobs;
     std::vector<workflow::worker_entry> leased_workers; ///< Workers that may have assigned runs.
 };
 
--- a/flamingoseam/workflow/stored_job.cpp
+++ b/flamingoseam/workflow/stored_job.cpp
@@ -61,7 +61,8 @@
 step_spec step_from_json(const json& value)
 {
     step_spec step;
-    step.tasks = value.at("tasks").get<int>();
+    step.tasks = static_cast<int>(
+        read_integer(value, "tasks", {.min = 1, .max = job_limits().tasks_per_step}));
     step.size = size_from_json(value.at("size"));
     step.estimate = milliseconds(value.at("estimate_ms").get<std::int64_t>());
     step.after = value.value("after", std::vector<int>());
@@ -149,12 +150,16 @@
             --step.unlocated;
         }
     }
-    for (const auto& entry : value.value("failed_runs", json::array())) {
-        step.tasks.at(entry.at(0).get<std::size_t>()).failed_runs =
-            entry.at(1).get<std::vector<std::int64_t>>();
+    const integer_bounds index_bounds{0, static_cast<std::int64_t>(step.tasks.size()) - 1};
+    const auto task_of = [&](const json& entry) -> task_record& {
+        const auto index = to_integer(entry.at(0), "the index of a task", index_bounds);
+        return step.tasks[static_cast<std::size_t>(index)];
+    };
+    for (const auto& entry : read_array(value, "failed_runs")) {
+        task_of(entry).failed_runs = entry.at(1).get<std::vector<std::int64_t>>();
     }
-    for (const auto& entry : value.value("checkpoints", json::array())) {
-        step.tasks.at(entry.at(0).get<std::size_t>()).checkpoint = entry.at(1).get<std::string>();
+    for (const auto& entry : read_array(value, "checkpoints")) {
+        task_of(entry).checkpoint = entry.at(1).get<std::string>();
     }
     step.gang_failed_runs = value.value("gang_failed_runs", std::vector<std::int64_t>());
 }
@@ -239,24 +244,47 @@
     });
 }
 
-std::vector<job_record> read_jobs(const std::map<std::string, std::string>& specifications,
-                                  const std::map<std::string, std::string>& progress_records)
+namespace {
+
+/// Reads one job from its records, of which either may be null.
+job_record read_job(const std::string& id, const std::string* specification,
+                    const std::string* progress)
 {
-    std::vector<job_record> jobs;
-    for (const auto& [id, text] : specifications) {
-        auto job = read_specification(text);
-        job.spec.id = id;
-        if (const auto found = progress_records.find(id); found != progress_records.end()) {
-            read_progress(found->second, job);
+    if (specification == nullptr) {
+        return read_final_progress(id, *progress);
+    }
+    auto job = read_specification(*specification);
+    job.spec.id = id;
+    if (progress != nullptr) {
+        read_progress(*progress, job);
+    }
+    return job;
+}
+
+} // namespace
+
+stored_jobs read_jobs(const std::map<std::string, std::string>& specifications,
+                      const std::map<std::string, std::string>& progress_records)
+{
+    stored_jobs result;
+    const auto read = [&result](const std::string& id, const std::string* specification,
+                                const std::string* progress) {
+        try {
+            result.jobs.push_back(read_job(id, specification, progress));
+        } catch (const parse_error& cause) {
+            result.unreadable.push_back({id, cause.what()});
         }
-        jobs.push_back(std::move(job));
+    };
+    for (const auto& [id, text] : specifications) {
+        const auto progress = progress_records.find(id);
+        read(id, &text, progress == progress_records.end() ? nullptr : &progress->second);
     }
     for (const auto& [id, text] : progress_records) {
         if (!specifications.contains(id)) {
-            jobs.push_back(read_final_progress(id, text));
+            read(id, nullptr, &text);
         }
     }
-    return jobs;
+    return result;
 }
 
 std::string write_leased_workers(const std::vector<worker_entry>& workers)
--- a/flamingoseam/workflow/stored_job.hpp
+++ b/flamingoseam/workflow/stored_job.hpp
@@ -43,10 +43,22 @@
 /// (id 126).
 job_record read_final_progress(const std::string& id, const std::string& text);
 
+/// A job of which a stored record can't be read.
+struct unreadable_job {
+    std::string id;
+    std::string reason;
+};
+
+/// The jobs that earlier owners have stored.
+struct stored_jobs {
+    std::vector<job_record> jobs;
+    std::vector<unreadable_job> unreadable;
+};
+
 /// Reads all stored jobs from the values below specification_prefix() and progress_prefix(), both
-/// by job id. Throws parse_error (id 126).
-std::vector<job_record> read_jobs(const std::map<std::string, std::string>& specifications,
-                                  const std::map<std::string, std::string>& progress_records);
+/// by job id.
+stored_jobs read_jobs(const std::map<std::string, std::string>& specifications,
+                      const std::map<std::string, std::string>& progress_records);
 
 /// Returns the leased workers, which may hold runs, as JSON text.
 std::string write_leased_workers(const std::vector<worker_entry>& workers);
--- a/tests/workflow_model.cpp
+++ b/tests/workflow_model.cpp
@@ -213,9 +213,10 @@
     if (const auto found = records_.find(keys.leased_workers()); found != records_.end()) {
         leased_workers = read_leased_workers(found->second);
     }
-    owner_->state.load(read_jobs(records_below(keys.specification_prefix()),
-                                 records_below(keys.progress_prefix())),
-                       leased_workers, clock(), simulation_start + now_);
+    owner_->state.load(
+        read_jobs(records_below(keys.specification_prefix()), records_below(keys.progress_prefix()))
+            .jobs,
+        leased_workers, clock(), simulation_start + now_);
     const auto started = owner_;
     at(between(0, 100), [this, started] {
         if (started->active) {
