Regard the members' view as complete again after an interrupted watch

membership_test 'a member whose record was removed joins again, also after an interrupted watch': fails on the code before (1 commit where 2 are expected).

--- a/flamingoseam/node/membership.cpp
+++ b/flamingoseam/node/membership.cpp
@@ -214,7 +214,7 @@
             LOG_EVERY_N(WARNING, 10) << "can't watch the membership records: " << cause.what();
             {
                 const std::lock_guard lock(mutex_);
-                is_view_complete_ = false; // The interrupted watch may have missed changes.
+                is_view_complete_ = false; // Until the next answer, changes may be missing.
             }
             pause(watch_retry_interval);
         }
@@ -226,8 +226,8 @@
     const std::lock_guard lock(mutex_);
     if (update.is_complete) {
         view_ = {};
-        is_view_complete_ = true;
     }
+    is_view_complete_ = true;
     for (const auto& record : update.records) {
         apply(record);
     }
--- a/flamingoseam/node/membership_test.cpp
+++ b/flamingoseam/node/membership_test.cpp
@@ -37,8 +37,58 @@
     }
 };
 
+/// A store whose first watch gets no answer and whose second one reports that the member is gone.
+class interrupted_store final : public commit_only_store {
+public:
+    struct shared {
+        std::atomic<int> commits{0};
+        std::atomic<int> watches{0};
+    };
+
+    explicit interrupted_store(shared& counts) : counts_(counts) {}
+
+    shared_page list(const std::string& prefix, const std::string& /*after*/) override
+    {
+        return {.records = {{.key = prefix + "node/node1", .value = write_member(self)}},
+                .revision = 7};
+    }
+    shared_result commit(const shared_transaction& /*changes*/, milliseconds /*timeout*/) override
+    {
+        ++counts_.commits;
+        return {.applied = true, .revision = 8};
+    }
+    shared_changes watch(const std::string& prefix, std::uint64_t /*revision*/,
+                         watch_times /*times*/) override
+    {
+        switch (++counts_.watches) {
+        case 1:
+            throw transport_error(304, "no answer", true);
+        case 2:
+            return {.revision = 9, .records = {{.key = prefix + "node/node1", .removed = true}}};
+        default:
+            return {.revision = 9, .records = {}};
+        }
+    }
+
+private:
+    shared& counts_;
+};
+
 } // namespace
 
+TEST_CASE("a member whose record was removed joins again, also after an interrupted watch")
+{
+    interrupted_store::shared counts;
+    const membership members(
+        {.self = self}, [&counts] { return std::make_unique<interrupted_store>(counts); }, [] {});
+    const auto end = now() + std::chrono::seconds(3);
+    while (counts.commits < 2 && now() < end) {
+        std::this_thread::sleep_for(milliseconds(5));
+    }
+    CHECK(counts.watches >= 2);
+    CHECK(counts.commits >= 2);
+}
+
 TEST_CASE("a member's record with an odd value is rejected")
 {
     CHECK(read_member(write_member(self)).address == self.address);
--- a/flamingoseam/store/record_watch.cpp
+++ b/flamingoseam/store/record_watch.cpp
@@ -27,7 +27,7 @@
 {
     const auto asked = now();
     try {
-        auto update = revision_ == 0 ? read_all("first reading") : wait_for_changes();
+        auto update = revision_ == 0 ? read_all() : wait_for_changes();
         record_answer(asked);
         return update;
     } catch (const transport_error& cause) {
@@ -36,12 +36,13 @@
     }
 }
 
-record_update record_watch::read_all(const std::string& reason)
+record_update record_watch::read_all()
 {
+    const bool is_first = confirmed_at_ == time_point{};
     std::uint64_t revision = 0;
     record_update update{.is_complete = true,
                          .records = list_all(*store_, options_.prefix, revision)};
-    report("records_read", reason,
+    report("records_read", is_first ? "first reading" : "history lost",
            {{"records", static_cast<std::int64_t>(update.records.size())},
             {"revision", static_cast<std::int64_t>(revision)},
             age_field()});
@@ -56,7 +57,7 @@
         report("watch_history_lost", "",
                {{"revision", static_cast<std::int64_t>(revision_)}, age_field()});
         revision_ = 0;
-        return read_all("history lost");
+        return read_all();
     }
     revision_ = changes.revision;
     return {.is_complete = false, .records = std::move(changes.records)};
--- a/flamingoseam/store/record_watch.hpp
+++ b/flamingoseam/store/record_watch.hpp
@@ -46,7 +46,7 @@
     [[nodiscard]] time_point confirmed_at() const { return confirmed_at_; }
 
 private:
-    record_update read_all(const std::string& reason);
+    record_update read_all();
     record_update wait_for_changes();
     void record_answer(time_point asked);
     void record_failure(const std::string& cause, time_point asked);
