Let the stand-in store leave watches unanswered while it is mute, and play a departure in that time

In the plays a watch whose wait ended in the silent second got no answer until the cut; the stand-in answered it with an empty list and a revision beyond the changes that it kept back. The scenario now also announces a departure within that second.

--- a/scenarios/platform.lua
+++ b/scenarios/platform.lua
@@ -101,7 +101,7 @@
     return owner
 end
 
--- Makes the stand-in store discard its history after `mute_ms`, during which watches report nothing. The watches that
+-- Makes the stand-in store discard its history after `mute_ms`, during which watches get no answer. The watches that
 -- wait then are never answered (how = "cut"), or at the end of their wait (how = "hold").
 function discard_history(cell, mute_ms, how)
     request { server = cell.store, path = "/standin/compact?mute_ms=" .. mute_ms .. "&how=" .. how }
--- a/scenarios/platform_leaving_worker.lua
+++ b/scenarios/platform_leaving_worker.lua
@@ -1,7 +1,7 @@
 -- DRAIN: a worker that has announced that it leaves gets no run later than 2 s after the store accepted the
--- announcement, although the store has just discarded its history and does not answer the watches that waited.
+-- announcement, although the store discards its history at that time and does not answer the watches that wait.
 dofile("scenarios/platform.lua")
-local cell = start_platform(5, 2)
+local cell = start_platform(6, 2)
 local node = cell.nodes[1]
 local ids, attempts = {}, 0
 local function submit_for(length_ms)
@@ -16,13 +16,18 @@
 
 submit_for(500)
 local late = 0
-for worker, how in ipairs { "cut", "hold" } do
-    discard_history(cell, 1000, how)
-    submit_for(1500)
+local rounds = {
+    { how = "cut", announced_after_ms = 1500 },
+    { how = "hold", announced_after_ms = 1500 },
+    { how = "cut", announced_after_ms = 500 },
+}
+for worker, round in ipairs(rounds) do
+    discard_history(cell, 1000, round.how)
+    submit_for(round.announced_after_ms)
     announce_leaving(cell, worker)
     submit_for(4000)
     local counts = run_counts(cell)
-    print("  " .. how .. ": starts: " .. counts.starts .. ", late on leaving workers: " .. counts.late_on_leaving)
+    print("  " .. round.how .. ", announced after " .. round.announced_after_ms .. " ms: starts: " .. counts.starts .. ", late on leaving workers: " .. counts.late_on_leaving)
     late = counts.late_on_leaving
 end
 expect("no run is started on a leaving worker after 2 s", late == 0)
--- a/standins/platform_store.cpp
+++ b/standins/platform_store.cpp
@@ -191,8 +191,9 @@
         if (compactions_ != compactions) {
             return end_missed_watch(lock, until);
         }
-        const auto events = compaction_at_ ? json::array() : events_after(after, prefix);
-        if (!events.empty() || now() >= until) {
+        const bool is_mute = compaction_at_.has_value();
+        const auto events = is_mute ? json::array() : events_after(after, prefix);
+        if (!events.empty() || (now() >= until && !is_mute)) {
             return respond(200, {{"events", events}, {"currentRev", revision_}});
         }
         changed_.wait_for(lock, watch_poll_interval);
--- a/standins/platform_store.hpp
+++ b/standins/platform_store.hpp
@@ -17,7 +17,7 @@
 
 /// An in-memory stand-in for the users' key-value service with transactions, leases and watches.
 /// Tests select a fault with /standin/fault?mode=down, lossy or none, and make the store discard
-/// its history with /standin/compact?mute_ms=N: watches report nothing for N ms, then the history
+/// its history with /standin/compact?mute_ms=N: watches get no answer for N ms, then the history
 /// is discarded. The watches that wait then are never answered, or, with how=hold, answered at the
 /// end of their wait.
 class platform_store {
