--- a/flamingoseam/node/commit_stream.cpp
+++ b/flamingoseam/node/commit_stream.cpp
@@ -1,6 +1,7 @@
 #include "flamingoseam/node/commit_stream.hpp"
 
 #include "flamingoseam/core/read_json.hpp"
+#include "flamingoseam/core/thread_times.hpp"
 
 #include <glog/logging.h>
 
@@ -94,7 +95,9 @@
 
 void commit_stream::run()
 {
+    thread_timer timer(thread_duty::commits);
     while (wait_for_work()) {
+        timer.update();
         auto batch = source_.take_batch(options_.max_entries - head_entries);
         bool is_last = false;
         if (batch.changes.empty()) {
--- a/flamingoseam/node/load_event.cpp
+++ b/flamingoseam/node/load_event.cpp
@@ -19,6 +19,11 @@
     return static_cast<std::int64_t>(value);
 }
 
+std::int64_t duty_percent(const owner_load& load, thread_duty duty)
+{
+    return percent(load.processor.duties[static_cast<std::size_t>(duty)], load.interval);
+}
+
 } // namespace
 
 log_event to_event(const owner_load& load)
@@ -42,6 +47,10 @@
                 {"dispatching_percent", percent(load.dispatch_time, load.interval)},
                 {"control_cpu_percent", percent(load.processor.thread, load.interval)},
                 {"process_cpu_percent", percent(load.processor.process, load.interval)},
+                {"orders_cpu_percent", duty_percent(load, thread_duty::orders)},
+                {"polls_cpu_percent", duty_percent(load, thread_duty::polls)},
+                {"commits_cpu_percent", duty_percent(load, thread_duty::commits)},
+                {"permissions_cpu_percent", duty_percent(load, thread_duty::permissions)},
                 {"changes_waiting", number(state.changes)},
                 {"oldest_change_ms", whole_ms(state.oldest_change_age)},
                 {"transactions", number(load.transactions)},
--- a/flamingoseam/node/load_meter.cpp
+++ b/flamingoseam/node/load_meter.cpp
@@ -1,8 +1,7 @@
 #include "flamingoseam/node/load_meter.hpp"
 
-#include <sys/resource.h>
-
 #include <algorithm>
+#include <functional>
 
 namespace flamingoseam::node {
 
@@ -10,23 +9,19 @@
 
 constexpr milliseconds interval{1'000};
 
-time_point::duration to_duration(const timeval& time)
-{
-    return std::chrono::seconds(time.tv_sec) + std::chrono::microseconds(time.tv_usec);
-}
-
-time_point::duration read_usage(int target)
+duty_times difference(const duty_times& newer, const duty_times& older)
 {
-    rusage usage{};
-    ::getrusage(target, &usage);
-    return to_duration(usage.ru_utime) + to_duration(usage.ru_stime);
+    duty_times result{};
+    std::ranges::transform(newer, older, result.begin(), std::minus<>());
+    return result;
 }
 
 } // namespace
 
 processor_times read_processor_times()
 {
-    return {.thread = read_usage(RUSAGE_THREAD), .process = read_usage(RUSAGE_SELF)};
+    return {
+        .thread = read_thread_time(), .process = read_process_time(), .duties = read_duty_times()};
 }
 
 void change_ages::record(std::uint64_t newest, time_point time)
@@ -90,7 +85,8 @@
     previous_ = state;
     load.interval = time - std::exchange(interval_start_, time);
     load.processor = {.thread = processor.thread - processor_.thread,
-                      .process = processor.process - processor_.process};
+                      .process = processor.process - processor_.process,
+                      .duties = difference(processor.duties, processor_.duties)};
     processor_ = processor;
     return load;
 }
--- a/flamingoseam/node/load_meter.hpp
+++ b/flamingoseam/node/load_meter.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "flamingoseam/core/control_loop.hpp"
+#include "flamingoseam/core/thread_times.hpp"
 
 #include <cstdint>
 #include <deque>
@@ -9,10 +10,12 @@
 
 namespace flamingoseam::node {
 
-/// Processor time used so far by the calling thread and by the whole process.
+/// Processor time used so far by the calling thread, by the whole process and by its threads of
+/// each duty.
 struct processor_times {
     time_point::duration thread{0};
     time_point::duration process{0};
+    duty_times duties{};
 };
 
 /// Returns the processor times of the calling thread and of its process. Complexity: constant.
--- a/flamingoseam/node/load_meter_test.cpp
+++ b/flamingoseam/node/load_meter_test.cpp
@@ -39,21 +39,22 @@
         meter.record_step({.waited = 70ms, .took = 100ms, .queued = 2});
         meter.record_decisions({.decision_time = 500ms, .dispatch_time = 60ms, .starts = 4});
         meter.record_transaction(12);
-        const auto event =
-            to_event(meter.take({.open_jobs = 9,
-                                 .overdue_jobs = 2,
-                                 .waiting_steps = 5,
-                                 .changes = 6,
-                                 .oldest_change_age = 30ms,
-                                 .permissions = {.requests = 8,
-                                                 .oldest_age = 80ms,
-                                                 .call_slots = 30,
-                                                 .busy_slots = 3,
-                                                 .calls = 11,
-                                                 .call_time = 700ms},
-                                 .passes = 20,
-                                 .repeated_requests = 1},
-                                start + 2s, {.thread = 1'100ms, .process = 1'500ms}));
+        const auto event = to_event(meter.take(
+            {.open_jobs = 9,
+             .overdue_jobs = 2,
+             .waiting_steps = 5,
+             .changes = 6,
+             .oldest_change_age = 30ms,
+             .permissions = {.requests = 8,
+                             .oldest_age = 80ms,
+                             .call_slots = 30,
+                             .busy_slots = 3,
+                             .calls = 11,
+                             .call_time = 700ms},
+             .passes = 20,
+             .repeated_requests = 1},
+            start + 2s,
+            {.thread = 1'100ms, .process = 1'500ms, .duties = {200ms, 140ms, 60ms, 20ms}}));
         CHECK(event.event == "owner_load");
         CHECK(field(event, "span_ms") == 2'000);
         CHECK(field(event, "open_jobs") == 9);
@@ -69,6 +70,10 @@
         CHECK(field(event, "dispatching_percent") == 3);
         CHECK(field(event, "control_cpu_percent") == 50);
         CHECK(field(event, "process_cpu_percent") == 60);
+        CHECK(field(event, "orders_cpu_percent") == 10);
+        CHECK(field(event, "polls_cpu_percent") == 7);
+        CHECK(field(event, "commits_cpu_percent") == 3);
+        CHECK(field(event, "permissions_cpu_percent") == 1);
         CHECK(field(event, "changes_waiting") == 6);
         CHECK(field(event, "oldest_change_ms") == 30);
         CHECK(field(event, "transactions") == 1);
--- a/flamingoseam/node/permission_dispatcher.cpp
+++ b/flamingoseam/node/permission_dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "flamingoseam/node/permission_dispatcher.hpp"
 
 #include "flamingoseam/core/error.hpp"
+#include "flamingoseam/core/thread_times.hpp"
 
 #include <glog/logging.h>
 
@@ -136,7 +137,9 @@
 void permission_dispatcher::run(call_slot& slot)
 {
     const auto call = make_call_(slot.node);
+    thread_timer timer(thread_duty::permissions);
     while (auto request = take_request(slot)) {
+        timer.update();
         const auto started = now();
         std::optional<std::vector<workflow::ticket_grant>> grants;
         try {
--- a/flamingoseam/node/worker_session.cpp
+++ b/flamingoseam/node/worker_session.cpp
@@ -1,6 +1,7 @@
 #include "flamingoseam/node/worker_session.hpp"
 
 #include "flamingoseam/core/error.hpp"
+#include "flamingoseam/core/thread_times.hpp"
 
 #include <glog/logging.h>
 
@@ -147,8 +148,10 @@
 
 void worker_session::run_orders()
 {
+    thread_timer timer(thread_duty::orders);
     std::unique_lock lock(mutex_);
     while (!ending_) {
+        timer.update();
         if (!stops_.empty()) {
             const auto name = std::move(stops_.front());
             stops_.pop_front();
@@ -234,7 +237,9 @@
 
 void worker_session::run_polls()
 {
+    thread_timer timer(thread_duty::polls);
     while (!ending_) {
+        timer.update();
         if (!poll()) {
             pause(retry_delay_);
         }
