Let an owner begin although stored jobs have all tasks done

Cause: the last loop of load() walked the open jobs and closed completed ones, which erases the element that the loop stands on; a stored job with all tasks done and not closed makes each next owner meet it. Now the jobs are collected before any is closed. Looked at for the same: the other loops over open_ and over runs change neither (release_unlocated requeues, the others only mark).

--- a/flamingoseam/workflow/workflow_jobs.cpp
+++ b/flamingoseam/workflow/workflow_jobs.cpp
@@ -44,7 +44,17 @@
     if (unreported_.empty()) {
         release_unlocated();
     }
+    close_completed_jobs(wall);
+}
+
+/// Closes the jobs whose tasks are all done. Closing a job removes it from the open jobs.
+void workflow_state::close_completed_jobs(wall_time wall)
+{
+    std::vector<job_record*> loaded;
     for (const auto& [sequence, job] : open_) {
+        loaded.push_back(job);
+    }
+    for (auto* job : loaded) {
         close_if_completed(*job, wall);
     }
 }
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -259,6 +259,7 @@
     void finish_gang(job_record& job, int step, wall_time wall);
     void close_job(job_record& job, job_phase phase, wall_time wall);
     void close_if_completed(job_record& job, wall_time wall);
+    void close_completed_jobs(wall_time wall);
     void stop_runs_of(const job_record& job);
     void requeue_task(job_record& job, int step, int index);
     void break_gang(job_record& job, int step);
--- a/flamingoseam/workflow/workflow_state_test.cpp
+++ b/flamingoseam/workflow/workflow_state_test.cpp
@@ -37,6 +37,30 @@
     }
 }
 
+TEST_CASE("an owner takes over jobs whose tasks are all done but which are not closed")
+{
+    constexpr int jobs = 40;
+    driven_state driver;
+    std::vector<job_record> stored;
+    for (int number = 0; number < jobs; ++number) {
+        job_record job;
+        job.spec = driver.job("done" + std::to_string(number), 1'000);
+        job.terms = driver.terms();
+        job.accepted = wall;
+        job.spec_stored = true;
+        fill_steps(job, task_phase::done);
+        job.steps[0].done = 1;
+        stored.push_back(std::move(job));
+    }
+    driver.state.load(std::move(stored), {}, driver.time, wall);
+
+    CHECK(driver.state.open_jobs() == 0);
+    CHECK(driver.state.counts().completed == jobs);
+    driver.store();
+    CHECK(driver.state.find("done0") == job_phase::completed);
+    CHECK(driver.state.find("done39") == job_phase::completed);
+}
+
 TEST_CASE("a failed run counts once, however often its worker reports it")
 {
     driven_state driver;
