--- a/flamingoseam/node/permission_dispatcher_test.cpp
+++ b/flamingoseam/node/permission_dispatcher_test.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include <atomic>
+#include <map>
 
 using namespace flamingoseam;
 using namespace flamingoseam::node;
@@ -145,3 +146,40 @@
         CHECK_FALSE(timings[0].answered);
     }
 }
+
+TEST_CASE("calls to the permission service whose answers are on the way leave it to the next calls")
+{
+    constexpr milliseconds transfer{50}; ///< Of a request to the service, and of its answer back.
+    constexpr milliseconds service_time{10};
+    constexpr int calls = 24;
+    const std::vector<std::string> nodes{"a", "b"};
+    std::map<std::string, std::mutex>
+        services; ///< The service handles one call of a node at a time.
+    for (const auto& node : nodes) {
+        services[node];
+    }
+    std::atomic<int> answered{0};
+    permission_dispatcher dispatcher(
+        [&](const std::string& node) {
+            return [&, node](const workflow::permission_request& request) -> permission_answer {
+                std::this_thread::sleep_for(transfer);
+                {
+                    const std::lock_guard lock(services.at(node));
+                    std::this_thread::sleep_for(request.service_time);
+                }
+                std::this_thread::sleep_for(transfer);
+                return {.grants = {{"w", "ticket"}}};
+            };
+        },
+        [&](std::uint64_t /*number*/, const auto& /*grants*/) { ++answered; });
+    dispatcher.set_nodes(nodes);
+    const auto began = now();
+    for (int number = 1; number <= calls; ++number) {
+        dispatcher.enqueue(request_of(static_cast<std::uint64_t>(number), 0, service_time));
+    }
+    REQUIRE(holds_within(milliseconds(10'000), [&] { return answered == calls; }));
+
+    const auto one_after_the_other =
+        calls / static_cast<int>(nodes.size()) * (2 * transfer + service_time);
+    CHECK(now() - began <= one_after_the_other / 2);
+}
