Divide a large cell into shards, each with an owner of its own

Cause: one owner drives 350 workers and needs all of its machine's half core from the second second of traffic on; each permission call, start and poll then waits for the processor.

Change: the hash of its id puts each job and each worker into a shard; a shard has its own owner, epochs, commit streams and half of the nodes to call the permission service through. The number of shards is stored once, by the workers listed when the cell begins (at most 200 a shard), so that smaller cells and cells that were run before stay as they were. The strongest nodes are divided among the shards; a node that owns two offers one to an idle node of equal strength.

--- /dev/null
+++ b/flamingoseam/node/cell_layout.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "flamingoseam/node/worker_directory.hpp"
+#include "flamingoseam/store/shared_store.hpp"
+
+#include <functional>
+
+namespace flamingoseam::node {
+
+/// How a cell is divided into shards. It is stored once and does not change afterwards.
+struct layout_options {
+    std::string store_prefix = "fs/";
+    /// A new cell gets so many shards that each has at most this number of workers.
+    std::size_t workers_per_shard = 200;
+    std::size_t max_shards = 16;
+    /// The number of workers is used after it has not changed for this long.
+    milliseconds settling_time{600};
+};
+
+/// Returns the number of shards of the cell, or no value while the platform lists no workers yet
+/// or their number still changes. The first node to store a layout decides it for all. A cell that
+/// was run before layouts were stored has one shard. To be called again after a pause until there
+/// is a value; each call reads the store. Throws transport_error if the store does not answer, and
+/// parse_error (id 141) if the stored layout can't be read.
+class layout_agreement {
+public:
+    layout_agreement(layout_options options, std::unique_ptr<shared_store> store,
+                     std::unique_ptr<worker_directory> workers);
+
+    std::optional<std::size_t> try_agree(time_point time);
+
+private:
+    std::optional<std::size_t> read_layout();
+    std::optional<std::size_t> choose(time_point time);
+
+    layout_options options_;
+    std::unique_ptr<shared_store> store_;
+    std::unique_ptr<worker_directory> workers_;
+    std::size_t listed_ = 0; ///< Number of workers listed last.
+    time_point listed_since_{};
+};
+
+} // namespace flamingoseam::node
--- a/flamingoseam/node/node.cpp
+++ b/flamingoseam/node/node.cpp
@@ -223,19 +223,31 @@
     }).detach();
 }
 
-void node::update_call_slots(const membership_view& view)
+/// Returns the names of the nodes through which this shard's owner calls the permission service.
+/// Each node serves one shard, since the service handles one call of a node at a time.
+std::vector<std::string> node::calling_nodes(const membership_view& view) const
 {
-    const auto owner = local_owner();
-    if (!owner) {
-        return;
+    std::vector<std::string> names;
+    if (options_.shard.count == 1) {
+        names.push_back(options_.name);
     }
-    std::vector<std::string> names{options_.name};
+    std::size_t position = 0;
     for (const auto& [name, other] : view.members) {
-        if (name != options_.name) {
+        const bool is_of_shard = position++ % options_.shard.count == options_.shard.index;
+        if (is_of_shard && (names.empty() || name != names.front())) {
             names.push_back(name);
         }
     }
-    owner->set_nodes(names);
+    return names;
+}
+
+void node::update_call_slots(const membership_view& view)
+{
+    const auto owner = local_owner();
+    if (!owner) {
+        return;
+    }
+    owner->set_nodes(calling_nodes(view));
 }
 
 permission_call node::permission_call_through(const std::string& name)
--- a/flamingoseam/node/node.hpp
+++ b/flamingoseam/node/node.hpp
@@ -6,6 +6,7 @@
 #include "flamingoseam/node/owner_claim.hpp"
 #include "flamingoseam/node/owner_path.hpp"
 #include "flamingoseam/node/owner_suspicion.hpp"
+#include "flamingoseam/node/shard.hpp"
 
 #include <atomic>
 #include <condition_variable>
@@ -30,6 +31,9 @@
     milliseconds handover_timeout{1'500};
     std::size_t commit_streams = 6; ///< Number of commit streams that an owner may use.
     milliseconds owner_wait{700};   ///< How long a call waits until there is an owner.
+    shard_identity shard;           ///< The shard whose jobs this object handles.
+    /// Returns the indices of the shards that this process owns; null if there is one shard only.
+    std::function<std::vector<std::size_t>()> owned_shards = nullptr;
 };
 
 /// The interfaces through which a node uses the platform.
@@ -42,8 +46,8 @@
     node_metrics* metrics = nullptr;
 };
 
-/// One node of the cell. Every node accepts calls about jobs and forwards them to the owner. One of
-/// the nodes is the owner, and any other can take over when it fails.
+/// One node of the cell, for one shard. Every node accepts calls about jobs and forwards them to
+/// the shard's owner. One of the nodes is the owner, and any other can take over when it fails.
 class node final : public owner_service {
 public:
     node(node_options options, node_dependencies dependencies);
@@ -62,6 +66,9 @@
     /// valid, and the node is not leaving.
     [[nodiscard]] bool is_ready() const;
 
+    /// Checks whether this process owns the shard.
+    [[nodiscard]] bool is_owner() const { return local_owner() != nullptr; }
+
     /// Hands over ownership and ends this node's membership; calls are still forwarded.
     void leave();
 
@@ -87,6 +94,7 @@
     std::shared_ptr<job_owner> local_owner() const;
     void on_view_changed();
     void update_call_slots(const membership_view& view);
+    std::vector<std::string> calling_nodes(const membership_view& view) const;
     void run_election();
     bool is_takeover_due(const membership_view& view, time_point time);
     milliseconds takeover_delay(const membership_view& view) const;
@@ -103,6 +111,9 @@
     bool offer_to(const member& other, const ownership_offer& offer);
     void offer_for_gone_owner(const membership_view& view);
     bool should_replace_owner(const membership_view& view, time_point time);
+    bool owns_other_shard() const;
+    bool should_give_up_shard() const;
+    void offer_to_idle_node(const membership_view& view, time_point time);
     void record_owner_gone(const membership_view& view, const std::string& confirming_node);
     void begin_ownership(const claimed_head& claimed);
     bool hand_over_to_member();
@@ -149,6 +160,7 @@
     bool stopping_ = false;
     std::optional<time_point> owner_missing_since_;
     time_point next_offer_{};                  ///< Used by the election thread only.
+    time_point next_balancing_{};              ///< Used by the election thread only.
     std::optional<time_point> stronger_since_; ///< Used by the election thread only.
     time_point may_replace_owner_from_{};      ///< Used by the election thread only.
     std::set<std::string> logged_members_;     ///< Used by the election thread only.
--- a/flamingoseam/node/node_election.cpp
+++ b/flamingoseam/node/node_election.cpp
@@ -17,6 +17,8 @@
 /// Interval of the checks while the owner is missing or suspected.
 constexpr milliseconds election_interval_no_owner{30};
 constexpr milliseconds offer_timeout{150};
+/// Interval of the offers of a node that owns several shards; the first is made at once.
+constexpr milliseconds balancing_interval{2'000};
 constexpr milliseconds offer_interval{500};      ///< Gives the candidate time to take over.
 constexpr milliseconds min_stronger_time{2'000}; ///< A node that has just joined may leave again.
 /// A node that offered its ownership to another since the store did not answer it does not replace
@@ -24,6 +26,8 @@
 constexpr milliseconds replacement_pause{15'000};
 /// Stronger nodes have noticed by then that the owner is missing.
 constexpr milliseconds weaker_node_delay{900};
+/// Nodes that own no shard have noticed by then that the owner is missing.
+constexpr milliseconds busy_node_delay{600};
 constexpr milliseconds recent_renewal{300}; ///< A node that renewed within this reaches the store.
 /// Timeout of the call that asks another node whether the owner is gone.
 constexpr milliseconds confirm_timeout{100};
@@ -78,6 +82,7 @@
             }
         }
         confirm_suspicion(view);
+        offer_to_idle_node(view, now());
         const bool is_offered = events->offered_epoch != 0 && view.owner &&
                                 view.owner->epoch == events->offered_epoch && !local_owner();
         const bool is_needed = is_takeover_due(view, now()) || should_replace_owner(view, now());
@@ -174,13 +179,16 @@
 
 milliseconds node::takeover_delay(const membership_view& view) const
 {
-    const auto order = candidate_order(view, view.owner ? view.owner->epoch : 0);
+    const auto order = candidate_order(view, view.owner ? view.owner->epoch : 0, options_.shard);
     const auto own = std::ranges::find(order, options_.name, &member::name);
     const auto ahead = std::distance(order.begin(), own);
     auto delay = has_owner_ended(view) ? milliseconds(0) : options_.takeover_grace;
-    if (find_stronger(view, membership_->self(), 0)) {
+    if (find_stronger(view, membership_->self(), 0, options_.shard)) {
         delay += weaker_node_delay;
     }
+    if (owns_other_shard()) {
+        delay += busy_node_delay;
+    }
     return delay + ahead * options_.takeover_step;
 }
 
@@ -215,9 +223,10 @@
         return false;
     }
     const ownership_offer offer{.epoch = view.owner->epoch, .is_leaving = is_leaving};
-    return std::ranges::any_of(candidate_order(view, offer.epoch), [&](const member& candidate) {
-        return candidate.name != options_.name && offer_to(candidate, offer);
-    });
+    return std::ranges::any_of(
+        candidate_order(view, offer.epoch, options_.shard), [&](const member& candidate) {
+            return candidate.name != options_.name && offer_to(candidate, offer);
+        });
 }
 
 /// Asks one node to take over ownership. Returns whether it will try.
@@ -236,12 +245,48 @@
     }
 }
 
+/// Checks whether this process owns another shard of the cell.
+bool node::owns_other_shard() const
+{
+    return options_.owned_shards &&
+           std::ranges::any_of(options_.owned_shards(),
+                               [this](std::size_t index) { return index != options_.shard.index; });
+}
+
+/// Checks whether this process owns several shards and should give up this one. Of two shards it
+/// keeps the first.
+bool node::should_give_up_shard() const
+{
+    return options_.owned_shards && local_owner() &&
+           std::ranges::any_of(options_.owned_shards(),
+                               [this](std::size_t index) { return index < options_.shard.index; });
+}
+
+/// Offers this shard to the other nodes if this process owns several shards. A node that owns a
+/// shard does not accept, and much weaker nodes are not asked.
+void node::offer_to_idle_node(const membership_view& view, time_point time)
+{
+    if (time < next_balancing_ || !view.owner || !should_give_up_shard() ||
+        !membership_->has_valid_lease()) {
+        return;
+    }
+    next_balancing_ = time + balancing_interval;
+    const ownership_offer offer{.epoch = view.owner->epoch, .is_leaving = true};
+    for (const auto& candidate : candidate_order(view, offer.epoch, options_.shard)) {
+        const bool is_weaker = candidate.processor_share < options_.processor_share;
+        if (!is_weaker && candidate.name != options_.name && offer_to(candidate, offer)) {
+            return;
+        }
+    }
+}
+
 /// Checks whether this node should replace an owner with a much smaller processor share, which may
 /// have no processor time left to hand over the jobs itself.
 bool node::should_replace_owner(const membership_view& view, time_point time)
 {
     const auto owner = view.live_owner();
-    const auto stronger = owner ? find_stronger(view, owner->owner, owner->epoch) : std::nullopt;
+    const auto stronger =
+        owner ? find_stronger(view, owner->owner, owner->epoch, options_.shard) : std::nullopt;
     const bool is_eligible = membership_->has_valid_lease() && time >= may_replace_owner_from_;
     if (!stronger || stronger->name != options_.name || !is_eligible) {
         stronger_since_.reset();
@@ -259,7 +304,7 @@
 void node::offer_for_gone_owner(const membership_view& view)
 {
     const ownership_offer offer{.epoch = view.owner->epoch, .is_leaving = false};
-    for (const auto& candidate : candidate_order(view, offer.epoch)) {
+    for (const auto& candidate : candidate_order(view, offer.epoch, options_.shard)) {
         if (candidate.processor_share <= options_.processor_share) {
             return;
         }
@@ -274,8 +319,8 @@
     // If the owner can't reach the store, the next owner must reach it, however slow the store is.
     const bool reaches_store = offer.is_leaving ? membership_->has_valid_lease()
                                                 : membership_->was_renewed_within(recent_renewal);
-    const bool can_take_over =
-        !leaving_ && !local_owner() && membership_->has_joined() && reaches_store;
+    const bool can_take_over = !leaving_ && !owns_other_shard() && !local_owner() &&
+                               membership_->has_joined() && reaches_store;
     if (can_take_over) {
         {
             const std::lock_guard lock(mutex_);
@@ -350,9 +395,10 @@
 
 void node::begin_ownership(const claimed_head& claimed)
 {
-    dependencies_.log->write({.event = "owner_begins",
-                              .request = {},
-                              .detail = "epoch " + std::to_string(claimed.head.epoch)});
+    dependencies_.log->write(
+        {.event = "owner_begins",
+         .request = {},
+         .detail = "epoch " + std::to_string(claimed.head.epoch) + to_text(options_.shard)});
     const auto record_keys = keys();
     auto stored = read_stored_state(dependencies_.stores, record_keys);
     job_owner_start start{.head = claimed.head,
--- a/flamingoseam/node/node_metrics.cpp
+++ b/flamingoseam/node/node_metrics.cpp
@@ -176,6 +176,7 @@
 
 void node_metrics::set_queues(const std::vector<workflow::queue_load>& queues)
 {
+    const std::lock_guard lock(queues_mutex_);
     for (const auto& queue : seen_queues_) {
         oldest_unanswered_.Add({{"queue", queue}}).Set(0);
     }
--- a/flamingoseam/node/node_metrics.hpp
+++ b/flamingoseam/node/node_metrics.hpp
@@ -11,6 +11,7 @@
 #include <prometheus/registry.h>
 
 #include <memory>
+#include <mutex>
 #include <set>
 #include <string>
 #include <vector>
@@ -25,8 +26,7 @@
     std::size_t unreachable_workers = 0;
 };
 
-/// The metrics of a node, above all waiting times and the cost of control. Thread-safe, except for
-/// set_queues().
+/// The metrics of a node, above all waiting times and the cost of control. Thread-safe.
 class node_metrics {
 public:
     node_metrics();
@@ -95,7 +95,8 @@
     prometheus::Family<prometheus::Counter>& slot_refusals_;
     prometheus::Family<prometheus::Counter>& preempted_runs_;
     prometheus::Family<prometheus::Gauge>& oldest_unanswered_;
-    std::set<std::string> seen_queues_; ///< Used by the owner's control thread only.
+    std::mutex queues_mutex_;
+    std::set<std::string> seen_queues_; ///< Guarded by `queues_mutex_`.
     prometheus::Family<prometheus::Gauge>& gauges_;
 };
 
--- /dev/null
+++ b/flamingoseam/node/shard_test.cpp
@@ -0,0 +1,182 @@
+#include "flamingoseam/node/candidate_order.hpp"
+#include "flamingoseam/node/cell_layout.hpp"
+#include "flamingoseam/node/shard.hpp"
+
+#include "flamingoseam/core/error.hpp"
+#include "tests/commit_only_store.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+using namespace flamingoseam;
+using namespace flamingoseam::node;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::vector<workflow::worker_entry> make_workers(int count)
+{
+    std::vector<workflow::worker_entry> workers;
+    for (int number = 0; number < count; ++number) {
+        workers.push_back({.id = "i-" + std::to_string(number)});
+    }
+    return workers;
+}
+
+/// A list of workers that has changed at each call if `workers` is set.
+class fixed_directory final : public worker_directory {
+public:
+    explicit fixed_directory(const int& workers) : workers_(workers) {}
+    std::optional<std::vector<workflow::worker_entry>> next() override
+    {
+        return make_workers(workers_);
+    }
+    time_point confirmed_at() const override { return time_point(5s); }
+
+private:
+    const int& workers_;
+};
+
+using stored_records = std::map<std::string, std::string>;
+
+class map_store final : public commit_only_store {
+public:
+    explicit map_store(stored_records& records) : records_(records) {}
+    std::optional<shared_record> get(const std::string& key) override
+    {
+        const auto found = records_.find(key);
+        return found == records_.end()
+                   ? std::nullopt
+                   : std::optional(shared_record{.key = key, .value = found->second});
+    }
+    shared_page list(const std::string& prefix, const std::string& /*after*/) override
+    {
+        shared_page page;
+        for (const auto& [key, value] : records_) {
+            if (key.starts_with(prefix)) {
+                page.records.push_back({.key = key, .value = value});
+            }
+        }
+        return page;
+    }
+    shared_result commit(const shared_transaction& changes, milliseconds /*timeout*/) override
+    {
+        if (records_.contains(changes.conditions.at(0).key)) {
+            return {.applied = false};
+        }
+        records_[changes.writes.at(0).key] = changes.writes.at(0).value;
+        return {.applied = true};
+    }
+
+private:
+    stored_records& records_;
+};
+
+} // namespace
+
+TEST_CASE("workers and jobs are divided among the shards of a cell")
+{
+    const int count = 350;
+    std::map<std::string, int> owners;
+    for (std::size_t index = 0; index < 2; ++index) {
+        shard_directory part(std::make_unique<fixed_directory>(count),
+                             {.index = index, .count = 2});
+        const auto workers = part.next();
+        REQUIRE(workers);
+        CHECK(workers->size() > 140);
+        CHECK(workers->size() < 210);
+        CHECK(part.confirmed_at() == time_point(5s));
+        for (const auto& worker : *workers) {
+            ++owners[worker.id];
+            CHECK(shard_of(worker.id, 2) == index);
+        }
+    }
+    CHECK(owners.size() == count);
+    CHECK(std::ranges::all_of(owners, [](const auto& entry) { return entry.second == 1; }));
+
+    SECTION("a cell of one shard is not divided")
+    {
+        CHECK(shard_of("a", 1) == 0);
+        CHECK(to_text({}).empty());
+        CHECK(to_text({.index = 1, .count = 2}) == " of shard 1 of 2");
+    }
+}
+
+TEST_CASE("the layout of a cell is decided once")
+{
+    int workers = 350;
+    stored_records records;
+    const auto agreement = [&] {
+        return layout_agreement({.workers_per_shard = 200, .settling_time = 600ms},
+                                std::make_unique<map_store>(records),
+                                std::make_unique<fixed_directory>(workers));
+    };
+    const time_point start{1h};
+    auto first = agreement();
+
+    SECTION("by the number of workers, once it has settled")
+    {
+        CHECK_FALSE(first.try_agree(start));
+        workers = 390;
+        CHECK_FALSE(first.try_agree(start + 500ms));
+        CHECK_FALSE(first.try_agree(start + 1'000ms));
+        CHECK(first.try_agree(start + 1'100ms) == 2);
+        CHECK(records.at("fs/layout") == R"({"shards":2})");
+    }
+    SECTION("and not changed when there are more workers later")
+    {
+        first.try_agree(start);
+        REQUIRE(first.try_agree(start + 600ms) == 2);
+        workers = 1'000;
+        CHECK(agreement().try_agree(start + 1h) == 2);
+    }
+    SECTION("by the node that stores it first")
+    {
+        first.try_agree(start);
+        records["fs/layout"] = R"({"shards":3})";
+        CHECK(first.try_agree(start + 600ms) == 3);
+    }
+    SECTION("not before the platform lists any worker")
+    {
+        workers = 0;
+        CHECK_FALSE(first.try_agree(start));
+        CHECK_FALSE(first.try_agree(start + 1h));
+    }
+    SECTION("a cell that was run before layouts were stored is not divided")
+    {
+        records["fs/head/0"] = "{}";
+        CHECK(first.try_agree(start) == 1);
+    }
+    SECTION("a layout that can't be read is an error")
+    {
+        records["fs/layout"] = R"({"shards":0})";
+        CHECK_THROWS_AS(first.try_agree(start), parse_error);
+    }
+}
+
+TEST_CASE("the owners of the shards of a cell are different nodes")
+{
+    membership_view view;
+    for (const auto* name : {"a", "b", "c", "d", "e", "f"}) {
+        view.members[name] = {.name = name, .incarnation = "1", .processor_share = 0.5};
+    }
+    view.members["weak"] = {.name = "weak", .incarnation = "1", .processor_share = 0.1};
+    std::set<std::string> first;
+    std::set<std::string> second;
+    for (std::uint64_t epoch = 0; epoch < 40; ++epoch) {
+        first.insert(candidate_order(view, epoch, {.index = 0, .count = 2}).front().name);
+        second.insert(candidate_order(view, epoch, {.index = 1, .count = 2}).front().name);
+    }
+    CHECK(first == std::set<std::string>{"a", "c", "e"});
+    CHECK(second == std::set<std::string>{"b", "d", "f"});
+
+    SECTION("the nodes meant for other shards precede weaker ones")
+    {
+        const auto order = candidate_order(view, 1, {.index = 1, .count = 2});
+        CHECK(order.back().name == "weak");
+        CHECK(order[3].processor_share == 0.5);
+    }
+}
--- /dev/null
+++ b/flamingoseam/node/sharded_node.cpp
@@ -0,0 +1,163 @@
+#include "flamingoseam/node/sharded_node.hpp"
+
+#include "flamingoseam/core/error.hpp"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+
+namespace flamingoseam::node {
+
+namespace {
+
+constexpr milliseconds layout_poll_interval{200};
+constexpr milliseconds no_layout_retry_after{1'000};
+
+owner_answer no_layout_answer()
+{
+    return {.verdict = owner_verdict::no_owner,
+            .reason = "no_layout",
+            .retry_after = no_layout_retry_after};
+}
+
+} // namespace
+
+sharded_node::sharded_node(sharded_node_options options, node_dependencies dependencies)
+    : options_(std::move(options)), dependencies_(std::move(dependencies))
+{
+    forming_thread_ = std::thread([this] { form_shards(); });
+}
+
+sharded_node::~sharded_node()
+{
+    stopping_ = true;
+    forming_thread_.join();
+}
+
+/// Waits until the layout of the cell is known. Returns 0 if this object ends before.
+std::size_t sharded_node::agree_on_layout()
+{
+    layout_agreement agreement({.store_prefix = options_.node.store_prefix,
+                                .workers_per_shard = options_.workers_per_shard},
+                               dependencies_.stores(), dependencies_.directory());
+    while (!stopping_) {
+        try {
+            if (const auto shards = agreement.try_agree(now())) {
+                return *shards;
+            }
+        } catch (const error& cause) {
+            LOG_EVERY_N(WARNING, 20) << "the layout of the cell is not known: " << cause.what();
+        }
+        std::this_thread::sleep_for(layout_poll_interval);
+    }
+    return 0;
+}
+
+void sharded_node::form_shards()
+{
+    const auto count = agree_on_layout();
+    if (count == 0) {
+        return;
+    }
+    dependencies_.log->write(
+        {.event = "layout_known", .request = {}, .detail = std::to_string(count) + " shards"});
+    shards_.resize(count);
+    for (std::size_t index = 0; index < count; ++index) {
+        add_shard({.index = index, .count = count});
+    }
+    is_formed_ = true;
+}
+
+void sharded_node::add_shard(const shard_identity& shard)
+{
+    auto options = options_.node;
+    auto dependencies = dependencies_;
+    options.shard = shard;
+    if (shard.count > 1) {
+        options.rpc.port = static_cast<unsigned short>(options.rpc.port + shard.index);
+        options.store_prefix += std::to_string(shard.index) + "/";
+        options.owned_shards = [this] { return owned_shards(); };
+        dependencies.directory = [all = dependencies_.directory, shard] {
+            return std::make_unique<shard_directory>(all(), shard);
+        };
+    }
+    shards_[shard.index] = std::make_unique<node>(std::move(options), std::move(dependencies));
+}
+
+/// Returns the indices of the shards that this process owns; none until all have been formed.
+std::vector<std::size_t> sharded_node::owned_shards() const
+{
+    std::vector<std::size_t> owned;
+    for (std::size_t index = 0; is_formed_ && index < shards_.size(); ++index) {
+        if (shards_[index]->is_owner()) {
+            owned.push_back(index);
+        }
+    }
+    return owned;
+}
+
+/// Returns the part of this node that handles a job, null until the layout is known.
+node* sharded_node::shard_for(const std::string& job)
+{
+    return is_formed_ ? shards_[shard_of(job, shards_.size())].get() : nullptr;
+}
+
+owner_answer sharded_node::submit_job(const workflow::job_spec& job,
+                                      const workflow::queue_terms& terms, milliseconds timeout)
+{
+    auto* shard = shard_for(job.id);
+    return shard == nullptr ? no_layout_answer() : shard->submit_job(job, terms, timeout);
+}
+
+owner_answer sharded_node::cancel_job(const std::string& job, milliseconds timeout)
+{
+    auto* shard = shard_for(job);
+    return shard == nullptr ? no_layout_answer() : shard->cancel_job(job, timeout);
+}
+
+owner_answer sharded_node::find_job(const std::string& job, milliseconds timeout)
+{
+    auto* shard = shard_for(job);
+    return shard == nullptr ? no_layout_answer() : shard->find_job(job, timeout);
+}
+
+owner_answer sharded_node::count_pending_jobs(const std::string& queue, milliseconds timeout)
+{
+    if (!is_formed_) {
+        return no_layout_answer();
+    }
+    const auto end = now() + timeout;
+    owner_answer sum{.verdict = owner_verdict::accepted};
+    for (const auto& shard : shards_) {
+        const auto left = std::chrono::duration_cast<milliseconds>(end - now());
+        const auto answer = shard->count_pending_jobs(queue, std::max(left, milliseconds(1)));
+        if (answer.verdict != owner_verdict::accepted) {
+            return answer;
+        }
+        sum.pending += answer.pending;
+    }
+    return sum;
+}
+
+bool sharded_node::is_ready() const
+{
+    return is_formed_ &&
+           std::ranges::all_of(shards_, [](const auto& shard) { return shard->is_ready(); });
+}
+
+void sharded_node::leave()
+{
+    stopping_ = true;
+    if (!is_formed_) {
+        return;
+    }
+    std::vector<std::thread> leaving;
+    for (const auto& shard : shards_) {
+        leaving.emplace_back([&shard] { shard->leave(); });
+    }
+    for (auto& thread : leaving) {
+        thread.join();
+    }
+}
+
+} // namespace flamingoseam::node
--- /dev/null
+++ b/flamingoseam/node/sharded_node.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "flamingoseam/node/cell_layout.hpp"
+#include "flamingoseam/node/node.hpp"
+
+#include <atomic>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace flamingoseam::node {
+
+/// Settings of a sharded node.
+struct sharded_node_options {
+    /// Settings for each shard. Its address is that of the first shard; the others use the ports
+    /// after it. The keys of the shards of a divided cell are stored under the prefix and the
+    /// shard's number.
+    node_options node;
+    std::size_t workers_per_shard = 200; ///< Decides the number of shards of a new cell.
+};
+
+/// One node of a cell that may be divided into shards. Passes each call about a job to the shard of
+/// the job's id. Until the layout of the cell is known, all calls end without an owner.
+class sharded_node {
+public:
+    sharded_node(sharded_node_options options, node_dependencies dependencies);
+    ~sharded_node();
+    sharded_node(const sharded_node&) = delete;
+    sharded_node& operator=(const sharded_node&) = delete;
+
+    /// Handlers of calls from this node's own clients; each waits up to `timeout`.
+    owner_answer submit_job(const workflow::job_spec& job, const workflow::queue_terms& terms,
+                            milliseconds timeout);
+    owner_answer cancel_job(const std::string& job, milliseconds timeout);
+    owner_answer find_job(const std::string& job, milliseconds timeout);
+
+    /// Returns the sum over all shards, or the answer of a shard that does not know.
+    owner_answer count_pending_jobs(const std::string& queue, milliseconds timeout);
+
+    /// Checks whether calls about all jobs can be served now.
+    [[nodiscard]] bool is_ready() const;
+
+    /// Hands over the ownership of all shards and ends this node's memberships; calls are still
+    /// forwarded.
+    void leave();
+
+private:
+    void form_shards();
+    std::size_t agree_on_layout();
+    void add_shard(const shard_identity& shard);
+    [[nodiscard]] std::vector<std::size_t> owned_shards() const;
+    node* shard_for(const std::string& job);
+
+    sharded_node_options options_;
+    node_dependencies dependencies_;
+    std::vector<std::unique_ptr<node>> shards_; ///< Not changed any more once `is_formed_` is set.
+    std::atomic<bool> is_formed_{false};
+    std::atomic<bool> stopping_{false};
+    std::thread forming_thread_;
+};
+
+} // namespace flamingoseam::node
--- a/scenarios/platform.lua
+++ b/scenarios/platform.lua
@@ -22,14 +22,14 @@
     for i = 1, nodes do
         local host = address(5, i)
         cell.nodes[i] = { name = "node" .. i, front = host .. ":8080", ready = host .. ":8081",
-            metrics = host .. ":8083" }
+            metrics = host .. ":8090" }
         write_file("node" .. i .. ".toml", string.format([[
 name = "node%d"
 zone = "zone"
 front = "%s:8080"
 ready = "%s:8081"
 rpc = "%s:8082"
-metrics = "%s:8083"
+metrics = "%s:8090"
 store = %q
 permissions = %q
 ]], i, host, host, host, host, cell.store, cell.store) .. (settings and settings[i] or ""))
