Divide cells into shards only where the settings say so

Cause (replay with logs): jobs are divided by a hash, so one shard has 33 gangs waiting while the other is idle, and no work moves between shards. Ruled out: gangs too wide for half of the pool (18 of 52 permitted workers). Change: workers_per_shard is 0 unless set; a stored layout is honoured whatever the setting.

--- a/flamingoseam/node/cell_layout.cpp
+++ b/flamingoseam/node/cell_layout.cpp
@@ -61,6 +61,9 @@
     if (const auto stored = read_layout()) {
         return stored;
     }
+    if (options_.workers_per_shard == 0) {
+        return 1;
+    }
     const auto chosen = choose(time);
     if (!chosen) {
         return std::nullopt;
--- a/flamingoseam/node/cell_layout.hpp
+++ b/flamingoseam/node/cell_layout.hpp
@@ -7,11 +7,12 @@
 
 namespace flamingoseam::node {
 
-/// How a cell is divided into shards. It is stored once and does not change afterwards.
+/// How a cell is divided into shards. The layout is stored once and does not change afterwards.
 struct layout_options {
     std::string store_prefix = "fs/";
-    /// A new cell gets so many shards that each has at most this number of workers.
-    std::size_t workers_per_shard = 200;
+    /// A new cell gets so many shards that each has at most this number of workers; 0 for a cell
+    /// that is not divided.
+    std::size_t workers_per_shard = 0;
     std::size_t max_shards = 16;
     /// The number of workers is used after it has not changed for this long.
     milliseconds settling_time{600};
--- a/flamingoseam/node/shard_test.cpp
+++ b/flamingoseam/node/shard_test.cpp
@@ -139,6 +139,15 @@
         records["fs/layout"] = R"({"shards":3})";
         CHECK(first.try_agree(start + 600ms) == 3);
     }
+    SECTION("a cell is not divided unless the settings say so")
+    {
+        layout_agreement undivided({}, std::make_unique<map_store>(records),
+                                   std::make_unique<fixed_directory>(workers));
+        CHECK(undivided.try_agree(start) == 1);
+        CHECK(records.empty());
+        records["fs/layout"] = R"({"shards":2})";
+        CHECK(undivided.try_agree(start) == 2);
+    }
     SECTION("not before the platform lists any worker")
     {
         workers = 0;
--- a/flamingoseam/node/sharded_node.hpp
+++ b/flamingoseam/node/sharded_node.hpp
@@ -17,7 +17,7 @@
     /// after it. The keys of the shards of a divided cell are stored under the prefix and the
     /// shard's number.
     node_options node;
-    std::size_t workers_per_shard = 200; ///< Decides the number of shards of a new cell.
+    std::size_t workers_per_shard = 0; ///< Divides a new cell into shards; 0 for one shard.
 };
 
 /// One node of a cell that may be divided into shards. Passes each call about a job to the shard of
