Give up a task under which three workers have crashed, and isolate it before

Cause: a run that is lost with its worker counts as interrupted, and nothing counts interruptions. Ruled out as evidence: an expired lease and a leaving worker, which are the machine's ends.

Change: a worker that answers as another incarnation has crashed; its runs are noted with their tasks and stored with the job. From the second crash on a task runs on a worker of its own (it waits up to 2 s for an idle one), after the third the job has failed.

--- a/bench/session_bench.cpp
+++ b/bench/session_bench.cpp
@@ -47,7 +47,7 @@
     }
     void on_stop(std::size_t /*worker*/, const workflow::run_name& /*name*/) override {}
     void on_unreachable_changed(std::size_t /*worker*/, bool /*unreachable*/) override {}
-    void on_emptied(std::size_t /*worker*/) override {}
+    void on_emptied(std::size_t /*worker*/, workflow::emptied_reason /*reason*/) override {}
     void on_fenced(std::size_t /*worker*/) override {}
 
     std::vector<std::unique_ptr<node::worker_session>> sessions;
--- a/flamingoseam/node/job_owner.cpp
+++ b/flamingoseam/node/job_owner.cpp
@@ -265,10 +265,10 @@
     });
 }
 
-void job_owner::on_emptied(std::size_t worker)
+void job_owner::on_emptied(std::size_t worker, workflow::emptied_reason reason)
 {
-    loop_.post([this, worker] {
-        state_.on_emptied(worker);
+    loop_.post([this, worker, reason] {
+        state_.on_emptied(worker, reason, now(), wall_now());
         const auto session = sessions_.find(worker);
         if (session != sessions_.end() && !state_.workers().at(worker).listed) {
             session->second->request_stop();
--- a/flamingoseam/node/worker_session.cpp
+++ b/flamingoseam/node/worker_session.cpp
@@ -288,7 +288,7 @@
     }
     if (answer.outcome == kind::wrong_incarnation) {
         set_unreachable(true);
-        listener_.on_emptied(options_.worker);
+        listener_.on_emptied(options_.worker, workflow::emptied_reason::replaced);
         pause(rejection_delay);
         return;
     }
@@ -348,7 +348,7 @@
         emptied_ = emptied_ || expired;
     }
     if (expired) {
-        listener_.on_emptied(options_.worker);
+        listener_.on_emptied(options_.worker, workflow::emptied_reason::lease_expired);
     }
 }
 
--- a/flamingoseam/node/worker_session.hpp
+++ b/flamingoseam/node/worker_session.hpp
@@ -25,7 +25,7 @@
     virtual void on_unreachable_changed(std::size_t worker, bool unreachable) = 0;
 
     /// Called when it is certain that no runs are left on the worker.
-    virtual void on_emptied(std::size_t worker) = 0;
+    virtual void on_emptied(std::size_t worker, workflow::emptied_reason reason) = 0;
 
     /// Called when the worker has accepted the epoch of a newer owner.
     virtual void on_fenced(std::size_t worker) = 0;
--- a/flamingoseam/node/worker_session_test.cpp
+++ b/flamingoseam/node/worker_session_test.cpp
@@ -17,7 +17,8 @@
     std::atomic<std::int64_t> forgotten{0};
     std::atomic<bool> unreachable{false};
     std::atomic<int> starts{0};
-    std::atomic<int> start_time_ms{0}; ///< How long the worker takes to answer a start.
+    std::atomic<bool> is_replaced{false}; ///< Another incarnation has its address.
+    std::atomic<int> start_time_ms{0};    ///< How long the worker takes to answer a start.
     time_point began = now();
 
     worker_time clock() const
@@ -49,6 +50,9 @@
     {
         std::this_thread::sleep_for(milliseconds(5));
         throw_if_unreachable();
+        if (worker_.is_replaced) {
+            return {.outcome = renew_answer::kind::wrong_incarnation, .clock = worker_.clock()};
+        }
         worker_.forgotten = call.forget_up_to;
         renew_answer answer{.clock = worker_.clock()};
         if (worker_.newest_end > call.forget_up_to) {
@@ -85,12 +89,17 @@
     {
         is_unreachable = unreachable;
     }
-    void on_emptied(std::size_t /*worker*/) override { ++emptied; }
+    void on_emptied(std::size_t /*worker*/, workflow::emptied_reason reason) override
+    {
+        ++emptied;
+        replaced += reason == workflow::emptied_reason::replaced ? 1 : 0;
+    }
     void on_fenced(std::size_t /*worker*/) override {}
 
     std::atomic<int> reports{0};
     std::atomic<int> starts{0};
     std::atomic<int> emptied{0};
+    std::atomic<int> replaced{0};
     std::atomic<bool> is_unreachable{false};
     std::atomic<workflow::start_outcome> last_start{workflow::start_outcome::unknown};
 };
@@ -134,6 +143,7 @@
         std::this_thread::sleep_for(milliseconds(100));
         CHECK(listener.emptied == 0);
         CHECK(holds_within(milliseconds(5'000), [&] { return listener.emptied == 1; }));
+        CHECK(listener.replaced == 0);
 
         SECTION("and is reachable when it answers again")
         {
@@ -141,6 +151,12 @@
             CHECK(holds_within(milliseconds(3'000), [&] { return !listener.is_unreachable; }));
         }
     }
+    SECTION("a worker has no runs once another incarnation answers at its address")
+    {
+        worker.is_replaced = true;
+        CHECK(holds_within(milliseconds(2'000), [&] { return listener.emptied >= 1; }));
+        CHECK(listener.replaced == listener.emptied);
+    }
     SECTION("ends are forgotten with the next poll once they are stored, not after a fixed time")
     {
         worker.newest_end = 3;
--- a/flamingoseam/workflow/fleet.cpp
+++ b/flamingoseam/workflow/fleet.cpp
@@ -58,7 +58,7 @@
     const auto [found, is_new] = worker_state.runs.try_emplace(name, run);
     if (is_new) {
         worker_state.used += found->second.size;
-        worker_state.unsized_runs += found->second.is_sized ? 0 : 1;
+        worker_state.exclusive_runs += found->second.shares_worker ? 0 : 1;
     }
     return found->second;
 }
@@ -78,7 +78,7 @@
         return false;
     }
     worker_state.used -= found->second.size;
-    worker_state.unsized_runs -= found->second.is_sized ? 0 : 1;
+    worker_state.exclusive_runs -= found->second.shares_worker ? 0 : 1;
     worker_state.runs.erase(found);
     return true;
 }
--- a/flamingoseam/workflow/fleet.hpp
+++ b/flamingoseam/workflow/fleet.hpp
@@ -22,7 +22,8 @@
         unconfirmed,
     };
     resources size;
-    bool is_sized = true; ///< False for a run of an unknown job, which may use the whole worker.
+    /// False for a run that takes the whole worker: its job is unknown, or it may crash the worker.
+    bool shares_worker = true;
     run_state state = run_state::ordered;
     milliseconds estimate{0};
     time_point ordered_at{};
@@ -33,7 +34,8 @@
     time_point stop_accepted_at{}; ///< When the worker accepted a stop order; zero if it has not.
     int percent = 0;               ///< Share of the work that is done, in percent.
     time_point percent_changed_at{};
-    int missing_reports = 0; ///< Number of consecutive reports without this run.
+    int missing_reports = 0;     ///< Number of consecutive reports without this run.
+    bool worker_crashed = false; ///< The worker has crashed since the run was assigned to it.
 };
 
 /// A worker, the runs assigned to it and the state known from its reports.
@@ -48,7 +50,7 @@
     time_point excluded_until{};
     time_point last_report{};
     resources used;
-    int unsized_runs = 0;
+    int exclusive_runs = 0;
     std::map<run_name, assigned_run> runs;
     /// Runs whose unanswered start orders were ruled out in this incarnation, and when. Such an
     /// order may still arrive in the next incarnation, which has not received the stop order.
@@ -60,7 +62,7 @@
 
     [[nodiscard]] resources free() const
     {
-        return unsized_runs > 0 ? resources{} : entry.capacity - used;
+        return exclusive_runs > 0 ? resources{} : entry.capacity - used;
     }
 
     /// Checks whether new runs may be started on the worker. Complexity: constant.
--- a/flamingoseam/workflow/job_record.hpp
+++ b/flamingoseam/workflow/job_record.hpp
@@ -38,7 +38,10 @@
 struct task_record {
     task_phase phase = task_phase::waiting;
     std::vector<std::int64_t> failed_runs; ///< Numbers of the runs reported as failed; no repeats.
-    std::int64_t run = 0;                  ///< Number of the newest run.
+    std::vector<std::int64_t>
+        crashed_runs;           ///< Numbers of the runs whose worker crashed; no repeats.
+    time_point isolate_until{}; ///< Until then a suspect waits for an idle worker.
+    std::int64_t run = 0;       ///< Number of the newest run.
     std::size_t worker = 0;
     std::string checkpoint;
 };
--- a/flamingoseam/workflow/messages.hpp
+++ b/flamingoseam/workflow/messages.hpp
@@ -69,6 +69,12 @@
 /// Returns the name of an end in lower case. Complexity: constant.
 const char* to_string(run_end value);
 
+/// Why it is certain that a worker holds no run any more.
+enum class emptied_reason {
+    lease_expired, ///< The worker has not answered for longer than its lease.
+    replaced,      ///< Another incarnation answers at the worker's address.
+};
+
 /// A run that has ended on a worker.
 struct ended_run {
     std::int64_t number = 0; ///< Increases by one per end within an incarnation of the worker.
--- a/flamingoseam/workflow/stored_job.cpp
+++ b/flamingoseam/workflow/stored_job.cpp
@@ -111,11 +111,12 @@
 }
 
 /// Returns the tasks of one step: a text with a 1 for each finished task and a 0 for each other
-/// task, the failed runs and the checkpoints of unfinished tasks.
+/// task, the failed runs, the runs lost in crashes and the checkpoints of unfinished tasks.
 json step_progress_to_json(const step_record& step)
 {
     std::string done;
     json failures = json::array();
+    json crashes = json::array();
     json checkpoints = json::array();
     for (std::size_t index = 0; index < step.tasks.size(); ++index) {
         const auto& task = step.tasks[index];
@@ -123,6 +124,9 @@
         if (!task.failed_runs.empty()) {
             failures.push_back({index, task.failed_runs});
         }
+        if (!task.crashed_runs.empty()) {
+            crashes.push_back({index, task.crashed_runs});
+        }
         if (!task.checkpoint.empty() && task.phase != task_phase::done) {
             checkpoints.push_back({index, task.checkpoint});
         }
@@ -131,6 +135,9 @@
     if (!failures.empty()) {
         value["failed_runs"] = failures;
     }
+    if (!crashes.empty()) {
+        value["crashed_runs"] = crashes;
+    }
     if (!checkpoints.empty()) {
         value["checkpoints"] = checkpoints;
     }
@@ -158,6 +165,9 @@
     for (const auto& entry : read_array(value, "failed_runs")) {
         task_of(entry).failed_runs = entry.at(1).get<std::vector<std::int64_t>>();
     }
+    for (const auto& entry : read_array(value, "crashed_runs")) {
+        task_of(entry).crashed_runs = entry.at(1).get<std::vector<std::int64_t>>();
+    }
     for (const auto& entry : read_array(value, "checkpoints")) {
         task_of(entry).checkpoint = entry.at(1).get<std::string>();
     }
--- a/flamingoseam/workflow/workflow_crash_test.cpp
+++ b/flamingoseam/workflow/workflow_crash_test.cpp
@@ -109,3 +109,161 @@
     CHECK(driver.state.find(deadly) == job_phase::failed);
     CHECK(worker.starts[deadly] == 3);
 }
+
+TEST_CASE("tasks that run beside one that crashes its worker are not given up")
+{
+    driven_state driver;
+    crashing_worker worker(driver);
+    worker.keeps_running = true;
+    for (int number = 0; number < 4; ++number) {
+        driver.submit(driver.job("innocent" + std::to_string(number), 1'000));
+    }
+    worker.run();
+    driver.submit(driver.job(deadly, 1'000));
+    worker.run();
+    CHECK(driver.state.find(deadly) == job_phase::failed);
+    CHECK(worker.starts[deadly] == 3);
+
+    worker.keeps_running = false;
+    worker.run();
+    for (int number = 0; number < 4; ++number) {
+        CHECK(driver.state.find("innocent" + std::to_string(number)) == job_phase::completed);
+    }
+}
+
+TEST_CASE("a suspect has its worker for itself")
+{
+    driven_state driver;
+    driver.make_usable();
+    driver.submit(driver.job("suspect", 1'000));
+    std::int64_t incarnation = 1;
+    const auto crash = [&] {
+        const auto started = driver.next().starts;
+        REQUIRE(started.size() == 1);
+        driver.state.on_start(0, started[0].name, start_outcome::started, driver.time);
+        driver.state.on_emptied(0, emptied_reason::replaced, driver.time, wall);
+        driver.make_usable({.incarnation = ++incarnation});
+    };
+    crash();
+    crash();
+    REQUIRE(driver.state.counts().crashed_runs == 2);
+    driver.submit(driver.job("other", 1'000));
+
+    SECTION("no other run is started beside it")
+    {
+        const auto starts = driver.next().starts;
+        REQUIRE(starts.size() == 1);
+        CHECK(starts[0].name.task.job == "suspect");
+        driver.state.on_start(0, starts[0].name, start_outcome::started, driver.time);
+        CHECK(driver.next().starts.empty());
+
+        SECTION("until it has ended")
+        {
+            const ended_run done{.number = 1, .name = starts[0].name};
+            driver.state.on_report(0, {.incarnation = incarnation, .ended = {done}}, driver.time,
+                                   wall);
+            driver.store();
+            CHECK(driver.state.find("suspect") == job_phase::completed);
+            CHECK(driver.next().starts.size() == 1);
+        }
+    }
+}
+
+TEST_CASE("a suspect that finds no idle worker runs beside others after a while")
+{
+    driven_state driver;
+    std::vector<job_record> stored;
+    for (const auto* id : {"suspect", "other"}) {
+        job_record job;
+        job.spec = driver.job(id, 1'000);
+        job.terms = driver.terms();
+        job.accepted = wall;
+        job.spec_stored = true;
+        fill_steps(job, task_phase::unlocated);
+        stored.push_back(std::move(job));
+    }
+    stored[0].steps[0].tasks[0].crashed_runs = {1, 2};
+    driver.state.load(std::move(stored), {driver.worker()}, driver.time, wall);
+    driver.make_usable({.incarnation = 1, .present = {{.name = {{"other", 0, 0}, 3}}}});
+
+    milliseconds waited{0};
+    while (driver.next().starts.empty() && waited < milliseconds(5'000)) {
+        waited += milliseconds(60);
+    }
+    CHECK(waited >= milliseconds(1'900));
+    CHECK(waited <= milliseconds(2'200));
+}
+
+TEST_CASE("the loss of a worker counts as a crash only when the worker is back")
+{
+    driven_state driver;
+    driver.make_usable();
+    driver.submit(driver.job("job", 1'000));
+    const auto started = driver.next().starts;
+    REQUIRE(started.size() == 1);
+    driver.state.on_start(0, started[0].name, start_outcome::started, driver.time);
+
+    SECTION("as another incarnation at its address")
+    {
+        driver.state.on_emptied(0, emptied_reason::replaced, driver.time, wall);
+        CHECK(driver.state.counts().crashed_runs == 1);
+    }
+    SECTION("not when its lease has expired")
+    {
+        driver.state.on_emptied(0, emptied_reason::lease_expired, driver.time, wall);
+        CHECK(driver.state.counts().lost_runs == 1);
+        CHECK(driver.state.counts().crashed_runs == 0);
+    }
+    SECTION("not when it was leaving")
+    {
+        auto leaving = driver.worker();
+        leaving.leaving = true;
+        driver.state.on_worker_list({leaving}, driver.time);
+        driver.state.on_emptied(0, emptied_reason::replaced, driver.time, wall);
+        CHECK(driver.state.counts().crashed_runs == 0);
+    }
+    SECTION("not when a report of the new incarnation shows the run")
+    {
+        auto restarted = driver.worker();
+        restarted.incarnation = 2;
+        driver.state.on_worker_list({restarted}, driver.time);
+        for (int round = 0; round < 4; ++round) {
+            driver.time += milliseconds(600);
+            driver.state.on_report(0,
+                                   {.incarnation = 2,
+                                    .present = {{.name = started[0].name, .percent = 10 * round}},
+                                    .asked = driver.time},
+                                   driver.time, wall);
+        }
+        CHECK(driver.state.counts().crashed_runs == 0);
+    }
+}
+
+TEST_CASE("the next owner knows how many workers have crashed under a task")
+{
+    driven_state driver;
+    driver.make_usable();
+    driver.submit(driver.job(deadly, 1'000, 2));
+    auto started = driver.next().starts;
+    REQUIRE(started.size() == 2);
+    for (const auto& order : started) {
+        driver.state.on_start(0, order.name, start_outcome::started, driver.time);
+    }
+    driver.state.on_emptied(0, emptied_reason::replaced, driver.time, wall);
+    std::map<std::string, std::string> progress;
+    for (const auto& change : driver.state.take_batch(0, 30, driver.time, wall).changes) {
+        if (change.value && change.key == "fs/progress/" + deadly) {
+            progress[deadly] = *change.value;
+        }
+    }
+    REQUIRE(progress.contains(deadly));
+
+    job_record job;
+    job.spec = driver.job(deadly, 1'000, 2);
+    job.terms = driver.terms();
+    job.accepted = wall;
+    const auto stored = read_jobs({{deadly, write_specification(job)}}, progress);
+    REQUIRE(stored.jobs.size() == 1);
+    CHECK(stored.jobs[0].steps[0].tasks[0].crashed_runs == std::vector<std::int64_t>{1'001});
+    CHECK(stored.jobs[0].steps[0].tasks[1].crashed_runs == std::vector<std::int64_t>{1'001});
+}
--- a/flamingoseam/workflow/workflow_gangs.cpp
+++ b/flamingoseam/workflow/workflow_gangs.cpp
@@ -163,7 +163,7 @@
     int index = 0;
     for (const auto& allocation : allocations) {
         for (int count = 0; count < allocation.tasks; ++count) {
-            start_task(step, index++, allocation.worker, run, time);
+            start_task(step, index++, allocation.worker, run, placement::shared, time);
         }
     }
     record_placed(step, index, time);
--- a/flamingoseam/workflow/workflow_jobs.cpp
+++ b/flamingoseam/workflow/workflow_jobs.cpp
@@ -32,6 +32,7 @@
             job->due = time + (job->accepted - wall) + target_time(job->spec, job->terms);
             open_.emplace(job->sequence, job.get());
             ready_.mark_changed(*job);
+            isolate_loaded_suspects(*job, time);
         }
         jobs_.emplace(job->spec.id, std::move(job));
     }
--- a/flamingoseam/workflow/workflow_queue_load.cpp
+++ b/flamingoseam/workflow/workflow_queue_load.cpp
@@ -20,7 +20,7 @@
     const auto* job = find_job(end.name.task.job);
     const auto* run = fleet_.find_run(worker, end.name);
     if (end.how != run_end::done || job == nullptr || is_final(job->phase) || run == nullptr ||
-        !run->is_sized || run->state != assigned_run::run_state::present) {
+        !run->shares_worker || run->state != assigned_run::run_state::present) {
         return;
     }
     const auto& task = job->steps.at(static_cast<std::size_t>(end.name.task.step))
--- a/flamingoseam/workflow/workflow_reports.cpp
+++ b/flamingoseam/workflow/workflow_reports.cpp
@@ -34,7 +34,7 @@
         listed.insert(index);
         if (known && listed_incarnation > known_incarnation) {
             fleet_.at(index).entry.incarnation = known_incarnation;
-            begin_incarnation(index, listed_incarnation, time);
+            begin_incarnation(index, listed_incarnation, !was_leaving, time);
         }
         fleet_.at(index).listed = true;
         if (!entry.leaving && leased_workers_.insert(index).second) {
@@ -64,7 +64,7 @@
         if (report.incarnation < worker_state.entry.incarnation) {
             return;
         }
-        begin_incarnation(worker, report.incarnation, time);
+        begin_incarnation(worker, report.incarnation, !worker_state.entry.leaving, time);
     }
     if (!worker_state.reported) {
         worker_state.reported = true;
@@ -77,12 +77,12 @@
     for (const auto& run : report.present) {
         handle_present_run(worker, run, time);
     }
-    handle_missing_runs(worker, report);
+    handle_missing_runs(worker, report, time, wall);
     mark_located(worker);
 }
 
 void workflow_state::begin_incarnation(std::size_t worker, std::int64_t incarnation,
-                                       time_point time)
+                                       bool after_crash, time_point time)
 {
     auto& worker_state = fleet_.at(worker);
     log_decision("worker_restarted", "", worker_state.entry.id);
@@ -96,6 +96,7 @@
         run.stop_requested = run.stop_requested || run.state != assigned_run::run_state::present;
         run.state = assigned_run::run_state::unconfirmed;
         run.unconfirmed_since = time;
+        run.worker_crashed = run.worker_crashed || after_crash;
         run.stop_sent_at = {};
         run.stop_accepted_at = {};
         unaccepted_stops_.emplace(worker, name);
@@ -213,6 +214,7 @@
         return;
     }
     assigned->missing_reports = 0;
+    assigned->worker_crashed = false;
     if (assigned->state != assigned_run::run_state::present) {
         assigned->state = assigned_run::run_state::present;
         assigned->confirmed_at = time;
@@ -237,7 +239,7 @@
     const bool is_open = job != nullptr && !is_final(job->phase) && step < job->steps.size() &&
                          index < job->steps[step].tasks.size();
     assigned_run assigned{.size = is_open ? job->spec.steps[step].size : resources{},
-                          .is_sized = is_open,
+                          .shares_worker = is_open,
                           .state = assigned_run::run_state::present,
                           .ordered_at = time,
                           .confirmed_at = time,
@@ -276,7 +278,8 @@
                  to_string(name) + " on " + fleet_.at(worker).entry.id);
 }
 
-void workflow_state::handle_missing_runs(std::size_t worker, const worker_report& report)
+void workflow_state::handle_missing_runs(std::size_t worker, const worker_report& report,
+                                         time_point time, wall_time wall)
 {
     std::set<run_name> present;
     for (const auto& run : report.present) {
@@ -299,7 +302,11 @@
                 run->stop_sent_at = {};
                 fleet_.at(worker).ruled_out[name] = {*run, report.asked};
             }
+            const bool after_crash = run->worker_crashed;
             mark_run_lost(worker, name);
+            if (after_crash) {
+                record_crash(worker, name, time, wall);
+            }
             continue;
         }
         if (run->state == assigned_run::run_state::unconfirmed &&
@@ -470,13 +477,18 @@
     }
 }
 
-void workflow_state::on_emptied(std::size_t worker)
+void workflow_state::on_emptied(std::size_t worker, emptied_reason reason, time_point time,
+                                wall_time wall)
 {
-    const auto runs = fleet_.at(worker).runs;
+    auto& worker_state = fleet_.at(worker);
+    const bool after_crash = reason == emptied_reason::replaced && !worker_state.entry.leaving;
+    const auto runs = worker_state.runs;
     for (const auto& [name, run] : runs) {
         mark_run_lost(worker, name);
+        if (after_crash || run.worker_crashed) {
+            record_crash(worker, name, time, wall);
+        }
     }
-    auto& worker_state = fleet_.at(worker);
     worker_state.reported = false;
     worker_state.unacknowledged_ends.clear();
     if (!worker_state.listed && leased_workers_.erase(worker) > 0) {
--- a/flamingoseam/workflow/workflow_schedule.cpp
+++ b/flamingoseam/workflow/workflow_schedule.cpp
@@ -186,6 +186,7 @@
         });
     }
     const int waiting = step.record().waiting();
+    start_suspects(step, candidates, time);
     start_on_best(step, candidates, time);
     record_placed(step, waiting - step.record().waiting(), time);
     if (step.record().waiting() > 0) {
@@ -202,19 +203,21 @@
     using choice = std::pair<task_cost, candidate*>;
     std::vector<choice> choices;
     for (auto& option : candidates) {
-        if (!needs_ticket || option.ticket != nullptr) {
+        if (option.fits > 0 && (!needs_ticket || option.ticket != nullptr)) {
             choices.emplace_back(cost_of(step, option), &option);
         }
     }
     std::priority_queue best(std::greater<>(), std::move(choices));
     const auto& tasks = step.record().tasks;
     for (int index = 0; index < static_cast<int>(tasks.size()) && !best.empty(); ++index) {
-        if (tasks[static_cast<std::size_t>(index)].phase != task_phase::waiting) {
+        const auto& task = tasks[static_cast<std::size_t>(index)];
+        if (task.phase != task_phase::waiting || time < task.isolate_until) {
             continue;
         }
         auto* option = best.top().second;
         best.pop();
-        start_task(step, index, option->worker, next_run(step.record(), index), time);
+        start_task(step, index, option->worker, next_run(step.record(), index), placement::shared,
+                   time);
         if (--option->fits > 0) {
             best.emplace(cost_of(step, *option), option);
         }
@@ -264,14 +267,18 @@
 }
 
 void workflow_state::start_task(const ready_step& step, int index, std::size_t worker,
-                                std::int64_t run, time_point time)
+                                std::int64_t run, placement use, time_point time)
 {
     auto& job = *step.job;
     auto& task = step.record().tasks[static_cast<std::size_t>(index)];
     const run_name name{{job.spec.id, step.step, index}, run};
+    const bool is_isolated = use == placement::isolated;
+    free_capacity_.reserve(worker, is_isolated ? fleet_.at(worker).free() : step.spec().size);
     fleet_.assign(worker, name,
-                  {.size = step.spec().size, .estimate = step.spec().estimate, .ordered_at = time});
-    free_capacity_.reserve(worker, step.spec().size);
+                  {.size = step.spec().size,
+                   .shares_worker = !is_isolated,
+                   .estimate = step.spec().estimate,
+                   .ordered_at = time});
     set_task_phase(job, step.step, index, task_phase::placed);
     task.run = run;
     task.worker = worker;
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -95,6 +95,7 @@
     std::int64_t unconfirmed_starts = 0;
     std::int64_t failed_runs = 0;
     std::int64_t lost_runs = 0;
+    std::int64_t crashed_runs = 0; ///< Runs lost because their worker crashed.
     std::int64_t permission_requests = 0;
     /// Requests for permitted workers whose ticket has expired or was dropped.
     std::int64_t repeated_permission_requests = 0;
@@ -153,9 +154,8 @@
     /// Records whether a worker is unreachable at present.
     void on_unreachable_changed(std::size_t worker, bool unreachable, wall_time wall);
 
-    /// Records that a worker certainly holds no run any more, for example after its lease has
-    /// expired.
-    void on_emptied(std::size_t worker);
+    /// Records that a worker certainly holds no run any more.
+    void on_emptied(std::size_t worker, emptied_reason reason, time_point time, wall_time wall);
 
     /// Sets the number of call slots, which is the number of calls that the permission service
     /// processes at the same time.
@@ -270,19 +270,22 @@
                       std::vector<log_field> fields = {});
 
     // workers' reports
-    void begin_incarnation(std::size_t worker, std::int64_t incarnation, time_point time);
+    void begin_incarnation(std::size_t worker, std::int64_t incarnation, bool after_crash,
+                           time_point time);
     void handle_end(std::size_t worker, const ended_run& end, time_point time, wall_time wall);
     void apply_end(job_record& job, std::size_t worker, const ended_run& end, time_point time,
                    wall_time wall);
     void interrupt(std::size_t worker, const run_name& name);
     void handle_present_run(std::size_t worker, const present_run& run, time_point time);
     void adopt(std::size_t worker, const present_run& run, time_point time);
-    void handle_missing_runs(std::size_t worker, const worker_report& report);
+    void handle_missing_runs(std::size_t worker, const worker_report& report, time_point time,
+                             wall_time wall);
     void apply_refusal(job_record& job, std::size_t worker, const run_name& name,
                        start_outcome outcome, time_point time);
     void rule_out(std::size_t worker, const run_name& name, assigned_run& run, time_point time);
     void request_stop(std::size_t worker, const run_name& name, assigned_run& run);
     void mark_run_lost(std::size_t worker, const run_name& name);
+    void record_crash(std::size_t worker, const run_name& name, time_point time, wall_time wall);
     void acknowledge_end(std::size_t worker, std::int64_t incarnation, std::int64_t number);
     void mark_located(std::size_t worker);
     void release_unlocated();
@@ -321,6 +324,10 @@
     using task_cost = std::tuple<bool, bool, std::int64_t, std::size_t>;
     [[nodiscard]] task_cost cost_of(const ready_step& step, const candidate& option) const;
     void start_on_best(const ready_step& step, std::vector<candidate>& candidates, time_point time);
+    void start_suspects(const ready_step& step, std::vector<candidate>& candidates,
+                        time_point time);
+    [[nodiscard]] bool can_isolate(const ready_step& step, const candidate& option) const;
+    void isolate_loaded_suspects(job_record& job, time_point time);
     void request_more_permissions(const ready_step& step, const std::vector<candidate>& candidates,
                                   time_point time);
     void place_gang(const ready_step& step, time_point time);
@@ -329,8 +336,10 @@
                     time_point time) const;
     void start_gang(const ready_step& step, const std::vector<task_allocation>& allocations,
                     time_point time);
+    /// How a started task uses its worker.
+    enum class placement { shared, isolated };
     void start_task(const ready_step& step, int index, std::size_t worker, std::int64_t run,
-                    time_point time);
+                    placement use, time_point time);
     void record_placed(const ready_step& step, int tasks, time_point time);
     [[nodiscard]] std::optional<milliseconds> shortest_ticket(const ready_step& step, int tasks,
                                                               time_point time) const;
--- a/tests/workflow_model.cpp
+++ b/tests/workflow_model.cpp
@@ -386,7 +386,8 @@
         const bool lapsed =
             granted != sender->leased_until.end() && now_ > granted->second + lease / 10;
         if (lapsed) {
-            sender->state.on_emptied(index);
+            sender->state.on_emptied(index, workflow::emptied_reason::lease_expired, clock(),
+                                     wall_time(now_));
             sender->leased_until.erase(granted);
         } else if (granted == sender->leased_until.end()) {
             sender->leased_until[index] = now_ + lease;
