Test that a worker whose capacity has shrunk gets no run beyond it

The test passed at once: free capacity is what the list says now less what runs there, what is being stopped included, and never counts below nothing.

--- a/flamingoseam/workflow/workflow_state_test.cpp
+++ b/flamingoseam/workflow/workflow_state_test.cpp
@@ -240,3 +240,40 @@
         CHECK(driver.state.take_queue_loads(driver.time)[0].done_runs == 0);
     }
 }
+
+TEST_CASE("a worker whose capacity has shrunk gets no run beyond it")
+{
+    driven_state driver;
+    driver.make_usable();
+    driver.submit(driver.job("running", 3'000, 2));
+    const auto running = driver.next().starts;
+    REQUIRE(running.size() == 2);
+    for (const auto& order : running) {
+        driver.state.on_start(0, order.name, start_outcome::started, driver.time);
+    }
+    driver.state.on_worker_list({driver.worker(7'000)}, driver.time);
+    driver.submit(driver.job("waiting", 2'000, 2));
+    CHECK(driver.next().starts.empty());
+
+    SECTION("also when it is below what runs there")
+    {
+        driver.state.on_worker_list({driver.worker(5'000)}, driver.time);
+        const ended_run done{.number = 1, .name = running[0].name};
+        driver.state.on_report(
+            0, {.incarnation = 1, .present = {{.name = running[1].name}}, .ended = {done}},
+            driver.time, wall);
+        CHECK(driver.next().starts.size() == 1);
+        CHECK(driver.next().starts.empty());
+    }
+    SECTION("until it has grown again")
+    {
+        driver.state.on_worker_list({driver.worker(8'000)}, driver.time);
+        CHECK(driver.next().starts.size() == 1);
+    }
+    SECTION("what is being stopped counts until it has ended")
+    {
+        driver.state.cancel(2, "running", wall);
+        CHECK(driver.next().stops.size() == 2);
+        CHECK(driver.next().starts.empty());
+    }
+}
