--- a/flamingoseam/node/sharded_node.cpp
+++ b/flamingoseam/node/sharded_node.cpp
@@ -130,7 +130,7 @@
     owner_answer sum{.verdict = owner_verdict::accepted};
     for (const auto& shard : shards_) {
         const auto left = std::chrono::duration_cast<milliseconds>(end - now());
-        const auto answer = shard->count_pending_jobs(queue, std::max(left, milliseconds(1)));
+        auto answer = shard->count_pending_jobs(queue, std::max(left, milliseconds(1)));
         if (answer.verdict != owner_verdict::accepted) {
             return answer;
         }
