--- a/flamingoseam/node/cell_layout.hpp
+++ b/flamingoseam/node/cell_layout.hpp
@@ -18,16 +18,17 @@
     milliseconds settling_time{600};
 };
 
-/// Returns the number of shards of the cell, or no value while the platform lists no workers yet
-/// or their number still changes. The first node to store a layout decides it for all. A cell that
-/// was run before layouts were stored has one shard. To be called again after a pause until there
-/// is a value; each call reads the store. Throws transport_error if the store does not answer, and
-/// parse_error (id 141) if the stored layout can't be read.
+/// Agreement of the nodes on the layout of their cell. The first node to store a layout decides it
+/// for all. A cell that was run before layouts were stored has one shard.
 class layout_agreement {
 public:
     layout_agreement(layout_options options, std::unique_ptr<shared_store> store,
                      std::unique_ptr<worker_directory> workers);
 
+    /// Returns the number of shards of the cell, or no value while the platform lists no workers
+    /// yet or their number still changes; to be called again after a pause then. Each call reads
+    /// the store. Throws transport_error if the store does not answer, and parse_error (id 141) if
+    /// the stored layout can't be read.
     std::optional<std::size_t> try_agree(time_point time);
 
 private:
--- a/flamingoseam/node/node_election.cpp
+++ b/flamingoseam/node/node_election.cpp
@@ -263,7 +263,7 @@
 }
 
 /// Offers this shard to the other nodes if this process owns several shards. A node that owns a
-/// shard does not accept, and much weaker nodes are not asked.
+/// shard does not accept, and weaker nodes are not asked.
 void node::offer_to_idle_node(const membership_view& view, time_point time)
 {
     if (time < next_balancing_ || !view.owner || !should_give_up_shard() ||
--- a/flamingoseam/node/shard_test.cpp
+++ b/flamingoseam/node/shard_test.cpp
@@ -26,7 +26,7 @@
     return workers;
 }
 
-/// A list of workers that has changed at each call if `workers` is set.
+/// A list of workers that is returned as changed at each call.
 class fixed_directory final : public worker_directory {
 public:
     explicit fixed_directory(const int& workers) : workers_(workers) {}
