Find the owner of a shard by the scenarios' existing function

platform_shards repeated the loop of owner_of; now owner_of takes the shard's text as an optional argument. Same patterns, same checks. The six scenarios that use it pass, run beside each other.

--- a/scenarios/platform.lua
+++ b/scenarios/platform.lua
@@ -87,13 +87,14 @@
     request { server = cell.store, path = "/standin/fault?mode=" .. mode }
 end
 
--- Returns the node whose log has the owner_begins event with the newest epoch, or nil.
-function owner_of(cell)
+-- Returns the node whose log has the owner_begins event with the newest epoch, or nil. In a cell of several shards
+-- `shard` tells which one, as the log does: " of shard 0 of 2".
+function owner_of(cell, shard)
     local owner, newest = nil, -1
     for _, node in ipairs(cell.nodes) do
         local file = io.open(OUT .. "/" .. node.name .. ".log")
         for line in file and file:lines() or function() end do
-            local epoch = line:match('"detail":"epoch (%d+)","event":"owner_begins"')
+            local epoch = line:match('"detail":"epoch (%d+)' .. (shard or "") .. '","event":"owner_begins"')
             if epoch and tonumber(epoch) > newest then owner, newest = node, tonumber(epoch) end
         end
         if file then file:close() end
--- a/scenarios/platform_shards.lua
+++ b/scenarios/platform_shards.lua
@@ -4,18 +4,8 @@
 local cell = start_platform(6, 4, { "workers_per_shard = 3\n", "workers_per_shard = 3\n", "workers_per_shard = 3\n",
     "workers_per_shard = 3\n" })
 
--- Returns the node whose log has the newest owner_begins event of a shard, or nil.
 local function owner_of_shard(shard)
-    local owner, newest = nil, -1
-    for _, node in ipairs(cell.nodes) do
-        local file = io.open(OUT .. "/" .. node.name .. ".log")
-        for line in file and file:lines() or function() end do
-            local epoch = line:match('"detail":"epoch (%d+) of shard ' .. shard .. ' of 2","event":"owner_begins"')
-            if epoch and tonumber(epoch) > newest then owner, newest = node, tonumber(epoch) end
-        end
-        if file then file:close() end
-    end
-    return owner
+    return owner_of(cell, " of shard " .. shard .. " of 2")
 end
 
 wait_until("the shards to have different owners", 8000, function()
