--- a/flamingoseam/node/coordinator.capnp
+++ b/flamingoseam/node/coordinator.capnp
@@ -67,4 +67,7 @@
   offerOwnership @5 (epoch :UInt64, leaving :Bool) -> (accepted :Bool);
   # Returns whether the owner of this epoch has refused connections of the callee as well.
   confirmOwnerGone @6 (epoch :UInt64) -> (gone :Bool);
+  # Asks the owner of a shard to give idle workers of a service to the shard that asks, for which work
+  # has waited that was accepted at `oldestMs`. Returns how many it gives.
+  lendWorkers @7 (shard :UInt32, service :Text, workers :UInt32, oldestMs :Int64) -> (workers :UInt32);
 }
--- a/flamingoseam/node/coordinator.capnp.h
+++ b/flamingoseam/node/coordinator.capnp.h
@@ -39,6 +39,8 @@
 CAPNP_DECLARE_SCHEMA(84daaa4dcd07e333);
 CAPNP_DECLARE_SCHEMA(99991398105f2591);
 CAPNP_DECLARE_SCHEMA(919c1fd5283a2448);
+CAPNP_DECLARE_SCHEMA(cb0a781c3d734036);
+CAPNP_DECLARE_SCHEMA(b4c31c27d9798cea);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -143,6 +145,8 @@
   struct OfferOwnershipResults;
   struct ConfirmOwnerGoneParams;
   struct ConfirmOwnerGoneResults;
+  struct LendWorkersParams;
+  struct LendWorkersResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -362,6 +366,36 @@
   };
 };
 
+struct Coordinator::LendWorkersParams {
+  LendWorkersParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(cb0a781c3d734036, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Coordinator::LendWorkersResults {
+  LendWorkersResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b4c31c27d9798cea, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class StepSpec::Reader {
@@ -983,6 +1017,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::flamingoseam::rpc::Coordinator::ConfirmOwnerGoneParams,  ::flamingoseam::rpc::Coordinator::ConfirmOwnerGoneResults> confirmOwnerGoneRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::flamingoseam::rpc::Coordinator::LendWorkersParams,  ::flamingoseam::rpc::Coordinator::LendWorkersResults> lendWorkersRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -1027,6 +1063,10 @@
   typedef  ::flamingoseam::rpc::Coordinator::ConfirmOwnerGoneResults ConfirmOwnerGoneResults;
   typedef ::capnp::CallContext<ConfirmOwnerGoneParams, ConfirmOwnerGoneResults> ConfirmOwnerGoneContext;
   virtual ::kj::Promise<void> confirmOwnerGone(ConfirmOwnerGoneContext context);
+  typedef  ::flamingoseam::rpc::Coordinator::LendWorkersParams LendWorkersParams;
+  typedef  ::flamingoseam::rpc::Coordinator::LendWorkersResults LendWorkersResults;
+  typedef ::capnp::CallContext<LendWorkersParams, LendWorkersResults> LendWorkersContext;
+  virtual ::kj::Promise<void> lendWorkers(LendWorkersContext context);
 
   inline  ::flamingoseam::rpc::Coordinator::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -2200,6 +2240,178 @@
 };
 #endif  // !CAPNP_LITE
 
+class Coordinator::LendWorkersParams::Reader {
+public:
+  typedef LendWorkersParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getShard() const;
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline  ::uint32_t getWorkers() const;
+
+  inline  ::int64_t getOldestMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Coordinator::LendWorkersParams::Builder {
+public:
+  typedef LendWorkersParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getShard();
+  inline void setShard( ::uint32_t value);
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline  ::uint32_t getWorkers();
+  inline void setWorkers( ::uint32_t value);
+
+  inline  ::int64_t getOldestMs();
+  inline void setOldestMs( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Coordinator::LendWorkersParams::Pipeline {
+public:
+  typedef LendWorkersParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Coordinator::LendWorkersResults::Reader {
+public:
+  typedef LendWorkersResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getWorkers() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Coordinator::LendWorkersResults::Builder {
+public:
+  typedef LendWorkersResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getWorkers();
+  inline void setWorkers( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Coordinator::LendWorkersResults::Pipeline {
+public:
+  typedef LendWorkersResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 inline  ::int32_t StepSpec::Reader::getTasks() const {
@@ -3506,6 +3718,96 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Coordinator::LendWorkersParams::Reader::getShard() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Coordinator::LendWorkersParams::Builder::getShard() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Coordinator::LendWorkersParams::Builder::setShard( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Coordinator::LendWorkersParams::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Coordinator::LendWorkersParams::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Coordinator::LendWorkersParams::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Coordinator::LendWorkersParams::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Coordinator::LendWorkersParams::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Coordinator::LendWorkersParams::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Coordinator::LendWorkersParams::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Coordinator::LendWorkersParams::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t Coordinator::LendWorkersParams::Reader::getWorkers() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Coordinator::LendWorkersParams::Builder::getWorkers() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Coordinator::LendWorkersParams::Builder::setWorkers( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Coordinator::LendWorkersParams::Reader::getOldestMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Coordinator::LendWorkersParams::Builder::getOldestMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Coordinator::LendWorkersParams::Builder::setOldestMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Coordinator::LendWorkersResults::Reader::getWorkers() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Coordinator::LendWorkersResults::Builder::getWorkers() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Coordinator::LendWorkersResults::Builder::setWorkers( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/flamingoseam/node/coordinator_rpc.cpp
+++ b/flamingoseam/node/coordinator_rpc.cpp
@@ -194,6 +194,20 @@
             .then([context](bool gone) mutable { context.getResults().setGone(gone); });
     }
 
+    kj::Promise<void> lendWorkers(LendWorkersContext context) override
+    {
+        const auto params = context.getParams();
+        const workflow::worker_request request{.shard = params.getShard(),
+                                               .service = params.getService().cStr(),
+                                               .workers = params.getWorkers(),
+                                               .oldest = wall_time(params.getOldestMs())};
+        return detail::promise_of<std::size_t>(
+                   [&](auto reply) { service_.lend_workers(request, reply); })
+            .then([context](std::size_t lent) mutable {
+                context.getResults().setWorkers(static_cast<std::uint32_t>(lent));
+            });
+    }
+
 private:
     template <typename Context, typename Call>
     static kj::Promise<void> answer(Context context, Call&& call)
@@ -352,6 +366,24 @@
         true);
 }
 
+std::size_t coordinator_client::lend_workers(const endpoint& owner,
+                                             const workflow::worker_request& request,
+                                             milliseconds timeout)
+{
+    return impl_->call<std::size_t>(
+        owner, timeout,
+        [&](rpc::Coordinator::Client& client) {
+            auto message = client.lendWorkersRequest();
+            message.setShard(static_cast<std::uint32_t>(request.shard));
+            message.setService(request.service);
+            message.setWorkers(static_cast<std::uint32_t>(request.workers));
+            message.setOldestMs(request.oldest.count());
+            return message.send().then(
+                [](auto response) -> std::size_t { return response.getWorkers(); });
+        },
+        true);
+}
+
 class coordinator_server::impl : public detail::rpc_listener {
 public:
     impl(const endpoint& listen, owner_service& service)
--- a/flamingoseam/node/coordinator_rpc.hpp
+++ b/flamingoseam/node/coordinator_rpc.hpp
@@ -40,6 +40,10 @@
     /// Asks the node whether the owner of this epoch has refused its connections as well.
     bool confirms_owner_gone(const endpoint& node, std::uint64_t epoch, milliseconds timeout);
 
+    /// Asks the owner of another shard for workers. Returns how many it gives.
+    std::size_t lend_workers(const endpoint& owner, const workflow::worker_request& request,
+                             milliseconds timeout);
+
 private:
     class impl;
     std::unique_ptr<impl> impl_;
--- a/flamingoseam/node/coordinator_rpc_test.cpp
+++ b/flamingoseam/node/coordinator_rpc_test.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 /// Grants permission requests and stores the last of them.
-class permission_service final : public owner_service {
+class recording_service final : public owner_service {
 public:
     void submit(const workflow::job_spec& /*job*/, const workflow::queue_terms& /*terms*/,
                 owner_reply reply) override
@@ -30,8 +30,14 @@
         reply(false);
     }
     void confirm_owner_gone(std::uint64_t /*epoch*/, flag_reply reply) override { reply(false); }
+    void lend_workers(const workflow::worker_request& request, count_reply reply) override
+    {
+        last_worker_request = request;
+        reply(7);
+    }
 
     workflow::permission_request last_request;
+    workflow::worker_request last_worker_request;
 };
 
 endpoint own_address()
@@ -48,7 +54,7 @@
 // started (issue 16).
 TEST_CASE("a long permission call through another node is answered")
 {
-    permission_service service;
+    recording_service service;
     coordinator_server server(own_address(), service);
     coordinator_client client;
     const workflow::permission_request request{
@@ -61,3 +67,18 @@
     CHECK(service.last_request.workers == request.workers);
     CHECK(service.last_request.service_time == milliseconds(1'729));
 }
+
+TEST_CASE("a request for workers reaches the owner of another shard")
+{
+    recording_service service;
+    coordinator_server server(own_address(), service);
+    coordinator_client client;
+    const workflow::worker_request request{
+        .shard = 2, .service = "s", .workers = 31, .oldest = wall_time(1'772'000'000'123)};
+
+    CHECK(client.lend_workers(own_address(), request, milliseconds(2'000)) == 7);
+    CHECK(service.last_worker_request.shard == 2);
+    CHECK(service.last_worker_request.service == "s");
+    CHECK(service.last_worker_request.workers == 31);
+    CHECK(service.last_worker_request.oldest == request.oldest);
+}
--- a/flamingoseam/node/job_owner.cpp
+++ b/flamingoseam/node/job_owner.cpp
@@ -14,7 +14,6 @@
 constexpr milliseconds tick{25};
 constexpr milliseconds batch_spacing{10}; ///< Events in quicker succession are handled together.
 constexpr milliseconds clock_skew_margin{10'000}; ///< The clocks of two owners differ by less.
-constexpr milliseconds directory_read_delay{250}; ///< Between two readings of the list.
 
 } // namespace
 
@@ -65,7 +64,7 @@
 
 job_owner::job_owner(job_owner_start start, job_owner_dependencies dependencies)
     : dependencies_(std::move(dependencies)), epoch_(start.head.epoch),
-      meter_(now(), {.process = read_processor_times().process}),
+      assignments_(dependencies_.shard), meter_(now(), {.process = read_processor_times().process}),
       loop_([this](const step_times& times) { record_step(times); }),
       state_({.epoch = start.head.epoch,
               .keys = dependencies_.keys,
@@ -91,12 +90,18 @@
     for (std::size_t index = 0; index < dependencies_.head_keys.size(); ++index) {
         streams_.push_back(std::make_unique<owner_commit_source>(*this, index, start));
     }
+    if (dependencies_.shard.count > 1) {
+        borrower_ = std::make_unique<worker_borrower>(dependencies_.borrow_workers);
+    }
     loop_.post([this] { open_sessions(); });
     loop_thread_ = std::thread([this] {
         loop_.run(
             tick, [this] { after_batch(); }, batch_spacing);
     });
     directory_thread_ = std::thread([this] { watch_workers(); });
+    if (dependencies_.shard.count > 1) {
+        assignments_thread_ = std::thread([this] { watch_assignments(); });
+    }
 }
 
 job_owner::~job_owner()
@@ -106,10 +111,14 @@
     streams_.clear();
     loop_.stop();
     loop_thread_.join();
+    borrower_.reset();
     permission_dispatcher_.reset();
     sessions_.clear();
     retired_sessions_.clear();
     directory_thread_.join();
+    if (assignments_thread_.joinable()) {
+        assignments_thread_.join();
+    }
     answer_all_unknown();
 }
 
@@ -317,6 +326,7 @@
     const auto started = now();
     const auto passes = state_.counts().passes;
     state_.tick(started);
+    borrow_workers(started);
     auto actions = state_.take_actions();
     record_timings(actions, started);
     const auto decided = now();
@@ -342,6 +352,9 @@
         const auto found = sessions_.find(worker);
         return found == sessions_.end() ? nullptr : found->second.get();
     };
+    for (const auto worker : actions.released_workers) {
+        release_session(worker);
+    }
     for (const auto& order : actions.stops) {
         if (auto* session = session_of(order.worker)) {
             session->stop(order);
@@ -397,69 +410,4 @@
     reply.mapped()(result);
 }
 
-void job_owner::watch_workers()
-{
-    const auto directory = dependencies_.directory();
-    while (!ending_) {
-        try {
-            auto workers = directory->next();
-            if (!ending_) {
-                loop_.post(
-                    [this, workers = std::move(workers), confirmed = directory->confirmed_at()] {
-                        handle_worker_list(workers, confirmed);
-                    });
-            }
-        } catch (const error& cause) {
-            LOG_EVERY_N(WARNING, 20) << "the list of workers cannot be read: " << cause.what();
-        }
-        std::this_thread::sleep_for(directory_read_delay);
-    }
-}
-
-void job_owner::handle_worker_list(
-    const std::optional<std::vector<workflow::worker_entry>>& workers, time_point confirmed)
-{
-    if (ending_) {
-        return;
-    }
-    state_.confirm_worker_list(confirmed);
-    if (!workers) {
-        return;
-    }
-    state_.on_worker_list(*workers, now());
-    open_sessions();
-    drop_finished_sessions();
-}
-
-void job_owner::open_sessions()
-{
-    for (std::size_t worker = 0; worker < state_.workers().size(); ++worker) {
-        const auto& state = state_.workers().at(worker);
-        if (!state.listed && !state.lease_stored) {
-            continue;
-        }
-        auto& session = sessions_[worker];
-        if (session && session->entry().address == state.entry.address) {
-            if (!state.listed || state.entry.leaving) {
-                session->withdraw_starts();
-            }
-            continue;
-        }
-        if (session) {
-            session->request_stop();
-            retired_sessions_.push_back(std::move(session));
-        }
-        worker_listener& listener = *this;
-        session = std::make_unique<worker_session>(
-            worker_session_options{
-                .worker = worker, .epoch = epoch_, .lease = dependencies_.worker_lease},
-            state.entry, dependencies_.channels, listener);
-    }
-}
-
-void job_owner::drop_finished_sessions()
-{
-    std::erase_if(retired_sessions_, [](const auto& session) { return session->has_ended(); });
-}
-
 } // namespace flamingoseam::node
--- a/flamingoseam/node/job_owner.hpp
+++ b/flamingoseam/node/job_owner.hpp
@@ -7,8 +7,11 @@
 #include "flamingoseam/node/node_metrics.hpp"
 #include "flamingoseam/node/owner_service.hpp"
 #include "flamingoseam/node/permission_dispatcher.hpp"
+#include "flamingoseam/node/shard.hpp"
+#include "flamingoseam/node/worker_borrower.hpp"
 #include "flamingoseam/node/worker_directory.hpp"
 #include "flamingoseam/node/worker_session.hpp"
+#include "flamingoseam/store/record_watch.hpp"
 #include "flamingoseam/workflow/stored_job.hpp"
 #include "flamingoseam/workflow/workflow_state.hpp"
 
@@ -16,6 +19,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <thread>
@@ -42,6 +46,8 @@
     worker_channel_factory channels;
     worker_directory_factory directory;
     permission_call_factory permissions;
+    shard_identity shard;
+    borrow_call borrow_workers = nullptr; ///< Set if the cell is divided.
     event_log* log = nullptr;
     node_metrics* metrics = nullptr;
 
@@ -73,6 +79,9 @@
     void find(const std::string& job, owner_service::owner_reply reply);
     void count_pending(const std::string& queue, owner_service::owner_reply reply);
 
+    /// Gives idle workers to another shard; replies with their number.
+    void lend_workers(const workflow::worker_request& request, owner_service::count_reply reply);
+
     /// Sets the nodes through which the permission service is asked.
     void set_nodes(const std::vector<std::string>& nodes);
 
@@ -117,14 +126,24 @@
     void watch_workers();
     void handle_worker_list(const std::optional<std::vector<workflow::worker_entry>>& workers,
                             time_point confirmed);
+    void apply_worker_list();
+    void watch_assignments();
+    void handle_assignments(const record_update& update, const std::string& prefix);
+    void release_session(std::size_t worker);
+    void borrow_workers(time_point time);
     void open_sessions();
     void drop_finished_sessions();
     void report_superseded();
 
     job_owner_dependencies dependencies_;
     std::uint64_t epoch_;
-    load_meter meter_;        ///< Used by the control thread only.
-    change_ages change_ages_; ///< Used by the control thread only.
+    /// Workers of the whole cell, none until they have been read; used by the control thread only.
+    std::optional<std::vector<workflow::worker_entry>> listed_workers_;
+    worker_assignments assignments_; ///< Used by the control thread only.
+    bool assignments_known_ = false; ///< Used by the control thread only.
+    time_point next_borrowing_{};    ///< Used by the control thread only.
+    load_meter meter_;               ///< Used by the control thread only.
+    change_ages change_ages_;        ///< Used by the control thread only.
     control_loop loop_;
     workflow::workflow_state state_;
     std::set<std::string> unreadable_jobs_; ///< Accepted, but their records can't be read.
@@ -140,6 +159,8 @@
     bool handing_over_ = false;
     std::thread loop_thread_;
     std::thread directory_thread_;
+    std::thread assignments_thread_;            ///< Runs only if the cell is divided.
+    std::unique_ptr<worker_borrower> borrower_; ///< Null if the cell is not divided.
 };
 
 } // namespace flamingoseam::node
--- /dev/null
+++ b/flamingoseam/node/job_owner_workers.cpp
@@ -0,0 +1,177 @@
+#include "flamingoseam/node/job_owner.hpp"
+
+#include "flamingoseam/core/error.hpp"
+
+#include <glog/logging.h>
+
+#include <utility>
+
+namespace flamingoseam::node {
+
+namespace {
+
+constexpr milliseconds directory_read_delay{250}; ///< Between two readings of the list.
+constexpr milliseconds assignments_retry_delay{100};
+constexpr milliseconds borrowing_interval{250}; ///< Between two requests for workers.
+
+} // namespace
+
+void job_owner::watch_workers()
+{
+    const auto directory = dependencies_.directory();
+    while (!ending_) {
+        try {
+            auto workers = directory->next();
+            if (!ending_) {
+                loop_.post(
+                    [this, workers = std::move(workers), confirmed = directory->confirmed_at()] {
+                        handle_worker_list(workers, confirmed);
+                    });
+            }
+        } catch (const error& cause) {
+            LOG_EVERY_N(WARNING, 20) << "the list of workers cannot be read: " << cause.what();
+        }
+        std::this_thread::sleep_for(directory_read_delay);
+    }
+}
+
+void job_owner::handle_worker_list(
+    const std::optional<std::vector<workflow::worker_entry>>& workers, time_point confirmed)
+{
+    if (ending_) {
+        return;
+    }
+    state_.confirm_worker_list(confirmed);
+    if (!workers) {
+        return;
+    }
+    listed_workers_ = *workers;
+    apply_worker_list();
+}
+
+/// Passes the workers of this shard to the decisions, once both the list and the assignments have
+/// been read.
+void job_owner::apply_worker_list()
+{
+    const bool knows_assignments = dependencies_.shard.count == 1 || assignments_known_;
+    if (!listed_workers_ || !knows_assignments) {
+        return;
+    }
+    state_.set_lending_limits({.shard = dependencies_.shard.index,
+                               .shards = dependencies_.shard.count,
+                               .cell_workers = listed_workers_->size()});
+    state_.on_worker_list(assignments_.select_own(*listed_workers_), now());
+    open_sessions();
+    drop_finished_sessions();
+}
+
+void job_owner::watch_assignments()
+{
+    const auto prefix = dependencies_.keys.assignment_prefix();
+    record_watch watch(
+        {.name = "assignments",
+         .prefix = prefix,
+         .report = [this](const log_event& event) { dependencies_.log->write(event); }},
+        dependencies_.stores());
+    while (!ending_) {
+        try {
+            auto update = watch.next();
+            loop_.post(
+                [this, prefix, update = std::move(update)] { handle_assignments(update, prefix); });
+        } catch (const error& cause) {
+            LOG_EVERY_N(WARNING, 20)
+                << "the assignments of workers cannot be read: " << cause.what();
+            std::this_thread::sleep_for(assignments_retry_delay);
+        }
+    }
+}
+
+void job_owner::handle_assignments(const record_update& update, const std::string& prefix)
+{
+    if (ending_ || (!update.is_complete && update.records.empty())) {
+        return;
+    }
+    if (update.is_complete) {
+        assignments_.clear();
+    }
+    for (const auto& record : update.records) {
+        const auto worker = record.key.substr(prefix.size());
+        if (record.removed) {
+            assignments_.remove(worker);
+            continue;
+        }
+        try {
+            assignments_.assign(worker, record.value);
+        } catch (const parse_error& cause) {
+            dependencies_.log->write(
+                {.event = "assignment_unreadable", .request = {}, .detail = cause.what()});
+        }
+    }
+    assignments_known_ = true;
+    apply_worker_list();
+}
+
+/// Ends the session of a worker that was given to another shard.
+void job_owner::release_session(std::size_t worker)
+{
+    auto session = sessions_.extract(worker);
+    if (!session.empty()) {
+        session.mapped()->release();
+        retired_sessions_.push_back(std::move(session.mapped()));
+    }
+}
+
+void job_owner::lend_workers(const workflow::worker_request& request,
+                             owner_service::count_reply reply)
+{
+    loop_.post([this, request, reply = std::move(reply)] {
+        const bool may_lend = !handing_over_ && !superseded_ && dependencies_.is_certain();
+        reply(may_lend ? state_.lend_workers(request, now()) : 0);
+    });
+}
+
+/// Asks the other shards for workers if work waits for them.
+void job_owner::borrow_workers(time_point time)
+{
+    if (!borrower_ || time < next_borrowing_) {
+        return;
+    }
+    next_borrowing_ = time + borrowing_interval;
+    if (const auto request = state_.find_worker_request(time)) {
+        borrower_->request(*request);
+    }
+}
+
+void job_owner::open_sessions()
+{
+    for (std::size_t worker = 0; worker < state_.workers().size(); ++worker) {
+        const auto& state = state_.workers().at(worker);
+        if (!state.listed && !state.lease_stored) {
+            continue;
+        }
+        auto& session = sessions_[worker];
+        if (session && session->entry().address == state.entry.address) {
+            if (!state.listed || state.entry.leaving) {
+                session->withdraw_starts();
+            }
+            continue;
+        }
+        if (session) {
+            session->request_stop();
+            retired_sessions_.push_back(std::move(session));
+        }
+        worker_listener& listener = *this;
+        session = std::make_unique<worker_session>(
+            worker_session_options{.worker = worker,
+                                   .epoch = state.entry.token_base + epoch_,
+                                   .lease = dependencies_.worker_lease},
+            state.entry, dependencies_.channels, listener);
+    }
+}
+
+void job_owner::drop_finished_sessions()
+{
+    std::erase_if(retired_sessions_, [](const auto& session) { return session->has_ended(); });
+}
+
+} // namespace flamingoseam::node
--- a/flamingoseam/node/node.cpp
+++ b/flamingoseam/node/node.cpp
@@ -210,6 +210,36 @@
     }
 }
 
+void node::lend_workers(const workflow::worker_request& request, count_reply reply)
+{
+    if (const auto owner = local_owner()) {
+        owner->lend_workers(request, std::move(reply));
+    } else {
+        reply(0);
+    }
+}
+
+std::size_t node::request_workers(const workflow::worker_request& request, milliseconds timeout)
+{
+    if (const auto owner = local_owner()) {
+        auto promise = std::make_shared<std::promise<std::size_t>>();
+        auto lent = promise->get_future();
+        owner->lend_workers(request, [promise](std::size_t count) { promise->set_value(count); });
+        return lent.wait_for(timeout) == std::future_status::ready ? lent.get() : 0;
+    }
+    const auto owner = remote_owner();
+    if (!owner) {
+        return 0;
+    }
+    try {
+        return client_.lend_workers(owner->address, request, timeout);
+    } catch (const transport_error& cause) {
+        LOG_EVERY_N(WARNING, 20) << "can't ask the owner" << to_text(options_.shard)
+                                 << " for workers: " << cause.what();
+        return 0;
+    }
+}
+
 void node::ask_permission(const workflow::permission_request& request, permission_reply reply)
 {
     std::thread([this, request, reply = std::move(reply)] {
--- a/flamingoseam/node/node.hpp
+++ b/flamingoseam/node/node.hpp
@@ -34,6 +34,9 @@
     shard_identity shard;           ///< The shard whose jobs this object handles.
     /// Returns the indices of the shards that this process owns; null if there is one shard only.
     std::function<std::vector<std::size_t>()> owned_shards = nullptr;
+    /// Asks the other shards for workers; null if there is one shard only.
+    borrow_call borrow_workers = nullptr;
+    std::string cell_prefix = "fs/"; ///< Prefix of the keys that all shards share.
 };
 
 /// The interfaces through which a node uses the platform.
@@ -62,6 +65,9 @@
     owner_answer find_job(const std::string& job, milliseconds timeout);
     owner_answer count_pending_jobs(const std::string& queue, milliseconds timeout);
 
+    /// Asks this shard's owner to give idle workers to another shard. Returns how many it gives.
+    std::size_t request_workers(const workflow::worker_request& request, milliseconds timeout);
+
     /// Checks whether calls can be served now: there is an owner that answers, this node's lease is
     /// valid, and the node is not leaving.
     [[nodiscard]] bool is_ready() const;
@@ -82,6 +88,7 @@
                         permission_reply reply) override;
     void offer_ownership(const ownership_offer& offer, flag_reply reply) override;
     void confirm_owner_gone(std::uint64_t epoch, flag_reply reply) override;
+    void lend_workers(const workflow::worker_request& request, count_reply reply) override;
 
 private:
     /// Events that the election thread has to handle.
@@ -121,7 +128,10 @@
     permission_call permission_call_through(const std::string& name);
     std::string head_prefix() const { return options_.store_prefix + "head/"; }
     std::vector<std::string> head_keys() const;
-    workflow::record_keys keys() const { return {.prefix = options_.store_prefix}; }
+    workflow::record_keys keys() const
+    {
+        return {.prefix = options_.store_prefix, .cell_prefix = options_.cell_prefix};
+    }
 
     /// Forwards a call to the owner and retries when ownership changes meanwhile. A call that ends
     /// without an owner had no effect.
--- a/flamingoseam/node/node_election.cpp
+++ b/flamingoseam/node/node_election.cpp
@@ -414,6 +414,8 @@
         .channels = dependencies_.channels,
         .directory = dependencies_.directory,
         .permissions = [this](const std::string& name) { return permission_call_through(name); },
+        .shard = options_.shard,
+        .borrow_workers = options_.borrow_workers,
         .log = dependencies_.log,
         .metrics = dependencies_.metrics,
         .is_certain = [this] { return membership_->has_valid_lease(); },
--- a/flamingoseam/node/owner_service.hpp
+++ b/flamingoseam/node/owner_service.hpp
@@ -2,6 +2,7 @@
 
 #include "flamingoseam/node/permission_dispatcher.hpp"
 #include "flamingoseam/workflow/job_record.hpp"
+#include "flamingoseam/workflow/worker_lending.hpp"
 
 #include <functional>
 #include <string>
@@ -45,6 +46,7 @@
 public:
     using owner_reply = std::function<void(owner_answer)>;
     using flag_reply = std::function<void(bool)>;
+    using count_reply = std::function<void(std::size_t)>;
     using permission_reply = std::function<void(std::optional<permission_answer>)>;
 
     virtual ~owner_service() = default;
@@ -62,6 +64,9 @@
     /// Replies whether the owner of this epoch has recently refused a connection of this node, too.
     /// Called by a node whose own connection was refused.
     virtual void confirm_owner_gone(std::uint64_t epoch, flag_reply reply) = 0;
+
+    /// Gives idle workers of this shard to another one and replies with their number.
+    virtual void lend_workers(const workflow::worker_request& request, count_reply reply) = 0;
 };
 
 } // namespace flamingoseam::node
--- a/flamingoseam/node/shard.hpp
+++ b/flamingoseam/node/shard.hpp
@@ -1,9 +1,13 @@
 #pragma once
 
-#include "flamingoseam/node/worker_directory.hpp"
+#include "flamingoseam/workflow/messages.hpp"
+#include "flamingoseam/workflow/worker_assignment.hpp"
 
-#include <memory>
+#include <cstddef>
+#include <map>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace flamingoseam::node {
 
@@ -16,28 +20,39 @@
     bool operator==(const shard_identity&) const = default;
 };
 
-/// Returns the index of the shard to which the job or the worker with this id belongs.
-/// Complexity: linear in the id.
+/// Returns the index of the shard to which the job with this id belongs, and the worker with this
+/// id if it was never transferred. Complexity: linear in the id.
 std::size_t shard_of(const std::string& id, std::size_t count);
 
 /// Returns " of shard N of M" for log lines; empty if the cell has one shard only.
 std::string to_text(const shard_identity& shard);
 
-/// Restricts a list of workers to those of one shard.
-class shard_directory final : public worker_directory {
+/// The shards to which the workers of a cell belong. A worker that was never transferred belongs to
+/// the shard of its id.
+class worker_assignments {
 public:
-    shard_directory(std::unique_ptr<worker_directory> all, shard_identity shard)
-        : all_(std::move(all)), shard_(shard)
-    {
-    }
+    explicit worker_assignments(shard_identity own) : own_(own) {}
 
-    std::optional<std::vector<workflow::worker_entry>> next() override;
+    /// Records the stored assignment of a worker. Throws parse_error (id 142 or 143) if the record
+    /// can't be read or names a shard that does not exist; the worker belongs to no shard then,
+    /// until its record changes.
+    void assign(const std::string& worker, const std::string& record);
 
-    [[nodiscard]] time_point confirmed_at() const override { return all_->confirmed_at(); }
+    /// Records that a worker has no stored assignment.
+    void remove(const std::string& worker) { assigned_.erase(worker); }
+
+    /// Forgets all assignments, before they are read again.
+    void clear() { assigned_.clear(); }
+
+    /// Returns those of the workers that belong to the own shard, with their token bases.
+    /// Complexity: n log n.
+    [[nodiscard]] std::vector<workflow::worker_entry>
+    select_own(const std::vector<workflow::worker_entry>& workers) const;
 
 private:
-    std::unique_ptr<worker_directory> all_;
-    shard_identity shard_;
+    shard_identity own_;
+    /// Stored assignments by worker; none for a record that can't be used.
+    std::map<std::string, std::optional<workflow::worker_assignment>> assigned_;
 };
 
 } // namespace flamingoseam::node
--- a/flamingoseam/node/shard_test.cpp
+++ b/flamingoseam/node/shard_test.cpp
@@ -81,22 +81,73 @@
 {
     const int count = 350;
     std::map<std::string, int> owners;
+    const auto all = make_workers(count);
+    std::vector<worker_assignments> shards;
     for (std::size_t index = 0; index < 2; ++index) {
-        shard_directory part(std::make_unique<fixed_directory>(count),
-                             {.index = index, .count = 2});
-        const auto workers = part.next();
-        REQUIRE(workers);
-        CHECK(workers->size() > 140);
-        CHECK(workers->size() < 210);
-        CHECK(part.confirmed_at() == time_point(5s));
-        for (const auto& worker : *workers) {
+        shards.emplace_back(shard_identity{.index = index, .count = 2});
+        const auto workers = shards.back().select_own(all);
+        CHECK(workers.size() > 140);
+        CHECK(workers.size() < 210);
+        for (const auto& worker : workers) {
             ++owners[worker.id];
             CHECK(shard_of(worker.id, 2) == index);
+            CHECK(worker.token_base == 0);
         }
     }
     CHECK(owners.size() == count);
     CHECK(std::ranges::all_of(owners, [](const auto& entry) { return entry.second == 1; }));
 
+    const auto& moved = all.front().id;
+    const auto from = shard_of(moved, 2);
+    const auto find = [&](std::size_t shard) -> std::optional<workflow::worker_entry> {
+        const auto workers = shards[shard].select_own(all);
+        const auto found = std::ranges::find(workers, moved, &workflow::worker_entry::id);
+        return found == workers.end() ? std::nullopt : std::optional(*found);
+    };
+    const auto assign = [&](const std::string& record) {
+        for (auto& shard : shards) {
+            shard.assign(moved, record);
+        }
+    };
+
+    SECTION("a transferred worker belongs to the shard of its record, with a higher token base")
+    {
+        assign(workflow::write_assignment({.shard = 1 - from, .token_base = 9}));
+        CHECK_FALSE(find(from));
+        REQUIRE(find(1 - from));
+        CHECK(find(1 - from)->token_base == 9);
+
+        assign(workflow::write_assignment({.shard = from, .token_base = 11}));
+        CHECK_FALSE(find(1 - from));
+        REQUIRE(find(from));
+        CHECK(find(from)->token_base == 11);
+    }
+    SECTION("a worker whose record can't be read belongs to no shard, the others stay")
+    {
+        for (const auto* record : {"", "7", R"({"shard":0})", R"({"shard":-1,"token_base":1})",
+                                   R"({"shard":0,"token_base":"x"})"}) {
+            for (auto& shard : shards) {
+                CHECK_THROWS_AS(shard.assign(moved, record), parse_error);
+            }
+            CHECK_FALSE(find(0));
+            CHECK_FALSE(find(1));
+            CHECK(shards[0].select_own(all).size() + shards[1].select_own(all).size() == count - 1);
+        }
+    }
+    SECTION("a worker that is assigned to an unknown shard belongs to no shard")
+    {
+        const auto record = workflow::write_assignment({.shard = 2, .token_base = 9});
+        CHECK_THROWS_WITH(shards[0].assign(moved, record),
+                          Catch::Contains("shard 2, but the cell has 2 shards"));
+        CHECK_FALSE(find(0));
+    }
+    SECTION("a worker without a record belongs to the shard of its id again")
+    {
+        assign(workflow::write_assignment({.shard = 1 - from, .token_base = 9}));
+        shards[from].remove(moved);
+        CHECK(find(from));
+    }
+
     SECTION("a cell of one shard is not divided")
     {
         CHECK(shard_of("a", 1) == 0);
--- a/flamingoseam/node/sharded_node.cpp
+++ b/flamingoseam/node/sharded_node.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr milliseconds layout_poll_interval{200};
+constexpr milliseconds lending_timeout{300}; ///< Timeout of a request to the owner of a shard.
 constexpr milliseconds no_layout_retry_after{1'000};
 
 owner_answer no_layout_answer()
@@ -65,23 +66,40 @@
     for (std::size_t index = 0; index < count; ++index) {
         add_shard({.index = index, .count = count});
     }
+    group_->shards.assign(shards_.begin(), shards_.end());
+    group_->is_complete = true;
     is_formed_ = true;
 }
 
 void sharded_node::add_shard(const shard_identity& shard)
 {
     auto options = options_.node;
-    auto dependencies = dependencies_;
     options.shard = shard;
+    options.cell_prefix = options.store_prefix;
     if (shard.count > 1) {
         options.rpc.port = static_cast<unsigned short>(options.rpc.port + shard.index);
         options.store_prefix += std::to_string(shard.index) + "/";
         options.owned_shards = [this] { return owned_shards(); };
-        dependencies.directory = [all = dependencies_.directory, shard] {
-            return std::make_unique<shard_directory>(all(), shard);
-        };
+        options.borrow_workers = borrow_call_of(shard);
     }
-    shards_[shard.index] = std::make_unique<node>(std::move(options), std::move(dependencies));
+    shards_[shard.index] = std::make_shared<node>(std::move(options), dependencies_);
+}
+
+/// Returns the call that asks the owners of all other shards for workers, one after the other,
+/// until enough have been given.
+borrow_call sharded_node::borrow_call_of(const shard_identity& shard) const
+{
+    return [group = group_, shard](const workflow::worker_request& request) {
+        auto remaining = request;
+        for (std::size_t offset = 1; group->is_complete && offset < shard.count; ++offset) {
+            const auto other = group->shards[(shard.index + offset) % shard.count].lock();
+            if (other && remaining.workers > 0) {
+                const auto lent = other->request_workers(remaining, lending_timeout);
+                remaining.workers -= std::min(lent, remaining.workers);
+            }
+        }
+        return request.workers - remaining.workers;
+    };
 }
 
 /// Returns the indices of the shards that this process owns; none until all have been formed.
--- a/flamingoseam/node/sharded_node.hpp
+++ b/flamingoseam/node/sharded_node.hpp
@@ -20,6 +20,12 @@
     std::size_t workers_per_shard = 0; ///< Divides a new cell into shards; 0 for one shard.
 };
 
+/// The parts of a node that handle the shards of its cell.
+struct shard_group {
+    std::atomic<bool> is_complete{false};
+    std::vector<std::weak_ptr<node>> shards; ///< Not changed any more once `is_complete` is set.
+};
+
 /// One node of a cell that may be divided into shards. Passes each call about a job to the shard of
 /// the job's id. Until the layout of the cell is known, all calls end without an owner.
 class sharded_node {
@@ -50,12 +56,16 @@
     std::size_t agree_on_layout();
     void add_shard(const shard_identity& shard);
     [[nodiscard]] std::vector<std::size_t> owned_shards() const;
+    [[nodiscard]] borrow_call borrow_call_of(const shard_identity& shard) const;
     node* shard_for(const std::string& job);
 
     sharded_node_options options_;
     node_dependencies dependencies_;
-    std::vector<std::unique_ptr<node>> shards_; ///< Not changed any more once `is_formed_` is set.
+    /// Not changed any more once `is_formed_` is set.
+    std::vector<std::shared_ptr<node>> shards_;
     std::atomic<bool> is_formed_{false};
+    /// The same shards for the owners' requests, which may outlast this object.
+    std::shared_ptr<shard_group> group_ = std::make_shared<shard_group>();
     std::atomic<bool> stopping_{false};
     std::thread forming_thread_;
 };
--- a/flamingoseam/node/worker_session.cpp
+++ b/flamingoseam/node/worker_session.cpp
@@ -91,6 +91,19 @@
     polls_changed_.notify_one();
 }
 
+void worker_session::release()
+{
+    released_ = true;
+    request_stop();
+}
+
+void worker_session::report_fenced()
+{
+    if (!released_) {
+        listener_.on_fenced(options_.worker);
+    }
+}
+
 void worker_session::start(workflow::start_order order)
 {
     {
@@ -190,7 +203,7 @@
                                                   options_.order_timeout);
         record_clock(answer.clock);
         if (answer.outcome == workflow::start_outcome::fenced) {
-            listener_.on_fenced(options_.worker); // First, so that the run is not assigned again.
+            report_fenced(); // First, so that the run is not assigned again.
         }
         listener_.on_start(options_.worker, order.name, answer.outcome);
     } catch (const transport_error& cause) {
@@ -207,7 +220,7 @@
         if (answer.outcome == workflow::start_outcome::started) {
             listener_.on_stop(options_.worker, name);
         } else if (answer.outcome == workflow::start_outcome::fenced) {
-            listener_.on_fenced(options_.worker);
+            report_fenced();
         }
     } catch (const transport_error& cause) {
         LOG_EVERY_N(WARNING, 50) << "worker did not answer a stop order, which is sent again: "
@@ -282,7 +295,7 @@
 {
     using kind = renew_answer::kind;
     if (answer.outcome == kind::fenced) {
-        listener_.on_fenced(options_.worker);
+        report_fenced();
         pause(rejection_delay);
         return;
     }
--- a/flamingoseam/node/worker_session.hpp
+++ b/flamingoseam/node/worker_session.hpp
@@ -100,6 +100,10 @@
     /// Makes the threads end soon, without waiting for them.
     void request_stop();
 
+    /// Ends the session of a worker that another shard's owner may use from now on. The listener
+    /// receives nothing more; above all, a higher epoch at the worker is no sign of a newer owner.
+    void release();
+
     /// Checks whether both threads have ended, so that the destructor does not wait.
     [[nodiscard]] bool has_ended() const { return running_threads_ == 0; }
 
@@ -124,6 +128,7 @@
     void pause(milliseconds length);
     void set_unreachable(bool unreachable);
     bool is_unreachable();
+    void report_fenced();
     worker_time extend_lease();
     void record_clock(worker_time clock);
 
@@ -150,6 +155,7 @@
     time_point started_;
     milliseconds retry_delay_;
     std::atomic<bool> ending_{false};
+    std::atomic<bool> released_{false};
     std::atomic<int> running_threads_{2};
     std::thread order_thread_;
     std::thread poll_thread_;
--- a/flamingoseam/workflow/fleet.hpp
+++ b/flamingoseam/workflow/fleet.hpp
@@ -59,6 +59,13 @@
     /// Whether the result of an end is stored, by the number of the end.
     std::map<std::int64_t, bool> unacknowledged_ends;
     std::int64_t forget_up_to = 0; ///< The worker may discard ends up to this number.
+    /// Token base with which this owner has released the worker to another shard; 0 if it never
+    /// did.
+    std::uint64_t released_base = 0;
+
+    /// Checks whether the worker was released to another shard and has not been returned.
+    /// Complexity: constant.
+    [[nodiscard]] bool is_released() const { return entry.token_base < released_base; }
 
     [[nodiscard]] resources free() const
     {
--- a/flamingoseam/workflow/job_record.hpp
+++ b/flamingoseam/workflow/job_record.hpp
@@ -113,6 +113,7 @@
     std::int64_t gang_run = 0;                  ///< Number of the gang's current run, 0 for none.
     bool gang_broken = false; ///< The current run has ended; its members are being removed.
     time_point not_before{};  ///< Earliest start of the next run after a failure.
+    time_point waits_since{}; ///< Since when tasks are ready to run and wait; zero if none wait.
     /// Earliest next attempt to reserve capacity for a gang after none was found.
     time_point next_reservation_attempt{};
     permission_record permission;
--- a/flamingoseam/workflow/messages.hpp
+++ b/flamingoseam/workflow/messages.hpp
@@ -47,6 +47,9 @@
     /// In a record of leased workers: since when the owner has not renewed the worker's lease; 0
     /// while the worker answers.
     wall_time unreachable_since{0};
+    /// The fencing token of an owner for this worker is this number plus the owner's epoch. It
+    /// increases whenever the worker is transferred to another shard.
+    std::uint64_t token_base = 0;
 };
 
 /// A run that is present on a worker.
--- a/flamingoseam/workflow/placing.hpp
+++ b/flamingoseam/workflow/placing.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "flamingoseam/workflow/fleet.hpp"
 #include "flamingoseam/workflow/work_order.hpp"
 
+#include <algorithm>
 #include <cstddef>
 
 namespace flamingoseam::workflow::detail {
@@ -12,6 +14,8 @@
 inline constexpr milliseconds ticket_use_margin{60};
 /// Maximum number of workers that the permission service accepts in a call.
 inline constexpr std::size_t max_workers_per_request = 100;
+/// No unanswered order is executed after this time.
+inline constexpr milliseconds max_order_delay{13'000};
 /// How long a step waits for its preferred rack, in estimated run times.
 inline constexpr double rack_wait_factor = 2.0;
 
@@ -22,4 +26,11 @@
     return time < step.job->received + scaled(step.spec().estimate, rack_wait_factor);
 }
 
+/// Returns how many tasks of a step fit on one worker within this capacity. Complexity: constant.
+inline int fits_in(const step_spec& step, const resources& capacity)
+{
+    const int fits = tasks_that_fit(step.size, capacity);
+    return step.max_per_worker > 0 ? std::min(fits, step.max_per_worker) : fits;
+}
+
 } // namespace flamingoseam::workflow::detail
--- a/flamingoseam/workflow/stored_job.cpp
+++ b/flamingoseam/workflow/stored_job.cpp
@@ -8,6 +8,9 @@
 
 using nlohmann::json;
 
+/// Position of a worker's token base in its record; older records end before it.
+constexpr std::size_t token_base_field = 7;
+
 /// Parses a stored record.
 template <typename Read> auto read_record(const std::string& text, const Read& read)
 {
@@ -303,7 +306,7 @@
     for (const auto& worker : workers) {
         entries.push_back({worker.id, worker.incarnation, worker.address.address,
                            worker.address.port, worker.service, worker.zone,
-                           worker.unreachable_since.count()});
+                           worker.unreachable_since.count(), worker.token_base});
     }
     return entries.dump();
 }
@@ -320,6 +323,9 @@
             worker.service = fields.at(4).get<std::string>();
             worker.zone = fields.at(5).get<std::string>();
             worker.unreachable_since = wall_time(fields.at(6).get<std::int64_t>());
+            worker.token_base = fields.size() > token_base_field
+                                    ? fields.at(token_base_field).get<std::uint64_t>()
+                                    : 0;
             worker.leaving = true;
             workers.push_back(std::move(worker));
         }
--- a/flamingoseam/workflow/stored_job.hpp
+++ b/flamingoseam/workflow/stored_job.hpp
@@ -11,6 +11,8 @@
 /// Keys of the records that a service's owner keeps in the platform's store, all below one prefix.
 struct record_keys {
     std::string prefix; ///< For example "fs/"; ends with a slash.
+    /// Prefix of the records that all shards of a cell share; ends with a slash.
+    std::string cell_prefix = "fs/";
 
     [[nodiscard]] std::string specification(const std::string& job) const
     {
@@ -21,6 +23,11 @@
         return prefix + "progress/" + job;
     }
     [[nodiscard]] std::string leased_workers() const { return prefix + "roster"; }
+    [[nodiscard]] std::string assignment(const std::string& worker) const
+    {
+        return assignment_prefix() + worker;
+    }
+    [[nodiscard]] std::string assignment_prefix() const { return cell_prefix + "assigned/"; }
     [[nodiscard]] std::string specification_prefix() const { return prefix + "job/"; }
     [[nodiscard]] std::string progress_prefix() const { return prefix + "progress/"; }
 };
--- a/flamingoseam/workflow/workflow_reports.cpp
+++ b/flamingoseam/workflow/workflow_reports.cpp
@@ -1,3 +1,4 @@
+#include "flamingoseam/workflow/placing.hpp"
 #include "flamingoseam/workflow/workflow_state.hpp"
 
 #include <algorithm>
@@ -5,6 +6,8 @@
 
 namespace flamingoseam::workflow {
 
+using detail::max_order_delay;
+
 namespace {
 
 constexpr int missing_reports_until_lost = 2;
@@ -12,8 +15,6 @@
 constexpr milliseconds exclusion_when_unhealthy{500};
 constexpr milliseconds exclusion_in_quarantine{4'000};
 constexpr milliseconds pause_after_rejection{500};
-constexpr milliseconds max_order_delay{
-    13'000}; ///< No unanswered order is executed after this time.
 
 } // namespace
 
@@ -22,6 +23,9 @@
     std::set<std::size_t> listed;
     for (auto entry : workers) {
         const auto known = fleet_.find(entry.id);
+        if (known && entry.token_base < fleet_.at(*known).released_base) {
+            continue; // The list does not show yet that the worker was given to another shard.
+        }
         const auto known_incarnation = known ? fleet_.at(*known).entry.incarnation : 0;
         const auto listed_incarnation = entry.incarnation;
         entry.incarnation = std::max(known_incarnation, listed_incarnation);
@@ -60,6 +64,9 @@
                                wall_time wall)
 {
     auto& worker_state = fleet_.at(worker);
+    if (worker_state.is_released()) {
+        return;
+    }
     if (report.incarnation != 0 && report.incarnation != worker_state.entry.incarnation) {
         if (report.incarnation < worker_state.entry.incarnation) {
             return;
@@ -468,7 +475,7 @@
 void workflow_state::on_unreachable_changed(std::size_t worker, bool unreachable, wall_time wall)
 {
     auto& worker_state = fleet_.at(worker);
-    if (worker_state.unreachable != unreachable) {
+    if (worker_state.unreachable != unreachable && !worker_state.is_released()) {
         worker_state.unreachable = unreachable;
         worker_state.unreachable_since = unreachable ? wall : wall_time(0);
         leased_workers_changed_ = leased_workers_changed_ || worker_state.lease_stored;
@@ -481,6 +488,9 @@
                                 wall_time wall)
 {
     auto& worker_state = fleet_.at(worker);
+    if (worker_state.is_released()) {
+        return;
+    }
     const bool after_crash = reason == emptied_reason::replaced && !worker_state.entry.leaving;
     const auto runs = worker_state.runs;
     for (const auto& [name, run] : runs) {
--- a/flamingoseam/workflow/workflow_schedule.cpp
+++ b/flamingoseam/workflow/workflow_schedule.cpp
@@ -63,7 +63,11 @@
 void workflow_state::place_step(const ready_step& step, time_point time)
 {
     ++counts_.examined;
-    if (step.record().not_before > time || !can_progress(step, time)) {
+    auto& record = step.record();
+    if (record.waits_since == time_point{}) {
+        record.waits_since = time;
+    }
+    if (record.not_before > time || !can_progress(step, time)) {
         return;
     }
     if (step.spec().gang) {
@@ -71,6 +75,9 @@
     } else {
         place_tasks(step, time);
     }
+    if (record.waiting() == 0) {
+        record.waits_since = {};
+    }
 }
 
 /// Checks whether a step can start tasks or send a request. A step without a ticket whose request
--- a/flamingoseam/workflow/workflow_search.cpp
+++ b/flamingoseam/workflow/workflow_search.cpp
@@ -6,6 +6,7 @@
 
 namespace flamingoseam::workflow {
 
+using detail::fits_in;
 using detail::max_workers_per_request;
 
 namespace {
@@ -15,13 +16,6 @@
 constexpr milliseconds min_search_pause{400};
 constexpr std::size_t searches_per_pause = 100; ///< Number of waiting steps for each minimum pause.
 
-/// Returns how many tasks of a step fit on one worker within this capacity.
-int fits_in(const step_spec& step, const resources& capacity)
-{
-    const int fits = tasks_that_fit(step.size, capacity);
-    return step.max_per_worker > 0 ? std::min(fits, step.max_per_worker) : fits;
-}
-
 } // namespace
 
 void workflow_state::request_for_unknown_workers(const ready_step& step, time_point time)
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "flamingoseam/log/log_event.hpp"
 #include "flamingoseam/shard/worker_health.hpp"
 #include "flamingoseam/workflow/admission.hpp"
 #include "flamingoseam/workflow/change_log.hpp"
@@ -15,6 +14,9 @@
 #include "flamingoseam/workflow/ready_queue.hpp"
 #include "flamingoseam/workflow/stored_job.hpp"
 #include "flamingoseam/workflow/work_order.hpp"
+#include "flamingoseam/workflow/worker_assignment.hpp"
+#include "flamingoseam/workflow/worker_lending.hpp"
+#include "flamingoseam/workflow/workflow_actions.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -43,68 +45,6 @@
     milliseconds slow_write{60};  ///< After a write of this length the next stream may write, too.
 };
 
-/// The answer to a caller's request.
-struct caller_answer {
-    enum class answer_kind {
-        stored,  ///< The job or its cancellation is stored.
-        unknown, ///< There is no such job.
-        refused, ///< Nothing was stored and nothing will run.
-    };
-    std::uint64_t token = 0;
-    answer_kind kind = answer_kind::stored;
-    std::string reason;
-    milliseconds retry_after{0};
-};
-
-/// A decision to be written to the event log.
-struct logged_decision {
-    std::string event;
-    std::string job;
-    std::string detail;
-    std::vector<log_field> fields = {}; ///< Measured values.
-};
-
-/// The time from a job's acceptance to its first start or to its end.
-struct job_timing {
-    int priority = 0; ///< Priority of the job's queue.
-    milliseconds length{0};
-};
-
-/// The actions to be executed after calls of a workflow_state.
-struct workflow_actions {
-    std::vector<start_order> starts;
-    std::vector<stop_order> stops;
-    std::vector<forget_order> forgets;
-    /// Workers whose report is needed, each with the time by which it is needed.
-    std::vector<std::pair<std::size_t, time_point>> reports_needed;
-    std::vector<permission_request> permissions;
-    std::vector<std::uint64_t> withdrawn_permissions; ///< Numbers of the withdrawn requests.
-    std::vector<caller_answer> answers;
-    std::vector<logged_decision> decisions;
-    std::vector<job_timing> first_starts;
-    std::vector<job_timing> ends;
-};
-
-/// Counters for metrics.
-struct workflow_counts {
-    std::int64_t accepted = 0;
-    std::int64_t completed = 0;
-    std::int64_t failed = 0;
-    std::int64_t cancelled = 0;
-    std::int64_t starts = 0;
-    std::int64_t unconfirmed_starts = 0;
-    std::int64_t failed_runs = 0;
-    std::int64_t lost_runs = 0;
-    std::int64_t crashed_runs = 0; ///< Runs lost because their worker crashed.
-    std::int64_t permission_requests = 0;
-    /// Requests for permitted workers whose ticket has expired or was dropped.
-    std::int64_t repeated_permission_requests = 0;
-    std::int64_t passes = 0; ///< Scheduling passes over all waiting steps.
-    std::int64_t stalled_runs = 0;
-    std::int64_t preempted_runs = 0;
-    std::int64_t examined = 0; ///< Steps, workers and runs examined to place and stop runs.
-};
-
 /// Makes all decisions about jobs of several steps, without clocks, threads or sockets. Events are
 /// passed in by calls; take_actions() returns the resulting actions. Not thread-safe.
 class workflow_state {
@@ -135,6 +75,17 @@
     /// Handles a new version of the platform's complete list of workers.
     void on_worker_list(const std::vector<worker_entry>& workers, time_point time);
 
+    /// Sets the own shard and the sizes of the cell, which limit the lending of workers.
+    void set_lending_limits(const lending_limits& limits) { lending_limits_ = limits; }
+
+    /// Returns a request for workers of other shards, or none if no work waits for them.
+    /// Complexity: linear in the workers and the waiting steps.
+    [[nodiscard]] std::optional<worker_request> find_worker_request(time_point time);
+
+    /// Gives idle workers to another shard and returns their number. The owner of that shard may
+    /// use them once the assignments are stored. Complexity: linear in the workers.
+    std::size_t lend_workers(const worker_request& request, time_point time);
+
     /// Records that the platform confirmed at `time` that the list of workers was current.
     void confirm_worker_list(time_point time) { worker_list_confirmed_ = time; }
 
@@ -384,6 +335,18 @@
     void add_changes(stream_state& stream, std::size_t max_records, record_batch& batch);
     [[nodiscard]] bool may_write(std::size_t stream, time_point time) const;
     void add_leased_workers(record_batch& batch);
+    void add_assignments(record_batch& batch);
+    void on_assignments_stored();
+
+    // lending of workers to other shards
+    [[nodiscard]] worker_stock stock_of(const std::string& service, time_point time) const;
+    [[nodiscard]] bool is_idle(std::size_t worker, time_point time) const;
+    [[nodiscard]] bool can_release(std::size_t worker, time_point time) const;
+    void release_worker(std::size_t worker, std::size_t shard);
+    [[nodiscard]] double labelled_share(const ready_step& step, time_point time) const;
+    [[nodiscard]] std::optional<starved_step> as_starved(const ready_step& step,
+                                                         time_point time) const;
+    std::vector<starved_step> starved_steps(time_point time);
     void add_removals(std::size_t max_records, record_batch& batch);
 
     workflow_options options_;
@@ -417,6 +380,9 @@
     bool leased_workers_in_batch_ = false;
     std::set<std::size_t> leased_workers_; ///< Workers that may hold runs.
     std::set<std::size_t> unreported_;     ///< Earlier owner's leased workers without a report.
+    lending_limits lending_limits_;
+    std::map<std::string, worker_assignment> assignments_; ///< To be stored, by worker.
+    std::vector<std::string> batch_assignments_; ///< Workers whose assignment is being stored.
     workflow_actions actions_;
     workflow_counts counts_;
     std::map<std::string, queue_load> queue_loads_; ///< Load since the last take_queue_loads().
--- a/flamingoseam/workflow/workflow_storing.cpp
+++ b/flamingoseam/workflow/workflow_storing.cpp
@@ -67,6 +67,7 @@
     }
     batch_leased_workers_ = leased_workers_;
     batch.changes.push_back({options_.keys.leased_workers(), write_leased_workers(workers)});
+    add_assignments(batch);
 }
 
 void workflow_state::add_removals(std::size_t max_records, record_batch& batch)
@@ -153,6 +154,7 @@
         for (const auto worker : batch_leased_workers_) {
             fleet_.at(worker).lease_stored = leased_workers_.contains(worker);
         }
+        on_assignments_stored();
         pass_requested_ = true;
     }
     for (const auto& [job, change, wrote_specification] :
--- a/tests/workflow_model.cpp
+++ b/tests/workflow_model.cpp
@@ -1,5 +1,7 @@
 #include "tests/workflow_model.hpp"
 
+#include "flamingoseam/node/shard.hpp"
+
 #include <algorithm>
 #include <iostream>
 
@@ -71,7 +73,9 @@
     explicit owner(const workflow_options& options) : state(options) {}
 
     workflow_state state;
+    std::size_t shard = 0;
     std::uint64_t epoch = 0;
+    std::uint64_t newest_list = 0; ///< Number of the newest worker list received.
     bool active = true;
     std::set<std::size_t> streams_in_flight; ///< Streams with a transaction in flight.
     std::map<std::size_t, forget_order> forget_orders;
@@ -81,7 +85,8 @@
 };
 
 workflow_model::workflow_model(workflow_model_options options)
-    : options_(options), random_(options.seed)
+    : options_(options), random_(options.seed), owners_(static_cast<std::size_t>(options.shards)),
+      epochs_(static_cast<std::size_t>(options.shards))
 {
     for (int index = 0; index < options_.workers; ++index) {
         auto added = std::make_unique<worker>();
@@ -136,7 +141,8 @@
         at(between(100, span), [this, number] { submit_job(number); });
     }
     for (int index = 0; index < options_.owner_crashes; ++index) {
-        at(between(300, span), [this] { crash_owner(); });
+        at(between(300, span),
+           [this, index] { crash_owner(static_cast<std::size_t>(index) % owners_.size()); });
     }
     const auto any_worker = [this]() -> worker& {
         return *workers_[static_cast<std::size_t>(between(0, options_.workers - 1).count())];
@@ -159,12 +165,44 @@
     }
 }
 
-void workflow_model::submit_job(int number)
+std::size_t workflow_model::shard_of(const std::string& job) const
 {
-    auto history = std::make_unique<job_history>();
-    auto& spec = history->spec;
+    return node::shard_of(job, owners_.size());
+}
+
+record_keys workflow_model::keys_of(std::size_t shard) const
+{
+    return {.prefix = owners_.size() == 1 ? "fs/" : "fs/" + std::to_string(shard) + "/",
+            .cell_prefix = "fs/"};
+}
+
+workflow_model::worker& workflow_model::worker_of(const owner& sender, std::size_t index) const
+{
+    const auto& id = sender.state.workers().at(index).entry.id;
+    return *workers_.at(std::stoul(id.substr(1)));
+}
+
+/// Returns the fencing token of an owner for a worker.
+std::uint64_t workflow_model::token_of(const owner& sender, std::size_t index) const
+{
+    const auto base = sender.state.workers().at(index).entry.token_base;
+    return sender.epoch + (options_.raise_token ? base : 0);
+}
+
+job_spec workflow_model::make_job(int number)
+{
+    job_spec spec;
     spec.id = "job" + std::to_string(number);
     spec.queue = terms_of(number % 3).name;
+    if (options_.shards > 1 && number % 3 == 0) {
+        // One task a worker, on more workers than a shard has.
+        step_spec wide{.tasks = options_.workers / options_.shards + 1,
+                       .size = {.milli_cpus = 5'000, .memory_mb = 1'000},
+                       .estimate = between(100, 600),
+                       .gang = true};
+        spec.steps.push_back(wide);
+        return spec;
+    }
     const int steps = 1 + static_cast<int>(between(0, 1).count());
     for (int step = 0; step < steps; ++step) {
         step_spec added;
@@ -178,51 +216,60 @@
         }
         spec.steps.push_back(added);
     }
-    const auto id = spec.id;
+    return spec;
+}
+
+void workflow_model::submit_job(int number)
+{
+    auto history = std::make_unique<job_history>();
+    history->spec = make_job(number);
+    const auto id = history->spec.id;
+    const auto shard = shard_of(id);
     jobs_.emplace(id, std::move(history));
-    if (!owner_) {
+    const auto receiver = owners_[shard];
+    if (!receiver) {
         return; // The request is refused and the client does not retry.
     }
-    const auto token = owner_->next_token++;
-    owner_->tokens.emplace(token, id);
-    owner_->state.submit(token, jobs_[id]->spec, terms_of(number % 3), clock(),
-                         simulation_start + now_);
-    tick_owner(owner_);
+    const auto token = receiver->next_token++;
+    receiver->tokens.emplace(token, id);
+    receiver->state.submit(token, jobs_[id]->spec, terms_of(number % 3), clock(),
+                           simulation_start + now_);
+    tick_owner(receiver);
     if (chance(0.1)) {
-        at(between(50, 3'000), [this, id] {
-            if (owner_ && owner_->state.find(id)) {
+        at(between(50, 3'000), [this, id, shard] {
+            const auto current = owners_[shard];
+            if (current && current->state.find(id)) {
                 jobs_[id]->cancelled = true;
-                owner_->state.cancel(0, id, simulation_start + now_);
-                tick_owner(owner_);
+                current->state.cancel(0, id, simulation_start + now_);
+                tick_owner(current);
             }
         });
     }
 }
 
-void workflow_model::start_owner()
+void workflow_model::start_owner(std::size_t shard)
 {
     if (store_unreachable_) {
-        at(milliseconds(200), [this] { start_owner(); });
+        at(milliseconds(200), [this, shard] { start_owner(shard); });
         return;
     }
-    const record_keys keys{.prefix = "fs/"};
-    owner_ = std::make_shared<owner>(
-        workflow_options{.epoch = ++epoch_, .keys = keys, .streams = streams});
-    owner_->epoch = epoch_;
+    const auto keys = keys_of(shard);
+    const auto started = std::make_shared<owner>(
+        workflow_options{.epoch = ++epochs_[shard], .keys = keys, .streams = streams});
+    owners_[shard] = started;
+    started->shard = shard;
+    started->epoch = epochs_[shard];
+    started->state.set_lending_limits(
+        {.shard = shard, .shards = owners_.size(), .cell_workers = workers_.size()});
     std::vector<worker_entry> leased_workers;
     if (const auto found = records_.find(keys.leased_workers()); found != records_.end()) {
         leased_workers = read_leased_workers(found->second);
     }
-    owner_->state.load(
+    started->state.load(
         read_jobs(records_below(keys.specification_prefix()), records_below(keys.progress_prefix()))
             .jobs,
         leased_workers, clock(), simulation_start + now_);
-    const auto started = owner_;
-    at(between(0, 100), [this, started] {
-        if (started->active) {
-            started->state.on_worker_list(list_of_workers(), clock());
-        }
-    });
+    send_worker_list(shard);
     for (std::size_t index = 0; index < workers_.size(); ++index) {
         poll(started, index);
     }
@@ -240,23 +287,67 @@
     return values;
 }
 
-void workflow_model::crash_owner()
+void workflow_model::crash_owner(std::size_t shard)
 {
-    if (!owner_) {
+    auto& crashed = owners_[shard];
+    if (!crashed) {
         return;
     }
-    owner_->active = false;
-    owner_.reset();
-    at(between(300, 2'500), [this] { start_owner(); });
+    crashed->active = false;
+    crashed.reset();
+    at(between(300, 2'500), [this, shard] { start_owner(shard); });
+}
+
+/// Lets each shard ask the others for workers.
+void workflow_model::lend_workers()
+{
+    for (const auto& borrower : owners_) {
+        const auto request = borrower ? borrower->state.find_worker_request(clock()) : std::nullopt;
+        for (const auto& lender : owners_) {
+            if (request && lender && lender != borrower) {
+                const auto lent = lender->state.lend_workers(*request, clock());
+                lent_workers_ += static_cast<int>(lent);
+                tick_owner(lender);
+            }
+        }
+    }
+    at(milliseconds(250), [this] { lend_workers(); });
 }
 
-std::vector<worker_entry> workflow_model::list_of_workers() const
+std::vector<worker_entry> workflow_model::list_of_workers(std::size_t shard) const
 {
     std::vector<worker_entry> list;
     for (const auto& item : workers_) {
         list.push_back(item->entry);
     }
-    return list;
+    node::worker_assignments assignments({.index = shard, .count = owners_.size()});
+    for (const auto& [id, record] : records_below(keys_of(shard).assignment_prefix())) {
+        assignments.assign(id, record);
+    }
+    return assignments.select_own(list);
+}
+
+/// Sends the list of workers to an owner, which may receive it after further changes.
+void workflow_model::send_worker_list(std::size_t shard)
+{
+    const auto receiver = owners_[shard];
+    if (!receiver) {
+        return;
+    }
+    at(between(0, 300), [this, receiver, list = list_of_workers(shard), number = ++lists_] {
+        if (receiver->active && number > receiver->newest_list) {
+            receiver->newest_list = number;
+            receiver->state.on_worker_list(list, clock());
+            tick_owner(receiver);
+        }
+    });
+}
+
+void workflow_model::send_worker_lists()
+{
+    for (std::size_t shard = 0; shard < owners_.size(); ++shard) {
+        send_worker_list(shard);
+    }
 }
 
 void workflow_model::tick_owner(const std::shared_ptr<owner>& sender)
@@ -294,7 +385,7 @@
 
 void workflow_model::send_start(const std::shared_ptr<owner>& sender, const start_order& order)
 {
-    auto& target = *workers_[order.worker];
+    auto& target = worker_of(*sender, order.worker);
     const auto lease_until = now_ + lease;
     sender->leased_until[order.worker] = lease_until;
     const auto incarnation = target.entry.incarnation;
@@ -306,7 +397,7 @@
             }
         });
     };
-    const auto epoch = sender->epoch;
+    const auto epoch = token_of(*sender, order.worker);
     if (chance(options_.late_order_share)) {
         at(between(2'000, 12'000), [this, &target, epoch, order, lease_until] {
             // A new incarnation accepts the first order that arrives: no order can be rejected
@@ -351,11 +442,12 @@
 
 void workflow_model::send_stop(const std::shared_ptr<owner>& sender, const stop_order& order)
 {
-    auto& target = *workers_[order.worker];
+    auto& target = worker_of(*sender, order.worker);
     if (target.disconnected) {
         return;
     }
-    at(between(1, 30), [this, sender, &target, epoch = sender->epoch, order] {
+    const auto epoch = token_of(*sender, order.worker);
+    at(between(1, 30), [this, sender, &target, epoch, order] {
         if (!accept_stop(target, epoch, order.name) || target.disconnected ||
             chance(options_.lost_answer_share)) {
             return;
@@ -374,31 +466,27 @@
     if (!sender->active) {
         return;
     }
-    if (index >= sender->state.workers().size()) {
+    const auto& workers = sender->state.workers();
+    const bool is_own =
+        index < workers.size() && (workers.at(index).listed || workers.at(index).lease_stored);
+    if (!is_own) {
+        sender->leased_until.erase(index);
         at(milliseconds(20), [this, sender, index] { poll(sender, index); });
-        return; // The owner has not received the worker list yet.
+        return; // The owner has not received the worker list yet, or has given the worker away.
     }
-    auto& target = *workers_[index];
+    auto& target = worker_of(*sender, index);
     const auto asked = clock();
     if (target.disconnected) {
-        sender->state.on_unreachable_changed(index, true, simulation_start + now_);
-        const auto granted = sender->leased_until.find(index);
-        const bool lapsed =
-            granted != sender->leased_until.end() && now_ > granted->second + lease / 10;
-        if (lapsed) {
-            sender->state.on_emptied(index, workflow::emptied_reason::lease_expired, clock(),
-                                     wall_time(now_));
-            sender->leased_until.erase(granted);
-        } else if (granted == sender->leased_until.end()) {
-            sender->leased_until[index] = now_ + lease;
-        }
-        at(milliseconds(200), [this, sender, index] { poll(sender, index); });
-        tick_owner(sender);
+        record_failed_poll(sender, index);
         return;
     }
     const auto lease_until = now_ + lease;
     sender->leased_until[index] = lease_until;
-    const auto report = accept_poll(target, sender->epoch, sender->forget_orders[index].incarnation,
+    const auto token = token_of(*sender, index);
+    if (token < target.epoch) {
+        record_violation("the owner of " + target.entry.id + " is fenced by another shard");
+    }
+    const auto report = accept_poll(target, token, sender->forget_orders[index].incarnation,
                                     sender->forget_orders[index].up_to, lease_until);
     const auto delay = between(1, 30);
     if (report) {
@@ -415,6 +503,23 @@
     at(delay + between(10, 120), [this, sender, index] { poll(sender, index); });
 }
 
+void workflow_model::record_failed_poll(const std::shared_ptr<owner>& sender, std::size_t index)
+{
+    sender->state.on_unreachable_changed(index, true, simulation_start + now_);
+    const auto granted = sender->leased_until.find(index);
+    const bool lapsed =
+        granted != sender->leased_until.end() && now_ > granted->second + lease / 10;
+    if (lapsed) {
+        sender->state.on_emptied(index, workflow::emptied_reason::lease_expired, clock(),
+                                 wall_time(now_));
+        sender->leased_until.erase(granted);
+    } else if (granted == sender->leased_until.end()) {
+        sender->leased_until[index] = now_ + lease;
+    }
+    at(milliseconds(200), [this, sender, index] { poll(sender, index); });
+    tick_owner(sender);
+}
+
 void workflow_model::write_store(const std::shared_ptr<owner>& sender)
 {
     for (std::size_t stream = 0; stream < streams; ++stream) {
@@ -442,7 +547,7 @@
         return;
     }
     at(between(5, 150), [this, sender, batch, stream] {
-        if (sender->epoch != epoch_) {
+        if (sender->epoch != epochs_[sender->shard]) {
             return; // The condition of the commit stream rejects an earlier owner.
         }
         apply(batch);
@@ -466,6 +571,9 @@
         } else {
             records_.erase(change.key);
         }
+        if (change.key.starts_with(keys_of(0).assignment_prefix())) {
+            send_worker_lists();
+        }
     }
 }
 
@@ -623,11 +731,7 @@
     target.epoch = 0;
     target.lease_until = milliseconds(0);
     target.started_at = now_;
-    at(between(100, 1'500), [this] {
-        if (owner_) {
-            owner_->state.on_worker_list(list_of_workers(), clock());
-        }
-    });
+    at(between(100, 1'500), [this] { send_worker_lists(); });
 }
 
 void workflow_model::expire_leases()
@@ -649,7 +753,8 @@
         if (!history->accepted) {
             continue;
         }
-        const auto phase = owner_ ? owner_->state.find(id) : std::nullopt;
+        const auto& responsible = owners_[shard_of(id)];
+        const auto phase = responsible ? responsible->state.find(id) : std::nullopt;
         if (!phase) {
             record_violation(id + " was accepted and is missing");
             continue;
@@ -674,7 +779,12 @@
 std::string workflow_model::run()
 {
     schedule_events();
-    at(milliseconds(0), [this] { start_owner(); });
+    for (std::size_t shard = 0; shard < owners_.size(); ++shard) {
+        at(milliseconds(0), [this, shard] { start_owner(shard); });
+    }
+    if (owners_.size() > 1) {
+        at(milliseconds(250), [this] { lend_workers(); });
+    }
     const auto end = options_.load_time + finish_limit;
     auto next_tick = milliseconds(0);
     while (violation_.empty() && now_ < end) {
@@ -687,13 +797,15 @@
         }
         now_ = next_tick;
         expire_leases();
-        if (owner_) {
-            tick_owner(owner_);
+        for (const auto& current : owners_) {
+            if (current) {
+                tick_owner(current);
+            }
         }
-        const bool is_finished = owner_ && now_ > options_.load_time + milliseconds(15'000) &&
-                                 owner_->state.open_jobs() == 0 &&
-                                 owner_->streams_in_flight.empty();
-        if (is_finished) {
+        const bool is_idle = std::ranges::all_of(owners_, [](const auto& current) {
+            return current && current->state.open_jobs() == 0 && current->streams_in_flight.empty();
+        });
+        if (is_idle && now_ > options_.load_time + milliseconds(15'000)) {
             break;
         }
     }
--- a/tests/workflow_model.hpp
+++ b/tests/workflow_model.hpp
@@ -18,6 +18,7 @@
 struct workflow_model_options {
     std::uint64_t seed = 1;
     int workers = 6;
+    int shards = 1; ///< Shards of the cell; each has an owner, a third of its jobs wide gangs.
     int jobs = 30;
     milliseconds load_time{6'000};   ///< Jobs arrive and faults occur within this time.
     double lost_answer_share = 0.05; ///< Share of orders whose answer is lost.
@@ -29,8 +30,9 @@
     int worker_restarts = 2;
     int worker_disconnections = 2; ///< Times that a worker becomes unreachable but keeps running.
     int store_outages = 1;
-    std::string traced_job = {};      ///< Job whose events are printed; "*" for all events.
-    bool check_fence = true;          ///< Workers reject lower epochs.
+    std::string traced_job = {}; ///< Job whose events are printed; "*" for all events.
+    bool check_fence = true;     ///< Workers reject lower epochs.
+    bool raise_token = true; ///< The fencing token of a worker that changes its shard increases.
     bool check_run_numbers = true;    ///< Workers reject runs that were stopped or ended there.
     bool forget_after_storing = true; ///< Workers drop run ends only after their effect is stored.
 };
@@ -46,6 +48,9 @@
     /// Returns the first violation, or an empty string if there was none.
     std::string run();
 
+    /// Returns how many workers were given to other shards.
+    [[nodiscard]] int lent_workers() const { return lent_workers_; }
+
 private:
     struct run_record;
     struct worker;
@@ -58,13 +63,22 @@
     void schedule_events();
     void submit_job(int number);
     [[nodiscard]] std::map<std::string, std::string> records_below(const std::string& prefix) const;
-    void start_owner();
-    void crash_owner();
+    void start_owner(std::size_t shard);
+    void crash_owner(std::size_t shard);
+    void lend_workers();
+    void send_worker_list(std::size_t shard);
+    void send_worker_lists();
+    [[nodiscard]] std::size_t shard_of(const std::string& job) const;
+    [[nodiscard]] workflow::record_keys keys_of(std::size_t shard) const;
+    worker& worker_of(const owner& sender, std::size_t index) const;
+    std::uint64_t token_of(const owner& sender, std::size_t index) const;
+    workflow::job_spec make_job(int number);
     void tick_owner(const std::shared_ptr<owner>& sender);
     void process_actions(const std::shared_ptr<owner>& sender, workflow::workflow_actions actions);
     void send_start(const std::shared_ptr<owner>& sender, const workflow::start_order& order);
     void send_stop(const std::shared_ptr<owner>& sender, const workflow::stop_order& order);
     void poll(const std::shared_ptr<owner>& sender, std::size_t index);
+    void record_failed_poll(const std::shared_ptr<owner>& sender, std::size_t index);
     void write_store(const std::shared_ptr<owner>& sender);
     void write_stream(const std::shared_ptr<owner>& sender, std::size_t stream);
     void apply(const workflow::record_batch& batch);
@@ -85,7 +99,7 @@
     void trace(const std::string& job, const std::string& message) const;
     bool chance(double share);
     milliseconds between(int min, int max);
-    std::vector<workflow::worker_entry> list_of_workers() const;
+    std::vector<workflow::worker_entry> list_of_workers(std::size_t shard) const;
     time_point clock() const { return time_point(now_); }
 
     workflow_model_options options_;
@@ -95,8 +109,10 @@
     std::vector<std::unique_ptr<worker>> workers_;
     std::map<std::string, std::unique_ptr<job_history>> jobs_;
     std::map<std::string, std::string> records_; ///< Contents of the store.
-    std::shared_ptr<owner> owner_;
-    std::uint64_t epoch_ = 0;
+    std::vector<std::shared_ptr<owner>> owners_; ///< By shard; null while there is none.
+    std::vector<std::uint64_t> epochs_;          ///< By shard.
+    int lent_workers_ = 0;                       ///< Workers given to other shards.
+    std::uint64_t lists_ = 0;                    ///< Number of worker lists sent so far.
     bool store_unreachable_ = false;
     std::string violation_;
 };
--- a/tests/workflow_model_test.cpp
+++ b/tests/workflow_model_test.cpp
@@ -35,6 +35,27 @@
     }));
 }
 
+TEST_CASE(
+    "jobs of a divided cell finish although gangs are wider than a shard and owners crash while "
+    "workers change their shard")
+{
+    int lent = 0;
+    REQUIRE(rc::check("no violation", [&lent](std::uint64_t seed) {
+        workflow_model model({.seed = seed, .shards = 2, .owner_crashes = 4});
+        const auto violation = model.run();
+        lent += model.lent_workers();
+        if (!violation.empty()) {
+            RC_FAIL("seed " + std::to_string(seed) + " " + violation);
+        }
+    }));
+    CHECK(lent > 100);
+}
+
+TEST_CASE("a worker that changes its shard needs a higher fencing token")
+{
+    CHECK_FALSE(find_violation({.shards = 2, .owner_crashes = 4, .raise_token = false}).empty());
+}
+
 TEST_CASE("each protection of runs is needed")
 {
     SECTION("workers reject lower epochs")
