--- a/flamingoseam/workflow/worker_lending.cpp
+++ b/flamingoseam/workflow/worker_lending.cpp
@@ -2,13 +2,14 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace flamingoseam::workflow {
 
 namespace {
 
-/// Work that has waited for less is usually placed when the next runs end.
-constexpr milliseconds min_wait{300};
+constexpr milliseconds min_wait{2'500};
+constexpr milliseconds min_wait_without_room{500}; ///< For a gang that the shard can't hold.
 /// A step borrows for this long, then pauses.
 constexpr milliseconds borrowing_time{8'000};
 constexpr milliseconds borrowing_pause{12'000};
@@ -20,17 +21,24 @@
 constexpr double idle_reserve = 0.05;
 
 /// Returns how many workers are needed so that a step fits on the eligible ones among them.
+/// Returns infinity for a step that can run on no worker.
 double workers_needed(const starved_step& step)
 {
+    if (step.tasks_per_worker <= 0 || step.eligible_share <= 0) {
+        return std::numeric_limits<double>::infinity();
+    }
     return std::ceil(static_cast<double>(step.tasks) / step.tasks_per_worker / step.eligible_share);
 }
 
 } // namespace
 
-bool may_borrow(time_point::duration waits)
+bool may_borrow(const starved_step& step, const worker_stock& own)
 {
-    return waits >= min_wait &&
-           (waits - min_wait) % (borrowing_time + borrowing_pause) < borrowing_time;
+    const bool fits_when_empty =
+        !step.gang || workers_needed(step) <= static_cast<double>(own.workers);
+    const auto wait = fits_when_empty ? min_wait : min_wait_without_room;
+    return step.waits >= wait &&
+           (step.waits - wait) % (borrowing_time + borrowing_pause) < borrowing_time;
 }
 
 std::optional<worker_request> request_workers(const std::vector<starved_step>& steps,
@@ -39,11 +47,8 @@
     worker_request request{.shard = limits.shard};
     double needed = 0;
     for (const auto& step : steps) {
-        if (step.tasks_per_worker <= 0 || step.eligible_share <= 0 || !may_borrow(step.waits)) {
-            continue;
-        }
         const double workers = workers_needed(step);
-        if (workers > static_cast<double>(limits.cell_workers)) {
+        if (workers > static_cast<double>(limits.cell_workers) || !may_borrow(step, own)) {
             continue;
         }
         if (needed == 0 || step.accepted < request.oldest) {
--- a/flamingoseam/workflow/worker_lending.hpp
+++ b/flamingoseam/workflow/worker_lending.hpp
@@ -26,6 +26,7 @@
     int tasks = 0;                ///< Tasks that wait.
     int tasks_per_worker = 0;     ///< Tasks that fit on an empty worker.
     double eligible_share = 1;    ///< Share of the workers that may run the step.
+    bool gang = false;            ///< All tasks must run at the same time.
     wall_time accepted{0};        ///< When its job was accepted.
     time_point::duration waits{}; ///< How long it has been ready to run.
 };
@@ -43,10 +44,11 @@
     std::size_t cell_workers = 0; ///< Workers of all shards.
 };
 
-/// Checks whether a step that has waited for so long should ask for workers now. A step that can
-/// never run pauses in between, so that it does not keep workers from other shards' work for good.
-/// Complexity: constant.
-bool may_borrow(time_point::duration waits);
+/// Checks whether a step should ask for workers now. A gang that does not fit on the shard's
+/// workers asks soon, other steps only after the time in which runs usually end and make room for
+/// them. A step that can never run pauses in between, so that it does not keep workers from other
+/// shards' work for good. Complexity: constant.
+bool may_borrow(const starved_step& step, const worker_stock& own);
 
 /// Returns the request for the steps of one service, or none if the shard has enough idle workers.
 /// Steps that would need more workers than the cell has are left out. Complexity: linear.
--- a/flamingoseam/workflow/workflow_lending.cpp
+++ b/flamingoseam/workflow/workflow_lending.cpp
@@ -70,8 +70,7 @@
     const auto& record = step.record();
     const bool needs_permission = step.job->terms.permission.has_value();
     const bool waits_for_answer = needs_permission && !record.permission.has_answer();
-    if (record.waits_since == time_point{} || record.not_before > time || waits_for_answer ||
-        !may_borrow(time - record.waits_since)) {
+    if (record.waits_since == time_point{} || record.not_before > time || waits_for_answer) {
         return std::nullopt;
     }
     const double permitted = needs_permission ? record.permission.permitted_share() : 1;
@@ -80,6 +79,7 @@
         .tasks = record.waiting(),
         .tasks_per_worker = detail::fits_in(step.spec(), fleet_.at(0).entry.capacity),
         .eligible_share = std::max(min_eligible_share, permitted * labelled_share(step, time)),
+        .gang = step.spec().gang,
         .accepted = step.job->accepted,
         .waits = time - record.waits_since};
 }
@@ -120,14 +120,15 @@
         request.shard == lending_limits_.shard) {
         return 0;
     }
+    const auto stock = stock_of(request.service, time);
     std::optional<wall_time> own_oldest;
     for (const auto& step : starved_steps(time)) {
-        if (step.service == request.service && (!own_oldest || step.accepted < *own_oldest)) {
+        const bool competes = step.service == request.service && may_borrow(step, stock);
+        if (competes && (!own_oldest || step.accepted < *own_oldest)) {
             own_oldest = step.accepted;
         }
     }
-    const auto wanted =
-        workers_to_lend(request, stock_of(request.service, time), own_oldest, lending_limits_);
+    const auto wanted = workers_to_lend(request, stock, own_oldest, lending_limits_);
     std::size_t lent = 0;
     for (std::size_t worker = 0; worker < fleet_.size() && lent < wanted; ++worker) {
         if (fleet_.at(worker).entry.service == request.service && can_release(worker, time)) {
