Divide a cell by the processors of its nodes, with one membership for all shards

A node has one membership, whatever the number of shards; the owners of all shards are in its view. Keys of an undivided cell are as before; the owner of shard N is recorded under m/owner/N.

--- a/flamingoseam/node/membership.cpp
+++ b/flamingoseam/node/membership.cpp
@@ -79,26 +79,42 @@
     });
 }
 
+namespace {
+
+/// Returns the owner if its process is one of the members, none otherwise.
+std::optional<owner_record> if_live(const owner_record& owner,
+                                    const std::map<std::string, member>& members)
+{
+    const auto found = members.find(owner.owner.name);
+    const bool is_live =
+        found != members.end() && found->second.incarnation == owner.owner.incarnation;
+    return is_live ? std::optional(owner) : std::nullopt;
+}
+
+} // namespace
+
 std::optional<owner_record> membership_view::live_owner() const
 {
-    if (!owner || owner->owner.name.empty()) {
-        return std::nullopt;
-    }
-    const auto found = members.find(owner->owner.name);
-    if (found == members.end() || found->second.incarnation != owner->owner.incarnation) {
-        return std::nullopt;
-    }
-    return owner;
+    return owner ? if_live(*owner, members) : std::nullopt;
+}
+
+namespace {
+
+/// Returns a member with the address at which it serves a shard.
+member serving_shard(member value, const shard_identity& shard)
+{
+    value.address.port = static_cast<unsigned short>(value.address.port + shard.index);
+    return value;
 }
 
-membership::membership(membership_options options, const shared_store_factory& stores,
-                       std::function<void()> on_change)
-    : options_(std::move(options)), on_change_(std::move(on_change)), lease_store_(stores()),
-      watch_({.name = "members",
-              .prefix = options_.prefix,
-              .times = options_.watch,
-              .report = options_.report},
-             stores())
+} // namespace
+
+membership::membership(membership_options options, const shared_store_factory& stores)
+    : options_(std::move(options)), lease_store_(stores()), watch_({.name = "members",
+                                                                    .prefix = options_.prefix,
+                                                                    .times = options_.watch,
+                                                                    .report = options_.report},
+                                                                   stores())
 {
     lease_thread_ = std::thread([this] { run_lease(); });
     watch_thread_ = std::thread([this] { run_watch(); });
@@ -112,10 +128,68 @@
     watch_thread_.join();
 }
 
-membership_view membership::view() const
+int membership::add_listener(std::function<void()> on_change)
+{
+    const std::lock_guard lock(listeners_mutex_);
+    listeners_.emplace(++last_listener_, std::move(on_change));
+    return last_listener_;
+}
+
+void membership::remove_listener(int number)
+{
+    const std::lock_guard lock(listeners_mutex_);
+    listeners_.erase(number);
+}
+
+void membership::notify_listeners()
 {
+    const std::lock_guard lock(listeners_mutex_);
+    for (const auto& [number, on_change] : listeners_) {
+        on_change();
+    }
+}
+
+membership_view membership::view(const shard_identity& shard) const
+{
+    membership_view view;
     const std::lock_guard lock(mutex_);
-    return view_;
+    for (const auto& [name, value] : members_) {
+        view.members.emplace_hint(view.members.end(), name, serving_shard(value, shard));
+    }
+    const auto found = owners_.find(owner_key(shard));
+    if (found != owners_.end()) {
+        view.owner = found->second.record;
+        view.owner_revision = found->second.revision;
+    }
+    return view;
+}
+
+std::optional<owner_record> membership::live_owner(const shard_identity& shard) const
+{
+    const std::lock_guard lock(mutex_);
+    const auto found = owners_.find(owner_key(shard));
+    return found == owners_.end() ? std::nullopt : if_live(found->second.record, members_);
+}
+
+std::vector<double> membership::processor_shares() const
+{
+    std::vector<double> shares;
+    const std::lock_guard lock(mutex_);
+    for (const auto& [name, value] : members_) {
+        shares.push_back(value.processor_share);
+    }
+    return shares;
+}
+
+std::string membership::owner_key(const shard_identity& shard) const
+{
+    const auto key = options_.prefix + "owner";
+    return shard.count == 1 ? key : key + "/" + std::to_string(shard.index);
+}
+
+member membership::self(const shard_identity& shard) const
+{
+    return serving_shard(options_.self, shard);
 }
 
 bool membership::has_valid_lease() const
@@ -131,8 +205,8 @@
 bool membership::has_joined() const
 {
     const std::lock_guard lock(mutex_);
-    const auto found = view_.members.find(options_.self.name);
-    return found != view_.members.end() && found->second.incarnation == options_.self.incarnation;
+    const auto found = members_.find(options_.self.name);
+    return found != members_.end() && found->second.incarnation == options_.self.incarnation;
 }
 
 void membership::leave()
@@ -197,7 +271,7 @@
 bool membership::is_missing_from_view() const
 {
     const std::lock_guard lock(mutex_);
-    return is_view_complete_ && !view_.members.contains(options_.self.name);
+    return is_view_complete_ && !members_.contains(options_.self.name);
 }
 
 void membership::run_watch()
@@ -207,7 +281,7 @@
             const auto update = watch_.next();
             apply_update(update);
             if (update.is_complete || !update.records.empty()) {
-                on_change_();
+                notify_listeners();
             }
             pause(watch_interval);
         } catch (const error& cause) {
@@ -225,7 +299,8 @@
 {
     const std::lock_guard lock(mutex_);
     if (update.is_complete) {
-        view_ = {};
+        members_.clear();
+        owners_.clear();
     }
     is_view_complete_ = true;
     for (const auto& record : update.records) {
@@ -236,10 +311,9 @@
 void membership::apply(const shared_record& record)
 {
     try {
-        if (record.key == owner_key()) {
+        if (record.key.starts_with(options_.prefix + "owner")) {
             if (!record.removed) {
-                view_.owner = read_owner(record.value);
-                view_.owner_revision = record.revision;
+                owners_[record.key] = {read_owner(record.value), record.revision};
             }
             return;
         }
@@ -247,9 +321,9 @@
         if (!name) {
             LOG(WARNING) << "ignoring record " << record.key << ": it is no member's";
         } else if (record.removed) {
-            view_.members.erase(*name);
+            members_.erase(*name);
         } else {
-            view_.members[*name] = read_member(record.value);
+            members_[*name] = read_member(record.value);
         }
     } catch (const error& cause) {
         LOG(WARNING) << "ignoring invalid record " << record.key << ": " << cause.what();
--- a/flamingoseam/node/membership.hpp
+++ b/flamingoseam/node/membership.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "flamingoseam/http/http_client.hpp"
+#include "flamingoseam/node/shard.hpp"
 #include "flamingoseam/store/record_watch.hpp"
 
 #include <atomic>
@@ -20,8 +21,9 @@
 /// A node of the cell, as recorded in the store for other nodes.
 struct member {
     std::string name;
-    std::string incarnation;    ///< Changes with each start of the node's process.
-    endpoint address;           ///< Address of the RPC interface.
+    std::string incarnation; ///< Changes with each start of the node's process.
+    /// Address of the RPC interface that serves the first shard; the others use the ports after it.
+    endpoint address;
     double processor_share = 1; ///< Processor time of the machine; 1 is one whole processor.
 };
 
@@ -43,9 +45,9 @@
 /// Parses an owner from JSON text. Throws parse_error (id 129).
 owner_record read_owner(const std::string& text);
 
-/// The live members and the owner of the jobs, as this node has last read them from the store.
+/// The live members and the owner of one shard, as this node has last read them from the store.
 struct membership_view {
-    std::map<std::string, member> members; ///< By name.
+    std::map<std::string, member> members; ///< By name, with the addresses that serve the shard.
     std::optional<owner_record> owner;
     std::uint64_t owner_revision = 0; ///< Revision of the owner's record; 0 if there is none.
 
@@ -65,18 +67,32 @@
     std::function<void(const log_event&)> report = nullptr; ///< Called for each event to log.
 };
 
-/// Maintains this node's lease in the store and its view of the other nodes, on two threads.
+/// Maintains this node's lease in the store and its view of the other nodes and of the owners of
+/// all shards, on two threads.
 class membership {
 public:
-    /// Starts both threads. `on_change` is called from the watch thread after each change of the
-    /// view.
-    membership(membership_options options, const shared_store_factory& stores,
-               std::function<void()> on_change);
+    /// Starts both threads.
+    membership(membership_options options, const shared_store_factory& stores);
     ~membership();
     membership(const membership&) = delete;
     membership& operator=(const membership&) = delete;
 
-    [[nodiscard]] membership_view view() const;
+    /// Calls `on_change` from the watch thread after each change of a view. Returns a number for
+    /// remove_listener().
+    int add_listener(std::function<void()> on_change);
+
+    /// Removes a listener, which is not called any more afterwards.
+    void remove_listener(int number);
+
+    /// Returns the members and the owner of a shard. Complexity: linear in the members.
+    [[nodiscard]] membership_view view(const shard_identity& shard) const;
+
+    /// Returns the owner of a shard if its process is a live member, none otherwise. Complexity:
+    /// logarithmic.
+    [[nodiscard]] std::optional<owner_record> live_owner(const shard_identity& shard) const;
+
+    /// Returns the processor shares of all members, in no order. Complexity: linear.
+    [[nodiscard]] std::vector<double> processor_shares() const;
 
     /// Checks whether this node's lease was renewed so recently that no other node can have
     /// regarded it as expired.
@@ -91,16 +107,18 @@
     /// Ends the lease, so that the other nodes no longer regard this node as a member.
     void leave();
 
-    /// Returns the key under which the owner is recorded.
-    [[nodiscard]] std::string owner_key() const { return options_.prefix + "owner"; }
+    /// Returns the key under which the owner of a shard is recorded.
+    [[nodiscard]] std::string owner_key(const shard_identity& shard) const;
 
-    [[nodiscard]] const member& self() const { return options_.self; }
+    /// Returns this node as a member that serves a shard.
+    [[nodiscard]] member self(const shard_identity& shard) const;
 
 private:
     void run_lease();
     void renew(shared_store& store);
     void join(shared_store& store);
     void run_watch();
+    void notify_listeners();
     void apply_update(const record_update& update);
     void apply(const shared_record& record);
     bool is_missing_from_view() const;
@@ -108,13 +126,21 @@
     void pause(milliseconds length);
     std::string member_key() const { return options_.prefix + "node/" + options_.self.name; }
 
+    struct stored_owner {
+        owner_record record;
+        std::uint64_t revision = 0;
+    };
+
     membership_options options_;
-    std::function<void()> on_change_;
     std::unique_ptr<shared_store> lease_store_;
     record_watch watch_;
     mutable std::mutex mutex_;
     std::condition_variable changed_;
-    membership_view view_;
+    std::map<std::string, member> members_;      ///< By name.
+    std::map<std::string, stored_owner> owners_; ///< Owners of the shards, by their keys.
+    std::mutex listeners_mutex_;
+    std::map<int, std::function<void()>> listeners_; ///< Guarded by `listeners_mutex_`.
+    int last_listener_ = 0;                          ///< Guarded by `listeners_mutex_`.
     std::uint64_t lease_ = 0;
     bool is_view_complete_ = false; ///< False while the view may lack changes.
     /// Start of the latest renewal, on a clock that includes suspension.
--- a/flamingoseam/node/node.cpp
+++ b/flamingoseam/node/node.cpp
@@ -6,7 +6,6 @@
 #include <glog/logging.h>
 
 #include <future>
-#include <random>
 #include <utility>
 
 namespace flamingoseam::node {
@@ -17,12 +16,6 @@
 constexpr milliseconds permission_timeout_margin{400};
 constexpr milliseconds no_owner_retry_after{1'000};
 
-std::string make_incarnation()
-{
-    std::random_device device;
-    return std::to_string(device()) + "-" + std::to_string(wall_now().count());
-}
-
 owner_answer no_owner_answer(std::string reason)
 {
     return {.verdict = owner_verdict::no_owner,
@@ -32,19 +25,12 @@
 
 } // namespace
 
-node::node(node_options options, node_dependencies dependencies)
+node::node(node_options options, node_dependencies dependencies,
+           std::shared_ptr<membership> members)
     : options_(std::move(options)), dependencies_(std::move(dependencies)),
-      incarnation_(make_incarnation())
+      membership_(std::move(members))
 {
-    membership_ = std::make_unique<membership>(
-        membership_options{
-            .prefix = options_.store_prefix + "m/",
-            .self = {.name = options_.name,
-                     .incarnation = incarnation_,
-                     .address = options_.rpc,
-                     .processor_share = options_.processor_share},
-            .report = [this](const log_event& event) { dependencies_.log->write(event); }},
-        dependencies_.stores, [this] { on_view_changed(); });
+    listener_ = membership_->add_listener([this] { on_view_changed(); });
     server_ = std::make_unique<coordinator_server>(options_.rpc, *this);
     election_thread_ = std::thread([this] { run_election(); });
     path_thread_ = std::thread([this] { monitor_owner_path(); });
@@ -52,6 +38,7 @@
 
 node::~node()
 {
+    membership_->remove_listener(listener_);
     {
         const std::lock_guard lock(mutex_);
         stopping_ = true;
@@ -60,7 +47,6 @@
     election_thread_.join();
     path_thread_.join();
     server_.reset();
-    membership_.reset();
 }
 
 std::shared_ptr<job_owner> node::local_owner() const
@@ -72,7 +58,7 @@
 bool node::is_ready() const
 {
     return !leaving_ && membership_->has_valid_lease() && !is_owner_unreachable() &&
-           (local_owner() != nullptr || membership_->view().live_owner());
+           (local_owner() != nullptr || membership_->live_owner(options_.shard));
 }
 
 template <typename LocalCall, typename RemoteCall>
@@ -109,8 +95,8 @@
         }
         return {.verdict = owner_verdict::unknown, .reason = "no_answer_in_time"};
     }
-    const auto owner = membership_->view().live_owner();
-    if (!owner || owner->owner.incarnation == incarnation_) {
+    const auto owner = membership_->live_owner(options_.shard);
+    if (!owner || owner->owner.incarnation == options_.incarnation) {
         return no_owner_answer("no_owner");
     }
     const owner_process target{.epoch = owner->epoch, .address = owner->owner.address};
@@ -286,7 +272,7 @@
         return dependencies_.permission;
     }
     return [this, name](const workflow::permission_request& request) {
-        const auto members = membership_->view().members;
+        const auto members = view().members;
         const auto found = members.find(name);
         if (found == members.end()) {
             throw transport_error(309, "node " + name + " is not a member", false);
--- a/flamingoseam/node/node.hpp
+++ b/flamingoseam/node/node.hpp
@@ -21,6 +21,7 @@
 /// Settings of a node.
 struct node_options {
     std::string name;
+    std::string incarnation;          ///< Differs with each start of the process.
     endpoint rpc;                     ///< Address at which other nodes call this node.
     double processor_share = 1;       ///< Processor time of the machine; 1 is one whole processor.
     std::string store_prefix = "fs/"; ///< Prefix of all keys in the store.
@@ -53,7 +54,8 @@
 /// the shard's owner. One of the nodes is the owner, and any other can take over when it fails.
 class node final : public owner_service {
 public:
-    node(node_options options, node_dependencies dependencies);
+    /// `members` must have joined the cell with the options' name and address.
+    node(node_options options, node_dependencies dependencies, std::shared_ptr<membership> members);
     ~node() override;
     node(const node&) = delete;
     node& operator=(const node&) = delete;
@@ -75,7 +77,7 @@
     /// Checks whether this process owns the shard.
     [[nodiscard]] bool is_owner() const { return local_owner() != nullptr; }
 
-    /// Hands over ownership and ends this node's membership; calls are still forwarded.
+    /// Hands over ownership; calls are still forwarded.
     void leave();
 
     // Handlers of calls from other nodes.
@@ -99,6 +101,7 @@
     };
 
     std::shared_ptr<job_owner> local_owner() const;
+    [[nodiscard]] membership_view view() const { return membership_->view(options_.shard); }
     void on_view_changed();
     void update_call_slots(const membership_view& view);
     std::vector<std::string> calling_nodes(const membership_view& view) const;
@@ -154,7 +157,6 @@
 
     node_options options_;
     node_dependencies dependencies_;
-    std::string incarnation_;
     coordinator_client client_;
     mutable std::mutex mutex_;
     std::condition_variable changed_;
@@ -174,7 +176,8 @@
     std::optional<time_point> stronger_since_; ///< Used by the election thread only.
     time_point may_replace_owner_from_{};      ///< Used by the election thread only.
     std::set<std::string> logged_members_;     ///< Used by the election thread only.
-    std::unique_ptr<membership> membership_;
+    std::shared_ptr<membership> membership_;
+    int listener_ = 0;
     std::unique_ptr<coordinator_server> server_;
     std::thread election_thread_;
     std::thread path_thread_;
--- a/flamingoseam/node/node_election.cpp
+++ b/flamingoseam/node/node_election.cpp
@@ -69,7 +69,7 @@
 void node::run_election()
 {
     while (const auto events = wait_for_events()) {
-        const auto view = membership_->view();
+        const auto view = this->view();
         if (events->owner_lost || is_superseded(view)) {
             stop_local_owner();
         }
@@ -183,7 +183,7 @@
     const auto own = std::ranges::find(order, options_.name, &member::name);
     const auto ahead = std::distance(order.begin(), own);
     auto delay = has_owner_ended(view) ? milliseconds(0) : options_.takeover_grace;
-    if (find_stronger(view, membership_->self(), 0, options_.shard)) {
+    if (find_stronger(view, membership_->self(options_.shard), 0, options_.shard)) {
         delay += weaker_node_delay;
     }
     if (owns_other_shard()) {
@@ -212,7 +212,7 @@
         return false;
     }
     // An unanswered claim of this node may have been applied, without an owner running here.
-    return owner->owner.incarnation != incarnation_ || local_owner() != nullptr;
+    return owner->owner.incarnation != options_.incarnation || local_owner() != nullptr;
 }
 
 /// Asks the other nodes, one after the other, to take over ownership, because this node no longer
@@ -378,9 +378,9 @@
 {
     try {
         const auto claimed = claim_ownership(*dependencies_.stores(),
-                                             {.owner_key = membership_->owner_key(),
+                                             {.owner_key = membership_->owner_key(options_.shard),
                                               .head_keys = head_keys(),
-                                              .self = membership_->self(),
+                                              .self = membership_->self(options_.shard),
                                               .expected_epoch = view.owner ? view.owner->epoch : 0,
                                               .expected_revision = view.owner_revision});
         if (claimed) {
@@ -444,7 +444,7 @@
         ++change_count_;
     }
     changed_.notify_all();
-    update_call_slots(membership_->view());
+    update_call_slots(view());
 }
 
 void node::stop_local_owner()
@@ -466,7 +466,7 @@
 bool node::hand_over_to_member()
 {
     const auto end = now() + options_.handover_timeout;
-    if (!offer_to_others(membership_->view(), true)) {
+    if (!offer_to_others(view(), true)) {
         return false;
     }
     while (local_owner() && now() < end) {
@@ -484,16 +484,16 @@
         owner = owner_lost_ ? nullptr : owner_;
     }
     if (owner && !hand_over_to_member()) {
-        const auto view = membership_->view();
+        const auto view = this->view();
         const owner_record nobody{.epoch = view.owner ? view.owner->epoch : 0, .owner = {}};
-        const bool written = owner->hand_over({membership_->owner_key(), write_owner(nobody)},
-                                              options_.handover_timeout);
+        const bool written =
+            owner->hand_over({membership_->owner_key(options_.shard), write_owner(nobody)},
+                             options_.handover_timeout);
         dependencies_.log->write({.event = "owner_ends",
                                   .request = {},
                                   .detail = written ? "handed over" : "the store did not answer"});
         stop_local_owner();
     }
-    membership_->leave();
 }
 
 } // namespace flamingoseam::node
--- a/flamingoseam/node/node_owner_path.cpp
+++ b/flamingoseam/node/node_owner_path.cpp
@@ -14,8 +14,8 @@
 
 std::optional<owner_process> node::remote_owner() const
 {
-    const auto owner = membership_->view().live_owner();
-    if (local_owner() || !owner || owner->owner.incarnation == incarnation_) {
+    const auto owner = membership_->live_owner(options_.shard);
+    if (local_owner() || !owner || owner->owner.incarnation == options_.incarnation) {
         return std::nullopt;
     }
     return owner_process{.epoch = owner->epoch, .address = owner->owner.address};
--- a/flamingoseam/node/sharded_node.cpp
+++ b/flamingoseam/node/sharded_node.cpp
@@ -5,6 +5,7 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <random>
 
 namespace flamingoseam::node {
 
@@ -14,6 +15,12 @@
 constexpr milliseconds lending_timeout{300}; ///< Timeout of a request to the owner of a shard.
 constexpr milliseconds no_layout_retry_after{1'000};
 
+std::string make_incarnation()
+{
+    std::random_device device;
+    return std::to_string(device()) + "-" + std::to_string(wall_now().count());
+}
+
 owner_answer no_layout_answer()
 {
     return {.verdict = owner_verdict::no_owner,
@@ -26,6 +33,16 @@
 sharded_node::sharded_node(sharded_node_options options, node_dependencies dependencies)
     : options_(std::move(options)), dependencies_(std::move(dependencies))
 {
+    options_.node.incarnation = make_incarnation();
+    membership_ = std::make_shared<membership>(
+        membership_options{
+            .prefix = options_.node.store_prefix + "m/",
+            .self = {.name = options_.node.name,
+                     .incarnation = options_.node.incarnation,
+                     .address = options_.node.rpc,
+                     .processor_share = options_.node.processor_share},
+            .report = [log = dependencies_.log](const log_event& event) { log->write(event); }},
+        dependencies_.stores);
     forming_thread_ = std::thread([this] { form_shards(); });
 }
 
@@ -43,7 +60,7 @@
                                dependencies_.stores(), dependencies_.directory());
     while (!stopping_) {
         try {
-            if (const auto shards = agreement.try_agree(now())) {
+            if (const auto shards = agreement.try_agree(membership_->processor_shares(), now())) {
                 return *shards;
             }
         } catch (const error& cause) {
@@ -82,7 +99,7 @@
         options.owned_shards = [this] { return owned_shards(); };
         options.borrow_workers = borrow_call_of(shard);
     }
-    shards_[shard.index] = std::make_shared<node>(std::move(options), dependencies_);
+    shards_[shard.index] = std::make_shared<node>(std::move(options), dependencies_, membership_);
 }
 
 /// Returns the call that asks the owners of all other shards for workers, one after the other,
@@ -167,6 +184,7 @@
 {
     stopping_ = true;
     if (!is_formed_) {
+        membership_->leave();
         return;
     }
     std::vector<std::thread> leaving;
@@ -176,6 +194,7 @@
     for (auto& thread : leaving) {
         thread.join();
     }
+    membership_->leave();
 }
 
 } // namespace flamingoseam::node
--- a/flamingoseam/node/sharded_node.hpp
+++ b/flamingoseam/node/sharded_node.hpp
@@ -17,7 +17,7 @@
     /// after it. The keys of the shards of a divided cell are stored under the prefix and the
     /// shard's number.
     node_options node;
-    std::size_t workers_per_shard = 0; ///< Divides a new cell into shards; 0 for one shard.
+    std::size_t workers_per_shard = 0; ///< See layout_options.
 };
 
 /// The parts of a node that handle the shards of its cell.
@@ -47,7 +47,7 @@
     /// Checks whether calls about all jobs can be served now.
     [[nodiscard]] bool is_ready() const;
 
-    /// Hands over the ownership of all shards and ends this node's memberships; calls are still
+    /// Hands over the ownership of all shards and ends this node's membership; calls are still
     /// forwarded.
     void leave();
 
@@ -61,6 +61,7 @@
 
     sharded_node_options options_;
     node_dependencies dependencies_;
+    std::shared_ptr<membership> membership_;
     /// Not changed any more once `is_formed_` is set.
     std::vector<std::shared_ptr<node>> shards_;
     std::atomic<bool> is_formed_{false};
