Give jobs with wide gangs shards of their own, and divide workers in proportion to demand

Cause: each shard of 135 workers has two wide gangs side by side at most, since a gang is permitted on about 0.3 of the workers, and small tasks occupy parts of the others.

Change: jobs with a gang of more than 8 tasks belong to the first third of the shards (one at least), the others to the rest (shard_of). A call with an id alone asks both shards that may have it. Shards tell each other their demand, the work that runs and waits in workers, and an owner gives workers so that both have them in proportion: idle ones at once, a few busy ones after they were drained; for a gang wider than its shard, idle workers that the own work doesn't need are added (worker_lending, decisions only).

--- a/flamingoseam/node/coordinator.capnp
+++ b/flamingoseam/node/coordinator.capnp
@@ -67,7 +67,8 @@
   offerOwnership @5 (epoch :UInt64, leaving :Bool) -> (accepted :Bool);
   # Returns whether the owner of this epoch has refused connections of the callee as well.
   confirmOwnerGone @6 (epoch :UInt64) -> (gone :Bool);
-  # Asks the owner of a shard to give idle workers of a service to the shard that asks, for which work
-  # has waited that was accepted at `oldestMs`. Returns how many it gives.
-  lendWorkers @7 (shard :UInt32, service :Text, workers :UInt32, oldestMs :Int64) -> (workers :UInt32);
+  # Asks the owner of a shard for workers of a service; see worker_request in workflow/worker_lending.hpp.
+  # Returns how many it gives at once.
+  lendWorkers @7 (shard :UInt32, service :Text, workers :UInt32, demand :Float64, widestGang :Float64)
+      -> (workers :UInt32);
 }
--- a/flamingoseam/node/coordinator.capnp.h
+++ b/flamingoseam/node/coordinator.capnp.h
@@ -374,7 +374,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cb0a781c3d734036, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(cb0a781c3d734036, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2264,7 +2264,9 @@
 
   inline  ::uint32_t getWorkers() const;
 
-  inline  ::int64_t getOldestMs() const;
+  inline double getDemand() const;
+
+  inline double getWidestGang() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2307,8 +2309,11 @@
   inline  ::uint32_t getWorkers();
   inline void setWorkers( ::uint32_t value);
 
-  inline  ::int64_t getOldestMs();
-  inline void setOldestMs( ::int64_t value);
+  inline double getDemand();
+  inline void setDemand(double value);
+
+  inline double getWidestGang();
+  inline void setWidestGang(double value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3780,20 +3785,34 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t Coordinator::LendWorkersParams::Reader::getOldestMs() const {
-  return _reader.getDataField< ::int64_t>(
+inline double Coordinator::LendWorkersParams::Reader::getDemand() const {
+  return _reader.getDataField<double>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t Coordinator::LendWorkersParams::Builder::getOldestMs() {
-  return _builder.getDataField< ::int64_t>(
+inline double Coordinator::LendWorkersParams::Builder::getDemand() {
+  return _builder.getDataField<double>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Coordinator::LendWorkersParams::Builder::setOldestMs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
+inline void Coordinator::LendWorkersParams::Builder::setDemand(double value) {
+  _builder.setDataField<double>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline double Coordinator::LendWorkersParams::Reader::getWidestGang() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline double Coordinator::LendWorkersParams::Builder::getWidestGang() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Coordinator::LendWorkersParams::Builder::setWidestGang(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t Coordinator::LendWorkersResults::Reader::getWorkers() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/flamingoseam/node/coordinator_rpc.cpp
+++ b/flamingoseam/node/coordinator_rpc.cpp
@@ -197,10 +197,11 @@
     kj::Promise<void> lendWorkers(LendWorkersContext context) override
     {
         const auto params = context.getParams();
-        const workflow::worker_request request{.shard = params.getShard(),
-                                               .service = params.getService().cStr(),
-                                               .workers = params.getWorkers(),
-                                               .oldest = wall_time(params.getOldestMs())};
+        const workflow::worker_request request{
+            .shard = params.getShard(),
+            .service = params.getService().cStr(),
+            .workers = params.getWorkers(),
+            .demand = {.total = params.getDemand(), .widest_gang = params.getWidestGang()}};
         return detail::promise_of<std::size_t>(
                    [&](auto reply) { service_.lend_workers(request, reply); })
             .then([context](std::size_t lent) mutable {
@@ -377,7 +378,8 @@
             message.setShard(static_cast<std::uint32_t>(request.shard));
             message.setService(request.service);
             message.setWorkers(static_cast<std::uint32_t>(request.workers));
-            message.setOldestMs(request.oldest.count());
+            message.setDemand(request.demand.total);
+            message.setWidestGang(request.demand.widest_gang);
             return message.send().then(
                 [](auto response) -> std::size_t { return response.getWorkers(); });
         },
--- a/flamingoseam/node/shard.cpp
+++ b/flamingoseam/node/shard.cpp
@@ -3,13 +3,58 @@
 #include "flamingoseam/core/error.hpp"
 #include "flamingoseam/core/hash.hpp"
 
+#include <algorithm>
+
 namespace flamingoseam::node {
 
-std::size_t shard_of(const std::string& id, std::size_t count)
+namespace {
+
+constexpr int min_wide_gang_tasks = 9;
+constexpr std::size_t shards_per_wide_shard = 3;
+
+bool has_wide_gang(const workflow::job_spec& job)
+{
+    return std::ranges::any_of(job.steps, [](const workflow::step_spec& step) {
+        return step.gang && step.tasks >= min_wide_gang_tasks;
+    });
+}
+
+std::size_t wide_shard_of(const std::string& job, std::size_t count)
+{
+    return shard_of_worker(job, wide_shards(count));
+}
+
+std::size_t other_shard_of(const std::string& job, std::size_t count)
+{
+    const auto wide = wide_shards(count);
+    return count <= 1 ? 0 : wide + shard_of_worker(job, count - wide);
+}
+
+} // namespace
+
+std::size_t shard_of_worker(const std::string& id, std::size_t count)
 {
     return count <= 1 ? 0 : static_cast<std::size_t>(short_hash(id) % count);
 }
 
+std::size_t wide_shards(std::size_t count)
+{
+    return std::max<std::size_t>(1, count / shards_per_wide_shard);
+}
+
+std::size_t shard_of(const workflow::job_spec& job, std::size_t count)
+{
+    return has_wide_gang(job) ? wide_shard_of(job.id, count) : other_shard_of(job.id, count);
+}
+
+std::vector<std::size_t> possible_shards(const std::string& job, std::size_t count)
+{
+    if (count <= 1) {
+        return {0};
+    }
+    return {other_shard_of(job, count), wide_shard_of(job, count)};
+}
+
 std::string to_text(const shard_identity& shard)
 {
     if (shard.count == 1) {
@@ -38,7 +83,7 @@
     for (const auto& worker : workers) {
         const auto found = assigned_.find(worker.id);
         const bool was_transferred = found != assigned_.end();
-        if (!was_transferred && shard_of(worker.id, own_.count) == own_.index) {
+        if (!was_transferred && shard_of_worker(worker.id, own_.count) == own_.index) {
             own.push_back(worker);
         } else if (was_transferred && found->second && found->second->shard == own_.index) {
             own.push_back(worker);
--- a/flamingoseam/node/shard.hpp
+++ b/flamingoseam/node/shard.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "flamingoseam/workflow/job_spec.hpp"
 #include "flamingoseam/workflow/messages.hpp"
 #include "flamingoseam/workflow/worker_assignment.hpp"
 
@@ -20,9 +21,20 @@
     bool operator==(const shard_identity&) const = default;
 };
 
-/// Returns the index of the shard to which the job with this id belongs, and the worker with this
-/// id if it was never transferred. Complexity: linear in the id.
-std::size_t shard_of(const std::string& id, std::size_t count);
+/// Returns the index of the shard to which the worker with this id belongs if it was never
+/// transferred. Complexity: linear in the id.
+std::size_t shard_of_worker(const std::string& id, std::size_t count);
+
+/// Returns how many shards of a cell have the jobs with wide gangs. These are the first ones. Wide
+/// gangs need a large pool of workers, in which smaller tasks don't occupy parts of many workers.
+std::size_t wide_shards(std::size_t count);
+
+/// Returns the index of the shard to which a job belongs. Complexity: linear in the id and the
+/// steps.
+std::size_t shard_of(const workflow::job_spec& job, std::size_t count);
+
+/// Returns the indices of the shards to which a job with this id may belong.
+std::vector<std::size_t> possible_shards(const std::string& job, std::size_t count);
 
 /// Returns " of shard N of M" for log lines; empty if the cell has one shard only.
 std::string to_text(const shard_identity& shard);
--- a/flamingoseam/node/sharded_node.cpp
+++ b/flamingoseam/node/sharded_node.cpp
@@ -15,6 +15,18 @@
 constexpr milliseconds lending_timeout{300}; ///< Timeout of a request to the owner of a shard.
 constexpr milliseconds no_layout_retry_after{1'000};
 
+/// Returns the answer that promises least: a job is unknown only if no shard knows it.
+owner_answer least_certain(const std::vector<owner_answer>& answers)
+{
+    for (const auto verdict : {owner_verdict::unknown, owner_verdict::no_owner}) {
+        const auto found = std::ranges::find(answers, verdict, &owner_answer::verdict);
+        if (found != answers.end()) {
+            return *found;
+        }
+    }
+    return answers.front();
+}
+
 std::string make_incarnation()
 {
     std::random_device device;
@@ -102,20 +114,18 @@
     shards_[shard.index] = std::make_shared<node>(std::move(options), dependencies_, membership_);
 }
 
-/// Returns the call that asks the owners of all other shards for workers, one after the other,
-/// until enough have been given.
+/// Returns the call that asks the owners of all other shards for workers, one after the other.
 borrow_call sharded_node::borrow_call_of(const shard_identity& shard) const
 {
     return [group = group_, shard](const workflow::worker_request& request) {
-        auto remaining = request;
+        auto current = request;
         for (std::size_t offset = 1; group->is_complete && offset < shard.count; ++offset) {
             const auto other = group->shards[(shard.index + offset) % shard.count].lock();
-            if (other && remaining.workers > 0) {
-                const auto lent = other->request_workers(remaining, lending_timeout);
-                remaining.workers -= std::min(lent, remaining.workers);
+            if (other) {
+                current.workers += other->request_workers(current, lending_timeout);
             }
         }
-        return request.workers - remaining.workers;
+        return current.workers - request.workers;
     };
 }
 
@@ -131,29 +141,44 @@
     return owned;
 }
 
-/// Returns the part of this node that handles a job, null until the layout is known.
-node* sharded_node::shard_for(const std::string& job)
+/// Asks the shards that may have a job, until one of them knows it.
+owner_answer sharded_node::ask_for_job(const std::string& job, milliseconds timeout,
+                                       const job_call& call)
 {
-    return is_formed_ ? shards_[shard_of(job, shards_.size())].get() : nullptr;
+    if (!is_formed_) {
+        return no_layout_answer();
+    }
+    const auto end = now() + timeout;
+    std::vector<owner_answer> answers;
+    for (const auto shard : possible_shards(job, shards_.size())) {
+        const auto left = std::chrono::duration_cast<milliseconds>(end - now());
+        answers.push_back(call(*shards_[shard], std::max(left, milliseconds(1))));
+        if (answers.back().verdict == owner_verdict::accepted) {
+            return answers.back();
+        }
+    }
+    return least_certain(answers);
 }
 
 owner_answer sharded_node::submit_job(const workflow::job_spec& job,
                                       const workflow::queue_terms& terms, milliseconds timeout)
 {
-    auto* shard = shard_for(job.id);
-    return shard == nullptr ? no_layout_answer() : shard->submit_job(job, terms, timeout);
+    return is_formed_ ? shards_[shard_of(job, shards_.size())]->submit_job(job, terms, timeout)
+                      : no_layout_answer();
 }
 
 owner_answer sharded_node::cancel_job(const std::string& job, milliseconds timeout)
 {
-    auto* shard = shard_for(job);
-    return shard == nullptr ? no_layout_answer() : shard->cancel_job(job, timeout);
+    return ask_for_job(job, timeout, [&job](node& shard, milliseconds limit) {
+        return shard.cancel_job(job, limit);
+    });
 }
 
 owner_answer sharded_node::find_job(const std::string& job, milliseconds timeout)
 {
-    auto* shard = shard_for(job);
-    return shard == nullptr ? no_layout_answer() : shard->find_job(job, timeout);
+    return ask_for_job(job, timeout, [&job](node& shard, milliseconds limit) {
+        return shard.find_job(job, limit);
+    });
 }
 
 owner_answer sharded_node::count_pending_jobs(const std::string& queue, milliseconds timeout)
--- a/flamingoseam/node/sharded_node.hpp
+++ b/flamingoseam/node/sharded_node.hpp
@@ -57,7 +57,8 @@
     void add_shard(const shard_identity& shard);
     [[nodiscard]] std::vector<std::size_t> owned_shards() const;
     [[nodiscard]] borrow_call borrow_call_of(const shard_identity& shard) const;
-    node* shard_for(const std::string& job);
+    using job_call = std::function<owner_answer(node& shard, milliseconds timeout)>;
+    owner_answer ask_for_job(const std::string& job, milliseconds timeout, const job_call& call);
 
     sharded_node_options options_;
     node_dependencies dependencies_;
--- a/flamingoseam/workflow/fleet.hpp
+++ b/flamingoseam/workflow/fleet.hpp
@@ -59,6 +59,8 @@
     /// Whether the result of an end is stored, by the number of the end.
     std::map<std::int64_t, bool> unacknowledged_ends;
     std::int64_t forget_up_to = 0; ///< The worker may discard ends up to this number.
+    time_point drain_until{};      ///< Until then the worker gets no new run; zero if not drained.
+    std::size_t drains_for = 0;    ///< The shard that gets the worker once it is idle.
     /// Token base with which this owner has released the worker to another shard; 0 if it never
     /// did.
     std::uint64_t released_base = 0;
@@ -76,7 +78,7 @@
     [[nodiscard]] bool is_usable(time_point time) const
     {
         return listed && reported && lease_stored && !unreachable && !entry.leaving &&
-               excluded_until <= time;
+               excluded_until <= time && drain_until <= time;
     }
 };
 
--- a/flamingoseam/workflow/worker_lending.cpp
+++ b/flamingoseam/workflow/worker_lending.cpp
@@ -8,80 +8,95 @@
 
 namespace {
 
-constexpr milliseconds min_wait{2'500};
-constexpr milliseconds min_wait_without_room{500}; ///< For a gang that the shard can't hold.
-/// A step borrows for this long, then pauses.
-constexpr milliseconds borrowing_time{8'000};
-constexpr milliseconds borrowing_pause{12'000};
-constexpr std::size_t max_workers_per_request = 300;
+/// A shard that uses less of its workers than this does not ask for more.
+constexpr double min_load = 0.6;
 /// A shard keeps at least this share of an equal share of the workers, so that it can start urgent
 /// work at once.
 constexpr double min_kept_share = 0.25;
-/// Share of its workers that a shard keeps idle for the work that arrives next.
-constexpr double idle_reserve = 0.05;
+/// Most of its workers that a shard gives away at a time, since its demand may change.
+constexpr double max_lent_share = 0.2;
+/// Smallest share of its workers that is worth a transfer; prevents transfers back and forth.
+constexpr double min_lent_share = 0.05;
+/// Share of its workers that may be drained at a time, as they serve nobody meanwhile.
+constexpr double max_drained_share = 0.04;
+/// For a wide gang, a shard gives away what exceeds its own demand times this.
+constexpr double own_demand_allowance = 1.25;
 
-/// Returns how many workers are needed so that a step fits on the eligible ones among them.
-/// Returns infinity for a step that can run on no worker.
-double workers_needed(const starved_step& step)
+/// Returns how many workers are needed so that a step fits on the eligible ones among them,
+/// infinity if it fits on none.
+double workers_needed(const waiting_step& step)
 {
     if (step.tasks_per_worker <= 0 || step.eligible_share <= 0) {
         return std::numeric_limits<double>::infinity();
     }
-    return std::ceil(static_cast<double>(step.tasks) / step.tasks_per_worker / step.eligible_share);
+    return std::ceil(std::ceil(static_cast<double>(step.tasks) / step.tasks_per_worker) /
+                     step.eligible_share);
 }
 
-} // namespace
+/// Returns how many workers the own shard should give so that both shards have workers in
+/// proportion to their demands.
+double proportional_share(const worker_request& request, double own_demand, double own_workers)
+{
+    const double sum = request.demand.total + own_demand;
+    if (sum <= 0) {
+        return 0;
+    }
+    const auto theirs = static_cast<double>(request.workers);
+    return (request.demand.total * own_workers - own_demand * theirs) / sum;
+}
 
-bool may_borrow(const starved_step& step, const worker_stock& own)
+std::size_t whole_workers(double count)
 {
-    const bool fits_when_empty =
-        !step.gang || workers_needed(step) <= static_cast<double>(own.workers);
-    const auto wait = fits_when_empty ? min_wait : min_wait_without_room;
-    return step.waits >= wait &&
-           (step.waits - wait) % (borrowing_time + borrowing_pause) < borrowing_time;
+    return count <= 0 ? 0 : static_cast<std::size_t>(count);
 }
 
-std::optional<worker_request> request_workers(const std::vector<starved_step>& steps,
-                                              const worker_stock& own, const lending_limits& limits)
+} // namespace
+
+worker_demand demand_of(const worker_stock& own, const std::vector<waiting_step>& steps,
+                        const lending_limits& limits)
 {
-    worker_request request{.shard = limits.shard};
-    double needed = 0;
+    worker_demand demand{.total = own.filled};
     for (const auto& step : steps) {
-        const double workers = workers_needed(step);
-        if (workers > static_cast<double>(limits.cell_workers) || !may_borrow(step, own)) {
+        const double needed = workers_needed(step);
+        if (needed > static_cast<double>(limits.cell_workers)) {
             continue;
         }
-        if (needed == 0 || step.accepted < request.oldest) {
-            request.oldest = step.accepted;
+        demand.total += static_cast<double>(step.tasks) / step.tasks_per_worker;
+        if (step.gang) {
+            demand.widest_gang = std::max(demand.widest_gang, needed);
         }
-        request.service = step.service;
-        needed += workers;
-    }
-    const double missing = needed - static_cast<double>(own.idle);
-    if (missing < 1) {
-        return std::nullopt;
     }
-    request.workers =
-        static_cast<std::size_t>(std::min(missing, static_cast<double>(max_workers_per_request)));
-    return request;
+    return demand;
 }
 
-std::size_t workers_to_lend(const worker_request& request, const worker_stock& own,
-                            std::optional<wall_time> own_oldest, const lending_limits& limits)
+bool needs_workers(const worker_demand& demand, const worker_stock& own)
 {
-    const bool is_turn = !own_oldest || std::pair(request.oldest, request.shard) <
-                                            std::pair(*own_oldest, limits.shard);
-    if (!is_turn) {
-        return 0;
-    }
-    const auto equal_share =
+    const auto workers = static_cast<double>(own.workers);
+    return demand.total > min_load * workers || demand.widest_gang > workers;
+}
+
+lending_decision decide_lending(const worker_request& request, const worker_demand& own_demand,
+                                const worker_stock& own, const lending_limits& limits)
+{
+    const auto workers = static_cast<double>(own.workers);
+    const double equal_share =
         static_cast<double>(limits.cell_workers) / static_cast<double>(limits.shards);
-    const auto kept = static_cast<std::size_t>(std::ceil(min_kept_share * equal_share));
-    const auto reserve =
-        static_cast<std::size_t>(std::ceil(idle_reserve * static_cast<double>(own.workers)));
-    const auto spare = own.workers - std::min(own.workers, kept);
-    const auto idle = own.idle - std::min(own.idle, reserve);
-    return std::min({request.workers, spare, idle});
+    const double kept = std::ceil(min_kept_share * equal_share);
+    const double most = std::min(workers - kept, std::ceil(max_lent_share * workers));
+
+    double balanced = std::min(proportional_share(request, own_demand.total, workers), most);
+    if (balanced < std::max(1.0, min_lent_share * workers)) {
+        balanced = 0;
+    }
+    const double missing = request.demand.widest_gang - static_cast<double>(request.workers);
+    const double surplus = workers - std::ceil(own_demand_allowance * own_demand.total);
+    const double for_gang = std::min({missing, surplus, most});
+
+    const auto wanted = whole_workers(std::max(balanced, for_gang));
+    const auto idle = std::min(wanted, own.idle);
+    const auto undrained = whole_workers(balanced) - std::min(whole_workers(balanced), idle);
+    const auto max_drained = whole_workers(std::ceil(max_drained_share * workers));
+    return {.idle = idle, .drain = std::min(undrained, max_drained)};
 }
 
 } // namespace flamingoseam::workflow
--- a/flamingoseam/workflow/worker_lending.hpp
+++ b/flamingoseam/workflow/worker_lending.hpp
@@ -1,40 +1,43 @@
 #pragma once
 
 #include "flamingoseam/core/clock.hpp"
-#include "flamingoseam/core/resources.hpp"
 
 #include <cstddef>
-#include <optional>
 #include <string>
 #include <vector>
 
 namespace flamingoseam::workflow {
 
-/// A request for workers of another shard, because work has waited in this shard for a while.
+/// The work of a shard, in workers that it would fill.
+struct worker_demand {
+    double total = 0; ///< Of the running and the waiting work.
+    /// Number of workers among which the widest waiting gang certainly finds enough eligible ones;
+    /// 0 if no gang waits.
+    double widest_gang = 0;
+};
+
+/// A request for workers of other shards. It tells the demand of the shard that asks, so that the
+/// workers can be divided in proportion to the demands.
 struct worker_request {
     std::size_t shard = 0; ///< The shard that asks.
     std::string service;
-    std::size_t workers = 0; ///< Number of workers that the waiting work can use.
-    /// When the oldest waiting job was accepted. Of two shards that both need workers, the one with
-    /// the older job gets them.
-    wall_time oldest{0};
+    std::size_t workers = 0; ///< Workers that the shard has.
+    worker_demand demand;
 };
 
-/// A step that waits for workers.
-struct starved_step {
-    std::string service;
-    int tasks = 0;                ///< Tasks that wait.
-    int tasks_per_worker = 0;     ///< Tasks that fit on an empty worker.
-    double eligible_share = 1;    ///< Share of the workers that may run the step.
-    bool gang = false;            ///< All tasks must run at the same time.
-    wall_time accepted{0};        ///< When its job was accepted.
-    time_point::duration waits{}; ///< How long it has been ready to run.
+/// A step whose tasks wait to be placed.
+struct waiting_step {
+    int tasks = 0;             ///< Tasks that wait.
+    int tasks_per_worker = 0;  ///< Tasks that fit on an empty worker.
+    double eligible_share = 1; ///< Share of the workers that may run the step.
+    bool gang = false;         ///< All tasks must run at the same time.
 };
 
 /// The workers of a shard that run one service.
 struct worker_stock {
     std::size_t workers = 0; ///< Workers that can be used.
     std::size_t idle = 0;    ///< Of these, the ones without runs and reservations.
+    double filled = 0;       ///< Workers that the running tasks would fill.
 };
 
 /// Sizes of a divided cell, for the lending of workers.
@@ -44,22 +47,26 @@
     std::size_t cell_workers = 0; ///< Workers of all shards.
 };
 
-/// Checks whether a step should ask for workers now. A gang that does not fit on the shard's
-/// workers asks soon, other steps only after the time in which runs usually end and make room for
-/// them. A step that can never run pauses in between, so that it does not keep workers from other
-/// shards' work for good. Complexity: constant.
-bool may_borrow(const starved_step& step, const worker_stock& own);
+/// Returns the demand of a shard. Leaves out steps that no worker, or not all workers together, can
+/// run. Complexity: linear in the steps.
+worker_demand demand_of(const worker_stock& own, const std::vector<waiting_step>& steps,
+                        const lending_limits& limits);
 
-/// Returns the request for the steps of one service, or none if the shard has enough idle workers.
-/// Steps that would need more workers than the cell has are left out. Complexity: linear.
-std::optional<worker_request> request_workers(const std::vector<starved_step>& steps,
-                                              const worker_stock& own,
-                                              const lending_limits& limits);
+/// Checks whether a shard with this demand should ask the others for workers. Complexity: constant.
+bool needs_workers(const worker_demand& demand, const worker_stock& own);
+
+/// How many workers a shard gives away for a request.
+struct lending_decision {
+    std::size_t idle = 0;  ///< Workers that are idle now.
+    std::size_t drain = 0; ///< Workers that get no new work until they are idle and then follow.
+
+    bool operator==(const lending_decision&) const = default;
+};
 
-/// Returns how many idle workers a shard gives away for a request. `own_oldest` is when the oldest
-/// job was accepted that itself waits for workers in this shard, none if no job does.
-/// Complexity: constant.
-std::size_t workers_to_lend(const worker_request& request, const worker_stock& own,
-                            std::optional<wall_time> own_oldest, const lending_limits& limits);
+/// Decides on a request of another shard. Workers are divided in proportion to the demands of the
+/// two shards; for a gang wider than the shard that asks, idle workers that the own work does not
+/// need are added. Complexity: constant.
+lending_decision decide_lending(const worker_request& request, const worker_demand& own_demand,
+                                const worker_stock& own, const lending_limits& limits);
 
 } // namespace flamingoseam::workflow
--- a/flamingoseam/workflow/workflow_lending.cpp
+++ b/flamingoseam/workflow/workflow_lending.cpp
@@ -10,6 +10,10 @@
 constexpr std::size_t max_assignments_per_batch = 20;
 /// Assumed share of the workers that may run a step, if the ones asked about suggest less.
 constexpr double min_eligible_share = 0.1;
+/// Work that has waited for less is usually placed by one of the next passes.
+constexpr milliseconds min_wait{250};
+/// A worker that is not idle by then is used again.
+constexpr milliseconds max_drain_time{4'000};
 
 } // namespace
 
@@ -26,7 +30,10 @@
 bool workflow_state::can_release(std::size_t worker, time_point time) const
 {
     const auto& state = fleet_.at(worker);
-    return is_idle(worker, time) && state.unacknowledged_ends.empty() &&
+    const bool is_in_use =
+        state.listed && state.reported && state.lease_stored && !state.unreachable;
+    return is_in_use && !state.entry.leaving && state.runs.empty() &&
+           state.unacknowledged_ends.empty() && gang_reservations_.on_worker(worker) == nullptr &&
            std::ranges::all_of(state.ruled_out, [time](const auto& entry) {
                return time - entry.second.second >= detail::max_order_delay;
            });
@@ -40,6 +47,7 @@
         if (state.entry.service == service && state.is_usable(time)) {
             ++stock.workers;
             stock.idle += is_idle(worker, time) ? 1 : 0;
+            stock.filled += std::min(1.0, dominant_share(state.used, state.entry.capacity));
         }
     }
     return stock;
@@ -63,87 +71,120 @@
     return workers == 0 ? 1 : static_cast<double>(labelled) / static_cast<double>(workers);
 }
 
-/// Returns a waiting step as one that starves for workers, none if it waits for something else.
-std::optional<starved_step> workflow_state::as_starved(const ready_step& step,
-                                                       time_point time) const
+waiting_step workflow_state::as_waiting(const ready_step& step, time_point time) const
 {
     const auto& record = step.record();
-    const bool needs_permission = step.job->terms.permission.has_value();
-    const bool waits_for_answer = needs_permission && !record.permission.has_answer();
-    if (record.waits_since == time_point{} || record.not_before > time || waits_for_answer) {
-        return std::nullopt;
-    }
-    const double permitted = needs_permission ? record.permission.permitted_share() : 1;
-    return starved_step{
-        .service = step.job->terms.service,
-        .tasks = record.waiting(),
-        .tasks_per_worker = detail::fits_in(step.spec(), fleet_.at(0).entry.capacity),
-        .eligible_share = std::max(min_eligible_share, permitted * labelled_share(step, time)),
-        .gang = step.spec().gang,
-        .accepted = step.job->accepted,
-        .waits = time - record.waits_since};
+    const bool has_share = step.job->terms.permission && record.permission.has_answer();
+    const double permitted = has_share ? record.permission.permitted_share() : 1;
+    return {.tasks = record.waiting(),
+            .tasks_per_worker = detail::fits_in(step.spec(), fleet_.at(0).entry.capacity),
+            .eligible_share = std::max(min_eligible_share, permitted * labelled_share(step, time)),
+            .gang = step.spec().gang};
 }
 
-std::vector<starved_step> workflow_state::starved_steps(time_point time)
+/// Returns the demand for workers of one service.
+worker_demand workflow_state::demand_for(const std::string& service, const worker_stock& stock,
+                                         time_point time)
 {
-    std::vector<starved_step> steps;
-    if (fleet_.size() == 0) {
-        return steps;
-    }
+    std::vector<waiting_step> steps;
     for (const auto& entry : ready_.in_order()) {
         ++counts_.examined;
-        if (const auto step = as_starved(entry.step, time)) {
-            steps.push_back(*step);
+        const auto& record = entry.step.record();
+        const bool has_waited =
+            record.waits_since != time_point{} && time - record.waits_since >= min_wait;
+        if (has_waited && entry.step.job->terms.service == service) {
+            steps.push_back(as_waiting(entry.step, time));
         }
     }
-    return steps;
+    return demand_of(stock, steps, lending_limits_);
 }
 
 std::optional<worker_request> workflow_state::find_worker_request(time_point time)
 {
-    if (lending_limits_.shards <= 1 || !store_available_) {
+    const auto& steps = ready_.in_order();
+    if (lending_limits_.shards <= 1 || !store_available_ || fleet_.size() == 0 || steps.empty()) {
         return std::nullopt;
     }
-    auto steps = starved_steps(time);
-    if (steps.empty()) {
+    const auto& service = steps.begin()->step.job->terms.service;
+    const auto stock = stock_of(service, time);
+    const auto demand = demand_for(service, stock, time);
+    if (!needs_workers(demand, stock)) {
         return std::nullopt;
     }
-    const auto oldest = std::ranges::min_element(steps, {}, &starved_step::accepted);
-    const auto service = oldest->service;
-    std::erase_if(steps, [&](const starved_step& step) { return step.service != service; });
-    return request_workers(steps, stock_of(service, time), lending_limits_);
+    return worker_request{.shard = lending_limits_.shard,
+                          .service = service,
+                          .workers = stock.workers,
+                          .demand = demand};
 }
 
 std::size_t workflow_state::lend_workers(const worker_request& request, time_point time)
 {
-    if (lending_limits_.shards <= 1 || !store_available_ ||
-        request.shard == lending_limits_.shard) {
+    const bool is_possible = lending_limits_.shards > 1 && store_available_ &&
+                             request.shard != lending_limits_.shard && fleet_.size() > 0;
+    if (!is_possible) {
         return 0;
     }
     const auto stock = stock_of(request.service, time);
-    std::optional<wall_time> own_oldest;
-    for (const auto& step : starved_steps(time)) {
-        const bool competes = step.service == request.service && may_borrow(step, stock);
-        if (competes && (!own_oldest || step.accepted < *own_oldest)) {
-            own_oldest = step.accepted;
-        }
-    }
-    const auto wanted = workers_to_lend(request, stock, own_oldest, lending_limits_);
+    const auto demand = demand_for(request.service, stock, time);
+    const auto decision = decide_lending(request, demand, stock, lending_limits_);
     std::size_t lent = 0;
-    for (std::size_t worker = 0; worker < fleet_.size() && lent < wanted; ++worker) {
-        if (fleet_.at(worker).entry.service == request.service && can_release(worker, time)) {
+    for (std::size_t worker = 0; worker < fleet_.size() && lent < decision.idle; ++worker) {
+        const auto& state = fleet_.at(worker);
+        if (state.entry.service == request.service && state.is_usable(time) &&
+            can_release(worker, time)) {
             release_worker(worker, request.shard);
             ++lent;
         }
     }
-    if (lent > 0) {
-        log_decision("workers_lent", "", "to shard " + std::to_string(request.shard),
-                     {{"workers", static_cast<std::int64_t>(lent)},
-                      {"wanted", static_cast<std::int64_t>(request.workers)}});
+    const auto drained = drain_workers(request, decision.drain, time);
+    if (lent + drained > 0) {
+        log_decision(
+            "workers_lent", "", "to shard " + std::to_string(request.shard),
+            {{"workers", static_cast<std::int64_t>(lent)},
+             {"draining", static_cast<std::int64_t>(drained)},
+             {"own_workers", static_cast<std::int64_t>(stock.workers)},
+             {"own_demand", static_cast<std::int64_t>(demand.total)},
+             {"their_workers", static_cast<std::int64_t>(request.workers)},
+             {"their_demand", static_cast<std::int64_t>(request.demand.total)},
+             {"their_widest_gang", static_cast<std::int64_t>(request.demand.widest_gang)}});
     }
     return lent;
 }
 
+/// Starts to drain those workers that have the least to do, and returns their number.
+std::size_t workflow_state::drain_workers(const worker_request& request, std::size_t count,
+                                          time_point time)
+{
+    std::vector<std::pair<double, std::size_t>> candidates;
+    std::size_t draining = 0;
+    for (std::size_t worker = 0; worker < fleet_.size(); ++worker) {
+        const auto& state = fleet_.at(worker);
+        draining += state.drain_until > time ? 1 : 0;
+        if (state.entry.service == request.service && state.is_usable(time) &&
+            gang_reservations_.on_worker(worker) == nullptr) {
+            candidates.emplace_back(dominant_share(state.used, state.entry.capacity), worker);
+        }
+    }
+    std::ranges::sort(candidates);
+    const auto more = std::min(count - std::min(count, draining), candidates.size());
+    for (std::size_t index = 0; index < more; ++index) {
+        auto& state = fleet_.at(candidates[index].second);
+        state.drain_until = time + max_drain_time;
+        state.drains_for = request.shard;
+    }
+    return more;
+}
+
+/// Releases the drained workers that have become idle.
+void workflow_state::release_drained(time_point time)
+{
+    for (std::size_t worker = 0; worker < fleet_.size(); ++worker) {
+        if (fleet_.at(worker).drain_until > time && can_release(worker, time) && store_available_) {
+            release_worker(worker, fleet_.at(worker).drains_for);
+        }
+    }
+}
+
 /// Ends the use of a worker by this owner. The other shard's owner gets a higher fencing token for
 /// it than any owner of this shard had.
 void workflow_state::release_worker(std::size_t worker, std::size_t shard)
@@ -153,6 +194,7 @@
     state.listed = false;
     state.reported = false;
     state.lease_stored = false;
+    state.drain_until = {};
     state.ruled_out.clear();
     leased_workers_.erase(worker);
     leased_workers_changed_ = true;
--- a/flamingoseam/workflow/workflow_maintenance.cpp
+++ b/flamingoseam/workflow/workflow_maintenance.cpp
@@ -53,6 +53,7 @@
         stop_stalled_runs(time);
         remove_idle_leaving_workers();
         withdraw_requests();
+        release_drained(time);
     }
     run_pass(time);
     record_waiting_work(time);
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -78,12 +78,13 @@
     /// Sets the own shard and the sizes of the cell, which limit the lending of workers.
     void set_lending_limits(const lending_limits& limits) { lending_limits_ = limits; }
 
-    /// Returns a request for workers of other shards, or none if no work waits for them.
+    /// Returns a request for workers of other shards, or none if the own ones suffice.
     /// Complexity: linear in the workers and the waiting steps.
     [[nodiscard]] std::optional<worker_request> find_worker_request(time_point time);
 
-    /// Gives idle workers to another shard and returns their number. The owner of that shard may
-    /// use them once the assignments are stored. Complexity: linear in the workers.
+    /// Decides on a request of another shard for workers. Returns how many it gets at once; more
+    /// may follow when they are idle. The other owner may use a worker once its assignment is
+    /// stored. Complexity: linear in the workers and the waiting steps.
     std::size_t lend_workers(const worker_request& request, time_point time);
 
     /// Records that the platform confirmed at `time` that the list of workers was current.
@@ -344,9 +345,11 @@
     [[nodiscard]] bool can_release(std::size_t worker, time_point time) const;
     void release_worker(std::size_t worker, std::size_t shard);
     [[nodiscard]] double labelled_share(const ready_step& step, time_point time) const;
-    [[nodiscard]] std::optional<starved_step> as_starved(const ready_step& step,
-                                                         time_point time) const;
-    std::vector<starved_step> starved_steps(time_point time);
+    [[nodiscard]] waiting_step as_waiting(const ready_step& step, time_point time) const;
+    worker_demand demand_for(const std::string& service, const worker_stock& stock,
+                             time_point time);
+    std::size_t drain_workers(const worker_request& request, std::size_t count, time_point time);
+    void release_drained(time_point time);
     void add_removals(std::size_t max_records, record_batch& batch);
 
     workflow_options options_;
