Count obsolete work apart, and let gangs choose among more workers

A lost gang knew 30 permitted workers and needed 25 of them empty.

Change: obsolete work is not part of the demand; it gets the idle workers that others don't need. A gang asks about more workers until it is permitted on twice the workers it needs. Reservations grow with the fleet, one for 40 workers. Wide shards call the permission service through twice as many nodes. Waiting longer at idle workers was tried and not taken: few are idle when the owner is at its limit.

--- a/flamingoseam/node/coordinator.capnp
+++ b/flamingoseam/node/coordinator.capnp
@@ -69,6 +69,6 @@
   confirmOwnerGone @6 (epoch :UInt64) -> (gone :Bool);
   # Asks the owner of a shard for workers of a service; see worker_request in workflow/worker_lending.hpp.
   # Returns how many it gives at once.
-  lendWorkers @7 (shard :UInt32, service :Text, workers :UInt32, demand :Float64, widestGang :Float64)
+  lendWorkers @7 (shard :UInt32, service :Text, workers :UInt32, demand :Float64, desired :Float64)
       -> (workers :UInt32);
 }
--- a/flamingoseam/node/coordinator.capnp.c++
+++ b/flamingoseam/node/coordinator.capnp.c++
@@ -1605,7 +1605,7 @@
   0, 1, i_919c1fd5283a2448, nullptr, nullptr, { &s_919c1fd5283a2448, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<98> b_cb0a781c3d734036 = {
+static const ::capnp::_::AlignedData<97> b_cb0a781c3d734036 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      54,  64, 115,  61,  28, 120,  10, 203,
      48,   0,   0,   0,   1,   0,   3,   0,
@@ -1659,10 +1659,10 @@
       4,   0,   0,   0,   2,   0,   0,   0,
       0,   0,   1,   0,   4,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    141,   0,   0,   0,  90,   0,   0,   0,
+    141,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    140,   0,   0,   0,   3,   0,   1,   0,
-    152,   0,   0,   0,   2,   0,   1,   0,
+    136,   0,   0,   0,   3,   0,   1,   0,
+    148,   0,   0,   0,   2,   0,   1,   0,
     115, 104,  97, 114, 100,   0,   0,   0,
       8,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -1695,8 +1695,7 @@
      11,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    119, 105, 100, 101, 115, 116,  71,  97,
-    110, 103,   0,   0,   0,   0,   0,   0,
+    100, 101, 115, 105, 114, 101, 100,   0,
      11,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -1707,10 +1706,10 @@
 };
 ::capnp::word const* const bp_cb0a781c3d734036 = b_cb0a781c3d734036.words;
 #if !CAPNP_LITE
-static const uint16_t m_cb0a781c3d734036[] = {3, 1, 0, 4, 2};
+static const uint16_t m_cb0a781c3d734036[] = {3, 4, 1, 0, 2};
 static const uint16_t i_cb0a781c3d734036[] = {0, 1, 2, 3, 4};
 const ::capnp::_::RawSchema s_cb0a781c3d734036 = {
-  0xcb0a781c3d734036, b_cb0a781c3d734036.words, 98, nullptr, m_cb0a781c3d734036,
+  0xcb0a781c3d734036, b_cb0a781c3d734036.words, 97, nullptr, m_cb0a781c3d734036,
   0, 5, i_cb0a781c3d734036, nullptr, nullptr, { &s_cb0a781c3d734036, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
--- a/flamingoseam/node/coordinator.capnp.h
+++ b/flamingoseam/node/coordinator.capnp.h
@@ -2266,7 +2266,7 @@
 
   inline double getDemand() const;
 
-  inline double getWidestGang() const;
+  inline double getDesired() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2312,8 +2312,8 @@
   inline double getDemand();
   inline void setDemand(double value);
 
-  inline double getWidestGang();
-  inline void setWidestGang(double value);
+  inline double getDesired();
+  inline void setDesired(double value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3799,16 +3799,16 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline double Coordinator::LendWorkersParams::Reader::getWidestGang() const {
+inline double Coordinator::LendWorkersParams::Reader::getDesired() const {
   return _reader.getDataField<double>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline double Coordinator::LendWorkersParams::Builder::getWidestGang() {
+inline double Coordinator::LendWorkersParams::Builder::getDesired() {
   return _builder.getDataField<double>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Coordinator::LendWorkersParams::Builder::setWidestGang(double value) {
+inline void Coordinator::LendWorkersParams::Builder::setDesired(double value) {
   _builder.setDataField<double>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
--- a/flamingoseam/node/coordinator_rpc.cpp
+++ b/flamingoseam/node/coordinator_rpc.cpp
@@ -201,7 +201,7 @@
             .shard = params.getShard(),
             .service = params.getService().cStr(),
             .workers = params.getWorkers(),
-            .demand = {.total = params.getDemand(), .widest_gang = params.getWidestGang()}};
+            .demand = {.total = params.getDemand(), .desired = params.getDesired()}};
         return detail::promise_of<std::size_t>(
                    [&](auto reply) { service_.lend_workers(request, reply); })
             .then([context](std::size_t lent) mutable {
@@ -379,7 +379,7 @@
             message.setService(request.service);
             message.setWorkers(static_cast<std::uint32_t>(request.workers));
             message.setDemand(request.demand.total);
-            message.setWidestGang(request.demand.widest_gang);
+            message.setDesired(request.demand.desired);
             return message.send().then(
                 [](auto response) -> std::size_t { return response.getWorkers(); });
         },
--- a/flamingoseam/node/coordinator_rpc_test.cpp
+++ b/flamingoseam/node/coordinator_rpc_test.cpp
@@ -74,12 +74,12 @@
     coordinator_server server(own_address(), service);
     coordinator_client client;
     const workflow::worker_request request{
-        .shard = 2, .service = "s", .workers = 31, .demand = {.total = 40.5, .widest_gang = 90}};
+        .shard = 2, .service = "s", .workers = 31, .demand = {.total = 40.5, .desired = 90}};
 
     CHECK(client.lend_workers(own_address(), request, milliseconds(2'000)) == 7);
     CHECK(service.last_worker_request.shard == 2);
     CHECK(service.last_worker_request.service == "s");
     CHECK(service.last_worker_request.workers == 31);
     CHECK(service.last_worker_request.demand.total == 40.5);
-    CHECK(service.last_worker_request.demand.widest_gang == 90);
+    CHECK(service.last_worker_request.demand.desired == 90);
 }
--- a/flamingoseam/node/node.cpp
+++ b/flamingoseam/node/node.cpp
@@ -249,7 +249,7 @@
     }
     std::size_t position = 0;
     for (const auto& [name, other] : view.members) {
-        const bool is_of_shard = position++ % options_.shard.count == options_.shard.index;
+        const bool is_of_shard = serves_shard(position++, options_.shard);
         if (is_of_shard && (names.empty() || name != names.front())) {
             names.push_back(name);
         }
--- a/flamingoseam/node/shard.cpp
+++ b/flamingoseam/node/shard.cpp
@@ -47,6 +47,17 @@
     return has_wide_gang(job) ? wide_shard_of(job.id, count) : other_shard_of(job.id, count);
 }
 
+bool serves_shard(std::size_t position, const shard_identity& shard)
+{
+    if (shard.count <= 1) {
+        return true;
+    }
+    const auto wide = wide_shards(shard.count);
+    const auto turn = position % (shard.count + wide);
+    const bool is_second_turn = turn >= shard.count;
+    return shard.index == (is_second_turn ? turn - shard.count : turn);
+}
+
 std::vector<std::size_t> possible_shards(const std::string& job, std::size_t count)
 {
     if (count <= 1) {
--- a/flamingoseam/node/shard.hpp
+++ b/flamingoseam/node/shard.hpp
@@ -33,6 +33,11 @@
 /// steps.
 std::size_t shard_of(const workflow::job_spec& job, std::size_t count);
 
+/// Checks whether the node at a position in the list of members calls the permission service for a
+/// shard. Each node calls it for one shard; those with wide gangs have twice as many, since a wide
+/// gang asks about many workers. Complexity: constant.
+bool serves_shard(std::size_t position, const shard_identity& shard);
+
 /// Returns the indices of the shards to which a job with this id may belong.
 std::vector<std::size_t> possible_shards(const std::string& job, std::size_t count);
 
--- a/flamingoseam/node/shard_test.cpp
+++ b/flamingoseam/node/shard_test.cpp
@@ -309,3 +309,21 @@
     CHECK(shard_of(job("a", 100, true), 1) == 0);
     CHECK(possible_shards("a", 1) == std::vector<std::size_t>{0});
 }
+
+TEST_CASE("each node calls the permission service for one shard, and all shards have such nodes")
+{
+    const std::size_t count = 4;
+    std::vector<int> nodes(count, 0);
+    for (std::size_t position = 0; position < 97; ++position) {
+        int served = 0;
+        for (std::size_t index = 0; index < count; ++index) {
+            if (serves_shard(position, {.index = index, .count = count})) {
+                ++served;
+                ++nodes[index];
+            }
+        }
+        CHECK(served == 1);
+    }
+    CHECK(nodes == std::vector<int>{39, 20, 19, 19});
+    CHECK(serves_shard(5, {}));
+}
--- a/flamingoseam/workflow/gang_reservations.hpp
+++ b/flamingoseam/workflow/gang_reservations.hpp
@@ -3,6 +3,7 @@
 #include "flamingoseam/workflow/fleet.hpp"
 #include "flamingoseam/workflow/work_order.hpp"
 
+#include <algorithm>
 #include <functional>
 #include <optional>
 #include <set>
@@ -38,8 +39,6 @@
 /// The active reservations; no worker belongs to more than one.
 class gang_reservations {
 public:
-    static constexpr std::size_t max_reservations = 4;
-
     /// Returns the reservation of a worker, or null if there is none. Complexity: linear in the
     /// number of reservations.
     [[nodiscard]] const gang_reservation* on_worker(std::size_t worker) const;
@@ -53,9 +52,18 @@
     void add(gang_reservation reservation);
     void drop(const std::string& job, int step);
     void drop_expired(time_point time);
-    [[nodiscard]] bool is_full() const { return reservations_.size() >= max_reservations; }
+
+    /// Checks whether there are as many reservations as a fleet of this size may have. Complexity:
+    /// constant.
+    [[nodiscard]] bool is_full(std::size_t workers) const
+    {
+        return reservations_.size() >= std::max(min_limit, workers / workers_per_reservation);
+    }
 
 private:
+    static constexpr std::size_t min_limit = 4;
+    static constexpr std::size_t workers_per_reservation = 40;
+
     template <typename Condition> void drop_if(const Condition& condition);
 
     std::vector<gang_reservation> reservations_;
--- a/flamingoseam/workflow/worker_lending.cpp
+++ b/flamingoseam/workflow/worker_lending.cpp
@@ -19,7 +19,7 @@
 constexpr double min_lent_share = 0.05;
 /// Share of its workers that may be drained at a time, as they serve nobody meanwhile.
 constexpr double max_drained_share = 0.04;
-/// For a wide gang, a shard gives away what exceeds its own demand times this.
+/// For work beyond the demand, a shard gives away what exceeds its own demand times this.
 constexpr double own_demand_allowance = 1.25;
 
 /// Returns how many workers are needed so that a step fits on the eligible ones among them,
@@ -55,24 +55,26 @@
 worker_demand demand_of(const worker_stock& own, const std::vector<waiting_step>& steps,
                         const lending_limits& limits)
 {
-    worker_demand demand{.total = own.filled};
+    worker_demand demand{.total = own.filled, .desired = own.filled};
+    double widest_gang = 0;
     for (const auto& step : steps) {
         const double needed = workers_needed(step);
         if (needed > static_cast<double>(limits.cell_workers)) {
             continue;
         }
-        demand.total += static_cast<double>(step.tasks) / step.tasks_per_worker;
-        if (step.gang) {
-            demand.widest_gang = std::max(demand.widest_gang, needed);
-        }
+        const double filled = static_cast<double>(step.tasks) / step.tasks_per_worker;
+        demand.total += step.is_obsolete ? 0 : filled;
+        demand.desired += filled;
+        widest_gang = std::max(widest_gang, step.gang ? needed : 0);
     }
+    demand.desired = std::max(demand.desired, widest_gang);
     return demand;
 }
 
 bool needs_workers(const worker_demand& demand, const worker_stock& own)
 {
     const auto workers = static_cast<double>(own.workers);
-    return demand.total > min_load * workers || demand.widest_gang > workers;
+    return demand.total > min_load * workers || demand.desired > workers;
 }
 
 lending_decision decide_lending(const worker_request& request, const worker_demand& own_demand,
@@ -88,11 +90,11 @@
     if (balanced < std::max(1.0, min_lent_share * workers)) {
         balanced = 0;
     }
-    const double missing = request.demand.widest_gang - static_cast<double>(request.workers);
+    const double missing = request.demand.desired - static_cast<double>(request.workers);
     const double surplus = workers - std::ceil(own_demand_allowance * own_demand.total);
-    const double for_gang = std::min({missing, surplus, most});
+    const double beyond_demand = std::min({missing, surplus, most});
 
-    const auto wanted = whole_workers(std::max(balanced, for_gang));
+    const auto wanted = whole_workers(std::max(balanced, beyond_demand));
     const auto idle = std::min(wanted, own.idle);
     const auto undrained = whole_workers(balanced) - std::min(whole_workers(balanced), idle);
     const auto max_drained = whole_workers(std::ceil(max_drained_share * workers));
--- a/flamingoseam/workflow/worker_lending.hpp
+++ b/flamingoseam/workflow/worker_lending.hpp
@@ -10,10 +10,10 @@
 
 /// The work of a shard, in workers that it would fill.
 struct worker_demand {
-    double total = 0; ///< Of the running and the waiting work.
-    /// Number of workers among which the widest waiting gang certainly finds enough eligible ones;
-    /// 0 if no gang waits.
-    double widest_gang = 0;
+    double total = 0; ///< Of the running work, and of the waiting work that is still of use.
+    /// Number of workers with which all waiting work can run: also the work that is too late to be
+    /// of use, and the widest gang, which needs many workers to find enough eligible ones.
+    double desired = 0;
 };
 
 /// A request for workers of other shards. It tells the demand of the shard that asks, so that the
@@ -31,6 +31,7 @@
     int tasks_per_worker = 0;  ///< Tasks that fit on an empty worker.
     double eligible_share = 1; ///< Share of the workers that may run the step.
     bool gang = false;         ///< All tasks must run at the same time.
+    bool is_obsolete = false;  ///< Its result comes too late to be of use.
 };
 
 /// The workers of a shard that run one service.
@@ -64,8 +65,8 @@
 };
 
 /// Decides on a request of another shard. Workers are divided in proportion to the demands of the
-/// two shards; for a gang wider than the shard that asks, idle workers that the own work does not
-/// need are added. Complexity: constant.
+/// two shards. For work beyond the demand, the shard gets idle workers that the own work does not
+/// need. Complexity: constant.
 lending_decision decide_lending(const worker_request& request, const worker_demand& own_demand,
                                 const worker_stock& own, const lending_limits& limits);
 
--- a/flamingoseam/workflow/worker_lending_test.cpp
+++ b/flamingoseam/workflow/worker_lending_test.cpp
@@ -30,14 +30,14 @@
     {
         const auto demand = demand_of(own, {}, limits);
         CHECK(demand.total == 30.5);
-        CHECK(demand.widest_gang == 0);
+        CHECK(demand.desired == 30.5);
         CHECK_FALSE(needs_workers(demand, own));
     }
     SECTION("a gang needs so many workers that enough of them are eligible")
     {
         const auto demand = demand_of(own, {wide_gang(120), wide_gang(20)}, limits);
         CHECK(demand.total == 170.5);
-        CHECK(demand.widest_gang == 400);
+        CHECK(demand.desired == 400);
         CHECK(needs_workers(demand, own));
     }
     SECTION("tasks that need not run at once count by their room only")
@@ -45,7 +45,15 @@
         const auto demand =
             demand_of(own, {{.tasks = 30, .tasks_per_worker = 4, .eligible_share = 0.3}}, limits);
         CHECK(demand.total == 38);
-        CHECK(demand.widest_gang == 0);
+        CHECK(demand.desired == 38);
+    }
+    SECTION("work that is too late to be of use is desired, but no demand")
+    {
+        auto late = wide_gang(20);
+        late.is_obsolete = true;
+        const auto demand = demand_of(own, {late, wide_gang(2)}, limits);
+        CHECK(demand.total == 32.5);
+        CHECK(demand.desired == 67);
     }
     SECTION("steps that fit on no worker, or not on all of them, are left out")
     {
@@ -53,15 +61,15 @@
         oversized.tasks_per_worker = 0;
         const auto demand = demand_of(own, {oversized, wide_gang(200)}, limits);
         CHECK(demand.total == 30.5);
-        CHECK(demand.widest_gang == 0);
+        CHECK(demand.desired == 30.5);
     }
 }
 
 TEST_CASE("workers are divided in proportion to the demands of the shards")
 {
     worker_request request{
-        .shard = 0, .service = "s", .workers = 135, .demand = {.total = 200, .widest_gang = 0}};
-    const worker_demand low{.total = 60, .widest_gang = 0};
+        .shard = 0, .service = "s", .workers = 135, .demand = {.total = 200, .desired = 200}};
+    const worker_demand low{.total = 60, .desired = 60};
     const auto lend = [&](const worker_demand& own_demand, const worker_stock& own) {
         return decide_lending(request, own_demand, own, limits);
     };
@@ -83,7 +91,7 @@
     }
     SECTION("a shard keeps a quarter of an equal share, whatever the demands are")
     {
-        request.demand.total = 10'000;
+        request.demand = {.total = 10'000, .desired = 10'000};
         CHECK(lend({}, {.workers = 40, .idle = 40}).idle == 6);
         CHECK(lend({}, {.workers = 34, .idle = 34}) == lending_decision{});
         CHECK(lend({}, {.workers = 20, .idle = 20}) == lending_decision{});
@@ -95,10 +103,11 @@
     }
 }
 
-TEST_CASE("a gang that is wider than its shard gets the idle workers that others do not need")
+TEST_CASE("work beyond the demand, such as a gang wider than its shard, gets the idle workers that "
+          "others do not need")
 {
     const worker_request request{
-        .shard = 0, .service = "s", .workers = 135, .demand = {.total = 60, .widest_gang = 400}};
+        .shard = 0, .service = "s", .workers = 135, .demand = {.total = 60, .desired = 400}};
     const auto lend = [&](double own_demand, std::size_t idle) {
         return decide_lending(request, {.total = own_demand}, {.workers = 135, .idle = idle},
                               limits);
@@ -329,5 +338,5 @@
     REQUIRE(request);
     CHECK(request->shard == 0);
     CHECK(request->workers == 3);
-    CHECK(request->demand.widest_gang == 5);
+    CHECK(request->demand.desired == 5);
 }
--- a/flamingoseam/workflow/workflow_gangs.cpp
+++ b/flamingoseam/workflow/workflow_gangs.cpp
@@ -118,7 +118,7 @@
     const auto& permission = step.record().permission;
     const bool needs_permission = step.job->terms.permission.has_value();
     if (reservation == nullptr) {
-        if (gang_reservations_.is_full()) {
+        if (gang_reservations_.is_full(fleet_.size())) {
             return;
         }
         auto& record = step.record();
--- a/flamingoseam/workflow/workflow_lending.cpp
+++ b/flamingoseam/workflow/workflow_lending.cpp
@@ -79,7 +79,8 @@
     return {.tasks = record.waiting(),
             .tasks_per_worker = detail::fits_in(step.spec(), fleet_.at(0).entry.capacity),
             .eligible_share = std::max(min_eligible_share, permitted * labelled_share(step, time)),
-            .gang = step.spec().gang};
+            .gang = step.spec().gang,
+            .is_obsolete = lateness_of(*step.job, time) == lateness::obsolete};
 }
 
 /// Returns the demand for workers of one service.
@@ -138,15 +139,14 @@
     }
     const auto drained = drain_workers(request, decision.drain, time);
     if (lent + drained > 0) {
-        log_decision(
-            "workers_lent", "", "to shard " + std::to_string(request.shard),
-            {{"workers", static_cast<std::int64_t>(lent)},
-             {"draining", static_cast<std::int64_t>(drained)},
-             {"own_workers", static_cast<std::int64_t>(stock.workers)},
-             {"own_demand", static_cast<std::int64_t>(demand.total)},
-             {"their_workers", static_cast<std::int64_t>(request.workers)},
-             {"their_demand", static_cast<std::int64_t>(request.demand.total)},
-             {"their_widest_gang", static_cast<std::int64_t>(request.demand.widest_gang)}});
+        log_decision("workers_lent", "", "to shard " + std::to_string(request.shard),
+                     {{"workers", static_cast<std::int64_t>(lent)},
+                      {"draining", static_cast<std::int64_t>(drained)},
+                      {"own_workers", static_cast<std::int64_t>(stock.workers)},
+                      {"own_demand", static_cast<std::int64_t>(demand.total)},
+                      {"their_workers", static_cast<std::int64_t>(request.workers)},
+                      {"their_demand", static_cast<std::int64_t>(request.demand.total)},
+                      {"their_desired", static_cast<std::int64_t>(request.demand.desired)}});
     }
     return lent;
 }
--- a/flamingoseam/workflow/workflow_search.cpp
+++ b/flamingoseam/workflow/workflow_search.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+/// A gang asks about more workers until it is permitted on so many times the workers it needs,
+/// since others occupy part of them.
+constexpr int gang_choice = 2;
 constexpr double min_workers_per_request = 16;
 constexpr double requested_per_needed_worker = 8;
 constexpr milliseconds min_search_pause{400};
@@ -81,7 +84,7 @@
     const auto capacity = permitted_capacity(step, time);
     const int waiting = step.record().waiting();
     const bool gang = step.spec().gang;
-    const bool needs_capacity = capacity.when_empty >= (gang ? waiting : 1);
+    const bool needs_capacity = capacity.when_empty >= (gang ? gang_choice * waiting : 1);
     const auto pool = fleet_.find_pool(step.job->terms.service);
     if (!pool || (needs_capacity && !free_capacity_.may_fit(*pool, step.spec().size))) {
         return {};
