--- a/flamingoseam/node/shard.cpp
+++ b/flamingoseam/node/shard.cpp
@@ -19,22 +19,36 @@
     });
 }
 
+/// Returns a shard for a number, such that equally distributed numbers give each wide shard twice
+/// as much as each of the others.
+std::size_t shard_at(std::uint64_t number, std::size_t count)
+{
+    const auto turn = static_cast<std::size_t>(number % (count + wide_shards(count)));
+    return turn < count ? turn : turn - count;
+}
+
+/// Returns one of `count` shards by a job's id.
+std::size_t shard_by_hash(const std::string& job, std::size_t count)
+{
+    return static_cast<std::size_t>(short_hash(job) % count);
+}
+
 std::size_t wide_shard_of(const std::string& job, std::size_t count)
 {
-    return shard_of_worker(job, wide_shards(count));
+    return shard_by_hash(job, wide_shards(count));
 }
 
 std::size_t other_shard_of(const std::string& job, std::size_t count)
 {
     const auto wide = wide_shards(count);
-    return count <= 1 ? 0 : wide + shard_of_worker(job, count - wide);
+    return count <= 1 ? 0 : wide + shard_by_hash(job, count - wide);
 }
 
 } // namespace
 
 std::size_t shard_of_worker(const std::string& id, std::size_t count)
 {
-    return count <= 1 ? 0 : static_cast<std::size_t>(short_hash(id) % count);
+    return count <= 1 ? 0 : shard_at(short_hash(id), count);
 }
 
 std::size_t wide_shards(std::size_t count)
@@ -49,13 +63,7 @@
 
 bool serves_shard(std::size_t position, const shard_identity& shard)
 {
-    if (shard.count <= 1) {
-        return true;
-    }
-    const auto wide = wide_shards(shard.count);
-    const auto turn = position % (shard.count + wide);
-    const bool is_second_turn = turn >= shard.count;
-    return shard.index == (is_second_turn ? turn - shard.count : turn);
+    return shard.count <= 1 || shard_at(position, shard.count) == shard.index;
 }
 
 std::vector<std::size_t> possible_shards(const std::string& job, std::size_t count)
--- a/flamingoseam/node/shard.hpp
+++ b/flamingoseam/node/shard.hpp
@@ -22,7 +22,8 @@
 };
 
 /// Returns the index of the shard to which the worker with this id belongs if it was never
-/// transferred. Complexity: linear in the id.
+/// transferred. Shards with wide gangs get twice as many workers as the others. Complexity: linear
+/// in the id.
 std::size_t shard_of_worker(const std::string& id, std::size_t count);
 
 /// Returns how many shards of a cell have the jobs with wide gangs. These are the first ones. Wide
--- a/flamingoseam/workflow/worker_lending.cpp
+++ b/flamingoseam/workflow/worker_lending.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 /// A shard that uses less of its workers than this does not ask for more.
-constexpr double min_load = 0.6;
+constexpr double min_load = 0.75;
 /// A shard keeps at least this share of an equal share of the workers, so that it can start urgent
 /// work at once.
 constexpr double min_kept_share = 0.25;
