--- a/flamingoseam/workflow/gang_reservations.hpp
+++ b/flamingoseam/workflow/gang_reservations.hpp
@@ -66,7 +66,7 @@
 
 private:
     static constexpr std::size_t min_limit = 4;
-    static constexpr std::size_t workers_per_reservation = 40;
+    static constexpr std::size_t workers_per_reservation = 80;
 
     template <typename Condition> void drop_if(const Condition& condition);
 
