Refuse gangs while the waiting ones need all workers

Gangs weren't counted among the waiting work. Now a job with a gang is refused at once, with a Retry-After of 2 s and more, while the gangs that wait, also the late ones, need as many empty workers as there are. Not measured yet.

--- a/flamingoseam/workflow/admission_test.cpp
+++ b/flamingoseam/workflow/admission_test.cpp
@@ -112,3 +112,47 @@
     decisions.record_refused("a", later);
     CHECK(decisions.first_submission("a", later + milliseconds(1'000)) == later);
 }
+
+TEST_CASE("a gang is refused while the waiting gangs need all workers")
+{
+    admission control;
+    const time_point time{std::chrono::hours(1)};
+    const admission_request gang{.service = "s",
+                                 .priority = 1,
+                                 .work = {.tasks = 20, .processor_seconds = 80},
+                                 .slack = milliseconds(5'000),
+                                 .late_slack = milliseconds(20'000),
+                                 .gang_workers = 20};
+    auto other = gang;
+    other.gang_workers = 0;
+
+    SECTION("gangs are accepted up to the number of workers")
+    {
+        control.record_gangs("s", 60, 100);
+        CHECK(control.decide(gang, time).is_accepted);
+        CHECK(control.decide(gang, time).is_accepted);
+        const auto refused = control.decide(gang, time);
+        CHECK_FALSE(refused.is_accepted);
+        CHECK(refused.retry_after >= milliseconds(2'000));
+    }
+    SECTION("callers that are refused together return one after the other")
+    {
+        control.record_gangs("s", 100, 100);
+        control.record_started("s", 1, {.tasks = 20, .processor_seconds = 80}, false, time);
+        const auto first = control.decide(gang, time);
+        const auto second = control.decide(gang, time);
+        CHECK(second.retry_after > first.retry_after);
+    }
+    SECTION("other work does not wait for them")
+    {
+        control.record_gangs("s", 100, 100);
+        CHECK(control.decide(other, time).is_accepted);
+    }
+    SECTION("a single gang is accepted, however wide it is")
+    {
+        control.record_gangs("s", 0, 10);
+        CHECK(control.decide(gang, time).is_accepted);
+        control.record_gangs("s", 20, 10);
+        CHECK_FALSE(control.decide(gang, time).is_accepted);
+    }
+}
--- a/flamingoseam/workflow/workflow_admission.cpp
+++ b/flamingoseam/workflow/workflow_admission.cpp
@@ -1,5 +1,9 @@
+#include "flamingoseam/workflow/placing.hpp"
 #include "flamingoseam/workflow/workflow_state.hpp"
 
+#include <algorithm>
+#include <cmath>
+
 namespace flamingoseam::workflow {
 
 namespace {
@@ -46,6 +50,7 @@
                                              time_point time)
 {
     auto request = admission_request_of(spec, terms);
+    request.gang_workers = empty_workers_needed(spec);
     const auto since_first = time - admission_.first_submission(spec.id, time);
     const auto elapsed = std::chrono::duration_cast<milliseconds>(since_first) + lead_time();
     request.slack -= elapsed;
@@ -57,6 +62,46 @@
     return decision;
 }
 
+/// Records the empty workers that the waiting gangs of each service need.
+void workflow_state::record_waiting_gangs(time_point time)
+{
+    std::map<std::string, double> needed;
+    for (const auto& [sequence, job] : open_) {
+        for (std::size_t index = 0; index < job->steps.size(); ++index) {
+            const auto& step = job->spec.steps[index];
+            const auto& record = job->steps[index];
+            if (step.gang && record.waiting() > 0 && record.waits_since != time_point{}) {
+                needed[job->terms.service] += empty_workers_needed(step);
+            }
+        }
+    }
+    std::map<std::string, double> workers;
+    for (std::size_t worker = 0; worker < fleet_.size(); ++worker) {
+        const auto& state = fleet_.at(worker);
+        workers[state.entry.service] += state.is_usable(time) ? 1 : 0;
+    }
+    for (const auto& [service, count] : workers) {
+        admission_.record_gangs(service, needed[service], count);
+    }
+}
+
+/// Returns how many empty workers a step fills, 0 if it fits on no worker.
+double workflow_state::empty_workers_needed(const step_spec& step) const
+{
+    const int fits = fleet_.size() == 0 ? 0 : detail::fits_in(step, fleet_.at(0).entry.capacity);
+    return fits == 0 ? 0 : std::ceil(static_cast<double>(step.tasks) / fits);
+}
+
+/// Returns how many empty workers the widest gang of a job needs, 0 if it has none.
+double workflow_state::empty_workers_needed(const job_spec& job) const
+{
+    double most = 0;
+    for (const auto& step : job.steps) {
+        most = std::max(most, step.gang ? empty_workers_needed(step) : 0);
+    }
+    return most;
+}
+
 /// Records the waiting work for the admission. Jobs that are too late to be of use are left out, as
 /// they are scheduled after all others, and so are gangs, as they wait for free capacity that other
 /// work does not need.
@@ -68,6 +113,7 @@
     last_sample_ = time;
     const auto expected_start = time + lead_time();
     admission_.begin_sample(time);
+    record_waiting_gangs(time);
     for (const auto& [sequence, job] : open_) {
         const auto late = lateness_of(*job, expected_start);
         if (late == lateness::obsolete) {
