--- a/flamingoseam/workflow/admission.cpp
+++ b/flamingoseam/workflow/admission.cpp
@@ -253,7 +253,9 @@
     auto& level = pool.levels[request.priority];
     if (!has_room_for_gang(pool, request.gang_workers)) {
         const auto wait = request.late_slack + retry_after_gangs;
-        return {.is_accepted = false, .retry_after = next_retry(pool, request, wait, time)};
+        return {.is_accepted = false,
+                .retry_after = next_retry(pool, request, wait, time),
+                .reason = "gangs_wait"};
     }
     const bool is_measured = pool.first_start && time - *pool.first_start >= min_measured_span;
     if (!is_measured || wait_on_time(pool, request.priority, time) <= request.slack) {
@@ -267,7 +269,9 @@
         pool.gang_workers += request.gang_workers;
         return {};
     }
-    return {.is_accepted = false, .retry_after = next_retry(pool, request, wait, time)};
+    return {.is_accepted = false,
+            .retry_after = next_retry(pool, request, wait, time),
+            .reason = "would_be_too_late"};
 }
 
 } // namespace flamingoseam::workflow
--- a/flamingoseam/workflow/admission.hpp
+++ b/flamingoseam/workflow/admission.hpp
@@ -53,6 +53,7 @@
 struct admission_decision {
     bool is_accepted = true;     ///< False if the job can't be served in time.
     milliseconds retry_after{0}; ///< Delay after which a retry is likely to be accepted.
+    std::string reason = {};     ///< Why the job is refused.
 };
 
 /// Waiting work of one service, priority and lateness.
--- a/flamingoseam/workflow/admission_test.cpp
+++ b/flamingoseam/workflow/admission_test.cpp
@@ -134,6 +134,7 @@
         const auto refused = control.decide(gang, time);
         CHECK_FALSE(refused.is_accepted);
         CHECK(refused.retry_after >= milliseconds(2'000));
+        CHECK(refused.reason == "gangs_wait");
     }
     SECTION("callers that are refused together return one after the other")
     {
--- a/flamingoseam/workflow/workflow_actions.hpp
+++ b/flamingoseam/workflow/workflow_actions.hpp
@@ -70,8 +70,7 @@
     std::int64_t passes = 0; ///< Scheduling passes over all waiting steps.
     std::int64_t stalled_runs = 0;
     std::int64_t preempted_runs = 0;
-    std::int64_t lent_workers = 0; ///< Workers that were given to other shards.
-    std::int64_t examined = 0;     ///< Steps, workers and runs examined to place and stop runs.
+    std::int64_t examined = 0; ///< Steps, workers and runs examined to place and stop runs.
 };
 
 } // namespace flamingoseam::workflow
--- a/flamingoseam/workflow/workflow_jobs.cpp
+++ b/flamingoseam/workflow/workflow_jobs.cpp
@@ -81,7 +81,7 @@
     }
     const auto verdict = may_admit(spec, terms, time);
     if (!verdict.is_accepted) {
-        refuse(token, spec.id, "would_be_too_late", verdict.retry_after);
+        refuse(token, spec.id, verdict.reason, verdict.retry_after);
         return;
     }
     auto job = std::make_unique<job_record>();
--- a/flamingoseam/workflow/workflow_lending.cpp
+++ b/flamingoseam/workflow/workflow_lending.cpp
@@ -200,7 +200,6 @@
     leased_workers_changed_ = true;
     assignments_[state.entry.id] = {.shard = shard, .token_base = state.released_base};
     actions_.released_workers.push_back(worker);
-    ++counts_.lent_workers;
 }
 
 /// Adds assignments to a batch. They follow the leased workers, which must not contain a worker
