--- a/flamingoseam/workflow/admission.cpp
+++ b/flamingoseam/workflow/admission.cpp
@@ -15,9 +15,10 @@
 constexpr milliseconds min_measured_span{500};
 constexpr double backlog_share = 0.5; ///< Minimum share of the waiting tasks that have this age.
 constexpr milliseconds max_wait{60'000};
-/// Most empty workers that waiting gangs may need together, as a share of the workers.
-constexpr double max_waiting_gang_share = 1.0;
-constexpr milliseconds retry_after_gangs{2'000}; ///< Time in which some waiting gangs start.
+/// Most empty workers that gangs which were not started in time may need together, as a share of
+/// the workers. They are still run.
+constexpr double max_obsolete_gang_share = 0.5;
+constexpr milliseconds retry_after_gangs{2'000}; ///< Time in which some of these gangs start.
 constexpr milliseconds min_retry_after{500};
 constexpr milliseconds refusal_retention{30'000};
 constexpr std::size_t max_refusals = 20'000;
@@ -96,20 +97,19 @@
     }
 }
 
-void admission::record_gangs(const std::string& service, double waiting_workers, double workers)
+void admission::record_obsolete_gangs(const std::string& service, double needed_workers,
+                                      double workers)
 {
     auto& pool = pools_[service];
-    pool.gang_workers = waiting_workers;
+    pool.obsolete_gang_workers = needed_workers;
     pool.workers = workers;
 }
 
-/// Checks whether a gang can start in time behind the waiting ones. Gangs need empty workers, and
-/// while these are gathered, a part of the capacity stands idle; so the start rate of other work
-/// says little about them. Accepted gangs are run even if they are too late, so all of them count.
-bool admission::has_room_for_gang(const service_pool& pool, double gang_workers)
+/// Checks whether most gangs start in time. Gangs need empty workers, and while these are gathered,
+/// a part of the capacity stands idle; so the start rate of other work says little about them.
+bool admission::starts_gangs_in_time(const service_pool& pool)
 {
-    return gang_workers == 0 || pool.gang_workers == 0 ||
-           pool.gang_workers + gang_workers <= max_waiting_gang_share * pool.workers;
+    return pool.obsolete_gang_workers <= max_obsolete_gang_share * pool.workers;
 }
 
 void admission::record_waiting(const waiting_work& work)
@@ -251,22 +251,20 @@
 {
     auto& pool = pools_[request.service];
     auto& level = pool.levels[request.priority];
-    if (!has_room_for_gang(pool, request.gang_workers)) {
+    if (request.has_gang && !starts_gangs_in_time(pool)) {
         const auto wait = request.late_slack + retry_after_gangs;
         return {.is_accepted = false,
                 .retry_after = next_retry(pool, request, wait, time),
-                .reason = "gangs_wait"};
+                .reason = "gangs_late"};
     }
     const bool is_measured = pool.first_start && time - *pool.first_start >= min_measured_span;
     if (!is_measured || wait_on_time(pool, request.priority, time) <= request.slack) {
         level.on_time += request.work;
-        pool.gang_workers += request.gang_workers;
         return {};
     }
     const auto wait = wait_late(pool, request.priority, time);
     if (wait <= request.late_slack || !has_backlog(pool)) {
         level.late += request.work;
-        pool.gang_workers += request.gang_workers;
         return {};
     }
     return {.is_accepted = false,
--- a/flamingoseam/workflow/admission.hpp
+++ b/flamingoseam/workflow/admission.hpp
@@ -46,7 +46,7 @@
     work_amount work;
     milliseconds slack{0};      ///< Longest wait after which the job still completes on time.
     milliseconds late_slack{0}; ///< Longest wait after which the result is still of use.
-    double gang_workers = 0; ///< Empty workers that the job's widest gang needs; 0 without gangs.
+    bool has_gang = false;
 };
 
 /// Decision on whether to admit a new job.
@@ -74,9 +74,9 @@
     /// Resets the waiting work before it is recorded again. Must be called several times a second.
     void begin_sample(time_point time);
 
-    /// Records the workers of a service and the empty workers that its waiting gangs need, also
-    /// those that are too late to be of use. Complexity: logarithmic.
-    void record_gangs(const std::string& service, double waiting_workers, double workers);
+    /// Records the workers of a service, and the empty workers that those of its waiting gangs need
+    /// that are too late to be of use. Complexity: logarithmic.
+    void record_obsolete_gangs(const std::string& service, double needed_workers, double workers);
 
     /// Records waiting work. Work that is already too late to be of use must be left out.
     /// Complexity: logarithmic.
@@ -113,8 +113,8 @@
         /// Since then, each sample had late work that waited.
         std::optional<time_point> late_since;
         time_point next_retry{};
-        double gang_workers = 0; ///< Empty workers that the waiting gangs need.
-        double workers = 0;      ///< Workers of the service.
+        double obsolete_gang_workers = 0; ///< Empty workers that obsolete gangs need.
+        double workers = 0;               ///< Workers of the service.
     };
     using meter = start_meter priority_level::*;
 
@@ -125,7 +125,7 @@
     static milliseconds wait_on_time(const service_pool& pool, int priority, time_point time);
     static milliseconds wait_late(const service_pool& pool, int priority, time_point time);
     static bool has_backlog(const service_pool& pool);
-    static bool has_room_for_gang(const service_pool& pool, double gang_workers);
+    static bool starts_gangs_in_time(const service_pool& pool);
     static milliseconds next_retry(service_pool& pool, const admission_request& request,
                                    milliseconds wait, time_point time);
 
--- a/flamingoseam/workflow/workflow_admission.cpp
+++ b/flamingoseam/workflow/workflow_admission.cpp
@@ -50,7 +50,7 @@
                                              time_point time)
 {
     auto request = admission_request_of(spec, terms);
-    request.gang_workers = empty_workers_needed(spec);
+    request.has_gang = std::ranges::any_of(spec.steps, &step_spec::gang);
     const auto since_first = time - admission_.first_submission(spec.id, time);
     const auto elapsed = std::chrono::duration_cast<milliseconds>(since_first) + lead_time();
     request.slack -= elapsed;
@@ -62,11 +62,14 @@
     return decision;
 }
 
-/// Records the empty workers that the waiting gangs of each service need.
-void workflow_state::record_waiting_gangs(time_point time)
+/// Records the empty workers that the obsolete gangs of each service need.
+void workflow_state::record_obsolete_gangs(time_point time)
 {
     std::map<std::string, double> needed;
     for (const auto& [sequence, job] : open_) {
+        if (lateness_of(*job, time) != lateness::obsolete) {
+            continue;
+        }
         for (std::size_t index = 0; index < job->steps.size(); ++index) {
             const auto& step = job->spec.steps[index];
             const auto& record = job->steps[index];
@@ -81,7 +84,7 @@
         workers[state.entry.service] += state.is_usable(time) ? 1 : 0;
     }
     for (const auto& [service, count] : workers) {
-        admission_.record_gangs(service, needed[service], count);
+        admission_.record_obsolete_gangs(service, needed[service], count);
     }
 }
 
@@ -92,16 +95,6 @@
     return fits == 0 ? 0 : std::ceil(static_cast<double>(step.tasks) / fits);
 }
 
-/// Returns how many empty workers the widest gang of a job needs, 0 if it has none.
-double workflow_state::empty_workers_needed(const job_spec& job) const
-{
-    double most = 0;
-    for (const auto& step : job.steps) {
-        most = std::max(most, step.gang ? empty_workers_needed(step) : 0);
-    }
-    return most;
-}
-
 /// Records the waiting work for the admission. Jobs that are too late to be of use are left out, as
 /// they are scheduled after all others, and so are gangs, as they wait for free capacity that other
 /// work does not need.
@@ -113,7 +106,7 @@
     last_sample_ = time;
     const auto expected_start = time + lead_time();
     admission_.begin_sample(time);
-    record_waiting_gangs(time);
+    record_obsolete_gangs(time);
     for (const auto& [sequence, job] : open_) {
         const auto late = lateness_of(*job, expected_start);
         if (late == lateness::obsolete) {
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -308,9 +308,8 @@
     [[nodiscard]] milliseconds lead_time() const;
     admission_decision may_admit(const job_spec& spec, const queue_terms& terms, time_point time);
     void record_waiting_work(time_point time);
-    void record_waiting_gangs(time_point time);
+    void record_obsolete_gangs(time_point time);
     [[nodiscard]] double empty_workers_needed(const step_spec& step) const;
-    [[nodiscard]] double empty_workers_needed(const job_spec& job) const;
     void record_accepted_start(const job_record& job, int step, time_point time);
     bool request_permission(const ready_step& step, std::vector<std::size_t> workers,
                             time_point time);
