--- a/scenarios/platform.lua
+++ b/scenarios/platform.lua
@@ -112,3 +112,17 @@
 function announce_leaving(cell, number)
     request { server = cell.store, path = "/standin/leave?number=" .. number }
 end
+
+-- Returns the node that owns a shard of a cell of two, or nil.
+function owner_of_shard(cell, shard)
+    return owner_of(cell, " of shard " .. shard .. " of 2")
+end
+
+-- Waits until the two shards of a cell have owners on different nodes, and returns these.
+function wait_shard_owners(cell)
+    wait_until("the shards to have different owners", 8000, function()
+        local first, second = owner_of_shard(cell, 0), owner_of_shard(cell, 1)
+        return first and second and first ~= second
+    end)
+    return owner_of_shard(cell, 0), owner_of_shard(cell, 1)
+end
--- a/scenarios/platform_shards.lua
+++ b/scenarios/platform_shards.lua
@@ -4,15 +4,7 @@
 local cell = start_platform(6, 4, { "workers_per_shard = 3\n", "workers_per_shard = 3\n", "workers_per_shard = 3\n",
     "workers_per_shard = 3\n" })
 
-local function owner_of_shard(shard)
-    return owner_of(cell, " of shard " .. shard .. " of 2")
-end
-
-wait_until("the shards to have different owners", 8000, function()
-    local first, second = owner_of_shard(0), owner_of_shard(1)
-    return first and second and first ~= second
-end)
-local first, second = owner_of_shard(0), owner_of_shard(1)
+local first, second = wait_shard_owners(cell)
 local others = {}
 for _, node in ipairs(cell.nodes) do
     if node ~= first then others[#others + 1] = node end
@@ -26,8 +18,8 @@
 end
 signal(first.pid, "KILL")
 wait_exit(first.pid, 2000)
-wait_until("another owner of shard 0", 5000, function() return owner_of_shard(0) ~= first end)
-expect("shard 1 keeps its owner", owner_of_shard(1) == second)
+wait_until("another owner of shard 0", 5000, function() return owner_of_shard(cell, 0) ~= first end)
+expect("shard 1 keeps its owner", owner_of_shard(cell, 1) == second)
 wait_completed(others[1], ids, 20000)
 for number = 61, 70 do
     local code, id = submit(others[number % #others + 1], number, { { count = 2 } }, 100)
