--- a/flamingoseam/workflow/workflow_admission.cpp
+++ b/flamingoseam/workflow/workflow_admission.cpp
@@ -55,7 +55,7 @@
     const auto elapsed = std::chrono::duration_cast<milliseconds>(since_first) + lead_time();
     request.slack -= elapsed;
     request.late_slack -= elapsed;
-    const auto decision = admission_.decide(request, time);
+    auto decision = admission_.decide(request, time);
     if (!decision.is_accepted) {
         admission_.record_refused(spec.id, time);
     }
