Know the capacity of workers after a change of owner

Found while reading: the size of a worker was taken from the first one on record. After a change of owner that may be a worker that has gone, of which no capacity is stored: no step fitted then, the shard had no demand, got no workers, and admission saw no late gangs. The test fails with the old reading.

--- a/flamingoseam/workflow/fleet.cpp
+++ b/flamingoseam/workflow/fleet.cpp
@@ -52,6 +52,12 @@
     return found->second;
 }
 
+resources fleet::worker_capacity() const
+{
+    const auto found = std::ranges::find_if(workers_, &fleet_worker::listed);
+    return found == workers_.end() ? resources{} : found->entry.capacity;
+}
+
 assigned_run& fleet::assign(std::size_t worker, const run_name& name, assigned_run run)
 {
     auto& worker_state = workers_.at(worker);
--- a/flamingoseam/workflow/fleet.hpp
+++ b/flamingoseam/workflow/fleet.hpp
@@ -104,6 +104,11 @@
     [[nodiscard]] fleet_worker& at(std::size_t index) { return workers_.at(index); }
     [[nodiscard]] const fleet_worker& at(std::size_t index) const { return workers_.at(index); }
 
+    /// Returns the capacity of the first worker in the platform's list, none of it if there is no
+    /// such worker. Workers that only an earlier owner has recorded have no known capacity.
+    /// Complexity: linear in the workers that are not listed.
+    [[nodiscard]] resources worker_capacity() const;
+
     /// Assigns a run to a worker and reserves its capacity. An assigned run is left unchanged.
     /// Complexity: logarithmic in the worker's runs.
     assigned_run& assign(std::size_t worker, const run_name& name, assigned_run run);
--- a/flamingoseam/workflow/worker_lending_test.cpp
+++ b/flamingoseam/workflow/worker_lending_test.cpp
@@ -340,3 +340,34 @@
     CHECK(request->workers == 3);
     CHECK(request->demand.desired == 5);
 }
+
+// After a change of owner the first worker on record may be gone, of which no capacity is known.
+// Its shard then had no demand, and its gangs waited for good.
+TEST_CASE("a shard asks for workers although the first worker that its owner knows is gone")
+{
+    lending_state driver;
+    auto gone = driver.worker();
+    gone.id = "gone";
+    gone.capacity = {};
+    gone.leaving = true;
+    workflow_state state({.epoch = 3, .streams = 3});
+    state.load({}, {gone}, driver.time, wall);
+    state.on_emptied(0, emptied_reason::lease_expired, driver.time, wall);
+    state.set_lending_limits({.shard = 0, .shards = 2, .cell_workers = 6});
+    state.on_worker_list(driver.list(), driver.time);
+    for (std::size_t index = 1; index <= 3; ++index) {
+        state.on_report(index, {.incarnation = 1}, driver.time, wall);
+    }
+    auto spec = driver.job("0123456789abcdef", 6'000, 5);
+    spec.steps[0].gang = true;
+    state.submit(1, spec, driver.terms(), driver.time, wall);
+    for (int step = 0; step < 10; ++step) {
+        driver.time += 100ms;
+        state.tick(driver.time);
+        state.take_batch(0, 30, driver.time, wall);
+        state.on_stored(0);
+    }
+    const auto request = state.find_worker_request(driver.time);
+    REQUIRE(request);
+    CHECK(request->demand.desired == 5);
+}
--- a/flamingoseam/workflow/workflow_admission.cpp
+++ b/flamingoseam/workflow/workflow_admission.cpp
@@ -91,7 +91,7 @@
 /// Returns how many empty workers a step fills, 0 if it fits on no worker.
 double workflow_state::empty_workers_needed(const step_spec& step) const
 {
-    const int fits = fleet_.size() == 0 ? 0 : detail::fits_in(step, fleet_.at(0).entry.capacity);
+    const int fits = detail::fits_in(step, fleet_.worker_capacity());
     return fits == 0 ? 0 : std::ceil(static_cast<double>(step.tasks) / fits);
 }
 
--- a/flamingoseam/workflow/workflow_lending.cpp
+++ b/flamingoseam/workflow/workflow_lending.cpp
@@ -77,7 +77,7 @@
     const bool has_share = step.job->terms.permission && record.permission.has_answer();
     const double permitted = has_share ? record.permission.permitted_share() : 1;
     return {.tasks = record.waiting(),
-            .tasks_per_worker = detail::fits_in(step.spec(), fleet_.at(0).entry.capacity),
+            .tasks_per_worker = detail::fits_in(step.spec(), fleet_.worker_capacity()),
             .eligible_share = std::max(min_eligible_share, permitted * labelled_share(step, time)),
             .gang = step.spec().gang,
             .is_obsolete = lateness_of(*step.job, time) == lateness::obsolete};
--- a/flamingoseam/workflow/workflow_search.cpp
+++ b/flamingoseam/workflow/workflow_search.cpp
@@ -64,7 +64,7 @@
         return 0;
     }
     const auto total = step.spec().size * step.record().waiting();
-    const double workers_needed = dominant_share(total, fleet_.at(0).entry.capacity);
+    const double workers_needed = dominant_share(total, fleet_.worker_capacity());
     if (step.spec().gang && step.record().permission.has_answer()) {
         // The fixed cost of a call exceeds that of a few more workers.
         return max_workers_per_request;
