Check a held worker in one place, and drop a result that nobody reads

Found in reading the whole change; behaviour is the same. can_release repeated the checks of is_usable and of is_idle: fleet_worker::is_held has the common part now. The call for workers returned a number that its only caller ignored.

--- a/flamingoseam/node/sharded_node.cpp
+++ b/flamingoseam/node/sharded_node.cpp
@@ -117,15 +117,13 @@
 /// Returns the call that asks the owners of all other shards for workers, one after the other.
 borrow_call sharded_node::borrow_call_of(const shard_identity& shard) const
 {
-    return [group = group_, shard](const workflow::worker_request& request) {
-        auto current = request;
+    return [group = group_, shard](workflow::worker_request request) {
         for (std::size_t offset = 1; group->is_complete && offset < shard.count; ++offset) {
             const auto other = group->shards[(shard.index + offset) % shard.count].lock();
             if (other) {
-                current.workers += other->request_workers(current, lending_timeout);
+                request.workers += other->request_workers(request, lending_timeout);
             }
         }
-        return current.workers - request.workers;
     };
 }
 
--- a/flamingoseam/node/worker_borrower.hpp
+++ b/flamingoseam/node/worker_borrower.hpp
@@ -11,9 +11,8 @@
 
 namespace flamingoseam::node {
 
-/// Asks the owners of the other shards for workers and returns how many they give. May take as long
-/// as a few calls to other nodes.
-using borrow_call = std::function<std::size_t(const workflow::worker_request& request)>;
+/// Asks the owners of the other shards for workers. May take as long as a few calls to other nodes.
+using borrow_call = std::function<void(const workflow::worker_request& request)>;
 
 /// Makes the calls for workers of other shards on a thread of its own, one at a time.
 class worker_borrower {
--- a/flamingoseam/workflow/fleet.hpp
+++ b/flamingoseam/workflow/fleet.hpp
@@ -74,11 +74,17 @@
         return exclusive_runs > 0 ? resources{} : entry.capacity - used;
     }
 
+    /// Checks whether the owner holds the worker, which answers and does not leave. Complexity:
+    /// constant.
+    [[nodiscard]] bool is_held() const
+    {
+        return listed && reported && lease_stored && !unreachable && !entry.leaving;
+    }
+
     /// Checks whether new runs may be started on the worker. Complexity: constant.
     [[nodiscard]] bool is_usable(time_point time) const
     {
-        return listed && reported && lease_stored && !unreachable && !entry.leaving &&
-               excluded_until <= time && drain_until <= time;
+        return is_held() && excluded_until <= time && drain_until <= time;
     }
 };
 
--- a/flamingoseam/workflow/workflow_lending.cpp
+++ b/flamingoseam/workflow/workflow_lending.cpp
@@ -17,12 +17,10 @@
 
 } // namespace
 
-/// Checks whether a worker can be used and neither has runs nor is reserved for a gang.
-bool workflow_state::is_idle(std::size_t worker, time_point time) const
+/// Checks whether a worker neither has runs nor is reserved for a gang.
+bool workflow_state::is_idle(std::size_t worker) const
 {
-    const auto& state = fleet_.at(worker);
-    return state.is_usable(time) && state.runs.empty() &&
-           gang_reservations_.on_worker(worker) == nullptr;
+    return fleet_.at(worker).runs.empty() && gang_reservations_.on_worker(worker) == nullptr;
 }
 
 /// Checks whether nothing of this owner can take place on the worker any more: the results of all
@@ -30,10 +28,7 @@
 bool workflow_state::can_release(std::size_t worker, time_point time) const
 {
     const auto& state = fleet_.at(worker);
-    const bool is_in_use =
-        state.listed && state.reported && state.lease_stored && !state.unreachable;
-    return is_in_use && !state.entry.leaving && state.runs.empty() &&
-           state.unacknowledged_ends.empty() && gang_reservations_.on_worker(worker) == nullptr &&
+    return state.is_held() && is_idle(worker) && state.unacknowledged_ends.empty() &&
            std::ranges::all_of(state.ruled_out, [time](const auto& entry) {
                return time - entry.second.second >= detail::max_order_delay;
            });
@@ -46,7 +41,7 @@
         const auto& state = fleet_.at(worker);
         if (state.entry.service == service && state.is_usable(time)) {
             ++stock.workers;
-            stock.idle += is_idle(worker, time) ? 1 : 0;
+            stock.idle += is_idle(worker) ? 1 : 0;
             stock.filled += std::min(1.0, dominant_share(state.used, state.entry.capacity));
         }
     }
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -344,7 +344,7 @@
 
     // lending of workers to other shards
     [[nodiscard]] worker_stock stock_of(const std::string& service, time_point time) const;
-    [[nodiscard]] bool is_idle(std::size_t worker, time_point time) const;
+    [[nodiscard]] bool is_idle(std::size_t worker) const;
     [[nodiscard]] bool can_release(std::size_t worker, time_point time) const;
     void release_worker(std::size_t worker, std::size_t shard);
     [[nodiscard]] double labelled_share(const ready_step& step, time_point time) const;
