Renew the lease of a worker only while the store does not call it silent

Cause: the stored list of leased workers says since when a worker's lease is not renewed, and the next owner waits only for the rest of the lease. The record outlived the silence in two ways: an owner that reached the worker at once did not know of it and did not rewrite the list; and while the store was away, leases were renewed although the record stood. The owner after that took workers with runs for empty within 1 s.

Change: leases are extended and runs started on a worker only once the store no longer calls it silent; a new owner begins with the silences that it has read, and a session extends the lease after a permit for exactly that silence. A worker whose clock has just become known counts as leased by an earlier owner for a whole lease.

Test: with the permit given at once and silent workers usable, five checks of the new case in workflow_state_test fail.

--- a/bench/session_bench.cpp
+++ b/bench/session_bench.cpp
@@ -46,7 +46,10 @@
         ++(outcome == workflow::start_outcome::started ? started : refused);
     }
     void on_stop(std::size_t /*worker*/, const workflow::run_name& /*name*/) override {}
-    void on_unreachable_changed(std::size_t /*worker*/, bool /*unreachable*/) override {}
+    void on_unreachable_changed(std::size_t /*worker*/, bool /*unreachable*/,
+                                time_point /*silent_since*/) override
+    {
+    }
     void on_emptied(std::size_t /*worker*/, workflow::emptied_reason /*reason*/) override {}
     void on_fenced(std::size_t /*worker*/) override {}
 
--- a/flamingoseam/node/job_owner.cpp
+++ b/flamingoseam/node/job_owner.cpp
@@ -267,10 +267,11 @@
     loop_.post([this, worker, name] { state_.on_stop(worker, name, now()); });
 }
 
-void job_owner::on_unreachable_changed(std::size_t worker, bool unreachable)
+void job_owner::on_unreachable_changed(std::size_t worker, bool unreachable,
+                                       time_point silent_since)
 {
-    loop_.post([this, worker, unreachable] {
-        state_.on_unreachable_changed(worker, unreachable, wall_now());
+    loop_.post([this, worker, unreachable, silent_since] {
+        state_.on_unreachable_changed(worker, unreachable, silent_since, now(), wall_now());
     });
 }
 
@@ -377,6 +378,11 @@
             session->forget(order);
         }
     }
+    for (const auto& permit : actions.renewal_permits) {
+        if (auto* session = session_of(permit.worker)) {
+            session->permit_renewal(permit.silent_since);
+        }
+    }
     for (auto& request : actions.permissions) {
         permission_dispatcher_->enqueue(std::move(request));
     }
--- a/flamingoseam/node/job_owner.hpp
+++ b/flamingoseam/node/job_owner.hpp
@@ -101,7 +101,8 @@
     void on_start(std::size_t worker, const workflow::run_name& name,
                   workflow::start_outcome outcome) override;
     void on_stop(std::size_t worker, const workflow::run_name& name) override;
-    void on_unreachable_changed(std::size_t worker, bool unreachable) override;
+    void on_unreachable_changed(std::size_t worker, bool unreachable,
+                                time_point silent_since) override;
     void on_emptied(std::size_t worker, workflow::emptied_reason reason) override;
     void on_fenced(std::size_t worker) override;
 
--- a/flamingoseam/node/job_owner_workers.cpp
+++ b/flamingoseam/node/job_owner_workers.cpp
@@ -14,6 +14,12 @@
 constexpr milliseconds assignments_retry_delay{100};
 constexpr milliseconds borrowing_interval{250}; ///< Between two requests for workers.
 
+/// Returns for how long the lease of a silent worker has not been renewed, none if it answers.
+std::optional<milliseconds> silence_of(const workflow::fleet_worker& worker, wall_time wall)
+{
+    return worker.unreachable ? std::optional(wall - worker.unreachable_since) : std::nullopt;
+}
+
 } // namespace
 
 void job_owner::watch_workers()
@@ -164,7 +170,8 @@
         session = std::make_unique<worker_session>(
             worker_session_options{.worker = worker,
                                    .epoch = state.entry.token_base + epoch_,
-                                   .lease = dependencies_.worker_lease},
+                                   .lease = dependencies_.worker_lease,
+                                   .silent_for = silence_of(state, wall_now())},
             state.entry, dependencies_.channels, listener);
     }
 }
--- a/flamingoseam/node/worker_session.cpp
+++ b/flamingoseam/node/worker_session.cpp
@@ -32,6 +32,9 @@
     if (known_ && clock < clock_) {
         return; // Answers arrived out of order, or a new incarnation whose leases start again.
     }
+    if (!known_) {
+        leased_until_ = clock + max_lease_;
+    }
     known_ = true;
     clock_ = clock;
     received_ = received;
@@ -56,14 +59,13 @@
 worker_session::worker_session(worker_session_options options, const workflow::worker_entry& entry,
                                const worker_channel_factory& channels, worker_listener& listener)
     : options_(options), entry_(entry), listener_(listener), order_channel_(channels(entry)),
-      poll_channel_(channels(entry)), incarnation_(entry.incarnation), started_(now()),
+      poll_channel_(channels(entry)), clock_(options.lease), incarnation_(entry.incarnation),
+      unreachable_(options.silent_for.has_value()),
+      silent_since_(now() - std::clamp(options.silent_for.value_or(milliseconds(0)),
+                                       milliseconds(0), options.lease)),
+      may_renew_(!unreachable_), lease_bound_start_(silent_since_),
       retry_delay_(initial_retry_delay)
 {
-    if (entry.unreachable_since != wall_time(0)) {
-        // The earlier owner stopped renewing the lease before this session started.
-        started_ -=
-            std::clamp(wall_now() - entry.unreachable_since, milliseconds(0), options_.lease);
-    }
     order_thread_ = std::thread([this] {
         run_orders();
         --running_threads_;
@@ -154,6 +156,12 @@
     polls_changed_.notify_one();
 }
 
+void worker_session::permit_renewal(time_point silent_since)
+{
+    const std::lock_guard lock(mutex_);
+    may_renew_ = may_renew_ || (!unreachable_ && silent_since == silent_since_);
+}
+
 void worker_session::expect_report(time_point time)
 {
     const std::lock_guard lock(mutex_);
@@ -187,9 +195,7 @@
 void worker_session::send_start(const queued_start& start)
 {
     const auto& order = start.order;
-    // The lease of an unreachable worker is not extended, so that it is known when no runs are
-    // left.
-    const auto lease_until = is_unreachable() ? worker_time(0) : extend_lease();
+    const auto lease_until = extend_lease();
     if (now() - start.queued_at > options_.max_start_age || lease_until == worker_time(0)) {
         report_not_sent(start);
         return;
@@ -229,16 +235,12 @@
     }
 }
 
-bool worker_session::is_unreachable()
-{
-    const std::lock_guard lock(mutex_);
-    return unreachable_;
-}
-
+/// Returns until when the worker's runs are leased, or 0 if the lease must not be extended. That of
+/// an unreachable worker is not, so that it is known when no runs are left.
 worker_time worker_session::extend_lease()
 {
     const std::lock_guard lock(mutex_);
-    return clock_.extend(options_.lease, now());
+    return may_renew_ ? clock_.extend(options_.lease, now()) : worker_time(0);
 }
 
 void worker_session::record_clock(worker_time clock)
@@ -262,8 +264,7 @@
 
 bool worker_session::poll()
 {
-    renew_call call{.epoch = options_.epoch,
-                    .lease_until = is_unreachable() ? worker_time(0) : extend_lease()};
+    renew_call call{.epoch = options_.epoch, .lease_until = extend_lease()};
     {
         const std::lock_guard lock(mutex_);
         call.forget_up_to = forget_up_to_;
@@ -284,6 +285,9 @@
 
 milliseconds worker_session::next_wait()
 {
+    if (!may_renew_) {
+        return options_.min_poll_wait; // The lease should be renewed soon.
+    }
     if (!report_expected_) {
         return has_runs_ ? options_.poll_wait : options_.idle_poll_wait;
     }
@@ -319,7 +323,7 @@
         if (answer.report.incarnation != 0 && answer.report.incarnation != incarnation_) {
             incarnation_ = answer.report.incarnation;
             forget_up_to_ = 0;
-            clock_ = {};
+            clock_ = lease_clock(options_.lease);
             clock_.record(answer.clock, now());
         }
     }
@@ -359,7 +363,7 @@
                                                    min_clock_rate)) +
             earlier_owner_margin;
         expired = !emptied_ && (clock_.is_known() ? clock_.has_expired(time)
-                                                  : time - started_ > max_earlier_lease);
+                                                  : time - lease_bound_start_ > max_earlier_lease);
         emptied_ = emptied_ || expired;
     }
     if (expired) {
@@ -369,14 +373,20 @@
 
 void worker_session::set_unreachable(bool unreachable)
 {
+    time_point silent_since;
     {
         const std::lock_guard lock(mutex_);
         if (unreachable_ == unreachable) {
             return;
         }
         unreachable_ = unreachable;
+        if (unreachable) {
+            may_renew_ = false;
+            silent_since_ = now();
+        }
+        silent_since = silent_since_;
     }
-    listener_.on_unreachable_changed(options_.worker, unreachable);
+    listener_.on_unreachable_changed(options_.worker, unreachable, silent_since);
 }
 
 void worker_session::pause(milliseconds length)
--- a/flamingoseam/node/worker_session.hpp
+++ b/flamingoseam/node/worker_session.hpp
@@ -21,8 +21,10 @@
                           workflow::start_outcome outcome) = 0;
     virtual void on_stop(std::size_t worker, const workflow::run_name& name) = 0;
 
-    /// Called when the worker stops answering polls or answers again.
-    virtual void on_unreachable_changed(std::size_t worker, bool unreachable) = 0;
+    /// Called when the worker stops answering polls or answers again. The session has not extended
+    /// the worker's lease since `silent_since` and does so only after permit_renewal().
+    virtual void on_unreachable_changed(std::size_t worker, bool unreachable,
+                                        time_point silent_since) = 0;
 
     /// Called when it is certain that no runs are left on the worker.
     virtual void on_emptied(std::size_t worker, workflow::emptied_reason reason) = 0;
@@ -35,7 +37,11 @@
 struct worker_session_options {
     std::size_t worker = 0;
     std::uint64_t epoch = 0;
-    milliseconds lease{6'000};          ///< Length of the lease of all runs of the worker.
+    milliseconds lease{6'000}; ///< Length of the lease of all runs of the worker.
+
+    /// For how long the lease has not been renewed, if the worker is known to be silent.
+    std::optional<milliseconds> silent_for = std::nullopt;
+
     milliseconds poll_wait{800};        ///< How long the worker holds a poll when it has no news.
     milliseconds idle_poll_wait{1'800}; ///< The same while the worker has no runs.
     milliseconds answer_timeout{500};   ///< Time for the answer to a poll, beyond the wait.
@@ -53,6 +59,9 @@
 /// Tracks a worker's clock and the lease of the worker's runs.
 class lease_clock {
 public:
+    /// `max_lease` is the longest lease that an earlier owner may have granted.
+    explicit lease_clock(milliseconds max_lease) : max_lease_(max_lease) {}
+
     /// Records a time of the worker's clock that was received at `received`.
     void record(worker_time clock, time_point received);
 
@@ -66,6 +75,7 @@
     [[nodiscard]] bool has_expired(time_point time) const;
 
 private:
+    milliseconds max_lease_;
     bool known_ = false;
     worker_time clock_{0};
     time_point received_{};
@@ -95,6 +105,11 @@
     /// Lets the worker forget the ends of runs up to a number with the next poll.
     void forget(const workflow::forget_order& order);
 
+    /// Lets the session extend the lease of the worker, which was silent since `silent_since` and
+    /// answers again. To be called once no stored record says any more that the lease is not
+    /// renewed. Has no effect if the worker has become silent again.
+    void permit_renewal(time_point silent_since);
+
     /// Requests a report at `time`: a poll that starts before `time` ends by then.
     void expect_report(time_point time);
 
@@ -128,7 +143,6 @@
     void wait_until_stored(std::int64_t newest_end);
     void pause(milliseconds length);
     void set_unreachable(bool unreachable);
-    bool is_unreachable();
     void report_fenced();
     worker_time extend_lease();
     void record_clock(worker_time clock);
@@ -150,11 +164,13 @@
     /// Number of the end that must be stored before the next poll; 0 when the poll does not wait.
     std::int64_t awaited_end_ = 0;
 
-    bool unreachable_ = false;
+    bool unreachable_;
+    time_point silent_since_; ///< When the worker was last found to be silent.
+    bool may_renew_;          ///< No stored record says that the lease is not renewed.
     bool emptied_ = false;
     std::optional<time_point> report_expected_;
-    bool has_runs_ = true; ///< According to the last report, or a start was ordered since.
-    time_point started_;
+    bool has_runs_ = true;         ///< According to the last report, or a start was ordered since.
+    time_point lease_bound_start_; ///< An earlier owner did not extend the lease after this.
     milliseconds retry_delay_;
     std::atomic<bool> ending_{false};
     std::atomic<bool> released_{false};
--- a/flamingoseam/node/worker_session_test.cpp
+++ b/flamingoseam/node/worker_session_test.cpp
@@ -17,8 +17,9 @@
     std::atomic<std::int64_t> forgotten{0};
     std::atomic<bool> unreachable{false};
     std::atomic<int> starts{0};
-    std::atomic<bool> is_replaced{false}; ///< Another incarnation has its address.
-    std::atomic<int> start_time_ms{0};    ///< How long the worker takes to answer a start.
+    std::atomic<std::int64_t> leased_until_ms{0}; ///< On the worker's clock.
+    std::atomic<bool> is_replaced{false};         ///< Another incarnation has its address.
+    std::atomic<int> start_time_ms{0};            ///< How long the worker takes to answer a start.
     time_point began = now();
 
     worker_time clock() const
@@ -54,6 +55,8 @@
             return {.outcome = renew_answer::kind::wrong_incarnation, .clock = worker_.clock()};
         }
         worker_.forgotten = call.forget_up_to;
+        worker_.leased_until_ms =
+            std::max(worker_.leased_until_ms.load(), call.lease_until.count());
         renew_answer answer{.clock = worker_.clock()};
         if (worker_.newest_end > call.forget_up_to) {
             answer.report.ended.push_back({.number = worker_.newest_end});
@@ -85,8 +88,9 @@
         ++starts;
     }
     void on_stop(std::size_t /*worker*/, const workflow::run_name& /*name*/) override {}
-    void on_unreachable_changed(std::size_t /*worker*/, bool unreachable) override
+    void on_unreachable_changed(std::size_t /*worker*/, bool unreachable, time_point since) override
     {
+        silent_since = since;
         is_unreachable = unreachable;
     }
     void on_emptied(std::size_t /*worker*/, workflow::emptied_reason reason) override
@@ -101,6 +105,7 @@
     std::atomic<int> emptied{0};
     std::atomic<int> replaced{0};
     std::atomic<bool> is_unreachable{false};
+    std::atomic<time_point> silent_since{};
     std::atomic<workflow::start_outcome> last_start{workflow::start_outcome::unknown};
 };
 
@@ -151,6 +156,27 @@
             CHECK(holds_within(milliseconds(3'000), [&] { return !listener.is_unreachable; }));
         }
     }
+    SECTION("the lease is not extended after a silence until that is permitted")
+    {
+        worker.unreachable = true;
+        REQUIRE(holds_within(milliseconds(2'000), [&] { return listener.is_unreachable.load(); }));
+        worker.unreachable = false;
+        const auto leased_until = worker.leased_until_ms.load();
+        const int reports = listener.reports;
+        REQUIRE(holds_within(milliseconds(3'000), [&] { return listener.reports > reports + 3; }));
+        CHECK(worker.leased_until_ms == leased_until);
+        session.start({.worker = 0, .name = {{"job", 0, 0}, 1}});
+        REQUIRE(holds_within(milliseconds(2'000), [&] { return listener.starts == 1; }));
+        CHECK(listener.last_start == workflow::start_outcome::not_sent);
+
+        session.permit_renewal(listener.silent_since.load() - milliseconds(1));
+        std::this_thread::sleep_for(milliseconds(100));
+        CHECK(worker.leased_until_ms == leased_until);
+
+        session.permit_renewal(listener.silent_since);
+        CHECK(holds_within(milliseconds(2'000),
+                           [&] { return worker.leased_until_ms > leased_until; }));
+    }
     SECTION("a worker has no runs once another incarnation answers at its address")
     {
         worker.is_replaced = true;
--- a/flamingoseam/workflow/fleet.hpp
+++ b/flamingoseam/workflow/fleet.hpp
@@ -47,6 +47,10 @@
     bool unreachable = false; ///< The worker does not answer at present.
     wall_time unreachable_since{0}; ///< Since when its lease is not renewed; 0 while it answers.
     bool lease_stored = false;      ///< The store has recorded that the worker may hold runs.
+    /// The store may say that the lease is not renewed; a later owner relies on it.
+    bool silence_stored = false;
+    /// The silence that has ended, until the store does not contain it any more.
+    std::optional<time_point> ended_silence;
     time_point excluded_until{};
     time_point last_report{};
     resources used;
@@ -78,7 +82,8 @@
     /// constant.
     [[nodiscard]] bool is_held() const
     {
-        return listed && reported && lease_stored && !unreachable && !entry.leaving;
+        return listed && reported && lease_stored && !unreachable && !silence_stored &&
+               !entry.leaving;
     }
 
     /// Checks whether new runs may be started on the worker. Complexity: constant.
--- a/flamingoseam/workflow/messages.hpp
+++ b/flamingoseam/workflow/messages.hpp
@@ -135,6 +135,12 @@
     bool all_stored = false; ///< No end after `up_to` is waiting to be stored.
 };
 
+/// Allows the lease of a worker to be extended again that was silent since `silent_since`.
+struct renewal_permit {
+    std::size_t worker = 0;
+    time_point silent_since{};
+};
+
 /// A permission that was granted for a worker.
 struct ticket_grant {
     std::string worker;
--- a/flamingoseam/workflow/workflow_actions.hpp
+++ b/flamingoseam/workflow/workflow_actions.hpp
@@ -42,6 +42,7 @@
     std::vector<start_order> starts;
     std::vector<stop_order> stops;
     std::vector<forget_order> forgets;
+    std::vector<renewal_permit> renewal_permits;
     /// Workers whose report is needed, each with the time by which it is needed.
     std::vector<std::pair<std::size_t, time_point>> reports_needed;
     std::vector<permission_request> permissions;
--- a/flamingoseam/workflow/workflow_jobs.cpp
+++ b/flamingoseam/workflow/workflow_jobs.cpp
@@ -38,7 +38,11 @@
     }
     for (const auto& worker : leased_workers) {
         const auto index = fleet_.put(worker);
-        fleet_.at(index).lease_stored = true;
+        auto& state = fleet_.at(index);
+        state.lease_stored = true;
+        state.unreachable = worker.unreachable_since != wall_time(0);
+        state.unreachable_since = worker.unreachable_since;
+        state.silence_stored = state.unreachable;
         leased_workers_.insert(index);
         unreported_.insert(index);
     }
--- a/flamingoseam/workflow/workflow_reports.cpp
+++ b/flamingoseam/workflow/workflow_reports.cpp
@@ -472,15 +472,28 @@
     }
 }
 
-void workflow_state::on_unreachable_changed(std::size_t worker, bool unreachable, wall_time wall)
+void workflow_state::on_unreachable_changed(std::size_t worker, bool unreachable,
+                                            time_point silent_since, time_point time,
+                                            wall_time wall)
 {
     auto& worker_state = fleet_.at(worker);
-    if (worker_state.unreachable != unreachable && !worker_state.is_released()) {
-        worker_state.unreachable = unreachable;
-        worker_state.unreachable_since = unreachable ? wall : wall_time(0);
-        leased_workers_changed_ = leased_workers_changed_ || worker_state.lease_stored;
-        log_decision(unreachable ? "worker_silent" : "worker_answers", "", worker_state.entry.id);
-        pass_requested_ = true;
+    if (worker_state.unreachable == unreachable || worker_state.is_released()) {
+        return;
+    }
+    const auto silent_for = std::chrono::duration_cast<milliseconds>(time - silent_since);
+    worker_state.unreachable = unreachable;
+    worker_state.unreachable_since = unreachable ? wall - silent_for : wall_time(0);
+    leased_workers_changed_ =
+        leased_workers_changed_ || worker_state.lease_stored || worker_state.silence_stored;
+    log_decision(unreachable ? "worker_silent" : "worker_answers", "", worker_state.entry.id,
+                 {{"silent_ms", silent_for.count()}});
+    pass_requested_ = true;
+    if (unreachable) {
+        worker_state.ended_silence.reset();
+    } else if (worker_state.silence_stored) {
+        worker_state.ended_silence = silent_since;
+    } else {
+        actions_.renewal_permits.push_back({worker, silent_since});
     }
 }
 
@@ -505,7 +518,13 @@
         worker_state.lease_stored = false;
         leased_workers_changed_ = true;
     }
-    log_decision("worker_emptied", "", worker_state.entry.id);
+    const bool was_silent = worker_state.unreachable;
+    log_decision("worker_emptied", "",
+                 worker_state.entry.id + (reason == emptied_reason::replaced
+                                              ? ": another incarnation answers"
+                                              : ": its lease has expired"),
+                 {{"silent_ms", was_silent ? (wall - worker_state.unreachable_since).count() : 0},
+                  {"lost_runs", static_cast<std::int64_t>(runs.size())}});
     mark_located(worker);
 }
 
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -103,8 +103,11 @@
     /// Handles a worker's acceptance of a stop order.
     void on_stop(std::size_t worker, const run_name& name, time_point time);
 
-    /// Records whether a worker is unreachable at present.
-    void on_unreachable_changed(std::size_t worker, bool unreachable, wall_time wall);
+    /// Records whether a worker is unreachable at present. Its lease has not been extended since
+    /// `silent_since` and must not be until a renewal permit for that time is among the actions,
+    /// since the stored list of leased workers may say that it is not.
+    void on_unreachable_changed(std::size_t worker, bool unreachable, time_point silent_since,
+                                time_point time, wall_time wall);
 
     /// Records that a worker certainly holds no run any more.
     void on_emptied(std::size_t worker, emptied_reason reason, time_point time, wall_time wall);
@@ -339,6 +342,7 @@
     void add_changes(stream_state& stream, std::size_t max_records, record_batch& batch);
     [[nodiscard]] bool may_write(std::size_t stream, time_point time) const;
     void add_leased_workers(record_batch& batch);
+    void on_leased_workers_stored();
     void add_assignments(record_batch& batch);
     void on_assignments_stored();
 
@@ -383,6 +387,8 @@
     std::multimap<wall_time, std::string> ended_; ///< By the end of their retention.
     std::vector<std::string> removals_;           ///< Keys to be removed from the store.
     std::set<std::size_t> batch_leased_workers_;
+    std::set<std::size_t>
+        batch_silent_workers_; ///< Those whose lease the batch says is not renewed.
     bool leased_workers_in_batch_ = false;
     std::set<std::size_t> leased_workers_; ///< Workers that may hold runs.
     std::set<std::size_t> unreported_;     ///< Earlier owner's leased workers without a report.
--- a/flamingoseam/workflow/workflow_state_test.cpp
+++ b/flamingoseam/workflow/workflow_state_test.cpp
@@ -277,3 +277,70 @@
         CHECK(driver.next().starts.empty());
     }
 }
+
+// Guards against a second run of a task: a stored silence that had ended made a later owner take a
+// worker with runs for empty.
+TEST_CASE("the lease of a worker is not renewed while the store says that it is silent")
+{
+    driven_state driver;
+    driver.make_usable();
+    const auto became_silent = driver.time;
+    const auto set_unreachable = [&](bool unreachable) {
+        driver.state.on_unreachable_changed(0, unreachable, became_silent, driver.time, wall);
+    };
+
+    SECTION("a silence that was never stored ends at once")
+    {
+        set_unreachable(true);
+        set_unreachable(false);
+        const auto permits = driver.state.take_actions().renewal_permits;
+        REQUIRE(permits.size() == 1);
+        CHECK(permits[0].silent_since == became_silent);
+    }
+    SECTION("a stored silence ends once its end is stored")
+    {
+        set_unreachable(true);
+        driver.store();
+        driver.time += milliseconds(500);
+        set_unreachable(false);
+        driver.submit_unstored(driver.job("fedcba9876543210", 1'000));
+        driver.state.take_batch(0, 30, driver.time, wall);
+        auto actions = driver.next();
+        CHECK(actions.renewal_permits.empty());
+        CHECK(actions.starts.empty());
+
+        driver.state.on_stored(0);
+        actions = driver.next();
+        CHECK(actions.renewal_permits.size() == 1);
+        CHECK(actions.starts.size() == 1);
+    }
+    SECTION("a worker that becomes silent again before the end is stored gets no permit")
+    {
+        set_unreachable(true);
+        driver.store();
+        set_unreachable(false);
+        driver.state.take_batch(0, 30, driver.time, wall);
+        set_unreachable(true);
+        driver.state.on_stored(0);
+        CHECK(driver.next().renewal_permits.empty());
+    }
+    SECTION("a silence that an earlier owner has stored ends the same way")
+    {
+        auto leased = driver.worker();
+        leased.unreachable_since = wall;
+        driver.state = workflow_state({.epoch = 3, .streams = 3});
+        driver.state.load({}, {leased}, driver.time, wall);
+        driver.state.on_worker_list({driver.worker()}, driver.time);
+        set_unreachable(false);
+        driver.state.on_report(0, {.incarnation = 1}, driver.time, wall);
+        CHECK(driver.state.take_actions().renewal_permits.empty());
+
+        REQUIRE(driver.state.should_write(0, driver.time));
+        const auto batch = driver.state.take_batch(0, 30, driver.time, wall);
+        REQUIRE_FALSE(batch.changes.empty());
+        const auto stored = read_leased_workers(batch.changes[0].value.value());
+        CHECK(stored.at(0).unreachable_since == wall_time(0));
+        driver.state.on_stored(0);
+        CHECK(driver.state.take_actions().renewal_permits.size() == 1);
+    }
+}
--- a/flamingoseam/workflow/workflow_storing.cpp
+++ b/flamingoseam/workflow/workflow_storing.cpp
@@ -56,14 +56,20 @@
 void workflow_state::add_leased_workers(record_batch& batch)
 {
     batch_leased_workers_.clear();
+    batch_silent_workers_.clear();
     leased_workers_in_batch_ = std::exchange(leased_workers_changed_, false);
     if (!leased_workers_in_batch_) {
         return;
     }
     std::vector<worker_entry> workers;
     for (const auto worker : leased_workers_) {
-        workers.push_back(fleet_.at(worker).entry);
-        workers.back().unreachable_since = fleet_.at(worker).unreachable_since;
+        auto& state = fleet_.at(worker);
+        workers.push_back(state.entry);
+        workers.back().unreachable_since = state.unreachable_since;
+        if (state.unreachable) {
+            state.silence_stored = true;
+            batch_silent_workers_.insert(worker);
+        }
     }
     batch_leased_workers_ = leased_workers_;
     batch.changes.push_back({options_.keys.leased_workers(), write_leased_workers(workers)});
@@ -147,13 +153,27 @@
     return batch;
 }
 
+/// Records what the stored list of leased workers says from now on.
+void workflow_state::on_leased_workers_stored()
+{
+    for (const auto worker : batch_leased_workers_) {
+        fleet_.at(worker).lease_stored = leased_workers_.contains(worker);
+    }
+    for (std::size_t worker = 0; worker < fleet_.size(); ++worker) {
+        auto& state = fleet_.at(worker);
+        state.silence_stored = batch_silent_workers_.contains(worker);
+        if (state.ended_silence && !state.silence_stored) {
+            actions_.renewal_permits.push_back({worker, *state.ended_silence});
+            state.ended_silence.reset();
+        }
+    }
+}
+
 void workflow_state::on_stored(std::size_t stream)
 {
     streams_[stream].writes_since.reset();
     if (stream == first_stream && leased_workers_in_batch_) {
-        for (const auto worker : batch_leased_workers_) {
-            fleet_.at(worker).lease_stored = leased_workers_.contains(worker);
-        }
+        on_leased_workers_stored();
         on_assignments_stored();
         pass_requested_ = true;
     }
--- a/tests/driven_state.hpp
+++ b/tests/driven_state.hpp
@@ -56,9 +56,11 @@
         }
     }
 
+    void submit_unstored(const job_spec& spec) { state.submit(1, spec, terms(), time, wall); }
+
     void submit(const job_spec& spec)
     {
-        state.submit(1, spec, terms(), time, wall);
+        submit_unstored(spec);
         store();
     }
 
--- a/tests/workflow_model.cpp
+++ b/tests/workflow_model.cpp
@@ -80,6 +80,8 @@
     std::set<std::size_t> streams_in_flight; ///< Streams with a transaction in flight.
     std::map<std::size_t, forget_order> forget_orders;
     std::map<std::size_t, milliseconds> leased_until; ///< Lease ends by worker, in simulated time.
+    /// Since when workers are silent whose lease may not be renewed, by worker.
+    std::map<std::size_t, time_point> silences;
     std::map<std::uint64_t, std::string> tokens;
     std::uint64_t next_token = 1;
 };
@@ -269,6 +271,13 @@
         read_jobs(records_below(keys.specification_prefix()), records_below(keys.progress_prefix()))
             .jobs,
         leased_workers, clock(), simulation_start + now_);
+    for (std::size_t index = 0; index < leased_workers.size(); ++index) {
+        const auto silent_since = leased_workers[index].unreachable_since;
+        if (silent_since != wall_time(0)) {
+            started->leased_until[index] = silent_since - simulation_start + lease;
+            started->silences[index] = clock();
+        }
+    }
     send_worker_list(shard);
     for (std::size_t index = 0; index < workers_.size(); ++index) {
         poll(started, index);
@@ -375,6 +384,12 @@
     for (const auto& order : actions.forgets) {
         sender->forget_orders[order.worker] = order;
     }
+    for (const auto& permit : actions.renewal_permits) {
+        const auto found = sender->silences.find(permit.worker);
+        if (found != sender->silences.end() && found->second == permit.silent_since) {
+            sender->silences.erase(found);
+        }
+    }
     for (const auto& answer : actions.answers) {
         const auto found = sender->tokens.find(answer.token);
         if (found != sender->tokens.end() && answer.kind == caller_answer::answer_kind::stored) {
@@ -480,8 +495,11 @@
         record_failed_poll(sender, index);
         return;
     }
-    const auto lease_until = now_ + lease;
-    sender->leased_until[index] = lease_until;
+    const bool may_renew = !sender->silences.contains(index);
+    const auto lease_until = may_renew ? now_ + lease : milliseconds(0);
+    if (may_renew) {
+        sender->leased_until[index] = lease_until;
+    }
     const auto token = token_of(*sender, index);
     if (token < target.epoch) {
         record_violation("the owner of " + target.entry.id + " is fenced by another shard");
@@ -495,7 +513,11 @@
                 return;
             }
             report.asked = asked;
-            sender->state.on_unreachable_changed(index, false, simulation_start + now_);
+            const auto silence = sender->silences.find(index);
+            if (silence != sender->silences.end()) {
+                sender->state.on_unreachable_changed(index, false, silence->second, clock(),
+                                                     simulation_start + now_);
+            }
             sender->state.on_report(index, report, clock(), simulation_start + now_);
             tick_owner(sender);
         });
@@ -505,7 +527,9 @@
 
 void workflow_model::record_failed_poll(const std::shared_ptr<owner>& sender, std::size_t index)
 {
-    sender->state.on_unreachable_changed(index, true, simulation_start + now_);
+    sender->silences.emplace(index, clock());
+    sender->state.on_unreachable_changed(index, true, sender->silences.at(index), clock(),
+                                         simulation_start + now_);
     const auto granted = sender->leased_until.find(index);
     const bool lapsed =
         granted != sender->leased_until.end() && now_ > granted->second + lease / 10;
