Answer all calls before a node that shuts down ends

Cause: a node ended its process 4.8 s after SIGTERM with calls in progress; a busy node without an owner is never idle, since each call waits 0.7 s for an owner or until its deadline for the outcome. Ruled out: a cut by the platform's SIGKILL (the process had ended by itself before).

--- a/flamingoseam/http/http_server.cpp
+++ b/flamingoseam/http/http_server.cpp
@@ -188,12 +188,20 @@
     service_->close_after_answers();
 }
 
-http_server::~http_server()
+void http_server::stop()
 {
+    if (!server_) {
+        return;
+    }
     close_after_answers();
     loop_.exit();
     thread_.join();
     server_.reset();
 }
 
+http_server::~http_server()
+{
+    stop();
+}
+
 } // namespace flamingoseam
--- a/flamingoseam/http/http_server.hpp
+++ b/flamingoseam/http/http_server.hpp
@@ -64,12 +64,16 @@
     /// concurrently. Throws transport_error (id 301) when the address cannot be bound.
     http_server(const http_server_options& options, http_handler handler);
 
-    /// Stops listening and waits for the handlers that are still running.
+    /// Stops the server as stop() does.
     ~http_server();
 
     /// Closes every connection after its next response, so that callers connect to another server.
     void close_after_answers();
 
+    /// Stops listening, waits until the requests that are being handled are answered, and closes
+    /// all connections. Has no effect on a stopped server.
+    void stop();
+
     http_server(const http_server&) = delete;
     http_server& operator=(const http_server&) = delete;
 
--- a/flamingoseam/node/node.cpp
+++ b/flamingoseam/node/node.cpp
@@ -69,8 +69,16 @@
     if (is_owner_unreachable()) {
         return no_owner_answer("owner_unreachable");
     }
+    if (now() >= calls_end_.load()) {
+        return no_owner_answer("node_leaves");
+    }
+    // Another node may have an owner sooner than a node that leaves.
+    const auto owner_wait =
+        leaving_ ? milliseconds(0) : std::min(options_.owner_wait, timeout / 2);
     return call_owner(
-        {.timeout = timeout, .owner_wait = std::min(options_.owner_wait, timeout / 2)},
+        {.timeout = timeout,
+         .owner_wait = owner_wait,
+         .latest_end = [this] { return calls_end_.load(); }},
         [&](milliseconds limit) { return forward_once(limit, local, remote); },
         [this](milliseconds limit) { wait_for_change(limit); });
 }
--- a/flamingoseam/node/node.hpp
+++ b/flamingoseam/node/node.hpp
@@ -50,6 +50,12 @@
     node_metrics* metrics = nullptr;
 };
 
+/// Times of an orderly shutdown.
+struct shutdown_schedule {
+    time_point handover_end; ///< Until then an owner waits for a node that takes over.
+    time_point calls_end;    ///< All calls of this node's own clients are answered by then.
+};
+
 /// One node of the cell, for one shard. Every node accepts calls about jobs and forwards them to
 /// the shard's owner. One of the nodes is the owner, and any other can take over when it fails.
 class node final : public owner_service {
@@ -77,8 +83,8 @@
     /// Checks whether this process owns the shard.
     [[nodiscard]] bool is_owner() const { return local_owner() != nullptr; }
 
-    /// Hands over ownership; calls are still forwarded.
-    void leave();
+    /// Hands over ownership; calls are still forwarded, but do not wait for an owner any more.
+    void leave(const shutdown_schedule& schedule);
 
     // Handlers of calls from other nodes.
     void submit(const workflow::job_spec& job, const workflow::queue_terms& terms,
@@ -126,7 +132,7 @@
     void offer_to_idle_node(const membership_view& view, time_point time);
     void record_owner_gone(const membership_view& view, const std::string& confirming_node);
     void begin_ownership(const claimed_head& claimed);
-    bool hand_over_to_member();
+    bool hand_over_to_member(time_point handover_end);
     void stop_local_owner();
     permission_call permission_call_through(const std::string& name);
     std::string head_prefix() const { return options_.store_prefix + "head/"; }
@@ -169,6 +175,7 @@
     bool store_unreachable_ = false;
     std::uint64_t offered_epoch_ = 0; ///< Epoch of an owner that offers ownership; 0 if none.
     std::atomic<bool> leaving_{false};
+    std::atomic<time_point> calls_end_{time_point::max()};
     bool stopping_ = false;
     std::optional<time_point> owner_missing_since_;
     time_point next_offer_{};                  ///< Used by the election thread only.
--- a/flamingoseam/node/node_election.cpp
+++ b/flamingoseam/node/node_election.cpp
@@ -32,6 +32,8 @@
 /// Timeout of the call that asks another node whether the owner is gone.
 constexpr milliseconds confirm_timeout{100};
 constexpr milliseconds handover_poll_interval{10};
+/// Interval of the offers of an owner that leaves while no node accepts.
+constexpr milliseconds leaving_offer_interval{100};
 
 /// Destroys an owner on a separate thread, since its own threads may be in calls that take seconds
 /// and the holder of the last reference must not wait for them.
@@ -461,29 +463,33 @@
     dropped->request_stop();
 }
 
-/// Offers ownership to other nodes and keeps serving until one takes over, so that the cell is
-/// hardly without an owner. Returns whether another node has taken over.
-bool node::hand_over_to_member()
+/// Offers ownership to other nodes until one accepts, and keeps serving until it takes over, so that
+/// the cell is hardly without an owner. Returns whether another node has taken over.
+bool node::hand_over_to_member(time_point handover_end)
 {
-    const auto end = now() + options_.handover_timeout;
-    if (!offer_to_others(view(), true)) {
-        return false;
-    }
-    while (local_owner() && now() < end) {
-        std::this_thread::sleep_for(handover_poll_interval);
+    while (local_owner() && now() < handover_end) {
+        if (!offer_to_others(view(), true)) {
+            std::this_thread::sleep_for(leaving_offer_interval);
+            continue;
+        }
+        const auto end = std::min(now() + options_.handover_timeout, handover_end);
+        while (local_owner() && now() < end) {
+            std::this_thread::sleep_for(handover_poll_interval);
+        }
     }
     return local_owner() == nullptr;
 }
 
-void node::leave()
+void node::leave(const shutdown_schedule& schedule)
 {
+    calls_end_ = schedule.calls_end;
     std::shared_ptr<job_owner> owner;
     {
         const std::lock_guard lock(mutex_);
         leaving_ = true;
         owner = owner_lost_ ? nullptr : owner_;
     }
-    if (owner && !hand_over_to_member()) {
+    if (owner && !hand_over_to_member(schedule.handover_end)) {
         const auto view = this->view();
         const owner_record nobody{.epoch = view.owner ? view.owner->epoch : 0, .owner = {}};
         const bool written =
--- a/flamingoseam/node/owner_call.cpp
+++ b/flamingoseam/node/owner_call.cpp
@@ -16,12 +16,15 @@
                         const owner_change_wait& wait_for_change)
 {
     const auto began = now();
-    const auto end = began + options.timeout;
+    auto end = began + options.timeout;
     const auto time_until = [](time_point time) {
         return std::chrono::duration_cast<milliseconds>(time - now());
     };
     std::optional<owner_answer> unconfirmed; // The latest answer that left the outcome open.
     while (true) {
+        if (options.latest_end) {
+            end = std::min(end, options.latest_end());
+        }
         const auto limit = std::max(min_attempt_timeout, time_until(end));
         auto answer = attempt(std::min(limit, options.attempt_timeout));
         if (answer.verdict == owner_verdict::unknown) {
--- a/flamingoseam/node/owner_call.hpp
+++ b/flamingoseam/node/owner_call.hpp
@@ -13,6 +13,9 @@
     milliseconds attempt_timeout{1'000};
     milliseconds owner_wait{700};     ///< How long a call waits until there is an owner.
     milliseconds retry_interval{100}; ///< Maximum wait between attempts.
+    /// Returns when the call must have ended; evaluated before each attempt. Null for no limit
+    /// beyond the timeout.
+    std::function<time_point()> latest_end = nullptr;
 };
 
 /// Makes one attempt that takes at most `limit`.
--- a/flamingoseam/node/sharded_node.cpp
+++ b/flamingoseam/node/sharded_node.cpp
@@ -203,7 +203,7 @@
            std::ranges::all_of(shards_, [](const auto& shard) { return shard->is_ready(); });
 }
 
-void sharded_node::leave()
+void sharded_node::leave(const shutdown_schedule& schedule)
 {
     stopping_ = true;
     if (!is_formed_) {
@@ -212,7 +212,7 @@
     }
     std::vector<std::thread> leaving;
     for (const auto& shard : shards_) {
-        leaving.emplace_back([&shard] { shard->leave(); });
+        leaving.emplace_back([&shard, &schedule] { shard->leave(schedule); });
     }
     for (auto& thread : leaving) {
         thread.join();
--- a/flamingoseam/node/sharded_node.hpp
+++ b/flamingoseam/node/sharded_node.hpp
@@ -48,8 +48,8 @@
     [[nodiscard]] bool is_ready() const;
 
     /// Hands over the ownership of all shards and ends this node's membership; calls are still
-    /// forwarded.
-    void leave();
+    /// forwarded, but do not wait for an owner any more.
+    void leave(const shutdown_schedule& schedule);
 
 private:
     void form_shards();
--- a/scenarios/load.cpp
+++ b/scenarios/load.cpp
@@ -77,8 +77,8 @@
             const auto next_entry = options_.entries.at((connection + 1) % options_.entries.size());
             http_client second_client(next_entry);
             const auto answer = attempt == 0 ? client.call(call) : second_client.call(call);
-            const auto message = from_json<caller_answer>(answer.body);
             result.status = answer.status;
+            const auto message = from_json<caller_answer>(answer.body);
             result.request_id = message.request_id;
             result.verdict = to_string(message.result.kind);
             result.reason = message.result.reason;
