--- a/flamingoseam/node/node.cpp
+++ b/flamingoseam/node/node.cpp
@@ -73,8 +73,7 @@
         return no_owner_answer("node_leaves");
     }
     // Another node may have an owner sooner than a node that leaves.
-    const auto owner_wait =
-        leaving_ ? milliseconds(0) : std::min(options_.owner_wait, timeout / 2);
+    const auto owner_wait = leaving_ ? milliseconds(0) : std::min(options_.owner_wait, timeout / 2);
     return call_owner(
         {.timeout = timeout,
          .owner_wait = owner_wait,
--- a/flamingoseam/node/node_election.cpp
+++ b/flamingoseam/node/node_election.cpp
@@ -463,8 +463,8 @@
     dropped->request_stop();
 }
 
-/// Offers ownership to other nodes until one accepts, and keeps serving until it takes over, so that
-/// the cell is hardly without an owner. Returns whether another node has taken over.
+/// Offers ownership to other nodes until one accepts, and keeps serving until it takes over, so
+/// that the cell is hardly without an owner. Returns whether another node has taken over.
 bool node::hand_over_to_member(time_point handover_end)
 {
     while (local_owner() && now() < handover_end) {
--- a/flamingoseam/node/owner_call_test.cpp
+++ b/flamingoseam/node/owner_call_test.cpp
@@ -92,14 +92,15 @@
 {
     const auto began = now();
     auto latest_end = time_point::max();
-    const auto answer = call_owner({.timeout = milliseconds(5'000),
-                                    .retry_interval = milliseconds(5),
-                                    .latest_end = [&] { return latest_end; }},
-                                   [&](milliseconds /*limit*/) {
-                                       latest_end = began + milliseconds(100);
-                                       return verdict(owner_verdict::unknown);
-                                   },
-                                   [](milliseconds limit) { std::this_thread::sleep_for(limit); });
+    const auto answer = call_owner(
+        {.timeout = milliseconds(5'000),
+         .retry_interval = milliseconds(5),
+         .latest_end = [&] { return latest_end; }},
+        [&](milliseconds /*limit*/) {
+            latest_end = began + milliseconds(100);
+            return verdict(owner_verdict::unknown);
+        },
+        [](milliseconds limit) { std::this_thread::sleep_for(limit); });
     CHECK(answer.verdict == owner_verdict::unknown);
     CHECK(now() - began < milliseconds(1'000));
 }
--- a/scenarios/load.cpp
+++ b/scenarios/load.cpp
@@ -5,9 +5,23 @@
 #include "flamingoseam/http/json.hpp"
 #include "flamingoseam/job/request_id.hpp"
 
+#include <iomanip>
+#include <sstream>
+
 namespace flamingoseam::scenario {
 
-load::load(load_options options) : options_(std::move(options))
+namespace {
+
+std::string job_id(std::int64_t number)
+{
+    std::ostringstream text;
+    text << std::hex << std::setw(16) << std::setfill('0') << number;
+    return text.str();
+}
+
+} // namespace
+
+load::load(load_options options) : options_(std::move(options)), next_job_(options_.first_job)
 {
     for (int i = 0; i < options_.connections; ++i) {
         threads_.emplace_back([this, i] { run(static_cast<std::size_t>(i)); });
@@ -70,6 +84,10 @@
                    .body = {},
                    .authorization = "Bearer " + options_.key,
                    .timeout = options_.timeout};
+    if (options_.first_job != 0) {
+        result.request_id = job_id(next_job_++);
+        call.path += result.request_id;
+    }
     const int max_attempts = options_.client_ids ? 2 : 1;
     for (int attempt = 0; attempt < max_attempts && result.status == 0; ++attempt) {
         call.body = body_with(id, attempt == 0);
@@ -78,6 +96,9 @@
             http_client second_client(next_entry);
             const auto answer = attempt == 0 ? client.call(call) : second_client.call(call);
             result.status = answer.status;
+            if (options_.first_job != 0) {
+                return result;
+            }
             const auto message = from_json<caller_answer>(answer.body);
             result.request_id = message.request_id;
             result.verdict = to_string(message.result.kind);
--- a/scenarios/load.hpp
+++ b/scenarios/load.hpp
@@ -20,13 +20,15 @@
     int count = 0;            ///< Total number of requests; 0 sends until stop() is called.
     milliseconds interval{0}; ///< Pause between two requests of one connection.
     milliseconds timeout{30'000};
+    /// If not 0, a job with this number as its id is submitted, then one with the next, and so on.
+    std::int64_t first_job = 0;
     bool client_ids = false; ///< Whether each request carries a UUID and is
                              ///< sent a second time if it gets no answer.
 };
 
 /// The outcome of one request.
 struct load_result {
-    std::string request_id;
+    std::string request_id; ///< That of the request, or the job's id.
     int status = 0; ///< HTTP status; 0 if no answer was received.
     std::string verdict;
     std::string reason;
@@ -57,6 +59,7 @@
     load_options options_;
     std::atomic<bool> stopping_{false};
     std::atomic<int> sent_{0};
+    std::atomic<std::int64_t> next_job_{0};
     std::mutex mutex_;
     std::vector<load_result> results_;
     std::vector<std::thread> threads_;
--- a/scenarios/platform.lua
+++ b/scenarios/platform.lua
@@ -1,7 +1,7 @@
 -- Functions for scenarios that run nodes against the stand-in of the users' platform.
 
 -- Returns the body of a job whose steps run one after the other.
-local function job_json(steps, length_ms)
+function job_body(steps, length_ms)
     local step_json = {}
     for i, step in ipairs(steps) do
         step_json[i] = string.format('{"count":%d,"cpu":%d,"memMb":100,"estimatedMs":%d%s%s}', step.count,
@@ -11,6 +11,24 @@
     return string.format('{"spec":"ms=%d","steps":[%s]}', length_ms, table.concat(step_json, ","))
 end
 
+-- Writes the settings of a node and returns its description; starts no process.
+function new_platform_node(number, store, permissions, settings)
+    local host = address(5, number)
+    local node = { name = "node" .. number, front = host .. ":8080", ready = host .. ":8081",
+        metrics = host .. ":8090" }
+    write_file(node.name .. ".toml", string.format([[
+name = %q
+zone = "zone"
+front = %q
+ready = %q
+rpc = "%s:8082"
+metrics = %q
+store = %q
+permissions = %q
+]], node.name, node.front, node.ready, host, node.metrics, store, permissions) .. (settings or ""))
+    return node
+end
+
 -- Starts the stand-in platform and the nodes and waits until they are ready. `settings[i]`, if given, is appended to
 -- the settings of node i.
 function start_platform(workers, nodes, settings)
@@ -20,19 +38,7 @@
     cell.pid = start("platform", { "standin-platform", "--address=" .. address(1, 1),
         "--worker_addresses=" .. table.concat(hosts, ",") })
     for i = 1, nodes do
-        local host = address(5, i)
-        cell.nodes[i] = { name = "node" .. i, front = host .. ":8080", ready = host .. ":8081",
-            metrics = host .. ":8090" }
-        write_file("node" .. i .. ".toml", string.format([[
-name = "node%d"
-zone = "zone"
-front = "%s:8080"
-ready = "%s:8081"
-rpc = "%s:8082"
-metrics = "%s:8090"
-store = %q
-permissions = %q
-]], i, host, host, host, host, cell.store, cell.store) .. (settings and settings[i] or ""))
+        cell.nodes[i] = new_platform_node(i, cell.store, cell.store, settings and settings[i])
     end
     for _, node in ipairs(cell.nodes) do start_node(node) end
     for _, node in ipairs(cell.nodes) do wait_ready(node) end
@@ -53,7 +59,7 @@
 function submit(node, number, steps, length_ms)
     local id = string.format("%016x", number)
     local code = request { method = "POST", server = node.front, path = "/jobs/" .. id,
-        body = job_json(steps, length_ms), timeout_ms = 4000 }
+        body = job_body(steps, length_ms), timeout_ms = 4000 }
     return code, id
 end
 
--- /dev/null
+++ b/scenarios/platform_soak.lua
@@ -0,0 +1,284 @@
+-- A cell whose store, workers and nodes are processes of their own is used by clients while a plan of faults, drawn
+-- from the seed, is carried out: processes are killed, frozen, restarted under their ids and shut down, links are cut
+-- in one or both directions, and the store is away or forgets its history. The faults overlap. Afterwards every
+-- accepted job must be completed, no task may have run twice, and no process may have ended by itself.
+--
+-- Environment: SOAK_SECONDS is the length of the plan, SOAK_FAULTS the names of its faults, separated by spaces.
+dofile("scenarios/platform.lua")
+dofile("scenarios/run_record.lua")
+
+local WORKERS, NODES = 8, 4
+local LENGTH_MS = 1000 * tonumber(os.getenv("SOAK_SECONDS") or "40")
+local MEAN_PAUSE_MS = 900 -- Between two faults.
+local RECORD = OUT .. "/runs.jsonl"
+math.randomseed(SEED)
+
+local cell = start_platform(0, 0)
+local killed, plan = {}, {}
+
+local function after(delay_ms, action)
+    plan[#plan + 1] = { time_ms = now_ms() + delay_ms, action = action }
+end
+
+-- Carries out the actions of the plan that are due.
+local function run_plan()
+    table.sort(plan, function(a, b) return a.time_ms < b.time_ms end)
+    while plan[1] and plan[1].time_ms <= now_ms() do table.remove(plan, 1).action() end
+end
+
+local function log_fault(text) print(string.format("  %d %s", now_ms(), text)) end
+
+local function start_link(name, host, target, target_port)
+    return { pid = start("link-" .. name, { "standin-link", "--address=" .. host, "--port=7900", "--target=" .. target,
+        "--target_port=" .. target_port, "--control_port=7901" }), address = host .. ":7900", control = host .. ":7901" }
+end
+
+local function start_worker(worker)
+    worker.pid = start(worker.id, { "standin-platform-worker", "--id=" .. worker.id, "--address=" .. worker.host,
+        "--registered_address=" .. worker.link.address, "--store=" .. cell.store, "--record=" .. RECORD })
+end
+
+local workers, nodes = {}, {}
+for i = 1, WORKERS do
+    local worker = { id = "w" .. i, host = address(20, i) }
+    worker.link = start_link(worker.id, address(21, i), worker.host, 7100)
+    start_worker(worker)
+    workers[i] = worker
+end
+for i = 1, NODES do
+    local link = start_link("node" .. i, address(6, i), address(1, 1), 7100)
+    nodes[i] = new_platform_node(i, link.address, cell.store)
+    nodes[i].link = link
+    start_node(nodes[i])
+end
+cell.nodes = nodes
+for _, node in ipairs(nodes) do wait_ready(node) end
+
+local function is_free(target) return not target.busy end
+
+local function pick(list)
+    local free = {}
+    for _, target in ipairs(list) do
+        if is_free(target) then free[#free + 1] = target end
+    end
+    return #free > 0 and free[math.random(#free)] or nil
+end
+
+-- Returns the owner more often than another node, as most faults matter most there.
+local function pick_node()
+    local owner = owner_of(cell)
+    if owner and is_free(owner) and math.random() < 0.6 then return owner end
+    return pick(nodes)
+end
+
+local function kill_worker(worker)
+    signal(worker.pid, "KILL")
+    wait_exit(worker.pid, 2000)
+    killed[#killed + 1] = { worker = worker.id, time_ms = now_ms() }
+end
+
+-- Freezes a process that stands for a link or a program.
+local function freeze(pid, length_ms, done)
+    signal(pid, "STOP")
+    after(length_ms, function()
+        signal(pid, "CONT")
+        done()
+    end)
+end
+
+local function occupy(target)
+    target.busy = true
+    return function() target.busy = false end
+end
+
+local store = { pid = cell.pid }
+local faults = {
+    worker_restart = function()
+        local worker = pick(workers)
+        if not worker then return end
+        local release = occupy(worker)
+        log_fault("worker_restart " .. worker.id)
+        kill_worker(worker)
+        after(math.random(0, 500), function()
+            start_worker(worker)
+            release()
+        end)
+    end,
+    worker_power = function() -- Its connections hang until it is back.
+        local worker = pick(workers)
+        if not worker then return end
+        local release = occupy(worker)
+        log_fault("worker_power " .. worker.id)
+        signal(worker.link.pid, "STOP")
+        kill_worker(worker)
+        after(math.random(50, 1500), function()
+            start_worker(worker)
+            signal(worker.link.pid, "CONT")
+            release()
+        end)
+    end,
+    worker_cut = function()
+        local worker = pick(workers)
+        if not worker then return end
+        log_fault("worker_cut " .. worker.id)
+        freeze(worker.link.pid, math.random(500, 5500), occupy(worker))
+    end,
+    worker_mute = function() -- Orders arrive, answers do not.
+        local worker = pick(workers)
+        if not worker then return end
+        local release = occupy(worker)
+        log_fault("worker_mute " .. worker.id)
+        request { server = worker.link.control, path = "/v1/mode?mode=mute" }
+        after(math.random(500, 5500), function()
+            request { server = worker.link.control, path = "/v1/mode?mode=pass" }
+            release()
+        end)
+    end,
+    worker_reset = function()
+        local worker = pick(workers)
+        if not worker then return end
+        local release = occupy(worker)
+        log_fault("worker_reset " .. worker.id)
+        request { server = worker.link.control, path = "/v1/mode?mode=cut" }
+        after(math.random(50, 3000), function()
+            request { server = worker.link.control, path = "/v1/mode?mode=pass" }
+            release()
+        end)
+    end,
+    node_kill = function()
+        local node = pick_node()
+        if not node then return end
+        local release = occupy(node)
+        log_fault("node_kill " .. node.name)
+        signal(node.pid, "KILL")
+        wait_exit(node.pid, 2000)
+        after(math.random(100, 1500), function()
+            start_node(node)
+            release()
+        end)
+    end,
+    node_freeze = function()
+        local node = pick_node()
+        if not node then return end
+        log_fault("node_freeze " .. node.name)
+        freeze(node.pid, math.random(300, 9000), occupy(node))
+    end,
+    node_term = function()
+        local node = pick_node()
+        if not node then return end
+        local release = occupy(node)
+        log_fault("node_term " .. node.name)
+        signal(node.pid, "TERM")
+        local killed_at_ms = now_ms() + 6000
+        local function restart()
+            local code = wait_exit(node.pid, 1)
+            if not code and now_ms() < killed_at_ms then return after(100, restart) end
+            if code ~= 0 then node.bad_exit = "exit code " .. tostring(code) .. " after SIGTERM" end
+            start_node(node)
+            release()
+        end
+        after(100, restart)
+    end,
+    node_store_cut = function()
+        local node = pick_node()
+        if not node or node.link.busy then return end
+        log_fault("node_store_cut " .. node.name)
+        freeze(node.link.pid, math.random(300, 8000), occupy(node.link))
+    end,
+    store_away = function()
+        if store.busy then return end
+        log_fault("store_away")
+        freeze(store.pid, math.random(500, 13000), occupy(store))
+    end,
+    store_history = function()
+        if store.busy then return end
+        log_fault("store_history")
+        discard_history(cell, math.random(50, 1000), math.random() < 0.5 and "cut" or "hold")
+    end,
+    store_lossy = function()
+        if store.busy then return end
+        local release = occupy(store)
+        log_fault("store_lossy")
+        set_store_fault(cell, "lossy")
+        after(math.random(500, 4000), function()
+            set_store_fault(cell, "none")
+            release()
+        end)
+    end,
+}
+local names = {}
+for name in (os.getenv("SOAK_FAULTS") or ""):gmatch("%S+") do names[#names + 1] = name end
+if #names == 0 then
+    for name in pairs(faults) do names[#names + 1] = name end
+end
+table.sort(names)
+
+local function start_clients(first_job, steps, length_ms, connections)
+    local fronts = {}
+    for i, node in ipairs(nodes) do fronts[i] = node.front end
+    return load_start { entries = fronts, path = "/jobs/", body = job_body(steps, length_ms), first_job = first_job,
+        connections = connections, interval_ms = 400, timeout_ms = 4000 }
+end
+local clients = {
+    start_clients(0x100000, { { count = 3 } }, 150, 4),
+    start_clients(0x200000, { { count = 4, cpu = 2000 }, { count = 2 } }, 1200, 4),
+    start_clients(0x300000, { { count = 3, cpu = 4000, gang = true } }, 800, 2),
+}
+
+-- Fails if a process that nobody has stopped has ended.
+local function check_processes()
+    for _, node in ipairs(nodes) do
+        if not node.busy and not node.bad_exit then
+            local code = wait_exit(node.pid, 1)
+            if code then node.bad_exit = "ended by itself with exit code " .. code end
+        end
+    end
+end
+
+local end_ms = now_ms() + LENGTH_MS
+local next_ms = now_ms() + 1500
+while now_ms() < end_ms or #plan > 0 do
+    run_plan()
+    if now_ms() >= next_ms and now_ms() < end_ms then
+        next_ms = now_ms() + math.random(0, 2 * MEAN_PAUSE_MS)
+        faults[names[math.random(#names)]]()
+    end
+    check_processes()
+    pause(10)
+end
+
+local accepted, sent = {}, 0
+for _, load in ipairs(clients) do
+    for _, result in ipairs(load_finish(load, true)) do
+        sent = sent + 1
+        if result.status == 200 then accepted[#accepted + 1] = result.request_id end
+    end
+end
+print("  " .. #accepted .. " of " .. sent .. " jobs were accepted")
+for _, node in ipairs(nodes) do wait_ready(node) end
+
+local FINISH_MS = 14000 -- Time in which all accepted jobs must be completed once all is well.
+local finish_ms = now_ms() + FINISH_MS
+local open = accepted
+while #open > 0 and now_ms() < finish_ms do
+    local left = {}
+    for _, id in ipairs(open) do
+        if state_of(nodes[1], id) ~= "completed" then left[#left + 1] = id end
+    end
+    open = left
+    pause(100)
+end
+check_processes()
+
+local failures = {}
+local function report(text)
+    failures[#failures + 1] = text
+    print("  " .. text)
+end
+for _, id in ipairs(open) do report("LOST " .. id .. " is " .. tostring(state_of(nodes[1], id))) end
+for _, line in ipairs(find_repeated_runs(read_runs(RECORD, killed))) do report("TWICE " .. line) end
+for _, node in ipairs(nodes) do
+    if node.bad_exit then report("FAULT " .. node.name .. " " .. node.bad_exit) end
+end
+expect("most requests were served", #accepted > sent / 10)
+expect("every job was completed once and no process ended by itself", #failures == 0)
--- /dev/null
+++ b/scenarios/run_record.lua
@@ -0,0 +1,79 @@
+-- Functions that check the record of runs that the processes of standin-platform-worker append to one file.
+
+-- Returns the events of the record, each a table with the fields of its line, in the order of their times.
+local function read_events(file)
+    local events = {}
+    for line in io.lines(file) do
+        local event = {}
+        for name, text in line:gmatch('"([%w_]+)":"([^"]*)"') do event[name] = text end
+        for name, number in line:gmatch('"([%w_]+)":(%d+)') do event[name] = tonumber(number) end
+        event.position = #events
+        events[#events + 1] = event
+    end
+    table.sort(events, function(a, b)
+        if a.time_ms ~= b.time_ms then return a.time_ms < b.time_ms end
+        return a.position < b.position
+    end)
+    return events
+end
+
+-- Returns a table from tasks to the runs of each. `killed` is a list of { worker, time_ms }: the worker's process
+-- ended then with all that ran.
+function read_runs(file, killed)
+    local events = read_events(file)
+    for _, kill in ipairs(killed) do
+        events[#events + 1] = { event = "killed", worker = kill.worker, time_ms = kill.time_ms, position = #events }
+    end
+    table.sort(events, function(a, b)
+        if a.time_ms ~= b.time_ms then return a.time_ms < b.time_ms end
+        return a.position < b.position
+    end)
+    local tasks, active, lapses = {}, {}, {}
+    for _, event in ipairs(events) do
+        local name = event.task and event.worker .. " " .. event.task .. " " .. event.run
+        if event.event == "begin" then
+            local run = { worker = event.worker, number = event.run, began_ms = event.time_ms }
+            active[name] = run
+            tasks[event.task] = tasks[event.task] or {}
+            table.insert(tasks[event.task], run)
+        elseif event.event == "end" and active[name] then
+            active[name].ended_ms, active[name].how = event.time_ms, event.how
+            if event.how == "lapsed" then lapses[event.worker] = event.time_ms end
+        elseif event.event == "acknowledged" and active[name] then
+            local run = active[name]
+            -- An end after which the worker's lease lapsed counts for nothing.
+            run.acknowledged = (lapses[event.worker] or 0) <= (run.ended_ms or 0)
+        elseif event.event == "killed" then
+            for _, run in pairs(active) do
+                if run.worker == event.worker and not run.ended_ms then
+                    run.ended_ms, run.how = event.time_ms, "killed"
+                end
+            end
+        end
+    end
+    return tasks
+end
+
+local function describe(run)
+    return string.format("run %d on %s, %d to %s %s%s", run.number, run.worker, run.began_ms,
+        run.ended_ms or "-", run.how or "", run.acknowledged and ", acknowledged" or "")
+end
+
+-- Returns a line for each task that ran twice at the same time, or again after an acknowledged end as done.
+function find_repeated_runs(tasks)
+    local found = {}
+    for task, runs in pairs(tasks) do
+        for i, first in ipairs(runs) do
+            for j = i + 1, #runs do
+                local second = runs[j]
+                local overlaps = not first.ended_ms or second.began_ms < first.ended_ms
+                local repeats = first.how == "done" and first.acknowledged
+                if overlaps or repeats then
+                    found[#found + 1] = task .. (overlaps and " at once: " or " again: ") .. describe(first) ..
+                        "; " .. describe(second)
+                end
+            end
+        end
+    end
+    return found
+end
--- a/scenarios/runner.cpp
+++ b/scenarios/runner.cpp
@@ -186,6 +186,7 @@
     options.count = static_cast<int>(integer_field(lua, 1, "count", 0));
     options.interval = milliseconds(integer_field(lua, 1, "interval_ms", 0));
     options.timeout = milliseconds(integer_field(lua, 1, "timeout_ms", 30'000));
+    options.first_job = integer_field(lua, 1, "first_job", 0);
     options.client_ids = integer_field(lua, 1, "client_ids", 0) != 0;
     auto& scenario = context_of(lua);
     scenario.loads[scenario.next_load] = std::make_unique<load>(options);
--- a/standins/link_main.cpp
+++ b/standins/link_main.cpp
@@ -1,6 +1,6 @@
 /// A stand-in for the network between two programs. Forwards TCP connections to a target, and on
-/// request drops all further data of the open connections, closes connections, or delays their
-/// data.
+/// request drops all further data of the open connections, closes connections, delays their data, or
+/// holds back what the target sends.
 #include "flamingoseam/daemon/daemon.hpp"
 #include "flamingoseam/http/http_server.hpp"
 #include "flamingoseam/log/log.hpp"
@@ -15,28 +15,43 @@
 DEFINE_int32(port, 7900, "TCP port to listen on");
 DEFINE_string(target, "127.0.0.1", "IP address to forward to");
 DEFINE_int32(target_port, 7300, "TCP port to forward to");
-DEFINE_int32(control_port, 7901, "HTTP port for POST /v1/mode?mode=pass|silence|cut&delay_ms=N");
+DEFINE_int32(control_port, 7901, "HTTP port for POST /v1/mode?mode=pass|silence|cut|mute&delay_ms=N");
 
 namespace {
 
 constexpr std::size_t buffer_size = 16'384;
-constexpr int cut_poll_interval_ms = 20;
+constexpr int poll_interval_ms = 20;
 
 /// The faults that are applied to the connections. Set through the control port.
 struct link_mode {
     std::atomic<int> silenced_before{0}; ///< Connections with a lower number forward nothing more.
+    std::atomic<bool> mute{false};       ///< Data of the target is held back.
     std::atomic<bool> cut{false};        ///< Open connections are closed, new ones immediately.
     std::atomic<int> delay_ms{0};
     std::atomic<int> next_connection{1};
     std::atomic<std::int64_t> bytes{0}; ///< Forwarded in both directions.
 };
 
+/// Returns a promise that is fulfilled when the data of the target need not be held back.
+kj::Promise<void> until_not_mute(link_mode& mode, kj::Timer& timer)
+{
+    if (!mode.mute) {
+        return kj::READY_NOW;
+    }
+    return timer.afterDelay(poll_interval_ms * kj::MILLISECONDS).then([&mode, &timer] {
+        return until_not_mute(mode, timer);
+    });
+}
+
+enum class direction { to_target, from_target };
+
 /// Forwards one direction of a connection until the sender closes it or it is silenced.
-kj::Promise<void> pump(link_mode& mode, kj::Timer& timer, int number, kj::AsyncIoStream& from,
-                       kj::AsyncIoStream& to, kj::byte* buffer)
+kj::Promise<void> pump(link_mode& mode, kj::Timer& timer, int number, direction way,
+                       kj::AsyncIoStream& from, kj::AsyncIoStream& to, kj::byte* buffer)
 {
     return from.tryRead(buffer, 1, buffer_size)
-        .then([&mode, &timer, number, &from, &to, buffer](std::size_t size) -> kj::Promise<void> {
+        .then([&mode, &timer, number, way, &from, &to,
+               buffer](std::size_t size) -> kj::Promise<void> {
             if (number < mode.silenced_before) {
                 return kj::Promise<void>(kj::NEVER_DONE);
             }
@@ -46,9 +61,15 @@
                 return kj::READY_NOW;
             }
             return timer.afterDelay(mode.delay_ms.load() * kj::MILLISECONDS)
+                .then([&mode, &timer, way]() -> kj::Promise<void> {
+                    if (way == direction::from_target) {
+                        return until_not_mute(mode, timer);
+                    }
+                    return kj::READY_NOW;
+                })
                 .then([&to, buffer, size] { return to.write(buffer, size); })
-                .then([&mode, &timer, number, &from, &to, buffer] {
-                    return pump(mode, timer, number, from, to, buffer);
+                .then([&mode, &timer, number, way, &from, &to, buffer] {
+                    return pump(mode, timer, number, way, from, to, buffer);
                 });
         });
 }
@@ -59,7 +80,7 @@
     if (mode.cut) {
         return kj::READY_NOW;
     }
-    return timer.afterDelay(cut_poll_interval_ms * kj::MILLISECONDS).then([&mode, &timer] {
+    return timer.afterDelay(poll_interval_ms * kj::MILLISECONDS).then([&mode, &timer] {
         return until_cut(mode, timer);
     });
 }
@@ -94,8 +115,10 @@
             auto response_buffer = kj::heapArray<kj::byte>(buffer_size);
             auto& timer = io_.provider->getTimer();
             auto directions = kj::heapArrayBuilder<kj::Promise<void>>(2);
-            directions.add(pump(mode_, timer, number, *from, *to, request_buffer.begin()));
-            directions.add(pump(mode_, timer, number, *to, *from, response_buffer.begin()));
+            directions.add(pump(mode_, timer, number, direction::to_target, *from, *to,
+                                request_buffer.begin()));
+            directions.add(pump(mode_, timer, number, direction::from_target, *to, *from,
+                                response_buffer.begin()));
             return kj::joinPromises(directions.finish())
                 .exclusiveJoin(until_cut(mode_, timer))
                 .attach(kj::mv(request_buffer), kj::mv(response_buffer), kj::mv(from), kj::mv(to));
@@ -125,6 +148,7 @@
         [&mode](const flamingoseam::http_request& request) -> flamingoseam::http_response {
             const auto name = request.query_or("mode", "pass");
             mode.cut = name == "cut";
+            mode.mute = name == "mute";
             mode.delay_ms = std::stoi(request.query_or("delay_ms", "0"));
             if (name == "silence") {
                 mode.silenced_before = mode.next_connection.load();
--- a/standins/platform_worker.cpp
+++ b/standins/platform_worker.cpp
@@ -22,24 +22,24 @@
 
 } // namespace
 
-void run_ledger::begin(const std::string& task)
+void run_ledger::on_begin(const run_id& run)
 {
     const std::lock_guard lock(mutex_);
     ++starts_;
-    concurrent_starts_ += running_[task]++ > 0 ? 1 : 0;
-    repeated_starts_ += done_.contains(task) ? 1 : 0;
+    concurrent_starts_ += running_[run.task]++ > 0 ? 1 : 0;
+    repeated_starts_ += done_.contains(run.task) ? 1 : 0;
 }
 
-void run_ledger::end(const std::string& task, bool done)
+void run_ledger::on_end(std::int64_t /*number*/, const run_id& run, const std::string& how)
 {
     const std::lock_guard lock(mutex_);
-    --running_[task];
-    if (done) {
-        ++done_[task];
+    --running_[run.task];
+    if (how == "done") {
+        ++done_[run.task];
     }
 }
 
-void run_ledger::record_late_start()
+void run_ledger::on_late_start()
 {
     const std::lock_guard lock(mutex_);
     ++late_starts_;
@@ -55,8 +55,8 @@
             {"late_on_leaving", late_starts_}};
 }
 
-platform_worker::platform_worker(std::string id, milliseconds notice, run_ledger& ledger)
-    : id_(std::move(id)), notice_(notice), ledger_(ledger)
+platform_worker::platform_worker(std::string id, milliseconds notice, run_observer& observer)
+    : id_(std::move(id)), notice_(notice), observer_(observer)
 {
     thread_ = std::thread([this] {
         std::unique_lock lock(mutex_);
@@ -152,9 +152,9 @@
                      .number = number,
                      .began = now(),
                      .ends = now() + run_time_of(body.value("spec", ""))});
-    ledger_.begin(task);
+    observer_.on_begin({task, number});
     if (leaving_since_ && now() - *leaving_since_ > notice_) {
-        ledger_.record_late_start();
+        observer_.on_late_start();
     }
     changed_.notify_all();
     return {.status = 200, .body = answer};
@@ -176,8 +176,12 @@
 http_response platform_worker::hold(std::unique_lock<std::mutex>& lock, const json& body)
 {
     const auto acknowledged = body.value("lastSeen", std::int64_t{0});
-    std::erase_if(ended_, [acknowledged](const json& ended) {
-        return ended.at(0).get<std::int64_t>() <= acknowledged;
+    std::erase_if(ended_, [this, acknowledged](const json& ended) {
+        const bool is_acknowledged = ended.at(0).get<std::int64_t>() <= acknowledged;
+        if (is_acknowledged) {
+            observer_.on_acknowledged({ended.at(1), ended.at(2)}, ended.at(3));
+        }
+        return is_acknowledged;
     });
     if (body.contains("deadlineMs")) {
         const auto until = body.at("deadlineMs").get<std::int64_t>();
@@ -206,8 +210,8 @@
     const auto run = runs_[index];
     runs_.erase(runs_.begin() + static_cast<std::ptrdiff_t>(index));
     last_refused_run_[run.task] = std::max(last_refused_run_[run.task], run.number);
+    observer_.on_end(next_end_, {run.task, run.number}, result);
     ended_.push_back({next_end_++, run.task, run.number, result, ""});
-    ledger_.end(run.task, std::string(result) == "done");
     changed_.notify_all();
 }
 
--- a/standins/platform_worker.hpp
+++ b/standins/platform_worker.hpp
@@ -16,15 +16,36 @@
 
 namespace flamingoseam::standin {
 
-/// Records the starts and ends of all runs on all workers of the stand-in, so that tests can find
-/// tasks that ran concurrently or ran again after they were done. Thread-safe.
-class run_ledger {
+/// A run as it is named in orders.
+struct run_id {
+    std::string task;
+    std::int64_t number = 0;
+};
+
+/// Receives what happens to the runs of a worker. Called with the worker's lock held.
+class run_observer {
 public:
-    void begin(const std::string& task);
-    void end(const std::string& task, bool done);
+    virtual ~run_observer() = default;
+    virtual void on_begin(const run_id& run) = 0;
+
+    /// Called when a run has ended as `how`, the end with this number on its worker.
+    virtual void on_end(std::int64_t number, const run_id& run, const std::string& how) = 0;
+
+    /// Called when the owner has acknowledged an end, which is then forgotten.
+    virtual void on_acknowledged(const run_id& run, const std::string& how) = 0;
 
-    /// Counts a start on a worker that announced long before that it leaves.
-    void record_late_start();
+    /// Called for a start on a worker that announced long before that it leaves.
+    virtual void on_late_start() = 0;
+};
+
+/// Counts the starts and ends of all runs on all workers of the stand-in, so that tests can find
+/// tasks that ran concurrently or ran again after they were done. Thread-safe.
+class run_ledger final : public run_observer {
+public:
+    void on_begin(const run_id& run) override;
+    void on_end(std::int64_t number, const run_id& run, const std::string& how) override;
+    void on_acknowledged(const run_id& /*run*/, const std::string& /*how*/) override {}
+    void on_late_start() override;
 
     /// Returns as JSON the number of starts, of tasks done, of starts while the task was already
     /// running, of starts after the task was done and of late starts on leaving workers.
@@ -47,7 +68,7 @@
 public:
     /// `notice` is the time after the announcement that it leaves within which the worker may be
     /// given work.
-    platform_worker(std::string id, milliseconds notice, run_ledger& ledger);
+    platform_worker(std::string id, milliseconds notice, run_observer& observer);
     ~platform_worker();
     platform_worker(const platform_worker&) = delete;
     platform_worker& operator=(const platform_worker&) = delete;
@@ -55,6 +76,9 @@
     /// Handles a request to the worker.
     http_response handle(const http_request& request);
 
+    /// Returns when the worker was started, which it reports as its incarnation.
+    [[nodiscard]] std::int64_t start_wall_ms() const { return start_wall_ms_; }
+
     /// Records that the store has accepted the announcement that the worker leaves.
     void begin_leaving();
 
@@ -78,7 +102,7 @@
 
     std::string id_;
     milliseconds notice_;
-    run_ledger& ledger_;
+    run_observer& observer_;
     std::optional<time_point> leaving_since_;
     std::mutex mutex_;
     std::condition_variable changed_;
