--- a/flamingoseam/node/job_owner.cpp
+++ b/flamingoseam/node/job_owner.cpp
@@ -248,10 +248,12 @@
     return finished;
 }
 
-void job_owner::on_report(std::size_t worker, workflow::worker_report report)
+void job_owner::on_report(const session_id& session, workflow::worker_report report)
 {
-    loop_.post([this, worker, report = std::move(report)] {
-        state_.on_report(worker, report, now(), wall_now());
+    loop_.post([this, session, report = std::move(report)] {
+        if (is_current(session)) {
+            state_.on_report(session.worker, report, now(), wall_now());
+        }
     });
 }
 
@@ -267,27 +269,40 @@
     loop_.post([this, worker, name] { state_.on_stop(worker, name, now()); });
 }
 
-void job_owner::on_unreachable_changed(std::size_t worker, bool unreachable,
+void job_owner::on_unreachable_changed(const session_id& session, bool unreachable,
                                        time_point silent_since)
 {
-    loop_.post([this, worker, unreachable, silent_since] {
-        state_.on_unreachable_changed(worker, unreachable, silent_since, now(), wall_now());
+    loop_.post([this, session, unreachable, silent_since] {
+        if (is_current(session)) {
+            state_.on_unreachable_changed(session.worker, unreachable, silent_since, now(),
+                                          wall_now());
+        }
     });
 }
 
-void job_owner::on_emptied(std::size_t worker, workflow::emptied_reason reason)
+void job_owner::on_emptied(const session_id& session, workflow::emptied_reason reason)
 {
-    loop_.post([this, worker, reason] {
-        state_.on_emptied(worker, reason, now(), wall_now());
-        const auto session = sessions_.find(worker);
-        if (session != sessions_.end() && !state_.workers().at(worker).listed) {
-            session->second->request_stop();
-            retired_sessions_.push_back(std::move(session->second));
-            sessions_.erase(session);
+    loop_.post([this, session, reason] {
+        if (!is_current(session)) {
+            return;
+        }
+        state_.on_emptied(session.worker, reason, now(), wall_now());
+        if (!state_.workers().at(session.worker).listed) {
+            auto ended = sessions_.extract(session.worker);
+            ended.mapped()->request_stop();
+            retired_sessions_.push_back(std::move(ended.mapped()));
         }
     });
 }
 
+/// Checks whether a session is the newest one with its worker. What an earlier one still reports
+/// says nothing of the worker at its new address.
+bool job_owner::is_current(const session_id& session) const
+{
+    const auto found = sessions_.find(session.worker);
+    return found != sessions_.end() && found->second->number() == session.number;
+}
+
 void job_owner::on_fenced(std::size_t worker)
 {
     LOG(WARNING) << "worker " << worker << " has accepted a newer owner than epoch " << epoch_;
--- a/flamingoseam/node/job_owner.hpp
+++ b/flamingoseam/node/job_owner.hpp
@@ -97,13 +97,13 @@
     [[nodiscard]] std::uint64_t epoch() const { return epoch_; }
 
 private:
-    void on_report(std::size_t worker, workflow::worker_report report) override;
+    void on_report(const session_id& session, workflow::worker_report report) override;
     void on_start(std::size_t worker, const workflow::run_name& name,
                   workflow::start_outcome outcome) override;
     void on_stop(std::size_t worker, const workflow::run_name& name) override;
-    void on_unreachable_changed(std::size_t worker, bool unreachable,
+    void on_unreachable_changed(const session_id& session, bool unreachable,
                                 time_point silent_since) override;
-    void on_emptied(std::size_t worker, workflow::emptied_reason reason) override;
+    void on_emptied(const session_id& session, workflow::emptied_reason reason) override;
     void on_fenced(std::size_t worker) override;
 
     /// A commit stream together with its source of changes.
@@ -133,6 +133,7 @@
     void release_session(std::size_t worker);
     void borrow_workers(time_point time);
     void open_sessions();
+    [[nodiscard]] bool is_current(const session_id& session) const;
     void drop_finished_sessions();
     void report_superseded();
 
@@ -151,6 +152,7 @@
     std::unordered_map<std::uint64_t, owner_service::owner_reply> replies_;
     std::uint64_t next_token_ = 1;
     std::map<std::size_t, std::unique_ptr<worker_session>> sessions_;
+    std::uint64_t last_session_ = 0; ///< Number of the newest session.
     std::vector<std::unique_ptr<worker_session>> retired_sessions_;
     std::unique_ptr<permission_dispatcher> permission_dispatcher_;
     std::vector<std::unique_ptr<owner_commit_source>> streams_;
--- a/flamingoseam/node/job_owner_workers.cpp
+++ b/flamingoseam/node/job_owner_workers.cpp
@@ -168,7 +168,7 @@
         }
         worker_listener& listener = *this;
         session = std::make_unique<worker_session>(
-            worker_session_options{.worker = worker,
+            worker_session_options{.id = {.worker = worker, .number = ++last_session_},
                                    .epoch = state.entry.token_base + epoch_,
                                    .lease = dependencies_.worker_lease,
                                    .silent_for = silence_of(state, wall_now())},
--- a/flamingoseam/node/worker_session.cpp
+++ b/flamingoseam/node/worker_session.cpp
@@ -18,6 +18,8 @@
 constexpr milliseconds max_retry_delay{500};
 constexpr milliseconds earlier_owner_margin{1'000}; ///< For the renewals of a disconnected owner.
 constexpr milliseconds rejection_delay{1'000};
+/// Answers on different connections may arrive in another order within this time.
+constexpr milliseconds max_answer_reordering{1'000};
 
 worker_time elapsed_on_slow_clock(time_point since, time_point time)
 {
@@ -40,6 +42,11 @@
     received_ = received;
 }
 
+bool lease_clock::has_restarted(worker_time clock) const
+{
+    return known_ && clock + max_answer_reordering < clock_;
+}
+
 worker_time lease_clock::extend(milliseconds length, time_point time)
 {
     if (!known_) {
@@ -102,7 +109,7 @@
 void worker_session::report_fenced()
 {
     if (!released_) {
-        listener_.on_fenced(options_.worker);
+        listener_.on_fenced(options_.id.worker);
     }
 }
 
@@ -139,7 +146,7 @@
 
 void worker_session::report_not_sent(const queued_start& start)
 {
-    listener_.on_start(options_.worker, start.order.name, workflow::start_outcome::not_sent);
+    listener_.on_start(options_.id.worker, start.order.name, workflow::start_outcome::not_sent);
 }
 
 void worker_session::forget(const workflow::forget_order& order)
@@ -212,10 +219,10 @@
         if (answer.outcome == workflow::start_outcome::fenced) {
             report_fenced(); // First, so that the run is not assigned again.
         }
-        listener_.on_start(options_.worker, order.name, answer.outcome);
+        listener_.on_start(options_.id.worker, order.name, answer.outcome);
     } catch (const transport_error& cause) {
         LOG_EVERY_N(WARNING, 50) << "worker did not answer a start order: " << cause.what();
-        listener_.on_start(options_.worker, order.name, workflow::start_outcome::unknown);
+        listener_.on_start(options_.id.worker, order.name, workflow::start_outcome::unknown);
     }
 }
 
@@ -225,7 +232,7 @@
         const auto answer = order_channel_->stop(name, options_.epoch, options_.order_timeout);
         record_clock(answer.clock);
         if (answer.outcome == workflow::start_outcome::started) {
-            listener_.on_stop(options_.worker, name);
+            listener_.on_stop(options_.id.worker, name);
         } else if (answer.outcome == workflow::start_outcome::fenced) {
             report_fenced();
         }
@@ -247,6 +254,9 @@
 {
     if (clock != worker_time(0)) {
         const std::lock_guard lock(mutex_);
+        if (clock_.has_restarted(clock)) {
+            forget_up_to_ = 0;
+        }
         clock_.record(clock, now());
     }
 }
@@ -267,7 +277,8 @@
     renew_call call{.epoch = options_.epoch, .lease_until = extend_lease()};
     {
         const std::lock_guard lock(mutex_);
-        call.forget_up_to = forget_up_to_;
+        // After an unanswered poll a new incarnation may answer, whose ends have the same numbers.
+        call.forget_up_to = unreachable_ ? 0 : forget_up_to_;
         call.wait = clock_.is_known() ? next_wait() : milliseconds(0);
     }
     const auto asked = now();
@@ -306,7 +317,7 @@
     }
     if (answer.outcome == kind::wrong_incarnation) {
         set_unreachable(true);
-        listener_.on_emptied(options_.worker, workflow::emptied_reason::replaced);
+        listener_.on_emptied(options_.id, workflow::emptied_reason::replaced);
         pause(rejection_delay);
         return;
     }
@@ -331,7 +342,7 @@
         answer.report.ended.empty() ? std::int64_t{0} : answer.report.ended.back().number;
     answer.report.asked = asked;
     set_unreachable(false);
-    listener_.on_report(options_.worker, std::move(answer.report));
+    listener_.on_report(options_.id, std::move(answer.report));
     wait_until_stored(newest_end);
 }
 
@@ -367,7 +378,7 @@
         emptied_ = emptied_ || expired;
     }
     if (expired) {
-        listener_.on_emptied(options_.worker, workflow::emptied_reason::lease_expired);
+        listener_.on_emptied(options_.id, workflow::emptied_reason::lease_expired);
     }
 }
 
@@ -386,7 +397,7 @@
         }
         silent_since = silent_since_;
     }
-    listener_.on_unreachable_changed(options_.worker, unreachable, silent_since);
+    listener_.on_unreachable_changed(options_.id, unreachable, silent_since);
 }
 
 void worker_session::pause(milliseconds length)
--- a/flamingoseam/node/worker_session.hpp
+++ b/flamingoseam/node/worker_session.hpp
@@ -12,22 +12,29 @@
 
 namespace flamingoseam::node {
 
-/// Receives the reports and answers of a worker. Called from the threads of the session.
+/// Identifies a session with a worker. A worker that moves to another address gets a new one.
+struct session_id {
+    std::size_t worker = 0;
+    std::uint64_t number = 0;
+};
+
+/// Receives the reports and answers of a worker. Called from the threads of the session. The
+/// results of orders concern the worker, everything else the session.
 class worker_listener {
 public:
     virtual ~worker_listener() = default;
-    virtual void on_report(std::size_t worker, workflow::worker_report report) = 0;
+    virtual void on_report(const session_id& session, workflow::worker_report report) = 0;
     virtual void on_start(std::size_t worker, const workflow::run_name& name,
                           workflow::start_outcome outcome) = 0;
     virtual void on_stop(std::size_t worker, const workflow::run_name& name) = 0;
 
     /// Called when the worker stops answering polls or answers again. The session has not extended
     /// the worker's lease since `silent_since` and does so only after permit_renewal().
-    virtual void on_unreachable_changed(std::size_t worker, bool unreachable,
+    virtual void on_unreachable_changed(const session_id& session, bool unreachable,
                                         time_point silent_since) = 0;
 
     /// Called when it is certain that no runs are left on the worker.
-    virtual void on_emptied(std::size_t worker, workflow::emptied_reason reason) = 0;
+    virtual void on_emptied(const session_id& session, workflow::emptied_reason reason) = 0;
 
     /// Called when the worker has accepted the epoch of a newer owner.
     virtual void on_fenced(std::size_t worker) = 0;
@@ -35,7 +42,7 @@
 
 /// Options of a worker session.
 struct worker_session_options {
-    std::size_t worker = 0;
+    session_id id;
     std::uint64_t epoch = 0;
     milliseconds lease{6'000}; ///< Length of the lease of all runs of the worker.
 
@@ -67,6 +74,9 @@
 
     [[nodiscard]] bool is_known() const { return known_; }
 
+    /// Checks whether a time is so much earlier than the last one that the worker has restarted.
+    [[nodiscard]] bool has_restarted(worker_time clock) const;
+
     /// Extends the lease to `length` after `time` and returns when it ends on the worker's clock,
     /// or 0 when that clock is not known.
     worker_time extend(milliseconds length, time_point time);
@@ -124,6 +134,7 @@
     [[nodiscard]] bool has_ended() const { return running_threads_ == 0; }
 
     [[nodiscard]] const workflow::worker_entry& entry() const { return entry_; }
+    [[nodiscard]] std::uint64_t number() const { return options_.id.number; }
 
 private:
     struct queued_start {
--- a/flamingoseam/workflow/fleet.hpp
+++ b/flamingoseam/workflow/fleet.hpp
@@ -35,7 +35,10 @@
     int percent = 0;               ///< Share of the work that is done, in percent.
     time_point percent_changed_at{};
     int missing_reports = 0;     ///< Number of consecutive reports without this run.
-    bool worker_crashed = false; ///< The worker has crashed since the run was assigned to it.
+    bool worker_crashed = false; ///< The worker has crashed under the run.
+
+    /// Checks whether the worker has confirmed that the run has begun.
+    [[nodiscard]] bool has_begun() const { return state == run_state::present; }
 };
 
 /// A worker, the runs assigned to it and the state known from its reports.
--- a/flamingoseam/workflow/workflow_crash_test.cpp
+++ b/flamingoseam/workflow/workflow_crash_test.cpp
@@ -267,3 +267,40 @@
     CHECK(stored.jobs[0].steps[0].tasks[0].crashed_runs == std::vector<std::int64_t>{1'001});
     CHECK(stored.jobs[0].steps[0].tasks[1].crashed_runs == std::vector<std::int64_t>{1'001});
 }
+
+// Guards against jobs that are given up although no run of them failed: a start that was never
+// answered may not have reached the worker that crashed.
+TEST_CASE("a start that was never confirmed does not count as a crash")
+{
+    driven_state driver;
+    driver.make_usable();
+    driver.submit(driver.job("fedcba9876543210", 1'000));
+    const auto started = driver.next().starts;
+    REQUIRE(started.size() == 1);
+
+    SECTION("when another incarnation has the worker's address")
+    {
+        driver.state.on_start(0, started[0].name, start_outcome::unknown, driver.time);
+        driver.state.on_emptied(0, emptied_reason::replaced, driver.time, wall);
+        CHECK(driver.state.counts().crashed_runs == 0);
+    }
+    SECTION("when the worker is back under its id")
+    {
+        driver.state.on_start(0, started[0].name, start_outcome::unknown, driver.time);
+        auto restarted = driver.worker();
+        restarted.incarnation = 2;
+        driver.state.on_worker_list({restarted}, driver.time);
+        driver.next();
+        driver.state.on_stop(0, started[0].name, driver.time);
+        driver.time += milliseconds(1);
+        driver.state.on_report(0, {.incarnation = 2, .asked = driver.time}, driver.time, wall);
+        CHECK(driver.state.counts().crashed_runs == 0);
+        CHECK(driver.state.counts().lost_runs == 1);
+    }
+    SECTION("a confirmed one does")
+    {
+        driver.state.on_start(0, started[0].name, start_outcome::started, driver.time);
+        driver.state.on_emptied(0, emptied_reason::replaced, driver.time, wall);
+        CHECK(driver.state.counts().crashed_runs == 1);
+    }
+}
--- a/flamingoseam/workflow/workflow_reports.cpp
+++ b/flamingoseam/workflow/workflow_reports.cpp
@@ -94,6 +94,9 @@
     auto& worker_state = fleet_.at(worker);
     log_decision("worker_restarted", "", worker_state.entry.id);
     worker_state.entry.incarnation = incarnation;
+    // A poll that was meant for the earlier incarnation may still acknowledge ends there, so nothing
+    // is started before the new one has reported.
+    worker_state.reported = false;
     worker_state.last_end = 0;
     worker_state.unacknowledged_ends.clear();
     worker_state.forget_up_to = 0;
@@ -101,9 +104,9 @@
         // A confirmed run may belong to either incarnation; the next report shows to which. An
         // unanswered order may still arrive in the new incarnation, so it must be ruled out there.
         run.stop_requested = run.stop_requested || run.state != assigned_run::run_state::present;
+        run.worker_crashed = run.worker_crashed || (after_crash && run.has_begun());
         run.state = assigned_run::run_state::unconfirmed;
         run.unconfirmed_since = time;
-        run.worker_crashed = run.worker_crashed || after_crash;
         run.stop_sent_at = {};
         run.stop_accepted_at = {};
         unaccepted_stops_.emplace(worker, name);
@@ -508,7 +511,7 @@
     const auto runs = worker_state.runs;
     for (const auto& [name, run] : runs) {
         mark_run_lost(worker, name);
-        if (after_crash || run.worker_crashed) {
+        if ((after_crash && run.has_begun()) || run.worker_crashed) {
             record_crash(worker, name, time, wall);
         }
     }
--- a/flamingoseam/workflow/workflow_state_test.cpp
+++ b/flamingoseam/workflow/workflow_state_test.cpp
@@ -344,3 +344,19 @@
         CHECK(driver.state.take_actions().renewal_permits.size() == 1);
     }
 }
+
+// Guards against a second run of a task: runs that ended in a new incarnation of a worker before its
+// first report could be acknowledged unread.
+TEST_CASE("a worker that restarts under its id gets no run before its first report")
+{
+    driven_state driver;
+    driver.make_usable();
+    auto restarted = driver.worker();
+    restarted.incarnation = 2;
+    driver.state.on_worker_list({restarted}, driver.time);
+    driver.submit(driver.job("fedcba9876543210", 1'000));
+    CHECK(driver.next().starts.empty());
+
+    driver.state.on_report(0, {.incarnation = 2}, driver.time, wall);
+    CHECK(driver.next().starts.size() == 1);
+}
--- a/scenarios/load.hpp
+++ b/scenarios/load.hpp
@@ -29,7 +29,7 @@
 /// The outcome of one request.
 struct load_result {
     std::string request_id; ///< That of the request, or the job's id.
-    int status = 0; ///< HTTP status; 0 if no answer was received.
+    int status = 0;         ///< HTTP status; 0 if no answer was received.
     std::string verdict;
     std::string reason;
     std::string output;
--- a/standins/platform_worker_main.cpp
+++ b/standins/platform_worker_main.cpp
@@ -1,5 +1,5 @@
-/// A stand-in for one worker of the users' platform, as a process of its own. It registers itself in
-/// the store, and appends what happens to its runs to a file that several workers may share.
+/// A stand-in for one worker of the users' platform, as a process of its own. It registers itself
+/// in the store, and appends what happens to its runs to a file that several workers may share.
 #include "flamingoseam/core/error.hpp"
 #include "flamingoseam/daemon/daemon.hpp"
 #include "flamingoseam/http/http_server.hpp"
