--- a/flamingoseam/http/http_client.cpp
+++ b/flamingoseam/http/http_client.cpp
@@ -2,16 +2,91 @@
 
 #include "flamingoseam/core/error.hpp"
 
+#include <cxxtools/connectable.h>
 #include <cxxtools/http/client.h>
 #include <cxxtools/http/replyheader.h>
 #include <cxxtools/http/request.h>
+#include <cxxtools/ioerror.h>
 #include <cxxtools/net/addrinfo.h>
 #include <cxxtools/query_params.h>
+#include <cxxtools/selector.h>
 
+#include <array>
 #include <charconv>
+#include <exception>
 
 namespace flamingoseam {
 
+namespace detail {
+
+/// A connection on which a request is sent at most once for its whole timeout. The blocking calls
+/// of the HTTP library send a request again, after a timeout on a connection that was used before.
+class single_send_client : public cxxtools::Connectable {
+public:
+    explicit single_send_client(const endpoint& server)
+        : client_(selector_, server.address, server.port)
+    {
+        cxxtools::connect(client_.bodyAvailable, *this, &single_send_client::read_body);
+        cxxtools::connect(client_.replyFinished, *this, &single_send_client::on_reply_finished);
+    }
+
+    /// Throws an exception if there is no whole answer within the timeout.
+    http_answer call(const cxxtools::http::Request& request, milliseconds timeout)
+    {
+        body_.clear();
+        failure_ = nullptr;
+        is_finished_ = false;
+        const auto end = now() + timeout;
+        client_.beginExecute(request);
+        while (!is_finished_) {
+            const auto left = std::chrono::ceil<milliseconds>(end - now());
+            if (left <= milliseconds(0)) {
+                throw cxxtools::IOTimeout();
+            }
+            selector_.wait(cxxtools::Milliseconds(left.count()));
+        }
+        if (failure_) {
+            std::rethrow_exception(failure_);
+        }
+        return {.status = static_cast<int>(client_.header().httpReturnCode()),
+                .body = std::move(body_)};
+    }
+
+private:
+    std::size_t read_body(cxxtools::http::Client& client)
+    {
+        std::array<char, 4096> buffer{};
+        std::size_t total = 0;
+        while (client.in().rdbuf()->in_avail() > 0) {
+            const auto count = client.in().readsome(buffer.data(), buffer.size());
+            if (count <= 0) {
+                break;
+            }
+            body_.append(buffer.data(), static_cast<std::size_t>(count));
+            total += static_cast<std::size_t>(count);
+        }
+        return total;
+    }
+
+    void on_reply_finished(cxxtools::http::Client& client)
+    {
+        is_finished_ = true;
+        try {
+            client.endExecute();
+        } catch (...) {
+            failure_ = std::current_exception(); // Rethrown by call(), outside the library.
+        }
+    }
+
+    cxxtools::Selector selector_;
+    cxxtools::http::Client client_;
+    std::string body_;
+    std::exception_ptr failure_;
+    bool is_finished_ = false;
+};
+
+} // namespace detail
+
 std::string to_string(const endpoint& value)
 {
     return value.address + ":" + std::to_string(value.port);
@@ -42,11 +117,27 @@
 
 http_client::~http_client() = default;
 
-http_answer http_client::call(const http_call& request)
+http_answer http_client::send(const cxxtools::http::Request& message, const http_call& request)
 {
+    if (!request.may_send_again) {
+        if (!single_send_client_) {
+            single_send_client_ = std::make_unique<detail::single_send_client>(server_);
+        }
+        return single_send_client_->call(message, request.timeout);
+    }
     if (!client_) {
         client_ = std::make_unique<cxxtools::http::Client>(server_.address, server_.port);
     }
+    const auto timeout = cxxtools::Milliseconds(request.timeout.count());
+    const auto& header = client_->execute(message, timeout, timeout);
+    http_answer answer;
+    answer.status = static_cast<int>(header.httpReturnCode());
+    answer.body = client_->readBody();
+    return answer;
+}
+
+http_answer http_client::call(const http_call& request)
+{
     cxxtools::http::Request message(request.path);
     message.method(request.method);
     if (!request.authorization.empty()) {
@@ -60,14 +151,10 @@
     }
     message.body() << request.body;
     try {
-        const auto timeout = cxxtools::Milliseconds(request.timeout.count());
-        const auto& header = client_->execute(message, timeout, timeout);
-        http_answer answer;
-        answer.status = static_cast<int>(header.httpReturnCode());
-        answer.body = client_->readBody();
-        return answer;
+        return send(message, request);
     } catch (const std::exception& cause) {
         client_.reset();
+        single_send_client_.reset();
         throw transport_error(
             304, "no answer from " + to_string(server_) + request.path + ": " + cause.what(), true);
     }
--- a/flamingoseam/http/http_client.hpp
+++ b/flamingoseam/http/http_client.hpp
@@ -9,7 +9,8 @@
 
 namespace cxxtools::http {
 class Client;
-}
+class Request;
+} // namespace cxxtools::http
 
 namespace flamingoseam {
 
@@ -29,6 +30,10 @@
 /// Throws parse_error (id 103) with the text when it has no address or no port from 1 to 65535.
 endpoint endpoint_from_string(const std::string& text);
 
+namespace detail {
+class single_send_client;
+}
+
 /// The response to an HTTP request.
 struct http_answer {
     int status = 0;
@@ -44,6 +49,8 @@
     std::string traceparent;
     std::vector<std::pair<std::string, std::string>> headers = {}; ///< Other headers.
     milliseconds timeout{1000};
+    /// Whether the request may be sent again after a timeout; see http_client::call().
+    bool may_send_again = true;
 };
 
 /// One keep-alive connection to one server. Not thread-safe.
@@ -59,15 +66,19 @@
     /// may therefore receive the request twice, and the response is the one to the second copy.
     /// Throws transport_error (id 304) when the connection could not be established, failed or
     /// delivered no response in time; the request may have reached the server. The connection is
-    /// then closed, and the next call opens a new one.
+    /// then closed, and the next call opens a new one. A request that must not reach a server that
+    /// has been restarted meanwhile is sent with `may_send_again` = false.
     http_answer call(const http_call& request);
 
     /// Returns the address of the server.
     [[nodiscard]] const endpoint& server() const noexcept { return server_; }
 
 private:
+    http_answer send(const cxxtools::http::Request& message, const http_call& request);
+
     endpoint server_;
     std::unique_ptr<cxxtools::http::Client> client_;
+    std::unique_ptr<detail::single_send_client> single_send_client_;
 };
 
 /// Returns `text` percent-encoded for use in a query. Complexity: linear.
--- a/scenarios/run_record.lua
+++ b/scenarios/run_record.lua
@@ -77,3 +77,16 @@
     end
     return found
 end
+
+-- Returns how many runs of one task of a job ended with their worker's process, for the task with most of them.
+function most_killed_runs(tasks, job)
+    local most = 0
+    for task, runs in pairs(tasks) do
+        if task:sub(1, #job) == job then
+            local count = 0
+            for _, run in ipairs(runs) do count = count + (run.how == "killed" and 1 or 0) end
+            most = math.max(most, count)
+        end
+    end
+    return most
+end
