--- a/flamingoseam/workflow/workflow_maintenance.cpp
+++ b/flamingoseam/workflow/workflow_maintenance.cpp
@@ -54,6 +54,7 @@
         remove_idle_leaving_workers();
         withdraw_requests();
         release_drained(time);
+        report_waiting_steps(time);
     }
     run_pass(time);
     record_waiting_work(time);
--- a/flamingoseam/workflow/workflow_reports.cpp
+++ b/flamingoseam/workflow/workflow_reports.cpp
@@ -94,8 +94,8 @@
     auto& worker_state = fleet_.at(worker);
     log_decision("worker_restarted", "", worker_state.entry.id);
     worker_state.entry.incarnation = incarnation;
-    // A poll that was meant for the earlier incarnation may still acknowledge ends there, so nothing
-    // is started before the new one has reported.
+    // A poll meant for the earlier incarnation may still acknowledge ends there, so nothing is
+    // started before the new one has reported.
     worker_state.reported = false;
     worker_state.last_end = 0;
     worker_state.unacknowledged_ends.clear();
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -335,6 +335,7 @@
     void request_reports(time_point time);
     void stop_stalled_runs(time_point time);
     void remove_idle_leaving_workers();
+    void report_waiting_steps(time_point time);
     void forget_ended(wall_time wall);
     void release_waiters(job_record& job);
     struct stream_state;
@@ -409,6 +410,7 @@
     time_point next_pass_{}; ///< Earliest next pass; passes leave time for other work.
     time_point last_sample_{};
     time_point last_maintenance_{};
+    time_point next_waiting_report_{};
 };
 
 } // namespace flamingoseam::workflow
--- a/flamingoseam/workflow/workflow_state_test.cpp
+++ b/flamingoseam/workflow/workflow_state_test.cpp
@@ -345,8 +345,8 @@
     }
 }
 
-// Guards against a second run of a task: runs that ended in a new incarnation of a worker before its
-// first report could be acknowledged unread.
+// Guards against a second run of a task: runs that ended in a new incarnation of a worker before
+// its first report could be acknowledged unread.
 TEST_CASE("a worker that restarts under its id gets no run before its first report")
 {
     driven_state driver;
@@ -360,3 +360,15 @@
     driver.state.on_report(0, {.incarnation = 2}, driver.time, wall);
     CHECK(driver.next().starts.size() == 1);
 }
+
+TEST_CASE("a step that has waited for long is reported with the reason")
+{
+    driven_state driver;
+    driver.submit(driver.job("fedcba9876543210", 1'000));
+    driver.next();
+    const auto decisions = driver.next(milliseconds(5'100)).decisions;
+    REQUIRE(decisions.size() == 1);
+    CHECK(decisions[0].event == "step_waits");
+    CHECK(decisions[0].job == "fedcba9876543210");
+    CHECK(decisions[0].detail == "step 0: no room, or more urgent steps wait");
+}
