Keep a silence whose end is not stored when a worker's session is replaced

Found while reading the diff: a session that replaced another one between a worker's answer and the storing of the end of its silence would have renewed the lease at once, although the store still called the worker silent. The new session now begins as silent and waits for the same permit.

--- a/flamingoseam/node/job_owner_workers.cpp
+++ b/flamingoseam/node/job_owner_workers.cpp
@@ -166,6 +166,11 @@
             session->request_stop();
             retired_sessions_.push_back(std::move(session));
         }
+        if (state.silence_stored && !state.unreachable) {
+            // The store may still say that the lease is not renewed, so the new session has to wait
+            // for the end of that silence to be stored, too.
+            state_.on_unreachable_changed(worker, true, now(), now(), wall_now());
+        }
         worker_listener& listener = *this;
         session = std::make_unique<worker_session>(
             worker_session_options{.id = {.worker = worker, .number = ++last_session_},
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -388,8 +388,8 @@
     std::multimap<wall_time, std::string> ended_; ///< By the end of their retention.
     std::vector<std::string> removals_;           ///< Keys to be removed from the store.
     std::set<std::size_t> batch_leased_workers_;
-    std::set<std::size_t>
-        batch_silent_workers_; ///< Those whose lease the batch says is not renewed.
+    /// Workers of the batch whose lease, it says, is not renewed.
+    std::set<std::size_t> batch_silent_workers_;
     bool leased_workers_in_batch_ = false;
     std::set<std::size_t> leased_workers_; ///< Workers that may hold runs.
     std::set<std::size_t> unreported_;     ///< Earlier owner's leased workers without a report.
