--- a/flamingoseam/http/http_client.cpp
+++ b/flamingoseam/http/http_client.cpp
@@ -1,6 +1,7 @@
 #include "flamingoseam/http/http_client.hpp"
 
 #include "flamingoseam/core/error.hpp"
+#include "flamingoseam/http/read_available.hpp"
 
 #include <cxxtools/connectable.h>
 #include <cxxtools/http/client.h>
@@ -11,7 +12,6 @@
 #include <cxxtools/query_params.h>
 #include <cxxtools/selector.h>
 
-#include <array>
 #include <charconv>
 #include <exception>
 
@@ -55,17 +55,8 @@
 private:
     std::size_t read_body(cxxtools::http::Client& client)
     {
-        std::array<char, 4096> buffer{};
-        std::size_t total = 0;
-        while (client.in().rdbuf()->in_avail() > 0) {
-            const auto count = client.in().readsome(buffer.data(), buffer.size());
-            if (count <= 0) {
-                break;
-            }
-            body_.append(buffer.data(), static_cast<std::size_t>(count));
-            total += static_cast<std::size_t>(count);
-        }
-        return total;
+        return read_available(
+            client.in(), [this](const char* data, std::size_t size) { body_.append(data, size); });
     }
 
     void on_reply_finished(cxxtools::http::Client& client)
--- a/flamingoseam/http/http_server.cpp
+++ b/flamingoseam/http/http_server.cpp
@@ -1,6 +1,7 @@
 #include "flamingoseam/http/http_server.hpp"
 
 #include "flamingoseam/core/error.hpp"
+#include "flamingoseam/http/read_available.hpp"
 
 #include <cxxtools/http/reply.h>
 #include <cxxtools/http/request.h>
@@ -10,7 +11,6 @@
 #include <cxxtools/regex.h>
 #include <glog/logging.h>
 
-#include <array>
 #include <atomic>
 #include <iterator>
 #include <vector>
@@ -93,17 +93,8 @@
 
     std::size_t readBody(std::istream& in) override
     {
-        std::array<char, 4096> buffer{};
-        std::streamsize total = 0;
-        while (in.rdbuf()->in_avail() > 0) {
-            const auto count = in.readsome(buffer.data(), buffer.size());
-            if (count <= 0) {
-                break;
-            }
-            total += count;
-            append_body(buffer.data(), static_cast<std::size_t>(count));
-        }
-        return static_cast<std::size_t>(total);
+        return read_available(
+            in, [this](const char* data, std::size_t size) { append_body(data, size); });
     }
 
     void reply(std::ostream& out, cxxtools::http::Request& request,
