Share the start of worker processes and the faults of links among scenarios

platform_worker_moves and platform_soak started workers alike, the soak's two faults of a link differed in mode and length only, and the record of runs was sorted twice.

--- a/scenarios/platform.lua
+++ b/scenarios/platform.lua
@@ -46,6 +46,14 @@
     return cell
 end
 
+-- Starts a worker as a process of its own, which appends to the file `record`. `worker` has its id, its host and, if
+-- nodes reach it through a link, the address under which it is registered.
+function start_platform_worker(cell, worker, record)
+    worker.pid = start(worker.id, { "standin-platform-worker", "--id=" .. worker.id, "--address=" .. worker.host,
+        "--registered_address=" .. (worker.registered or worker.host .. ":7100"), "--store=" .. cell.store,
+        "--record=" .. record })
+end
+
 function start_node(node)
     node.pid = start(node.name, { "flamingoseam-node", "--settings=" .. OUT .. "/" .. node.name .. ".toml" })
 end
--- a/scenarios/platform_soak.lua
+++ b/scenarios/platform_soak.lua
@@ -33,16 +33,13 @@
         "--target_port=" .. target_port, "--control_port=7901" }), address = host .. ":7900", control = host .. ":7901" }
 end
 
-local function start_worker(worker)
-    worker.registered = worker.registered or worker.link.address
-    worker.pid = start(worker.id, { "standin-platform-worker", "--id=" .. worker.id, "--address=" .. worker.host,
-        "--registered_address=" .. worker.registered, "--store=" .. cell.store, "--record=" .. RECORD })
-end
+local function start_worker(worker) start_platform_worker(cell, worker, RECORD) end
 
 local workers, nodes = {}, {}
 for i = 1, WORKERS do
     local worker = { id = "w" .. i, host = address(20, i) }
     worker.link = start_link(worker.id, address(21, i), worker.host, 7100)
+    worker.registered = worker.link.address
     start_worker(worker)
     workers[i] = worker
 end
@@ -92,6 +89,19 @@
     return function() target.busy = false end
 end
 
+-- Puts the link of a worker into a mode for a time between two bounds.
+local function change_link(fault, mode, min_ms, max_ms)
+    local worker = pick(workers)
+    if not worker then return end
+    local release = occupy(worker)
+    log_fault(fault .. " " .. worker.id)
+    request { server = worker.link.control, path = "/v1/mode?mode=" .. mode }
+    after(math.random(min_ms, max_ms), function()
+        request { server = worker.link.control, path = "/v1/mode?mode=pass" }
+        release()
+    end)
+end
+
 local store = { pid = cell.pid }
 local faults = {
     worker_restart = function()
@@ -144,28 +154,8 @@
         log_fault("worker_cut " .. worker.id)
         freeze(worker.link.pid, math.random(500, 5500), occupy(worker))
     end,
-    worker_mute = function() -- Orders arrive, answers do not.
-        local worker = pick(workers)
-        if not worker then return end
-        local release = occupy(worker)
-        log_fault("worker_mute " .. worker.id)
-        request { server = worker.link.control, path = "/v1/mode?mode=mute" }
-        after(math.random(500, 5500), function()
-            request { server = worker.link.control, path = "/v1/mode?mode=pass" }
-            release()
-        end)
-    end,
-    worker_reset = function()
-        local worker = pick(workers)
-        if not worker then return end
-        local release = occupy(worker)
-        log_fault("worker_reset " .. worker.id)
-        request { server = worker.link.control, path = "/v1/mode?mode=cut" }
-        after(math.random(50, 3000), function()
-            request { server = worker.link.control, path = "/v1/mode?mode=pass" }
-            release()
-        end)
-    end,
+    worker_mute = function() change_link("worker_mute", "mute", 500, 5500) end, -- Orders arrive, answers do not.
+    worker_reset = function() change_link("worker_reset", "cut", 50, 3000) end,
     node_kill = function()
         local node = pick_node()
         if not node then return end
--- a/scenarios/platform_worker_moves.lua
+++ b/scenarios/platform_worker_moves.lua
@@ -3,10 +3,7 @@
 dofile("scenarios/platform.lua")
 local cell = start_platform(0, 0)
 local RECORD = OUT .. "/runs.jsonl"
-local function start_worker(worker)
-    worker.pid = start(worker.id, { "standin-platform-worker", "--id=" .. worker.id, "--address=" .. worker.host,
-        "--registered_address=" .. worker.host .. ":7100", "--store=" .. cell.store, "--record=" .. RECORD })
-end
+local function start_worker(worker) start_platform_worker(cell, worker, RECORD) end
 local workers = {}
 for i = 1, 3 do
     workers[i] = { id = "w" .. i, host = address(20, i) }
--- a/scenarios/run_record.lua
+++ b/scenarios/run_record.lua
@@ -1,6 +1,6 @@
 -- Functions that check the record of runs that the processes of standin-platform-worker append to one file.
 
--- Returns the events of the record, each a table with the fields of its line, in the order of their times.
+-- Returns the events of the record, each a table with the fields of its line.
 local function read_events(file)
     local events = {}
     for line in io.lines(file) do
@@ -10,10 +10,6 @@
         event.position = #events
         events[#events + 1] = event
     end
-    table.sort(events, function(a, b)
-        if a.time_ms ~= b.time_ms then return a.time_ms < b.time_ms end
-        return a.position < b.position
-    end)
     return events
 end
 
