Log what tells the incident's hypotheses apart

ownership_uncertain and ownership_certain say when an owner had no proof any more that it was the only one, and for how long; worker_reported says whether the owner had waited for that report and how many runs in it it did not expect; worker_restarted says which life it is and how many runs were on the one before. Until now a start by an owner that has long been replaced, a worker in a new life and a worker that is missing from the stored list look the same in the logs. No decision changes.

--- a/flamingoseam/node/job_owner.cpp
+++ b/flamingoseam/node/job_owner.cpp
@@ -340,6 +340,7 @@
         return;
     }
     const auto started = now();
+    log_certainty(started);
     const auto passes = state_.counts().passes;
     state_.tick(started);
     borrow_workers(started);
@@ -362,6 +363,23 @@
         started);
 }
 
+void job_owner::log_certainty(time_point time)
+{
+    const bool is_certain = dependencies_.is_certain();
+    if (is_certain == !uncertain_since_) {
+        return;
+    }
+    log_event event{.event = is_certain ? "ownership_certain" : "ownership_uncertain",
+                    .request = {},
+                    .detail = "epoch " + std::to_string(epoch_)};
+    if (uncertain_since_) {
+        const auto age = std::chrono::duration_cast<milliseconds>(time - *uncertain_since_);
+        event.fields.push_back({"uncertain_ms", age.count()});
+    }
+    dependencies_.log->write(event);
+    uncertain_since_ = is_certain ? std::nullopt : std::optional(time);
+}
+
 void job_owner::dispatch(workflow::workflow_actions actions)
 {
     const auto session_of = [this](std::size_t worker) -> worker_session* {
--- a/flamingoseam/node/job_owner.hpp
+++ b/flamingoseam/node/job_owner.hpp
@@ -113,6 +113,7 @@
 
     void wait_for_batch();
     void after_batch();
+    void log_certainty(time_point time);
     void dispatch(workflow::workflow_actions actions);
     void answer(const workflow::caller_answer& call_result);
     void record_timings(const workflow::workflow_actions& actions, time_point started);
@@ -157,6 +158,8 @@
     std::unique_ptr<permission_dispatcher> permission_dispatcher_;
     std::vector<std::unique_ptr<owner_commit_source>> streams_;
     bool store_unreachable_ = false; ///< Used by the control thread only.
+    /// Since when it is not certain that this is the only owner; used by the control thread only.
+    std::optional<time_point> uncertain_since_;
     std::atomic<bool> ending_{false};
     std::atomic<bool> superseded_{false};
     bool handing_over_ = false;
--- a/flamingoseam/workflow/workflow_reports.cpp
+++ b/flamingoseam/workflow/workflow_reports.cpp
@@ -75,7 +75,7 @@
     }
     if (!worker_state.reported) {
         worker_state.reported = true;
-        log_decision("worker_reported", "", worker_state.entry.id);
+        log_first_report(worker, report);
     }
     worker_state.last_report = time;
     for (const auto& end : report.ended) {
@@ -88,11 +88,27 @@
     mark_located(worker);
 }
 
+/// Logs whether the owner has waited for the worker's report, and how many runs in it the owner did
+/// not order or expect.
+void workflow_state::log_first_report(std::size_t worker, const worker_report& report)
+{
+    const auto& worker_state = fleet_.at(worker);
+    const auto unexpected = std::ranges::count_if(report.present, [&](const present_run& run) {
+        return !worker_state.runs.contains(run.name);
+    });
+    log_decision("worker_reported", "", worker_state.entry.id,
+                 {{"awaited", unreported_.contains(worker) ? 1 : 0},
+                  {"unexpected_runs", unexpected},
+                  {"incarnation", worker_state.entry.incarnation}});
+}
+
 void workflow_state::begin_incarnation(std::size_t worker, std::int64_t incarnation,
                                        bool after_crash, time_point time)
 {
     auto& worker_state = fleet_.at(worker);
-    log_decision("worker_restarted", "", worker_state.entry.id);
+    log_decision("worker_restarted", "", worker_state.entry.id,
+                 {{"incarnation", incarnation},
+                  {"runs", static_cast<std::int64_t>(worker_state.runs.size())}});
     worker_state.entry.incarnation = incarnation;
     // A poll meant for the earlier incarnation may still acknowledge ends there, so nothing is
     // started before the new one has reported.
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -225,6 +225,7 @@
                       std::vector<log_field> fields = {});
 
     // workers' reports
+    void log_first_report(std::size_t worker, const worker_report& report);
     void begin_incarnation(std::size_t worker, std::int64_t incarnation, bool after_crash,
                            time_point time);
     void handle_end(std::size_t worker, const ended_run& end, time_point time, wall_time wall);
