Reproduce the incident: a cut-off owner starts tasks again (two tests, known red)

Two owners with paths of their own to a store in memory and to three workers with leases, fencing tokens and numbered ends.

- (a) of the users' record: the owner is cut off for longer than a lease, takes its two runs for lost and queues their tasks.
Its successor sees them end as done and acknowledges that.
A worker restarts under its id, and the cut-off owner reaches it first: it starts both tasks there again (4 runs begun where 2 are due).
- (b): the owner reaches one worker only, its successor the other two.
The owner goes on renewing that worker's lease; the successor takes the worker for empty one lease after it began, and two tasks run twice at the same time.

--- /dev/null
+++ b/flamingoseam/node/job_owner_test.cpp
@@ -0,0 +1,427 @@
+#include "flamingoseam/node/job_owner.hpp"
+
+#include "flamingoseam/core/error.hpp"
+#include "flamingoseam/node/owner_claim.hpp"
+#include "tests/memory_store.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <fcntl.h>
+
+#include <algorithm>
+#include <array>
+#include <set>
+
+using namespace flamingoseam;
+using namespace flamingoseam::node;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr milliseconds worker_lease{300};
+constexpr milliseconds max_wait{10'000};
+constexpr int max_percent = 90;
+
+bool wait_until(const std::function<bool()>& condition, milliseconds limit = max_wait)
+{
+    const auto end = now() + limit;
+    while (!condition() && now() < end) {
+        std::this_thread::sleep_for(5ms);
+    }
+    return condition();
+}
+
+/// A worker with a lease, fencing tokens and numbered ends, like that of the platform.
+class leased_worker {
+public:
+    struct begun_run {
+        std::uint64_t token = 0;
+        workflow::run_name name;
+        time_point began;
+        std::optional<time_point> ended;
+        bool done = false;
+    };
+
+    order_answer start(const start_call& call)
+    {
+        const std::lock_guard lock(mutex_);
+        expire();
+        if (!accepts(call.epoch)) {
+            return {.outcome = workflow::start_outcome::fenced, .clock = clock()};
+        }
+        if (call.lease_until <= clock()) {
+            return {.outcome = workflow::start_outcome::rejected, .clock = clock()};
+        }
+        extend(call.lease_until);
+        runs_.push_back({.token = call.epoch, .name = call.name, .began = now()});
+        return {.outcome = workflow::start_outcome::started, .clock = clock()};
+    }
+
+    order_answer stop(const workflow::run_name& name, std::uint64_t token)
+    {
+        const std::lock_guard lock(mutex_);
+        expire();
+        if (!accepts(token)) {
+            return {.outcome = workflow::start_outcome::fenced, .clock = clock()};
+        }
+        for (auto& run : runs_) {
+            if (run.name == name && !run.ended) {
+                end(run, workflow::run_end::stopped);
+            }
+        }
+        return {.outcome = workflow::start_outcome::started, .clock = clock()};
+    }
+
+    renew_answer renew(const renew_call& call)
+    {
+        const std::lock_guard lock(mutex_);
+        expire();
+        if (!accepts(call.epoch)) {
+            return {.outcome = renew_answer::kind::fenced, .clock = clock()};
+        }
+        std::erase_if(ended_, [&](const auto& run) { return run.number <= call.forget_up_to; });
+        extend(call.lease_until);
+        percent_ = percent_ % max_percent + 1; // All runs make progress and never stall.
+        renew_answer answer{.clock = clock()};
+        answer.report.incarnation = incarnation_;
+        answer.report.ended = ended_;
+        for (const auto& run : runs_) {
+            if (!run.ended) {
+                answer.report.present.push_back(
+                    {.name = run.name, .checkpoint = "", .percent = percent_});
+            }
+        }
+        return answer;
+    }
+
+    /// Ends the process and starts it again under the same id.
+    void restart()
+    {
+        const std::lock_guard lock(mutex_);
+        for (auto& run : runs_) {
+            run.ended = run.ended ? run.ended : std::optional(now());
+        }
+        ++incarnation_;
+        ended_.clear();
+        next_end_ = 1;
+        token_ = 0;
+        leased_until_ = worker_time(0);
+        started_ = now();
+    }
+
+    void finish_all()
+    {
+        const std::lock_guard lock(mutex_);
+        expire();
+        for (auto& run : runs_) {
+            if (!run.ended) {
+                run.done = true;
+                end(run, workflow::run_end::done);
+            }
+        }
+    }
+
+    /// Returns all runs that were begun, in their order.
+    std::vector<begun_run> runs()
+    {
+        const std::lock_guard lock(mutex_);
+        expire();
+        return runs_;
+    }
+
+    std::size_t unacknowledged_ends()
+    {
+        const std::lock_guard lock(mutex_);
+        return ended_.size();
+    }
+
+private:
+    [[nodiscard]] worker_time clock() const
+    {
+        return worker_time(1) + std::chrono::duration_cast<milliseconds>(now() - started_);
+    }
+
+    bool accepts(std::uint64_t token)
+    {
+        if (token < token_) {
+            return false;
+        }
+        token_ = token;
+        return true;
+    }
+
+    void extend(worker_time until)
+    {
+        leased_until_ = std::max(leased_until_, std::min(until, clock() + worker_lease));
+    }
+
+    void expire()
+    {
+        if (clock() <= leased_until_) {
+            return;
+        }
+        for (auto& run : runs_) {
+            if (!run.ended) {
+                end(run, workflow::run_end::lapsed);
+                run.ended = started_ + leased_until_;
+            }
+        }
+    }
+
+    void end(begun_run& run, workflow::run_end how)
+    {
+        run.ended = now();
+        ended_.push_back({.number = next_end_++, .name = run.name, .how = how, .checkpoint = ""});
+    }
+
+    std::mutex mutex_;
+    std::int64_t incarnation_ = 1;
+    std::uint64_t token_ = 0;
+    time_point started_ = now();
+    worker_time leased_until_{0};
+    std::vector<begun_run> runs_;
+    std::vector<workflow::ended_run> ended_;
+    std::int64_t next_end_ = 1;
+    int percent_ = 0;
+};
+
+using paths = std::array<std::atomic<bool>, 3>; ///< Whether an owner reaches each worker.
+
+class path_channel final : public worker_channel {
+public:
+    path_channel(leased_worker& worker, const std::atomic<bool>& reachable)
+        : worker_(worker), reachable_(reachable)
+    {
+    }
+    order_answer start(const start_call& call, milliseconds /*timeout*/) override
+    {
+        throw_if_unreachable();
+        return worker_.start(call);
+    }
+    order_answer stop(const workflow::run_name& name, std::uint64_t epoch,
+                      milliseconds /*timeout*/) override
+    {
+        throw_if_unreachable();
+        return worker_.stop(name, epoch);
+    }
+    renew_answer renew(const renew_call& call, milliseconds /*timeout*/) override
+    {
+        std::this_thread::sleep_for(10ms);
+        throw_if_unreachable();
+        return worker_.renew(call);
+    }
+
+private:
+    void throw_if_unreachable() const
+    {
+        if (!reachable_) {
+            throw transport_error(304, "no answer", true);
+        }
+    }
+
+    leased_worker& worker_;
+    const std::atomic<bool>& reachable_;
+};
+
+workflow::worker_entry entry_of(std::size_t index)
+{
+    return {.id = "w" + std::to_string(index),
+            .incarnation = 1,
+            .service = "service",
+            .address = {"127.0.0.1", static_cast<unsigned short>(index + 1)},
+            .capacity = {.milli_cpus = 2'000, .memory_mb = 16'000}};
+}
+
+class all_workers final : public worker_directory {
+public:
+    std::optional<std::vector<workflow::worker_entry>> next() override
+    {
+        if (std::exchange(is_read_, true)) {
+            return std::nullopt;
+        }
+        return std::vector{entry_of(0), entry_of(1), entry_of(2)};
+    }
+    time_point confirmed_at() const override { return now(); }
+
+private:
+    bool is_read_ = false;
+};
+
+/// The store, the workers and what every owner of the cell uses.
+struct cell {
+    memory_records records;
+    std::array<leased_worker, 3> workers;
+    int sink = open("/dev/null", O_WRONLY | O_CLOEXEC);
+    event_log log{{.program = "test", .node = "test", .descriptor = sink}};
+    node_metrics metrics;
+};
+
+constexpr std::size_t all = 3; ///< Number of the workers.
+
+/// An owner with paths of its own to the store and to each worker.
+class owner_process {
+public:
+    /// The owner reaches the first `reached` workers at first.
+    owner_process(cell& shared, std::uint64_t earlier_epoch, std::size_t reached) : cell_(shared)
+    {
+        for (std::size_t worker = 0; worker < reached; ++worker) {
+            reaches.at(worker) = true;
+        }
+        const auto earlier = store()->get("owner");
+        const auto claimed = claim_ownership(
+            *store(), {.owner_key = "owner",
+                       .head_keys = {"head/0"},
+                       .self = {.name = "n" + std::to_string(earlier_epoch), .incarnation = "i"},
+                       .expected_epoch = earlier_epoch,
+                       .expected_revision = earlier ? earlier->revision : 0});
+        auto stored = read_stored_state([this] { return store(); }, keys);
+        owner = std::make_unique<job_owner>(
+            job_owner_start{.head = claimed->head,
+                            .revision = claimed->revision,
+                            .jobs = std::move(stored.jobs),
+                            .leased_workers = std::move(stored.leased_workers)},
+            job_owner_dependencies{.head_keys = {"head/0"},
+                                   .stores = [this] { return store(); },
+                                   .keys = keys,
+                                   .worker_lease = worker_lease,
+                                   .channels =
+                                       [this](const workflow::worker_entry& entry) {
+                                           const auto index = entry.address.port - 1U;
+                                           return std::make_unique<path_channel>(
+                                               cell_.workers.at(index), reaches.at(index));
+                                       },
+                                   .directory = [] { return std::make_unique<all_workers>(); },
+                                   .permissions = [](const std::string&) -> permission_call {
+                                       return [](const auto&) -> permission_answer {
+                                           throw transport_error(304, "no service", false);
+                                       };
+                                   },
+                                   .log = &cell_.log,
+                                   .metrics = &cell_.metrics,
+                                   .is_certain = [this] { return is_certain.load(); },
+                                   .on_store_unreachable = [] {},
+                                   .on_superseded = [this] { superseded = true; }});
+    }
+
+    /// Submits a job with tasks that each take half a worker.
+    void submit(const std::string& id, int tasks)
+    {
+        owner->submit(
+            {.id = id,
+             .queue = "queue",
+             .payload = {},
+             .steps = {{.tasks = tasks,
+                        .size = {.milli_cpus = 1'000, .memory_mb = 1},
+                        .estimate = milliseconds(60'000)}}},
+            {.name = "queue", .service = "service", .max_attempts = 3, .stretch = 2, .target = 60s},
+            [](const owner_answer&) {});
+    }
+
+    std::unique_ptr<shared_store> store()
+    {
+        return std::make_unique<memory_store>(cell_.records, reaches_store);
+    }
+
+    const workflow::record_keys keys{.prefix = "fs/"};
+    paths reaches{};
+    std::atomic<bool> reaches_store{true};
+    std::atomic<bool> is_certain{true};
+    std::atomic<bool> superseded{false};
+    cell& cell_;
+    std::unique_ptr<job_owner> owner;
+};
+
+std::size_t count_begun(cell& shared)
+{
+    std::size_t begun = 0;
+    for (auto& worker : shared.workers) {
+        begun += worker.runs().size();
+    }
+    return begun;
+}
+
+std::vector<leased_worker::begun_run> all_runs(cell& shared)
+{
+    std::vector<leased_worker::begun_run> runs;
+    for (auto& worker : shared.workers) {
+        for (const auto& run : worker.runs()) {
+            runs.push_back(run);
+        }
+    }
+    return runs;
+}
+
+/// Returns how many pairs of runs of one task took place at the same time.
+std::size_t count_concurrent(cell& shared)
+{
+    const auto runs = all_runs(shared);
+    std::size_t pairs = 0;
+    for (std::size_t first = 0; first < runs.size(); ++first) {
+        for (std::size_t second = first + 1; second < runs.size(); ++second) {
+            const auto ends = [](const auto& run) { return run.ended.value_or(now()); };
+            const bool overlap =
+                runs[first].began < ends(runs[second]) && runs[second].began < ends(runs[first]);
+            pairs += overlap && runs[first].name.task == runs[second].name.task ? 1 : 0;
+        }
+    }
+    return pairs;
+}
+
+/// Cuts an owner off from the store while one of its writes is in flight, so that it can't record
+/// what happens to its workers from then on.
+void cut_off_from_store(owner_process& process)
+{
+    process.reaches_store = false;
+    process.is_certain = false;
+    process.submit("in-flight", 1);
+    std::this_thread::sleep_for(100ms);
+}
+
+} // namespace
+
+TEST_CASE("a cut-off owner starts nothing on a worker that has seen no token since its restart")
+{
+    cell shared;
+    owner_process earlier(shared, 0, all);
+    earlier.submit("job", 2);
+    REQUIRE(wait_until([&] { return count_begun(shared) == 2; }));
+
+    cut_off_from_store(earlier);
+    for (auto& path : earlier.reaches) {
+        path = false;
+    }
+    owner_process later(shared, 1, 2);
+    for (auto& worker : shared.workers) {
+        worker.finish_all();
+    }
+    REQUIRE(wait_until([&] {
+        return std::ranges::all_of(shared.workers, [](auto& worker) {
+            return worker.runs().empty() || worker.unacknowledged_ends() == 0;
+        });
+    }));
+    std::this_thread::sleep_for(3 * worker_lease); // The earlier owner takes all runs for lost.
+
+    shared.workers[2].restart();
+    earlier.reaches[2] = true;
+    std::this_thread::sleep_for(1s);
+    CHECK(count_begun(shared) == 2);
+    CHECK(shared.workers[2].runs().empty());
+}
+
+TEST_CASE("a worker that only a cut-off owner reaches is not taken for empty while it is leased")
+{
+    cell shared;
+    owner_process earlier(shared, 0, all);
+    earlier.submit("job", 6);
+    REQUIRE(wait_until([&] { return count_begun(shared) == 6; }));
+
+    cut_off_from_store(earlier);
+    earlier.reaches[0] = false;
+    earlier.reaches[1] = false;
+    owner_process later(shared, 1, 2);
+    shared.workers[0].finish_all();
+    shared.workers[1].finish_all();
+    // Its tasks on the unreachable worker are started again at last.
+    CHECK(wait_until([&] { return count_begun(shared) > 6; }));
+    CHECK(count_concurrent(shared) == 0);
+}
