Start runs only while it is certain that there is no later owner

Cause: an owner acted for as long as nobody told it of a later one. Cut off from the store and the workers, it takes its runs for lost after a lease and queues their tasks; whichever worker it reaches first gets all of them. Fencing tokens stop that only at workers that have seen the later owner's token and have not restarted since. Even a valid lease of the node proved nothing: it is valid again as soon as the node has rejoined, while the later owner is at work. Class: a process acts on a permission that has run out.

Ruled out: an end acknowledged unread (the owner's own record of the ends is not involved), orders carried out late (none is delayed in the test, none was in the record).

Change: - membership::is_certain_owner: the node's lease is valid on a clock that counts suspensions, and the store has answered a watch that was asked for after the node joined last and shows no later owner. - a claim that replaces an owner because its member record is missing is conditional on the record still missing. So an owner that has rejoined is either replaced before, and sees it in that answer, or not at all. - while the owner is not certain nothing is placed, and each order asks once more right before it is sent.

--- a/flamingoseam/node/job_owner.cpp
+++ b/flamingoseam/node/job_owner.cpp
@@ -309,6 +309,11 @@
     report_superseded();
 }
 
+bool job_owner::may_start() const
+{
+    return !ending_ && !superseded_ && dependencies_.is_certain();
+}
+
 void job_owner::on_store_unreachable()
 {
     set_store_unreachable(true);
@@ -340,7 +345,7 @@
         return;
     }
     const auto started = now();
-    log_certainty(started);
+    update_certainty(started);
     const auto passes = state_.counts().passes;
     state_.tick(started);
     borrow_workers(started);
@@ -363,9 +368,10 @@
         started);
 }
 
-void job_owner::log_certainty(time_point time)
+void job_owner::update_certainty(time_point time)
 {
     const bool is_certain = dependencies_.is_certain();
+    state_.set_certain(is_certain);
     if (is_certain == !uncertain_since_) {
         return;
     }
--- a/flamingoseam/node/job_owner.hpp
+++ b/flamingoseam/node/job_owner.hpp
@@ -51,7 +51,8 @@
     event_log* log = nullptr;
     node_metrics* metrics = nullptr;
 
-    /// Returns whether this node is certain to be the only owner at present.
+    /// Returns whether this node is certain to be the only owner at present. Called from all
+    /// threads.
     std::function<bool()> is_certain;
 
     /// Called when writes to the store get no answer.
@@ -105,6 +106,7 @@
                                 time_point silent_since) override;
     void on_emptied(const session_id& session, workflow::emptied_reason reason) override;
     void on_fenced(std::size_t worker) override;
+    [[nodiscard]] bool may_start() const override;
 
     /// A commit stream together with its source of changes.
     class owner_commit_source;
@@ -113,7 +115,7 @@
 
     void wait_for_batch();
     void after_batch();
-    void log_certainty(time_point time);
+    void update_certainty(time_point time);
     void dispatch(workflow::workflow_actions actions);
     void answer(const workflow::caller_answer& call_result);
     void record_timings(const workflow::workflow_actions& actions, time_point started);
--- a/flamingoseam/node/membership.cpp
+++ b/flamingoseam/node/membership.cpp
@@ -202,6 +202,17 @@
     return boot_time_ms() - renewed_at_ms_ < length.count();
 }
 
+bool membership::is_certain_owner(const shard_identity& shard, std::uint64_t epoch) const
+{
+    if (!has_valid_lease()) {
+        return false;
+    }
+    const std::lock_guard lock(mutex_);
+    const auto found = owners_.find(owner_key(shard));
+    const bool has_newer = found != owners_.end() && found->second.record.epoch > epoch;
+    return !has_newer && joined_at_ != time_point{} && view_asked_at_ >= joined_at_;
+}
+
 bool membership::has_joined() const
 {
     const std::lock_guard lock(mutex_);
@@ -260,12 +271,15 @@
         lease_ = store.grant_lease(options_.time_to_live);
     }
     shared_transaction transaction;
-    transaction.writes.push_back({member_key(), write_member(options_.self), lease_});
+    transaction.writes.push_back(
+        {member_key(options_.self.name), write_member(options_.self), lease_});
     const auto result = store.commit(transaction, commit_timeout);
     if (!result.applied) {
         lease_ = 0;
         throw transport_error(308, "the store rejected the node's membership record", false);
     }
+    const std::lock_guard lock(mutex_);
+    joined_at_ = now();
 }
 
 bool membership::is_missing_from_view() const
@@ -303,6 +317,7 @@
         owners_.clear();
     }
     is_view_complete_ = true;
+    view_asked_at_ = watch_.asked_at();
     for (const auto& record : update.records) {
         apply(record);
     }
--- a/flamingoseam/node/membership.hpp
+++ b/flamingoseam/node/membership.hpp
@@ -101,6 +101,12 @@
     /// Checks whether this node's lease was renewed within the last `length`.
     [[nodiscard]] bool was_renewed_within(milliseconds length) const;
 
+    /// Checks whether no other node can have become the owner of a shard after this process did
+    /// with `epoch`: its lease is valid, and the store has shown no newer owner since the process
+    /// joined last. A node whose lease has ended is certain again only after it has rejoined and
+    /// asked.
+    [[nodiscard]] bool is_certain_owner(const shard_identity& shard, std::uint64_t epoch) const;
+
     /// Checks whether this process is a member in its own view.
     [[nodiscard]] bool has_joined() const;
 
@@ -110,6 +116,12 @@
     /// Returns the key under which the owner of a shard is recorded.
     [[nodiscard]] std::string owner_key(const shard_identity& shard) const;
 
+    /// Returns the key of a member's record, which the store removes when its lease ends.
+    [[nodiscard]] std::string member_key(const std::string& name) const
+    {
+        return options_.prefix + "node/" + name;
+    }
+
     /// Returns this node as a member that serves a shard.
     [[nodiscard]] member self(const shard_identity& shard) const;
 
@@ -124,7 +136,6 @@
     bool is_missing_from_view() const;
     std::optional<std::string> member_name(const std::string& key) const;
     void pause(milliseconds length);
-    std::string member_key() const { return options_.prefix + "node/" + options_.self.name; }
 
     struct stored_owner {
         owner_record record;
@@ -143,6 +154,8 @@
     int last_listener_ = 0;                          ///< Guarded by `listeners_mutex_`.
     std::uint64_t lease_ = 0;
     bool is_view_complete_ = false; ///< False while the view may lack changes.
+    time_point view_asked_at_{};    ///< The view contains every change of an earlier time.
+    time_point joined_at_{};        ///< When the store last confirmed this node's record.
     /// Start of the latest renewal, on a clock that includes suspension.
     std::atomic<std::int64_t> renewed_at_ms_{0};
     std::atomic<bool> stopping_{false};
--- a/flamingoseam/node/membership_test.cpp
+++ b/flamingoseam/node/membership_test.cpp
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 
 #include <atomic>
+#include <functional>
 
 using namespace flamingoseam;
 using namespace flamingoseam::node;
@@ -89,6 +90,95 @@
     CHECK(counts.commits >= 2);
 }
 
+namespace {
+
+/// A store whose lease ends when told to and whose watch answers only when told to. Another node
+/// takes over while the lease has ended.
+class lapsing_store final : public commit_only_store {
+public:
+    struct shared {
+        std::atomic<bool> lease_ended{false};
+        std::atomic<bool> watch_answers{true};
+        std::atomic<std::uint64_t> epoch{1};
+        std::atomic<int> joins{0};
+    };
+
+    explicit lapsing_store(shared& state) : state_(state) {}
+
+    shared_page list(const std::string& prefix, const std::string& /*after*/) override
+    {
+        return {.records = {{.key = prefix + "node/node1", .value = write_member(self)},
+                            {.key = prefix + "owner", .value = owner_text()}},
+                .revision = 7};
+    }
+    shared_result commit(const shared_transaction& /*changes*/, milliseconds /*timeout*/) override
+    {
+        ++state_.joins;
+        return {.applied = true, .revision = 8};
+    }
+    bool renew_lease(std::uint64_t /*lease*/) override
+    {
+        return !state_.lease_ended.exchange(false);
+    }
+    shared_changes watch(const std::string& prefix, std::uint64_t revision,
+                         watch_times /*times*/) override
+    {
+        if (!state_.watch_answers) {
+            throw transport_error(304, "no answer", true);
+        }
+        return {.revision = revision,
+                .records = {{.key = prefix + "owner", .value = owner_text()}}};
+    }
+
+private:
+    [[nodiscard]] std::string owner_text() const
+    {
+        return write_owner({.epoch = state_.epoch, .owner = self});
+    }
+
+    shared& state_;
+};
+
+} // namespace
+
+TEST_CASE("an owner whose lease had ended is certain again only after it has rejoined and asked")
+{
+    lapsing_store::shared state;
+    const membership members({.self = self},
+                             [&state] { return std::make_unique<lapsing_store>(state); });
+    const auto is_certain = [&members] { return members.is_certain_owner({}, 1); };
+    const auto holds_soon = [](const std::function<bool()>& condition) {
+        const auto end = now() + std::chrono::seconds(3);
+        while (!condition() && now() < end) {
+            std::this_thread::sleep_for(milliseconds(5));
+        }
+        return condition();
+    };
+    REQUIRE(holds_soon(is_certain));
+
+    state.watch_answers = false;
+    const int joins = state.joins;
+    state.lease_ended = true;
+    REQUIRE(holds_soon([&] { return state.joins > joins; }));
+    CHECK(holds_soon([&] { return !is_certain(); }));
+    std::this_thread::sleep_for(milliseconds(300));
+    CHECK(members.has_valid_lease());
+    CHECK_FALSE(is_certain());
+
+    SECTION("when no other node has taken over")
+    {
+        state.watch_answers = true;
+        CHECK(holds_soon(is_certain));
+    }
+    SECTION("and not when another node has taken over")
+    {
+        state.epoch = 2;
+        state.watch_answers = true;
+        std::this_thread::sleep_for(milliseconds(600));
+        CHECK_FALSE(is_certain());
+    }
+}
+
 TEST_CASE("a member's record with an odd value is rejected")
 {
     CHECK(read_member(write_member(self)).address == self.address);
--- a/flamingoseam/node/node.hpp
+++ b/flamingoseam/node/node.hpp
@@ -122,6 +122,7 @@
     void record_refused_connection(std::uint64_t epoch);
     void confirm_suspicion(const membership_view& view);
     void take_over(const membership_view& view);
+    std::string key_absent_at_takeover(const membership_view& view) const;
     void log_member_changes(const membership_view& view);
     bool offer_to_others(const membership_view& view, bool is_leaving);
     bool offer_to(const member& other, const ownership_offer& offer);
--- a/flamingoseam/node/node_election.cpp
+++ b/flamingoseam/node/node_election.cpp
@@ -376,6 +376,14 @@
     return keys;
 }
 
+/// Returns the key of the owner's member record if it is replaced because that record is missing.
+std::string node::key_absent_at_takeover(const membership_view& view) const
+{
+    const bool is_missing = view.owner && !view.owner->owner.name.empty() &&
+                            !view.members.contains(view.owner->owner.name);
+    return is_missing ? membership_->member_key(view.owner->owner.name) : "";
+}
+
 void node::take_over(const membership_view& view)
 {
     try {
@@ -384,7 +392,8 @@
                                               .head_keys = head_keys(),
                                               .self = membership_->self(options_.shard),
                                               .expected_epoch = view.owner ? view.owner->epoch : 0,
-                                              .expected_revision = view.owner_revision});
+                                              .expected_revision = view.owner_revision,
+                                              .absent_key = key_absent_at_takeover(view)});
         if (claimed) {
             begin_ownership(*claimed);
         }
@@ -420,7 +429,10 @@
         .borrow_workers = options_.borrow_workers,
         .log = dependencies_.log,
         .metrics = dependencies_.metrics,
-        .is_certain = [this] { return membership_->has_valid_lease(); },
+        .is_certain =
+            [this, epoch = claimed.head.epoch] {
+                return membership_->is_certain_owner(options_.shard, epoch);
+            },
         .on_store_unreachable =
             [this] {
                 {
--- a/flamingoseam/node/owner_claim.cpp
+++ b/flamingoseam/node/owner_claim.cpp
@@ -16,6 +16,9 @@
 {
     shared_transaction transaction;
     transaction.conditions.push_back({claim.owner_key, claim.expected_revision});
+    if (!claim.absent_key.empty()) {
+        transaction.conditions.push_back({claim.absent_key, 0});
+    }
     const owner_record record{.epoch = head.epoch, .owner = claim.self};
     transaction.writes.push_back({claim.owner_key, write_owner(record)});
     for (const auto& key : claim.head_keys) {
--- a/flamingoseam/node/owner_claim.hpp
+++ b/flamingoseam/node/owner_claim.hpp
@@ -17,7 +17,10 @@
     member self;
     std::uint64_t expected_epoch = 0;    ///< Epoch of the owner to be replaced; 0 if there is none.
     std::uint64_t expected_revision = 0; ///< Revision of that owner's record; 0 if there is none.
-    milliseconds timeout{700};           ///< Timeout of one attempt.
+    /// Key that must not exist: the member record of an owner that is replaced because its lease
+    /// has ended. If it has rejoined meanwhile, it may go on. Empty for no such condition.
+    std::string absent_key = {};
+    milliseconds timeout{700}; ///< Timeout of one attempt.
     int max_attempts = 8;
 };
 
--- a/flamingoseam/node/owner_claim_test.cpp
+++ b/flamingoseam/node/owner_claim_test.cpp
@@ -95,6 +95,17 @@
     {
         CHECK_FALSE(claim_ownership(store, claim_of("b")));
     }
+    SECTION("fails when the owner that it replaces as missing has rejoined")
+    {
+        auto claim = claim_of("b");
+        claim.expected_epoch = 1;
+        claim.expected_revision = first->revision;
+        claim.absent_key = "m/node/a";
+        store.records["m/node/a"] = {.key = "m/node/a", .value = "{}", .revision = 5};
+        CHECK_FALSE(claim_ownership(store, claim));
+        store.records.erase("m/node/a");
+        CHECK(claim_ownership(store, claim));
+    }
     SECTION("that was applied without an answer is recognised by its retry")
     {
         store.answers_lost = 1;
--- a/flamingoseam/node/worker_session.cpp
+++ b/flamingoseam/node/worker_session.cpp
@@ -203,7 +203,8 @@
 {
     const auto& order = start.order;
     const auto lease_until = extend_lease();
-    if (now() - start.queued_at > options_.max_start_age || lease_until == worker_time(0)) {
+    const bool is_late = now() - start.queued_at > options_.max_start_age;
+    if (is_late || lease_until == worker_time(0) || !listener_.may_start()) {
         report_not_sent(start);
         return;
     }
--- a/flamingoseam/node/worker_session.hpp
+++ b/flamingoseam/node/worker_session.hpp
@@ -38,6 +38,10 @@
 
     /// Called when the worker has accepted the epoch of a newer owner.
     virtual void on_fenced(std::size_t worker) = 0;
+
+    /// Returns whether runs may be started now. Asked right before each order is sent, since much
+    /// time may have passed after the decision.
+    [[nodiscard]] virtual bool may_start() const = 0;
 };
 
 /// Options of a worker session.
--- a/flamingoseam/node/worker_session_test.cpp
+++ b/flamingoseam/node/worker_session_test.cpp
@@ -108,12 +108,14 @@
         replaced += reason == workflow::emptied_reason::replaced ? 1 : 0;
     }
     void on_fenced(std::size_t /*worker*/) override {}
+    [[nodiscard]] bool may_start() const override { return starts_allowed; }
 
     std::atomic<std::int64_t> newest_end{0}; ///< In the last report.
     std::atomic<int> reports{0};
     std::atomic<int> starts{0};
     std::atomic<int> emptied{0};
     std::atomic<int> replaced{0};
+    std::atomic<bool> starts_allowed{true};
     std::atomic<bool> is_unreachable{false};
     std::atomic<time_point> silent_since{};
     std::atomic<workflow::start_outcome> last_start{workflow::start_outcome::unknown};
@@ -187,6 +189,14 @@
         CHECK(holds_within(milliseconds(2'000),
                            [&] { return worker.leased_until_ms > leased_until; }));
     }
+    SECTION("an order is not sent once its owner may not start runs any more")
+    {
+        listener.starts_allowed = false;
+        session.start({.worker = 0, .name = {{"job", 0, 0}, 1}});
+        REQUIRE(holds_within(milliseconds(2'000), [&] { return listener.starts == 1; }));
+        CHECK(listener.last_start == workflow::start_outcome::not_sent);
+        CHECK(worker.starts == 0);
+    }
     SECTION("a worker has no runs once another incarnation answers at its address")
     {
         worker.is_replaced = true;
--- a/flamingoseam/store/record_watch.cpp
+++ b/flamingoseam/store/record_watch.cpp
@@ -76,6 +76,7 @@
                {{"took_ms", whole_ms(answered - asked)}, {"wait_ms", options_.times.wait.count()}});
     }
     confirmed_at_ = answered;
+    asked_at_ = asked;
 }
 
 void record_watch::record_failure(const std::string& cause, time_point asked)
--- a/flamingoseam/store/record_watch.hpp
+++ b/flamingoseam/store/record_watch.hpp
@@ -45,6 +45,10 @@
     /// far; zero if it never did.
     [[nodiscard]] time_point confirmed_at() const { return confirmed_at_; }
 
+    /// Returns when the call began that the store answered last: the records returned so far
+    /// contain every change of an earlier time. Zero if there was no answer.
+    [[nodiscard]] time_point asked_at() const { return asked_at_; }
+
 private:
     record_update read_all();
     record_update wait_for_changes();
@@ -58,6 +62,7 @@
     std::unique_ptr<shared_store> store_;
     std::uint64_t revision_ = 0; ///< All changes up to it were returned; 0 to read all records.
     time_point confirmed_at_{};
+    time_point asked_at_{};
     std::size_t failures_ = 0; ///< Calls that have failed since the last answer.
 };
 
--- a/flamingoseam/workflow/workflow_maintenance.cpp
+++ b/flamingoseam/workflow/workflow_maintenance.cpp
@@ -45,6 +45,12 @@
 
 } // namespace
 
+void workflow_state::set_certain(bool certain)
+{
+    pass_requested_ = pass_requested_ || (certain && !certain_);
+    certain_ = certain;
+}
+
 void workflow_state::tick(time_point time)
 {
     const bool maintenance_is_due = time - last_maintenance_ >= maintenance_interval;
@@ -68,6 +74,9 @@
 /// items that it examined, so that passes can't use all the time.
 void workflow_state::run_pass(time_point time)
 {
+    if (!certain_) {
+        return;
+    }
     const bool is_due =
         pass_requested_ ? time >= next_pass_ : time - last_pass_ >= max_pass_interval;
     if (!is_due) {
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -146,6 +146,10 @@
     /// that no transaction has tried to store yet. Complexity: linear in the open jobs.
     void set_store_available(bool available);
 
+    /// Sets whether it is certain that no later owner exists. While it is not, no run is started:
+    /// a later owner may have started the same task on another worker.
+    void set_certain(bool certain);
+
     /// Repeats unanswered orders, stops stalled runs and places waiting tasks. To be called at
     /// least every 50 ms and after each group of events.
     void tick(time_point time);
@@ -404,6 +408,7 @@
     std::uint64_t last_sequence_ = 0;
     bool leased_workers_changed_ = false;
     bool store_available_ = true;
+    bool certain_ = true; ///< No later owner can exist.
     time_point worker_list_confirmed_{};
     bool pass_requested_ = false;
     std::size_t waiting_steps_ = 0;
