Bound the renewals of an owner without proof, and let its successor wait for their end

Cause: an owner that is cut off from the store and most workers renewed the leases of those it reached without end; its successor took a worker that it didn't reach for empty one lease after its own start. Class: a wait that relies on another process to stop, which nothing makes it do.

Evidence: 'a worker that only a cut-off owner reaches is not taken for empty while it is leased' failed 3 times of 3 (2 tasks at once) and holds with this change.

Change: without a proof from the store leases are renewed only for 2.5 s after more than half of the workers on the stored list have answered, each in the life it had when the ownership was last certain, and for 30 s at most. A successor waits from the moment when so many of them have accepted its token that no majority is left, unless the earlier owner has handed over or its process has been restarted. A silence that the store knows of shortens the wait as before. Why not stop renewing at once: in an outage of the store longer than a lease every run of the cell would be killed, with services among them ('runs go on while the store is away, and nothing is started').

Price: beside a cut-off owner, a worker that the successor doesn't reach is taken for empty about 2 s later.

--- a/bench/session_bench.cpp
+++ b/bench/session_bench.cpp
@@ -57,6 +57,7 @@
     }
     void on_fenced(std::size_t /*worker*/) override {}
     [[nodiscard]] bool may_start() const override { return true; }
+    [[nodiscard]] bool may_renew() const override { return true; }
 
     std::vector<std::unique_ptr<node::worker_session>> sessions;
     std::atomic<bool> is_open{false}; ///< All sessions are open.
--- a/flamingoseam/node/job_owner.cpp
+++ b/flamingoseam/node/job_owner.cpp
@@ -14,6 +14,11 @@
 constexpr milliseconds tick{25};
 constexpr milliseconds batch_spacing{10}; ///< Events in quicker succession are handled together.
 constexpr milliseconds clock_skew_margin{10'000}; ///< The clocks of two owners differ by less.
+/// An owner that gets no proof of its ownership from the store renews leases for this long after a
+/// majority of the workers has answered it. Above the time between two answers of an idle worker.
+constexpr milliseconds renewals_after_answers{2'500};
+/// The longest time for which an owner renews leases without a proof from the store.
+constexpr milliseconds max_renewals_without_store{30'000};
 
 } // namespace
 
@@ -69,7 +74,10 @@
       state_({.epoch = start.head.epoch,
               .keys = dependencies_.keys,
               .ended_retention = dependencies_.ended_kept + clock_skew_margin,
-              .streams = dependencies_.head_keys.size()})
+              .streams = dependencies_.head_keys.size()}),
+      certain_at_(now()),
+      earlier_renewals_limit_(certain_at_ + max_renewals_without_store + renewals_after_answers),
+      earlier_renewals_end_(start.earlier_owner_has_ended ? certain_at_ : time_point::max())
 {
     state_.load(std::move(start.jobs.jobs), start.leased_workers, now(), wall_now());
     for (const auto& job : start.jobs.unreadable) {
@@ -314,6 +322,11 @@
     return !ending_ && !superseded_ && dependencies_.is_certain();
 }
 
+bool job_owner::may_renew() const
+{
+    return !superseded_ && (dependencies_.is_certain() || now() < renewals_end_.load());
+}
+
 void job_owner::on_store_unreachable()
 {
     set_store_unreachable(true);
@@ -346,6 +359,8 @@
     }
     const auto started = now();
     update_certainty(started);
+    update_renewals_end(started);
+    bound_earlier_renewals(started);
     const auto passes = state_.counts().passes;
     state_.tick(started);
     borrow_workers(started);
@@ -386,6 +401,41 @@
     uncertain_since_ = is_certain ? std::nullopt : std::optional(time);
 }
 
+/// Extends the time in which leases are renewed. As long as a majority of the workers answers, no
+/// later owner has been accepted by a majority, as it has to be before it regards a worker that it
+/// doesn't reach as empty.
+void job_owner::update_renewals_end(time_point time)
+{
+    if (!uncertain_since_) {
+        certain_at_ = time;
+        renewals_end_ = time + renewals_after_answers;
+    } else if (const auto answered = state_.majority_answered_at(certain_at_)) {
+        renewals_end_ = std::min(std::max(*answered, certain_at_) + renewals_after_answers,
+                                 certain_at_ + max_renewals_without_store);
+    }
+}
+
+/// Finds out when an earlier owner that may still be running stops renewing leases.
+void job_owner::bound_earlier_renewals(time_point time)
+{
+    if (earlier_renewals_end_ != time_point::max()) {
+        return;
+    }
+    if (state_.has_majority_accepted()) {
+        earlier_renewals_end_ = time + renewals_after_answers;
+    } else if (time >= earlier_renewals_limit_) {
+        earlier_renewals_end_ = time;
+    } else {
+        return;
+    }
+    for (const auto& [worker, session] : sessions_) {
+        session->set_earlier_renewals_end(earlier_renewals_end_);
+    }
+    dependencies_.log->write({.event = "earlier_renewals_bounded",
+                              .request = {},
+                              .detail = "epoch " + std::to_string(epoch_)});
+}
+
 void job_owner::dispatch(workflow::workflow_actions actions)
 {
     const auto session_of = [this](std::size_t worker) -> worker_session* {
--- a/flamingoseam/node/job_owner.hpp
+++ b/flamingoseam/node/job_owner.hpp
@@ -34,6 +34,7 @@
     std::uint64_t revision = 0; ///< Revision of that head record.
     workflow::stored_jobs jobs;
     std::vector<workflow::worker_entry> leased_workers;
+    bool earlier_owner_has_ended = false; ///< Its process has ended or has handed over.
 };
 
 /// Settings and collaborators of an owner.
@@ -107,6 +108,7 @@
     void on_emptied(const session_id& session, workflow::emptied_reason reason) override;
     void on_fenced(std::size_t worker) override;
     [[nodiscard]] bool may_start() const override;
+    [[nodiscard]] bool may_renew() const override;
 
     /// A commit stream together with its source of changes.
     class owner_commit_source;
@@ -116,6 +118,8 @@
     void wait_for_batch();
     void after_batch();
     void update_certainty(time_point time);
+    void update_renewals_end(time_point time);
+    void bound_earlier_renewals(time_point time);
     void dispatch(workflow::workflow_actions actions);
     void answer(const workflow::caller_answer& call_result);
     void record_timings(const workflow::workflow_actions& actions, time_point started);
@@ -162,6 +166,15 @@
     bool store_unreachable_ = false; ///< Used by the control thread only.
     /// Since when it is not certain that this is the only owner; used by the control thread only.
     std::optional<time_point> uncertain_since_;
+    time_point certain_at_; ///< When that was certain last; used by the control thread only.
+    /// Until then the leases of workers may be renewed although that is not certain.
+    std::atomic<time_point> renewals_end_{};
+    /// Latest time at which an earlier owner stops renewing leases, if too few workers show that it
+    /// does; used by the control thread only.
+    time_point earlier_renewals_limit_;
+    /// When the earlier owner stops renewing leases; time_point::max() while that is not known.
+    /// Used by the control thread only.
+    time_point earlier_renewals_end_;
     std::atomic<bool> ending_{false};
     std::atomic<bool> superseded_{false};
     bool handing_over_ = false;
--- a/flamingoseam/node/job_owner_test.cpp
+++ b/flamingoseam/node/job_owner_test.cpp
@@ -408,6 +408,21 @@
     CHECK(shared.workers[2].runs().empty());
 }
 
+TEST_CASE("runs go on while the store is away, and nothing is started")
+{
+    cell shared;
+    owner_process process(shared, 0, all);
+    process.submit("job", 4);
+    REQUIRE(wait_until([&] { return count_begun(shared) == 4; }));
+
+    cut_off_from_store(process);
+    process.submit("later", 1);
+    std::this_thread::sleep_for(10 * worker_lease);
+    CHECK(count_begun(shared) == 4);
+    const auto runs = all_runs(shared);
+    CHECK(std::ranges::none_of(runs, [](const auto& run) { return run.ended.has_value(); }));
+}
+
 TEST_CASE("a worker that only a cut-off owner reaches is not taken for empty while it is leased")
 {
     cell shared;
--- a/flamingoseam/node/job_owner_workers.cpp
+++ b/flamingoseam/node/job_owner_workers.cpp
@@ -176,7 +176,8 @@
             worker_session_options{.id = {.worker = worker, .number = ++last_session_},
                                    .epoch = state.entry.token_base + epoch_,
                                    .lease = dependencies_.worker_lease,
-                                   .silent_for = silence_of(state, wall_now())},
+                                   .silent_for = silence_of(state, wall_now()),
+                                   .earlier_renewals_end = earlier_renewals_end_},
             state.entry, dependencies_.channels, listener);
     }
 }
--- a/flamingoseam/node/node_election.cpp
+++ b/flamingoseam/node/node_election.cpp
@@ -198,7 +198,13 @@
 /// process has been restarted, or it is confirmed that its port is closed.
 bool node::has_owner_ended(const membership_view& view) const
 {
-    if (!view.owner || view.owner->owner.name.empty() || is_owner_gone(view.owner->epoch)) {
+    return has_owner_left(view) || is_owner_gone(view.owner->epoch);
+}
+
+/// Checks whether there was no owner, or it has handed over or its process has been restarted.
+bool node::has_owner_left(const membership_view& view)
+{
+    if (!view.owner || view.owner->owner.name.empty()) {
         return true;
     }
     const auto member = view.members.find(view.owner->owner.name);
@@ -395,7 +401,7 @@
                                               .expected_revision = view.owner_revision,
                                               .absent_key = key_absent_at_takeover(view)});
         if (claimed) {
-            begin_ownership(*claimed);
+            begin_ownership(*claimed, has_owner_left(view));
         }
     } catch (const error& cause) {
         LOG(WARNING) << "can't take over ownership: " << cause.what();
@@ -404,7 +410,7 @@
     owner_missing_since_.reset();
 }
 
-void node::begin_ownership(const claimed_head& claimed)
+void node::begin_ownership(const claimed_head& claimed, bool earlier_owner_has_ended)
 {
     dependencies_.log->write(
         {.event = "owner_begins",
@@ -415,7 +421,8 @@
     job_owner_start start{.head = claimed.head,
                           .revision = claimed.revision,
                           .jobs = std::move(stored.jobs),
-                          .leased_workers = std::move(stored.leased_workers)};
+                          .leased_workers = std::move(stored.leased_workers),
+                          .earlier_owner_has_ended = earlier_owner_has_ended};
     job_owner_dependencies parts{
         .head_keys = head_keys(),
         .stores = dependencies_.stores,
--- a/flamingoseam/node/worker_session.cpp
+++ b/flamingoseam/node/worker_session.cpp
@@ -16,7 +16,7 @@
 constexpr milliseconds expiry_margin{150};
 constexpr milliseconds initial_retry_delay{50};
 constexpr milliseconds max_retry_delay{500};
-constexpr milliseconds earlier_owner_margin{1'000}; ///< For the renewals of a disconnected owner.
+constexpr milliseconds clock_difference{1'000}; ///< Between the wall clocks of two owners.
 constexpr milliseconds rejection_delay{1'000};
 /// Answers on different connections may arrive in another order within this time.
 constexpr milliseconds max_answer_reordering{1'000};
@@ -70,7 +70,9 @@
       unreachable_(options.silent_for.has_value()),
       silent_since_(now() - std::clamp(options.silent_for.value_or(milliseconds(0)),
                                        milliseconds(0), options.lease)),
-      may_renew_(!unreachable_), lease_bound_start_(silent_since_),
+      may_renew_(!unreachable_),
+      earlier_renewals_end_(unreachable_ ? silent_since_ + clock_difference
+                                         : std::max(now(), options.earlier_renewals_end)),
       retry_delay_(initial_retry_delay)
 {
     order_thread_ = std::thread([this] {
@@ -169,6 +171,14 @@
     may_renew_ = may_renew_ || (!unreachable_ && silent_since == silent_since_);
 }
 
+void worker_session::set_earlier_renewals_end(time_point end)
+{
+    const std::lock_guard lock(mutex_);
+    if (earlier_renewals_end_ == time_point::max()) {
+        earlier_renewals_end_ = end;
+    }
+}
+
 void worker_session::expect_report(time_point time)
 {
     const std::lock_guard lock(mutex_);
@@ -247,8 +257,9 @@
 /// an unreachable worker is not, so that it is known when no runs are left.
 worker_time worker_session::extend_lease()
 {
+    const bool may_renew = listener_.may_renew();
     const std::lock_guard lock(mutex_);
-    return may_renew_ ? clock_.extend(options_.lease, now()) : worker_time(0);
+    return may_renew && may_renew_ ? clock_.extend(options_.lease, now()) : worker_time(0);
 }
 
 void worker_session::record_clock(worker_time clock)
@@ -370,12 +381,11 @@
     {
         const std::lock_guard lock(mutex_);
         const auto time = now();
-        const auto max_earlier_lease =
-            milliseconds(static_cast<std::int64_t>(static_cast<double>(options_.lease.count()) /
-                                                   min_clock_rate)) +
-            earlier_owner_margin;
-        expired = !emptied_ && (clock_.is_known() ? clock_.has_expired(time)
-                                                  : time - lease_bound_start_ > max_earlier_lease);
+        const auto max_earlier_lease = scaled(options_.lease, 1 / min_clock_rate) + expiry_margin;
+        expired =
+            !emptied_ && (clock_.is_known() ? clock_.has_expired(time)
+                                            : time > earlier_renewals_end_ &&
+                                                  time - earlier_renewals_end_ > max_earlier_lease);
         emptied_ = emptied_ || expired;
     }
     if (expired) {
--- a/flamingoseam/node/worker_session.hpp
+++ b/flamingoseam/node/worker_session.hpp
@@ -42,6 +42,9 @@
     /// Returns whether runs may be started now. Asked right before each order is sent, since much
     /// time may have passed after the decision.
     [[nodiscard]] virtual bool may_start() const = 0;
+
+    /// Returns whether leases of workers may be extended now.
+    [[nodiscard]] virtual bool may_renew() const = 0;
 };
 
 /// Options of a worker session.
@@ -53,6 +56,9 @@
     /// For how long the lease has not been renewed, if the worker is known to be silent.
     std::optional<milliseconds> silent_for = std::nullopt;
 
+    /// When an earlier owner stops renewing the lease; time_point::max() if that is not known yet.
+    time_point earlier_renewals_end{};
+
     milliseconds poll_wait{800};        ///< How long the worker holds a poll when it has no news.
     milliseconds idle_poll_wait{1'800}; ///< The same while the worker has no runs.
     milliseconds answer_timeout{500};   ///< Time for the answer to a poll, beyond the wait.
@@ -124,6 +130,9 @@
     /// renewed. Has no effect if the worker has become silent again.
     void permit_renewal(time_point silent_since);
 
+    /// Sets when an earlier owner stops renewing the lease, if that was not known.
+    void set_earlier_renewals_end(time_point end);
+
     /// Requests a report at `time`: a poll that starts before `time` ends by then.
     void expect_report(time_point time);
 
@@ -184,8 +193,8 @@
     bool may_renew_;          ///< No stored record says that the lease is not renewed.
     bool emptied_ = false;
     std::optional<time_point> report_expected_;
-    bool has_runs_ = true;         ///< According to the last report, or a start was ordered since.
-    time_point lease_bound_start_; ///< An earlier owner did not extend the lease after this.
+    bool has_runs_ = true; ///< According to the last report, or a start was ordered since.
+    time_point earlier_renewals_end_; ///< An earlier owner does not extend the lease after this.
     milliseconds retry_delay_;
     std::atomic<bool> ending_{false};
     std::atomic<bool> released_{false};
--- a/flamingoseam/node/worker_session_test.cpp
+++ b/flamingoseam/node/worker_session_test.cpp
@@ -109,6 +109,7 @@
     }
     void on_fenced(std::size_t /*worker*/) override {}
     [[nodiscard]] bool may_start() const override { return starts_allowed; }
+    [[nodiscard]] bool may_renew() const override { return renewals_allowed; }
 
     std::atomic<std::int64_t> newest_end{0}; ///< In the last report.
     std::atomic<int> reports{0};
@@ -116,6 +117,7 @@
     std::atomic<int> emptied{0};
     std::atomic<int> replaced{0};
     std::atomic<bool> starts_allowed{true};
+    std::atomic<bool> renewals_allowed{true};
     std::atomic<bool> is_unreachable{false};
     std::atomic<time_point> silent_since{};
     std::atomic<workflow::start_outcome> last_start{workflow::start_outcome::unknown};
--- a/flamingoseam/workflow/fleet.hpp
+++ b/flamingoseam/workflow/fleet.hpp
@@ -56,6 +56,8 @@
     std::optional<time_point> ended_silence;
     time_point excluded_until{};
     time_point last_report{};
+    time_point last_asked{};        ///< When the newest report was requested.
+    time_point incarnation_since{}; ///< When a restart was noticed; zero if there was none.
     resources used;
     int exclusive_runs = 0;
     std::map<run_name, assigned_run> runs;
--- a/flamingoseam/workflow/workflow_jobs.cpp
+++ b/flamingoseam/workflow/workflow_jobs.cpp
@@ -46,6 +46,7 @@
         leased_workers_.insert(index);
         unreported_.insert(index);
     }
+    loaded_workers_ = unreported_.size();
     if (unreported_.empty()) {
         release_unlocated();
     }
--- a/flamingoseam/workflow/workflow_reports.cpp
+++ b/flamingoseam/workflow/workflow_reports.cpp
@@ -2,6 +2,7 @@
 #include "flamingoseam/workflow/workflow_state.hpp"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace flamingoseam::workflow {
@@ -78,6 +79,8 @@
         log_first_report(worker, report);
     }
     worker_state.last_report = time;
+    worker_state.last_asked = std::max(worker_state.last_asked, report.asked);
+    accepting_loaded_workers_ += unreported_.contains(worker) ? 1 : 0;
     for (const auto& end : report.ended) {
         handle_end(worker, end, time, wall);
     }
@@ -110,6 +113,7 @@
                  {{"incarnation", incarnation},
                   {"runs", static_cast<std::int64_t>(worker_state.runs.size())}});
     worker_state.entry.incarnation = incarnation;
+    worker_state.incarnation_since = time;
     // A poll meant for the earlier incarnation may still acknowledge ends there, so nothing is
     // started before the new one has reported.
     worker_state.reported = false;
@@ -346,6 +350,43 @@
     }
 }
 
+std::optional<time_point> workflow_state::majority_answered_at(time_point certain_at) const
+{
+    std::set<std::size_t> stored;
+    for (std::size_t worker = 0; worker < fleet_.size(); ++worker) {
+        if (fleet_.at(worker).lease_stored) {
+            stored.insert(worker);
+        }
+    }
+    const auto answered = majority_answered_at(stored, certain_at);
+    const bool may_be_replaced = leased_workers_in_batch_ && streams_[0].writes_since;
+    if (!answered || !may_be_replaced) {
+        return answered;
+    }
+    // A later owner has read either list.
+    const auto other = majority_answered_at(batch_leased_workers_, certain_at);
+    return other ? std::optional(std::min(*answered, *other)) : std::nullopt;
+}
+
+std::optional<time_point> workflow_state::majority_answered_at(const std::set<std::size_t>& workers,
+                                                               time_point certain_at) const
+{
+    std::vector<time_point> answers;
+    for (const auto worker : workers) {
+        const auto& state = fleet_.at(worker);
+        if (state.incarnation_since <= certain_at) {
+            answers.push_back(state.last_asked);
+        }
+    }
+    const auto majority = workers.size() / 2 + 1;
+    if (answers.size() < majority) {
+        return std::nullopt;
+    }
+    const auto last = answers.begin() + static_cast<std::ptrdiff_t>(majority - 1);
+    std::ranges::nth_element(answers, last, std::greater<>());
+    return *last;
+}
+
 void workflow_state::acknowledge_end(std::size_t worker, std::int64_t incarnation,
                                      std::int64_t number)
 {
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -150,6 +150,19 @@
     /// a later owner may have started the same task on another worker.
     void set_certain(bool certain);
 
+    /// Returns since when more than half of the leased workers have answered this owner, as far as
+    /// they have not restarted after `certain_at`, when it was certain that there was no later
+    /// owner; none if so many have never answered. A restarted worker does not count, since it may
+    /// have forgotten a later owner. Complexity: linear in the workers.
+    [[nodiscard]] std::optional<time_point> majority_answered_at(time_point certain_at) const;
+
+    /// Checks whether so many of the loaded leased workers have accepted this owner's epoch that no
+    /// majority of them can answer an earlier owner any more. Complexity: constant.
+    [[nodiscard]] bool has_majority_accepted() const
+    {
+        return 2 * accepting_loaded_workers_ >= loaded_workers_;
+    }
+
     /// Repeats unanswered orders, stops stalled runs and places waiting tasks. To be called at
     /// least every 50 ms and after each group of events.
     void tick(time_point time);
@@ -230,6 +243,8 @@
 
     // workers' reports
     void log_first_report(std::size_t worker, const worker_report& report);
+    [[nodiscard]] std::optional<time_point>
+    majority_answered_at(const std::set<std::size_t>& workers, time_point certain_at) const;
     void begin_incarnation(std::size_t worker, std::int64_t incarnation, bool after_crash,
                            time_point time);
     void handle_end(std::size_t worker, const ended_run& end, time_point time, wall_time wall);
@@ -396,8 +411,10 @@
     /// Workers of the batch whose lease, it says, is not renewed.
     std::set<std::size_t> batch_silent_workers_;
     bool leased_workers_in_batch_ = false;
-    std::set<std::size_t> leased_workers_; ///< Workers that may hold runs.
-    std::set<std::size_t> unreported_;     ///< Earlier owner's leased workers without a report.
+    std::set<std::size_t> leased_workers_;     ///< Workers that may hold runs.
+    std::set<std::size_t> unreported_;         ///< Earlier owner's leased workers without a report.
+    std::size_t loaded_workers_ = 0;           ///< Number of the earlier owner's leased workers.
+    std::size_t accepting_loaded_workers_ = 0; ///< Those of them that have reported.
     lending_limits lending_limits_;
     std::map<std::string, worker_assignment> assignments_; ///< To be stored, by worker.
     std::vector<std::string> batch_assignments_; ///< Workers whose assignment is being stored.
