Send each order to a worker once

The HTTP library sends a request again when a kept connection breaks or stays silent until the time-out. A process that was paused in a call to start a run sent it again when it woke, whatever had become of its ownership meanwhile; a worker that had restarted under its id accepted it.

A start that fails at once, since its connection was closed, is sent again by the session after it has asked whether runs may still be started. Tests: 'an order whose connection was closed is sent again', 'an order is not sent again once its owner may not start runs any more' (worker_session_test).

--- a/flamingoseam/node/worker_session.cpp
+++ b/flamingoseam/node/worker_session.cpp
@@ -209,6 +209,22 @@
     }
 }
 
+/// Sends an order to start a run, and once more if its connection turns out to be closed and runs
+/// may still be started.
+order_answer worker_session::call_start(const start_call& call)
+{
+    const auto sent_at = now();
+    try {
+        return order_channel_->start(call, options_.order_timeout);
+    } catch (const transport_error&) {
+        const bool is_closed = now() - sent_at < options_.order_timeout / 2;
+        if (!is_closed || !listener_.may_start()) {
+            throw;
+        }
+    }
+    return order_channel_->start(call, options_.order_timeout);
+}
+
 void worker_session::send_start(const queued_start& start)
 {
     const auto& order = start.order;
@@ -219,13 +235,12 @@
         return;
     }
     try {
-        const auto answer = order_channel_->start({.name = order.name,
-                                                   .payload = order.payload,
-                                                   .checkpoint = order.checkpoint,
-                                                   .ticket = order.ticket,
-                                                   .epoch = options_.epoch,
-                                                   .lease_until = lease_until},
-                                                  options_.order_timeout);
+        const auto answer = call_start({.name = order.name,
+                                        .payload = order.payload,
+                                        .checkpoint = order.checkpoint,
+                                        .ticket = order.ticket,
+                                        .epoch = options_.epoch,
+                                        .lease_until = lease_until});
         record_clock(answer.clock);
         if (answer.outcome == workflow::start_outcome::fenced) {
             report_fenced(); // First, so that the run is not assigned again.
--- a/flamingoseam/node/worker_session.hpp
+++ b/flamingoseam/node/worker_session.hpp
@@ -157,6 +157,7 @@
 
     void run_orders();
     void send_start(const queued_start& start);
+    order_answer call_start(const start_call& call);
     void report_not_sent(const queued_start& start);
     void send_stop(const workflow::run_name& name);
     void run_polls();
--- a/flamingoseam/node/worker_session_test.cpp
+++ b/flamingoseam/node/worker_session_test.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include <atomic>
+#include <functional>
 
 using namespace flamingoseam;
 using namespace flamingoseam::node;
@@ -23,7 +24,9 @@
     std::atomic<int> poll_time_ms{5};             ///< How long the worker takes to answer a poll.
     std::atomic<std::int64_t> incarnation{0};
     std::atomic<int> clock_offset_ms{0};
-    std::atomic<int> polls_at_offset{0}; ///< Polls answered with another clock.
+    std::atomic<int> polls_at_offset{0};    ///< Polls answered with another clock.
+    std::atomic<int> closed_connections{0}; ///< Starts that fail at once.
+    std::function<void()> on_closed = [] {};
     time_point began = now();
 
     worker_time clock() const
@@ -40,6 +43,11 @@
     order_answer start(const start_call& /*call*/, milliseconds /*timeout*/) override
     {
         throw_if_unreachable();
+        if (worker_.closed_connections > 0) {
+            --worker_.closed_connections;
+            worker_.on_closed();
+            throw transport_error(304, "the connection is closed", true);
+        }
         ++worker_.starts;
         std::this_thread::sleep_for(milliseconds(worker_.start_time_ms.load()));
         return {.outcome = workflow::start_outcome::started, .clock = worker_.clock()};
@@ -199,6 +207,23 @@
         CHECK(listener.last_start == workflow::start_outcome::not_sent);
         CHECK(worker.starts == 0);
     }
+    SECTION("an order whose connection was closed is sent again")
+    {
+        worker.closed_connections = 1;
+        session.start({.worker = 0, .name = {{"job", 0, 0}, 1}});
+        REQUIRE(holds_within(milliseconds(2'000), [&] { return listener.starts == 1; }));
+        CHECK(listener.last_start == workflow::start_outcome::started);
+        CHECK(worker.starts == 1);
+    }
+    SECTION("an order is not sent again once its owner may not start runs any more")
+    {
+        worker.on_closed = [&] { listener.starts_allowed = false; };
+        worker.closed_connections = 1;
+        session.start({.worker = 0, .name = {{"job", 0, 0}, 1}});
+        REQUIRE(holds_within(milliseconds(2'000), [&] { return listener.starts == 1; }));
+        CHECK(listener.last_start == workflow::start_outcome::unknown);
+        CHECK(worker.starts == 0);
+    }
     SECTION("a worker has no runs once another incarnation answers at its address")
     {
         worker.is_replaced = true;
