Reproduce with real processes that a cut-off owner starts tasks again

Stand-ins: each node can have a path of its own to each worker. The stand-in platform serves the store to each node at an address of its own (standins/store_view), where the workers' addresses have another prefix, in all values read and, in reverse, in all written, so that records of one node are right for the others.

Scenarios (first owner A, owner after it B, worker W):

- platform_cut_off_owner: A is cut off from the store and all workers for 8.5 s and empties them; W restarts, and A reaches it 0.8 s before B does.
A starts tasks on W that are done and acknowledged.
- platform_split_cell: A reaches only W, B all workers but W, for 12 s.
B starts W's runs elsewhere when it takes W for empty, while A renews W's lease; A empties the other workers and starts their tasks, done and acknowledged, on W.

In a quiet cell the first form doesn't occur: without a write in flight at the cut, A's next batch tries to record that its workers are silent (silence_stored), and A may then not renew or start on W until that is stored (by reading; A's log says "no room" for all steps). Hence the job that is submitted just after the cut; under load, some write is always in flight.

--- a/standins/platform_main.cpp
+++ b/standins/platform_main.cpp
@@ -1,17 +1,23 @@
 /// A stand-in for the users' platform in one process: its key-value service, its workers and its
 /// permission service, with a fixed configuration that has one queue. A worker announces that it
-/// leaves when a test calls /standin/leave?number=N.
+/// leaves when a test calls /standin/leave?number=N. The store can be served at several addresses,
+/// one for each node, at which the workers have addresses of their own.
 #include "flamingoseam/daemon/daemon.hpp"
 #include "flamingoseam/http/http_server.hpp"
 #include "flamingoseam/log/log.hpp"
 #include "standins/platform_store.hpp"
 #include "standins/platform_worker.hpp"
+#include "standins/store_view.hpp"
 
 #include <gflags/gflags.h>
 #include <sodium.h>
 
 DEFINE_string(address, "127.0.0.1", "IP address of the store and of the permission service");
 DEFINE_string(worker_addresses, "", "IP addresses of the workers, separated by commas");
+DEFINE_string(views, "",
+              "ADDRESS=PREFIX,...: serves the store also at each ADDRESS, where the addresses of "
+              "workers have PREFIX in place of --worker_prefix");
+DEFINE_string(worker_prefix, "", "prefix of the workers' registered addresses");
 DEFINE_int32(port, 7100, "TCP port of the store, the permission service and the workers");
 DEFINE_int32(drain_ms, 2'000, "time for which a leaving worker may be given work, in milliseconds");
 DEFINE_int32(processors, 16, "processors of each worker");
@@ -74,6 +80,19 @@
             {"labels", {"a", "r" + std::to_string(number % 2)}}};
 }
 
+std::unique_ptr<http_server> serve_view(platform_store& store, const std::string& definition)
+{
+    const auto separator = definition.find('=');
+    auto view =
+        std::make_shared<store_view>(store, FLAGS_worker_prefix, definition.substr(separator + 1));
+    return std::make_unique<http_server>(
+        http_server_options{.address = definition.substr(0, separator),
+                            .port = static_cast<unsigned short>(FLAGS_port)},
+        [view = std::move(view)](const http_request& request) {
+            return view->handle(request).value_or(http_response{.status = 404, .body = "{}"});
+        });
+}
+
 void serve(const sigset_t& signals)
 {
     platform_store store;
@@ -103,6 +122,9 @@
         return http_response{.body = "{}"};
     };
     store.put("op/config", configuration().dump());
+    for (const auto& definition : split(FLAGS_views)) {
+        servers.push_back(serve_view(store, definition));
+    }
     const http_server platform(
         {.address = FLAGS_address, .port = port}, [&](const http_request& request) {
             if (request.path == "/api/advise") {
--- a/standins/platform_store.cpp
+++ b/standins/platform_store.cpp
@@ -1,6 +1,6 @@
 #include "standins/platform_store.hpp"
 
-#include <sodium.h>
+#include "standins/base64.hpp"
 
 namespace flamingoseam::standin {
 
@@ -12,16 +12,6 @@
 constexpr std::chrono::seconds cut_watch_time{60}; ///< A cut watch is closed after this time.
 constexpr int lost_write_interval = 3; ///< A lossy store loses every third answer to a write.
 
-std::string to_base64(const std::string& bytes)
-{
-    constexpr int variant = sodium_base64_VARIANT_ORIGINAL;
-    std::string text(sodium_base64_ENCODED_LEN(bytes.size(), variant), '\0');
-    sodium_bin2base64(text.data(), text.size(),
-                      reinterpret_cast<const unsigned char*>(bytes.data()), bytes.size(), variant);
-    text.pop_back();
-    return text;
-}
-
 http_response respond(int status, const json& body)
 {
     return {.status = status, .body = body.dump()};
