Send the next permission call while the answer to the one before is on the way

What callers saw: steps of queues with short permission calls waited for a free call slot while the permission service had nothing to do for that node: 24 calls of 10 ms over two nodes, 50 ms away, took 1,325 to 1,330 ms (known red, bound 660 ms).

Cause: a call slot was a thread that waited for its answer before it took the next request. The service handles the calls of a node one after the other, so all it needs is that the next one arrives when it has finished; instead it stood idle for a whole round trip.

Fix: calls through a node are sent one service time apart (permission_pacer). No travel time has to be estimated: with equal travel times each call arrives when the service has finished the one before. A request therefore leaves the queue when the service can take it, not earlier: until then a more urgent one goes first and a withdrawn one costs nothing. Nodes with fewer calls in flight are preferred, so a lightly loaded cell sends as before. At most four calls of a node are in flight (the service rejects at 32 waiting), and one until the node has answered, and after a failure.

Threads are no longer bound to nodes. There is one more than call slots, as many as before and one, and another is added when all are busy. One idle thread instead of all of them looks again at requests that are held back.

Ruled out: two calls in flight for each node (six rounds of 110 ms are the bound itself, without any overhead; reckoned, not run). A slot for each call in flight in the budget of long calls: three of four slots is what the service can do, and the workflow's budget counts the same. The path through other nodes does not have the fault: a node makes each forwarded call in a thread of its own, over a connection of its own.

What it costs: a call on the way can't be withdrawn, so a node that dies may now hold up to four calls until their timeouts, where it held one. Long calls (from 50 ms) gain little: the budget of long calls, here and in the workflow, counts a call until it is answered.

--- a/flamingoseam/node/permission_dispatcher.cpp
+++ b/flamingoseam/node/permission_dispatcher.cpp
@@ -12,8 +12,6 @@
 
 namespace {
 
-constexpr milliseconds delay_after_failure{500};
-
 /// Maximum time until requests that the queue holds back are checked again.
 constexpr milliseconds max_poll_delay{100};
 
@@ -29,8 +27,8 @@
 permission_dispatcher::~permission_dispatcher()
 {
     request_stop();
-    for (const auto& slot : slots_) {
-        slot->thread.join();
+    for (auto& thread : threads_) {
+        thread.join();
     }
 }
 
@@ -40,34 +38,40 @@
         const std::lock_guard lock(mutex_);
         ending_ = true;
     }
-    changed_.notify_all();
     work_pending_.notify_all();
 }
 
 std::size_t permission_dispatcher::open_slots() const
 {
-    return static_cast<std::size_t>(std::count_if(slots_.begin(), slots_.end(),
-                                                  [](const auto& slot) { return !slot->ending; }));
+    return static_cast<std::size_t>(
+        std::ranges::count_if(slots_, [](const auto& slot) { return !slot->ending; }));
+}
+
+std::size_t permission_dispatcher::busy_slots() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        slots_, [](const auto& slot) { return slot->pacer.calls_in_flight() > 0; }));
 }
 
 void permission_dispatcher::set_nodes(const std::vector<std::string>& nodes)
 {
-    const std::lock_guard lock(mutex_);
-    for (const auto& slot : slots_) {
-        slot->ending = std::find(nodes.begin(), nodes.end(), slot->node) == nodes.end();
-    }
-    for (const auto& node : nodes) {
-        const bool exists = std::any_of(slots_.begin(), slots_.end(),
-                                        [&](const auto& slot) { return slot->node == node; });
-        if (exists) {
-            continue;
+    {
+        const std::lock_guard lock(mutex_);
+        for (const auto& slot : slots_) {
+            slot->ending = std::ranges::find(nodes, slot->node) == nodes.end();
+        }
+        for (const auto& node : nodes) {
+            const bool exists =
+                std::ranges::any_of(slots_, [&](const auto& slot) { return slot->node == node; });
+            if (!exists) {
+                slots_.push_back(std::make_unique<call_slot>(
+                    call_slot{.node = node, .call = make_call_(node), .pacer = {}}));
+            }
+        }
+        while (threads_.size() <= slots_.size()) {
+            add_thread();
         }
-        slots_.push_back(std::make_unique<call_slot>());
-        auto& added = *slots_.back();
-        added.node = node;
-        added.thread = std::thread([this, &added] { run(added); });
     }
-    changed_.notify_all();
     work_pending_.notify_all();
 }
 
@@ -87,6 +91,7 @@
     load.requests = queue_.size();
     load.oldest_age = queue_.oldest_age(time);
     load.call_slots = open_slots();
+    load.busy_slots = busy_slots();
     return load;
 }
 
@@ -99,7 +104,6 @@
                                    .answered = answered};
     {
         const std::lock_guard lock(mutex_);
-        --load_.busy_slots;
         ++load_.calls;
         load_.call_time += timing.call_time;
     }
@@ -114,52 +118,117 @@
     queue_.drop(number);
 }
 
-std::optional<workflow::permission_request> permission_dispatcher::take_request(call_slot& slot)
+/// Adds a thread. To be called with the mutex locked, which guards the list of threads.
+void permission_dispatcher::add_thread()
 {
-    std::unique_lock lock(mutex_);
-    while (true) {
-        changed_.wait(lock, [&] { return ending_ || !slot.ending; });
-        if (ending_) {
-            return std::nullopt;
+    threads_.emplace_back([this] { run(); });
+}
+
+/// Returns the open slot with the fewest calls in flight among those that may make a call now.
+permission_dispatcher::call_slot* permission_dispatcher::find_ready_slot(time_point time) const
+{
+    const auto rank_of = [](const call_slot& slot) {
+        return std::pair(slot.pacer.calls_in_flight(), slot.pacer.next_call());
+    };
+    call_slot* next = nullptr;
+    for (const auto& slot : slots_) {
+        const bool is_ready = !slot->ending && slot->pacer.next_call() <= time;
+        if (is_ready && (next == nullptr || rank_of(*slot) < rank_of(*next))) {
+            next = slot.get();
         }
-        if (auto request = queue_.take(open_slots(), now())) {
-            ++load_.busy_slots;
-            return request;
+    }
+    return next;
+}
+
+/// Returns the time at which the queued requests must be checked again.
+time_point permission_dispatcher::next_check(time_point time) const
+{
+    auto next = time + max_poll_delay;
+    for (const auto& slot : slots_) {
+        const auto next_call = slot->pacer.next_call();
+        if (!slot->ending && next_call > time) {
+            next = std::min(next, next_call);
         }
-        if (queue_.size() == 0) {
-            work_pending_.wait(lock);
-        } else {
-            work_pending_.wait_for(lock, max_poll_delay);
+    }
+    return next;
+}
+
+std::optional<permission_dispatcher::dispatched_call>
+permission_dispatcher::find_call(time_point time)
+{
+    auto* slot = find_ready_slot(time);
+    if (slot == nullptr) {
+        return std::nullopt;
+    }
+    auto request = queue_.take(open_slots(), time);
+    if (!request) {
+        return std::nullopt;
+    }
+    return dispatched_call{.slot = slot, .request = std::move(*request)};
+}
+
+/// Waits until a call may be possible. Only one idle thread waits for the time of the next check.
+/// `time` is when no call was possible.
+void permission_dispatcher::wait_for_work(std::unique_lock<std::mutex>& lock, time_point time)
+{
+    const auto check = next_check(time);
+    if (queue_.size() == 0 || next_check_ <= check) {
+        work_pending_.wait(lock);
+        return;
+    }
+    next_check_ = check;
+    work_pending_.wait_until(lock, check);
+    next_check_ = time_point::max();
+}
+
+/// Waits for the next call and records that it has begun. Returns none when the dispatcher ends.
+std::optional<permission_dispatcher::dispatched_call> permission_dispatcher::take_call()
+{
+    std::unique_lock lock(mutex_);
+    while (!ending_) {
+        const auto time = now();
+        auto next = find_call(time);
+        if (!next) {
+            wait_for_work(lock, time);
+            continue;
+        }
+        next->slot->pacer.begin(next->request.service_time, time);
+        if (++calls_in_flight_ == threads_.size()) {
+            add_thread();
+        } else if (queue_.size() > 0) {
+            work_pending_.notify_one();
         }
+        return next;
     }
+    return std::nullopt;
 }
 
-void permission_dispatcher::run(call_slot& slot)
+void permission_dispatcher::perform(const dispatched_call& next)
+{
+    const auto& [slot, request] = next;
+    const auto started = now();
+    std::optional<std::vector<workflow::ticket_grant>> grants;
+    try {
+        grants = slot->call(request).grants;
+    } catch (const error& cause) {
+        LOG_EVERY_N(WARNING, 20) << "a permission request through " << slot->node
+                                 << " failed: " << cause.what();
+    }
+    const bool answered = grants.has_value();
+    record_call(request, started, answered);
+    answer_handler_(request.number, std::move(grants));
+    const std::lock_guard lock(mutex_);
+    queue_.finish(request);
+    slot->pacer.end(answered, now());
+    --calls_in_flight_;
+}
+
+void permission_dispatcher::run()
 {
-    const auto call = make_call_(slot.node);
     thread_timer timer(thread_duty::permissions);
-    while (auto request = take_request(slot)) {
+    while (const auto next = take_call()) {
         timer.update();
-        const auto started = now();
-        std::optional<std::vector<workflow::ticket_grant>> grants;
-        try {
-            grants = call(*request).grants;
-        } catch (const error& cause) {
-            LOG_EVERY_N(WARNING, 20)
-                << "a permission request through " << slot.node << " failed: " << cause.what();
-        }
-        const bool failed = !grants;
-        record_call(*request, started, !failed);
-        answer_handler_(request->number, std::move(grants));
-        {
-            const std::lock_guard lock(mutex_);
-            queue_.finish(*request);
-        }
-        if (failed) {
-            work_pending_.notify_one(); // Another call slot may have to handle the queued requests.
-            std::unique_lock lock(mutex_);
-            changed_.wait_for(lock, delay_after_failure, [this] { return ending_; });
-        }
+        perform(*next);
     }
 }
 
--- a/flamingoseam/node/permission_dispatcher.hpp
+++ b/flamingoseam/node/permission_dispatcher.hpp
@@ -2,6 +2,7 @@
 
 #include "flamingoseam/http/http_client.hpp"
 #include "flamingoseam/node/load_meter.hpp"
+#include "flamingoseam/node/permission_pacer.hpp"
 #include "flamingoseam/workflow/permission_queue.hpp"
 
 #include <condition_variable>
@@ -25,7 +26,7 @@
 using permission_call = std::function<permission_answer(const workflow::permission_request&)>;
 
 /// Returns the function that a call slot calls: this node calls the service itself for its own
-/// name, and through the peer of that name otherwise.
+/// name, and through the peer of that name otherwise. The function must be thread-safe.
 using permission_call_factory = std::function<permission_call(const std::string& node)>;
 
 /// Timing and result of one call to the permission service.
@@ -37,16 +38,18 @@
 };
 
 /// Distributes permission requests over the nodes, since the service handles one call of each
-/// calling node at a time. Each node is represented by one call slot with a thread of its own. A
-/// permission_queue chooses the request that a slot handles next.
+/// calling node at a time. Each node is represented by one call slot, whose permission_pacer sends
+/// the next call while the answers to earlier ones are on the way. A permission_queue chooses the
+/// request that a slot handles next. There are more threads than call slots, and at least one of
+/// them is idle.
 class permission_dispatcher {
 public:
     /// Receives the number of each request and its grants, or no value when the request failed.
-    /// Called from the threads of the call slots.
+    /// Called from the dispatcher's threads.
     using answer_handler =
         std::function<void(std::uint64_t, std::optional<std::vector<workflow::ticket_grant>>)>;
 
-    /// Receives the timing of each call. Called from the threads of the call slots.
+    /// Receives the timing of each call. Called from the dispatcher's threads.
     using call_observer = std::function<void(const permission_timing&)>;
 
     permission_dispatcher(permission_call_factory make_call, answer_handler handle_answer,
@@ -71,31 +74,46 @@
     /// Returns the load of the call slots. Complexity: linear in the queued requests and the slots.
     [[nodiscard]] permission_load load(time_point time);
 
-    /// Makes the threads of the call slots end soon, without waiting for them.
+    /// Makes the dispatcher's threads end soon, without waiting for them.
     void request_stop();
 
 private:
     struct call_slot {
         std::string node;
+        permission_call call;
+        permission_pacer pacer;
         bool ending = false;
-        std::thread thread;
+    };
+    struct dispatched_call {
+        call_slot* slot;
+        workflow::permission_request request;
     };
 
-    void run(call_slot& slot);
+    void run();
+    void add_thread();
+    void perform(const dispatched_call& next);
     void record_call(const workflow::permission_request& request, time_point started,
                      bool answered);
-    std::optional<workflow::permission_request> take_request(call_slot& slot);
-    std::size_t open_slots() const;
+    std::optional<dispatched_call> take_call();
+    std::optional<dispatched_call> find_call(time_point time);
+    void wait_for_work(std::unique_lock<std::mutex>& lock, time_point time);
+    [[nodiscard]] call_slot* find_ready_slot(time_point time) const;
+    [[nodiscard]] time_point next_check(time_point time) const;
+    [[nodiscard]] std::size_t open_slots() const;
+    [[nodiscard]] std::size_t busy_slots() const;
 
     permission_call_factory make_call_;
     answer_handler answer_handler_;
     call_observer observer_;
     std::mutex mutex_;
-    std::condition_variable changed_;      ///< Notified of changes of `slots_` and `ending_`.
-    std::condition_variable work_pending_; ///< Notified of work for idle call slots.
+    std::condition_variable work_pending_; ///< Notified of work for idle threads.
     workflow::permission_queue queue_;
     std::vector<std::unique_ptr<call_slot>> slots_;
-    permission_load load_; ///< Sums over all calls, and the number of calls in flight.
+    std::vector<std::thread> threads_;
+    std::size_t calls_in_flight_ = 0; ///< Number of threads that make a call.
+    /// When an idle thread checks the queue again without being notified.
+    time_point next_check_ = time_point::max();
+    permission_load load_; ///< Sums over all calls.
     bool ending_ = false;
 };
 
--- a/flamingoseam/node/permission_dispatcher_test.cpp
+++ b/flamingoseam/node/permission_dispatcher_test.cpp
@@ -183,3 +183,36 @@
         calls / static_cast<int>(nodes.size()) * (2 * transfer + service_time);
     CHECK(now() - began <= one_after_the_other / 2);
 }
+
+TEST_CASE("requests stay in the queue while the permission service is busy with an earlier call")
+{
+    constexpr milliseconds service_time{40};
+    constexpr milliseconds long_service_time{500};
+    std::mutex mutex;
+    std::vector<std::uint64_t> sent;
+    std::atomic<int> answered{0};
+    permission_dispatcher dispatcher(
+        [&](const std::string& /*node*/) {
+            return [&](const workflow::permission_request& request) -> permission_answer {
+                {
+                    const std::lock_guard lock(mutex);
+                    sent.push_back(request.number);
+                }
+                std::this_thread::sleep_for(request.service_time);
+                return {.grants = {{"w", "ticket"}}};
+            };
+        },
+        [&](std::uint64_t /*number*/, const auto& /*grants*/) { ++answered; });
+    dispatcher.set_nodes({"a"});
+    dispatcher.enqueue(request_of(1, 0, service_time));
+    REQUIRE(holds_within(milliseconds(2'000), [&] { return answered == 1; }));
+
+    dispatcher.enqueue(request_of(2, 0, long_service_time));
+    dispatcher.enqueue(request_of(3, 2, service_time));
+    dispatcher.enqueue(request_of(4, 1, service_time));
+    std::this_thread::sleep_for(2 * service_time);
+    dispatcher.enqueue(request_of(5, 0, service_time));
+    dispatcher.withdraw(4);
+    REQUIRE(holds_within(milliseconds(5'000), [&] { return answered == 4; }));
+    CHECK(sent == std::vector<std::uint64_t>{1, 2, 5, 3});
+}
