Keep a node alive when it runs out of file descriptors

What callers saw: the node's process aborted ("terminate called after throwing an instance of 'kj::ExceptionImpl'"). Cause: the thread that serves other nodes ended with the exception of accept(), and the threads of the RPC server and client with that of epoll_create1(), as nothing catches an exception there. An owner has two connections with each worker, so by arithmetic (not run) a limit of 1,024 descriptors is reached below 512 workers; whether the users' FAULT was this is not known.

--- a/flamingoseam/node/coordinator_rpc_test.cpp
+++ b/flamingoseam/node/coordinator_rpc_test.cpp
@@ -1,5 +1,8 @@
 #include "flamingoseam/node/coordinator_rpc.hpp"
 
+#include "flamingoseam/core/error.hpp"
+#include "tests/descriptor_limit.hpp"
+
 #include <catch2/catch.hpp>
 #include <unistd.h>
 
@@ -83,3 +86,24 @@
     CHECK(service.last_worker_request.demand.total == 40.5);
     CHECK(service.last_worker_request.demand.desired == 90);
 }
+
+TEST_CASE("a server without a file descriptor for a node's connection accepts it later")
+{
+    recording_service service;
+    coordinator_server server(own_address(), service);
+    coordinator_client client;
+    {
+        const descriptor_limit limit(1); // For the client's end of the connection.
+        CHECK_THROWS_AS(client.confirms_owner_gone(own_address(), 1, milliseconds(300)),
+                        transport_error);
+    }
+    CHECK_FALSE(client.confirms_owner_gone(own_address(), 1, milliseconds(2'000)));
+}
+
+TEST_CASE("without file descriptors neither a server nor a client of nodes starts")
+{
+    recording_service service;
+    const descriptor_limit limit(0);
+    CHECK_THROWS_AS(coordinator_server(own_address(), service), transport_error);
+    CHECK_THROWS_AS(coordinator_client(), transport_error);
+}
--- a/flamingoseam/peer/rpc_connections.hpp
+++ b/flamingoseam/peer/rpc_connections.hpp
@@ -10,6 +10,8 @@
 #include <future>
 #include <map>
 #include <memory>
+#include <optional>
+#include <string>
 #include <thread>
 #include <utility>
 
@@ -19,11 +21,18 @@
 /// connection per server. Thread-safe.
 template <typename Interface> class rpc_connections {
 public:
+    /// Throws transport_error (id 318) if the process lacks the file descriptors for the thread.
     rpc_connections()
     {
         std::promise<void> ready;
+        auto ready_future = ready.get_future();
         thread_ = std::thread([this, &ready] { run(ready); });
-        ready.get_future().get();
+        try {
+            ready_future.get();
+        } catch (...) {
+            thread_.join();
+            throw;
+        }
     }
 
     ~rpc_connections()
@@ -130,14 +139,22 @@
 
     void run(std::promise<void>& ready)
     {
-        auto io = kj::setupAsyncIo();
-        timer_ = &io.provider->getTimer();
-        network_ = &io.provider->getNetwork();
+        std::optional<kj::AsyncIoContext> io;
+        try {
+            io.emplace(kj::setupAsyncIo());
+        } catch (const kj::Exception& cause) {
+            ready.set_exception(std::make_exception_ptr(transport_error(
+                318, std::string("can't open connections: ") + cause.getDescription().cStr(),
+                false)));
+            return;
+        }
+        timer_ = &io->provider->getTimer();
+        network_ = &io->provider->getNetwork();
         executor_ = kj::getCurrentThreadExecutor().addRef();
         auto stop = kj::newPromiseAndCrossThreadFulfiller<void>();
         stop_ = kj::mv(stop.fulfiller);
         ready.set_value();
-        stop.promise.wait(io.waitScope);
+        stop.promise.wait(io->waitScope);
         connections_.clear();
     }
 
