Wait for a node's address instead of aborting when it is in use

What callers saw: a node that was started while another process held the address of a shard aborted ("terminate called after throwing an instance of 'flamingoseam::transport_error'"), some time after its start, when it learnt the layout. Cause: shards are formed on a thread of their own, which passed on the error of the RPC server. The node under construction also stayed registered as a listener of the membership, which outlives it. Evidence: the new case of sharded_node_test aborts without the change (bind: Address already in use) and passes with it, under address and undefined sanitizers. Ruled out: ending the process with a message. The address may be free a moment later, further shards use the ports after the configured one, and the readiness check tells until then that the node does not serve.

--- a/flamingoseam/node/node.cpp
+++ b/flamingoseam/node/node.cpp
@@ -30,8 +30,8 @@
     : options_(std::move(options)), dependencies_(std::move(dependencies)),
       membership_(std::move(members))
 {
-    listener_ = membership_->add_listener([this] { on_view_changed(); });
     server_ = std::make_unique<coordinator_server>(options_.rpc, *this);
+    listener_ = membership_->add_listener([this] { on_view_changed(); });
     election_thread_ = std::thread([this] { run_election(); });
     path_thread_ = std::thread([this] { monitor_owner_path(); });
 }
--- a/flamingoseam/node/sharded_node.cpp
+++ b/flamingoseam/node/sharded_node.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr milliseconds layout_poll_interval{200};
+constexpr milliseconds shard_retry_interval{100};
 constexpr milliseconds lending_timeout{300}; ///< Timeout of a request to the owner of a shard.
 constexpr milliseconds no_layout_retry_after{1'000};
 
@@ -93,13 +94,32 @@
         {.event = "layout_known", .request = {}, .detail = std::to_string(count) + " shards"});
     shards_.resize(count);
     for (std::size_t index = 0; index < count; ++index) {
-        add_shard({.index = index, .count = count});
+        if (!form_shard({.index = index, .count = count})) {
+            return;
+        }
     }
     group_->shards.assign(shards_.begin(), shards_.end());
     group_->is_complete = true;
     is_formed_ = true;
 }
 
+/// Adds a shard once its address is free, which an earlier process may still hold. Returns false if
+/// this object ends before.
+bool sharded_node::form_shard(const shard_identity& shard)
+{
+    while (!stopping_) {
+        try {
+            add_shard(shard);
+            return true;
+        } catch (const transport_error& cause) {
+            LOG_EVERY_N(WARNING, 20)
+                << "can't serve the jobs" << to_text(shard) << ": " << cause.what();
+        }
+        std::this_thread::sleep_for(shard_retry_interval);
+    }
+    return false;
+}
+
 void sharded_node::add_shard(const shard_identity& shard)
 {
     auto options = options_.node;
--- a/flamingoseam/node/sharded_node.hpp
+++ b/flamingoseam/node/sharded_node.hpp
@@ -54,6 +54,7 @@
 private:
     void form_shards();
     std::size_t agree_on_layout();
+    bool form_shard(const shard_identity& shard);
     void add_shard(const shard_identity& shard);
     [[nodiscard]] std::vector<std::size_t> owned_shards() const;
     [[nodiscard]] borrow_call borrow_call_of(const shard_identity& shard) const;
--- /dev/null
+++ b/flamingoseam/node/sharded_node_test.cpp
@@ -0,0 +1,253 @@
+#include "flamingoseam/node/sharded_node.hpp"
+
+#include "flamingoseam/core/error.hpp"
+#include "tests/commit_only_store.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <map>
+#include <mutex>
+
+using namespace flamingoseam;
+using namespace flamingoseam::node;
+
+namespace {
+
+endpoint own_address()
+{
+    const auto process = static_cast<unsigned>(getpid());
+    return {"127.79." + std::to_string(process / 250 % 250) + "." +
+                std::to_string(process % 250 + 1),
+            7302};
+}
+
+/// The records of a cell of one shard. Thread-safe.
+class cell_records {
+public:
+    cell_records() { put("fs/layout", R"({"shards":1})"); }
+
+    void put(const std::string& key, const std::string& value)
+    {
+        const std::lock_guard lock(mutex_);
+        records_[key] = {.key = key, .value = value, .revision = ++revision_};
+    }
+
+    shared_result commit(const shared_transaction& changes)
+    {
+        const std::lock_guard lock(mutex_);
+        shared_result result;
+        for (const auto& condition : changes.conditions) {
+            auto current = records_[condition.key];
+            if (current.revision != condition.revision) {
+                current.key = condition.key;
+                result.conflicting.push_back(current);
+            }
+        }
+        if (!result.conflicting.empty()) {
+            return result;
+        }
+        ++revision_;
+        for (const auto& write : changes.writes) {
+            records_[write.key] = {.key = write.key, .value = write.value, .revision = revision_};
+        }
+        for (const auto& key : changes.removals) {
+            records_[key] = {.key = key, .revision = revision_, .removed = true};
+        }
+        return {.applied = true, .revision = revision_};
+    }
+
+    shared_page read(const std::string& prefix, std::uint64_t after) const
+    {
+        const std::lock_guard lock(mutex_);
+        shared_page page{.revision = revision_};
+        for (const auto& [key, record] : records_) {
+            if (key.starts_with(prefix) && record.revision > after) {
+                page.records.push_back(record);
+            }
+        }
+        return page;
+    }
+
+private:
+    mutable std::mutex mutex_;
+    std::map<std::string, shared_record> records_;
+    std::uint64_t revision_ = 0;
+};
+
+class cell_store final : public commit_only_store {
+public:
+    explicit cell_store(cell_records& records) : records_(records) {}
+
+    std::optional<shared_record> get(const std::string& key) override
+    {
+        for (const auto& record : list(key, "").records) {
+            if (record.key == key) {
+                return record;
+            }
+        }
+        return std::nullopt;
+    }
+    shared_page list(const std::string& prefix, const std::string& /*after*/) override
+    {
+        auto page = records_.read(prefix, 0);
+        std::erase_if(page.records, &shared_record::removed);
+        return page;
+    }
+    shared_result commit(const shared_transaction& changes, milliseconds /*timeout*/) override
+    {
+        return records_.commit(changes);
+    }
+    shared_changes watch(const std::string& prefix, std::uint64_t revision,
+                         watch_times /*times*/) override
+    {
+        std::this_thread::sleep_for(milliseconds(10));
+        auto page = records_.read(prefix, revision);
+        return {.revision = page.revision, .records = std::move(page.records)};
+    }
+
+private:
+    cell_records& records_;
+};
+
+/// Lists one worker.
+class one_worker_directory final : public worker_directory {
+public:
+    std::optional<std::vector<workflow::worker_entry>> next() override
+    {
+        return std::exchange(list_, std::nullopt);
+    }
+    [[nodiscard]] time_point confirmed_at() const override { return now(); }
+
+private:
+    std::optional<std::vector<workflow::worker_entry>> list_{
+        {{.id = "w1", .service = "s", .address = {"127.0.0.1", 1}, .capacity = {1'000, 1'000}}}};
+};
+
+/// The only worker. Answers polls late.
+struct late_worker {
+    std::atomic<int> connections{0};
+    std::atomic<std::uint64_t> newest_epoch{0}; ///< Of the polls.
+    std::atomic<std::uint64_t> fenced_epoch{0}; ///< Polls of this owner are answered as fenced.
+    std::atomic<int> fenced_answers{0};
+};
+
+class late_worker_channel final : public worker_channel {
+public:
+    explicit late_worker_channel(late_worker& worker) : worker_(worker) { ++worker_.connections; }
+    ~late_worker_channel() override { --worker_.connections; }
+    late_worker_channel(const late_worker_channel&) = delete;
+    late_worker_channel& operator=(const late_worker_channel&) = delete;
+
+    order_answer start(const start_call& /*call*/, milliseconds /*timeout*/) override { return {}; }
+    order_answer stop(const workflow::run_name& /*name*/, std::uint64_t /*epoch*/,
+                      milliseconds /*timeout*/) override
+    {
+        return {};
+    }
+    renew_answer renew(const renew_call& call, milliseconds /*timeout*/) override
+    {
+        worker_.newest_epoch = std::max(worker_.newest_epoch.load(), call.epoch);
+        std::this_thread::sleep_for(milliseconds(700));
+        if (call.epoch == worker_.fenced_epoch) {
+            ++worker_.fenced_answers;
+            return {.outcome = renew_answer::kind::fenced};
+        }
+        return {.clock = worker_time(1'000)};
+    }
+
+private:
+    late_worker& worker_;
+};
+
+/// A socket that listens at an address, as that of an earlier process which has not ended yet.
+class listening_socket {
+public:
+    explicit listening_socket(const endpoint& server) : socket_(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(server.port);
+        REQUIRE(::inet_pton(AF_INET, server.address.c_str(), &address.sin_addr) == 1);
+        REQUIRE(::bind(socket_, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0);
+        REQUIRE(::listen(socket_, 1) == 0);
+    }
+    ~listening_socket() { ::close(socket_); }
+    listening_socket(const listening_socket&) = delete;
+    listening_socket& operator=(const listening_socket&) = delete;
+
+private:
+    int socket_;
+};
+
+/// A node that is the only one of its cell, and thus the owner.
+class single_node {
+public:
+    explicit single_node(late_worker& worker, permission_call permission = nullptr)
+        : node_({.node = {.name = "node1", .rpc = own_address()}},
+                {.stores = [this] { return std::make_unique<cell_store>(records); },
+                 .channels =
+                     [&worker](const auto& /*entry*/) {
+                         return std::make_unique<late_worker_channel>(worker);
+                     },
+                 .directory = [] { return std::make_unique<one_worker_directory>(); },
+                 .permission = std::move(permission),
+                 .log = &log_,
+                 .metrics = &metrics_})
+    {
+    }
+
+    cell_records records;
+
+private:
+    /// An open file to which nothing is written.
+    struct null_device {
+        int descriptor = ::open("/dev/null", O_WRONLY);
+        ~null_device() { ::close(descriptor); }
+    };
+
+    null_device output_;
+    event_log log_{{.program = "test", .node = "node1", .descriptor = output_.descriptor}};
+    node_metrics metrics_;
+    sharded_node node_;
+};
+
+template <typename Condition> bool holds_within(milliseconds limit, const Condition& condition)
+{
+    const auto end = now() + limit;
+    while (now() < end && !condition()) {
+        std::this_thread::sleep_for(milliseconds(10));
+    }
+    return condition();
+}
+
+/// Checks whether the node answers other nodes within a time.
+bool answers_within(coordinator_client& client, milliseconds limit)
+{
+    return holds_within(limit, [&client] {
+        try {
+            client.confirms_owner_gone(own_address(), 1, milliseconds(200));
+            return true;
+        } catch (const transport_error&) {
+            return false;
+        }
+    });
+}
+
+} // namespace
+
+TEST_CASE("a node whose address another process still holds serves once it is free")
+{
+    auto earlier = std::make_unique<listening_socket>(own_address());
+    late_worker worker;
+    const single_node node(worker);
+    std::this_thread::sleep_for(milliseconds(300));
+    earlier.reset();
+    coordinator_client client;
+    CHECK(answers_within(client, std::chrono::seconds(3)));
+}
