Refuse calls for permission at a node that knows no permission service

What callers saw: the process of a node whose settings name no permission service aborted ("terminate called after throwing an instance of 'std::bad_function_call'") as soon as another node asked it, or its own owner used its slot. Cause: the call was an empty function, and only the library's own errors are caught on these threads. Evidence: the new case of sharded_node_test aborts without the change and passes with it, under address and undefined sanitizers. Only the call of another node is tested; the owner's own call goes through the same function. Ruled out: requiring the setting, as the template leaves it out on a platform without the service.

--- a/flamingoseam/node/node.cpp
+++ b/flamingoseam/node/node.cpp
@@ -23,6 +23,13 @@
             .retry_after = no_owner_retry_after};
 }
 
+[[noreturn]] permission_answer refuse_permission(const workflow::permission_request& request)
+{
+    throw transport_error(
+        319, "job " + request.job + " needs permission, but this node knows no service for it",
+        false);
+}
+
 } // namespace
 
 node::node(node_options options, node_dependencies dependencies,
@@ -30,6 +37,9 @@
     : options_(std::move(options)), dependencies_(std::move(dependencies)),
       membership_(std::move(members))
 {
+    if (!dependencies_.permission) {
+        dependencies_.permission = refuse_permission;
+    }
     server_ = std::make_unique<coordinator_server>(options_.rpc, *this);
     listener_ = membership_->add_listener([this] { on_view_changed(); });
     election_thread_ = std::thread([this] { run_election(); });
--- a/flamingoseam/node/node.hpp
+++ b/flamingoseam/node/node.hpp
@@ -45,7 +45,7 @@
     shared_store_factory stores;
     worker_channel_factory channels;
     worker_directory_factory directory;
-    permission_call permission; ///< Calls the permission service from this node.
+    permission_call permission; ///< Calls the permission service from this node; null if none.
     event_log* log = nullptr;
     node_metrics* metrics = nullptr;
 };
--- a/flamingoseam/node/sharded_node_test.cpp
+++ b/flamingoseam/node/sharded_node_test.cpp
@@ -239,6 +239,8 @@
     });
 }
 
+const workflow::permission_request request{.job = "5c0e7a21d94b36f8", .workers = {"w1"}};
+
 } // namespace
 
 TEST_CASE("a node whose address another process still holds serves once it is free")
@@ -251,3 +253,13 @@
     coordinator_client client;
     CHECK(answers_within(client, std::chrono::seconds(3)));
 }
+
+TEST_CASE("a node without a permission service refuses other nodes' calls to it")
+{
+    late_worker worker;
+    const single_node node(worker);
+    coordinator_client client;
+    REQUIRE(answers_within(client, std::chrono::seconds(3)));
+    CHECK_FALSE(client.ask_permission(own_address(), request, milliseconds(500)));
+    CHECK(answers_within(client, milliseconds(500)));
+}
