Wait for a node's background threads when it ends

What callers saw: nothing in a running node, which ends with _Exit. A node that failed to start after it had become the owner, and each test of a node, could crash: two detached threads, the calls for permission for other nodes and the destructors of owners, went on using the node, its log and its metrics. The threads now belong to the node, which joins them; shared ownership would also have had to cover log and metrics.

--- /dev/null
+++ b/flamingoseam/core/task_threads_test.cpp
@@ -0,0 +1,49 @@
+#include "flamingoseam/core/task_threads.hpp"
+
+#include "flamingoseam/core/clock.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+
+using namespace flamingoseam;
+
+TEST_CASE("tasks in the background")
+{
+    std::atomic<int> ended{0};
+    const auto task = [&ended] {
+        std::this_thread::sleep_for(milliseconds(50));
+        ++ended;
+    };
+    auto tasks = std::make_unique<task_threads>();
+
+    SECTION("run at the same time, and all have ended when their object has")
+    {
+        const auto began = now();
+        for (int number = 0; number < 20; ++number) {
+            tasks->run(task);
+        }
+        tasks.reset();
+        CHECK(ended == 20);
+        CHECK(now() - began < milliseconds(20 * 50));
+    }
+    SECTION("may add tasks")
+    {
+        tasks->run([&] {
+            tasks->run(task);
+            tasks->run(task);
+            ++ended;
+        });
+        std::this_thread::sleep_for(milliseconds(20));
+        tasks.reset();
+        CHECK(ended == 3);
+    }
+    SECTION("are run after others have ended")
+    {
+        tasks->run(task);
+        std::this_thread::sleep_for(milliseconds(100));
+        tasks->run(task);
+        tasks.reset();
+        CHECK(ended == 2);
+    }
+}
--- a/flamingoseam/node/node.cpp
+++ b/flamingoseam/node/node.cpp
@@ -57,6 +57,7 @@
     election_thread_.join();
     path_thread_.join();
     server_.reset();
+    stop_local_owner();
 }
 
 std::shared_ptr<job_owner> node::local_owner() const
@@ -245,7 +246,7 @@
 
 void node::ask_permission(const workflow::permission_request& request, permission_reply reply)
 {
-    std::thread([this, request, reply = std::move(reply)] {
+    background_tasks_.run([this, request, reply = std::move(reply)] {
         try {
             reply(dependencies_.permission(request));
         } catch (const error& cause) {
@@ -253,7 +254,7 @@
                 << "a forwarded call to the permission service failed: " << cause.what();
             reply(std::nullopt);
         }
-    }).detach();
+    });
 }
 
 /// Returns the names of the nodes through which this shard's owner calls the permission service.
--- a/flamingoseam/node/node.hpp
+++ b/flamingoseam/node/node.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "flamingoseam/core/task_threads.hpp"
 #include "flamingoseam/node/coordinator_rpc.hpp"
 #include "flamingoseam/node/job_owner.hpp"
 #include "flamingoseam/node/membership.hpp"
@@ -62,7 +63,10 @@
 public:
     /// `members` must have joined the cell with the options' name and address.
     node(node_options options, node_dependencies dependencies, std::shared_ptr<membership> members);
+
+    /// Waits for the calls in flight, as the destructor of job_owner does.
     ~node() override;
+
     node(const node&) = delete;
     node& operator=(const node&) = delete;
 
@@ -134,6 +138,7 @@
     void begin_ownership(const claimed_head& claimed);
     bool hand_over_to_member(time_point handover_end);
     void stop_local_owner();
+    void destroy_in_background(job_owner* owner);
     permission_call permission_call_through(const std::string& name);
     std::string head_prefix() const { return options_.store_prefix + "head/"; }
     std::vector<std::string> head_keys() const;
@@ -188,6 +193,8 @@
     std::unique_ptr<coordinator_server> server_;
     std::thread election_thread_;
     std::thread path_thread_;
+    /// Calls for other nodes and the ends of owners, which use this object. Destroyed first.
+    task_threads background_tasks_;
 };
 
 } // namespace flamingoseam::node
--- a/flamingoseam/node/node_election.cpp
+++ b/flamingoseam/node/node_election.cpp
@@ -35,14 +35,6 @@
 /// Interval of the offers of an owner that leaves while no node accepts.
 constexpr milliseconds leaving_offer_interval{100};
 
-/// Destroys an owner on a separate thread, since its own threads may be in calls that take seconds
-/// and the holder of the last reference must not wait for them.
-void destroy_in_background(job_owner* owner)
-{
-    owner->request_stop();
-    std::thread([owner] { delete owner; }).detach();
-}
-
 } // namespace
 
 /// Records that nothing listens at the owner's address, so its process has probably ended.
@@ -438,7 +430,7 @@
                 changed_.notify_all();
             }};
     std::shared_ptr<job_owner> owner(new job_owner(std::move(start), std::move(parts)),
-                                     destroy_in_background);
+                                     [this](job_owner* ended) { destroy_in_background(ended); });
     {
         const std::lock_guard lock(mutex_);
         owner_ = std::move(owner);
@@ -449,6 +441,14 @@
     update_call_slots(view());
 }
 
+/// Destroys an owner on a separate thread, since its own threads may be in calls that take seconds
+/// and the holder of the last reference must not wait for them.
+void node::destroy_in_background(job_owner* owner)
+{
+    owner->request_stop();
+    background_tasks_.run([owner] { delete owner; });
+}
+
 void node::stop_local_owner()
 {
     std::shared_ptr<job_owner> dropped;
--- a/flamingoseam/node/sharded_node_test.cpp
+++ b/flamingoseam/node/sharded_node_test.cpp
@@ -263,3 +263,31 @@
     CHECK_FALSE(client.ask_permission(own_address(), request, milliseconds(500)));
     CHECK(answers_within(client, milliseconds(500)));
 }
+
+TEST_CASE("a node that ends waits for its calls to the permission service")
+{
+    std::atomic<int> running{0};
+    late_worker worker;
+    auto node = std::make_unique<single_node>(worker, [&running](const auto& /*request*/) {
+        ++running;
+        std::this_thread::sleep_for(milliseconds(300));
+        --running;
+        return permission_answer{};
+    });
+    coordinator_client client;
+    REQUIRE(answers_within(client, std::chrono::seconds(3)));
+    CHECK_THROWS_AS(client.ask_permission(own_address(), request, milliseconds(50)),
+                    transport_error);
+    CHECK(running == 1);
+    node.reset();
+    CHECK(running == 0);
+}
+
+TEST_CASE("a node that ends waits for the threads of its owner")
+{
+    late_worker worker;
+    auto node = std::make_unique<single_node>(worker);
+    REQUIRE(holds_within(std::chrono::seconds(3), [&] { return worker.newest_epoch > 0; }));
+    node.reset();
+    CHECK(worker.connections == 0);
+}
