Ignore that an earlier owner was superseded once its process owns the jobs again

What callers saw: a node that became the owner again within a poll of its last ownership dropped the new one, and claimed ownership once more with another epoch. Cause: a flag of the node told that its owner had been superseded, whichever owner that was. Polls of the earlier owner end after it (up to 1.8 s) with the answer that the worker has a newer one. The reverse was possible as well: the flag was cleared when an owner was installed that had been superseded while it started. Evidence: the new case of sharded_node_test fails without the change (epoch 4 instead of 3) and passes with it. The node now records the epoch of the newest superseded owner and compares it with that of its own.

--- a/flamingoseam/node/node.cpp
+++ b/flamingoseam/node/node.cpp
@@ -63,7 +63,13 @@
 std::shared_ptr<job_owner> node::local_owner() const
 {
     const std::lock_guard lock(mutex_);
-    return owner_lost_ ? nullptr : owner_;
+    return is_owner_superseded() ? nullptr : owner_;
+}
+
+/// Checks whether this process's owner has been superseded. Requires `mutex_`.
+bool node::is_owner_superseded() const
+{
+    return owner_ && owner_->epoch() <= superseded_epoch_;
 }
 
 bool node::is_ready() const
--- a/flamingoseam/node/node.hpp
+++ b/flamingoseam/node/node.hpp
@@ -111,6 +111,7 @@
     };
 
     std::shared_ptr<job_owner> local_owner() const;
+    bool is_owner_superseded() const;
     [[nodiscard]] membership_view view() const { return membership_->view(options_.shard); }
     void on_view_changed();
     void update_call_slots(const membership_view& view);
@@ -172,7 +173,8 @@
     mutable std::mutex mutex_;
     std::condition_variable changed_;
     std::shared_ptr<job_owner> owner_;
-    bool owner_lost_ = false;
+    /// Epoch of the newest owner of this process that another owner has superseded; 0 if none.
+    std::uint64_t superseded_epoch_ = 0;
     bool view_changed_ = false;
     std::uint64_t change_count_ = 0; ///< Number of events that may have changed the owner.
     owner_suspicion suspicion_;
--- a/flamingoseam/node/node_election.cpp
+++ b/flamingoseam/node/node_election.cpp
@@ -92,14 +92,14 @@
     std::unique_lock lock(mutex_);
     const bool is_stable = !owner_missing_since_ && !suspicion_.awaits_confirmation(now());
     changed_.wait_for(lock, is_stable ? election_interval : election_interval_no_owner, [this] {
-        return stopping_ || view_changed_ || owner_lost_ || store_unreachable_ ||
+        return stopping_ || view_changed_ || is_owner_superseded() || store_unreachable_ ||
                offered_epoch_ != 0;
     });
     if (stopping_) {
         return std::nullopt;
     }
     view_changed_ = false;
-    return election_events{.owner_lost = owner_lost_,
+    return election_events{.owner_lost = is_owner_superseded(),
                            .store_unreachable = std::exchange(store_unreachable_, false),
                            .offered_epoch = std::exchange(offered_epoch_, 0)};
 }
@@ -422,10 +422,10 @@
                 changed_.notify_all();
             },
         .on_superseded =
-            [this] {
+            [this, epoch = claimed.head.epoch] {
                 {
                     const std::lock_guard lock(mutex_);
-                    owner_lost_ = true;
+                    superseded_epoch_ = std::max(superseded_epoch_, epoch);
                 }
                 changed_.notify_all();
             }};
@@ -434,7 +434,6 @@
     {
         const std::lock_guard lock(mutex_);
         owner_ = std::move(owner);
-        owner_lost_ = false;
         ++change_count_;
     }
     changed_.notify_all();
@@ -455,7 +454,6 @@
     {
         const std::lock_guard lock(mutex_);
         dropped = std::exchange(owner_, nullptr);
-        owner_lost_ = false;
     }
     if (!dropped) {
         return;
@@ -487,7 +485,7 @@
     {
         const std::lock_guard lock(mutex_);
         leaving_ = true;
-        owner = owner_lost_ ? nullptr : owner_;
+        owner = is_owner_superseded() ? nullptr : owner_;
     }
     if (owner && !hand_over_to_member(schedule.handover_end)) {
         const auto view = this->view();
--- a/flamingoseam/node/sharded_node_test.cpp
+++ b/flamingoseam/node/sharded_node_test.cpp
@@ -291,3 +291,18 @@
     node.reset();
     CHECK(worker.connections == 0);
 }
+
+TEST_CASE("what an earlier owner hears last does not end the next owner of the same process")
+{
+    late_worker worker;
+    single_node node(worker);
+    REQUIRE(holds_within(std::chrono::seconds(3), [&] { return worker.newest_epoch == 1; }));
+    worker.fenced_epoch = 1;
+    const member gone{.name = "node2", .incarnation = "i2", .address = {"127.0.0.1", 1}};
+    node.records.put("fs/m/owner", write_owner({.epoch = 2, .owner = gone}));
+    REQUIRE(holds_within(std::chrono::seconds(3), [&] { return worker.newest_epoch == 3; }));
+
+    REQUIRE(holds_within(std::chrono::seconds(3), [&] { return worker.fenced_answers > 0; }));
+    std::this_thread::sleep_for(milliseconds(1'000));
+    CHECK(worker.newest_epoch == 3);
+}
