--- a/flamingoseam/node/node.cpp
+++ b/flamingoseam/node/node.cpp
@@ -23,6 +23,13 @@
             .retry_after = no_owner_retry_after};
 }
 
+[[noreturn]] permission_answer refuse_permission(const workflow::permission_request& request)
+{
+    throw transport_error(
+        319, "job " + request.job + " needs permission, but this node knows no service for it",
+        false);
+}
+
 } // namespace
 
 node::node(node_options options, node_dependencies dependencies,
@@ -30,8 +37,11 @@
     : options_(std::move(options)), dependencies_(std::move(dependencies)),
       membership_(std::move(members))
 {
-    listener_ = membership_->add_listener([this] { on_view_changed(); });
+    if (!dependencies_.permission) {
+        dependencies_.permission = refuse_permission;
+    }
     server_ = std::make_unique<coordinator_server>(options_.rpc, *this);
+    listener_ = membership_->add_listener([this] { on_view_changed(); });
     election_thread_ = std::thread([this] { run_election(); });
     path_thread_ = std::thread([this] { monitor_owner_path(); });
 }
@@ -47,12 +57,19 @@
     election_thread_.join();
     path_thread_.join();
     server_.reset();
+    stop_local_owner();
 }
 
 std::shared_ptr<job_owner> node::local_owner() const
 {
     const std::lock_guard lock(mutex_);
-    return owner_lost_ ? nullptr : owner_;
+    return is_owner_superseded() ? nullptr : owner_;
+}
+
+/// Checks whether this process's owner has been superseded. Requires `mutex_`.
+bool node::is_owner_superseded() const
+{
+    return owner_ && owner_->epoch() <= superseded_epoch_;
 }
 
 bool node::is_ready() const
@@ -235,7 +252,7 @@
 
 void node::ask_permission(const workflow::permission_request& request, permission_reply reply)
 {
-    std::thread([this, request, reply = std::move(reply)] {
+    background_tasks_.run([this, request, reply = std::move(reply)] {
         try {
             reply(dependencies_.permission(request));
         } catch (const error& cause) {
@@ -243,7 +260,7 @@
                 << "a forwarded call to the permission service failed: " << cause.what();
             reply(std::nullopt);
         }
-    }).detach();
+    });
 }
 
 /// Returns the names of the nodes through which this shard's owner calls the permission service.
--- a/flamingoseam/node/node.hpp
+++ b/flamingoseam/node/node.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "flamingoseam/core/task_threads.hpp"
 #include "flamingoseam/node/coordinator_rpc.hpp"
 #include "flamingoseam/node/job_owner.hpp"
 #include "flamingoseam/node/membership.hpp"
@@ -45,7 +46,7 @@
     shared_store_factory stores;
     worker_channel_factory channels;
     worker_directory_factory directory;
-    permission_call permission; ///< Calls the permission service from this node.
+    permission_call permission; ///< Calls the permission service from this node; null if none.
     event_log* log = nullptr;
     node_metrics* metrics = nullptr;
 };
@@ -62,7 +63,10 @@
 public:
     /// `members` must have joined the cell with the options' name and address.
     node(node_options options, node_dependencies dependencies, std::shared_ptr<membership> members);
+
+    /// Waits for the calls in flight, as the destructor of job_owner does.
     ~node() override;
+
     node(const node&) = delete;
     node& operator=(const node&) = delete;
 
@@ -107,6 +111,7 @@
     };
 
     std::shared_ptr<job_owner> local_owner() const;
+    bool is_owner_superseded() const;
     [[nodiscard]] membership_view view() const { return membership_->view(options_.shard); }
     void on_view_changed();
     void update_call_slots(const membership_view& view);
@@ -136,6 +141,7 @@
     void begin_ownership(const claimed_head& claimed, bool earlier_owner_has_ended);
     bool hand_over_to_member(time_point handover_end);
     void stop_local_owner();
+    void destroy_in_background(job_owner* owner);
     permission_call permission_call_through(const std::string& name);
     std::string head_prefix() const { return options_.store_prefix + "head/"; }
     std::vector<std::string> head_keys() const;
@@ -169,7 +175,8 @@
     mutable std::mutex mutex_;
     std::condition_variable changed_;
     std::shared_ptr<job_owner> owner_;
-    bool owner_lost_ = false;
+    /// Epoch of the newest owner of this process that another owner has superseded; 0 if none.
+    std::uint64_t superseded_epoch_ = 0;
     bool view_changed_ = false;
     std::uint64_t change_count_ = 0; ///< Number of events that may have changed the owner.
     owner_suspicion suspicion_;
@@ -190,6 +197,8 @@
     std::unique_ptr<coordinator_server> server_;
     std::thread election_thread_;
     std::thread path_thread_;
+    /// Calls for other nodes and the ends of owners, which use this object. Destroyed first.
+    task_threads background_tasks_;
 };
 
 } // namespace flamingoseam::node
--- a/flamingoseam/node/node_election.cpp
+++ b/flamingoseam/node/node_election.cpp
@@ -35,14 +35,6 @@
 /// Interval of the offers of an owner that leaves while no node accepts.
 constexpr milliseconds leaving_offer_interval{100};
 
-/// Destroys an owner on a separate thread, since its own threads may be in calls that take seconds
-/// and the holder of the last reference must not wait for them.
-void destroy_in_background(job_owner* owner)
-{
-    owner->request_stop();
-    std::thread([owner] { delete owner; }).detach();
-}
-
 } // namespace
 
 /// Records that nothing listens at the owner's address, so its process has probably ended.
@@ -100,14 +92,14 @@
     std::unique_lock lock(mutex_);
     const bool is_stable = !owner_missing_since_ && !suspicion_.awaits_confirmation(now());
     changed_.wait_for(lock, is_stable ? election_interval : election_interval_no_owner, [this] {
-        return stopping_ || view_changed_ || owner_lost_ || store_unreachable_ ||
+        return stopping_ || view_changed_ || is_owner_superseded() || store_unreachable_ ||
                offered_epoch_ != 0;
     });
     if (stopping_) {
         return std::nullopt;
     }
     view_changed_ = false;
-    return election_events{.owner_lost = owner_lost_,
+    return election_events{.owner_lost = is_owner_superseded(),
                            .store_unreachable = std::exchange(store_unreachable_, false),
                            .offered_epoch = std::exchange(offered_epoch_, 0)};
 }
@@ -449,32 +441,38 @@
                 changed_.notify_all();
             },
         .on_superseded =
-            [this] {
+            [this, epoch = claimed.head.epoch] {
                 {
                     const std::lock_guard lock(mutex_);
-                    owner_lost_ = true;
+                    superseded_epoch_ = std::max(superseded_epoch_, epoch);
                 }
                 changed_.notify_all();
             }};
     std::shared_ptr<job_owner> owner(new job_owner(std::move(start), std::move(parts)),
-                                     destroy_in_background);
+                                     [this](job_owner* ended) { destroy_in_background(ended); });
     {
         const std::lock_guard lock(mutex_);
         owner_ = std::move(owner);
-        owner_lost_ = false;
         ++change_count_;
     }
     changed_.notify_all();
     update_call_slots(view());
 }
 
+/// Destroys an owner on a separate thread, since its own threads may be in calls that take seconds
+/// and the holder of the last reference must not wait for them.
+void node::destroy_in_background(job_owner* owner)
+{
+    owner->request_stop();
+    background_tasks_.run([owner] { delete owner; });
+}
+
 void node::stop_local_owner()
 {
     std::shared_ptr<job_owner> dropped;
     {
         const std::lock_guard lock(mutex_);
         dropped = std::exchange(owner_, nullptr);
-        owner_lost_ = false;
     }
     if (!dropped) {
         return;
@@ -506,7 +504,7 @@
     {
         const std::lock_guard lock(mutex_);
         leaving_ = true;
-        owner = owner_lost_ ? nullptr : owner_;
+        owner = is_owner_superseded() ? nullptr : owner_;
     }
     if (owner && !hand_over_to_member(schedule.handover_end)) {
         const auto view = this->view();
