Close gaps in the proof of ownership that the review of the fix found

- A join without an answer left the time of the join before the cut, so that an owner whose lease had ended was certain again on its old view; and a first join without an answer left a node that never was certain.
Joins are repeated until one is answered, and the end of a lease ends the certainty.
- Certainty has a limit on the age of the view, and a successor that claimed while the record stood waits that much longer.
- The successor of a successor relied on what only the latter had promised: it now waits as well, and a silence is stored only as of the time at which no owner renews the lease any more.
- The majority is counted in the list that the store has, not in one that shrinks before the store's does.
- A pause between the question whether a lease may be extended and the reading of the clock no longer extends it; the time for renewals runs on while the machine is suspended.
- An owner that hands over starts nothing more.

--- a/flamingoseam/core/clock.hpp
+++ b/flamingoseam/core/clock.hpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 
 namespace flamingoseam {
 
@@ -17,6 +18,15 @@
     return std::chrono::steady_clock::now();
 }
 
+/// Returns the time since the start of the machine, which also advances while it is suspended. Not
+/// comparable with now(). Complexity: constant.
+inline time_point boot_now()
+{
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return time_point(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
+}
+
 /// Returns `duration` multiplied by `factor`, rounded towards zero. Complexity: constant.
 inline milliseconds scaled(milliseconds duration, double factor)
 {
--- a/flamingoseam/http/http_client_test.cpp
+++ b/flamingoseam/http/http_client_test.cpp
@@ -62,3 +62,25 @@
         CHECK_THROWS_AS(call("/small", milliseconds(1'000)), transport_error);
     }
 }
+
+TEST_CASE("a request that must not be sent again does not reach a server that started later")
+{
+    constexpr unsigned short port = 17'562;
+    const http_server_options options{.address = "127.0.0.1", .port = port};
+    const auto answer = [](const http_request& /*request*/) {
+        return http_response{.status = 201};
+    };
+    auto earlier = std::make_unique<http_server>(options, answer);
+    http_client client({"127.0.0.1", port});
+    const http_call call{.timeout = milliseconds(500), .may_send_again = false};
+    CHECK(client.call(call).status == 201);
+
+    earlier.reset();
+    std::atomic<int> received{0};
+    const http_server later(options, [&](const http_request& request) {
+        ++received;
+        return answer(request);
+    });
+    CHECK_THROWS_AS(client.call(call), transport_error);
+    CHECK(received == 0);
+}
--- a/flamingoseam/node/job_owner.cpp
+++ b/flamingoseam/node/job_owner.cpp
@@ -75,9 +75,10 @@
               .keys = dependencies_.keys,
               .ended_retention = dependencies_.ended_kept + clock_skew_margin,
               .streams = dependencies_.head_keys.size()}),
-      certain_at_(now()),
-      earlier_renewals_limit_(certain_at_ + max_renewals_without_store + renewals_after_answers),
-      earlier_renewals_end_(start.earlier_owner_has_ended ? certain_at_ : time_point::max())
+      certain_at_(now()), earlier_certainty_(start.earlier_certainty.value_or(milliseconds(0))),
+      earlier_renewals_limit_(certain_at_ + earlier_certainty_ + max_renewals_without_store +
+                              renewals_after_answers),
+      earlier_renewals_end_(start.earlier_certainty ? time_point::max() : certain_at_)
 {
     state_.load(std::move(start.jobs.jobs), start.leased_workers, now(), wall_now());
     for (const auto& job : start.jobs.unreadable) {
@@ -241,7 +242,7 @@
 
 bool job_owner::hand_over(workflow::record_change last, milliseconds timeout)
 {
-    loop_.post([this] { handing_over_ = true; });
+    handing_over_ = true;
     const auto end = now() + timeout;
     const auto left = [end] {
         return std::max(milliseconds(0), std::chrono::duration_cast<milliseconds>(end - now()));
@@ -319,12 +320,12 @@
 
 bool job_owner::may_start() const
 {
-    return !ending_ && !superseded_ && dependencies_.is_certain();
+    return !ending_ && !superseded_ && !handing_over_ && dependencies_.is_certain();
 }
 
 bool job_owner::may_renew() const
 {
-    return !superseded_ && (dependencies_.is_certain() || now() < renewals_end_.load());
+    return !superseded_ && (dependencies_.is_certain() || boot_now() < renewals_end_.load());
 }
 
 void job_owner::on_store_unreachable()
@@ -408,10 +409,11 @@
 {
     if (!uncertain_since_) {
         certain_at_ = time;
-        renewals_end_ = time + renewals_after_answers;
+        renewals_end_ = boot_now() + renewals_after_answers;
     } else if (const auto answered = state_.majority_answered_at(certain_at_)) {
-        renewals_end_ = std::min(std::max(*answered, certain_at_) + renewals_after_answers,
-                                 certain_at_ + max_renewals_without_store);
+        const auto end = std::min(std::max(*answered, certain_at_) + renewals_after_answers,
+                                  certain_at_ + max_renewals_without_store);
+        renewals_end_ = boot_now() + (end - time);
     }
 }
 
@@ -422,7 +424,7 @@
         return;
     }
     if (state_.has_majority_accepted()) {
-        earlier_renewals_end_ = time + renewals_after_answers;
+        earlier_renewals_end_ = time + earlier_certainty_ + renewals_after_answers;
     } else if (time >= earlier_renewals_limit_) {
         earlier_renewals_end_ = time;
     } else {
@@ -431,6 +433,8 @@
     for (const auto& [worker, session] : sessions_) {
         session->set_earlier_renewals_end(earlier_renewals_end_);
     }
+    state_.set_earlier_renewals_end(
+        wall_now() + std::chrono::duration_cast<milliseconds>(earlier_renewals_end_ - time));
     dependencies_.log->write({.event = "earlier_renewals_bounded",
                               .request = {},
                               .detail = "epoch " + std::to_string(epoch_)});
--- a/flamingoseam/node/job_owner.hpp
+++ b/flamingoseam/node/job_owner.hpp
@@ -34,7 +34,9 @@
     std::uint64_t revision = 0; ///< Revision of that head record.
     workflow::stored_jobs jobs;
     std::vector<workflow::worker_entry> leased_workers;
-    bool earlier_owner_has_ended = false; ///< Its process has ended or has handed over.
+    /// For how long an earlier owner may still be certain that it is the only one; none if there
+    /// was no earlier owner.
+    std::optional<milliseconds> earlier_certainty = std::nullopt;
 };
 
 /// Settings and collaborators of an owner.
@@ -167,8 +169,10 @@
     /// Since when it is not certain that this is the only owner; used by the control thread only.
     std::optional<time_point> uncertain_since_;
     time_point certain_at_; ///< When that was certain last; used by the control thread only.
-    /// Until then the leases of workers may be renewed although that is not certain.
+    /// Until then, by a clock that counts suspensions, the leases of workers may be renewed
+    /// although that is not certain.
     std::atomic<time_point> renewals_end_{};
+    milliseconds earlier_certainty_; ///< For how long an earlier owner may still be certain.
     /// Latest time at which an earlier owner stops renewing leases, if too few workers show that it
     /// does; used by the control thread only.
     time_point earlier_renewals_limit_;
@@ -177,7 +181,7 @@
     time_point earlier_renewals_end_;
     std::atomic<bool> ending_{false};
     std::atomic<bool> superseded_{false};
-    bool handing_over_ = false;
+    std::atomic<bool> handing_over_{false};
     std::thread loop_thread_;
     std::thread directory_thread_;
     std::thread assignments_thread_;            ///< Runs only if the cell is divided.
--- a/flamingoseam/node/membership.cpp
+++ b/flamingoseam/node/membership.cpp
@@ -6,7 +6,6 @@
 #include <glog/logging.h>
 
 #include <algorithm>
-#include <ctime>
 #include <utility>
 
 namespace flamingoseam::node {
@@ -22,14 +21,6 @@
 constexpr integer_bounds port_bounds{0, 65'535}; ///< The owner's record has 0 after a handover.
 constexpr double max_processor_share = 1'024;
 
-/// Returns the milliseconds of a clock that also advances while the machine is suspended.
-std::int64_t boot_time_ms()
-{
-    timespec time{};
-    clock_gettime(CLOCK_BOOTTIME, &time);
-    return std::int64_t{time.tv_sec} * 1'000 + time.tv_nsec / 1'000'000;
-}
-
 json to_json_value(const member& value)
 {
     return {{"name", value.name},
@@ -199,7 +190,7 @@
 
 bool membership::was_renewed_within(milliseconds length) const
 {
-    return boot_time_ms() - renewed_at_ms_ < length.count();
+    return boot_now() - renewed_at_.load() < length;
 }
 
 bool membership::is_certain_owner(const shard_identity& shard, std::uint64_t epoch) const
@@ -210,7 +201,8 @@
     const std::lock_guard lock(mutex_);
     const auto found = owners_.find(owner_key(shard));
     const bool has_newer = found != owners_.end() && found->second.record.epoch > epoch;
-    return !has_newer && joined_at_ != time_point{} && view_asked_at_ >= joined_at_;
+    const bool has_asked = joined_at_ != time_point{} && view_asked_at_ >= joined_at_;
+    return !has_newer && has_asked && now() - view_asked_at_ < options_.max_view_age;
 }
 
 bool membership::has_joined() const
@@ -254,15 +246,17 @@
 
 void membership::renew(shared_store& store)
 {
-    const auto began = boot_time_ms();
+    const auto began = boot_now();
     if (lease_ != 0 && !store.renew_lease(lease_)) {
         LOG(WARNING) << "the node's lease has expired; rejoining with a new lease";
         lease_ = 0;
+        const std::lock_guard lock(mutex_);
+        joined_at_ = {};
     }
-    if (lease_ == 0 || is_missing_from_view()) {
+    if (lease_ == 0 || !is_join_confirmed() || is_missing_from_view()) {
         join(store);
     }
-    renewed_at_ms_ = began;
+    renewed_at_ = began;
 }
 
 void membership::join(shared_store& store)
@@ -282,6 +276,12 @@
     joined_at_ = now();
 }
 
+bool membership::is_join_confirmed() const
+{
+    const std::lock_guard lock(mutex_);
+    return joined_at_ != time_point{};
+}
+
 bool membership::is_missing_from_view() const
 {
     const std::lock_guard lock(mutex_);
--- a/flamingoseam/node/membership.hpp
+++ b/flamingoseam/node/membership.hpp
@@ -64,6 +64,9 @@
     watch_times watch; ///< They limit how long a change of the owner can stay unheard.
     /// No other node can have taken over within this time after a renewal.
     milliseconds max_renewal_age{800};
+    /// An owner that has seen no newer view within this time is not certain to be the only one.
+    /// Above the time between two answers of a watch without changes.
+    milliseconds max_view_age{3'000};
     std::function<void(const log_event&)> report = nullptr; ///< Called for each event to log.
 };
 
@@ -103,10 +106,13 @@
 
     /// Checks whether no other node can have become the owner of a shard after this process did
     /// with `epoch`: its lease is valid, and the store has shown no newer owner since the process
-    /// joined last. A node whose lease has ended is certain again only after it has rejoined and
-    /// asked.
+    /// joined last, nor lately been silent. A node whose lease has ended is certain again only
+    /// after it has rejoined and asked.
     [[nodiscard]] bool is_certain_owner(const shard_identity& shard, std::uint64_t epoch) const;
 
+    /// Returns for how long an owner that hears nothing from the store is certain at most.
+    [[nodiscard]] milliseconds max_view_age() const { return options_.max_view_age; }
+
     /// Checks whether this process is a member in its own view.
     [[nodiscard]] bool has_joined() const;
 
@@ -134,6 +140,7 @@
     void apply_update(const record_update& update);
     void apply(const shared_record& record);
     bool is_missing_from_view() const;
+    bool is_join_confirmed() const;
     std::optional<std::string> member_name(const std::string& key) const;
     void pause(milliseconds length);
 
@@ -155,9 +162,11 @@
     std::uint64_t lease_ = 0;
     bool is_view_complete_ = false; ///< False while the view may lack changes.
     time_point view_asked_at_{};    ///< The view contains every change of an earlier time.
-    time_point joined_at_{};        ///< When the store last confirmed this node's record.
+    /// When the store last confirmed this node's record; zero until then and once the lease has
+    /// ended.
+    time_point joined_at_{};
     /// Start of the latest renewal, on a clock that includes suspension.
-    std::atomic<std::int64_t> renewed_at_ms_{0};
+    std::atomic<time_point> renewed_at_{};
     std::atomic<bool> stopping_{false};
     std::atomic<bool> leaving_{false};
     std::thread lease_thread_;
--- a/flamingoseam/node/node.hpp
+++ b/flamingoseam/node/node.hpp
@@ -117,7 +117,6 @@
     std::optional<election_events> wait_for_events();
     bool is_superseded(const membership_view& view) const;
     bool has_owner_ended(const membership_view& view) const;
-    static bool has_owner_left(const membership_view& view);
     bool is_owner_serving(const membership_view& view) const;
     bool is_owner_gone(std::uint64_t epoch) const;
     void record_refused_connection(std::uint64_t epoch);
@@ -133,7 +132,9 @@
     bool should_give_up_shard() const;
     void offer_to_idle_node(const membership_view& view, time_point time);
     void record_owner_gone(const membership_view& view, const std::string& confirming_node);
-    void begin_ownership(const claimed_head& claimed, bool earlier_owner_has_ended);
+    std::optional<milliseconds> earlier_certainty(const membership_view& view) const;
+    void begin_ownership(const claimed_head& claimed,
+                         std::optional<milliseconds> earlier_certainty);
     bool hand_over_to_member(time_point handover_end);
     void stop_local_owner();
     permission_call permission_call_through(const std::string& name);
--- a/flamingoseam/node/node_election.cpp
+++ b/flamingoseam/node/node_election.cpp
@@ -198,13 +198,7 @@
 /// process has been restarted, or it is confirmed that its port is closed.
 bool node::has_owner_ended(const membership_view& view) const
 {
-    return has_owner_left(view) || is_owner_gone(view.owner->epoch);
-}
-
-/// Checks whether there was no owner, or it has handed over or its process has been restarted.
-bool node::has_owner_left(const membership_view& view)
-{
-    if (!view.owner || view.owner->owner.name.empty()) {
+    if (!view.owner || view.owner->owner.name.empty() || is_owner_gone(view.owner->epoch)) {
         return true;
     }
     const auto member = view.members.find(view.owner->owner.name);
@@ -401,7 +395,7 @@
                                               .expected_revision = view.owner_revision,
                                               .absent_key = key_absent_at_takeover(view)});
         if (claimed) {
-            begin_ownership(*claimed, has_owner_left(view));
+            begin_ownership(*claimed, earlier_certainty(view));
         }
     } catch (const error& cause) {
         LOG(WARNING) << "can't take over ownership: " << cause.what();
@@ -410,7 +404,20 @@
     owner_missing_since_.reset();
 }
 
-void node::begin_ownership(const claimed_head& claimed, bool earlier_owner_has_ended)
+/// Returns for how long an earlier owner may still be certain that it is the only one, after a
+/// claim on the basis of a view; none if there was no owner. An owner whose record was missing had
+/// lost its certainty before.
+std::optional<milliseconds> node::earlier_certainty(const membership_view& view) const
+{
+    if (!view.owner) {
+        return std::nullopt;
+    }
+    const bool was_missing = !key_absent_at_takeover(view).empty();
+    return was_missing ? milliseconds(0) : membership_->max_view_age();
+}
+
+void node::begin_ownership(const claimed_head& claimed,
+                           std::optional<milliseconds> earlier_certainty)
 {
     dependencies_.log->write(
         {.event = "owner_begins",
@@ -422,7 +429,7 @@
                           .revision = claimed.revision,
                           .jobs = std::move(stored.jobs),
                           .leased_workers = std::move(stored.leased_workers),
-                          .earlier_owner_has_ended = earlier_owner_has_ended};
+                          .earlier_certainty = earlier_certainty};
     job_owner_dependencies parts{
         .head_keys = head_keys(),
         .stores = dependencies_.stores,
--- a/flamingoseam/node/worker_session.cpp
+++ b/flamingoseam/node/worker_session.cpp
@@ -68,8 +68,8 @@
     : options_(options), entry_(entry), listener_(listener), order_channel_(channels(entry)),
       poll_channel_(channels(entry)), clock_(options.lease), incarnation_(entry.incarnation),
       unreachable_(options.silent_for.has_value()),
-      silent_since_(now() - std::clamp(options.silent_for.value_or(milliseconds(0)),
-                                       milliseconds(0), options.lease)),
+      silent_since_(now() - std::clamp(options.silent_for.value_or(milliseconds(0)), -options.lease,
+                                       options.lease)),
       may_renew_(!unreachable_),
       earlier_renewals_end_(unreachable_ ? silent_since_ + clock_difference
                                          : std::max(now(), options.earlier_renewals_end)),
@@ -272,9 +272,10 @@
 /// an unreachable worker is not, so that it is known when no runs are left.
 worker_time worker_session::extend_lease()
 {
+    const auto time = now(); // Before the question, since the process may be paused in between.
     const bool may_renew = listener_.may_renew();
     const std::lock_guard lock(mutex_);
-    return may_renew && may_renew_ ? clock_.extend(options_.lease, now()) : worker_time(0);
+    return may_renew && may_renew_ ? clock_.extend(options_.lease, time) : worker_time(0);
 }
 
 void worker_session::record_clock(worker_time clock)
@@ -327,7 +328,8 @@
         return options_.min_poll_wait; // The lease should be renewed soon.
     }
     if (!report_expected_) {
-        return has_runs_ ? options_.poll_wait : options_.idle_poll_wait;
+        const bool is_idle = !has_runs_ && listener_.may_start();
+        return is_idle ? options_.idle_poll_wait : options_.poll_wait;
     }
     const auto left = std::chrono::ceil<milliseconds>(*report_expected_ - now());
     report_expected_.reset();
--- a/flamingoseam/node/worker_session.hpp
+++ b/flamingoseam/node/worker_session.hpp
@@ -53,7 +53,8 @@
     std::uint64_t epoch = 0;
     milliseconds lease{6'000}; ///< Length of the lease of all runs of the worker.
 
-    /// For how long the lease has not been renewed, if the worker is known to be silent.
+    /// For how long the lease has not been renewed, if the worker is known to be silent; negative
+    /// if an earlier owner may still renew it for that long.
     std::optional<milliseconds> silent_for = std::nullopt;
 
     /// When an earlier owner stops renewing the lease; time_point::max() if that is not known yet.
--- a/flamingoseam/workflow/fleet.hpp
+++ b/flamingoseam/workflow/fleet.hpp
@@ -54,6 +54,8 @@
     bool silence_stored = false;
     /// The silence that has ended, until the store does not contain it any more.
     std::optional<time_point> ended_silence;
+    /// The silence was stored by an earlier owner, which promised not to renew the lease.
+    bool silence_loaded = false;
     time_point excluded_until{};
     time_point last_report{};
     time_point last_asked{};        ///< When the newest report was requested.
--- a/flamingoseam/workflow/workflow_jobs.cpp
+++ b/flamingoseam/workflow/workflow_jobs.cpp
@@ -43,10 +43,12 @@
         state.unreachable = worker.unreachable_since != wall_time(0);
         state.unreachable_since = worker.unreachable_since;
         state.silence_stored = state.unreachable;
+        state.silence_loaded = state.unreachable;
         leased_workers_.insert(index);
         unreported_.insert(index);
     }
     loaded_workers_ = unreported_.size();
+    stored_leased_workers_ = leased_workers_;
     if (unreported_.empty()) {
         release_unlocated();
     }
--- a/flamingoseam/workflow/workflow_reports.cpp
+++ b/flamingoseam/workflow/workflow_reports.cpp
@@ -352,13 +352,7 @@
 
 std::optional<time_point> workflow_state::majority_answered_at(time_point certain_at) const
 {
-    std::set<std::size_t> stored;
-    for (std::size_t worker = 0; worker < fleet_.size(); ++worker) {
-        if (fleet_.at(worker).lease_stored) {
-            stored.insert(worker);
-        }
-    }
-    const auto answered = majority_answered_at(stored, certain_at);
+    const auto answered = majority_answered_at(stored_leased_workers_, certain_at);
     const bool may_be_replaced = leased_workers_in_batch_ && streams_[0].writes_since;
     if (!answered || !may_be_replaced) {
         return answered;
@@ -542,6 +536,7 @@
     }
     const auto silent_for = std::chrono::duration_cast<milliseconds>(time - silent_since);
     worker_state.unreachable = unreachable;
+    worker_state.silence_loaded = false;
     worker_state.unreachable_since = unreachable ? wall - silent_for : wall_time(0);
     leased_workers_changed_ =
         leased_workers_changed_ || worker_state.lease_stored || worker_state.silence_stored;
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -156,6 +156,11 @@
     /// have forgotten a later owner. Complexity: linear in the workers.
     [[nodiscard]] std::optional<time_point> majority_answered_at(time_point certain_at) const;
 
+    /// Sets when an earlier owner stops renewing leases, which is not known at first. Until then
+    /// the store must not say of a worker that has not reported to this owner that its lease is not
+    /// renewed.
+    void set_earlier_renewals_end(wall_time end);
+
     /// Checks whether so many of the loaded leased workers have accepted this owner's epoch that no
     /// majority of them can answer an earlier owner any more. Complexity: constant.
     [[nodiscard]] bool has_majority_accepted() const
@@ -363,6 +368,7 @@
     void add_changes(stream_state& stream, std::size_t max_records, record_batch& batch);
     [[nodiscard]] bool may_write(std::size_t stream, time_point time) const;
     void add_leased_workers(record_batch& batch);
+    [[nodiscard]] wall_time silence_to_store(const fleet_worker& worker) const;
     void on_leased_workers_stored();
     void add_assignments(record_batch& batch);
     void on_assignments_stored();
@@ -411,7 +417,8 @@
     /// Workers of the batch whose lease, it says, is not renewed.
     std::set<std::size_t> batch_silent_workers_;
     bool leased_workers_in_batch_ = false;
-    std::set<std::size_t> leased_workers_;     ///< Workers that may hold runs.
+    std::set<std::size_t> leased_workers_;        ///< Workers that may hold runs.
+    std::set<std::size_t> stored_leased_workers_; ///< Those that the store is known to contain.
     std::set<std::size_t> unreported_;         ///< Earlier owner's leased workers without a report.
     std::size_t loaded_workers_ = 0;           ///< Number of the earlier owner's leased workers.
     std::size_t accepting_loaded_workers_ = 0; ///< Those of them that have reported.
@@ -423,6 +430,8 @@
     std::map<std::string, queue_load> queue_loads_; ///< Load since the last take_queue_loads().
     std::uint64_t last_request_ = 0;
     std::uint64_t last_sequence_ = 0;
+    /// When an earlier owner stops renewing leases, none while that is not known.
+    std::optional<wall_time> earlier_renewals_end_;
     bool leased_workers_changed_ = false;
     bool store_available_ = true;
     bool certain_ = true; ///< No later owner can exist.
--- a/flamingoseam/workflow/workflow_storing.cpp
+++ b/flamingoseam/workflow/workflow_storing.cpp
@@ -65,8 +65,8 @@
     for (const auto worker : leased_workers_) {
         auto& state = fleet_.at(worker);
         workers.push_back(state.entry);
-        workers.back().unreachable_since = state.unreachable_since;
-        if (state.unreachable) {
+        workers.back().unreachable_since = silence_to_store(state);
+        if (workers.back().unreachable_since != wall_time(0)) {
             state.silence_stored = true;
             batch_silent_workers_.insert(worker);
         }
@@ -76,6 +76,23 @@
     add_assignments(batch);
 }
 
+/// Returns since when no owner renews the lease of a worker; 0 if it is renewed or may be.
+wall_time workflow_state::silence_to_store(const fleet_worker& worker) const
+{
+    const bool is_own_lease = worker.last_asked != time_point{};
+    if (!worker.unreachable || is_own_lease || worker.silence_loaded) {
+        return worker.unreachable_since;
+    }
+    return earlier_renewals_end_ ? std::max(worker.unreachable_since, *earlier_renewals_end_)
+                                 : wall_time(0);
+}
+
+void workflow_state::set_earlier_renewals_end(wall_time end)
+{
+    earlier_renewals_end_ = end;
+    leased_workers_changed_ = leased_workers_changed_ || !unreported_.empty();
+}
+
 void workflow_state::add_removals(std::size_t max_records, record_batch& batch)
 {
     if (batch.changes.empty() && removals_.size() < min_removals_for_write) {
@@ -156,6 +173,7 @@
 /// Records what the stored list of leased workers says from now on.
 void workflow_state::on_leased_workers_stored()
 {
+    stored_leased_workers_ = batch_leased_workers_;
     for (const auto worker : batch_leased_workers_) {
         fleet_.at(worker).lease_stored = leased_workers_.contains(worker);
     }
