--- a/flamingoseam/node/node_election.cpp
+++ b/flamingoseam/node/node_election.cpp
@@ -198,7 +198,13 @@
 /// process has been restarted, or it is confirmed that its port is closed.
 bool node::has_owner_ended(const membership_view& view) const
 {
-    if (!view.owner || view.owner->owner.name.empty() || is_owner_gone(view.owner->epoch)) {
+    return has_owner_left(view) || is_owner_gone(view.owner->epoch);
+}
+
+/// Checks whether there was no owner, or it has handed over or its process has been restarted.
+bool node::has_owner_left(const membership_view& view)
+{
+    if (!view.owner || view.owner->owner.name.empty()) {
         return true;
     }
     const auto member = view.members.find(view.owner->owner.name);
@@ -376,6 +382,14 @@
     return keys;
 }
 
+/// Returns the key of the owner's member record if it is replaced because that record is missing.
+std::string node::key_absent_at_takeover(const membership_view& view) const
+{
+    const bool is_missing = view.owner && !view.owner->owner.name.empty() &&
+                            !view.members.contains(view.owner->owner.name);
+    return is_missing ? membership_->member_key(view.owner->owner.name) : "";
+}
+
 void node::take_over(const membership_view& view)
 {
     try {
@@ -384,9 +398,10 @@
                                               .head_keys = head_keys(),
                                               .self = membership_->self(options_.shard),
                                               .expected_epoch = view.owner ? view.owner->epoch : 0,
-                                              .expected_revision = view.owner_revision});
+                                              .expected_revision = view.owner_revision,
+                                              .absent_key = key_absent_at_takeover(view)});
         if (claimed) {
-            begin_ownership(*claimed);
+            begin_ownership(*claimed, has_owner_left(view));
         }
     } catch (const error& cause) {
         LOG(WARNING) << "can't take over ownership: " << cause.what();
@@ -395,7 +410,7 @@
     owner_missing_since_.reset();
 }
 
-void node::begin_ownership(const claimed_head& claimed)
+void node::begin_ownership(const claimed_head& claimed, bool earlier_owner_has_ended)
 {
     dependencies_.log->write(
         {.event = "owner_begins",
@@ -406,7 +421,8 @@
     job_owner_start start{.head = claimed.head,
                           .revision = claimed.revision,
                           .jobs = std::move(stored.jobs),
-                          .leased_workers = std::move(stored.leased_workers)};
+                          .leased_workers = std::move(stored.leased_workers),
+                          .earlier_owner_has_ended = earlier_owner_has_ended};
     job_owner_dependencies parts{
         .head_keys = head_keys(),
         .stores = dependencies_.stores,
@@ -420,7 +436,10 @@
         .borrow_workers = options_.borrow_workers,
         .log = dependencies_.log,
         .metrics = dependencies_.metrics,
-        .is_certain = [this] { return membership_->has_valid_lease(); },
+        .is_certain =
+            [this, epoch = claimed.head.epoch] {
+                return membership_->is_certain_owner(options_.shard, epoch);
+            },
         .on_store_unreachable =
             [this] {
                 {
