Record each lapse of a worker's lease, and let it void the ends before it

RULES.md: "An end is taken note of when lastSeen reaches it, unless the worker's lease lapsed between the two; that stands for good". The stand-in worker recorded a lapse only through the runs that it ended (`lapsed`), so ends before a lapse under which nothing ran counted as acknowledged in read_runs though the rule says that they don't.

- platform_worker reports each lapse of a granted lease once, whether or not anything runs, with the time at which the lease ended on the worker's clock; it looks for one before it handles an order, so that an order can't renew a lease that has run out.
Before, one that came within 10 ms of the end could.
- the record has events lease_lapsed; read_runs uses them in place of ends `lapsed`.

Nothing ran on w4 at 59937; the owner emptied it at 62016, silent for 6776 ms:

The earlier check takes run 7001 as acknowledged.

--- a/scenarios/run_record.lua
+++ b/scenarios/run_record.lua
@@ -34,7 +34,8 @@
             table.insert(tasks[event.task], run)
         elseif event.event == "end" and active[name] then
             active[name].ended_ms, active[name].how = event.time_ms, event.how
-            if event.how == "lapsed" then lapses[event.worker] = event.time_ms end
+        elseif event.event == "lease_lapsed" then
+            lapses[event.worker] = event.time_ms
         elseif event.event == "acknowledged" and active[name] then
             local run = active[name]
             -- An end after which the worker's lease lapsed counts for nothing.
--- a/standins/platform_worker.cpp
+++ b/standins/platform_worker.cpp
@@ -99,6 +99,7 @@
         return {.status = 421, .body = "{}"};
     }
     std::unique_lock lock(mutex_);
+    advance();
     if (!accepts(body)) {
         return refuse("fence");
     }
@@ -147,7 +148,7 @@
     if (lease_until <= clock_ms()) {
         return refuse("late");
     }
-    lease_until_ms_ = std::max(lease_until_ms_, std::min(lease_until, clock_ms() + max_lease_ms));
+    extend_lease(lease_until);
     runs_.push_back({.task = task,
                      .number = number,
                      .began = now(),
@@ -184,8 +185,7 @@
         return is_acknowledged;
     });
     if (body.contains("deadlineMs")) {
-        const auto until = body.at("deadlineMs").get<std::int64_t>();
-        lease_until_ms_ = std::max(lease_until_ms_, std::min(until, clock_ms() + max_lease_ms));
+        extend_lease(body.at("deadlineMs").get<std::int64_t>());
     }
     const auto deadline = now() + milliseconds(body.value("waitMs", 0));
     changed_.wait_until(lock, deadline,
@@ -215,16 +215,36 @@
     changed_.notify_all();
 }
 
+void platform_worker::extend_lease(std::int64_t until_ms)
+{
+    if (until_ms > clock_ms()) {
+        const auto bounded_ms = std::min(until_ms, clock_ms() + max_lease_ms);
+        lease_until_ms_ = std::max(lease_until_ms_.value_or(0), bounded_ms);
+    }
+}
+
 void platform_worker::advance()
 {
-    const bool has_expired = clock_ms() > lease_until_ms_;
+    if (lease_until_ms_ && clock_ms() > *lease_until_ms_) {
+        lapse();
+        return;
+    }
     for (std::size_t index = runs_.size(); index-- > 0;) {
-        if (has_expired) {
-            end_run(index, "lapsed");
-        } else if (runs_[index].ends <= now()) {
+        if (runs_[index].ends <= now()) {
             end_run(index, "done");
         }
     }
 }
 
+void platform_worker::lapse()
+{
+    const auto lapsed_at = start_time_ + milliseconds(*lease_until_ms_);
+    observer_.on_lease_lapsed(wall_now() -
+                              std::chrono::duration_cast<milliseconds>(now() - lapsed_at));
+    lease_until_ms_.reset();
+    for (std::size_t index = runs_.size(); index-- > 0;) {
+        end_run(index, "lapsed");
+    }
+}
+
 } // namespace flamingoseam::standin
--- a/standins/platform_worker.hpp
+++ b/standins/platform_worker.hpp
@@ -34,6 +34,10 @@
     /// Called when the owner has acknowledged an end, which is then forgotten.
     virtual void on_acknowledged(const run_id& run, const std::string& how) = 0;
 
+    /// Called once for each lease that has run out, before the ends of the runs that this stops.
+    /// `time` is when it ran out on the worker's clock, which may be noticed later.
+    virtual void on_lease_lapsed(wall_time time) = 0;
+
     /// Called for a start on a worker that announced long before that it leaves.
     virtual void on_late_start() = 0;
 };
@@ -45,6 +49,7 @@
     void on_begin(const run_id& run) override;
     void on_end(std::int64_t number, const run_id& run, const std::string& how) override;
     void on_acknowledged(const run_id& /*run*/, const std::string& /*how*/) override {}
+    void on_lease_lapsed(wall_time /*time*/) override {}
     void on_late_start() override;
 
     /// Returns as JSON the number of starts, of tasks done, of starts while the task was already
@@ -97,8 +102,10 @@
     [[nodiscard]] nlohmann::json status() const;
     [[nodiscard]] std::int64_t clock_ms() const; ///< Since the start of this worker.
     bool accepts(const nlohmann::json& body);
+    void extend_lease(std::int64_t until_ms);
     void end_run(std::size_t index, const char* result);
-    void advance();
+    void advance(); ///< Ends the runs whose time is over, or all if the lease has run out.
+    void lapse();
 
     std::string id_;
     milliseconds notice_;
@@ -108,8 +115,9 @@
     std::condition_variable changed_;
     time_point start_time_ = now();
     std::int64_t start_wall_ms_ = wall_now().count();
-    std::int64_t token_ = 0;          ///< Highest fencing token received.
-    std::int64_t lease_until_ms_ = 0; ///< On clock_ms().
+    std::int64_t token_ = 0; ///< Highest fencing token received.
+    /// On clock_ms(). Empty while no lease has been granted since the last one lapsed.
+    std::optional<std::int64_t> lease_until_ms_;
     std::vector<active_run> runs_;
     /// Maps a task to the highest run number whose start is refused; lower ones are refused too.
     std::map<std::string, std::int64_t> last_refused_run_;
--- a/standins/platform_worker_main.cpp
+++ b/standins/platform_worker_main.cpp
@@ -32,7 +32,7 @@
 constexpr milliseconds retry_interval{200};
 constexpr milliseconds leaving_notice{2'000};
 
-/// Appends one line of JSON for each event of a run.
+/// Appends one line of JSON for each event of a run or of the worker's lease.
 class run_record final : public run_observer {
 public:
     explicit run_record(const std::string& file)
@@ -60,13 +60,14 @@
     {
         write({{"event", "acknowledged"}, {"task", run.task}, {"run", run.number}, {"how", how}});
     }
+    void on_lease_lapsed(wall_time time) override { write({{"event", "lease_lapsed"}}, time); }
     void on_late_start() override { write({{"event", "late_start"}}); }
 
 private:
-    void write(json fields)
+    void write(json fields, wall_time time = wall_now())
     {
         fields["worker"] = FLAGS_id;
-        fields["time_ms"] = wall_now().count();
+        fields["time_ms"] = time.count();
         const auto line = fields.dump() + "\n";
         if (::write(descriptor_, line.data(), line.size()) < 0) {
             PLOG(ERROR) << "can't write the record of runs";
