--- a/flamingoseam/http/http_client.hpp
+++ b/flamingoseam/http/http_client.hpp
@@ -66,9 +66,9 @@
     /// may therefore receive the request twice, and the response is the one to the second copy.
     /// Throws transport_error (id 304) when the connection could not be established, failed or
     /// delivered no response in time; the request may have reached the server. The connection is
-    /// then closed, and the next call opens a new one. A request that must not follow an earlier copy
-    /// after a timeout is sent with `may_send_again` = false. cxxtools repeats even that at once if its
-    /// reused connection turns out to be closed.
+    /// then closed, and the next call opens a new one. A request that must not follow an earlier
+    /// copy after a timeout is sent with `may_send_again` = false. cxxtools repeats even that at
+    /// once if its reused connection turns out to be closed.
     http_answer call(const http_call& request);
 
     /// Returns the address of the server.
