--- a/flamingoseam/node/membership_test.cpp
+++ b/flamingoseam/node/membership_test.cpp
@@ -101,6 +101,7 @@
         std::atomic<bool> watch_answers{true};
         std::atomic<std::uint64_t> epoch{1};
         std::atomic<int> joins{0};
+        std::atomic<int> lost_answers{0}; ///< Joins that are applied but not answered.
     };
 
     explicit lapsing_store(shared& state) : state_(state) {}
@@ -114,6 +115,10 @@
     shared_result commit(const shared_transaction& /*changes*/, milliseconds /*timeout*/) override
     {
         ++state_.joins;
+        if (state_.lost_answers > 0) {
+            --state_.lost_answers;
+            throw transport_error(304, "no answer", true);
+        }
         return {.applied = true, .revision = 8};
     }
     bool renew_lease(std::uint64_t /*lease*/) override
@@ -165,6 +170,16 @@
     CHECK(members.has_valid_lease());
     CHECK_FALSE(is_certain());
 
+    SECTION("not on an old view when the join was not answered")
+    {
+        state.lost_answers = 1;
+        state.lease_ended = true;
+        REQUIRE(holds_soon([&] { return state.lost_answers == 0; }));
+        std::this_thread::sleep_for(milliseconds(300));
+        CHECK_FALSE(is_certain());
+        state.watch_answers = true;
+        CHECK(holds_soon(is_certain));
+    }
     SECTION("when no other node has taken over")
     {
         state.watch_answers = true;
@@ -179,6 +194,19 @@
     }
 }
 
+TEST_CASE("a node whose first join got no answer becomes certain all the same")
+{
+    lapsing_store::shared state;
+    state.lost_answers = 2;
+    const membership members({.self = self},
+                             [&state] { return std::make_unique<lapsing_store>(state); });
+    const auto end = now() + std::chrono::seconds(3);
+    while (!members.is_certain_owner({}, 1) && now() < end) {
+        std::this_thread::sleep_for(milliseconds(5));
+    }
+    CHECK(members.is_certain_owner({}, 1));
+}
+
 TEST_CASE("a member's record with an odd value is rejected")
 {
     CHECK(read_member(write_member(self)).address == self.address);
--- a/flamingoseam/workflow/workflow_state_test.cpp
+++ b/flamingoseam/workflow/workflow_state_test.cpp
@@ -372,3 +372,85 @@
     CHECK(decisions[0].job == "fedcba9876543210");
     CHECK(decisions[0].detail == "step 0: no room, or more urgent steps wait");
 }
+
+namespace {
+
+std::vector<worker_entry> numbered_workers(int count)
+{
+    std::vector<worker_entry> workers;
+    for (int number = 0; number < count; ++number) {
+        auto entry = driven_state().worker();
+        entry.id = "w" + std::to_string(number);
+        workers.push_back(entry);
+    }
+    return workers;
+}
+
+} // namespace
+
+TEST_CASE("the answers of a majority of the leased workers allow renewals without the store")
+{
+    driven_state driver;
+    const auto workers = numbered_workers(3);
+    driver.state.load({}, workers, driver.time, wall);
+    const auto certain_at = driver.time;
+    const auto answer = [&](std::size_t worker, milliseconds after, std::int64_t incarnation = 1) {
+        driver.state.on_report(worker, {.incarnation = incarnation, .asked = certain_at + after},
+                               driver.time + after, wall);
+    };
+    CHECK_FALSE(driver.state.has_majority_accepted());
+    answer(0, milliseconds(100));
+    CHECK_FALSE(driver.state.has_majority_accepted());
+    CHECK(driver.state.majority_answered_at(certain_at) == time_point{});
+    answer(1, milliseconds(200));
+    CHECK(driver.state.has_majority_accepted());
+    CHECK(driver.state.majority_answered_at(certain_at) == certain_at + milliseconds(100));
+
+    SECTION("a worker that has restarted since does not count")
+    {
+        answer(1, milliseconds(300), 2);
+        CHECK(driver.state.majority_answered_at(certain_at) == time_point{});
+        answer(2, milliseconds(400));
+        CHECK(driver.state.majority_answered_at(certain_at) == certain_at + milliseconds(100));
+    }
+    SECTION("the list that the store has counts until a smaller one is stored")
+    {
+        auto leaving = workers;
+        leaving[0].leaving = true;
+        leaving[1].leaving = true;
+        driver.state.on_worker_list(leaving, driver.time);
+        driver.next(milliseconds(200)); // Drops the idle leaving workers.
+        answer(2, milliseconds(400));
+        CHECK(driver.state.majority_answered_at(certain_at) == certain_at + milliseconds(200));
+        driver.store();
+        CHECK(driver.state.majority_answered_at(certain_at) == certain_at + milliseconds(400));
+    }
+}
+
+TEST_CASE("a silence is stored only as of the time at which an earlier owner stops renewing")
+{
+    driven_state driver;
+    driver.state.load({}, numbered_workers(2), driver.time, wall);
+    driver.state.on_report(0, {.incarnation = 1, .asked = driver.time}, driver.time, wall);
+    for (const std::size_t worker : {0, 1}) {
+        driver.state.on_unreachable_changed(worker, true, driver.time, driver.time, wall);
+    }
+    const auto stored_silences = [&driver] {
+        std::vector<wall_time> silences;
+        for (const auto& change : driver.state.take_batch(0, 30, driver.time, wall).changes) {
+            if (change.key == record_keys{.prefix = "fs/"}.leased_workers()) {
+                for (const auto& worker : read_leased_workers(*change.value)) {
+                    silences.push_back(worker.unreachable_since);
+                }
+            }
+        }
+        driver.state.on_stored(0);
+        return silences;
+    };
+    // The first worker has accepted this owner, so only this owner renews its lease.
+    CHECK(stored_silences() == std::vector<wall_time>{wall, wall_time(0)});
+
+    const auto end = wall + milliseconds(2'500);
+    driver.state.set_earlier_renewals_end(end);
+    CHECK(stored_silences() == std::vector<wall_time>{wall, end});
+}
