--- a/flamingoseam/node/job_owner.cpp
+++ b/flamingoseam/node/job_owner.cpp
@@ -15,7 +15,8 @@
 constexpr milliseconds batch_spacing{10}; ///< Events in quicker succession are handled together.
 constexpr milliseconds clock_skew_margin{10'000}; ///< The clocks of two owners differ by less.
 /// An owner that gets no proof of its ownership from the store renews leases for this long after a
-/// majority of the workers has answered it. Above the time between two answers of an idle worker.
+/// majority of the workers has answered it. Above the time from the start of a poll to the end of
+/// the next one.
 constexpr milliseconds renewals_after_answers{2'500};
 /// The longest time for which an owner renews leases without a proof from the store.
 constexpr milliseconds max_renewals_without_store{30'000};
@@ -384,6 +385,7 @@
         started);
 }
 
+/// Passes on whether it is certain that this is the only owner, and logs each change.
 void job_owner::update_certainty(time_point time)
 {
     const bool is_certain = dependencies_.is_certain();
