--- a/flamingoseam/node/job_owner.cpp
+++ b/flamingoseam/node/job_owner.cpp
@@ -82,6 +82,9 @@
       earlier_renewals_end_(start.earlier_certainty ? time_point::max() : certain_at_)
 {
     state_.load(std::move(start.jobs.jobs), start.leased_workers, now(), wall_now());
+    if (!start.earlier_certainty) {
+        state_.set_earlier_renewals_end(wall_now());
+    }
     for (const auto& job : start.jobs.unreadable) {
         unreadable_jobs_.insert(job.id);
         dependencies_.log->write(
--- a/flamingoseam/workflow/fleet.hpp
+++ b/flamingoseam/workflow/fleet.hpp
@@ -54,6 +54,7 @@
     bool silence_stored = false;
     /// The silence that has ended, until the store does not contain it any more.
     std::optional<time_point> ended_silence;
+    bool accepts_owner = false; ///< The worker has reported to this owner, which renews its lease.
     /// The silence was stored by an earlier owner, which promised not to renew the lease.
     bool silence_loaded = false;
     time_point excluded_until{};
--- a/flamingoseam/workflow/workflow_reports.cpp
+++ b/flamingoseam/workflow/workflow_reports.cpp
@@ -80,6 +80,7 @@
     }
     worker_state.last_report = time;
     worker_state.last_asked = std::max(worker_state.last_asked, report.asked);
+    worker_state.accepts_owner = true;
     accepting_loaded_workers_ += unreported_.contains(worker) ? 1 : 0;
     for (const auto& end : report.ended) {
         handle_end(worker, end, time, wall);
--- a/flamingoseam/workflow/workflow_storing.cpp
+++ b/flamingoseam/workflow/workflow_storing.cpp
@@ -79,8 +79,7 @@
 /// Returns since when no owner renews the lease of a worker; 0 if it is renewed or may be.
 wall_time workflow_state::silence_to_store(const fleet_worker& worker) const
 {
-    const bool is_own_lease = worker.last_asked != time_point{};
-    if (!worker.unreachable || is_own_lease || worker.silence_loaded) {
+    if (!worker.unreachable || worker.accepts_owner || worker.silence_loaded) {
         return worker.unreachable_since;
     }
     return earlier_renewals_end_ ? std::max(worker.unreachable_since, *earlier_renewals_end_)
