Say of calls to workers what holds: they are not repeated after a timeout

The known-red test of http_client shows that cxxtools still repeats a request at once when its kept connection has been closed. Comments only.

--- a/flamingoseam/node/worker_channel.hpp
+++ b/flamingoseam/node/worker_channel.hpp
@@ -45,9 +45,9 @@
     workflow::worker_report report;
 };
 
-/// A connection to a worker, to be used from one thread. Each call is sent once, and throws
-/// transport_error when there is no answer in time; the worker may have executed the call
-/// nevertheless, or may still do so.
+/// A connection to a worker, to be used from one thread. Each call throws transport_error when
+/// there is no answer in time, after which it is not repeated; the worker may have executed the
+/// call nevertheless, or may still do so.
 class worker_channel {
 public:
     virtual ~worker_channel() = default;
