Say why each job waits that has nothing running, and what its owner believes of it

The one text 'no room, or more urgent steps wait' stood for most reasons, and a step whose starts are never confirmed was not reported at all. step_waits now tells them apart, for the oldest steps of each reason, and steps_wait counts them.

--- a/flamingoseam/workflow/job_record.hpp
+++ b/flamingoseam/workflow/job_record.hpp
@@ -114,6 +114,8 @@
     bool gang_broken = false; ///< The current run has ended; its members are being removed.
     time_point not_before{};  ///< Earliest start of the next run after a failure.
     time_point waits_since{}; ///< Since when tasks are ready to run and wait; zero if none wait.
+    time_point examined_at{}; ///< When a scheduling pass has examined the step last.
+    time_point call_refused_at{}; ///< When the step needed a call slot and got none last.
     /// Earliest next attempt to reserve capacity for a gang after none was found.
     time_point next_reservation_attempt{};
     bool reservation_expired = false; ///< Capacity reserved for the gang did not become free.
@@ -134,7 +136,8 @@
     time_point due{};      ///< Target time of completion, by this owner's clock.
     time_point received{};
     job_phase phase = job_phase::queued;
-    bool has_begun = false; ///< A task was started.
+    bool has_begun = false;  ///< A task was started.
+    time_point idle_since{}; ///< Since when no run is confirmed, as noticed; zero if any is.
     std::vector<step_record> steps;
     std::uint64_t sequence = 0;   ///< Order in which this owner received the jobs.
     std::uint64_t changed_at = 0; ///< Number of the newest change.
--- a/flamingoseam/workflow/ready_queue.cpp
+++ b/flamingoseam/workflow/ready_queue.cpp
@@ -38,6 +38,14 @@
     changed_.erase(&job);
 }
 
+bool ready_queue::contains(const job_record& job, int step) const
+{
+    const auto found = by_job_.find(&job);
+    return found != by_job_.end() &&
+           std::ranges::any_of(found->second.entries,
+                               [step](const entry& queued) { return queued.step.step == step; });
+}
+
 void ready_queue::refresh(time_point time)
 {
     while (!ranked_until_.empty() && ranked_until_.begin()->first < time) {
--- a/flamingoseam/workflow/ready_queue.hpp
+++ b/flamingoseam/workflow/ready_queue.hpp
@@ -39,6 +39,10 @@
     /// because they became late. Complexity: logarithmic for each such job.
     void refresh(time_point time);
 
+    /// Checks whether a step is queued, as of the last refresh. Complexity: linear in the steps of
+    /// the job.
+    [[nodiscard]] bool contains(const job_record& job, int step) const;
+
     /// Returns the steps in scheduling order, as of the last refresh.
     [[nodiscard]] const std::set<entry>& in_order() const { return order_; }
 
--- a/flamingoseam/workflow/workflow_permission.cpp
+++ b/flamingoseam/workflow/workflow_permission.cpp
@@ -42,6 +42,7 @@
     if (has_share && permission_budget_.has_call_slot(service_time, time)) {
         return true;
     }
+    step.record().call_refused_at = time;
     ++load_of(*step.job).call_slot_refusals;
     if (!step.record().permission.has_answer()) {
         permission_shares_.record_refused(queue, time);
--- a/flamingoseam/workflow/workflow_schedule.cpp
+++ b/flamingoseam/workflow/workflow_schedule.cpp
@@ -64,6 +64,7 @@
 {
     ++counts_.examined;
     auto& record = step.record();
+    record.examined_at = time;
     if (record.waits_since == time_point{}) {
         record.waits_since = time;
     }
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -360,6 +360,20 @@
     void request_reports(time_point time);
     void stop_stalled_runs(time_point time);
     void remove_idle_leaving_workers();
+    /// What is known of a step that might start tasks.
+    struct wait_facts {
+        int usable = 0;             ///< Usable workers that may run the step.
+        int usable_permitted = 0;   ///< Those of them that are permitted.
+        int unknown = 0;            ///< Those that the permission service has not answered about.
+        int places = 0;             ///< Tasks that fit on permitted workers now.
+        int places_with_ticket = 0; ///< Tasks that may start there at once.
+    };
+    wait_facts facts_of(const ready_step& step, time_point time);
+    [[nodiscard]] std::string reason_for_waiting(const ready_step& step, const wait_facts& facts,
+                                                 time_point time) const;
+    bool has_present_run(const job_record& job);
+    void report_waiting_step(const ready_step& step, const wait_facts& facts,
+                             const std::string& reason, time_point time);
     void report_waiting_steps(time_point time);
     void forget_ended(wall_time wall);
     void release_waiters(job_record& job);
--- a/flamingoseam/workflow/workflow_state_test.cpp
+++ b/flamingoseam/workflow/workflow_state_test.cpp
@@ -364,13 +364,32 @@
 TEST_CASE("a step that has waited for long is reported with the reason")
 {
     driven_state driver;
-    driver.submit(driver.job("fedcba9876543210", 1'000));
-    driver.next();
-    const auto decisions = driver.next(milliseconds(5'100)).decisions;
-    REQUIRE(decisions.size() == 1);
-    CHECK(decisions[0].event == "step_waits");
-    CHECK(decisions[0].job == "fedcba9876543210");
-    CHECK(decisions[0].detail == "step 0: no room, or more urgent steps wait");
+    const auto reports = [&driver] {
+        driver.next();
+        return driver.next(milliseconds(2'600)).decisions;
+    };
+
+    SECTION("no worker is there")
+    {
+        driver.submit(driver.job("fedcba9876543210", 1'000));
+        driver.next();
+        const auto decisions = reports();
+        REQUIRE(decisions.size() == 2);
+        CHECK(decisions[0].event == "step_waits");
+        CHECK(decisions[0].job == "fedcba9876543210");
+        CHECK(decisions[0].detail == "step 0: no worker is usable");
+        CHECK(decisions[1].event == "steps_wait");
+        CHECK(decisions[1].detail == "no worker is usable");
+    }
+    SECTION("a start is not answered, so that its task counts as placed")
+    {
+        driver.make_usable();
+        driver.submit(driver.job("fedcba9876543210", 1'000));
+        CHECK(driver.next().starts.size() == 1);
+        const auto decisions = reports();
+        REQUIRE(decisions.size() == 2);
+        CHECK(decisions[0].detail == "step 0: its starts are not confirmed");
+    }
 }
 
 namespace {
--- a/flamingoseam/workflow/workflow_waiting.cpp
+++ b/flamingoseam/workflow/workflow_waiting.cpp
@@ -1,68 +1,189 @@
+#include "flamingoseam/workflow/placing.hpp"
 #include "flamingoseam/workflow/workflow_state.hpp"
 
+#include <algorithm>
+#include <map>
+#include <optional>
+
 namespace flamingoseam::workflow {
 
 namespace {
 
-constexpr milliseconds report_interval{5'000};
-constexpr milliseconds min_wait{5'000}; ///< Steps that wait for less are not reported.
-constexpr int max_reports = 3;          ///< At a time; the oldest jobs are reported.
+constexpr milliseconds report_interval{2'500};
+constexpr milliseconds min_wait{2'500};     ///< Steps that wait for less are not reported.
+constexpr int max_reports_per_reason = 2;   ///< At a time; the oldest jobs are reported.
+constexpr milliseconds recent_refusal{500}; ///< Call slots are asked for again within this.
 
-/// Returns why no task of a step is started at present.
-std::string reason_for_waiting(const job_record& job, const step_record& step, time_point time)
+/// Returns for how many milliseconds something has lasted, -1 if it has not happened.
+std::int64_t elapsed_ms(time_point since, time_point time)
 {
+    return since == time_point{} ? -1
+                                 : std::chrono::duration_cast<milliseconds>(time - since).count();
+}
+
+} // namespace
+
+/// Returns what the owner knows of a step that might start tasks.
+workflow_state::wait_facts workflow_state::facts_of(const ready_step& step, time_point time)
+{
+    wait_facts facts;
+    const auto& permission = step.record().permission;
+    for (std::size_t worker = 0; worker < fleet_.size(); ++worker) {
+        if (!can_run(step, worker, time)) {
+            continue;
+        }
+        ++facts.usable;
+        if (step.job->terms.permission && !permission.has_answer_for(worker)) {
+            ++facts.unknown;
+        }
+        if (is_permitted(step, worker)) {
+            ++facts.usable_permitted;
+            const int places = fits_now(step, worker, time);
+            const bool has_ticket =
+                !step.job->terms.permission ||
+                permission.find_ticket(worker, time + detail::ticket_use_margin) != nullptr;
+            facts.places += places;
+            facts.places_with_ticket += has_ticket ? places : 0;
+        }
+    }
+    return facts;
+}
+
+/// Returns why no task of a step runs at present.
+std::string workflow_state::reason_for_waiting(const ready_step& step, const wait_facts& facts,
+                                               time_point time) const
+{
+    const auto& job = *step.job;
+    const auto& record = step.record();
+    const auto& permission = record.permission;
+    const int needed = step.spec().gang ? record.waiting() : 1;
     if (!job.spec_stored) {
         return "the job is not stored";
     }
-    if (step.gang_broken) {
+    if (record.gang_broken) {
         return "runs of the gang are being stopped";
     }
-    if (step.unlocated > 0) {
+    if (record.unlocated > 0) {
         return "runs of an earlier owner are not located";
     }
-    if (step.not_before > time) {
+    if (record.placed > 0) {
+        return "its starts are not confirmed";
+    }
+    if (!ready_.contains(job, step.step)) {
+        return "it is not queued";
+    }
+    if (record.not_before > time) {
         return "a run has failed";
     }
-    if (job.terms.permission && !step.permission.has_answer()) {
+    if (facts.usable == 0) {
+        return "no worker is usable";
+    }
+    if (permission.outstanding != 0) {
+        return "a permission request is not answered";
+    }
+    if (facts.places_with_ticket >= needed) {
+        return "more urgent steps wait";
+    }
+    if (time - record.call_refused_at < recent_refusal) {
+        return "no call slot for a permission request";
+    }
+    if (job.terms.permission && !permission.has_answer()) {
         return "no worker has been asked about";
     }
-    if (job.terms.permission && step.permission.permitted().empty()) {
-        return "no worker is permitted";
+    if (facts.places >= needed) {
+        return "its tickets have expired";
+    }
+    if (job.terms.permission && facts.unknown == 0) {
+        return "no room, and all workers were asked about";
     }
-    return "no room, or more urgent steps wait";
+    return "no room";
 }
 
-} // namespace
+/// Checks whether a worker has confirmed that it runs a task of the job.
+bool workflow_state::has_present_run(const job_record& job)
+{
+    for (std::size_t step = 0; step < job.steps.size(); ++step) {
+        const auto& tasks = job.steps[step].tasks;
+        for (std::size_t index = 0; index < tasks.size(); ++index) {
+            const auto& task = tasks[index];
+            if (task.phase != task_phase::placed) {
+                continue;
+            }
+            const auto* run = fleet_.find_run(
+                task.worker,
+                {{job.spec.id, static_cast<int>(step), static_cast<int>(index)}, task.run});
+            if (run != nullptr && run->has_begun()) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+void workflow_state::report_waiting_step(const ready_step& step, const wait_facts& facts,
+                                         const std::string& reason, time_point time)
+{
+    const auto& record = step.record();
+    const auto outstanding = requests_.find(record.permission.outstanding);
+    const auto asked = outstanding == requests_.end() ? time_point{} : outstanding->second.asked;
+    const auto late = lateness_of(*step.job, time);
+    log_decision("step_waits", step.job->spec.id,
+                 "step " + std::to_string(step.step) + ": " + reason,
+                 {{"tasks", static_cast<std::int64_t>(record.tasks.size())},
+                  {"waiting", record.waiting()},
+                  {"placed", record.placed},
+                  {"unlocated", record.unlocated},
+                  {"priority", step.job->terms.priority},
+                  {"late", static_cast<std::int64_t>(late)},
+                  {"gang", step.spec().gang ? 1 : 0},
+                  {"waits_ms", elapsed_ms(record.waits_since, time)},
+                  {"examined_ms", elapsed_ms(record.examined_at, time)},
+                  {"request_ms", elapsed_ms(asked, time)},
+                  {"permission_calls", record.permission.calls},
+                  {"permitted", static_cast<std::int64_t>(record.permission.permitted().size())},
+                  {"usable_permitted", facts.usable_permitted},
+                  {"places", facts.places},
+                  {"places_with_ticket", facts.places_with_ticket},
+                  {"unknown_workers", facts.unknown},
+                  {"unreported_workers", static_cast<std::int64_t>(unreported_.size())},
+                  {"workers", facts.usable}});
+}
 
-/// Logs the oldest steps that have had nothing running for long, with what tells the reason.
+/// Logs the steps of jobs that have had nothing running for long, with what tells the reason: the
+/// oldest ones for each reason, and the number of jobs.
 void workflow_state::report_waiting_steps(time_point time)
 {
     if (time < next_waiting_report_) {
         return;
     }
     next_waiting_report_ = time + report_interval;
-    int reports = 0;
+    std::map<std::string, int> reports;
+    std::int64_t idle_jobs = 0;
     for (const auto& [sequence, job] : open_) {
+        if (has_present_run(*job)) {
+            job->idle_since = {};
+            continue;
+        }
+        job->idle_since = job->idle_since == time_point{} ? time : job->idle_since;
+        if (time - job->idle_since < min_wait) {
+            continue;
+        }
+        ++idle_jobs;
         for (std::size_t index = 0; index < job->steps.size(); ++index) {
-            const auto& step = job->steps[index];
-            const bool waits = step.waiting() + step.unlocated > 0 && step.placed == 0 &&
-                               job->are_predecessors_done(index);
-            if (!waits || time - job->received < min_wait) {
+            if (job->steps[index].is_done() || !job->are_predecessors_done(index)) {
                 continue;
             }
-            if (++reports > max_reports) {
-                return;
+            const ready_step step{job, static_cast<int>(index)};
+            const auto facts = facts_of(step, time);
+            const auto reason = reason_for_waiting(step, facts, time);
+            if (++reports[reason] <= max_reports_per_reason) {
+                report_waiting_step(step, facts, reason, time);
             }
-            log_decision(
-                "step_waits", job->spec.id,
-                "step " + std::to_string(index) + ": " + reason_for_waiting(*job, step, time),
-                {{"waiting", step.waiting()},
-                 {"unlocated", step.unlocated},
-                 {"permitted", static_cast<std::int64_t>(step.permission.permitted().size())},
-                 {"unreported_workers", static_cast<std::int64_t>(unreported_.size())},
-                 {"workers", static_cast<std::int64_t>(fleet_.size())}});
         }
     }
+    for (const auto& [reason, steps] : reports) {
+        log_decision("steps_wait", "", reason, {{"steps", steps}, {"idle_jobs", idle_jobs}});
+    }
 }
 
 } // namespace flamingoseam::workflow
