Give a step that has waited for 10 s a turn to go first

Callers saw accepted work that had nothing running for tens of seconds. Cause: the order of waiting work is lateness, priority and due time, so that a late step ranks behind all that arrives later; it got no call slot for as long as work on time of its queue asked for one, and nothing raised it with the time that it had waited. Ruled out as sufficient: a share of the call slots per queue, which exists; the late work is of the same queue.

The step that has waited the longest without a start now goes first in each pass, and its permission call goes before all others, one step at a time and with a pause between two turns, so that work on time loses little.

--- a/flamingoseam/workflow/job_record.hpp
+++ b/flamingoseam/workflow/job_record.hpp
@@ -114,6 +114,7 @@
     bool gang_broken = false; ///< The current run has ended; its members are being removed.
     time_point not_before{};  ///< Earliest start of the next run after a failure.
     time_point waits_since{}; ///< Since when tasks are ready to run and wait; zero if none wait.
+    time_point turn_ended{};  ///< When the step's last turn to go first has ended.
     time_point examined_at{}; ///< When a scheduling pass has examined the step last.
     time_point call_refused_at{}; ///< When the step needed a call slot and got none last.
     /// Earliest next attempt to reserve capacity for a gang after none was found.
--- a/flamingoseam/workflow/workflow_permission.cpp
+++ b/flamingoseam/workflow/workflow_permission.cpp
@@ -34,7 +34,7 @@
 {
     const auto& queue = step.job->terms.name;
     const int priority = step.job->terms.priority;
-    if (!permission_budget::is_long(service_time)) {
+    if (!permission_budget::is_long(service_time) || has_turn(step)) {
         return true;
     }
     const auto call_slots = permission_budget_.call_slots_for_long_calls(time);
@@ -111,7 +111,7 @@
                                .job = step.job->spec.id,
                                .step = step.step,
                                .queue = step.job->terms.name,
-                               .order = urgency_of(*step.job),
+                               .order = request_urgency(step),
                                .workers = {},
                                .service_time = service_time,
                                .asked = time};
--- a/flamingoseam/workflow/workflow_schedule.cpp
+++ b/flamingoseam/workflow/workflow_schedule.cpp
@@ -22,9 +22,9 @@
 
 } // namespace
 
-/// Places the most urgent steps, then continues with the others from where the last pass ended. The
-/// cost of a pass thus does not depend on the length of the backlog, and every step is examined in
-/// some pass. Returns whether the last step was reached.
+/// Places an overdue step if there is one, then the most urgent steps, then continues with the
+/// others from where the last pass ended. The cost of a pass thus does not depend on the length of
+/// the backlog, and every step is examined in some pass. Returns whether the last step was reached.
 bool workflow_state::schedule(time_point time)
 {
     drop_expired_reservations(time);
@@ -39,6 +39,9 @@
     free_capacity_.rebuild(fleet_, time);
     const auto workers = static_cast<std::int64_t>(fleet_.size());
     counts_.examined += workers;
+    if (const auto overdue = take_overdue_step(time)) {
+        place_step(*overdue, time);
+    }
     auto next = steps.begin();
     const auto place_until = [&](std::int64_t max_examined) {
         const auto limit = counts_.examined + std::max(min_examined, max_examined);
@@ -64,6 +67,9 @@
 {
     ++counts_.examined;
     auto& record = step.record();
+    if (record.waiting() == 0) {
+        return; // It was placed in this pass before its turn in the order.
+    }
     record.examined_at = time;
     if (record.waits_since == time_point{}) {
         record.waits_since = time;
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -278,6 +278,11 @@
     // placing
     bool schedule(time_point time);
     void place_step(const ready_step& step, time_point time);
+    std::optional<ready_step> take_overdue_step(time_point time);
+    std::optional<ready_step> step_in_turn(time_point time);
+    void end_turn(time_point time);
+    [[nodiscard]] bool has_turn(const ready_step& step) const;
+    [[nodiscard]] urgency request_urgency(const ready_step& step) const;
     bool can_progress(const ready_step& step, time_point time) const;
     [[nodiscard]] milliseconds search_pause() const;
     struct candidate {
@@ -416,8 +421,16 @@
     ready_queue ready_;
     free_capacity_index free_capacity_;
     /// Where the next pass continues after the most urgent steps.
-    std::optional<ready_queue::entry>
-        resume_at_; /// Requested stops that the worker has not accepted yet.
+    std::optional<ready_queue::entry> resume_at_;
+    /// A step that has waited for too long and goes first in each pass.
+    struct overdue_turn {
+        std::string job;
+        int step = 0;
+        time_point until{};
+    };
+    std::optional<overdue_turn> turn_;
+    time_point next_turn_{}; ///< Earliest begin of the next turn.
+    /// Requested stops that the worker has not accepted yet.
     std::set<std::pair<std::size_t, run_name>> unaccepted_stops_;
     std::unordered_map<std::string, std::unique_ptr<job_record>> jobs_;
     std::map<std::uint64_t, job_record*> open_; ///< By the order in which they were received.
--- a/flamingoseam/workflow/workflow_waiting.cpp
+++ b/flamingoseam/workflow/workflow_waiting.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr milliseconds report_interval{2'500};
-constexpr milliseconds min_wait{2'500};     ///< Steps that wait for less are not reported.
+constexpr milliseconds min_wait{5'000};     ///< Steps that wait for less are not reported.
 constexpr int max_reports_per_reason = 2;   ///< At a time; the oldest jobs are reported.
 constexpr milliseconds recent_refusal{500}; ///< Call slots are asked for again within this.
 
