Take a worker that an answer about permission does not name out of the permitted ones

Callers saw an accepted job with nothing running: once a step had been permitted on a worker, it repeated its request about this worker whenever the ticket had expired or was refused, even when each answer left the worker out, and asked about no other worker meanwhile (request_more_permissions first asks about permitted workers without a ticket, then returns).

Cause: permission_record::record_answer only added grants. Ruled out as a fix: dropping a worker after some failed repetitions, since an answer that leaves it out says at once that it is of no use. No cell has shown this fault; the platform says that the permitted workers of a step don't change, so it needs a worker that the service does not know for a while.

--- a/flamingoseam/workflow/job_record.cpp
+++ b/flamingoseam/workflow/job_record.cpp
@@ -42,6 +42,9 @@
     for (const auto worker : asked) {
         answered_.resize(std::max(answered_.size(), worker + 1));
         answered_[worker] = true;
+        if (!granted.contains(worker)) {
+            remove_permitted(worker);
+        }
     }
     for (const auto& [worker, text] : granted) {
         const auto position = permitted_.begin() + (find(worker) - permitted_.cbegin());
@@ -62,6 +65,14 @@
     }
 }
 
+void permission_record::remove_permitted(std::size_t worker)
+{
+    const auto position = find(worker);
+    if (position != permitted_.end() && position->worker == worker) {
+        permitted_.erase(position);
+    }
+}
+
 double permission_record::permitted_share() const
 {
     const auto asked = std::count(answered_.begin(), answered_.end(), true);
--- a/flamingoseam/workflow/job_record.hpp
+++ b/flamingoseam/workflow/job_record.hpp
@@ -57,7 +57,7 @@
     };
 
     /// Records an answer of the permission service: `asked` are the workers named in the call,
-    /// `granted` the tickets of the permitted ones.
+    /// `granted` the tickets of the permitted ones. The others are not permitted any more.
     void record_answer(const std::vector<std::size_t>& asked,
                        const std::map<std::size_t, std::string>& granted, time_point valid_until);
 
@@ -96,6 +96,7 @@
     int calls = 0;                 ///< Number of requests made so far.
 
 private:
+    void remove_permitted(std::size_t worker);
     [[nodiscard]] std::vector<ticket>::const_iterator find(std::size_t worker) const;
 
     std::vector<bool> answered_;    ///< By worker index: whether the service has answered about it.
