--- a/flamingoseam/workflow/workflow_permission_test.cpp
+++ b/flamingoseam/workflow/workflow_permission_test.cpp
@@ -111,3 +111,34 @@
     driver.advance(until_repeated);
     CHECK(driver.has_started_on("second"));
 }
+
+// Guards against a step that never asks about a worker again that was refused in an earlier life.
+TEST_CASE("a step asks about a worker again that has restarted since it was refused")
+{
+    permission_driver driver;
+    driver.list({worker_named("w")});
+    driver.submit_with_permission(driver.job("job", 1'000));
+    driver.advance(until_repeated);
+    REQUIRE(driver.asked.contains("w"));
+    REQUIRE(driver.starts.empty());
+    driver.permitted = {"w"};
+    driver.list({worker_named("w", 2)});
+    driver.advance(until_repeated);
+    CHECK(driver.has_started_on("w"));
+}
+
+// Guards against an answer about an earlier life that is taken for one about the present life.
+TEST_CASE("an answer to a request from before a restart says nothing about the worker's new life")
+{
+    permission_driver driver;
+    driver.list({worker_named("w")});
+    driver.submit_with_permission(driver.job("job", 1'000));
+    const auto requests = driver.next().permissions;
+    REQUIRE(requests.size() == 1);
+    driver.time += milliseconds(1);
+    driver.list({worker_named("w", 2)});
+    driver.state.on_permission(requests.front().number, std::vector<ticket_grant>{}, driver.time);
+    driver.permitted = {"w"};
+    driver.advance(until_repeated);
+    CHECK(driver.has_started_on("w"));
+}
