Forget a refusal of the permission service when the worker begins a new life

Callers saw an accepted job with nothing running: a worker that the service did not name once, for example because it was down when it was asked about, was never asked about again by that step, and a step whose workers had all been asked about sent no request any more.

Cause: an answer was kept for the lifetime of the owner, and an answer that arrived after a restart was taken for one about the new life. Now a refusal holds for one life of the worker, and an answer says nothing about workers that have restarted since the request. Ruled out: asking about refused workers again from time to time, which costs calls on sound workers whose answer does not change. The cost that remains is one more name in a call for each restarted worker and waiting step.

--- a/flamingoseam/workflow/job_record.cpp
+++ b/flamingoseam/workflow/job_record.cpp
@@ -65,6 +65,15 @@
     }
 }
 
+void permission_record::forget_answer(std::size_t worker)
+{
+    drop_ticket(worker);
+    if (has_answer_for(worker) && !is_permitted(worker)) {
+        answered_[worker] = false;
+        next_search = {};
+    }
+}
+
 void permission_record::remove_permitted(std::size_t worker)
 {
     const auto position = find(worker);
--- a/flamingoseam/workflow/job_record.hpp
+++ b/flamingoseam/workflow/job_record.hpp
@@ -61,16 +61,21 @@
     void record_answer(const std::vector<std::size_t>& asked,
                        const std::map<std::size_t, std::string>& granted, time_point valid_until);
 
-    /// Drops the ticket for a worker, for example after a refusal or in a new incarnation.
+    /// Drops the ticket for a worker, for example after a refusal.
     void drop_ticket(std::size_t worker);
 
+    /// Forgets what depends on the incarnation of a worker, when a new one has begun: its ticket,
+    /// and that it was not permitted.
+    void forget_answer(std::size_t worker);
+
     /// Checks whether the service has permitted the worker. Complexity: logarithmic.
     [[nodiscard]] bool is_permitted(std::size_t worker) const;
 
     /// Returns the permitted workers, sorted by index, each with its newest ticket, valid or not.
     [[nodiscard]] const std::vector<ticket>& permitted() const { return permitted_; }
 
-    /// Checks whether the service has answered about the worker. Complexity: constant.
+    /// Checks whether the service has answered about the worker's incarnation. A worker that was
+    /// permitted in an earlier one counts as answered about. Complexity: constant.
     [[nodiscard]] bool has_answer_for(std::size_t worker) const
     {
         return worker < answered_.size() && answered_[worker];
--- a/flamingoseam/workflow/workflow_permission.cpp
+++ b/flamingoseam/workflow/workflow_permission.cpp
@@ -175,13 +175,21 @@
                      std::to_string(grants->size()) + " of " +
                      std::to_string(request.mapped().workers.size()) + " workers",
                  {{"request_age_ms", age}});
+    // An answer is about the incarnations that the workers had when the request was made.
+    const auto has_restarted = [&](std::size_t worker) {
+        return fleet_.at(worker).incarnation_since > request.mapped().asked;
+    };
     std::vector<std::size_t> asked;
     for (const auto& id : request.mapped().workers) {
-        asked.push_back(*fleet_.find(id));
+        const auto worker = *fleet_.find(id);
+        if (!has_restarted(worker)) {
+            asked.push_back(worker);
+        }
     }
     std::map<std::size_t, std::string> granted;
     for (const auto& grant : *grants) {
-        if (const auto worker = fleet_.find(grant.worker)) {
+        const auto worker = fleet_.find(grant.worker);
+        if (worker && !has_restarted(*worker)) {
             granted.emplace(*worker, grant.ticket);
         }
     }
--- a/flamingoseam/workflow/workflow_reports.cpp
+++ b/flamingoseam/workflow/workflow_reports.cpp
@@ -140,7 +140,7 @@
     }
     for (const auto& [sequence, job] : open_) {
         for (auto& step : job->steps) {
-            step.permission.drop_ticket(worker);
+            step.permission.forget_answer(worker);
         }
     }
     health_.forget(worker);
