--- a/flamingoseam/node/worker_session_test.cpp
+++ b/flamingoseam/node/worker_session_test.cpp
@@ -18,9 +18,11 @@
     std::atomic<std::int64_t> forgotten{0};
     std::atomic<bool> unreachable{false};
     std::atomic<int> starts{0};
+    std::atomic<int> stops{0};
     std::atomic<std::int64_t> leased_until_ms{0}; ///< On the worker's clock.
     std::atomic<bool> is_replaced{false};         ///< Another incarnation has its address.
     std::atomic<int> start_time_ms{0};            ///< How long the worker takes to answer a start.
+    std::atomic<int> stop_time_ms{0};             ///< How long the worker takes to answer a stop.
     std::atomic<int> poll_time_ms{5};             ///< How long the worker takes to answer a poll.
     std::atomic<std::int64_t> incarnation{0};
     std::atomic<int> clock_offset_ms{0};
@@ -57,6 +59,8 @@
                       milliseconds /*timeout*/) override
     {
         throw_if_unreachable();
+        ++worker_.stops;
+        std::this_thread::sleep_for(milliseconds(worker_.stop_time_ms.load()));
         return {.outcome = workflow::start_outcome::started, .clock = worker_.clock()};
     }
 
@@ -143,19 +147,29 @@
     return condition();
 }
 
+/// A session with a worker that has reported.
+struct reporting_session {
+    reporting_session()
+    {
+        REQUIRE(holds_within(milliseconds(2'000), [&] { return listener.reports > 1; }));
+    }
+
+    fake_worker worker;
+    counting_listener listener;
+    worker_session session{{.id = {}, .epoch = 1, .lease = milliseconds(400)},
+                           {.id = "w"},
+                           [this](const workflow::worker_entry& /*entry*/) {
+                               return std::make_unique<fake_channel>(worker);
+                           },
+                           listener};
+};
+
 } // namespace
 
 TEST_CASE("a session with a worker")
 {
-    fake_worker worker;
-    counting_listener listener;
-    worker_session session(
-        {.id = {}, .epoch = 1, .lease = milliseconds(400)}, {.id = "w"},
-        [&](const workflow::worker_entry& /*entry*/) {
-            return std::make_unique<fake_channel>(worker);
-        },
-        listener);
-    REQUIRE(holds_within(milliseconds(2'000), [&] { return listener.reports > 1; }));
+    reporting_session fixture;
+    auto& [worker, listener, session] = fixture;
 
     SECTION("a worker that answers is never considered to have no runs")
     {
@@ -294,3 +308,22 @@
         CHECK(listener.last_start == workflow::start_outcome::not_sent);
     }
 }
+
+// Guards against a task that counts as placed for good: starts that waited when the session ended
+// had no result.
+TEST_CASE("each start has one result, also when the session ends before it is sent")
+{
+    reporting_session fixture;
+    auto& [worker, listener, session] = fixture;
+    worker.start_time_ms = 200;
+    for (int index = 0; index < 3; ++index) {
+        session.start({.worker = 0, .name = {{"job", 0, index}, 1}});
+    }
+    REQUIRE(holds_within(milliseconds(2'000), [&] { return worker.starts == 1; }));
+    session.request_stop();
+    CHECK(holds_within(milliseconds(2'000), [&] { return listener.starts == 3; }));
+    session.start({.worker = 0, .name = {{"job", 0, 3}, 1}});
+    CHECK(holds_within(milliseconds(2'000), [&] { return listener.starts == 4; }));
+    CHECK(listener.last_start == workflow::start_outcome::not_sent);
+    CHECK(worker.starts == 1);
+}
