--- a/flamingoseam/node/worker_session_test.cpp
+++ b/flamingoseam/node/worker_session_test.cpp
@@ -327,3 +327,22 @@
     CHECK(listener.last_start == workflow::start_outcome::not_sent);
     CHECK(worker.starts == 1);
 }
+
+// Guards against a task that counts as placed for as long as a slow worker has runs to stop.
+TEST_CASE("starts do not wait for all stops of a slow worker, however often these are repeated")
+{
+    reporting_session fixture;
+    auto& [worker, listener, session] = fixture;
+    worker.stop_time_ms = 300;
+    for (int repetition = 0; repetition < 4; ++repetition) {
+        for (int index = 0; index < 5; ++index) {
+            session.stop({.worker = 0, .name = {{"stopped", 0, index}, 1}});
+        }
+    }
+    session.start({.worker = 0, .name = {{"job", 0, 0}, 1}});
+    CHECK(holds_within(milliseconds(1'000), [&] { return listener.starts == 1; }));
+    CHECK(listener.last_start == workflow::start_outcome::started);
+    CHECK(holds_within(milliseconds(2'000), [&] { return worker.stops == 5; }));
+    std::this_thread::sleep_for(milliseconds(700));
+    CHECK(worker.stops <= 6); // A stop that was in flight is repeated.
+}
