--- a/flamingoseam/workflow/workflow_state_test.cpp
+++ b/flamingoseam/workflow/workflow_state_test.cpp
@@ -473,3 +473,32 @@
     driver.state.set_earlier_renewals_end(end);
     CHECK(stored_silences() == std::vector<wall_time>{wall, end});
 }
+
+// Guards against a task that counts as placed for good: the result of its start order was lost.
+TEST_CASE("a start order whose result never arrives does not keep its task placed")
+{
+    driven_state driver;
+    driver.make_usable();
+    driver.submit(driver.job("fedcba9876543210", 1'000));
+    const auto first = driver.next().starts;
+    REQUIRE(first.size() == 1);
+    const auto report = [&] {
+        driver.state.on_report(0, {.incarnation = 1, .asked = driver.time}, driver.time, wall);
+    };
+    std::vector<start_order> starts;
+    bool is_stopped = false;
+    constexpr int rounds = 100;
+    for (int round = 0; round < rounds && starts.empty(); ++round) {
+        const auto actions = driver.next(milliseconds(100));
+        starts = actions.starts;
+        for (const auto& order : actions.stops) {
+            is_stopped = is_stopped || order.name == first[0].name;
+            driver.state.on_stop(0, order.name, driver.time);
+        }
+        driver.time += milliseconds(10);
+        report();
+    }
+    REQUIRE(starts.size() == 1);
+    CHECK(starts[0].name.run > first[0].name.run);
+    CHECK(is_stopped);
+}
