--- a/flamingoseam/workflow/workflow_state_test.cpp
+++ b/flamingoseam/workflow/workflow_state_test.cpp
@@ -502,3 +502,41 @@
     CHECK(starts[0].name.run > first[0].name.run);
     CHECK(is_stopped);
 }
+
+// Guards against a step that waits for good for an answer of the permission service.
+TEST_CASE("a permission request whose answer never arrives is repeated")
+{
+    driven_state driver;
+    driver.make_usable();
+    auto terms = driver.terms();
+    terms.permission = permission_terms{.decision = fractional_ms(5),
+                                        .per_worker = fractional_ms(1),
+                                        .validity = milliseconds(5'000)};
+    driver.state.submit(1, driver.job("fedcba9876543210", 1'000), terms, driver.time, wall);
+    driver.store();
+    const auto first = driver.next().permissions;
+    REQUIRE(first.size() == 1);
+
+    SECTION("not while its answer may still come")
+    {
+        for (int round = 0; round < 50; ++round) {
+            CHECK(driver.next(milliseconds(100)).permissions.empty());
+        }
+    }
+    SECTION("after a time that no request takes, and the first one is withdrawn")
+    {
+        std::vector<permission_request> repeated;
+        std::vector<std::uint64_t> withdrawn;
+        for (int round = 0; round < 200 && repeated.empty(); ++round) {
+            auto actions = driver.next(milliseconds(100));
+            repeated = std::move(actions.permissions);
+            withdrawn.insert(withdrawn.end(), actions.withdrawn_permissions.begin(),
+                             actions.withdrawn_permissions.end());
+        }
+        REQUIRE(repeated.size() == 1);
+        CHECK(repeated[0].number > first[0].number);
+        CHECK(withdrawn == std::vector<std::uint64_t>{first[0].number});
+        driver.state.on_permission(repeated[0].number, {{{"w", "ticket"}}}, driver.time);
+        CHECK(driver.next().starts.size() == 1);
+    }
+}
