--- a/flamingoseam/workflow/workflow_state_test.cpp
+++ b/flamingoseam/workflow/workflow_state_test.cpp
@@ -540,3 +540,72 @@
         CHECK(driver.next().starts.size() == 1);
     }
 }
+
+// Guards against an owner that ignores all reports of a worker whose clock was set back before it
+// restarted: its runs were never lost, and no task of an earlier owner was ever located.
+TEST_CASE("a worker whose new incarnation has an earlier start time is not ignored for good")
+{
+    driven_state driver;
+    constexpr std::int64_t later_start = 5;
+    constexpr std::int64_t earlier_start = 4;
+    auto leased = driver.worker();
+    leased.incarnation = later_start;
+    const auto report = [&](std::int64_t incarnation, std::vector<present_run> present = {}) {
+        driver.time += milliseconds(10);
+        driver.state.on_report(
+            0, {.incarnation = incarnation, .present = std::move(present), .asked = driver.time},
+            driver.time, wall);
+    };
+
+    SECTION("the tasks of an earlier owner are located")
+    {
+        job_record job;
+        job.spec = driver.job("fedcba9876543210", 1'000);
+        job.terms = driver.terms();
+        job.accepted = wall;
+        job.spec_stored = true;
+        fill_steps(job, task_phase::unlocated);
+        std::vector<job_record> stored;
+        stored.push_back(std::move(job));
+        driver.state.load(std::move(stored), {leased}, driver.time, wall);
+        driver.state.on_worker_list({leased}, driver.time);
+        report(earlier_start);
+        CHECK_FALSE(driver.state.is_recovering());
+        driver.store();
+        driver.state.on_worker_list({leased}, driver.time); // The list is out of date.
+        CHECK(driver.next().starts.size() == 1);
+    }
+    SECTION("its earlier runs are lost")
+    {
+        driver.state.on_worker_list({leased}, driver.time);
+        report(later_start);
+        driver.store();
+        driver.submit(driver.job("fedcba9876543210", 1'000));
+        const auto first = driver.next().starts;
+        REQUIRE(first.size() == 1);
+        driver.state.on_start(0, first[0].name, start_outcome::started, driver.time);
+        std::vector<start_order> starts;
+        for (int round = 0; round < 10 && starts.empty(); ++round) {
+            report(earlier_start);
+            const auto actions = driver.next();
+            starts = actions.starts;
+            for (const auto& order : actions.stops) {
+                driver.state.on_stop(0, order.name, driver.time);
+            }
+        }
+        CHECK(starts.size() == 1);
+    }
+    SECTION("a report that was on its way when the restart was noticed is ignored")
+    {
+        driver.state.on_worker_list({leased}, driver.time);
+        report(later_start);
+        const auto asked = driver.time;
+        auto restarted = leased;
+        restarted.incarnation = later_start + 1;
+        driver.state.on_worker_list({restarted}, driver.time + milliseconds(10));
+        driver.state.on_report(0, {.incarnation = later_start, .asked = asked},
+                               driver.time + milliseconds(20), wall);
+        CHECK(driver.state.workers().at(0).entry.incarnation == later_start + 1);
+        CHECK_FALSE(driver.state.workers().at(0).reported);
+    }
+}
