Give each start order exactly one result, also when its session ends

Callers would see a task that never runs: a worker that moves to another address gets a new session, and the starts that still waited in the earlier one had no result. Their runs stayed ordered, and their tasks placed, until the worker began another incarnation or its lease expired.

Ruled out as a loss of the same kind: a session that is released has no run of its worker left, and when a worker is emptied the owner takes all its runs for lost before it ends the session.

The thread that sends orders reports what is left when it ends, and start() reports at once from then on, so no caller has to know whether a session is ending.

--- a/flamingoseam/node/worker_session.cpp
+++ b/flamingoseam/node/worker_session.cpp
@@ -77,6 +77,7 @@
 {
     order_thread_ = std::thread([this] {
         run_orders();
+        withdraw_starts(); // No more are queued, since the session is ending.
         --running_threads_;
     });
     poll_thread_ = std::thread([this] {
@@ -117,11 +118,16 @@
 
 void worker_session::start(workflow::start_order order)
 {
-    {
-        const std::lock_guard lock(mutex_);
-        starts_.push_back({std::move(order), now()});
-        has_runs_ = true;
+    queued_start start{std::move(order), now()};
+    std::unique_lock lock(mutex_);
+    if (ending_) {
+        lock.unlock();
+        report_not_sent(start);
+        return;
     }
+    starts_.push_back(std::move(start));
+    has_runs_ = true;
+    lock.unlock();
     orders_changed_.notify_one();
 }
 
--- a/flamingoseam/node/worker_session.hpp
+++ b/flamingoseam/node/worker_session.hpp
@@ -18,8 +18,9 @@
     std::uint64_t number = 0;
 };
 
-/// Receives the reports and answers of a worker. Called from the threads of the session. The
-/// results of orders concern the worker, everything else the session.
+/// Receives the reports and answers of a worker. Called from the threads of the session, and by
+/// calls that find orders that are not sent. The results of orders concern the worker, everything
+/// else the session.
 class worker_listener {
 public:
     virtual ~worker_listener() = default;
@@ -116,6 +117,8 @@
     worker_session(const worker_session&) = delete;
     worker_session& operator=(const worker_session&) = delete;
 
+    /// Sends an order to start a run. The listener receives exactly one result, also when the
+    /// session ends before the order is sent.
     void start(workflow::start_order order);
     void stop(const workflow::stop_order& order);
 
@@ -140,8 +143,8 @@
     /// Makes the threads end soon, without waiting for them.
     void request_stop();
 
-    /// Ends the session of a worker that another shard's owner may use from now on. The listener
-    /// receives nothing more; above all, a higher epoch at the worker is no sign of a newer owner.
+    /// Ends the session of a worker that another shard's owner may use from now on. A higher epoch
+    /// at the worker is no sign of a newer owner any more.
     void release();
 
     /// Checks whether both threads have ended, so that the destructor does not wait.
