Let stops and starts of a worker take turns, and queue each stop once

Callers would see tasks that do not start although their worker has room: all stops were sent before any start, and each stop that was not accepted within 0.5 s was queued again, so that the queue of a worker that needs longer for its answers grew by every repetition. The starts behind them were not sent and had no result meanwhile; their tasks counted as placed on a worker that stayed usable.

Evidence: worker_session_test with a worker that takes 0.3 s for a stop; found by reading, no run of a cell has shown it. Ruled out: that a start has to follow the stops before it. A run is started only after the capacity that it needs is free, and a stop concerns a run number that is not used again.

Before: no result of the start within 1 s, and 7 stops of 5 runs were sent while 13 more waited; after: the start is sent after one stop, and each run is stopped once.

--- a/flamingoseam/node/worker_session.cpp
+++ b/flamingoseam/node/worker_session.cpp
@@ -135,6 +135,9 @@
 {
     {
         const std::lock_guard lock(mutex_);
+        if (std::ranges::find(stops_, order.name) != stops_.end()) {
+            return;
+        }
         stops_.push_back(order.name);
     }
     orders_changed_.notify_one();
@@ -194,21 +197,24 @@
 void worker_session::run_orders()
 {
     thread_timer timer(thread_duty::orders);
+    bool is_stop_next = true; // Stops and starts take turns, so that neither waits for all others.
     std::unique_lock lock(mutex_);
     while (!ending_) {
         timer.update();
-        if (!stops_.empty()) {
+        if (!stops_.empty() && (is_stop_next || starts_.empty())) {
             const auto name = std::move(stops_.front());
             stops_.pop_front();
             lock.unlock();
             send_stop(name);
             lock.lock();
+            is_stop_next = false;
         } else if (!starts_.empty()) {
             const auto start = std::move(starts_.front());
             starts_.pop_front();
             lock.unlock();
             send_start(start);
             lock.lock();
+            is_stop_next = true;
         } else {
             orders_changed_.wait(lock);
         }
--- a/flamingoseam/node/worker_session.hpp
+++ b/flamingoseam/node/worker_session.hpp
@@ -120,6 +120,9 @@
     /// Sends an order to start a run. The listener receives exactly one result, also when the
     /// session ends before the order is sent.
     void start(workflow::start_order order);
+
+    /// Sends an order to stop a run, once if it is repeated while it waits to be sent. Complexity:
+    /// linear in the waiting stops.
     void stop(const workflow::stop_order& order);
 
     /// Reports all starts that are still queued as not sent, since the worker leaves or has
