--- a/flamingoseam/workflow/workflow_state_test.cpp
+++ b/flamingoseam/workflow/workflow_state_test.cpp
@@ -473,3 +473,139 @@
     driver.state.set_earlier_renewals_end(end);
     CHECK(stored_silences() == std::vector<wall_time>{wall, end});
 }
+
+// Guards against a task that counts as placed for good: the result of its start order was lost.
+TEST_CASE("a start order whose result never arrives does not keep its task placed")
+{
+    driven_state driver;
+    driver.make_usable();
+    driver.submit(driver.job("fedcba9876543210", 1'000));
+    const auto first = driver.next().starts;
+    REQUIRE(first.size() == 1);
+    const auto report = [&] {
+        driver.state.on_report(0, {.incarnation = 1, .asked = driver.time}, driver.time, wall);
+    };
+    std::vector<start_order> starts;
+    bool is_stopped = false;
+    constexpr int rounds = 100;
+    for (int round = 0; round < rounds && starts.empty(); ++round) {
+        const auto actions = driver.next(milliseconds(100));
+        starts = actions.starts;
+        for (const auto& order : actions.stops) {
+            is_stopped = is_stopped || order.name == first[0].name;
+            driver.state.on_stop(0, order.name, driver.time);
+        }
+        driver.time += milliseconds(10);
+        report();
+    }
+    REQUIRE(starts.size() == 1);
+    CHECK(starts[0].name.run > first[0].name.run);
+    CHECK(is_stopped);
+}
+
+// Guards against a step that waits for good for an answer of the permission service.
+TEST_CASE("a permission request whose answer never arrives is repeated")
+{
+    driven_state driver;
+    driver.make_usable();
+    auto terms = driver.terms();
+    terms.permission = permission_terms{.decision = fractional_ms(5),
+                                        .per_worker = fractional_ms(1),
+                                        .validity = milliseconds(5'000)};
+    driver.state.submit(1, driver.job("fedcba9876543210", 1'000), terms, driver.time, wall);
+    driver.store();
+    const auto first = driver.next().permissions;
+    REQUIRE(first.size() == 1);
+
+    SECTION("not while its answer may still come")
+    {
+        for (int round = 0; round < 50; ++round) {
+            CHECK(driver.next(milliseconds(100)).permissions.empty());
+        }
+    }
+    SECTION("after a time that no request takes, and the first one is withdrawn")
+    {
+        std::vector<permission_request> repeated;
+        std::vector<std::uint64_t> withdrawn;
+        for (int round = 0; round < 200 && repeated.empty(); ++round) {
+            auto actions = driver.next(milliseconds(100));
+            repeated = std::move(actions.permissions);
+            withdrawn.insert(withdrawn.end(), actions.withdrawn_permissions.begin(),
+                             actions.withdrawn_permissions.end());
+        }
+        REQUIRE(repeated.size() == 1);
+        CHECK(repeated[0].number > first[0].number);
+        CHECK(withdrawn == std::vector<std::uint64_t>{first[0].number});
+        driver.state.on_permission(repeated[0].number, {{{"w", "ticket"}}}, driver.time);
+        CHECK(driver.next().starts.size() == 1);
+    }
+}
+
+// Guards against an owner that ignores all reports of a worker whose clock was set back before it
+// restarted: its runs were never lost, and no task of an earlier owner was ever located.
+TEST_CASE("a worker whose new incarnation has an earlier start time is not ignored for good")
+{
+    driven_state driver;
+    constexpr std::int64_t later_start = 5;
+    constexpr std::int64_t earlier_start = 4;
+    auto leased = driver.worker();
+    leased.incarnation = later_start;
+    const auto report = [&](std::int64_t incarnation, std::vector<present_run> present = {}) {
+        driver.time += milliseconds(10);
+        driver.state.on_report(
+            0, {.incarnation = incarnation, .present = std::move(present), .asked = driver.time},
+            driver.time, wall);
+    };
+
+    SECTION("the tasks of an earlier owner are located")
+    {
+        job_record job;
+        job.spec = driver.job("fedcba9876543210", 1'000);
+        job.terms = driver.terms();
+        job.accepted = wall;
+        job.spec_stored = true;
+        fill_steps(job, task_phase::unlocated);
+        std::vector<job_record> stored;
+        stored.push_back(std::move(job));
+        driver.state.load(std::move(stored), {leased}, driver.time, wall);
+        driver.state.on_worker_list({leased}, driver.time);
+        report(earlier_start);
+        CHECK_FALSE(driver.state.is_recovering());
+        driver.store();
+        driver.state.on_worker_list({leased}, driver.time); // The list is out of date.
+        CHECK(driver.next().starts.size() == 1);
+    }
+    SECTION("its earlier runs are lost")
+    {
+        driver.state.on_worker_list({leased}, driver.time);
+        report(later_start);
+        driver.store();
+        driver.submit(driver.job("fedcba9876543210", 1'000));
+        const auto first = driver.next().starts;
+        REQUIRE(first.size() == 1);
+        driver.state.on_start(0, first[0].name, start_outcome::started, driver.time);
+        std::vector<start_order> starts;
+        for (int round = 0; round < 10 && starts.empty(); ++round) {
+            report(earlier_start);
+            const auto actions = driver.next();
+            starts = actions.starts;
+            for (const auto& order : actions.stops) {
+                driver.state.on_stop(0, order.name, driver.time);
+            }
+        }
+        CHECK(starts.size() == 1);
+    }
+    SECTION("a report that was on its way when the restart was noticed is ignored")
+    {
+        driver.state.on_worker_list({leased}, driver.time);
+        report(later_start);
+        const auto asked = driver.time;
+        auto restarted = leased;
+        restarted.incarnation = later_start + 1;
+        driver.state.on_worker_list({restarted}, driver.time + milliseconds(10));
+        driver.state.on_report(0, {.incarnation = later_start, .asked = asked},
+                               driver.time + milliseconds(20), wall);
+        CHECK(driver.state.workers().at(0).entry.incarnation == later_start + 1);
+        CHECK_FALSE(driver.state.workers().at(0).reported);
+    }
+}
