--- a/flamingoseam/workflow/workflow_crash_test.cpp
+++ b/flamingoseam/workflow/workflow_crash_test.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <map>
 
 using namespace flamingoseam;
@@ -304,3 +305,114 @@
         CHECK(driver.state.counts().crashed_runs == 1);
     }
 }
+
+namespace {
+
+/// A worker that did not answer a start order, beside another one that may run the task instead.
+class unanswered_start {
+public:
+    unanswered_start()
+    {
+        list(1);
+        driver.state.on_report(0, {.incarnation = 1}, driver.time, wall);
+        driver.store();
+        driver.submit(driver.job("fedcba9876543210", 1'000));
+        const auto started = driver.next().starts;
+        REQUIRE(started.size() == 1);
+        REQUIRE(started[0].worker == 0);
+        name = started[0].name;
+        ordered_at = driver.time;
+        driver.state.on_report(1, {.incarnation = 1}, driver.time, wall);
+        driver.time += milliseconds(600);
+        driver.state.on_start(0, name, start_outcome::unknown, driver.time);
+        driver.state.on_unreachable_changed(0, true, driver.time, driver.time, wall);
+    }
+
+    /// Lists both workers, the silent one in the given incarnation.
+    void list(std::int64_t incarnation)
+    {
+        auto silent = driver.worker();
+        silent.incarnation = incarnation;
+        auto other = driver.worker();
+        other.id = "v";
+        driver.state.on_worker_list({silent, other}, driver.time);
+    }
+
+    void let_lease_expire()
+    {
+        driver.time += milliseconds(6'300);
+        driver.state.on_emptied(0, emptied_reason::lease_expired, driver.time, wall);
+    }
+
+    /// Lets the silent worker accept a stop of the run and then report.
+    void answer_stop(const worker_report& answer)
+    {
+        driver.state.on_stop(0, name, driver.time);
+        driver.time += milliseconds(1);
+        auto report = answer;
+        report.asked = driver.time;
+        driver.state.on_report(0, report, driver.time, wall);
+    }
+
+    /// Returns the number of starts and checks that they go to the other worker.
+    std::size_t starts_elsewhere(milliseconds elapsed = milliseconds(200))
+    {
+        const auto starts = driver.next(elapsed).starts;
+        CHECK(std::ranges::all_of(starts, [](const auto& order) { return order.worker == 1; }));
+        return starts.size();
+    }
+
+    driven_state driver;
+    run_name name;
+    time_point ordered_at;
+};
+
+} // namespace
+
+// Guards against tasks that run twice: the lease of the earlier incarnation has expired, but the
+// next one does not know it and accepts the order when it arrives.
+TEST_CASE("a start that was not answered before its worker restarted is not lost with the lease")
+{
+    unanswered_start start;
+    start.list(2);
+    start.let_lease_expire();
+    CHECK(start.starts_elsewhere() == 0);
+
+    SECTION("the task is started elsewhere once the next incarnation has refused the run")
+    {
+        start.answer_stop({.incarnation = 2});
+        CHECK(start.starts_elsewhere() == 1);
+    }
+    SECTION("the task is started elsewhere once the next incarnation has stopped the run")
+    {
+        const ended_run stopped{.number = 1, .name = start.name, .how = run_end::stopped};
+        start.answer_stop({.incarnation = 2, .ended = {stopped}});
+        CHECK(start.starts_elsewhere() == 1);
+    }
+    SECTION("the task is started elsewhere once the order cannot arrive any more")
+    {
+        const auto until = start.ordered_at + milliseconds(13'000);
+        const auto left = std::chrono::floor<milliseconds>(until - start.driver.time);
+        CHECK(start.starts_elsewhere(left - milliseconds(100)) == 0);
+        CHECK(start.starts_elsewhere() + start.starts_elsewhere() == 1);
+    }
+    SECTION("the task is started elsewhere when the worker was replaced by another one")
+    {
+        start.driver.state.on_emptied(0, emptied_reason::replaced, start.driver.time, wall);
+        CHECK(start.starts_elsewhere() == 1);
+    }
+}
+
+// Guards against tasks that run twice: the order may arrive in an incarnation that is noticed only
+// after the lease of the earlier one has expired.
+TEST_CASE("a start that was lost with the lease is stopped in a later incarnation")
+{
+    unanswered_start start;
+    start.let_lease_expire();
+    CHECK(start.starts_elsewhere() == 1);
+    start.list(2);
+    const auto stops = start.driver.next().stops;
+    REQUIRE(stops.size() == 1);
+    CHECK(stops[0].worker == 0);
+    CHECK(stops[0].name == start.name);
+}
