Keep an unanswered start assigned until the worker's next life has ruled it out

What callers saw: a task ran twice.

Cause: when the lease of a silent worker ended, all its runs were taken for lost, also starts that were never answered. The lease bounds them only in the life that they were meant for: the next life of the worker takes the old deadline for a distant one and carries the order out when it arrives. That the worker had restarted was known: begin_incarnation had asked for stops.

Ruled out: that no stops were asked for (they were, into the cut path); that another owner took part (same owner, same epoch).

Fix: a start that the worker has not confirmed stays assigned past the end of the lease if the worker has restarted since the order, until a stop and a report of the new life rule it out, or until max_order_delay after the order. Without a restart it is released as before, but remembered, so that a restart noticed later stops it there first.

Considered: a fencing token that rises with each life refuses the order only after the first call that the new life answers, and then stops get through as well. Holding every unanswered start for max_order_delay would delay tasks by 7 s more on workers that never come back.

--- a/flamingoseam/workflow/fleet.hpp
+++ b/flamingoseam/workflow/fleet.hpp
@@ -39,6 +39,10 @@
 
     /// Checks whether the worker has confirmed that the run has begun.
     [[nodiscard]] bool has_begun() const { return state == run_state::present; }
+
+    /// Checks whether the worker has ever confirmed the run, so that its start order is not on the
+    /// way any more.
+    [[nodiscard]] bool was_confirmed() const { return confirmed_at != time_point{}; }
 };
 
 /// A worker, the runs assigned to it and the state known from its reports.
@@ -47,6 +51,7 @@
     std::size_t pool = 0;     ///< Number of the pool of the worker's service.
     bool listed = false;      ///< The worker is in the platform's list.
     bool reported = false;    ///< The worker has accepted this owner's epoch and reported its runs.
+    bool is_emptied = false;  ///< Its runs were taken for lost, and it has not reported since.
     bool unreachable = false; ///< The worker does not answer at present.
     wall_time unreachable_since{0}; ///< Since when its lease is not renewed; 0 while it answers.
     bool lease_stored = false;      ///< The store has recorded that the worker may hold runs.
--- a/flamingoseam/workflow/workflow_maintenance.cpp
+++ b/flamingoseam/workflow/workflow_maintenance.cpp
@@ -57,6 +57,7 @@
     if (maintenance_is_due) {
         last_maintenance_ = time;
         stop_stalled_runs(time);
+        release_undelivered_runs(time);
         remove_idle_leaving_workers();
         withdraw_requests();
         release_drained(time);
--- a/flamingoseam/workflow/workflow_reports.cpp
+++ b/flamingoseam/workflow/workflow_reports.cpp
@@ -78,6 +78,7 @@
         worker_state.reported = true;
         log_first_report(worker, report);
     }
+    worker_state.is_emptied = false;
     worker_state.last_report = time;
     worker_state.last_asked = std::max(worker_state.last_asked, report.asked);
     worker_state.accepts_owner = true;
@@ -329,9 +330,7 @@
             run->stop_accepted_at != time_point{} && run->stop_accepted_at < report.asked;
         if (run->stop_requested && stop_accepted) {
             if (run->state != assigned_run::run_state::present) {
-                run->stop_accepted_at = {};
-                run->stop_sent_at = {};
-                fleet_.at(worker).ruled_out[name] = {*run, report.asked};
+                keep_ruled_out(worker, name, *run, report.asked);
             }
             const bool after_crash = run->worker_crashed;
             mark_run_lost(worker, name);
@@ -562,13 +561,22 @@
     }
     const bool after_crash = reason == emptied_reason::replaced && !worker_state.entry.leaving;
     const auto runs = worker_state.runs;
+    std::int64_t awaited_starts = 0;
     for (const auto& [name, run] : runs) {
+        if (reason == emptied_reason::lease_expired && !run.was_confirmed()) {
+            if (awaits_start(worker, run, time)) {
+                ++awaited_starts;
+                continue;
+            }
+            keep_ruled_out(worker, name, run, time);
+        }
         mark_run_lost(worker, name);
         if ((after_crash && run.has_begun()) || run.worker_crashed) {
             record_crash(worker, name, time, wall);
         }
     }
     worker_state.reported = false;
+    worker_state.is_emptied = true;
     worker_state.unacknowledged_ends.clear();
     if (!worker_state.listed && leased_workers_.erase(worker) > 0) {
         worker_state.lease_stored = false;
@@ -580,8 +588,47 @@
                                               ? ": another incarnation answers"
                                               : ": its lease has expired"),
                  {{"silent_ms", was_silent ? (wall - worker_state.unreachable_since).count() : 0},
-                  {"lost_runs", static_cast<std::int64_t>(runs.size())}});
+                  {"lost_runs", static_cast<std::int64_t>(runs.size()) - awaited_starts},
+                  {"awaited_starts", awaited_starts}});
     mark_located(worker);
 }
 
+/// Checks whether an unanswered start may still be carried out by the worker's present incarnation,
+/// which began later and knows neither the lease of the earlier one nor what was stopped there.
+bool workflow_state::awaits_start(std::size_t worker, const assigned_run& run,
+                                  time_point time) const
+{
+    return run.ordered_at < fleet_.at(worker).incarnation_since &&
+           time < run.ordered_at + max_order_delay;
+}
+
+/// Remembers an unanswered start that the present incarnation can't carry out any more, so that it
+/// is ruled out in the next one as well.
+void workflow_state::keep_ruled_out(std::size_t worker, const run_name& name, assigned_run run,
+                                    time_point time)
+{
+    run.state = assigned_run::run_state::unconfirmed;
+    run.stop_requested = true;
+    run.stop_accepted_at = {};
+    run.stop_sent_at = {};
+    fleet_.at(worker).ruled_out[name] = {run, time};
+}
+
+/// Takes the runs for lost whose worker is silent and whose unanswered starts can't arrive any
+/// more.
+void workflow_state::release_undelivered_runs(time_point time)
+{
+    for (std::size_t worker = 0; worker < fleet_.size(); ++worker) {
+        if (!fleet_.at(worker).is_emptied) {
+            continue;
+        }
+        const auto runs = fleet_.at(worker).runs;
+        for (const auto& [name, run] : runs) {
+            if (!awaits_start(worker, run, time)) {
+                mark_run_lost(worker, name);
+            }
+        }
+    }
+}
+
 } // namespace flamingoseam::workflow
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -265,6 +265,11 @@
     void rule_out(std::size_t worker, const run_name& name, assigned_run& run, time_point time);
     void request_stop(std::size_t worker, const run_name& name, assigned_run& run);
     void mark_run_lost(std::size_t worker, const run_name& name);
+    [[nodiscard]] bool awaits_start(std::size_t worker, const assigned_run& run,
+                                    time_point time) const;
+    void keep_ruled_out(std::size_t worker, const run_name& name, assigned_run run,
+                        time_point time);
+    void release_undelivered_runs(time_point time);
     void record_crash(std::size_t worker, const run_name& name, time_point time, wall_time wall);
     void acknowledge_end(std::size_t worker, std::int64_t incarnation, std::int64_t number);
     void mark_located(std::size_t worker);
