--- a/flamingoseam/workflow/workflow_overdue.cpp
+++ b/flamingoseam/workflow/workflow_overdue.cpp
@@ -7,10 +7,10 @@
 
 namespace {
 
-constexpr milliseconds max_wait{
-    10'000}; ///< Without any start of its tasks, until a step gets a turn.
-constexpr milliseconds turn_length{
-    3'000}; ///< After which a step that could not start ends its turn.
+/// How long a step waits without any start of its tasks until it gets a turn.
+constexpr milliseconds max_wait{10'000};
+/// Long enough for a permission call and the start.
+constexpr milliseconds turn_length{1'000};
 constexpr milliseconds turn_interval{500}; ///< Between two turns; limits what work on time loses.
 constexpr milliseconds search_interval{100};
 
