Treat a start order that has had no result for 5 s like an unanswered one

Callers would see accepted work that never starts: a run whose start order was given to a session stayed ordered until a result came. Reports did not touch it and no step of the owner ended it, so a result that was lost for any reason kept the task placed, and its room taken, until the worker began another incarnation or was emptied.

This is the bound that holds whatever the reason.

An order has a result within 3.4 s (1 s in the queue, a start and a stop before it, its own timeout and one repetition). After 5 s the run is unconfirmed: it is stopped, which also refuses the order if it arrives later, and the next report shows whether it takes place. A late result is handled as before for unconfirmed runs.

--- a/flamingoseam/workflow/workflow_maintenance.cpp
+++ b/flamingoseam/workflow/workflow_maintenance.cpp
@@ -23,6 +23,9 @@
 constexpr int nearly_done_percent = 98;
 constexpr milliseconds gang_stall_allowance{500}; ///< A gang may wait for its last member.
 constexpr milliseconds exclusion_after_stall{3'000};
+/// Above the time until an order has a result: its wait in the queue, the order before it, and its
+/// own timeout.
+constexpr milliseconds max_order_time{5'000};
 
 milliseconds stall_limit(milliseconds estimate, bool gang)
 {
@@ -57,6 +60,7 @@
     if (maintenance_is_due) {
         last_maintenance_ = time;
         stop_stalled_runs(time);
+        doubt_overdue_starts(time);
         remove_idle_leaving_workers();
         withdraw_requests();
         release_drained(time);
@@ -107,6 +111,19 @@
     });
 }
 
+/// Treats the start orders that should have had a result by now like those that were not answered,
+/// so that no task depends on a result that may be lost.
+void workflow_state::doubt_overdue_starts(time_point time)
+{
+    for (std::size_t worker = 0; worker < fleet_.size(); ++worker) {
+        for (auto& [name, run] : fleet_.at(worker).runs) {
+            if (time - run.ordered_at >= max_order_time) {
+                mark_unconfirmed(worker, name, run, time);
+            }
+        }
+    }
+}
+
 void workflow_state::request_reports(time_point time)
 {
     for (std::size_t worker = 0; worker < fleet_.size(); ++worker) {
--- a/flamingoseam/workflow/workflow_reports.cpp
+++ b/flamingoseam/workflow/workflow_reports.cpp
@@ -457,13 +457,7 @@
         return;
     }
     if (outcome == start_outcome::unknown) {
-        if (run->state == assigned_run::run_state::ordered) {
-            run->state = assigned_run::run_state::unconfirmed;
-            run->unconfirmed_since = time;
-            ++counts_.unconfirmed_starts;
-            log_decision("start_in_doubt", name.task.job,
-                         to_string(name) + " on " + fleet_.at(worker).entry.id);
-        }
+        mark_unconfirmed(worker, name, *run, time);
         return;
     }
     if (run->state != assigned_run::run_state::ordered) {
@@ -481,6 +475,21 @@
     }
 }
 
+/// Records that it is not known whether an ordered run has begun. The next reports show it.
+void workflow_state::mark_unconfirmed(std::size_t worker, const run_name& name, assigned_run& run,
+                                      time_point time)
+{
+    if (run.state != assigned_run::run_state::ordered) {
+        return;
+    }
+    run.state = assigned_run::run_state::unconfirmed;
+    run.unconfirmed_since = time;
+    ++counts_.unconfirmed_starts;
+    log_decision("start_in_doubt", name.task.job,
+                 to_string(name) + " on " + fleet_.at(worker).entry.id,
+                 {{"order_ms", (time - run.ordered_at) / milliseconds(1)}});
+}
+
 /// Stops a run whose start was refused. A refusal answers the newest copy of an order; the
 /// connection may have delivered an earlier copy, whose answer was lost and whose run may have
 /// ended already. Only a report that is requested after the worker has accepted the stop shows
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -262,6 +262,8 @@
                              wall_time wall);
     void apply_refusal(job_record& job, std::size_t worker, const run_name& name,
                        start_outcome outcome, time_point time);
+    void mark_unconfirmed(std::size_t worker, const run_name& name, assigned_run& run,
+                          time_point time);
     void rule_out(std::size_t worker, const run_name& name, assigned_run& run, time_point time);
     void request_stop(std::size_t worker, const run_name& name, assigned_run& run);
     void mark_run_lost(std::size_t worker, const run_name& name);
@@ -357,6 +359,7 @@
     // maintenance and storing
     void run_pass(time_point time);
     void repeat_stops(time_point time);
+    void doubt_overdue_starts(time_point time);
     void request_reports(time_point time);
     void stop_stalled_runs(time_point time);
     void remove_idle_leaving_workers();
