End a permission request that had no answer for 10 s beyond its service time

Callers would see a step that waits for good: a step has at most one permission request, and its end depended on an answer that comes back through the dispatcher, the calling node and the control loop.

No way was found in which an answer is lost: each call has timeouts on every hop, errors are answered as failures, an exception that is no error of ours ends the process, and a request that is withdrawn leaves no trace in the step. So this is a bound, not the repair of a loss that was seen.

The owner ends the request as failed itself and withdraws it from the dispatcher, so that it is not made twice if it still waits there; a late answer is ignored, as for withdrawn requests. A request that has waited in the queue that long is asked again with the same urgency.

--- a/flamingoseam/workflow/workflow_maintenance.cpp
+++ b/flamingoseam/workflow/workflow_maintenance.cpp
@@ -63,6 +63,7 @@
         doubt_overdue_starts(time);
         remove_idle_leaving_workers();
         withdraw_requests();
+        end_overdue_requests(time);
         release_drained(time);
         report_waiting_steps(time);
     }
--- a/flamingoseam/workflow/workflow_permission.cpp
+++ b/flamingoseam/workflow/workflow_permission.cpp
@@ -12,6 +12,9 @@
 /// Time since a grant was issued when it arrives.
 constexpr milliseconds ticket_answer_margin{100};
 constexpr milliseconds pause_after_failed_request{200};
+/// Above the time beyond its service time that a request waits for a call slot and is repeated by
+/// the connection.
+constexpr milliseconds max_request_overhead{10'000};
 
 } // namespace
 
@@ -146,6 +149,22 @@
     });
 }
 
+/// Ends the requests that should have been answered by now as failed, so that no step depends on an
+/// answer that may be lost.
+void workflow_state::end_overdue_requests(time_point time)
+{
+    std::vector<std::uint64_t> overdue;
+    for (const auto& [number, request] : requests_) {
+        if (time - request.asked >= request.service_time + max_request_overhead) {
+            overdue.push_back(number);
+        }
+    }
+    for (const auto number : overdue) {
+        actions_.withdrawn_permissions.push_back(number);
+        on_permission(number, std::nullopt, time);
+    }
+}
+
 void workflow_state::on_permission(std::uint64_t number,
                                    const std::optional<std::vector<ticket_grant>>& grants,
                                    time_point time)
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -345,6 +345,7 @@
                             time_point time);
     void request_for_unknown_workers(const ready_step& step, time_point time);
     void withdraw_requests();
+    void end_overdue_requests(time_point time);
     std::vector<std::size_t> find_unknown_workers(const ready_step& step, time_point time);
     /// How many tasks of a step fit on its permitted workers.
     struct step_capacity {
