Believe a worker's reports also when its start time is earlier than before

Callers would see jobs that never run: reports with a lower incarnation (the start time of the worker's process by its own clock) than the known one were ignored, for good if the clock was set back between two lives or the worker's list had a start time that was too late. The owner then kept the runs of the earlier life as present, since neither reports nor an expired lease ended them, and an owner that had loaded such a worker never located any task of the jobs of its predecessor.

Reports reach the owner in order over one connection of the current session, so one that was asked for after the known incarnation was noticed shows the process that is there now; only an earlier one is outdated. The list, which may lag behind, is believed when it shows an incarnation that is new in the list and higher. Before: the worker is ignored; after: its earlier runs are lost, and tasks located.

--- a/flamingoseam/workflow/fleet.hpp
+++ b/flamingoseam/workflow/fleet.hpp
@@ -44,8 +44,9 @@
 /// A worker, the runs assigned to it and the state known from its reports.
 struct fleet_worker {
     worker_entry entry;
-    std::size_t pool = 0;     ///< Number of the pool of the worker's service.
-    bool listed = false;      ///< The worker is in the platform's list.
+    std::size_t pool = 0;                ///< Number of the pool of the worker's service.
+    bool listed = false;                 ///< The worker is in the platform's list.
+    std::int64_t listed_incarnation = 0; ///< In the newest list that contained the worker.
     bool reported = false;    ///< The worker has accepted this owner's epoch and reported its runs.
     bool unreachable = false; ///< The worker does not answer at present.
     wall_time unreachable_since{0}; ///< Since when its lease is not renewed; 0 while it answers.
--- a/flamingoseam/workflow/workflow_reports.cpp
+++ b/flamingoseam/workflow/workflow_reports.cpp
@@ -17,6 +17,15 @@
 constexpr milliseconds exclusion_in_quarantine{4'000};
 constexpr milliseconds pause_after_rejection{500};
 
+/// Checks whether the list shows an incarnation that no report has shown yet. The list may be older
+/// than the reports. An incarnation that was listed before is no news, even if reports have shown
+/// an earlier number since, as after the worker's clock was set back.
+bool shows_restart(const fleet_worker& worker, std::int64_t listed_incarnation)
+{
+    return listed_incarnation > worker.entry.incarnation &&
+           listed_incarnation != worker.listed_incarnation;
+}
+
 } // namespace
 
 void workflow_state::on_worker_list(const std::vector<worker_entry>& workers, time_point time)
@@ -27,9 +36,11 @@
         if (known && entry.token_base < fleet_.at(*known).released_base) {
             continue; // The list does not show yet that the worker was given to another shard.
         }
-        const auto known_incarnation = known ? fleet_.at(*known).entry.incarnation : 0;
         const auto listed_incarnation = entry.incarnation;
-        entry.incarnation = std::max(known_incarnation, listed_incarnation);
+        const bool is_restarted = known && shows_restart(fleet_.at(*known), listed_incarnation);
+        if (known) {
+            entry.incarnation = fleet_.at(*known).entry.incarnation;
+        }
         const bool was_leaving =
             known && fleet_.at(*known).listed && fleet_.at(*known).entry.leaving;
         if (entry.leaving && !was_leaving) {
@@ -37,8 +48,8 @@
         }
         const auto index = fleet_.put(entry);
         listed.insert(index);
-        if (known && listed_incarnation > known_incarnation) {
-            fleet_.at(index).entry.incarnation = known_incarnation;
+        fleet_.at(index).listed_incarnation = listed_incarnation;
+        if (is_restarted) {
             begin_incarnation(index, listed_incarnation, !was_leaving, time);
         }
         fleet_.at(index).listed = true;
@@ -69,8 +80,10 @@
         return;
     }
     if (report.incarnation != 0 && report.incarnation != worker_state.entry.incarnation) {
-        if (report.incarnation < worker_state.entry.incarnation) {
-            return;
+        const bool is_outdated = report.incarnation < worker_state.entry.incarnation &&
+                                 report.asked <= worker_state.incarnation_since;
+        if (is_outdated) {
+            return; // It was on its way when the restart was noticed.
         }
         begin_incarnation(worker, report.incarnation, !worker_state.entry.leaving, time);
     }
