--- a/tests/permission_simulation.cpp
+++ b/tests/permission_simulation.cpp
@@ -20,6 +20,34 @@
 
 permission_simulation::permission_simulation(permission_simulation_options options)
     : options_(options)
+{
+    state_.set_permission_call_slots(options_.call_slots);
+    list_workers(0);
+}
+
+void permission_simulation::add_workers(std::size_t count)
+{
+    const auto first_new = options_.workers;
+    options_.workers += count;
+    for (auto& [id, job] : submitted_) {
+        if (!job.permitted.empty()) {
+            record_permitted(id, first_new);
+        }
+    }
+    list_workers(first_new);
+}
+
+void permission_simulation::record_permitted(const std::string& id, std::size_t first)
+{
+    for (std::size_t worker = first; worker < options_.workers; ++worker) {
+        if (is_permitted(id, worker)) {
+            submitted_.at(id).permitted.push_back(worker);
+        }
+    }
+}
+
+/// Announces all workers to the owner, the new ones of which then report.
+void permission_simulation::list_workers(std::size_t first_new)
 {
     std::vector<worker_entry> entries;
     for (std::size_t worker = 0; worker < options_.workers; ++worker) {
@@ -29,10 +57,9 @@
                            .address = {"127.0.0.1", 1},
                            .capacity = {.milli_cpus = options_.milli_cpus, .memory_mb = 100'000}});
     }
-    state_.set_permission_call_slots(options_.call_slots);
     state_.on_worker_list(entries, time_);
-    for (std::size_t worker = 0; worker < options_.workers; ++worker) {
-        state_.on_report(worker, {.incarnation = 1}, time_, wall);
+    for (std::size_t worker = first_new; worker < options_.workers; ++worker) {
+        state_.on_report(worker, {.incarnation = 1, .asked = time_}, time_, wall);
     }
     commit_changes();
 }
@@ -40,7 +67,14 @@
 void permission_simulation::submit(const job_spec& spec, const queue_terms& terms,
                                    milliseconds length)
 {
-    submitted_[spec.id] = {.time = time_, .length = length, .first_answer = {}};
+    submitted_[spec.id] = {.time = time_,
+                           .length = length,
+                           .milli_cpus = spec.steps.front().size.milli_cpus,
+                           .permitted = {},
+                           .first_answer = {}};
+    if (terms.permission) {
+        record_permitted(spec.id, 0);
+    }
     ids_.push_back(spec.id);
     state_.submit(ids_.size(), spec, terms, time_, wall);
     commit_changes();
@@ -169,6 +203,26 @@
                                 [worker](const auto& run) { return run.second.worker == worker; });
 }
 
+std::vector<std::int64_t> permission_simulation::used_processors() const
+{
+    std::vector<std::int64_t> used(options_.workers);
+    for (const auto& [end, order] : running_) {
+        used[order.worker] += submitted_.at(order.name.task.job).milli_cpus;
+    }
+    return used;
+}
+
+int permission_simulation::places(const std::string& id,
+                                  const std::vector<std::int64_t>& used) const
+{
+    const auto& job = submitted_.at(id);
+    std::int64_t places = 0;
+    for (const auto worker : job.permitted) {
+        places += (options_.milli_cpus - used[worker]) / job.milli_cpus;
+    }
+    return static_cast<int>(places);
+}
+
 bool permission_simulation::is_permitted(const std::string& id, std::size_t worker) const
 {
     std::mt19937_64 random(std::hash<std::string>()(id + worker_id(worker)));
--- a/tests/permission_simulation.hpp
+++ b/tests/permission_simulation.hpp
@@ -30,6 +30,9 @@
 
     void cancel(const std::string& id);
 
+    /// Adds workers to the fleet.
+    void add_workers(std::size_t count);
+
     /// Advances the virtual time by `length` and processes all events that become due.
     void advance(milliseconds length);
 
@@ -37,12 +40,20 @@
     [[nodiscard]] bool refused(const std::string& id) const { return submitted_.at(id).refused; }
 
     [[nodiscard]] time_point time() const { return time_; }
+    [[nodiscard]] std::size_t workers() const { return options_.workers; }
     [[nodiscard]] int pending_requests() const { return pending_requests_; }
     [[nodiscard]] int answered_calls() const { return answered_calls_; }
 
     /// Checks whether a worker has no active runs.
     [[nodiscard]] bool is_idle(std::size_t worker) const;
 
+    /// Returns the processors that the active runs use, by worker.
+    [[nodiscard]] std::vector<std::int64_t> used_processors() const;
+
+    /// Returns how many tasks of a job's first step fit on its permitted workers beside runs that
+    /// use these processors. The job needs permission.
+    [[nodiscard]] int places(const std::string& id, const std::vector<std::int64_t>& used) const;
+
     /// Checks whether the permission service allows the steps of a job on a worker.
     [[nodiscard]] bool is_permitted(const std::string& id, std::size_t worker) const;
 
@@ -66,12 +77,16 @@
     };
     struct submitted_job {
         time_point time{};
-        milliseconds length{0}; ///< Run time of each task.
+        milliseconds length{0};             ///< Run time of each task.
+        std::int64_t milli_cpus = 0;        ///< Processors of each task.
+        std::vector<std::size_t> permitted; ///< Permitted workers, if the job needs permission.
         std::optional<time_point> first_answer;
         int answered_calls = 0;
         bool refused = false;
     };
 
+    void record_permitted(const std::string& id, std::size_t first);
+    void list_workers(std::size_t first_new);
     void process_actions();
     void end_runs();
     void complete_calls();
