Start gangs that need permission when there is room, without reservations ahead

Cause: up to four reservations, planned from estimates that are off by a factor, held free workers for gangs that could not start, and these gangs asked again and again for tickets for workers that had not become free. Besides, a gang needed one call about unknown workers (1.7 s) and then one for tickets (1 s), since the tickets it had (1.5 s) had expired meanwhile; about workers new in the shard it asked only when it could be expected to start with them at once. Fix: a gang that needs permission reserves workers only while it waits for the tickets to start on them; a request about unknown workers also renews the tickets for the free known ones; and while less than half of the call slots are in use, a gang asks about free unknown workers before they suffice. Ruled out: a single gang that knows 85 % of the workers of an idle shard; it starts within 1.8 s as before. Not examined: the order among the waiting gangs.

--- a/flamingoseam/workflow/permission_budget.hpp
+++ b/flamingoseam/workflow/permission_budget.hpp
@@ -23,6 +23,13 @@
     /// a call slot is free or becomes free soon. Complexity: constant.
     [[nodiscard]] bool has_call_slot(milliseconds service_time, time_point time) const;
 
+    /// Checks whether long calls use less than half of the call slots that they may use.
+    /// Complexity: constant.
+    [[nodiscard]] bool is_mostly_idle(time_point time) const
+    {
+        return 2 * long_calls_ < call_slots_for_long_calls(time);
+    }
+
     /// Records that a call has begun.
     void begin(milliseconds service_time, time_point time);
 
--- a/flamingoseam/workflow/workflow_gangs.cpp
+++ b/flamingoseam/workflow/workflow_gangs.cpp
@@ -13,7 +13,6 @@
 
 /// Length of a reservation while tickets are requested.
 constexpr milliseconds ticket_reservation_time{1'500};
-constexpr milliseconds ticket_lead_time{150}; ///< Tickets are requested this long ahead.
 /// Time from the expected start of a gang until a firm reservation expires. Runs often take longer
 /// than estimated.
 constexpr milliseconds firm_expiry_grace{8'000};
@@ -111,15 +110,15 @@
         }
         return;
     }
-    reserve_for_gang(step, time);
     request_for_unknown_workers(step, time);
 }
 
+/// Reserves the workers on which a gang is expected to fit soonest. Only for gangs that need no
+/// permission: one that does may not run on most workers and needs tickets that expire soon, so
+/// that workers which are held for it until others become free would stay idle for long.
 void workflow_state::reserve_for_gang(const ready_step& step, time_point time)
 {
     const auto* reservation = gang_reservations_.of_step(step.job->spec.id, step.step);
-    const auto& permission = step.record().permission;
-    const bool needs_permission = step.job->terms.permission.has_value();
     if (reservation == nullptr) {
         if (gang_reservations_.is_full(fleet_.size())) {
             return;
@@ -140,22 +139,7 @@
         gang_reservations_.add(std::move(*planned));
         reservation = gang_reservations_.of_step(step.job->spec.id, step.step);
     }
-    if (!needs_permission) {
-        preempt_runs(step, *reservation, time);
-        return;
-    }
-    std::vector<std::size_t> without_ticket;
-    for (const auto worker : reservation->workers) {
-        if (permission.find_ticket(worker, reservation->expected + ticket_use_margin) == nullptr) {
-            without_ticket.push_back(worker);
-        }
-    }
-    const auto service_time = step.job->terms.permission->service_time(without_ticket.size());
-    if (without_ticket.empty()) {
-        preempt_runs(step, *reservation, time);
-    } else if (reservation->expected <= time + service_time + ticket_lead_time) {
-        request_permission(step, std::move(without_ticket), time);
-    }
+    preempt_runs(step, *reservation, time);
 }
 
 /// Drops the reservations that have expired. The next one of the same gang is firm: the estimates
--- a/flamingoseam/workflow/workflow_search.cpp
+++ b/flamingoseam/workflow/workflow_search.cpp
@@ -16,6 +16,9 @@
 constexpr int gang_choice = 2;
 constexpr double min_workers_per_request = 16;
 constexpr double requested_per_needed_worker = 8;
+constexpr std::size_t min_workers_to_explore = 16;
+/// Of a request that also asks about unknown workers.
+constexpr std::size_t max_renewed_workers = max_workers_per_request / 2;
 constexpr milliseconds min_search_pause{400};
 constexpr std::size_t searches_per_pause = 100; ///< Number of waiting steps for each minimum pause.
 
@@ -73,6 +76,14 @@
     return std::min(max_workers_per_request, static_cast<std::size_t>(std::ceil(wanted)));
 }
 
+/// Checks whether a gang that can't be expected to start now asks about this number of unknown
+/// workers with free capacity, so that it knows the permitted ones when more becomes free: the
+/// calls must be worth their fixed cost and must not delay others.
+bool workflow_state::may_explore(std::size_t unknown_workers, time_point time) const
+{
+    return unknown_workers >= min_workers_to_explore && permission_budget_.is_mostly_idle(time);
+}
+
 /// Returns the workers that the next permission request of a step asks about, those with the most
 /// free processors first. A step that is already permitted on enough workers asks only about
 /// workers with free capacity for it now, and a gang only if it can be expected to start with them:
@@ -107,7 +118,7 @@
         }
     }
     const bool is_sufficient = capacity.now + permission.permitted_share() * fits >= waiting;
-    if (needs_capacity && gang && !is_sufficient) {
+    if (needs_capacity && gang && !is_sufficient && !may_explore(offers.size(), time)) {
         return {};
     }
     std::ranges::sort(offers, std::ranges::greater(),
@@ -117,9 +128,31 @@
     for (const auto& entry : offers) {
         workers.push_back(entry.worker);
     }
+    if (gang && is_sufficient) {
+        add_workers_to_renew(step, workers, time);
+    }
     return workers;
 }
 
+/// Adds the permitted workers with free capacity for a step whose tickets will have expired when a
+/// request about `workers` is answered, so that a gang can start with the answer.
+void workflow_state::add_workers_to_renew(const ready_step& step, std::vector<std::size_t>& workers,
+                                          time_point time)
+{
+    std::vector<std::size_t> renewed;
+    const auto answered = time + step.job->terms.permission->service_time(max_workers_per_request);
+    for (const auto& ticket : step.record().permission.permitted()) {
+        if (ticket.valid_until < answered && can_run(step, ticket.worker, time) &&
+            fits_now(step, ticket.worker, time) > 0) {
+            renewed.push_back(ticket.worker);
+        }
+    }
+    const auto places = max_workers_per_request - std::min(renewed.size(), max_renewed_workers);
+    workers.resize(std::min(workers.size(), places));
+    workers.insert(workers.end(), renewed.begin(), renewed.end());
+    workers.resize(std::min(workers.size(), max_workers_per_request));
+}
+
 /// Returns how long a step waits after a search of the whole fleet without a result before it
 /// searches again. The pause grows with the number of waiting steps, which bounds the time spent on
 /// searches.
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -343,6 +343,9 @@
                             time_point time);
     void request_for_unknown_workers(const ready_step& step, time_point time);
     void withdraw_requests();
+    [[nodiscard]] bool may_explore(std::size_t unknown_workers, time_point time) const;
+    void add_workers_to_renew(const ready_step& step, std::vector<std::size_t>& workers,
+                              time_point time);
     std::vector<std::size_t> find_unknown_workers(const ready_step& step, time_point time);
     /// How many tasks of a step fit on its permitted workers.
     struct step_capacity {
