--- a/flamingoseam/workflow/workflow_waiting.cpp
+++ b/flamingoseam/workflow/workflow_waiting.cpp
@@ -12,6 +12,7 @@
 constexpr milliseconds report_interval{2'500};
 constexpr milliseconds min_wait{5'000};     ///< Steps that wait for less are not reported.
 constexpr int max_reports_per_reason = 2;   ///< At a time; the oldest jobs are reported.
+constexpr int max_examined_steps = 24;      ///< At a time; the oldest ones. Bounds the time used.
 constexpr milliseconds recent_refusal{500}; ///< Call slots are asked for again within this.
 
 /// Returns for how many milliseconds something has lasted, -1 if it has not happened.
@@ -150,7 +151,8 @@
 }
 
 /// Logs the steps of jobs that have had nothing running for long, with what tells the reason: the
-/// oldest ones for each reason, and the number of jobs.
+/// oldest ones for each reason, how many of the oldest wait for each, and the number of jobs.
+/// Complexity: linear in the open jobs and their tasks, and in the workers.
 void workflow_state::report_waiting_steps(time_point time)
 {
     if (time < next_waiting_report_) {
@@ -158,6 +160,7 @@
     }
     next_waiting_report_ = time + report_interval;
     std::map<std::string, int> reports;
+    int examined = 0;
     std::int64_t idle_jobs = 0;
     for (const auto& [sequence, job] : open_) {
         if (has_present_run(*job)) {
@@ -170,9 +173,11 @@
         }
         ++idle_jobs;
         for (std::size_t index = 0; index < job->steps.size(); ++index) {
-            if (job->steps[index].is_done() || !job->are_predecessors_done(index)) {
+            const bool is_due = !job->steps[index].is_done() && job->are_predecessors_done(index);
+            if (!is_due || examined == max_examined_steps) {
                 continue;
             }
+            ++examined;
             const ready_step step{job, static_cast<int>(index)};
             const auto facts = facts_of(step, time);
             const auto reason = reason_for_waiting(step, facts, time);
