Play the workflow model with the permission service, and check that no job waits that could run

Options, off by default: queues with permission, whose answers differ by step and life of a worker and are sometimes lost; jobs of three steps with limits by worker; and a check by the users' rule that after the load and all faults no accepted job has nothing running for 3 s while a step of it has room twice over on permitted workers of the cell and less than half of the cell is in use.

--- a/tests/workflow_model.cpp
+++ b/tests/workflow_model.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <iostream>
+#include <sstream>
 
 namespace flamingoseam::model {
 
@@ -18,6 +19,13 @@
 constexpr int attempts = 3;
 constexpr std::size_t streams = 3;
 constexpr milliseconds incarnation_discovery_time{400};
+constexpr milliseconds max_disconnection{9'000};
+constexpr milliseconds ticket_validity{1'500};
+constexpr milliseconds failed_permission_time{500};
+/// A job that could run may wait for this long.
+constexpr milliseconds max_wait{3'000};
+/// Time after the end of the load and of the last fault in which leases run out.
+constexpr milliseconds settling_time = lease + milliseconds(1'000);
 
 queue_terms terms_of(int priority)
 {
@@ -30,6 +38,25 @@
             .permission = {}};
 }
 
+/// Returns the detail of a decision and its measured values.
+std::string to_text(const logged_decision& decision)
+{
+    std::ostringstream text;
+    text << decision.detail;
+    for (const auto& field : decision.fields) {
+        text << ' ' << field.name << '=' << field.value;
+    }
+    return text.str();
+}
+
+/// Returns a number from 0 to 1 that is fixed by a text.
+double fixed_chance(const std::string& text)
+{
+    std::seed_seq sequence(text.begin(), text.end());
+    std::mt19937_64 random(sequence);
+    return std::uniform_real_distribution<double>(0, 1)(random);
+}
+
 } // namespace
 
 struct workflow_model::run_record {
@@ -59,8 +86,18 @@
     }
 };
 
+/// A ticket of the permission service.
+struct workflow_model::issued_ticket {
+    std::string worker;
+    std::int64_t incarnation = 0;
+    std::string job;
+    int step = 0;
+    milliseconds valid_until{0};
+};
+
 struct workflow_model::job_history {
     job_spec spec;
+    milliseconds could_run_since{-1}; ///< Since when a job with nothing running has room.
     bool accepted = false;
     bool cancelled = false;
     std::set<task_name> acknowledged_successes;
@@ -84,6 +121,8 @@
     std::map<std::size_t, time_point> silences;
     std::map<std::uint64_t, std::string> tokens;
     std::uint64_t next_token = 1;
+    permission_queue permission_calls;
+    std::size_t calls_in_flight = 0;
 };
 
 workflow_model::workflow_model(workflow_model_options options)
@@ -138,10 +177,13 @@
 
 void workflow_model::schedule_events()
 {
-    const auto span = static_cast<int>(options_.load_time.count());
+    auto span = static_cast<int>(options_.load_time.count());
     for (int number = 0; number < options_.jobs; ++number) {
         at(between(100, span), [this, number] { submit_job(number); });
     }
+    if (options_.fault_time > milliseconds(0)) {
+        span = static_cast<int>(options_.fault_time.count());
+    }
     for (int index = 0; index < options_.owner_crashes; ++index) {
         at(between(300, span),
            [this, index] { crash_owner(static_cast<std::size_t>(index) % owners_.size()); });
@@ -156,7 +198,8 @@
         at(between(300, span), [this, any_worker] {
             auto& target = any_worker();
             target.disconnected = true;
-            at(between(200, 9'000), [&target] { target.disconnected = false; });
+            at(between(200, static_cast<int>(max_disconnection.count())),
+               [&target] { target.disconnected = false; });
         });
     }
     for (int index = 0; index < options_.store_outages; ++index) {
@@ -191,8 +234,52 @@
     return sender.epoch + (options_.raise_token ? base : 0);
 }
 
+queue_terms workflow_model::terms_for(int number) const
+{
+    auto terms = terms_of(number % 3);
+    if (options_.needs_permission) {
+        terms.permission = permission_terms{.decision = fractional_ms(60),
+                                            .per_worker = fractional_ms(4),
+                                            .validity = ticket_validity};
+    }
+    return terms;
+}
+
+job_spec workflow_model::make_long_job(int number)
+{
+    constexpr int wide_gang_interval = 8;
+    job_spec spec;
+    spec.id = "job" + std::to_string(number);
+    spec.queue = terms_of(number % 3).name;
+    for (int step = 0; step < 3; ++step) {
+        step_spec added;
+        added.size = {.milli_cpus = between(500, 3'000).count(), .memory_mb = 500};
+        added.estimate = between(200, 1'200);
+        added.gang = chance(0.2);
+        added.tasks = 1 + static_cast<int>(between(0, added.gang ? 3 : 6).count());
+        added.max_per_worker = chance(0.4) ? 1 + static_cast<int>(between(0, 1).count()) : 0;
+        if (step == 0 && number % wide_gang_interval == 0) {
+            added.gang = true;
+            added.tasks = 9;
+        }
+        if (step == 1 && chance(0.5)) {
+            added.after = {0};
+        } else if (step == 2) {
+            const auto form = between(0, 2).count();
+            added.after = form == 0   ? std::vector<int>{0}
+                          : form == 1 ? std::vector<int>{1}
+                                      : std::vector<int>{0, 1};
+        }
+        spec.steps.push_back(added);
+    }
+    return spec;
+}
+
 job_spec workflow_model::make_job(int number)
 {
+    if (options_.has_long_jobs) {
+        return make_long_job(number);
+    }
     job_spec spec;
     spec.id = "job" + std::to_string(number);
     spec.queue = terms_of(number % 3).name;
@@ -234,7 +321,7 @@
     }
     const auto token = receiver->next_token++;
     receiver->tokens.emplace(token, id);
-    receiver->state.submit(token, jobs_[id]->spec, terms_of(number % 3), clock(),
+    receiver->state.submit(token, jobs_[id]->spec, terms_for(number), clock(),
                            simulation_start + now_);
     tick_owner(receiver);
     if (chance(0.1)) {
@@ -261,6 +348,7 @@
     owners_[shard] = started;
     started->shard = shard;
     started->epoch = epochs_[shard];
+    started->state.set_permission_call_slots(options_.permission_call_slots);
     started->state.set_lending_limits(
         {.shard = shard, .shards = owners_.size(), .cell_workers = workers_.size()});
     std::vector<worker_entry> leased_workers;
@@ -374,7 +462,17 @@
     for (const auto& decision : actions.decisions) {
         trace(decision.job, "epoch " + std::to_string(sender->epoch) + " " + decision.event + " " +
                                 decision.detail);
+        if (decision.event == "step_waits") {
+            waits_[decision.job] = std::to_string(now_.count()) + " ms " + to_text(decision);
+        }
+    }
+    for (const auto& request : actions.permissions) {
+        sender->permission_calls.add(request);
+    }
+    for (const auto number : actions.withdrawn_permissions) {
+        sender->permission_calls.drop(number);
     }
+    make_permission_calls(sender);
     for (const auto& order : actions.stops) {
         send_stop(sender, order);
     }
@@ -619,6 +717,9 @@
     if (target.runs.count(order.name) > 0) {
         return start_outcome::started;
     }
+    if (options_.needs_permission && !has_valid_ticket(target, order)) {
+        return start_outcome::no_ticket;
+    }
     trace(order.name.task.job, "starts " + to_string(order.name) + " on " + target.entry.id);
     check_start(target, order);
     target.lease_until = std::max(target.lease_until, lease_until);
@@ -640,6 +741,175 @@
     return start_outcome::started;
 }
 
+/// Checks whether the permission service permits a step on the present incarnation of a worker.
+bool workflow_model::is_permitted(const task_name& task, const worker& target) const
+{
+    if (!options_.needs_permission) {
+        return true;
+    }
+    const auto step =
+        std::to_string(options_.seed) + "/" + task.job + "/" + std::to_string(task.step);
+    const double share = 0.3 + 0.4 * fixed_chance(step);
+    return fixed_chance(step + "/" + target.entry.id + "/" +
+                        std::to_string(target.entry.incarnation)) < share;
+}
+
+/// Makes the calls for which the shard has a free call slot.
+void workflow_model::make_permission_calls(const std::shared_ptr<owner>& sender)
+{
+    while (sender->calls_in_flight < options_.permission_call_slots) {
+        const auto request = sender->permission_calls.take(options_.permission_call_slots, clock());
+        if (!request) {
+            return;
+        }
+        ++sender->calls_in_flight;
+        const bool is_lost = chance(options_.lost_permission_share);
+        const auto delay = is_lost ? failed_permission_time : request->service_time;
+        at(delay, [this, sender, request = *request, is_lost] {
+            --sender->calls_in_flight;
+            sender->permission_calls.finish(request);
+            if (!sender->active) {
+                return;
+            }
+            if (is_lost) {
+                sender->state.on_permission(request.number, std::nullopt, clock());
+            } else {
+                answer_permission(sender, request);
+            }
+            tick_owner(sender);
+        });
+    }
+}
+
+void workflow_model::answer_permission(const std::shared_ptr<owner>& sender,
+                                       const permission_request& request)
+{
+    std::vector<ticket_grant> grants;
+    for (const auto& id : request.workers) {
+        const auto& target = *workers_.at(std::stoul(id.substr(1)));
+        if (is_permitted({request.job, request.step, 0}, target)) {
+            grants.push_back({id, std::to_string(tickets_.size())});
+            tickets_.push_back({.worker = id,
+                                .incarnation = target.entry.incarnation,
+                                .job = request.job,
+                                .step = request.step,
+                                .valid_until = now_ + ticket_validity});
+        }
+    }
+    sender->state.on_permission(request.number, grants, clock());
+}
+
+bool workflow_model::has_valid_ticket(const worker& target, const start_order& order) const
+{
+    if (order.ticket.empty()) {
+        return false;
+    }
+    const auto& ticket = tickets_.at(std::stoul(order.ticket));
+    const auto& task = order.name.task;
+    return ticket.worker == target.entry.id && ticket.incarnation == target.entry.incarnation &&
+           ticket.job == task.job && ticket.step == task.step && now_ <= ticket.valid_until;
+}
+
+bool workflow_model::has_run(const std::string& job) const
+{
+    return std::ranges::any_of(workers_, [&](const auto& item) {
+        return std::ranges::any_of(item->runs,
+                                   [&](const auto& run) { return run.first.task.job == job; });
+    });
+}
+
+/// Returns how many tasks of a step are done. A gang is done with its first member.
+int workflow_model::count_done(const job_history& history, int step) const
+{
+    const auto& spec = history.spec.steps[static_cast<std::size_t>(step)];
+    const auto done = static_cast<int>(std::ranges::count_if(
+        history.done, [step](const task_name& task) { return task.step == step; }));
+    return spec.gang && done > 0 ? spec.tasks : done;
+}
+
+/// Returns how many tasks of a step fit on the connected workers that are permitted for it.
+int workflow_model::count_permitted_places(const job_history& history, int step) const
+{
+    const auto& spec = history.spec.steps[static_cast<std::size_t>(step)];
+    int places = 0;
+    for (const auto& item : workers_) {
+        if (item->disconnected || !is_permitted({history.spec.id, step, 0}, *item)) {
+            continue;
+        }
+        auto free = item->entry.capacity;
+        free -= item->used();
+        const int fitting = tasks_that_fit(spec.size, free);
+        places += spec.max_per_worker > 0 ? std::min(fitting, spec.max_per_worker) : fitting;
+    }
+    return places;
+}
+
+/// Returns a step of a job with nothing running whose predecessors are done and whose waiting
+/// tasks fit twice over.
+std::optional<int> workflow_model::find_startable_step(const job_history& history) const
+{
+    const auto is_done = [&](int step) {
+        return count_done(history, step) ==
+               history.spec.steps[static_cast<std::size_t>(step)].tasks;
+    };
+    if (has_run(history.spec.id)) {
+        return std::nullopt;
+    }
+    for (int step = 0; step < static_cast<int>(history.spec.steps.size()); ++step) {
+        const auto& spec = history.spec.steps[static_cast<std::size_t>(step)];
+        const int waiting = spec.tasks - count_done(history, step);
+        if (waiting > 0 && std::ranges::all_of(spec.after, is_done) &&
+            count_permitted_places(history, step) >= 2 * waiting) {
+            return step;
+        }
+    }
+    return std::nullopt;
+}
+
+bool workflow_model::is_half_used() const
+{
+    resources used;
+    resources capacity;
+    for (const auto& item : workers_) {
+        used += item->used();
+        capacity += item->entry.capacity;
+    }
+    return dominant_share(used, capacity) >= 0.5;
+}
+
+/// Checks that no accepted job has had nothing running for long although it could run.
+void workflow_model::check_waits()
+{
+    const bool has_fault_time = options_.fault_time > milliseconds(0);
+    const auto last_fault = has_fault_time ? options_.fault_time : options_.load_time;
+    const auto faults_end = last_fault + max_disconnection;
+    if (now_ < std::max(options_.load_time, faults_end) + settling_time) {
+        return;
+    }
+    const bool is_full = is_half_used();
+    for (const auto& [id, history] : jobs_) {
+        const auto& responsible = owners_[shard_of(id)];
+        const auto phase =
+            history->accepted && responsible ? responsible->state.find(id) : std::nullopt;
+        const bool is_open = phase && !is_final(*phase) && !history->cancelled;
+        const auto step = is_open && !is_full ? find_startable_step(*history) : std::nullopt;
+        if (!step) {
+            history->could_run_since = milliseconds(-1);
+        } else if (history->could_run_since < milliseconds(0)) {
+            history->could_run_since = now_;
+        } else if (now_ - history->could_run_since >= max_wait) {
+            const auto& spec = history->spec.steps[static_cast<std::size_t>(*step)];
+            record_violation(id + " has nothing running while step " + std::to_string(*step) +
+                             (spec.gang ? " (gang) of " : " of ") + std::to_string(spec.tasks) +
+                             " tasks, max per worker " + std::to_string(spec.max_per_worker) +
+                             ", has " + std::to_string(count_permitted_places(*history, *step)) +
+                             " places, shard " + std::to_string(shard_of(id)) + " with " +
+                             std::to_string(list_of_workers(shard_of(id)).size()) +
+                             " workers; last report: " + waits_[id]);
+        }
+    }
+}
+
 void workflow_model::check_start(const worker& target, const start_order& order)
 {
     auto& history = *jobs_[order.name.task.job];
@@ -784,7 +1054,8 @@
             continue;
         }
         if (!is_final(*phase)) {
-            record_violation(id + " was accepted and is still " + to_string(*phase));
+            record_violation(id + " was accepted and is still " + to_string(*phase) +
+                             (waits_.contains(id) ? "; last report: " + waits_[id] : ""));
         }
         if (*phase == job_phase::cancelled && !history->cancelled) {
             record_violation(id + " is cancelled without cause");
@@ -821,6 +1092,9 @@
         }
         now_ = next_tick;
         expire_leases();
+        if (options_.check_waits) {
+            check_waits();
+        }
         for (const auto& current : owners_) {
             if (current) {
                 tick_owner(current);
--- a/tests/workflow_model.hpp
+++ b/tests/workflow_model.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "flamingoseam/workflow/permission_queue.hpp"
 #include "flamingoseam/workflow/workflow_state.hpp"
 
 #include <functional>
@@ -30,6 +31,14 @@
     int worker_restarts = 2;
     int worker_disconnections = 2; ///< Times that a worker becomes unreachable but keeps running.
     int store_outages = 1;
+    milliseconds fault_time{0}; ///< Faults begin within this time; 0 for the load time.
+    /// Whether the queues need permission, which a worker's new incarnation may lose or gain.
+    bool needs_permission = false;
+    std::size_t permission_call_slots = 6; ///< Calls of a shard processed at the same time.
+    double lost_permission_share = 0.05;   ///< Share of permission calls that fail.
+    bool has_long_jobs = false;            ///< Jobs have three steps, some limited by worker.
+    /// Checks after the load that no job waits that has room twice over on permitted workers.
+    bool check_waits = false;
     std::string traced_job = {}; ///< Job whose events are printed; "*" for all events.
     bool check_fence = true;     ///< Workers reject lower epochs.
     bool raise_token = true; ///< The fencing token of a worker that changes its shard increases.
@@ -56,6 +65,7 @@
     struct worker;
     struct job_history;
     struct owner;
+    struct issued_ticket;
 
     using action = std::function<void()>;
 
@@ -72,7 +82,21 @@
     [[nodiscard]] workflow::record_keys keys_of(std::size_t shard) const;
     worker& worker_of(const owner& sender, std::size_t index) const;
     std::uint64_t token_of(const owner& sender, std::size_t index) const;
+    [[nodiscard]] workflow::queue_terms terms_for(int number) const;
     workflow::job_spec make_job(int number);
+    workflow::job_spec make_long_job(int number);
+    [[nodiscard]] bool is_permitted(const workflow::task_name& task, const worker& target) const;
+    void make_permission_calls(const std::shared_ptr<owner>& sender);
+    void answer_permission(const std::shared_ptr<owner>& sender,
+                           const workflow::permission_request& request);
+    [[nodiscard]] bool has_valid_ticket(const worker& target,
+                                        const workflow::start_order& order) const;
+    [[nodiscard]] bool has_run(const std::string& job) const;
+    [[nodiscard]] int count_done(const job_history& history, int step) const;
+    [[nodiscard]] int count_permitted_places(const job_history& history, int step) const;
+    [[nodiscard]] std::optional<int> find_startable_step(const job_history& history) const;
+    [[nodiscard]] bool is_half_used() const;
+    void check_waits();
     void tick_owner(const std::shared_ptr<owner>& sender);
     void process_actions(const std::shared_ptr<owner>& sender, workflow::workflow_actions actions);
     void send_start(const std::shared_ptr<owner>& sender, const workflow::start_order& order);
@@ -113,6 +137,8 @@
     std::vector<std::uint64_t> epochs_;          ///< By shard.
     int lent_workers_ = 0;                       ///< Workers given to other shards.
     std::uint64_t lists_ = 0;                    ///< Number of worker lists sent so far.
+    std::vector<issued_ticket> tickets_;
+    std::map<std::string, std::string> waits_; ///< Newest report of a waiting step, by job.
     bool store_unreachable_ = false;
     std::string violation_;
 };
--- a/tests/workflow_model_test.cpp
+++ b/tests/workflow_model_test.cpp
@@ -3,6 +3,9 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
+#include <cstdlib>
+#include <string>
+
 using namespace flamingoseam;
 using namespace flamingoseam::model;
 
@@ -71,3 +74,37 @@
         CHECK_FALSE(find_violation({.owner_crashes = 4, .forget_after_storing = false}).empty());
     }
 }
+
+namespace {
+
+/// Returns a load of jobs of three steps whose queues need permission, in a cell of three shards
+/// in which no job may wait that could run.
+workflow_model_options permitted_load(std::uint64_t seed)
+{
+    return {.seed = seed,
+            .workers = 24,
+            .shards = 3,
+            .jobs = 90,
+            .load_time = milliseconds(20'000),
+            .owner_crashes = 3,
+            .worker_restarts = 4,
+            .fault_time = milliseconds(8'000),
+            .needs_permission = true,
+            .has_long_jobs = true,
+            .check_waits = true};
+}
+
+} // namespace
+
+// Run by hand: [.waits] with the number of seeds in WAITS_SEEDS.
+TEST_CASE("no job of three steps waits while permitted workers have room for it twice over",
+          "[.waits]")
+{
+    const auto* text = std::getenv("WAITS_SEEDS");
+    const auto seeds = text == nullptr ? 20U : std::stoul(text);
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        INFO("seed " << seed);
+        const auto violation = workflow_model(permitted_load(seed)).run();
+        CHECK(violation == "");
+    }
+}
