--- a/flamingoseam/workflow/worker_lending_test.cpp
+++ b/flamingoseam/workflow/worker_lending_test.cpp
@@ -371,3 +371,35 @@
     REQUIRE(request);
     CHECK(request->demand.desired == 5);
 }
+
+// Issue 45: a few small tasks waited for good in a shard none of whose workers may run them, while
+// the workers of other shards were idle.
+TEST_CASE("a small step that no worker of its shard may run asks for workers of others")
+{
+    lending_state driver;
+    auto& state = driver.state;
+    auto terms = driver.terms();
+    terms.permission = permission_terms{fractional_ms(10), fractional_ms(1), milliseconds(1'500)};
+    state.submit(1, driver.job("fedcba9876543210", 1'000, 2), terms, driver.time, wall);
+    driver.store();
+    const auto asked = driver.next().permissions;
+    REQUIRE(asked.size() == 1);
+    REQUIRE(asked[0].workers.size() == 3);
+
+    SECTION("once all of them were refused")
+    {
+        CHECK_FALSE(state.find_worker_request(driver.time).has_value());
+        state.on_permission(asked[0].number, std::vector<ticket_grant>{}, driver.time);
+        driver.next(300ms);
+        const auto request = state.find_worker_request(driver.time);
+        REQUIRE(request.has_value());
+        CHECK(request->demand.desired > 3);
+    }
+    SECTION("not while one of them may run it")
+    {
+        state.on_permission(asked[0].number, std::vector<ticket_grant>{{"w1", "ticket"}},
+                            driver.time);
+        driver.next(300ms);
+        CHECK_FALSE(state.find_worker_request(driver.time).has_value());
+    }
+}
