Borrow workers for steps that none of the own shard's workers may run

Callers would see an accepted job whose small step never starts although most of the cell is free: the form of the users' record. Cause: a shard asks others for workers by the sum of its demand or for its widest gang only, so a few small tasks that its own workers may not run were no demand; they waited for good.

--- a/flamingoseam/workflow/worker_lending.cpp
+++ b/flamingoseam/workflow/worker_lending.cpp
@@ -22,14 +22,14 @@
 /// For work beyond the demand, a shard gives away what exceeds its own demand times this.
 constexpr double own_demand_allowance = 1.25;
 
-/// Returns how many workers are needed so that a step fits on the eligible ones among them,
-/// infinity if it fits on none.
-double workers_needed(const waiting_step& step)
+/// Returns how many workers are needed so that a number of a step's tasks fit on the eligible ones
+/// among them, infinity if none fits.
+double workers_needed(const waiting_step& step, int tasks)
 {
     if (step.tasks_per_worker <= 0 || step.eligible_share <= 0) {
         return std::numeric_limits<double>::infinity();
     }
-    return std::ceil(std::ceil(static_cast<double>(step.tasks) / step.tasks_per_worker) /
+    return std::ceil(std::ceil(static_cast<double>(tasks) / step.tasks_per_worker) /
                      step.eligible_share);
 }
 
@@ -56,9 +56,16 @@
                         const lending_limits& limits)
 {
     worker_demand demand{.total = own.filled, .desired = own.filled};
+    const auto other_workers =
+        static_cast<double>(limits.cell_workers - std::min(limits.cell_workers, own.workers));
     double widest_gang = 0;
+    double further_workers = 0;
     for (const auto& step : steps) {
-        const double needed = workers_needed(step);
+        const double further = workers_needed(step, step.stranded_tasks);
+        if (std::isfinite(further)) {
+            further_workers = std::max(further_workers, std::min(further, other_workers));
+        }
+        const double needed = workers_needed(step, step.tasks);
         if (needed > static_cast<double>(limits.cell_workers)) {
             continue;
         }
@@ -68,6 +75,10 @@
         widest_gang = std::max(widest_gang, step.gang ? needed : 0);
     }
     demand.desired = std::max(demand.desired, widest_gang);
+    if (further_workers > 0) {
+        demand.desired =
+            std::max(demand.desired, static_cast<double>(own.workers) + further_workers);
+    }
     return demand;
 }
 
--- a/flamingoseam/workflow/worker_lending.hpp
+++ b/flamingoseam/workflow/worker_lending.hpp
@@ -12,7 +12,8 @@
 struct worker_demand {
     double total = 0; ///< Of the running work, and of the waiting work that is still of use.
     /// Number of workers with which all waiting work can run: also the work that is too late to be
-    /// of use, and the widest gang, which needs many workers to find enough eligible ones.
+    /// of use, the widest gang, which needs many workers to find enough eligible ones, and steps
+    /// that need further workers to start at all.
     double desired = 0;
 };
 
@@ -32,6 +33,9 @@
     double eligible_share = 1; ///< Share of the workers that may run the step.
     bool gang = false;         ///< All tasks must run at the same time.
     bool is_obsolete = false;  ///< Its result comes too late to be of use.
+    /// Tasks that can't run on the own workers, even if these were empty, and without which nothing
+    /// of the step can start.
+    int stranded_tasks = 0;
 };
 
 /// The workers of a shard that run one service.
--- a/flamingoseam/workflow/workflow_lending.cpp
+++ b/flamingoseam/workflow/workflow_lending.cpp
@@ -66,6 +66,31 @@
     return workers == 0 ? 1 : static_cast<double>(labelled) / static_cast<double>(workers);
 }
 
+/// Returns how many tasks of a step find no place on the shard's workers, even if these were empty:
+/// of a gang all tasks count, otherwise one. Returns 0 as long as a worker has not been asked
+/// about.
+int workflow_state::stranded_tasks(const ready_step& step, time_point time) const
+{
+    const bool needs_permission = step.job->terms.permission.has_value();
+    if (!needs_permission && step.spec().label.empty()) {
+        return 0;
+    }
+    const int needed = step.spec().gang ? step.record().waiting() : 1;
+    int places = 0;
+    for (std::size_t worker = 0; worker < fleet_.size() && places < needed; ++worker) {
+        if (!can_run(step, worker, time)) {
+            continue;
+        }
+        if (needs_permission && !step.record().permission.has_answer_for(worker)) {
+            return 0;
+        }
+        if (is_permitted(step, worker)) {
+            places += detail::fits_in(step.spec(), fleet_.at(worker).entry.capacity);
+        }
+    }
+    return std::max(0, needed - places);
+}
+
 waiting_step workflow_state::as_waiting(const ready_step& step, time_point time) const
 {
     const auto& record = step.record();
@@ -75,7 +100,8 @@
             .tasks_per_worker = detail::fits_in(step.spec(), fleet_.worker_capacity()),
             .eligible_share = std::max(min_eligible_share, permitted * labelled_share(step, time)),
             .gang = step.spec().gang,
-            .is_obsolete = lateness_of(*step.job, time) == lateness::obsolete};
+            .is_obsolete = lateness_of(*step.job, time) == lateness::obsolete,
+            .stranded_tasks = stranded_tasks(step, time)};
 }
 
 /// Returns the demand for workers of one service.
--- a/flamingoseam/workflow/workflow_overdue.cpp
+++ b/flamingoseam/workflow/workflow_overdue.cpp
@@ -1,7 +1,6 @@
 #include "flamingoseam/workflow/workflow_state.hpp"
 
 #include <algorithm>
-#include <limits>
 
 namespace flamingoseam::workflow {
 
@@ -72,7 +71,10 @@
     }
     std::optional<ready_step> longest;
     for (const auto& entry : ready_.in_order()) {
-        const auto& record = entry.step.record();
+        auto& record = entry.step.record();
+        if (record.waits_since == time_point{}) {
+            record.waits_since = time; // No pass has reached the step yet.
+        }
         if (is_overdue(record, time) &&
             (!longest || waits_for_turn_since(record) < waits_for_turn_since(longest->record()))) {
             longest = entry.step;
@@ -86,7 +88,8 @@
     return longest;
 }
 
-/// Returns the urgency of a permission request of a step, which is above all others in its turn.
+/// Returns the urgency of a permission request of a step, which in its turn is above that of all
+/// others with the same priority.
 urgency workflow_state::request_urgency(const ready_step& step) const
 {
     if (!has_turn(step)) {
@@ -94,7 +97,7 @@
     }
     return {.on_time_until = time_point::max(),
             .useful_until = time_point::max(),
-            .priority = std::numeric_limits<int>::min(),
+            .priority = step.job->terms.priority,
             .due = time_point::min()};
 }
 
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -410,6 +410,7 @@
     [[nodiscard]] bool can_release(std::size_t worker, time_point time) const;
     void release_worker(std::size_t worker, std::size_t shard);
     [[nodiscard]] double labelled_share(const ready_step& step, time_point time) const;
+    [[nodiscard]] int stranded_tasks(const ready_step& step, time_point time) const;
     [[nodiscard]] waiting_step as_waiting(const ready_step& step, time_point time) const;
     worker_demand demand_for(const std::string& service, const worker_stock& stock,
                              time_point time);
