Write a last line of JSON before a process ends by an error

The record of it has no text of the end: what std::terminate and glog print are no lines of JSON, and nothing logs the number of threads, descriptors or the address space.

Now a process that ends by std::terminate or by SIGABRT, SIGSEGV, SIGBUS, SIGILL or SIGFPE writes one line "process_ends" with the type and text of the exception or the signal and its sender, the duty of the thread, threads, descriptors and memory, and their limits.

It is written without allocating memory or opening a file, since either may be what has run out: two descriptors of /proc/self are kept open from the start. One thread writes; others that fail at the same time wait for it at most 1 s. An error in the report itself (a what() that throws or faults) leaves a shorter line. The handlers of before follow, so that the text of std::terminate and glog's stack are printed as before and the process ends by the same signal. A stack overflow is not reported: threads have no alternative stack.

The control thread of an owner and the election thread have names now.

--- a/flamingoseam/log/log.cpp
+++ b/flamingoseam/log/log.cpp
@@ -2,6 +2,7 @@
 
 #include "flamingoseam/core/clock.hpp"
 #include "flamingoseam/http/json.hpp"
+#include "flamingoseam/log/crash_line.hpp"
 #include "flamingoseam/log/ready_output.hpp"
 
 #include <glog/logging.h>
@@ -84,6 +85,7 @@
     const std::string path(program);
     static json_sink sink(path.substr(path.rfind('/') + 1));
     google::AddLogSink(&sink);
+    install_crash_line(path);
 }
 
 log_scope::log_scope(log_fields fields)
--- a/flamingoseam/log/log.hpp
+++ b/flamingoseam/log/log.hpp
@@ -13,8 +13,8 @@
 };
 
 /// Makes glog write each line to standard error as one JSON object with time, severity, program,
-/// file, message and the fields of the innermost log_scope. Must be called once, after the command
-/// line has been parsed.
+/// file, message and the fields of the innermost log_scope, and installs the last line of a process
+/// that ends by an error. Must be called once, after the command line has been parsed.
 void init_logging(const char* program);
 
 /// Adds fields to every line that the current thread logs during the lifetime of the scope.
--- a/flamingoseam/node/job_owner.cpp
+++ b/flamingoseam/node/job_owner.cpp
@@ -1,6 +1,7 @@
 #include "flamingoseam/node/job_owner.hpp"
 
 #include "flamingoseam/core/error.hpp"
+#include "flamingoseam/core/thread_name.hpp"
 
 #include <glog/logging.h>
 
@@ -108,6 +109,7 @@
     }
     loop_.post([this] { open_sessions(); });
     loop_thread_ = std::thread([this] {
+        set_thread_name("control");
         loop_.run(
             tick, [this] { after_batch(); }, batch_spacing);
     });
--- a/flamingoseam/node/node_election.cpp
+++ b/flamingoseam/node/node_election.cpp
@@ -1,6 +1,7 @@
 #include "flamingoseam/node/node.hpp"
 
 #include "flamingoseam/core/error.hpp"
+#include "flamingoseam/core/thread_name.hpp"
 #include "flamingoseam/node/candidate_order.hpp"
 
 #include <glog/logging.h>
@@ -62,6 +63,7 @@
 
 void node::run_election()
 {
+    set_thread_name("election");
     while (const auto events = wait_for_events()) {
         const auto view = this->view();
         if (events->owner_lost || is_superseded(view)) {
