Let no exception escape from the destructor of a log line

What callers saw: LOG(WARNING) << "cut \x80 z" ended the process ("terminate called after throwing an instance of 'cxxtools::ConversionError'"), and so did any line for which there was no memory.

Cause: json_sink::send() is called by ~LogMessage(), which must not throw, but decoded the text strictly and allocated memory.

Now a line is formed by nlohmann::json, which replaces bytes that aren't UTF-8, as event_log does; and an exception in send() leaves a constant line that says that one is missing. The members of a line and their order are as before.

--- a/flamingoseam/log/log.cpp
+++ b/flamingoseam/log/log.cpp
@@ -1,14 +1,15 @@
 #include "flamingoseam/log/log.hpp"
 
 #include "flamingoseam/core/clock.hpp"
-#include "flamingoseam/http/json.hpp"
 #include "flamingoseam/log/crash_line.hpp"
 #include "flamingoseam/log/ready_output.hpp"
 
 #include <glog/logging.h>
+#include <nlohmann/json.hpp>
 
 #include <unistd.h>
 
+#include <string_view>
 #include <utility>
 
 namespace flamingoseam {
@@ -19,56 +20,59 @@
 
 thread_local log_fields current_fields;
 
-/// One line of the log.
-struct log_line {
-    std::int64_t time_ms = 0;
-    std::string severity;
-    std::string program;
-    std::string file;
-    std::string message;
-    log_fields fields;
-};
+/// Written in place of a line that can't be formed, which needs memory.
+constexpr std::string_view left_out_line =
+    R"({"severity":"ERROR","message":"a line of the log can't be written"})"
+    "\n";
 
-void add_unless_empty(cxxtools::SerializationInfo& info, const std::string& name,
-                      const std::string& text)
+void add_unless_empty(nlohmann::ordered_json& line, const char* name, const std::string& text)
 {
     if (!text.empty()) {
-        detail::put_text(info, name, text);
+        line[name] = text;
     }
 }
 
-void operator<<=(cxxtools::SerializationInfo& info, const log_line& value)
+/// Returns a line as text in which bytes that aren't UTF-8 are replaced.
+std::string to_text(const nlohmann::ordered_json& line)
 {
-    info.addMember("time_ms") <<= value.time_ms;
-    info.addMember("severity") <<= value.severity;
-    info.addMember("program") <<= value.program;
-    info.addMember("file") <<= value.file;
-    detail::put_text(info, "message", value.message);
-    add_unless_empty(info, "request_id", value.fields.request_id);
-    add_unless_empty(info, "customer", value.fields.customer);
-    add_unless_empty(info, "worker", value.fields.worker);
-    add_unless_empty(info, "shard", value.fields.shard);
+    constexpr int compact = -1;
+    constexpr bool ascii_only = true;
+    return line.dump(compact, ' ', ascii_only, nlohmann::json::error_handler_t::replace) + "\n";
 }
 
 class json_sink : public google::LogSink {
 public:
     explicit json_sink(std::string program) : program_(std::move(program)) {}
 
+    /// Called by a destructor of glog, so that no exception may escape.
     void send(google::LogSeverity severity, const char* /*full_filename*/,
               const char* base_filename, int line, const google::LogMessageTime& /*time*/,
               const char* message, std::size_t size) override
     {
-        const auto text = to_json(log_line{.time_ms = wall_now().count(),
-                                           .severity = google::GetLogSeverityName(severity),
-                                           .program = program_,
-                                           .file = base_filename + (":" + std::to_string(line)),
-                                           .message = std::string(message, size),
-                                           .fields = current_fields}) +
-                          "\n";
-        write_ready(STDERR_FILENO, text, no_wait); // Drops a line that does not fit.
+        try {
+            write(severity, base_filename + (":" + std::to_string(line)),
+                  std::string(message, size));
+        } catch (...) {
+            write_ready(STDERR_FILENO, left_out_line, no_wait);
+        }
     }
 
 private:
+    void write(google::LogSeverity severity, const std::string& file,
+               const std::string& message) const
+    {
+        nlohmann::ordered_json line = {{"time_ms", wall_now().count()},
+                                       {"severity", google::GetLogSeverityName(severity)},
+                                       {"program", program_},
+                                       {"file", file},
+                                       {"message", message}};
+        add_unless_empty(line, "request_id", current_fields.request_id);
+        add_unless_empty(line, "customer", current_fields.customer);
+        add_unless_empty(line, "worker", current_fields.worker);
+        add_unless_empty(line, "shard", current_fields.shard);
+        write_ready(STDERR_FILENO, to_text(line), no_wait); // Drops a line that does not fit.
+    }
+
     std::string program_;
 };
 
