--- a/scenarios/processes.cpp
+++ b/scenarios/processes.cpp
@@ -5,6 +5,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <csignal>
 #include <stdexcept>
 #include <thread>
@@ -58,15 +59,32 @@
     return pid;
 }
 
-void process_table::signal(pid_t pid, int number)
+/// Throws std::runtime_error if the process isn't in this table.
+void process_table::expect_own(pid_t pid) const
 {
     if (!running_.contains(pid)) {
         throw std::runtime_error("process " + std::to_string(pid) +
                                  " was not started by this scenario");
     }
+}
+
+void process_table::signal(pid_t pid, int number)
+{
+    expect_own(pid);
     ::kill(pid, number);
 }
 
+void process_table::limit(pid_t pid, int resource, rlim_t most)
+{
+    expect_own(pid);
+    rlimit limits{};
+    ::prlimit(pid, static_cast<__rlimit_resource>(resource), nullptr, &limits);
+    limits.rlim_cur = std::min(most, limits.rlim_max);
+    if (::prlimit(pid, static_cast<__rlimit_resource>(resource), &limits, nullptr) != 0) {
+        throw std::runtime_error("can't limit a resource of process " + std::to_string(pid));
+    }
+}
+
 std::optional<int> process_table::wait_exit(pid_t pid, milliseconds timeout)
 {
     const auto deadline = now() + timeout;
--- a/scenarios/processes.hpp
+++ b/scenarios/processes.hpp
@@ -2,6 +2,7 @@
 
 #include "flamingoseam/core/clock.hpp"
 
+#include <sys/resource.h>
 #include <sys/types.h>
 
 #include <map>
@@ -26,11 +27,17 @@
     /// Sends a signal to a process. Throws std::runtime_error if it isn't in this table.
     void signal(pid_t pid, int number);
 
+    /// Limits a resource of a running process, as setrlimit() does; `resource` is one of its
+    /// constants. Throws std::runtime_error if the process isn't in this table.
+    void limit(pid_t pid, int resource, rlim_t most);
+
     /// Waits until a process ends and returns its exit code, or 128 + n if signal n ended it.
     /// Returns nothing if the process is still running after `timeout`.
     std::optional<int> wait_exit(pid_t pid, milliseconds timeout);
 
 private:
+    void expect_own(pid_t pid) const;
+
     std::string log_folder_;
     std::map<pid_t, std::string> running_;
 };
--- a/scenarios/runner.cpp
+++ b/scenarios/runner.cpp
@@ -16,6 +16,7 @@
 #include <filesystem>
 #include <fstream>
 #include <iostream>
+#include <limits>
 #include <memory>
 #include <thread>
 
@@ -134,6 +135,18 @@
     return 0;
 }
 
+/// limit(PID, RESOURCE, MOST) bounds a resource of a process; without MOST it lifts the bound.
+int lua_limit(lua_State* lua)
+{
+    static const std::map<std::string, int> resources = {{"address_space", RLIMIT_AS},
+                                                         {"descriptors", RLIMIT_NOFILE}};
+    const auto most =
+        static_cast<rlim_t>(luaL_optinteger(lua, 3, std::numeric_limits<lua_Integer>::max()));
+    context_of(lua).processes.limit(static_cast<pid_t>(luaL_checkinteger(lua, 1)),
+                                    resources.at(luaL_checkstring(lua, 2)), most);
+    return 0;
+}
+
 int lua_wait_exit(lua_State* lua)
 {
     const auto code = context_of(lua).processes.wait_exit(
@@ -292,6 +305,7 @@
     luaL_openlibs(lua.get());
     register_function<lua_start>(lua.get(), scenario, "start");
     register_function<lua_signal>(lua.get(), scenario, "signal");
+    register_function<lua_limit>(lua.get(), scenario, "limit");
     register_function<lua_wait_exit>(lua.get(), scenario, "wait_exit");
     register_function<lua_request>(lua.get(), scenario, "request");
     register_function<lua_load_start>(lua.get(), scenario, "load_start");
