--- a/flamingoseam/core/error.hpp
+++ b/flamingoseam/core/error.hpp
@@ -51,4 +51,11 @@
     bool sent_;
 };
 
+/// Thrown when the system has no thread, memory or file descriptor left for this process. What was
+/// to be done has not begun. Ids 401 to 499.
+class resource_error : public error {
+public:
+    resource_error(int id, const std::string& what) : error("resource_error", id, what) {}
+};
+
 } // namespace flamingoseam
