End the ownership, not the process, when a decision or a takeover fails

Callers saw: a node aborts while it is the owner or becomes one, and the next one after it; the requests that were open there get no answer.

Cause: an exception that is not one of ours, on the control thread, on the election thread or on a task thread, had no handler and ended the process. The class: whatever a thread of ours meets may be thrown (lack of threads or memory, a library's check, a missing element), and only our own types were caught.

Now an exception that leaves a decision ends the ownership: the owner decides, starts and writes nothing more, answers its open calls that their outcome is not known, and the node gives the ownership up in the store, so that another node goes on from the stored state; it leaves takeovers to others for 3 s. A takeover that fails after the claim does the same. Background tasks run on a bounded number of threads and wait if the system has none left. The owner's threads are started before its control thread, so that a lack of threads leaves none behind.

Tests: an exception of a decision ends the ownership, and not the process; a node that can't begin its ownership gives it up, and does not end; an exception of a step is reported and does not end the control loop.

--- a/flamingoseam/core/control_loop.cpp
+++ b/flamingoseam/core/control_loop.cpp
@@ -1,9 +1,19 @@
 #include "flamingoseam/core/control_loop.hpp"
 
+#include "flamingoseam/core/service_thread.hpp"
+
+#include <glog/logging.h>
+
 #include <thread>
 
 namespace flamingoseam {
 
+namespace {
+
+constexpr milliseconds failure_pause{10}; ///< Before the next batch when one could not be taken.
+
+} // namespace
+
 void control_loop::post(step run)
 {
     {
@@ -31,7 +41,7 @@
 {
     auto began = now();
     for (auto& queued : batch) {
-        queued.run();
+        run_step(queued.run);
         const auto ended = now();
         if (observer_) {
             observer_(
@@ -41,11 +51,29 @@
     }
 }
 
+/// Calls a function of the control state, and reports an exception that leaves it.
+void control_loop::run_step(const step& run) const
+{
+    try {
+        run();
+    } catch (...) {
+        const auto cause = describe_current_exception();
+        LOG(ERROR) << "a step of the control thread failed: " << cause;
+        if (handle_failure_) {
+            handle_failure_(cause);
+        }
+    }
+}
+
 void control_loop::run(milliseconds tick, const step& after_batch, milliseconds spacing)
 {
     while (true) {
-        run_batch(take_batch(tick, spacing));
-        after_batch();
+        const bool has_run =
+            run_guarded("the control thread", [&] { run_batch(take_batch(tick, spacing)); });
+        if (!has_run) {
+            std::this_thread::sleep_for(failure_pause);
+        }
+        run_step(after_batch);
         const std::lock_guard lock(mutex_);
         if (stopping_ && steps_.empty()) {
             return;
--- a/flamingoseam/core/control_loop.hpp
+++ b/flamingoseam/core/control_loop.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <future>
 #include <mutex>
+#include <string>
 #include <utility>
 
 namespace flamingoseam {
@@ -25,8 +26,18 @@
     using step = std::function<void()>;
     using step_observer = std::function<void(const step_times&)>;
 
+    /// Called with a description of the exception that has left a step.
+    using failure_handler = std::function<void(const std::string& cause)>;
+
     /// Creates a loop. `observer`, if set, is called on the loop's thread after each step.
-    explicit control_loop(step_observer observer = nullptr) : observer_(std::move(observer)) {}
+    /// `handle_failure`, if set, is called there when an exception leaves a step, or the function
+    /// that is called after a batch: the control state may be incomplete then. The loop logs the
+    /// exception and goes on.
+    explicit control_loop(step_observer observer = nullptr,
+                          failure_handler handle_failure = nullptr)
+        : observer_(std::move(observer)), handle_failure_(std::move(handle_failure))
+    {
+    }
 
     /// Queues a step. Safe to call from any thread. Complexity: constant.
     void post(step run);
@@ -57,8 +68,10 @@
 
     std::deque<queued_step> take_batch(milliseconds tick, milliseconds spacing);
     void run_batch(std::deque<queued_step> batch) const;
+    void run_step(const step& run) const;
 
     step_observer observer_;
+    failure_handler handle_failure_;
     std::mutex mutex_;
     std::condition_variable changed_;
     std::deque<queued_step> steps_;
--- a/flamingoseam/core/control_loop_test.cpp
+++ b/flamingoseam/core/control_loop_test.cpp
@@ -3,6 +3,8 @@
 #include <catch2/catch.hpp>
 
 #include <atomic>
+#include <stdexcept>
+#include <string>
 #include <thread>
 #include <vector>
 
@@ -47,3 +49,27 @@
     CHECK(observed[0].queued == 2);
     CHECK(observed[1].queued == 2);
 }
+
+TEST_CASE("an exception of a step is reported and does not end the control loop")
+{
+    std::vector<std::string> causes;
+    control_loop loop(nullptr, [&](const std::string& cause) { causes.push_back(cause); });
+    int steps = 0;
+    loop.post([] { throw std::out_of_range("no such job"); });
+    loop.post([&] { ++steps; });
+    loop.stop();
+
+    SECTION("of a step that was posted")
+    {
+        loop.run(1ms, [] {});
+        REQUIRE(causes.size() == 1);
+    }
+    SECTION("of the step after a batch")
+    {
+        loop.run(1ms, [] { throw std::bad_alloc(); });
+        REQUIRE(causes.size() == 2);
+        CHECK(causes[1] == "std::bad_alloc: std::bad_alloc");
+    }
+    CHECK(causes[0] == "std::out_of_range: no such job");
+    CHECK(steps == 1);
+}
--- a/flamingoseam/core/task_threads.cpp
+++ b/flamingoseam/core/task_threads.cpp
@@ -1,50 +1,73 @@
 #include "flamingoseam/core/task_threads.hpp"
 
+#include "flamingoseam/core/error.hpp"
+
+#include <glog/logging.h>
+
 #include <utility>
 
 namespace flamingoseam {
 
-task_threads::~task_threads()
+task_threads::task_threads(std::size_t max_threads) : max_threads_(max_threads)
 {
-    while (true) {
-        auto left = take_tasks();
-        if (left.empty()) {
-            return;
-        }
-        for (auto& task : left) {
-            task.thread.join();
-        }
-    }
+    threads_.reserve(max_threads); // So that a thread that has been started can always be kept.
+    threads_.emplace_back("tasks", [this] { run_tasks(); });
 }
 
-std::list<task_threads::running_task> task_threads::take_tasks()
+task_threads::~task_threads()
 {
-    const std::lock_guard lock(mutex_);
-    return std::exchange(tasks_, {});
+    {
+        const std::lock_guard lock(mutex_);
+        stopping_ = true;
+    }
+    changed_.notify_all();
+    for (auto& thread : threads_) {
+        thread.join();
+    }
 }
 
 void task_threads::run(std::function<void()> task)
 {
-    const std::lock_guard lock(mutex_);
-    join_ended();
-    auto& added = tasks_.emplace_back();
-    added.thread = std::thread([this, &added, task = std::move(task)]() mutable {
-        std::exchange(task, nullptr)();
+    {
         const std::lock_guard lock(mutex_);
-        added.has_ended = true;
-    });
+        tasks_.push_back(std::move(task));
+        add_thread_if_needed();
+    }
+    changed_.notify_one();
+}
+
+/// Adds a thread if all are busy. If the system has none left, the task waits for one of those that
+/// there are. Requires `mutex_`.
+void task_threads::add_thread_if_needed()
+{
+    const bool is_needed = busy_threads_ + tasks_.size() > threads_.size();
+    if (!is_needed || stopping_ || threads_.size() == max_threads_) {
+        return;
+    }
+    try {
+        threads_.emplace_back("tasks", [this] { run_tasks(); });
+    } catch (const resource_error& cause) {
+        LOG_EVERY_N(WARNING, 20) << "a task waits for a thread: " << cause.what();
+    }
 }
 
-/// Removes the tasks that have ended. Their threads have nothing left to do but to unlock the
-/// mutex.
-void task_threads::join_ended()
+void task_threads::run_tasks()
 {
-    std::erase_if(tasks_, [](running_task& task) {
-        if (task.has_ended) {
-            task.thread.join();
+    std::unique_lock lock(mutex_);
+    while (true) {
+        changed_.wait(lock, [this] { return stopping_ || !tasks_.empty(); });
+        if (tasks_.empty()) {
+            return;
         }
-        return task.has_ended;
-    });
+        auto task = std::move(tasks_.front());
+        tasks_.pop_front();
+        ++busy_threads_;
+        lock.unlock();
+        run_guarded("a task", task);
+        task = nullptr; // Ends what the task refers to outside of the lock.
+        lock.lock();
+        --busy_threads_;
+    }
 }
 
 } // namespace flamingoseam
--- a/flamingoseam/core/task_threads.hpp
+++ b/flamingoseam/core/task_threads.hpp
@@ -1,16 +1,23 @@
 #pragma once
 
+#include "flamingoseam/core/service_thread.hpp"
+
+#include <condition_variable>
+#include <cstddef>
+#include <deque>
 #include <functional>
-#include <list>
 #include <mutex>
-#include <thread>
+#include <vector>
 
 namespace flamingoseam {
 
-/// Runs tasks in the background, each on a thread of its own. Thread-safe.
+/// Runs tasks in the background on a bounded number of threads. Tasks wait while all threads are
+/// busy. Thread-safe.
 class task_threads {
 public:
-    task_threads() = default;
+    /// Starts the first of at most `max_threads` threads; the others are started when they are
+    /// needed. Throws resource_error if the system has no thread left.
+    explicit task_threads(std::size_t max_threads);
 
     /// Waits for all tasks, including those that are added meanwhile.
     ~task_threads();
@@ -18,20 +25,20 @@
     task_threads(const task_threads&) = delete;
     task_threads& operator=(const task_threads&) = delete;
 
-    /// Starts a task, which must not throw. Complexity: linear in the tasks that run.
+    /// Queues a task. An exception that leaves it is logged. Complexity: constant.
     void run(std::function<void()> task);
 
 private:
-    struct running_task {
-        bool has_ended = false; ///< Guarded by `mutex_`.
-        std::thread thread;
-    };
-
-    void join_ended();
-    std::list<running_task> take_tasks();
+    void add_thread_if_needed();
+    void run_tasks();
 
+    std::size_t max_threads_;
     std::mutex mutex_;
-    std::list<running_task> tasks_;
+    std::condition_variable changed_;
+    std::deque<std::function<void()>> tasks_;
+    std::size_t busy_threads_ = 0;
+    bool stopping_ = false;
+    std::vector<service_thread> threads_;
 };
 
 } // namespace flamingoseam
--- a/flamingoseam/core/task_threads_test.cpp
+++ b/flamingoseam/core/task_threads_test.cpp
@@ -5,6 +5,8 @@
 #include <catch2/catch.hpp>
 
 #include <atomic>
+#include <stdexcept>
+#include <thread>
 
 using namespace flamingoseam;
 
@@ -15,7 +17,7 @@
         std::this_thread::sleep_for(milliseconds(50));
         ++ended;
     };
-    auto tasks = std::make_unique<task_threads>();
+    auto tasks = std::make_unique<task_threads>(8);
 
     SECTION("run at the same time, and all have ended when their object has")
     {
@@ -38,6 +40,25 @@
         tasks.reset();
         CHECK(ended == 3);
     }
+    SECTION("wait for others if there are more than threads")
+    {
+        for (int number = 0; number < 9; ++number) {
+            tasks->run(task);
+        }
+        std::this_thread::sleep_for(milliseconds(25));
+        CHECK(ended == 0);
+        tasks.reset();
+        CHECK(ended == 9);
+    }
+    SECTION("may fail, which ends neither the process nor a thread")
+    {
+        for (int number = 0; number < 9; ++number) {
+            tasks->run([] { throw std::out_of_range("no such element"); });
+        }
+        tasks->run(task);
+        tasks.reset();
+        CHECK(ended == 1);
+    }
     SECTION("are run after others have ended")
     {
         tasks->run(task);
--- a/flamingoseam/core/thread_name.hpp
+++ b/flamingoseam/core/thread_name.hpp
@@ -6,7 +6,8 @@
 /// a string literal has.
 void set_thread_name(const char* name) noexcept;
 
-/// Returns the name of the calling thread, "main" if it has none. May be called by a signal handler.
+/// Returns the name of the calling thread, "main" if it has none. May be called by a signal
+/// handler.
 const char* thread_name() noexcept;
 
 } // namespace flamingoseam
--- a/flamingoseam/node/job_owner.cpp
+++ b/flamingoseam/node/job_owner.cpp
@@ -39,9 +39,8 @@
 private:
     workflow::record_batch take_batch(std::size_t max_changes) override
     {
-        auto batch = owner_.loop_.ask<workflow::record_batch>([this, max_changes] {
-            return owner_.state_.take_batch(index_, max_changes, now(), wall_now());
-        });
+        auto batch = owner_.loop_.ask<workflow::record_batch>(
+            [this, max_changes] { return owner_.take_batch(index_, max_changes); });
         records_ = batch.changes.size();
         return batch;
     }
@@ -71,7 +70,8 @@
 job_owner::job_owner(job_owner_start start, job_owner_dependencies dependencies)
     : dependencies_(std::move(dependencies)), epoch_(start.head.epoch),
       assignments_(dependencies_.shard), meter_(now(), {.process = read_processor_times().process}),
-      loop_([this](const step_times& times) { record_step(times); }),
+      loop_([this](const step_times& times) { record_step(times); },
+            [this](const std::string& cause) { handle_failure(cause); }),
       state_({.epoch = start.head.epoch,
               .keys = dependencies_.keys,
               .ended_retention = dependencies_.ended_kept + clock_skew_margin,
@@ -107,14 +107,25 @@
         borrower_ = std::make_unique<worker_borrower>(dependencies_.borrow_workers);
     }
     loop_.post([this] { open_sessions(); });
-    loop_thread_ = std::thread([this] {
+    try {
+        start_threads();
+    } catch (const resource_error&) {
+        ending_ = true; // Ends the threads that have been started.
+        throw;
+    }
+}
+
+/// Starts the control thread last, since the other threads can end without it.
+void job_owner::start_threads()
+{
+    directory_thread_ = service_thread("worker list", [this] { watch_workers(); });
+    if (dependencies_.shard.count > 1) {
+        assignments_thread_ = service_thread("assignments", [this] { watch_assignments(); });
+    }
+    loop_thread_ = service_thread("owner", [this] {
         loop_.run(
             tick, [this] { after_batch(); }, batch_spacing);
     });
-    directory_thread_ = std::thread([this] { watch_workers(); });
-    if (dependencies_.shard.count > 1) {
-        assignments_thread_ = std::thread([this] { watch_assignments(); });
-    }
 }
 
 job_owner::~job_owner()
@@ -129,9 +140,7 @@
     sessions_.clear();
     retired_sessions_.clear();
     directory_thread_.join();
-    if (assignments_thread_.joinable()) {
-        assignments_thread_.join();
-    }
+    assignments_thread_.join();
     answer_all_unknown();
 }
 
@@ -357,6 +366,35 @@
     }
 }
 
+/// Stops all decisions after an error that may have left them incomplete. Another owner goes on
+/// from the state in the store.
+void job_owner::handle_failure(const std::string& cause)
+{
+    if (superseded_.exchange(true)) {
+        return;
+    }
+    dependencies_.log->write({.event = "owner_failed",
+                              .request = {},
+                              .detail = "epoch " + std::to_string(epoch_) + ": " + cause});
+    if (dependencies_.on_failed) {
+        dependencies_.on_failed();
+    }
+}
+
+/// Takes changes for a commit stream; none if the owner acts no more, as they may be incomplete.
+workflow::record_batch job_owner::take_batch(std::size_t stream, std::size_t max_changes)
+{
+    if (superseded_) {
+        return {};
+    }
+    try {
+        return state_.take_batch(stream, max_changes, now(), wall_now());
+    } catch (...) {
+        handle_failure(describe_current_exception());
+        return {};
+    }
+}
+
 void job_owner::after_batch()
 {
     if (ending_ || superseded_) {
--- a/flamingoseam/node/job_owner.hpp
+++ b/flamingoseam/node/job_owner.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "flamingoseam/core/control_loop.hpp"
+#include "flamingoseam/core/service_thread.hpp"
 #include "flamingoseam/log/event_log.hpp"
 #include "flamingoseam/node/commit_stream.hpp"
 #include "flamingoseam/node/load_meter.hpp"
@@ -22,7 +23,6 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <thread>
 #include <unordered_map>
 #include <vector>
 
@@ -63,12 +63,17 @@
 
     /// Called once when another owner has taken over.
     std::function<void()> on_superseded;
+
+    /// Called once when an error may have left the decisions incomplete. The owner does nothing any
+    /// more; its state is in the store.
+    std::function<void()> on_failed = nullptr;
 };
 
 /// The owner of all jobs. Keeps their state on one control thread; other threads pass its decisions
 /// to the workers, the store and the permission service.
 class job_owner final : private worker_listener {
 public:
+    /// Throws resource_error if the system has no threads left for this owner.
     job_owner(job_owner_start start, job_owner_dependencies dependencies);
 
     /// Waits for the calls in flight, which takes up to the duration of the longest poll.
@@ -134,6 +139,7 @@
     std::uint64_t store_reply(owner_service::owner_reply reply);
     void answer_all_unknown();
     void watch_workers();
+    void read_worker_list(worker_directory& directory);
     void handle_worker_list(const std::optional<std::vector<workflow::worker_entry>>& workers,
                             time_point confirmed);
     void apply_worker_list();
@@ -145,6 +151,9 @@
     [[nodiscard]] bool is_current(const session_id& session) const;
     void drop_finished_sessions();
     void report_superseded();
+    void handle_failure(const std::string& cause);
+    workflow::record_batch take_batch(std::size_t stream, std::size_t max_changes);
+    void start_threads();
 
     job_owner_dependencies dependencies_;
     std::uint64_t epoch_;
@@ -182,9 +191,9 @@
     std::atomic<bool> ending_{false};
     std::atomic<bool> superseded_{false};
     std::atomic<bool> handing_over_{false};
-    std::thread loop_thread_;
-    std::thread directory_thread_;
-    std::thread assignments_thread_;            ///< Runs only if the cell is divided.
+    service_thread loop_thread_;
+    service_thread directory_thread_;
+    service_thread assignments_thread_;         ///< Runs only if the cell is divided.
     std::unique_ptr<worker_borrower> borrower_; ///< Null if the cell is not divided.
 };
 
--- a/flamingoseam/node/job_owner_test.cpp
+++ b/flamingoseam/node/job_owner_test.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <array>
 #include <set>
+#include <stdexcept>
 
 using namespace flamingoseam;
 using namespace flamingoseam::node;
@@ -252,7 +253,15 @@
     memory_records records;
     std::array<leased_worker, 3> workers;
     int sink = open("/dev/null", O_WRONLY | O_CLOEXEC);
-    event_log log{{.program = "test", .node = "test", .descriptor = sink}};
+    std::string failing_event; ///< The log throws an exception when this event is written.
+    event_log log{{.program = "test",
+                   .node = "test",
+                   .descriptor = sink,
+                   .observer = [this](const log_event& event) {
+                       if (event.event == failing_event) {
+                           throw std::out_of_range("no such job");
+                       }
+                   }}};
     node_metrics metrics;
 };
 
@@ -301,7 +310,8 @@
                                    .metrics = &cell_.metrics,
                                    .is_certain = [this] { return is_certain.load(); },
                                    .on_store_unreachable = [] {},
-                                   .on_superseded = [this] { superseded = true; }});
+                                   .on_superseded = [this] { superseded = true; },
+                                   .on_failed = [this] { failed = true; }});
     }
 
     /// Submits a job with tasks that each take half a worker.
@@ -328,6 +338,7 @@
     std::atomic<bool> reaches_store{true};
     std::atomic<bool> is_certain{true};
     std::atomic<bool> superseded{false};
+    std::atomic<bool> failed{false};
     cell& cell_;
     std::unique_ptr<job_owner> owner;
 };
@@ -441,3 +452,27 @@
     CHECK(wait_until([&] { return count_begun(shared) > 6; }));
     CHECK(count_concurrent(shared) == 0);
 }
+
+TEST_CASE("an exception of a decision ends the ownership, and not the process")
+{
+    cell shared;
+    shared.failing_event = "ownership_uncertain";
+    owner_process process(shared, 0, all);
+    process.submit("job", 2);
+    REQUIRE(wait_until([&] { return count_begun(shared) == 2; }));
+
+    process.is_certain = false;
+    REQUIRE(wait_until([&] { return process.failed.load(); }));
+    process.is_certain = true;
+    std::promise<owner_answer> answered;
+    process.owner->submit({.id = "later"}, {},
+                          [&](const owner_answer& answer) { answered.set_value(answer); });
+    CHECK(answered.get_future().get().verdict == owner_verdict::no_owner);
+
+    // The next owner goes on from the state in the store.
+    shared.failing_event.clear();
+    owner_process later(shared, 1, all);
+    std::this_thread::sleep_for(2 * worker_lease);
+    CHECK(count_begun(shared) == 2);
+    CHECK(count_concurrent(shared) == 0);
+}
--- a/flamingoseam/node/job_owner_workers.cpp
+++ b/flamingoseam/node/job_owner_workers.cpp
@@ -4,6 +4,7 @@
 
 #include <glog/logging.h>
 
+#include <thread>
 #include <utility>
 
 namespace flamingoseam::node {
@@ -24,23 +25,31 @@
 
 void job_owner::watch_workers()
 {
-    const auto directory = dependencies_.directory();
+    std::unique_ptr<worker_directory> directory;
     while (!ending_) {
         try {
-            auto workers = directory->next();
-            if (!ending_) {
-                loop_.post(
-                    [this, workers = std::move(workers), confirmed = directory->confirmed_at()] {
-                        handle_worker_list(workers, confirmed);
-                    });
+            if (!directory) {
+                directory = dependencies_.directory();
             }
-        } catch (const error& cause) {
-            LOG_EVERY_N(WARNING, 20) << "the list of workers cannot be read: " << cause.what();
+            read_worker_list(*directory);
+        } catch (...) {
+            LOG_EVERY_N(WARNING, 20)
+                << "the list of workers cannot be read: " << describe_current_exception();
         }
         std::this_thread::sleep_for(directory_read_delay);
     }
 }
 
+void job_owner::read_worker_list(worker_directory& directory)
+{
+    auto workers = directory.next();
+    if (!ending_) {
+        loop_.post([this, workers = std::move(workers), confirmed = directory.confirmed_at()] {
+            handle_worker_list(workers, confirmed);
+        });
+    }
+}
+
 void job_owner::handle_worker_list(
     const std::optional<std::vector<workflow::worker_entry>>& workers, time_point confirmed)
 {
@@ -84,9 +93,9 @@
             auto update = watch.next();
             loop_.post(
                 [this, prefix, update = std::move(update)] { handle_assignments(update, prefix); });
-        } catch (const error& cause) {
+        } catch (...) {
             LOG_EVERY_N(WARNING, 20)
-                << "the assignments of workers cannot be read: " << cause.what();
+                << "the assignments of workers cannot be read: " << describe_current_exception();
             std::this_thread::sleep_for(assignments_retry_delay);
         }
     }
--- a/flamingoseam/node/node.cpp
+++ b/flamingoseam/node/node.cpp
@@ -1,6 +1,7 @@
 #include "flamingoseam/node/node.hpp"
 
 #include "flamingoseam/core/error.hpp"
+#include "flamingoseam/core/service_thread.hpp"
 #include "flamingoseam/node/owner_call.hpp"
 
 #include <glog/logging.h>
@@ -15,6 +16,9 @@
 /// Added to the time that the service itself needs.
 constexpr milliseconds permission_timeout_margin{400};
 constexpr milliseconds no_owner_retry_after{1'000};
+/// The calls to the permission service that other nodes forward, at most four at a time each, and
+/// the ends of owners.
+constexpr std::size_t max_background_tasks = 8;
 
 owner_answer no_owner_answer(std::string reason)
 {
@@ -35,18 +39,28 @@
 node::node(node_options options, node_dependencies dependencies,
            std::shared_ptr<membership> members)
     : options_(std::move(options)), dependencies_(std::move(dependencies)),
-      membership_(std::move(members))
+      membership_(std::move(members)), background_tasks_(max_background_tasks)
 {
     if (!dependencies_.permission) {
         dependencies_.permission = refuse_permission;
     }
     server_ = std::make_unique<coordinator_server>(options_.rpc, *this);
     listener_ = membership_->add_listener([this] { on_view_changed(); });
-    election_thread_ = std::thread([this] { run_election(); });
-    path_thread_ = std::thread([this] { monitor_owner_path(); });
+    try {
+        start_threads();
+    } catch (const resource_error&) {
+        request_stop();
+        throw;
+    }
 }
 
-node::~node()
+void node::start_threads()
+{
+    election_thread_ = service_thread("election", [this] { run_election(); });
+    path_thread_ = service_thread("owner path", [this] { monitor_owner_path(); });
+}
+
+void node::request_stop()
 {
     membership_->remove_listener(listener_);
     {
@@ -54,6 +68,11 @@
         stopping_ = true;
     }
     changed_.notify_all();
+}
+
+node::~node()
+{
+    request_stop();
     election_thread_.join();
     path_thread_.join();
     server_.reset();
@@ -253,13 +272,14 @@
 void node::ask_permission(const workflow::permission_request& request, permission_reply reply)
 {
     background_tasks_.run([this, request, reply = std::move(reply)] {
+        std::optional<permission_answer> answer;
         try {
-            reply(dependencies_.permission(request));
-        } catch (const error& cause) {
-            LOG_EVERY_N(WARNING, 20)
-                << "a forwarded call to the permission service failed: " << cause.what();
-            reply(std::nullopt);
+            answer = dependencies_.permission(request);
+        } catch (...) {
+            LOG_EVERY_N(WARNING, 20) << "a forwarded call to the permission service failed: "
+                                     << describe_current_exception();
         }
+        reply(std::move(answer));
     });
 }
 
--- a/flamingoseam/node/node.hpp
+++ b/flamingoseam/node/node.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "flamingoseam/core/service_thread.hpp"
 #include "flamingoseam/core/task_threads.hpp"
 #include "flamingoseam/node/coordinator_rpc.hpp"
 #include "flamingoseam/node/job_owner.hpp"
@@ -15,7 +16,6 @@
 #include <mutex>
 #include <set>
 #include <string>
-#include <thread>
 
 namespace flamingoseam::node {
 
@@ -61,7 +61,9 @@
 /// the shard's owner. One of the nodes is the owner, and any other can take over when it fails.
 class node final : public owner_service {
 public:
-    /// `members` must have joined the cell with the options' name and address.
+    /// `members` must have joined the cell with the options' name and address. Throws
+    /// transport_error if the address can't be used, resource_error if the system has no threads
+    /// left.
     node(node_options options, node_dependencies dependencies, std::shared_ptr<membership> members);
 
     /// Waits for the calls in flight, as the destructor of job_owner does.
@@ -116,7 +118,14 @@
     void on_view_changed();
     void update_call_slots(const membership_view& view);
     std::vector<std::string> calling_nodes(const membership_view& view) const;
+    void start_threads();
+    void request_stop();
     void run_election();
+    void handle_events(const election_events& events);
+    void record_failed_owner(std::uint64_t epoch);
+    void release_failed_ownership(const membership_view& view);
+    bool write_released_ownership(const membership_view& view);
+    bool abstains() const { return now() < abstains_until_.load(); }
     bool is_takeover_due(const membership_view& view, time_point time);
     milliseconds takeover_delay(const membership_view& view) const;
     std::optional<election_events> wait_for_events();
@@ -178,6 +187,9 @@
     std::shared_ptr<job_owner> owner_;
     /// Epoch of the newest owner of this process that another owner has superseded; 0 if none.
     std::uint64_t superseded_epoch_ = 0;
+    /// Epoch of an owner of this process that has failed and is still recorded in the store; 0 if
+    /// there is none.
+    std::uint64_t failed_epoch_ = 0;
     bool view_changed_ = false;
     std::uint64_t change_count_ = 0; ///< Number of events that may have changed the owner.
     owner_suspicion suspicion_;
@@ -186,8 +198,10 @@
     std::uint64_t offered_epoch_ = 0; ///< Epoch of an owner that offers ownership; 0 if none.
     std::atomic<bool> leaving_{false};
     std::atomic<time_point> calls_end_{time_point::max()};
+    std::atomic<time_point> abstains_until_{}; ///< This node takes over no ownership before.
     bool stopping_ = false;
     std::optional<time_point> owner_missing_since_;
+    time_point next_release_{};                ///< Used by the election thread only.
     time_point next_offer_{};                  ///< Used by the election thread only.
     time_point next_balancing_{};              ///< Used by the election thread only.
     std::optional<time_point> stronger_since_; ///< Used by the election thread only.
@@ -196,8 +210,8 @@
     std::shared_ptr<membership> membership_;
     int listener_ = 0;
     std::unique_ptr<coordinator_server> server_;
-    std::thread election_thread_;
-    std::thread path_thread_;
+    service_thread election_thread_;
+    service_thread path_thread_;
     /// Calls for other nodes and the ends of owners, which use this object. Destroyed first.
     task_threads background_tasks_;
 };
--- a/flamingoseam/node/node_election.cpp
+++ b/flamingoseam/node/node_election.cpp
@@ -1,12 +1,14 @@
 #include "flamingoseam/node/node.hpp"
 
 #include "flamingoseam/core/error.hpp"
+#include "flamingoseam/core/service_thread.hpp"
 #include "flamingoseam/node/candidate_order.hpp"
 
 #include <glog/logging.h>
 
 #include <algorithm>
 #include <set>
+#include <thread>
 #include <utility>
 
 namespace flamingoseam::node {
@@ -34,6 +36,10 @@
 constexpr milliseconds handover_poll_interval{10};
 /// Interval of the offers of an owner that leaves while no node accepts.
 constexpr milliseconds leaving_offer_interval{100};
+/// A node whose owner has failed leaves the next takeover to others for this long.
+constexpr milliseconds abstention{3'000};
+constexpr milliseconds release_interval{200}; ///< Of the attempts to give up ownership.
+constexpr milliseconds release_timeout{500};
 
 } // namespace
 
@@ -63,34 +69,95 @@
 void node::run_election()
 {
     while (const auto events = wait_for_events()) {
-        const auto view = this->view();
-        if (events->owner_lost || is_superseded(view)) {
-            stop_local_owner();
-        }
-        update_call_slots(view);
-        log_member_changes(view);
-        if (events->store_unreachable && now() >= next_offer_) {
-            next_offer_ = now() + offer_interval;
-            if (offer_to_others(view, false)) {
-                may_replace_owner_from_ = now() + replacement_pause;
-            }
+        if (!run_guarded("the election", [&] { handle_events(*events); })) {
+            std::this_thread::sleep_for(election_interval_no_owner);
         }
-        confirm_suspicion(view);
-        offer_to_idle_node(view, now());
-        const bool is_offered = events->offered_epoch != 0 && view.owner &&
-                                view.owner->epoch == events->offered_epoch && !local_owner();
-        const bool is_needed = is_takeover_due(view, now()) || should_replace_owner(view, now());
-        if (!leaving_ && (is_offered || is_needed)) {
-            take_over(view);
+    }
+}
+
+void node::handle_events(const election_events& events)
+{
+    const auto view = this->view();
+    if (events.owner_lost || is_superseded(view)) {
+        stop_local_owner();
+    }
+    release_failed_ownership(view);
+    update_call_slots(view);
+    log_member_changes(view);
+    if (events.store_unreachable && now() >= next_offer_) {
+        next_offer_ = now() + offer_interval;
+        if (offer_to_others(view, false)) {
+            may_replace_owner_from_ = now() + replacement_pause;
         }
     }
+    confirm_suspicion(view);
+    offer_to_idle_node(view, now());
+    const bool is_offered = events.offered_epoch != 0 && view.owner &&
+                            view.owner->epoch == events.offered_epoch && !local_owner();
+    const bool is_needed = is_takeover_due(view, now()) || should_replace_owner(view, now());
+    if (!leaving_ && !abstains() && (is_offered || is_needed)) {
+        take_over(view);
+    }
+}
+
+/// Records that an owner of this process has failed, or could not begin. This node takes over
+/// nothing for a while, so that another one does.
+void node::record_failed_owner(std::uint64_t epoch)
+{
+    abstains_until_ = now() + abstention;
+    {
+        const std::lock_guard lock(mutex_);
+        superseded_epoch_ = std::max(superseded_epoch_, epoch);
+        failed_epoch_ = epoch;
+    }
+    changed_.notify_all();
+}
+
+/// Gives up the ownership of an owner that has failed, which is still recorded in the store.
+void node::release_failed_ownership(const membership_view& view)
+{
+    std::uint64_t epoch = 0;
+    {
+        const std::lock_guard lock(mutex_);
+        epoch = failed_epoch_;
+    }
+    const bool is_known = epoch != 0 && view.owner && view.owner->epoch >= epoch;
+    if (!is_known || now() < next_release_) {
+        return;
+    }
+    next_release_ = now() + release_interval;
+    if (view.owner->epoch == epoch && !view.owner->owner.name.empty() &&
+        !write_released_ownership(view)) {
+        return;
+    }
+    const std::lock_guard lock(mutex_);
+    failed_epoch_ = failed_epoch_ == epoch ? 0 : failed_epoch_;
+}
+
+/// Returns false if it is not known whether the store has applied the change.
+bool node::write_released_ownership(const membership_view& view)
+{
+    const auto key = membership_->owner_key(options_.shard);
+    shared_transaction transaction;
+    transaction.conditions.push_back({key, view.owner_revision});
+    transaction.writes.push_back({key, write_owner({.epoch = view.owner->epoch, .owner = {}}), 0});
+    try {
+        dependencies_.stores()->commit(transaction, release_timeout);
+    } catch (const transport_error& cause) {
+        LOG(WARNING) << "can't give up the ownership of a failed owner: " << cause.what();
+        return false;
+    }
+    dependencies_.log->write(
+        {.event = "owner_ends", .request = {}, .detail = "given up after a failure"});
+    return true;
 }
 
 /// Waits for events or the next periodic check. Returns none when the node ends.
 std::optional<node::election_events> node::wait_for_events()
 {
     std::unique_lock lock(mutex_);
-    const bool is_stable = !owner_missing_since_ && !suspicion_.awaits_confirmation(now());
+    const bool is_stable =
+        !owner_missing_since_ && failed_epoch_ == 0 && !suspicion_.awaits_confirmation(now());
     changed_.wait_for(lock, is_stable ? election_interval : election_interval_no_owner, [this] {
         return stopping_ || view_changed_ || is_owner_superseded() || store_unreachable_ ||
                offered_epoch_ != 0;
@@ -313,7 +380,7 @@
     // If the owner can't reach the store, the next owner must reach it, however slow the store is.
     const bool reaches_store = offer.is_leaving ? membership_->has_valid_lease()
                                                 : membership_->was_renewed_within(recent_renewal);
-    const bool can_take_over = !leaving_ && !owns_other_shard() && !local_owner() &&
+    const bool can_take_over = !leaving_ && !abstains() && !owns_other_shard() && !local_owner() &&
                                membership_->has_joined() && reaches_store;
     if (can_take_over) {
         {
@@ -378,6 +445,7 @@
 
 void node::take_over(const membership_view& view)
 {
+    std::uint64_t claimed_epoch = 0;
     try {
         const auto claimed = claim_ownership(*dependencies_.stores(),
                                              {.owner_key = membership_->owner_key(options_.shard),
@@ -387,10 +455,16 @@
                                               .expected_revision = view.owner_revision,
                                               .absent_key = key_absent_at_takeover(view)});
         if (claimed) {
+            claimed_epoch = claimed->head.epoch;
             begin_ownership(*claimed, earlier_certainty(view));
         }
-    } catch (const error& cause) {
+    } catch (const transport_error& cause) {
         LOG(WARNING) << "can't take over ownership: " << cause.what();
+    } catch (...) {
+        LOG(ERROR) << "can't take over ownership: " << describe_current_exception();
+        if (claimed_epoch != 0) {
+            record_failed_owner(claimed_epoch);
+        }
     }
     const std::lock_guard lock(mutex_);
     owner_missing_since_.reset();
@@ -454,7 +528,8 @@
                     superseded_epoch_ = std::max(superseded_epoch_, epoch);
                 }
                 changed_.notify_all();
-            }};
+            },
+        .on_failed = [this, epoch = claimed.head.epoch] { record_failed_owner(epoch); }};
     std::shared_ptr<job_owner> owner(new job_owner(std::move(start), std::move(parts)),
                                      [this](job_owner* ended) { destroy_in_background(ended); });
     {
@@ -470,8 +545,11 @@
 /// and the holder of the last reference must not wait for them.
 void node::destroy_in_background(job_owner* owner)
 {
-    owner->request_stop();
-    background_tasks_.run([owner] { delete owner; });
+    // Its memory is left alone if there is none for the task that would free it.
+    run_guarded("the end of an owner", [&] {
+        owner->request_stop();
+        background_tasks_.run([owner] { delete owner; });
+    });
 }
 
 void node::stop_local_owner()
--- a/flamingoseam/node/node_owner_path.cpp
+++ b/flamingoseam/node/node_owner_path.cpp
@@ -65,9 +65,11 @@
                 path_.record_ping(now());
             }
         }
-        if (pinged && pinged == remote_owner()) {
-            ping_owner(*pinged);
-        }
+        run_guarded("a ping of the owner", [&] {
+            if (pinged && pinged == remote_owner()) {
+                ping_owner(*pinged);
+            }
+        });
     }
 }
 
--- a/flamingoseam/node/sharded_node_test.cpp
+++ b/flamingoseam/node/sharded_node_test.cpp
@@ -13,6 +13,7 @@
 #include <atomic>
 #include <map>
 #include <mutex>
+#include <stdexcept>
 
 using namespace flamingoseam;
 using namespace flamingoseam::node;
@@ -188,8 +189,20 @@
 /// A node that is the only one of its cell, and thus the owner.
 class single_node {
 public:
-    explicit single_node(late_worker& worker, permission_call permission = nullptr)
-        : node_({.node = {.name = "node1", .rpc = own_address()}},
+    /// If `failing_event` is set, the log throws an exception the first time that it is written.
+    explicit single_node(late_worker& worker, permission_call permission = nullptr,
+                         std::string failing_event = "")
+        : log_({.program = "test",
+                .node = "node1",
+                .descriptor = output_.descriptor,
+                .observer =
+                    [this](const log_event& event) {
+                        if (event.event == failing_event_ && !has_failed_.exchange(true)) {
+                            throw std::out_of_range("no such job");
+                        }
+                    }}),
+          failing_event_(std::move(failing_event)),
+          node_({.node = {.name = "node1", .rpc = own_address()}},
                 {.stores = [this] { return std::make_unique<cell_store>(records); },
                  .channels =
                      [&worker](const auto& /*entry*/) {
@@ -212,7 +225,9 @@
     };
 
     null_device output_;
-    event_log log_{{.program = "test", .node = "node1", .descriptor = output_.descriptor}};
+    event_log log_;
+    const std::string failing_event_;
+    std::atomic<bool> has_failed_{false};
     node_metrics metrics_;
     sharded_node node_;
 };
@@ -306,3 +321,16 @@
     std::this_thread::sleep_for(milliseconds(1'000));
     CHECK(worker.newest_epoch == 3);
 }
+
+TEST_CASE("a node that can't begin its ownership gives it up, and does not end")
+{
+    late_worker worker;
+    single_node node(worker, nullptr, "owner_begins");
+    cell_store store(node.records);
+    REQUIRE(holds_within(std::chrono::seconds(4), [&] {
+        const auto owner = store.get("fs/m/owner");
+        return owner && read_owner(owner->value).owner.name.empty();
+    }));
+    // No other node takes over, so it does when it has left that to others for a while.
+    CHECK(holds_within(std::chrono::seconds(6), [&] { return worker.newest_epoch == 2; }));
+}
