Let no error in the handling of an error end a loop or a destructor

The reading of the list of workers and of the assignments goes on after a foreign exception that also can't be logged for lack of memory; an owner that ends insists on the two steps that its destructor can't do without; the ownership is given up before the failure is logged.

--- a/flamingoseam/core/control_loop.cpp
+++ b/flamingoseam/core/control_loop.cpp
@@ -37,31 +37,36 @@
     return std::exchange(steps_, {});
 }
 
-void control_loop::run_batch(std::deque<queued_step> batch) const
+/// Calls a function of the control state, and reports an exception that leaves it.
+template <typename Action> void control_loop::run_step(const Action& action) const
 {
-    auto began = now();
-    for (auto& queued : batch) {
-        run_step(queued.run);
-        const auto ended = now();
-        if (observer_) {
-            observer_(
-                {.waited = began - queued.posted, .took = ended - began, .queued = batch.size()});
-        }
-        began = ended;
+    try {
+        action();
+    } catch (...) {
+        run_guarded("the handling of a failed step", [this] {
+            const auto cause = describe_current_exception();
+            LOG(ERROR) << "a step of the control thread failed: " << cause;
+            if (handle_failure_) {
+                handle_failure_(cause);
+            }
+        });
     }
 }
 
-/// Calls a function of the control state, and reports an exception that leaves it.
-void control_loop::run_step(const step& run) const
+void control_loop::run_batch(std::deque<queued_step> batch) const
 {
-    try {
-        run();
-    } catch (...) {
-        const auto cause = describe_current_exception();
-        LOG(ERROR) << "a step of the control thread failed: " << cause;
-        if (handle_failure_) {
-            handle_failure_(cause);
-        }
+    auto began = now();
+    for (auto& queued : batch) {
+        run_step([&] {
+            queued.run();
+            const auto ended = now();
+            if (observer_) {
+                observer_({.waited = began - queued.posted,
+                           .took = ended - began,
+                           .queued = batch.size()});
+            }
+            began = ended;
+        });
     }
 }
 
--- a/flamingoseam/core/control_loop.hpp
+++ b/flamingoseam/core/control_loop.hpp
@@ -68,7 +68,7 @@
 
     std::deque<queued_step> take_batch(milliseconds tick, milliseconds spacing);
     void run_batch(std::deque<queued_step> batch) const;
-    void run_step(const step& run) const;
+    template <typename Action> void run_step(const Action& action) const;
 
     step_observer observer_;
     failure_handler handle_failure_;
--- a/flamingoseam/core/service_thread.cpp
+++ b/flamingoseam/core/service_thread.cpp
@@ -1,5 +1,6 @@
 #include "flamingoseam/core/service_thread.hpp"
 
+#include "flamingoseam/core/clock.hpp"
 #include "flamingoseam/core/error.hpp"
 #include "flamingoseam/core/thread_name.hpp"
 
@@ -14,6 +15,8 @@
 
 namespace {
 
+constexpr milliseconds retry_pause{10};
+
 /// Returns the type of the exception that is being handled, as it stands in the source.
 std::string current_exception_type()
 {
@@ -59,6 +62,13 @@
     }
 }
 
+void run_until_done(const char* duty, const std::function<void()>& action) noexcept
+{
+    while (!run_guarded(duty, action)) {
+        std::this_thread::sleep_for(retry_pause);
+    }
+}
+
 service_thread::service_thread(const char* name, std::function<void()> run)
 {
     try {
--- a/flamingoseam/core/service_thread.hpp
+++ b/flamingoseam/core/service_thread.hpp
@@ -14,6 +14,10 @@
 /// none. `duty` names the action in the log.
 bool run_guarded(const char* duty, const std::function<void()>& action) noexcept;
 
+/// Calls `action` again and again until no exception leaves it, for steps that an object can't end
+/// without.
+void run_until_done(const char* duty, const std::function<void()>& action) noexcept;
+
 /// A thread that runs one function. An exception that leaves the function is logged and ends the
 /// thread, not the process. Joined by the destructor, so the function must have been told to end
 /// before.
--- a/flamingoseam/core/service_thread_test.cpp
+++ b/flamingoseam/core/service_thread_test.cpp
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 
 #include <atomic>
+#include <new>
 #include <stdexcept>
 #include <string>
 
@@ -46,6 +47,13 @@
 {
     CHECK(run_guarded("an action", [] {}));
     CHECK_FALSE(run_guarded("an action", [] { throw std::runtime_error("it is broken"); }));
+    int calls = 0;
+    run_until_done("an action", [&calls] {
+        if (++calls < 3) {
+            throw std::bad_alloc();
+        }
+    });
+    CHECK(calls == 3);
     try {
         throw parse_error(199, "no number");
     } catch (...) {
--- a/flamingoseam/node/job_owner.cpp
+++ b/flamingoseam/node/job_owner.cpp
@@ -130,8 +130,8 @@
 
 job_owner::~job_owner()
 {
-    request_stop();
-    wait_for_batch();
+    run_until_done("the end of an owner", [this] { request_stop(); });
+    run_until_done("the end of an owner", [this] { wait_for_batch(); });
     streams_.clear();
     loop_.stop();
     loop_thread_.join();
@@ -373,12 +373,12 @@
     if (superseded_.exchange(true)) {
         return;
     }
-    dependencies_.log->write({.event = "owner_failed",
-                              .request = {},
-                              .detail = "epoch " + std::to_string(epoch_) + ": " + cause});
     if (dependencies_.on_failed) {
         dependencies_.on_failed();
     }
+    dependencies_.log->write({.event = "owner_failed",
+                              .request = {},
+                              .detail = "epoch " + std::to_string(epoch_) + ": " + cause});
 }
 
 /// Takes changes for a commit stream; none if the owner acts no more, as they may be incomplete.
--- a/flamingoseam/node/job_owner_workers.cpp
+++ b/flamingoseam/node/job_owner_workers.cpp
@@ -27,26 +27,27 @@
 {
     std::unique_ptr<worker_directory> directory;
     while (!ending_) {
-        try {
+        run_guarded("the reading of the list of workers", [&] {
             if (!directory) {
                 directory = dependencies_.directory();
             }
             read_worker_list(*directory);
-        } catch (...) {
-            LOG_EVERY_N(WARNING, 20)
-                << "the list of workers cannot be read: " << describe_current_exception();
-        }
+        });
         std::this_thread::sleep_for(directory_read_delay);
     }
 }
 
 void job_owner::read_worker_list(worker_directory& directory)
 {
-    auto workers = directory.next();
-    if (!ending_) {
-        loop_.post([this, workers = std::move(workers), confirmed = directory.confirmed_at()] {
-            handle_worker_list(workers, confirmed);
-        });
+    try {
+        auto workers = directory.next();
+        if (!ending_) {
+            loop_.post([this, workers = std::move(workers), confirmed = directory.confirmed_at()] {
+                handle_worker_list(workers, confirmed);
+            });
+        }
+    } catch (const error& cause) {
+        LOG_EVERY_N(WARNING, 20) << "the list of workers cannot be read: " << cause.what();
     }
 }
 
@@ -89,18 +90,29 @@
          .report = [this](const log_event& event) { dependencies_.log->write(event); }},
         dependencies_.stores());
     while (!ending_) {
-        try {
-            auto update = watch.next();
-            loop_.post(
-                [this, prefix, update = std::move(update)] { handle_assignments(update, prefix); });
-        } catch (...) {
-            LOG_EVERY_N(WARNING, 20)
-                << "the assignments of workers cannot be read: " << describe_current_exception();
+        bool has_update = false;
+        run_guarded("the reading of the assignments of workers",
+                    [&] { has_update = read_assignments(watch, prefix); });
+        if (!has_update) {
             std::this_thread::sleep_for(assignments_retry_delay);
         }
     }
 }
 
+/// Returns false if the store did not answer.
+bool job_owner::read_assignments(record_watch& watch, const std::string& prefix)
+{
+    try {
+        auto update = watch.next();
+        loop_.post(
+            [this, prefix, update = std::move(update)] { handle_assignments(update, prefix); });
+        return true;
+    } catch (const error& cause) {
+        LOG_EVERY_N(WARNING, 20) << "the assignments of workers cannot be read: " << cause.what();
+        return false;
+    }
+}
+
 void job_owner::handle_assignments(const record_update& update, const std::string& prefix)
 {
     if (ending_ || (!update.is_complete && update.records.empty())) {
--- a/flamingoseam/node/node.cpp
+++ b/flamingoseam/node/node.cpp
@@ -273,16 +273,25 @@
 {
     background_tasks_.run([this, request, reply = std::move(reply)] {
         std::optional<permission_answer> answer;
-        try {
-            answer = dependencies_.permission(request);
-        } catch (...) {
-            LOG_EVERY_N(WARNING, 20) << "a forwarded call to the permission service failed: "
-                                     << describe_current_exception();
-        }
+        run_guarded("a forwarded call to the permission service",
+                    [&] { answer = call_permission_service(request); });
         reply(std::move(answer));
     });
 }
 
+/// Returns none if the service does not answer.
+std::optional<permission_answer>
+node::call_permission_service(const workflow::permission_request& request) const
+{
+    try {
+        return dependencies_.permission(request);
+    } catch (const error& cause) {
+        LOG_EVERY_N(WARNING, 20) << "a forwarded call to the permission service failed: "
+                                 << cause.what();
+        return std::nullopt;
+    }
+}
+
 /// Returns the names of the nodes through which this shard's owner calls the permission service.
 /// Each node serves one shard, since the service handles one call of a node at a time.
 std::vector<std::string> node::calling_nodes(const membership_view& view) const
--- a/flamingoseam/node/node.hpp
+++ b/flamingoseam/node/node.hpp
@@ -152,6 +152,8 @@
     bool hand_over_to_member(time_point handover_end);
     void stop_local_owner();
     void destroy_in_background(job_owner* owner);
+    std::optional<permission_answer>
+    call_permission_service(const workflow::permission_request& request) const;
     permission_call permission_call_through(const std::string& name);
     std::string head_prefix() const { return options_.store_prefix + "head/"; }
     std::vector<std::string> head_keys() const;
--- a/flamingoseam/node/node_election.cpp
+++ b/flamingoseam/node/node_election.cpp
@@ -461,10 +461,10 @@
     } catch (const transport_error& cause) {
         LOG(WARNING) << "can't take over ownership: " << cause.what();
     } catch (...) {
-        LOG(ERROR) << "can't take over ownership: " << describe_current_exception();
         if (claimed_epoch != 0) {
             record_failed_owner(claimed_epoch);
         }
+        LOG(ERROR) << "can't take over ownership: " << describe_current_exception();
     }
     const std::lock_guard lock(mutex_);
     owner_missing_since_.reset();
