Use up the memory of the test of log lines also in an optimized build

The compiler left out allocations whose results were not used, so that the child process of "a warning for which there is no memory does not end the process" had memory and the test failed. The blocks are linked now; the checks are unchanged. With the log sink of before, it sees the child end by SIGABRT ("St9bad_alloc: std::bad_alloc") also at -O2.

--- a/flamingoseam/log/log_test.cpp
+++ b/flamingoseam/log/log_test.cpp
@@ -23,12 +23,21 @@
     return lines[0];
 }
 
+/// A block of memory that is never freed.
+struct lost_block {
+    lost_block* earlier = nullptr;
+};
+
+lost_block* last_block = nullptr;
+
 /// Allocates until not even the smallest block can be allocated.
 [[maybe_unused]] void use_up_memory()
 {
     set_limit(RLIMIT_AS, 0);
-    for (std::size_t size = 4'096; size > 0; size /= 2) {
-        while (std::malloc(size) != nullptr) { // Never freed: the process ends soon.
+    for (std::size_t size = 4'096; size >= sizeof(lost_block); size /= 2) {
+        while (auto* const block = static_cast<lost_block*>(std::malloc(size))) {
+            block->earlier = last_block;
+            last_block = block;
         }
     }
 }
