Log and measure what a node's process uses

Now a node logs `process_usage` with threads, descriptors, resident memory and address space, and their limits, when one of them has grown by a step (16 threads or descriptors, 16 MiB resident, 512 MiB of address space) beyond its highest logged value, so that a quiet node logs one line after its start. They are read at most once a second by an owner and once in 5 s by another node. Each takeover logs them twice: before `owner_begins` and after the first sessions with workers are open. The metrics have the same figures, read at each scrape. The limit of threads is the lowest of the user's and those of the control groups.

An error in it is logged and nothing else.

--- a/flamingoseam/log/crash_line.cpp
+++ b/flamingoseam/log/crash_line.cpp
@@ -1,6 +1,7 @@
 #include "flamingoseam/log/crash_line.hpp"
 
 #include "flamingoseam/core/clock.hpp"
+#include "flamingoseam/core/process_usage.hpp"
 #include "flamingoseam/core/thread_name.hpp"
 #include "flamingoseam/log/ready_output.hpp"
 
@@ -145,23 +146,6 @@
     }
 }
 
-/// Returns the number in the line of /proc/self/status that begins with `name`.
-std::optional<std::int64_t> find_number(std::string_view status, std::string_view name)
-{
-    const auto found = status.find(name);
-    if (found == std::string_view::npos) {
-        return std::nullopt;
-    }
-    const auto begin = status.find_first_not_of(" \t", found + name.size());
-    if (begin == std::string_view::npos) {
-        return std::nullopt;
-    }
-    std::int64_t number = 0;
-    const auto* const end = status.data() + status.size();
-    const auto result = std::from_chars(status.data() + begin, end, number);
-    return result.ec == std::errc() ? std::optional(number) : std::nullopt;
-}
-
 /// Returns the text of /proc/self/status; empty if it can't be read.
 std::string_view read_status()
 {
@@ -193,10 +177,10 @@
 void add_usage(line_text& target)
 {
     const auto status = read_status();
-    add_number(target, "threads", find_number(status, "\nThreads:"));
+    add_number(target, "threads", detail::find_status_number(status, "\nThreads:"));
     add_number(target, "descriptors", count_descriptors());
-    add_number(target, "resident_kb", find_number(status, "\nVmRSS:"));
-    add_number(target, "address_space_kb", find_number(status, "\nVmSize:"));
+    add_number(target, "resident_kb", detail::find_status_number(status, "\nVmRSS:"));
+    add_number(target, "address_space_kb", detail::find_status_number(status, "\nVmSize:"));
     constexpr rlim_t kilobyte = 1'024;
     add_limit(target, "thread_limit", RLIMIT_NPROC, 1);
     add_limit(target, "descriptor_limit", RLIMIT_NOFILE, 1);
--- a/flamingoseam/node/job_owner.cpp
+++ b/flamingoseam/node/job_owner.cpp
@@ -107,7 +107,12 @@
     if (dependencies_.shard.count > 1) {
         borrower_ = std::make_unique<worker_borrower>(dependencies_.borrow_workers);
     }
-    loop_.post([this] { open_sessions(); });
+    loop_.post([this] {
+        open_sessions();
+        if (dependencies_.usage != nullptr) {
+            dependencies_.usage->record("sessions opened, epoch " + std::to_string(epoch_));
+        }
+    });
     loop_thread_ = std::thread([this] {
         set_thread_name("control");
         loop_.run(
--- a/flamingoseam/node/job_owner.hpp
+++ b/flamingoseam/node/job_owner.hpp
@@ -8,6 +8,7 @@
 #include "flamingoseam/node/owner_service.hpp"
 #include "flamingoseam/node/permission_dispatcher.hpp"
 #include "flamingoseam/node/shard.hpp"
+#include "flamingoseam/node/usage_log.hpp"
 #include "flamingoseam/node/worker_borrower.hpp"
 #include "flamingoseam/node/worker_directory.hpp"
 #include "flamingoseam/node/worker_session.hpp"
@@ -53,6 +54,7 @@
     borrow_call borrow_workers = nullptr; ///< Set if the cell is divided.
     event_log* log = nullptr;
     node_metrics* metrics = nullptr;
+    usage_log* usage = nullptr; ///< Logs what the process uses; null if nothing does.
 
     /// Returns whether this node is certain to be the only owner at present. Called from all
     /// threads.
--- a/flamingoseam/node/node.hpp
+++ b/flamingoseam/node/node.hpp
@@ -49,6 +49,7 @@
     permission_call permission; ///< Calls the permission service from this node; null if none.
     event_log* log = nullptr;
     node_metrics* metrics = nullptr;
+    usage_log* usage = nullptr; ///< Logs what the process uses; null if nothing does.
 };
 
 /// Times of an orderly shutdown.
--- a/flamingoseam/node/node_election.cpp
+++ b/flamingoseam/node/node_election.cpp
@@ -65,6 +65,9 @@
 {
     set_thread_name("election");
     while (const auto events = wait_for_events()) {
+        if (dependencies_.usage != nullptr) {
+            dependencies_.usage->update(now(), is_owner());
+        }
         const auto view = this->view();
         if (events->owner_lost || is_superseded(view)) {
             stop_local_owner();
@@ -413,6 +416,9 @@
 void node::begin_ownership(const claimed_head& claimed,
                            std::optional<milliseconds> earlier_certainty)
 {
+    if (dependencies_.usage != nullptr) {
+        dependencies_.usage->record("takeover, epoch " + std::to_string(claimed.head.epoch));
+    }
     dependencies_.log->write(
         {.event = "owner_begins",
          .request = {},
@@ -437,6 +443,7 @@
         .borrow_workers = options_.borrow_workers,
         .log = dependencies_.log,
         .metrics = dependencies_.metrics,
+        .usage = dependencies_.usage,
         .is_certain =
             [this, epoch = claimed.head.epoch] {
                 return membership_->is_certain_owner(options_.shard, epoch);
--- a/flamingoseam/node/node_metrics.cpp
+++ b/flamingoseam/node/node_metrics.cpp
@@ -1,5 +1,7 @@
 #include "flamingoseam/node/node_metrics.hpp"
 
+#include "flamingoseam/core/process_usage.hpp"
+
 #include <prometheus/text_serializer.h>
 
 #include <ctime>
@@ -191,10 +193,34 @@
     }
 }
 
+/// Sets a gauge to a figure of the process; leaves it out as long as the figure isn't known.
+void node_metrics::set_known(const std::string& name, std::optional<std::int64_t> value,
+                             double unit)
+{
+    if (value) {
+        set_gauge(name, static_cast<double>(*value) * unit);
+    }
+}
+
+void node_metrics::set_usage()
+{
+    constexpr double kilobyte = 1'024;
+    const auto usage = read_process_usage();
+    set_known("threads", usage.threads);
+    set_known("descriptors", usage.descriptors);
+    set_known("resident_bytes", usage.resident_kb, kilobyte);
+    set_known("address_space_bytes", usage.address_space_kb, kilobyte);
+    const auto limits = read_process_limits();
+    set_known("thread_limit", limits.threads);
+    set_known("descriptor_limit", limits.descriptors);
+    set_known("address_space_limit_bytes", limits.address_space_kb, kilobyte);
+}
+
 std::string node_metrics::text(std::uint64_t dropped_log_lines)
 {
     set_gauge("log_lines_left_out", static_cast<double>(dropped_log_lines));
     set_gauge("processor_seconds", static_cast<double>(std::clock()) / CLOCKS_PER_SEC);
+    set_usage();
     return prometheus::TextSerializer().Serialize(registry_->Collect());
 }
 
--- a/flamingoseam/node/node_metrics.hpp
+++ b/flamingoseam/node/node_metrics.hpp
@@ -10,8 +10,10 @@
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
+#include <cstdint>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -69,12 +71,14 @@
     /// none. Complexity: linear in the number of queues seen so far.
     void set_queues(const std::vector<workflow::queue_load>& queues);
 
-    /// Returns all metrics in the text format of Prometheus. `dropped_log_lines` is the number of
-    /// lines that the log has dropped.
+    /// Returns all metrics in the text format of Prometheus, with what the process uses now and its
+    /// limits. `dropped_log_lines` is the number of lines that the log has dropped.
     [[nodiscard]] std::string text(std::uint64_t dropped_log_lines);
 
 private:
     void set_gauge(const std::string& name, double value);
+    void set_known(const std::string& name, std::optional<std::int64_t> value, double unit = 1);
+    void set_usage();
 
     std::shared_ptr<prometheus::Registry> registry_;
     prometheus::Family<prometheus::Counter>& events_;
--- a/flamingoseam/node/node_metrics_test.cpp
+++ b/flamingoseam/node/node_metrics_test.cpp
@@ -1,5 +1,6 @@
 #include "flamingoseam/node/node_metrics.hpp"
 #include "flamingoseam/store/measured_store.hpp"
+#include "tests/descriptor_limit.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -49,6 +50,16 @@
             CHECK_THAT(text, Catch::Contains(line));
         }
     }
+    SECTION("report what the process uses and its limits")
+    {
+        const descriptor_limit limit(20);
+        const auto text = metrics.text(0);
+        for (const auto* name : {"threads", "descriptors", "resident_bytes", "address_space_bytes",
+                                 "descriptor_limit"}) {
+            CHECK_THAT(text, Catch::Contains("flamingoseam_node{name=\"" + std::string(name)));
+        }
+        CHECK_THAT(text, !Catch::Contains("flamingoseam_node{name=\"threads\"} 0"));
+    }
     SECTION("report an owner's load")
     {
         metrics.set_load({.state = {.overdue_jobs = 2,
