Report at a node's start that its earlier process ended without leaving

The first reading of the membership records, which a node makes anyway, may still have the record of an earlier incarnation under the node's own name, until its lease ends (1 s) or the new process's record takes its place; and the record of the owner keeps the incarnation until another node takes over or the owner hands over. Each of the two is reported as an event `earlier_process`. If there is neither, nothing is logged, since then nothing is known. There is no additional call to the store, and no change of what a node does.

Evidence: a new test with records of an earlier process, of another node's and of none.

--- a/flamingoseam/node/membership.cpp
+++ b/flamingoseam/node/membership.cpp
@@ -294,6 +294,7 @@
         try {
             const auto update = watch_.next();
             apply_update(update);
+            report_earlier_process();
             if (update.is_complete || !update.records.empty()) {
                 notify_listeners();
             }
@@ -323,6 +324,36 @@
     }
 }
 
+/// Reports, after the first reading of the records, those of an earlier process of this node. Such
+/// a process has ended without leaving, or still runs.
+void membership::report_earlier_process()
+{
+    if (std::exchange(has_reported_earlier_process_, true) || !options_.report) {
+        return;
+    }
+    const auto is_earlier = [this](const member& value) {
+        return value.name == options_.self.name && value.incarnation != options_.self.incarnation;
+    };
+    std::vector<std::string> findings;
+    {
+        const std::lock_guard lock(mutex_);
+        const auto found = members_.find(options_.self.name);
+        if (found != members_.end() && is_earlier(found->second)) {
+            findings.push_back(found->second.incarnation + " is still a member");
+        }
+        for (const auto& [key, owner] : owners_) {
+            if (is_earlier(owner.record.owner)) {
+                findings.push_back(owner.record.owner.incarnation +
+                                   " is recorded as the owner in " + key + " with epoch " +
+                                   std::to_string(owner.record.epoch));
+            }
+        }
+    }
+    for (const auto& finding : findings) {
+        options_.report({.event = "earlier_process", .request = {}, .detail = finding});
+    }
+}
+
 void membership::apply(const shared_record& record)
 {
     try {
--- a/flamingoseam/node/membership.hpp
+++ b/flamingoseam/node/membership.hpp
@@ -139,6 +139,7 @@
     void notify_listeners();
     void apply_update(const record_update& update);
     void apply(const shared_record& record);
+    void report_earlier_process();
     bool is_missing_from_view() const;
     bool is_join_confirmed() const;
     std::optional<std::string> member_name(const std::string& key) const;
@@ -159,6 +160,7 @@
     std::mutex listeners_mutex_;
     std::map<int, std::function<void()>> listeners_; ///< Guarded by `listeners_mutex_`.
     int last_listener_ = 0;                          ///< Guarded by `listeners_mutex_`.
+    bool has_reported_earlier_process_ = false;      ///< Used by the watch thread only.
     std::uint64_t lease_ = 0;
     bool is_view_complete_ = false; ///< False while the view may lack changes.
     time_point view_asked_at_{};    ///< The view contains every change of an earlier time.
--- a/flamingoseam/node/membership_test.cpp
+++ b/flamingoseam/node/membership_test.cpp
@@ -303,3 +303,98 @@
         CHECK(changes == before);
     }
 }
+
+namespace {
+
+/// A store whose list contains the records that the test sets, as do the answers of its watch.
+class set_list_store final : public commit_only_store {
+public:
+    set_list_store(std::vector<shared_record> records, std::atomic<int>& watches)
+        : records_(std::move(records)), watches_(watches)
+    {
+    }
+
+    shared_page list(const std::string& /*prefix*/, const std::string& /*after*/) override
+    {
+        return {.records = records_, .revision = 7};
+    }
+    shared_result commit(const shared_transaction& /*changes*/, milliseconds /*timeout*/) override
+    {
+        return {.applied = true, .revision = 8};
+    }
+    shared_changes watch(const std::string& /*prefix*/, std::uint64_t revision,
+                         watch_times /*times*/) override
+    {
+        ++watches_;
+        return {.revision = revision, .records = records_};
+    }
+
+private:
+    std::vector<shared_record> records_;
+    std::atomic<int>& watches_;
+};
+
+/// Returns what a member reports of its earlier process when the store has the records.
+std::vector<std::string> reports_of_earlier_process(const std::vector<shared_record>& records)
+{
+    std::atomic<int> watches{0};
+    std::vector<std::string> reports;
+    {
+        const auto report = [&reports](const log_event& event) {
+            if (event.event == "earlier_process") {
+                reports.push_back(event.detail);
+            }
+        };
+        const membership members({.self = self, .report = report}, [&records, &watches] {
+            return std::make_unique<set_list_store>(records, watches);
+        });
+        const auto end = now() + std::chrono::seconds(3);
+        while (watches < 3 && now() < end) {
+            std::this_thread::sleep_for(milliseconds(5));
+        }
+    }
+    CHECK(watches >= 3);
+    return reports;
+}
+
+} // namespace
+
+TEST_CASE("a member reports an earlier process of its name that ended without leaving")
+{
+    auto earlier = self;
+    earlier.incarnation = "i0";
+    auto other = earlier;
+    other.name = "node2";
+    const shared_record member_of_other{.key = "fs/m/node/node2", .value = write_member(other)};
+
+    SECTION("the earlier process is still a member and the owner of a shard")
+    {
+        const auto reports = reports_of_earlier_process(
+            {member_of_other,
+             {.key = "fs/m/node/node1", .value = write_member(earlier)},
+             {.key = "fs/m/owner/0", .value = write_owner({.epoch = 3, .owner = other})},
+             {.key = "fs/m/owner/1", .value = write_owner({.epoch = 4, .owner = earlier})}});
+        REQUIRE(reports.size() == 2);
+        CHECK(reports[0] == "i0 is still a member");
+        CHECK(reports[1] == "i0 is recorded as the owner in fs/m/owner/1 with epoch 4");
+    }
+    SECTION("the lease of the earlier process has ended, and nobody has taken over from it")
+    {
+        const auto reports = reports_of_earlier_process(
+            {{.key = "fs/m/owner", .value = write_owner({.epoch = 3, .owner = earlier})}});
+        REQUIRE(reports.size() == 1);
+        CHECK(reports[0] == "i0 is recorded as the owner in fs/m/owner with epoch 3");
+    }
+    SECTION("nothing is known of an earlier process")
+    {
+        CHECK(reports_of_earlier_process({}).empty());
+        CHECK(reports_of_earlier_process(
+                  {member_of_other,
+                   {.key = "fs/m/node/node1", .value = write_member(self)},
+                   {.key = "fs/m/owner", .value = write_owner({.epoch = 3, .owner = self})}})
+                  .empty());
+        CHECK(reports_of_earlier_process(
+                  {{.key = "fs/m/owner", .value = write_owner({.epoch = 3, .owner = {}})}})
+                  .empty());
+    }
+}
