Read all records again after an exception with which an answer of a watch was lost

A watch asks for the changes since its last answer. If something else than a lost answer fails after the store has answered (a report to the log, lack of memory), the changes of that answer were lost, and later answers confirmed the records as complete: an owner could go unheard.

Test: "records are read again after an exception with which an answer was lost" failed before (the next call asked for changes only).

--- a/flamingoseam/store/record_watch.cpp
+++ b/flamingoseam/store/record_watch.cpp
@@ -1,6 +1,7 @@
 #include "flamingoseam/store/record_watch.hpp"
 
 #include "flamingoseam/core/error.hpp"
+#include "flamingoseam/core/service_thread.hpp"
 
 #include <utility>
 
@@ -33,6 +34,10 @@
     } catch (const transport_error& cause) {
         record_failure(cause.what(), asked);
         throw;
+    } catch (...) {
+        read_again(); // The answer may be lost, and the store does not repeat it.
+        record_failure(describe_current_exception(), asked);
+        throw;
     }
 }
 
@@ -42,7 +47,7 @@
     std::uint64_t revision = 0;
     record_update update{.is_complete = true,
                          .records = list_all(*store_, options_.prefix, revision)};
-    report("records_read", is_first ? "first reading" : "history lost",
+    report("records_read", is_first ? "first reading" : "read again",
            {{"records", static_cast<std::int64_t>(update.records.size())},
             {"revision", static_cast<std::int64_t>(revision)},
             age_field()});
--- a/flamingoseam/store/record_watch.hpp
+++ b/flamingoseam/store/record_watch.hpp
@@ -37,10 +37,14 @@
 
     /// Returns all records on the first call and whenever changes were discarded, and otherwise the
     /// records that have changed since the last call, after waiting for a change. Throws
-    /// transport_error when the store does not answer; the next call tries again.
+    /// transport_error when the store does not answer; the next call tries again. After any other
+    /// exception the next call returns all records.
     /// Complexity: one store call, or one for each page when all records are read.
     record_update next();
 
+    /// Makes the next call return all records, since its caller has lost some that were returned.
+    void read_again() noexcept { revision_ = 0; }
+
     /// Returns when the store last confirmed that no change is missing from the records returned so
     /// far; zero if it never did.
     [[nodiscard]] time_point confirmed_at() const { return confirmed_at_; }
--- a/flamingoseam/store/record_watch_test.cpp
+++ b/flamingoseam/store/record_watch_test.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <stdexcept>
 
 using namespace flamingoseam;
 
@@ -17,6 +18,7 @@
     std::vector<shared_record> records;
     std::uint64_t revision = 1;
     std::deque<shared_changes> watches; ///< Answers to watches; none left means no answer.
+    bool fails = false;                 ///< The next report fails.
     int lists = 0;
     std::vector<std::uint64_t> watched; ///< Revisions of the watches.
     std::vector<std::string> events;    ///< Names of the reported events.
@@ -57,7 +59,13 @@
 {
     return {{.name = "workers",
              .prefix = "w/",
-             .report = [&script](const log_event& event) { script.events.push_back(event.event); }},
+             .report =
+                 [&script](const log_event& event) {
+                     script.events.push_back(event.event);
+                     if (std::exchange(script.fails, false)) {
+                         throw std::out_of_range("no such event");
+                     }
+                 }},
             std::make_unique<scripted_store>(script)};
 }
 
@@ -128,4 +136,14 @@
         CHECK(update.records[0].key == "w/3");
         CHECK(was_reported(script, "watch_history_lost"));
     }
+    SECTION("records are read again after an exception with which an answer was lost")
+    {
+        CHECK_THROWS_AS(watch.next(), transport_error);
+        script.watches.push_back(
+            {.revision = 9, .records = {{.key = "w/2", .value = "b", .revision = 9}}});
+        script.fails = true; // In the report of the answer.
+        CHECK_THROWS_AS(watch.next(), std::out_of_range);
+        CHECK(watch.next().is_complete);
+        CHECK(script.lists == 2);
+    }
 }
