Keep a node's lease and its view of the members after an exception of any type

Callers saw: a node aborts, and requests that were open there get no answer.

Cause: only errors of our own were caught on the two threads of the membership, and not those of listeners. If the system had no thread for the second one, the first one was left joinable, which ends the process as well.

Now the lease goes on being renewed, the records are read again, each listener is called whatever another one throws, and a constructor without its second thread ends the first and its lease. The view counts as newer only once the changes are applied.

Tests (each aborted before, "terminate called"): a node renews its lease after an exception that is no error of the store; a node reads the members again after one; a listener that fails ends neither the watch of the members nor the other listeners; a membership without a thread for its watch ends its lease, and not the process.

--- a/flamingoseam/node/membership.cpp
+++ b/flamingoseam/node/membership.cpp
@@ -107,16 +107,24 @@
                                                                     .report = options_.report},
                                                                    stores())
 {
-    lease_thread_ = std::thread([this] { run_lease(); });
-    watch_thread_ = std::thread([this] { run_watch(); });
+    lease_thread_ = service_thread("lease", [this] { run_lease(); });
+    try {
+        watch_thread_ = service_thread("members", [this] { run_watch(); });
+    } catch (...) {
+        request_stop();
+        throw;
+    }
 }
 
 membership::~membership()
+{
+    request_stop();
+}
+
+void membership::request_stop()
 {
     stopping_ = true;
     changed_.notify_all();
-    lease_thread_.join();
-    watch_thread_.join();
 }
 
 int membership::add_listener(std::function<void()> on_change)
@@ -136,7 +144,7 @@
 {
     const std::lock_guard lock(listeners_mutex_);
     for (const auto& [number, on_change] : listeners_) {
-        on_change();
+        run_guarded("a listener of the membership", on_change);
     }
 }
 
@@ -221,24 +229,35 @@
 void membership::run_lease()
 {
     while (!stopping_ && !leaving_) {
-        auto interval = options_.renew_interval;
-        const auto began = now();
-        try {
-            renew(*lease_store_);
-            // A slow renewal shortens the wait for the next one, so that the lease stays certainly
-            // valid.
-            const auto took = std::chrono::duration_cast<milliseconds>(now() - began);
-            interval = std::max(milliseconds(0), interval - took);
-        } catch (const error& cause) {
-            LOG_EVERY_N(WARNING, 10) << "can't renew the node's lease: " << cause.what();
-            interval = renewal_retry_interval;
-        }
+        auto interval = renewal_retry_interval;
+        run_guarded("a renewal of the node's lease", [&] { interval = try_to_renew(); });
         pause(interval);
     }
+    run_guarded("the end of the node's lease", [this] { end_lease(); });
+}
+
+/// Returns the time until the next renewal.
+milliseconds membership::try_to_renew()
+{
+    const auto began = now();
     try {
-        if (lease_ != 0) {
-            lease_store_->end_lease(lease_);
-        }
+        renew(*lease_store_);
+    } catch (const error& cause) {
+        LOG_EVERY_N(WARNING, 10) << "can't renew the node's lease: " << cause.what();
+        return renewal_retry_interval;
+    }
+    // A slow renewal shortens the wait for the next one, so that the lease stays certainly valid.
+    const auto took = std::chrono::duration_cast<milliseconds>(now() - began);
+    return std::max(milliseconds(0), options_.renew_interval - took);
+}
+
+void membership::end_lease()
+{
+    if (lease_ == 0) {
+        return;
+    }
+    try {
+        lease_store_->end_lease(lease_);
     } catch (const error& cause) {
         LOG(WARNING) << "can't end the node's lease; it will expire: " << cause.what();
     }
@@ -291,21 +310,33 @@
 void membership::run_watch()
 {
     while (!stopping_) {
-        try {
-            const auto update = watch_.next();
-            apply_update(update);
-            if (update.is_complete || !update.records.empty()) {
-                notify_listeners();
-            }
-            pause(watch_interval);
-        } catch (const error& cause) {
-            LOG_EVERY_N(WARNING, 10) << "can't watch the membership records: " << cause.what();
-            {
-                const std::lock_guard lock(mutex_);
-                is_view_complete_ = false; // Until the next answer, changes may be missing.
-            }
-            pause(watch_retry_interval);
+        bool has_read = false;
+        const bool has_failed = !run_guarded("the watch of the membership records",
+                                             [&] { has_read = try_to_read_changes(); });
+        if (has_failed) {
+            watch_.read_again(); // Changes may have been read, but not applied.
+        }
+        if (!has_read) {
+            const std::lock_guard lock(mutex_);
+            is_view_complete_ = false; // Until the next answer, changes may be missing.
+        }
+        pause(has_read ? watch_interval : watch_retry_interval);
+    }
+}
+
+/// Waits for changes of the records and applies them. Returns false if the store did not answer.
+bool membership::try_to_read_changes()
+{
+    try {
+        const auto update = watch_.next();
+        apply_update(update);
+        if (update.is_complete || !update.records.empty()) {
+            notify_listeners();
         }
+        return true;
+    } catch (const error& cause) {
+        LOG_EVERY_N(WARNING, 10) << "can't watch the membership records: " << cause.what();
+        return false;
     }
 }
 
@@ -316,11 +347,11 @@
         members_.clear();
         owners_.clear();
     }
-    is_view_complete_ = true;
-    view_asked_at_ = watch_.asked_at();
     for (const auto& record : update.records) {
         apply(record);
     }
+    is_view_complete_ = true;
+    view_asked_at_ = watch_.asked_at();
 }
 
 void membership::apply(const shared_record& record)
--- a/flamingoseam/node/membership.hpp
+++ b/flamingoseam/node/membership.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "flamingoseam/core/service_thread.hpp"
 #include "flamingoseam/http/http_client.hpp"
 #include "flamingoseam/node/shard.hpp"
 #include "flamingoseam/store/record_watch.hpp"
@@ -13,7 +14,6 @@
 #include <mutex>
 #include <optional>
 #include <string>
-#include <thread>
 #include <vector>
 
 namespace flamingoseam::node {
@@ -74,14 +74,14 @@
 /// all shards, on two threads.
 class membership {
 public:
-    /// Starts both threads.
+    /// Starts both threads. Throws resource_error if the system has no threads left.
     membership(membership_options options, const shared_store_factory& stores);
     ~membership();
     membership(const membership&) = delete;
     membership& operator=(const membership&) = delete;
 
-    /// Calls `on_change` from the watch thread after each change of a view. Returns a number for
-    /// remove_listener().
+    /// Calls `on_change` from the watch thread after each change of a view. An exception that
+    /// leaves it is logged. Returns a number for remove_listener().
     int add_listener(std::function<void()> on_change);
 
     /// Removes a listener, which is not called any more afterwards.
@@ -132,10 +132,14 @@
     [[nodiscard]] member self(const shard_identity& shard) const;
 
 private:
+    void request_stop();
     void run_lease();
+    milliseconds try_to_renew();
+    void end_lease();
     void renew(shared_store& store);
     void join(shared_store& store);
     void run_watch();
+    bool try_to_read_changes();
     void notify_listeners();
     void apply_update(const record_update& update);
     void apply(const shared_record& record);
@@ -169,8 +173,8 @@
     std::atomic<time_point> renewed_at_{};
     std::atomic<bool> stopping_{false};
     std::atomic<bool> leaving_{false};
-    std::thread lease_thread_;
-    std::thread watch_thread_;
+    service_thread lease_thread_;
+    service_thread watch_thread_;
 };
 
 } // namespace flamingoseam::node
--- a/flamingoseam/node/membership_test.cpp
+++ b/flamingoseam/node/membership_test.cpp
@@ -2,11 +2,14 @@
 
 #include "flamingoseam/core/error.hpp"
 #include "tests/commit_only_store.hpp"
+#include "tests/thread_limit.hpp"
 
 #include <catch2/catch.hpp>
 
 #include <atomic>
 #include <functional>
+#include <stdexcept>
+#include <thread>
 
 using namespace flamingoseam;
 using namespace flamingoseam::node;
@@ -303,3 +306,113 @@
         CHECK(changes == before);
     }
 }
+
+namespace {
+
+/// A store of which single calls fail with an exception of the standard library.
+class failing_store final : public commit_only_store {
+public:
+    struct shared {
+        std::atomic<bool> fails_renewal{false}; ///< The next renewal fails.
+        std::atomic<bool> fails_watch{false};   ///< The next watch fails.
+        std::atomic<int> renewals{0};
+        std::atomic<int> watches{0};
+        std::atomic<int> ended_leases{0};
+        std::atomic<std::uint64_t> epoch{1};
+    };
+
+    explicit failing_store(shared& state) : state_(state) {}
+
+    shared_page list(const std::string& prefix, const std::string& /*after*/) override
+    {
+        return {.records = {{.key = prefix + "node/node1", .value = write_member(self)},
+                            {.key = prefix + "owner",
+                             .value = write_owner({.epoch = state_.epoch, .owner = self})}},
+                .revision = 7};
+    }
+    shared_result commit(const shared_transaction& /*changes*/, milliseconds /*timeout*/) override
+    {
+        return {.applied = true, .revision = 8};
+    }
+    bool renew_lease(std::uint64_t /*lease*/) override
+    {
+        if (state_.fails_renewal.exchange(false)) {
+            throw std::out_of_range("no such lease");
+        }
+        ++state_.renewals;
+        return true;
+    }
+    shared_changes watch(const std::string& prefix, std::uint64_t revision,
+                         watch_times /*times*/) override
+    {
+        if (state_.fails_watch.exchange(false)) {
+            throw std::out_of_range("no such record");
+        }
+        ++state_.watches;
+        return {.revision = revision, .records = {{.key = prefix + "node/", .value = "{}"}}};
+    }
+    void end_lease(std::uint64_t /*lease*/) override { ++state_.ended_leases; }
+
+private:
+    shared& state_;
+};
+
+template <typename Condition> bool holds_soon(const Condition& condition)
+{
+    const auto end = now() + std::chrono::seconds(3);
+    while (!condition() && now() < end) {
+        std::this_thread::sleep_for(milliseconds(5));
+    }
+    return condition();
+}
+
+shared_store_factory stores_of(failing_store::shared& state)
+{
+    return [&state] { return std::make_unique<failing_store>(state); };
+}
+
+} // namespace
+
+TEST_CASE("a node renews its lease after an exception that is no error of the store")
+{
+    failing_store::shared state;
+    const membership members({.self = self}, stores_of(state));
+    REQUIRE(holds_soon([&] { return state.renewals > 0; }));
+    state.fails_renewal = true;
+    REQUIRE(holds_soon([&] { return !state.fails_renewal; }));
+    const int renewals = state.renewals;
+    CHECK(holds_soon([&] { return state.renewals > renewals; }));
+    CHECK(holds_soon([&] { return members.has_valid_lease(); }));
+}
+
+TEST_CASE("a node reads the members again after an exception that is no error of the store")
+{
+    failing_store::shared state;
+    const membership members({.self = self}, stores_of(state));
+    REQUIRE(holds_soon([&] { return members.is_certain_owner({}, 1); }));
+    state.epoch = 2; // Seen only when all records are read.
+    state.fails_watch = true;
+    CHECK(holds_soon([&] { return !members.is_certain_owner({}, 1); }));
+    CHECK(holds_soon([&] { return members.is_certain_owner({}, 2); }));
+}
+
+TEST_CASE("a listener that fails ends neither the watch of the members nor the other listeners")
+{
+    failing_store::shared state;
+    membership members({.self = self}, stores_of(state));
+    std::atomic<int> heard{0};
+    members.add_listener([] { throw std::out_of_range("no such member"); });
+    members.add_listener([&heard] { ++heard; });
+    CHECK(holds_soon([&] { return heard > 2; }));
+}
+
+TEST_CASE("a membership without a thread for its watch ends its lease, and not the process")
+{
+    failing_store::shared state;
+    for (const std::size_t threads : {0U, 1U}) {
+        const thread_limit limit(threads);
+        CHECK_THROWS_AS((membership({.self = self}, stores_of(state))), resource_error);
+    }
+    const membership members({.self = self}, stores_of(state));
+    CHECK(holds_soon([&] { return members.has_joined(); }));
+}
