Retry a transaction after an exception of any type

Callers saw: the owner aborts, and requests that were open there get no answer.

Cause: the thread of a commit stream caught only our own errors in a call to the store, and none of its source (which posts to the control thread and may lack memory).

Now such an exception in a call leaves the outcome unknown, so the same transaction is tried again, as after a lost answer; a function of the source that throws is called again after a pause. A stream that ends while its thread is about to wait no longer misses that.

Tests: five sections of "a commit stream", each aborted before; "a commit stream for which there is no thread is not created" (std::system_error before).

--- a/flamingoseam/node/commit_stream.cpp
+++ b/flamingoseam/node/commit_stream.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr milliseconds initial_retry_delay{20};
+constexpr milliseconds failure_pause{100}; ///< After an exception that is no error of the store.
 constexpr int slow_factor = 3; ///< Timeout of an attempt as a multiple of the last response time.
 constexpr int attempts_until_unreachable = 2; ///< A single lost answer is no sign of an outage.
 constexpr std::size_t head_entries = 2; ///< The condition on the head record and its new value.
@@ -40,14 +41,16 @@
     : options_(std::move(options)), store_(std::move(store)), head_(std::move(head)),
       revision_(revision), source_(source), attempt_timeout_(options_.timeout)
 {
-    thread_ = std::thread([this] { run(); });
+    thread_ = service_thread("commits", [this] { run(); });
 }
 
 commit_stream::~commit_stream()
 {
-    stopping_ = true;
+    {
+        const std::lock_guard lock(mutex_);
+        stopping_ = true;
+    }
     changed_.notify_all();
-    thread_.join();
 }
 
 void commit_stream::wake(bool full)
@@ -96,27 +99,8 @@
 void commit_stream::run()
 {
     thread_timer timer(thread_duty::commits);
-    while (wait_for_work()) {
+    while (wait_for_work() && write_next()) {
         timer.update();
-        auto batch = source_.take_batch(options_.max_entries - head_entries);
-        bool is_last = false;
-        if (batch.changes.empty()) {
-            const std::lock_guard lock(mutex_);
-            is_last = finishing_;
-            if (is_last && last_) {
-                batch.changes.push_back(*last_);
-            }
-        }
-        if (!batch.changes.empty()) {
-            if (!write(batch)) {
-                break;
-            }
-            source_.on_stored();
-            wake(); // More changes may have arrived in the meantime.
-        }
-        if (is_last) {
-            break;
-        }
     }
     {
         const std::lock_guard lock(mutex_);
@@ -125,6 +109,58 @@
     changed_.notify_all();
 }
 
+/// Writes the next changes, if there are any. Returns false if nothing is to be written after them.
+bool commit_stream::write_next()
+{
+    workflow::record_batch batch;
+    bool is_last = false;
+    if (!repeat_until_done("taking changes", [&] { batch = take_batch(is_last); })) {
+        return false;
+    }
+    if (batch.changes.empty()) {
+        return !is_last;
+    }
+    if (!write(batch) ||
+        !repeat_until_done("a report of stored changes", [this] { source_.on_stored(); })) {
+        return false;
+    }
+    wake(); // More changes may have arrived in the meantime.
+    return !is_last;
+}
+
+/// Returns the next changes. Sets `is_last` if there are none after them.
+workflow::record_batch commit_stream::take_batch(bool& is_last)
+{
+    auto batch = source_.take_batch(options_.max_entries - head_entries);
+    if (batch.changes.empty()) {
+        const std::lock_guard lock(mutex_);
+        is_last = finishing_;
+        if (is_last && last_) {
+            batch.changes.push_back(*last_);
+        }
+    }
+    return batch;
+}
+
+/// Calls `action` until no exception leaves it. Returns false if the stream has been stopped
+/// before.
+bool commit_stream::repeat_until_done(const char* duty, const std::function<void()>& action)
+{
+    while (!stopping_) {
+        if (run_guarded(duty, action)) {
+            return true;
+        }
+        pause(failure_pause);
+    }
+    return false;
+}
+
+void commit_stream::pause(milliseconds length)
+{
+    std::unique_lock lock(mutex_);
+    changed_.wait_for(lock, length, [this] { return stopping_.load(); });
+}
+
 shared_transaction commit_stream::make_transaction(const workflow::record_batch& batch) const
 {
     shared_transaction transaction;
@@ -143,20 +179,22 @@
 bool commit_stream::write(const workflow::record_batch& batch)
 {
     ++head_.sequence;
-    const auto transaction = make_transaction(batch);
+    shared_transaction transaction;
+    if (!repeat_until_done("a transaction", [&] { transaction = make_transaction(batch); })) {
+        return false;
+    }
     auto retry_delay = initial_retry_delay;
     while (!stopping_) {
         const auto started = now();
         if (const auto outcome = attempt(transaction)) {
             record_attempt(true, started);
             if (!*outcome) {
-                source_.on_superseded();
+                repeat_until_done("a report of a newer owner", [this] { source_.on_superseded(); });
             }
             return *outcome;
         }
         record_attempt(false, started);
-        std::unique_lock lock(mutex_);
-        changed_.wait_for(lock, retry_delay, [this] { return stopping_.load(); });
+        pause(retry_delay);
         retry_delay = std::min(2 * retry_delay, options_.max_retry_delay);
     }
     return false;
@@ -179,9 +217,9 @@
             }
         }
         return false;
-    } catch (const error& cause) {
+    } catch (...) {
         LOG_EVERY_N(WARNING, 20) << "the store did not answer a write, which is retried: "
-                                 << cause.what();
+                                 << describe_current_exception();
         return std::nullopt;
     }
 }
@@ -194,7 +232,7 @@
                                   options_.timeout, options_.max_timeout);
     failed_attempts_ = answered ? 0 : failed_attempts_ + 1;
     if (failed_attempts_ >= attempts_until_unreachable) {
-        source_.on_store_unreachable();
+        run_guarded("a report of an unreachable store", [this] { source_.on_store_unreachable(); });
     }
 }
 
--- a/flamingoseam/node/commit_stream.hpp
+++ b/flamingoseam/node/commit_stream.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "flamingoseam/core/service_thread.hpp"
 #include "flamingoseam/store/shared_store.hpp"
 #include "flamingoseam/workflow/change_log.hpp"
 
@@ -10,7 +11,6 @@
 #include <mutex>
 #include <optional>
 #include <string>
-#include <thread>
 
 namespace flamingoseam::node {
 
@@ -49,7 +49,8 @@
 };
 
 /// Supplies the changes of a commit stream and is notified of its progress. All functions are
-/// called from the stream's thread.
+/// called from the stream's thread. One that throws is called again, so it must have had no effect
+/// then.
 class commit_source {
 public:
     virtual ~commit_source() = default;
@@ -72,7 +73,7 @@
 class commit_stream {
 public:
     /// Starts the stream's thread. `head` is the owner's first head record, which is stored at
-    /// `revision`.
+    /// `revision`. Throws resource_error if the system has no thread left.
     commit_stream(commit_stream_options options, std::unique_ptr<shared_store> store,
                   stream_head head, std::uint64_t revision, commit_source& source);
 
@@ -95,11 +96,15 @@
 
 private:
     void run();
+    bool write_next();
+    workflow::record_batch take_batch(bool& is_last);
+    bool repeat_until_done(const char* duty, const std::function<void()>& action);
     bool write(const workflow::record_batch& batch);
     shared_transaction make_transaction(const workflow::record_batch& batch) const;
     std::optional<bool> attempt(const shared_transaction& transaction);
     void record_attempt(bool answered, time_point started);
     bool wait_for_work();
+    void pause(milliseconds length);
 
     commit_stream_options options_;
     std::unique_ptr<shared_store> store_;
@@ -116,7 +121,7 @@
     std::optional<workflow::record_change> last_;
     bool finished_ = false;
     std::atomic<bool> stopping_{false};
-    std::thread thread_;
+    service_thread thread_;
 };
 
 } // namespace flamingoseam::node
--- a/flamingoseam/node/commit_stream_test.cpp
+++ b/flamingoseam/node/commit_stream_test.cpp
@@ -2,10 +2,12 @@
 
 #include "flamingoseam/core/error.hpp"
 #include "tests/commit_only_store.hpp"
+#include "tests/thread_limit.hpp"
 
 #include <catch2/catch.hpp>
 
 #include <deque>
+#include <stdexcept>
 
 using namespace flamingoseam;
 using namespace flamingoseam::node;
@@ -13,7 +15,7 @@
 namespace {
 
 /// How the fake store treats a transaction.
-enum class commit_outcome { apply, apply_and_lose_answer, lose_request, delay };
+enum class commit_outcome { apply, apply_and_lose_answer, apply_and_fail, lose_request, delay };
 
 /// The records of a store with one head record, written by one commit stream and by delayed copies
 /// of its transactions.
@@ -56,9 +58,13 @@
         if (outcome == commit_outcome::delay) {
             records_.delayed.push_back(changes);
         }
-        if (outcome == commit_outcome::apply_and_lose_answer) {
+        if (outcome == commit_outcome::apply_and_lose_answer ||
+            outcome == commit_outcome::apply_and_fail) {
             records_.apply(changes);
         }
+        if (outcome == commit_outcome::apply_and_fail) {
+            throw std::out_of_range("no such header");
+        }
         if (outcome != commit_outcome::apply) {
             throw transport_error(304, "no answer", true);
         }
@@ -76,6 +82,7 @@
 
     workflow::record_batch take_batch(std::size_t /*max_changes*/) override
     {
+        fail_if(fails_to_take);
         const std::lock_guard lock(mutex_);
         workflow::record_batch batch;
         if (taken_ < batches_) {
@@ -83,15 +90,36 @@
         }
         return batch;
     }
-    void on_stored() override { ++stored; }
-    void on_superseded() override { superseded = true; }
-    void on_store_unreachable() override { seen_unreachable = true; }
+    void on_stored() override
+    {
+        fail_if(fails_to_hear);
+        ++stored;
+    }
+    void on_superseded() override
+    {
+        fail_if(fails_to_hear);
+        superseded = true;
+    }
+    void on_store_unreachable() override
+    {
+        fail_if(fails_to_hear);
+        seen_unreachable = true;
+    }
 
     std::atomic<int> stored{0};
     std::atomic<bool> superseded{false};
     std::atomic<bool> seen_unreachable{false};
+    std::atomic<bool> fails_to_take{false}; ///< The next call for changes fails.
+    std::atomic<bool> fails_to_hear{false}; ///< The next notification fails.
 
 private:
+    static void fail_if(std::atomic<bool>& fails)
+    {
+        if (fails.exchange(false)) {
+            throw std::out_of_range("no such change");
+        }
+    }
+
     std::mutex mutex_;
     int batches_;
     int taken_ = 0;
@@ -170,4 +198,52 @@
         CHECK(source.seen_unreachable);
         CHECK(source.stored == 3);
     }
+    SECTION("retries a transaction after an exception that is no error of the store")
+    {
+        records.outcomes = {commit_outcome::apply_and_fail};
+        REQUIRE(run());
+        CHECK(source.stored == 3);
+        CHECK(records.values["value"] == "3");
+        CHECK_FALSE(source.superseded);
+    }
+    SECTION("takes the changes again if its source could not supply them")
+    {
+        source.fails_to_take = true;
+        REQUIRE(run());
+        CHECK(source.stored == 3);
+        CHECK(records.values["value"] == "3");
+    }
+    SECTION("reports again that changes are stored if its source could not be told")
+    {
+        source.fails_to_hear = true;
+        REQUIRE(run());
+        CHECK(source.stored == 3);
+        CHECK(records.commits == 3);
+    }
+    SECTION("reports again that it is superseded if its source could not be told")
+    {
+        source.fails_to_hear = true;
+        records.revision = 11;
+        records.head = write_head({.epoch = 4, .sequence = 0, .owner = "other"});
+        REQUIRE(run());
+        CHECK(source.superseded);
+        CHECK(source.stored == 0);
+    }
+    SECTION("retries a transaction if its source could not be told of the unreachable store")
+    {
+        source.fails_to_hear = true;
+        records.outcomes = {commit_outcome::lose_request, commit_outcome::lose_request};
+        REQUIRE(run());
+        CHECK(source.stored == 3);
+    }
+}
+
+TEST_CASE("a commit stream for which there is no thread is not created")
+{
+    fake_records records;
+    counting_source source(1);
+    const thread_limit limit(0);
+    CHECK_THROWS_AS((commit_stream({.head_key = "head"}, std::make_unique<fake_store>(records),
+                                   first_head, 10, source)),
+                    resource_error);
 }
