Count an exception in a call to the permission service as no answer, and bound the threads

Callers saw: the owner aborts, and requests that were open there get no answer.

Cause: an exception that is not one of ours in a call, in the handler of its answer or in the observer had no handler. A thread that could not be added ended the process, too, under the lock. Nothing bounded the threads: one for each node that ever was a member, and one for each call in flight.

Now such a call counts as not answered, its slot and its number are released, and the answer is passed on again until it is taken. Threads are added only when all are busy, up to 64 (the calls of 16 nodes), and requests wait for a thread beyond that or if the system has none left.

Tests: an exception in a call to the permission service counts as no answer (three sections, each aborted before); permission requests wait for the threads that there are if no more can be started (std::system_error before).

--- a/flamingoseam/node/permission_dispatcher.cpp
+++ b/flamingoseam/node/permission_dispatcher.cpp
@@ -6,6 +6,7 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <thread>
 #include <utility>
 
 namespace flamingoseam::node {
@@ -14,6 +15,9 @@
 
 /// Maximum time until requests that the queue holds back are checked again.
 constexpr milliseconds max_poll_delay{100};
+constexpr milliseconds failure_pause{100}; ///< After an exception that is no error of a call.
+/// As many as 16 nodes have calls in flight. The calls of further nodes wait for a thread.
+constexpr std::size_t max_threads = 64;
 
 } // namespace
 
@@ -22,6 +26,8 @@
     : make_call_(std::move(make_call)), answer_handler_(std::move(handle_answer)),
       observer_(std::move(observer))
 {
+    threads_.reserve(max_threads); // So that a thread that has been started can always be kept.
+    threads_.emplace_back("permissions", [this] { run(); });
 }
 
 permission_dispatcher::~permission_dispatcher()
@@ -68,9 +74,6 @@
                     call_slot{.node = node, .call = make_call_(node), .pacer = {}}));
             }
         }
-        while (threads_.size() <= slots_.size()) {
-            add_thread();
-        }
     }
     work_pending_.notify_all();
 }
@@ -118,10 +121,19 @@
     queue_.drop(number);
 }
 
-/// Adds a thread. To be called with the mutex locked, which guards the list of threads.
-void permission_dispatcher::add_thread()
+/// Adds a thread, unless there are too many or the system has none left. To be called with the
+/// mutex locked, which guards the list of threads.
+void permission_dispatcher::add_thread_if_possible()
 {
-    threads_.emplace_back([this] { run(); });
+    if (ending_ || threads_.size() == max_threads) {
+        return;
+    }
+    try {
+        threads_.emplace_back("permissions", [this] { run(); });
+    } catch (...) {
+        LOG_EVERY_N(WARNING, 20) << "permission requests wait for a thread: "
+                                 << describe_current_exception();
+    }
 }
 
 /// Returns the open slot with the fewest calls in flight among those that may make a call now.
@@ -194,7 +206,7 @@
         }
         next->slot->pacer.begin(next->request.service_time, time);
         if (++calls_in_flight_ == threads_.size()) {
-            add_thread();
+            add_thread_if_possible();
         } else if (queue_.size() > 0) {
             work_pending_.notify_one();
         }
@@ -205,30 +217,62 @@
 
 void permission_dispatcher::perform(const dispatched_call& next)
 {
-    const auto& [slot, request] = next;
+    const auto& request = next.request;
     const auto started = now();
     std::optional<std::vector<workflow::ticket_grant>> grants;
+    run_guarded("a permission request", [&] { grants = call(next); });
+    const bool answered = grants.has_value();
+    run_guarded("the record of a permission request",
+                [&] { record_call(request, started, answered); });
+    pass_answer(request.number, grants);
+    const std::lock_guard lock(mutex_);
+    queue_.finish(request);
+    next.slot->pacer.end(answered, now());
+    --calls_in_flight_;
+}
+
+/// Makes a call. Returns none if there is no answer.
+std::optional<std::vector<workflow::ticket_grant>>
+permission_dispatcher::call(const dispatched_call& next)
+{
     try {
-        grants = slot->call(request).grants;
+        return next.slot->call(next.request).grants;
     } catch (const error& cause) {
-        LOG_EVERY_N(WARNING, 20) << "a permission request through " << slot->node
+        LOG_EVERY_N(WARNING, 20) << "a permission request through " << next.slot->node
                                  << " failed: " << cause.what();
+        return std::nullopt;
     }
-    const bool answered = grants.has_value();
-    record_call(request, started, answered);
-    answer_handler_(request.number, std::move(grants));
+}
+
+/// Passes an answer on until no exception leaves its handler, or the dispatcher ends.
+void permission_dispatcher::pass_answer(
+    std::uint64_t number, const std::optional<std::vector<workflow::ticket_grant>>& grants)
+{
+    while (!run_guarded("a permission answer", [&] { answer_handler_(number, grants); }) &&
+           !is_ending()) {
+        std::this_thread::sleep_for(failure_pause);
+    }
+}
+
+bool permission_dispatcher::is_ending()
+{
     const std::lock_guard lock(mutex_);
-    queue_.finish(request);
-    slot->pacer.end(answered, now());
-    --calls_in_flight_;
+    return ending_;
 }
 
 void permission_dispatcher::run()
 {
     thread_timer timer(thread_duty::permissions);
-    while (const auto next = take_call()) {
-        timer.update();
-        perform(*next);
+    while (!is_ending()) {
+        const bool has_ended = run_guarded("the dispatch of permission requests", [&] {
+            if (const auto next = take_call()) {
+                timer.update();
+                perform(*next);
+            }
+        });
+        if (!has_ended) {
+            std::this_thread::sleep_for(failure_pause);
+        }
     }
 }
 
--- a/flamingoseam/node/permission_dispatcher.hpp
+++ b/flamingoseam/node/permission_dispatcher.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "flamingoseam/core/service_thread.hpp"
 #include "flamingoseam/http/http_client.hpp"
 #include "flamingoseam/node/load_meter.hpp"
 #include "flamingoseam/node/permission_pacer.hpp"
@@ -11,7 +12,6 @@
 #include <mutex>
 #include <optional>
 #include <string>
-#include <thread>
 #include <vector>
 
 namespace flamingoseam::node {
@@ -40,18 +40,21 @@
 /// Distributes permission requests over the nodes, since the service handles one call of each
 /// calling node at a time. Each node is represented by one call slot, whose permission_pacer sends
 /// the next call while the answers to earlier ones are on the way. A permission_queue chooses the
-/// request that a slot handles next. There are more threads than call slots, and at least one of
-/// them is idle.
+/// request that a slot handles next. Threads are added so that one of them is idle, up to a limit
+/// and as far as the system has threads left; then requests wait for a thread.
 class permission_dispatcher {
 public:
     /// Receives the number of each request and its grants, or no value when the request failed.
-    /// Called from the dispatcher's threads.
+    /// Called from the dispatcher's threads. If it throws, it is called again, so it must have had
+    /// no effect then.
     using answer_handler =
         std::function<void(std::uint64_t, std::optional<std::vector<workflow::ticket_grant>>)>;
 
-    /// Receives the timing of each call. Called from the dispatcher's threads.
+    /// Receives the timing of each call. Called from the dispatcher's threads. An exception that
+    /// leaves it is logged.
     using call_observer = std::function<void(const permission_timing&)>;
 
+    /// Throws resource_error if the system has no thread left.
     permission_dispatcher(permission_call_factory make_call, answer_handler handle_answer,
                           call_observer observer = nullptr);
 
@@ -90,8 +93,12 @@
     };
 
     void run();
-    void add_thread();
+    void add_thread_if_possible();
     void perform(const dispatched_call& next);
+    static std::optional<std::vector<workflow::ticket_grant>> call(const dispatched_call& next);
+    void pass_answer(std::uint64_t number,
+                     const std::optional<std::vector<workflow::ticket_grant>>& grants);
+    [[nodiscard]] bool is_ending();
     void record_call(const workflow::permission_request& request, time_point started,
                      bool answered);
     std::optional<dispatched_call> take_call();
@@ -109,7 +116,7 @@
     std::condition_variable work_pending_; ///< Notified of work for idle threads.
     workflow::permission_queue queue_;
     std::vector<std::unique_ptr<call_slot>> slots_;
-    std::vector<std::thread> threads_;
+    std::vector<service_thread> threads_;
     std::size_t calls_in_flight_ = 0; ///< Number of threads that make a call.
     /// When an idle thread checks the queue again without being notified.
     time_point next_check_ = time_point::max();
--- a/flamingoseam/node/permission_dispatcher_test.cpp
+++ b/flamingoseam/node/permission_dispatcher_test.cpp
@@ -1,11 +1,15 @@
 #include "flamingoseam/node/permission_dispatcher.hpp"
 
 #include "flamingoseam/core/error.hpp"
+#include "tests/thread_limit.hpp"
 
 #include <catch2/catch.hpp>
 
 #include <atomic>
 #include <map>
+#include <mutex>
+#include <stdexcept>
+#include <thread>
 
 using namespace flamingoseam;
 using namespace flamingoseam::node;
@@ -216,3 +220,69 @@
     REQUIRE(holds_within(milliseconds(5'000), [&] { return answered == 4; }));
     CHECK(sent == std::vector<std::uint64_t>{1, 2, 5, 3});
 }
+
+TEST_CASE("an exception in a call to the permission service counts as no answer")
+{
+    std::atomic<bool> fails{true};
+    std::atomic<int> granted{0};
+    std::atomic<int> failed{0};
+    std::atomic<int> calls{0};
+    std::string failing;
+    SECTION("an exception of the call")
+    {
+        failing = "call";
+    }
+    SECTION("an exception of the handler of its answer")
+    {
+        failing = "answer";
+    }
+    SECTION("an exception of the observer of its timing")
+    {
+        failing = "timing";
+    }
+    const auto fail_once_in = [&](const std::string& part) {
+        if (part == failing && fails.exchange(false)) {
+            throw std::out_of_range("no such worker");
+        }
+    };
+    permission_dispatcher dispatcher(
+        [&](const std::string& /*node*/) {
+            return [&](const workflow::permission_request& /*request*/) -> permission_answer {
+                ++calls;
+                fail_once_in("call");
+                return {.grants = {{"w", "ticket"}}};
+            };
+        },
+        [&](std::uint64_t /*number*/, const auto& grants) {
+            fail_once_in("answer");
+            ++(grants ? granted : failed);
+        },
+        [&](const permission_timing& /*timing*/) { fail_once_in("timing"); });
+    dispatcher.enqueue(request_of(1, 0, milliseconds(1)));
+    dispatcher.enqueue(request_of(2, 0, milliseconds(1)));
+    dispatcher.set_nodes({"a"});
+    REQUIRE(holds_within(milliseconds(3'000), [&] { return granted + failed == 2; }));
+    CHECK(calls == 2);
+    CHECK(failed == (failing == "call" ? 1 : 0));
+    CHECK(dispatcher.load(now()).requests == 0);
+    CHECK(holds_within(milliseconds(500), [&] { return dispatcher.load(now()).busy_slots == 0; }));
+}
+
+TEST_CASE("permission requests wait for the threads that there are if no more can be started")
+{
+    std::atomic<int> answered{0};
+    permission_dispatcher dispatcher(
+        [&](const std::string& /*node*/) {
+            return [&](const workflow::permission_request& request) -> permission_answer {
+                std::this_thread::sleep_for(request.service_time);
+                return {.grants = {{"w", "ticket"}}};
+            };
+        },
+        [&](std::uint64_t /*number*/, const auto& /*grants*/) { ++answered; });
+    const thread_limit limit(0);
+    dispatcher.set_nodes({"a", "b", "c"});
+    for (std::uint64_t number = 1; number <= 6; ++number) {
+        dispatcher.enqueue(request_of(number, 0, milliseconds(20)));
+    }
+    CHECK(holds_within(milliseconds(3'000), [&] { return answered == 6; }));
+}
