Go on borrowing workers after a call that fails in an unforeseen way

An exception of a call for workers of another shard, on a thread of its own, ended the process.

Tests: a call for workers that fails does not keep the next one from being made (aborted before); a borrower for which there is no thread is not created (std::system_error before).

--- a/flamingoseam/node/worker_borrower.cpp
+++ b/flamingoseam/node/worker_borrower.cpp
@@ -6,7 +6,7 @@
 
 worker_borrower::worker_borrower(borrow_call call) : call_(std::move(call))
 {
-    thread_ = std::thread([this] { run(); });
+    thread_ = service_thread("borrowing", [this] { run(); });
 }
 
 worker_borrower::~worker_borrower()
@@ -16,7 +16,6 @@
         stopping_ = true;
     }
     changed_.notify_one();
-    thread_.join();
 }
 
 void worker_borrower::request(workflow::worker_request request)
@@ -39,7 +38,7 @@
 void worker_borrower::run()
 {
     while (const auto request = next()) {
-        call_(*request);
+        run_guarded("a request for workers", [&] { call_(*request); });
     }
 }
 
--- a/flamingoseam/node/worker_borrower.hpp
+++ b/flamingoseam/node/worker_borrower.hpp
@@ -1,22 +1,24 @@
 #pragma once
 
 #include "flamingoseam/core/clock.hpp"
+#include "flamingoseam/core/service_thread.hpp"
 #include "flamingoseam/workflow/worker_lending.hpp"
 
 #include <condition_variable>
 #include <functional>
 #include <mutex>
 #include <optional>
-#include <thread>
 
 namespace flamingoseam::node {
 
 /// Asks the owners of the other shards for workers. May take as long as a few calls to other nodes.
 using borrow_call = std::function<void(const workflow::worker_request& request)>;
 
-/// Makes the calls for workers of other shards on a thread of its own, one at a time.
+/// Makes the calls for workers of other shards on a thread of its own, one at a time. An exception
+/// that leaves a call is logged.
 class worker_borrower {
 public:
+    /// Throws resource_error if the system has no thread left.
     explicit worker_borrower(borrow_call call);
 
     /// Waits for the call in progress.
@@ -37,7 +39,7 @@
     std::condition_variable changed_;
     std::optional<workflow::worker_request> request_;
     bool stopping_ = false;
-    std::thread thread_;
+    service_thread thread_;
 };
 
 } // namespace flamingoseam::node
