Read the stored state without threads of its own if there are none, and recognise a claim

A node that took over without threads left could not read the stored state: std::async threw std::system_error. Now the parts are read one after the other then; otherwise still at once.

A claim whose call failed with an exception that is not one of ours was given up, although it may have been applied: the store then named an owner that did not run. It is retried as after a lost answer, and recognised.

Tests, failed before: the stored state is read although there are no threads to read its parts at once; "a claim of ownership", that was applied although its call failed in an unforeseen way is recognised.

--- a/flamingoseam/node/owner_claim.cpp
+++ b/flamingoseam/node/owner_claim.cpp
@@ -1,11 +1,12 @@
 #include "flamingoseam/node/owner_claim.hpp"
 
-#include "flamingoseam/core/error.hpp"
+#include "flamingoseam/core/service_thread.hpp"
 
 #include <glog/logging.h>
 
 #include <future>
 #include <map>
+#include <system_error>
 #include <utility>
 
 namespace flamingoseam::node {
@@ -61,6 +62,19 @@
     return values;
 }
 
+/// Reads values on a thread of its own, or when the result is asked for if there is no thread.
+std::future<std::map<std::string, std::string>> start_reading(const shared_store_factory& stores,
+                                                              const std::string& prefix)
+{
+    const auto read = [&stores, prefix] { return read_values(*stores(), prefix); };
+    try {
+        return std::async(std::launch::async, read);
+    } catch (const std::system_error& cause) {
+        LOG(WARNING) << "reading the stored state in parts, one after the other: " << cause.what();
+        return std::async(std::launch::deferred, read);
+    }
+}
+
 } // namespace
 
 std::optional<claimed_head> claim_ownership(shared_store& store, const owner_claim& claim)
@@ -72,9 +86,9 @@
     for (int attempt = 0; attempt < claim.max_attempts; ++attempt) {
         try {
             return claim_outcome(store.commit(transaction, claim.timeout), claim, head);
-        } catch (const transport_error& cause) {
+        } catch (...) { // It may have been applied, whatever the exception is.
             LOG(WARNING) << "the store did not answer the ownership claim; retrying: "
-                         << cause.what();
+                         << describe_current_exception();
         }
     }
     return std::nullopt;
@@ -83,12 +97,8 @@
 stored_state read_stored_state(const shared_store_factory& stores,
                                const workflow::record_keys& keys)
 {
-    const auto read = [&stores](const std::string& prefix) {
-        return std::async(std::launch::async,
-                          [&stores, prefix] { return read_values(*stores(), prefix); });
-    };
-    auto specifications = read(keys.specification_prefix());
-    auto progresses = read(keys.progress_prefix());
+    auto specifications = start_reading(stores, keys.specification_prefix());
+    auto progresses = start_reading(stores, keys.progress_prefix());
     stored_state state;
     if (const auto record = stores()->get(keys.leased_workers())) {
         state.leased_workers = workflow::read_leased_workers(record->value);
--- a/flamingoseam/node/owner_claim.hpp
+++ b/flamingoseam/node/owner_claim.hpp
@@ -42,8 +42,9 @@
     std::vector<workflow::worker_entry> leased_workers; ///< Workers that may have assigned runs.
 };
 
-/// Reads jobs, their progress and the leased workers concurrently, over one connection each. The
-/// caller must be the owner throughout. Throws error when the store does not answer.
+/// Reads jobs, their progress and the leased workers concurrently, over one connection each, or one
+/// after the other if the system has no threads left. The caller must be the owner throughout.
+/// Throws error when the store does not answer.
 stored_state read_stored_state(const shared_store_factory& stores,
                                const workflow::record_keys& keys);
 
--- a/flamingoseam/node/owner_claim_test.cpp
+++ b/flamingoseam/node/owner_claim_test.cpp
@@ -2,10 +2,12 @@
 
 #include "flamingoseam/core/error.hpp"
 #include "tests/commit_only_store.hpp"
+#include "tests/thread_limit.hpp"
 
 #include <catch2/catch.hpp>
 
 #include <map>
+#include <stdexcept>
 
 using namespace flamingoseam;
 using namespace flamingoseam::node;
@@ -22,6 +24,10 @@
             --answers_lost;
             throw transport_error(304, "no answer", true);
         }
+        if (failures > 0) {
+            --failures;
+            throw std::out_of_range("no such header");
+        }
         return result;
     }
 
@@ -51,6 +57,7 @@
     std::map<std::string, shared_record> records;
     std::uint64_t revision = 10;
     int answers_lost = 0;
+    int failures = 0; ///< Answers to be replaced by an exception of the standard library.
     int commits = 0;
 };
 
@@ -117,9 +124,27 @@
         CHECK(second->revision == store.records["head/0"].revision);
         CHECK(second->revision == store.revision);
     }
+    SECTION("that was applied although its call failed in an unforeseen way is recognised")
+    {
+        store.failures = 1;
+        auto claim = claim_of("b");
+        claim.expected_epoch = 1;
+        claim.expected_revision = first->revision;
+        const auto second = claim_ownership(store, claim);
+        REQUIRE(second);
+        CHECK(second->revision == store.revision);
+    }
     SECTION("without any answer fails")
     {
         store.answers_lost = 100;
         CHECK_FALSE(claim_ownership(store, claim_of("c")));
     }
 }
+
+TEST_CASE("the stored state is read although there are no threads to read its parts at once")
+{
+    const workflow::record_keys keys{.prefix = "fs/"};
+    const thread_limit limit(0);
+    const auto state = read_stored_state([] { return std::make_unique<memory_store>(); }, keys);
+    CHECK(state.jobs.jobs.empty());
+}
