Form and leave the shards of a node whatever fails on the way

Callers saw: a node aborts at its start, or as it shuts down.

Cause: the thread that forms the shards caught transport errors only; leaving started one thread a shard without regard to a lack of them.

Now forming is tried again after an exception of any type, and shards for which there is no thread are left one after the other, before the node leaves the membership.

Tests: a node forms its shards after an exception that is no error of the store (aborted before); a node leaves its shards one after the other if there is no thread for each (std::system_error before).

--- a/flamingoseam/node/sharded_node.cpp
+++ b/flamingoseam/node/sharded_node.cpp
@@ -5,7 +5,9 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <functional>
 #include <random>
+#include <thread>
 
 namespace flamingoseam::node {
 
@@ -56,13 +58,20 @@
                      .processor_share = options_.node.processor_share},
             .report = [log = dependencies_.log](const log_event& event) { log->write(event); }},
         dependencies_.stores);
-    forming_thread_ = std::thread([this] { form_shards(); });
+    forming_thread_ = service_thread("shards", [this] { run_forming(); });
 }
 
 sharded_node::~sharded_node()
 {
     stopping_ = true;
-    forming_thread_.join();
+}
+
+/// Tries until the shards are formed or this object ends.
+void sharded_node::run_forming()
+{
+    while (!stopping_ && !run_guarded("forming the shards", [this] { form_shards(); })) {
+        std::this_thread::sleep_for(shard_retry_interval);
+    }
 }
 
 /// Waits until the layout of the cell is known. Returns 0 if this object ends before.
@@ -107,17 +116,16 @@
 /// this object ends before.
 bool sharded_node::form_shard(const shard_identity& shard)
 {
-    while (!stopping_) {
+    while (!stopping_ && !shards_[shard.index]) {
         try {
             add_shard(shard);
-            return true;
-        } catch (const transport_error& cause) {
+        } catch (...) {
             LOG_EVERY_N(WARNING, 20)
-                << "can't serve the jobs" << to_text(shard) << ": " << cause.what();
+                << "can't serve the jobs" << to_text(shard) << ": " << describe_current_exception();
+            std::this_thread::sleep_for(shard_retry_interval);
         }
-        std::this_thread::sleep_for(shard_retry_interval);
     }
-    return false;
+    return shards_[shard.index] != nullptr;
 }
 
 void sharded_node::add_shard(const shard_identity& shard)
@@ -223,6 +231,27 @@
            std::ranges::all_of(shards_, [](const auto& shard) { return shard->is_ready(); });
 }
 
+/// Leaves all shards at once, or those for which there is no thread one after the other.
+void sharded_node::leave_shards(const shutdown_schedule& schedule)
+{
+    std::vector<service_thread> threads(shards_.size());
+    std::vector<std::function<void()>> waiting;
+    for (std::size_t index = 0; index < shards_.size(); ++index) {
+        const auto leave = [&shard = *shards_[index], &schedule] {
+            run_guarded("leaving a shard", [&] { shard.leave(schedule); });
+        };
+        try {
+            threads[index] = service_thread("leaving", leave);
+        } catch (const resource_error& cause) {
+            LOG(WARNING) << "shards are left one after the other: " << cause.what();
+            waiting.emplace_back(leave);
+        }
+    }
+    for (const auto& leave : waiting) {
+        leave();
+    }
+}
+
 void sharded_node::leave(const shutdown_schedule& schedule)
 {
     stopping_ = true;
@@ -230,13 +259,7 @@
         membership_->leave();
         return;
     }
-    std::vector<std::thread> leaving;
-    for (const auto& shard : shards_) {
-        leaving.emplace_back([&shard, &schedule] { shard->leave(schedule); });
-    }
-    for (auto& thread : leaving) {
-        thread.join();
-    }
+    run_guarded("leaving the shards", [&] { leave_shards(schedule); });
     membership_->leave();
 }
 
--- a/flamingoseam/node/sharded_node.hpp
+++ b/flamingoseam/node/sharded_node.hpp
@@ -1,12 +1,12 @@
 #pragma once
 
+#include "flamingoseam/core/service_thread.hpp"
 #include "flamingoseam/node/cell_layout.hpp"
 #include "flamingoseam/node/node.hpp"
 
 #include <atomic>
 #include <memory>
 #include <string>
-#include <thread>
 #include <vector>
 
 namespace flamingoseam::node {
@@ -30,6 +30,7 @@
 /// the job's id. Until the layout of the cell is known, all calls end without an owner.
 class sharded_node {
 public:
+    /// Throws resource_error if the system has no threads left.
     sharded_node(sharded_node_options options, node_dependencies dependencies);
     ~sharded_node();
     sharded_node(const sharded_node&) = delete;
@@ -52,9 +53,11 @@
     void leave(const shutdown_schedule& schedule);
 
 private:
+    void run_forming();
     void form_shards();
     std::size_t agree_on_layout();
     bool form_shard(const shard_identity& shard);
+    void leave_shards(const shutdown_schedule& schedule);
     void add_shard(const shard_identity& shard);
     [[nodiscard]] std::vector<std::size_t> owned_shards() const;
     [[nodiscard]] borrow_call borrow_call_of(const shard_identity& shard) const;
@@ -70,7 +73,7 @@
     /// The same shards for the owners' requests, which may outlast this object.
     std::shared_ptr<shard_group> group_ = std::make_shared<shard_group>();
     std::atomic<bool> stopping_{false};
-    std::thread forming_thread_;
+    service_thread forming_thread_;
 };
 
 } // namespace flamingoseam::node
--- a/flamingoseam/node/sharded_node_test.cpp
+++ b/flamingoseam/node/sharded_node_test.cpp
@@ -2,6 +2,7 @@
 
 #include "flamingoseam/core/error.hpp"
 #include "tests/commit_only_store.hpp"
+#include "tests/thread_limit.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -215,6 +216,13 @@
     {
     }
 
+    void leave()
+    {
+        const auto time = now();
+        node_.leave({.handover_end = time + milliseconds(500),
+                     .calls_end = time + std::chrono::seconds(1)});
+    }
+
     cell_records records;
 
 private:
@@ -334,3 +342,26 @@
     // No other node takes over, so it does when it has left that to others for a while.
     CHECK(holds_within(std::chrono::seconds(6), [&] { return worker.newest_epoch == 2; }));
 }
+
+TEST_CASE("a node forms its shards after an exception that is no error of the store")
+{
+    late_worker worker;
+    const single_node node(worker, nullptr, "layout_known");
+    coordinator_client client;
+    CHECK(answers_within(client, std::chrono::seconds(3)));
+}
+
+TEST_CASE("a node leaves its shards one after the other if there is no thread for each")
+{
+    late_worker worker;
+    single_node node(worker);
+    REQUIRE(holds_within(std::chrono::seconds(3), [&] { return worker.newest_epoch == 1; }));
+    {
+        const thread_limit limit(0);
+        node.leave();
+    }
+    cell_store store(node.records);
+    const auto owner = store.get("fs/m/owner");
+    REQUIRE(owner);
+    CHECK(read_owner(owner->value).owner.name.empty());
+}
