Go on writing events after an exception on the log's thread

A lack of memory on the thread of the event log ended the process. Now it goes on after a pause; lines that were dropped stay counted, and pending ones stay pending. At the end of the log the rest is lost. An exception of the observer still leaves event_log::write().

Test: an event log for which there is no thread is not created (std::system_error before). That the thread goes on has no test: only a lack of memory fails there.

--- a/flamingoseam/log/event_log.cpp
+++ b/flamingoseam/log/event_log.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <string_view>
+#include <thread>
 #include <utility>
 
 namespace flamingoseam {
@@ -13,6 +14,7 @@
 namespace {
 
 constexpr milliseconds write_timeout{100}; ///< For a reader that accepts no data.
+constexpr milliseconds failure_pause{100}; ///< After lines that could not be taken or written.
 
 std::string to_line(const event_log_options& options, const log_event& event)
 {
@@ -36,7 +38,7 @@
 
 event_log::event_log(event_log_options options) : options_(std::move(options))
 {
-    thread_ = std::thread([this] { run(); });
+    thread_ = service_thread("event log", [this] { run(); });
 }
 
 event_log::~event_log()
@@ -46,7 +48,6 @@
         stopping_ = true;
     }
     changed_.notify_all();
-    thread_.join();
 }
 
 void event_log::write(const log_event& event)
@@ -85,39 +86,48 @@
 {
     if (dropped_lines_ != reported_dropped_lines_) {
         const auto count = dropped_lines_ - reported_dropped_lines_;
-        reported_dropped_lines_ = dropped_lines_;
         text += to_line(options_, {.event = "lines_left_out",
                                    .request = {},
                                    .detail = std::to_string(count) +
                                              " lines were dropped because the buffer was full"});
+        reported_dropped_lines_ = dropped_lines_;
     }
 }
 
 std::string event_log::take_pending()
 {
-    auto text = std::exchange(pending_, {});
-    append_dropped_lines(text);
-    return text;
+    append_dropped_lines(pending_);
+    return std::exchange(pending_, {});
 }
 
 void event_log::run()
 {
-    std::unique_lock lock(mutex_);
-    while (!stopping_) {
-        changed_.wait(lock, [this] { return stopping_ || !pending_.empty(); });
-        changed_.wait_for(lock, options_.flush, [this] { return stopping_; });
-        const auto text = take_pending();
-        const auto seconds =
-            static_cast<double>(text.size()) / static_cast<double>(options_.max_bytes_per_second);
-        lock.unlock();
-        write_text(text);
-        lock.lock();
-        const auto pause = milliseconds(static_cast<std::int64_t>(seconds * 1'000));
-        changed_.wait_for(lock, std::max(pause, milliseconds(0)), [this] { return stopping_; });
+    bool is_last = false;
+    while (!is_last) {
+        if (!run_guarded("writing events", [&] { is_last = !write_next(); })) {
+            std::this_thread::sleep_for(failure_pause);
+            const std::lock_guard lock(mutex_);
+            is_last = stopping_; // Then the rest is lost.
+        }
     }
-    const auto rest = take_pending();
+}
+
+/// Writes the next pending lines. Returns false when the log has ended and all lines are written.
+bool event_log::write_next()
+{
+    std::unique_lock lock(mutex_);
+    changed_.wait(lock, [this] { return stopping_ || !pending_.empty(); });
+    changed_.wait_for(lock, options_.flush, [this] { return stopping_; });
+    const bool is_last = stopping_;
+    const auto text = take_pending();
+    const auto seconds =
+        static_cast<double>(text.size()) / static_cast<double>(options_.max_bytes_per_second);
     lock.unlock();
-    write_text(rest);
+    write_text(text);
+    lock.lock();
+    const auto pause = milliseconds(static_cast<std::int64_t>(seconds * 1'000));
+    changed_.wait_for(lock, std::max(pause, milliseconds(0)), [this] { return stopping_; });
+    return !is_last;
 }
 
 void event_log::write_text(const std::string& text)
--- a/flamingoseam/log/event_log.hpp
+++ b/flamingoseam/log/event_log.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "flamingoseam/core/clock.hpp"
+#include "flamingoseam/core/service_thread.hpp"
 #include "flamingoseam/log/log_event.hpp"
 
 #include <condition_variable>
@@ -9,7 +10,6 @@
 #include <functional>
 #include <mutex>
 #include <string>
-#include <thread>
 
 namespace flamingoseam {
 
@@ -22,7 +22,8 @@
     std::size_t max_bytes_per_second = 256 * 1024;
     milliseconds flush{100};
 
-    /// Called, if set, for every event, including those whose lines are dropped.
+    /// Called, if set, for every event, including those whose lines are dropped. An exception that
+    /// leaves it leaves event_log::write() before the line is queued.
     std::function<void(const log_event&)> observer = nullptr;
 };
 
@@ -31,6 +32,7 @@
 /// number.
 class event_log {
 public:
+    /// Throws resource_error if the system has no thread left.
     explicit event_log(event_log_options options);
 
     /// Writes the pending lines as far as the reader accepts them without delay; the rest is lost.
@@ -51,6 +53,7 @@
 
 private:
     void run();
+    bool write_next();
     void write_text(const std::string& text);
     std::string take_pending();
     void append_dropped_lines(std::string& text);
@@ -62,7 +65,7 @@
     std::uint64_t dropped_lines_ = 0;
     std::uint64_t reported_dropped_lines_ = 0;
     bool stopping_ = false;
-    std::thread thread_;
+    service_thread thread_;
 };
 
 } // namespace flamingoseam
--- a/flamingoseam/log/event_log_test.cpp
+++ b/flamingoseam/log/event_log_test.cpp
@@ -1,5 +1,8 @@
 #include "flamingoseam/log/event_log.hpp"
+
+#include "flamingoseam/core/error.hpp"
 #include "flamingoseam/log/ready_output.hpp"
+#include "tests/thread_limit.hpp"
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
@@ -143,3 +146,11 @@
     CHECK(write_ready(pipe.ends[1], "line\n", milliseconds(0)) == 5);
     CHECK(pipe.read_all() == "line\n");
 }
+
+TEST_CASE("an event log for which there is no thread is not created")
+{
+    pipe_ends pipe;
+    const thread_limit limit(0);
+    CHECK_THROWS_AS((event_log({.program = "node", .node = "n1", .descriptor = pipe.ends[1]})),
+                    resource_error);
+}
