Ask a worker for a report after an exception on the threads of its link

An exception that is not one of ours, in a call or in the owner's handler of a report, a result, an event or a loss, ended the scheduler; so did a second thread that could not be started.

Now the link asks the worker for a report of all its tasks, as it does after a refused command: what was in flight may have run, and the report tells. A loss is reported again if its handler failed.

Tests, each aborted before: a link to a worker goes on with a report after a listener has failed (four sections); a link to a worker without a thread for each connection is not created.

--- a/flamingoseam/worker/worker_link.cpp
+++ b/flamingoseam/worker/worker_link.cpp
@@ -26,8 +26,13 @@
     : options_(options), listener_(listener), command_client_(options.worker),
       event_client_(options.worker), last_contact_(now())
 {
-    command_thread_ = std::thread([this] { run_commands(); });
-    event_thread_ = std::thread([this] { run_events(); });
+    command_thread_ = service_thread("commands", [this] { run_commands(); });
+    try {
+        event_thread_ = service_thread("worker events", [this] { run_events(); });
+    } catch (...) {
+        request_stop();
+        throw;
+    }
 }
 
 void http_worker_link::request_stop()
@@ -40,8 +45,6 @@
 http_worker_link::~http_worker_link()
 {
     request_stop();
-    command_thread_.join();
-    event_thread_.join();
 }
 
 void http_worker_link::start(const task_start& task)
@@ -119,8 +122,14 @@
         needs_report_ = true;
         accepts_starts_ = false;
     }
-    refuse_unsent_starts();
-    listener_.on_lost(to_string(options_.worker));
+    try {
+        refuse_unsent_starts();
+        listener_.on_lost(to_string(options_.worker));
+    } catch (...) {
+        const std::lock_guard lock(mutex_);
+        lost_ = false; // It is reported again.
+        throw;
+    }
 }
 
 void http_worker_link::refuse_unsent_starts()
@@ -152,35 +161,52 @@
     return result;
 }
 
+/// Continues after an exception that is no error of a call. Commands in flight may have reached the
+/// worker, and events may not have reached the listener, so a report is needed.
+void http_worker_link::recover()
+{
+    require_report();
+    run_guarded("the check of a worker's lease", [this] { check_lost(); });
+    pause(retry_delay);
+}
+
 void http_worker_link::run_commands()
 {
     while (!stopping_) {
-        if (needs_report_) {
-            if (!send_report()) {
-                check_lost();
-                pause(retry_delay);
-            }
-            continue;
+        if (!run_guarded("the commands to a worker", [this] { send_commands(); })) {
+            recover();
         }
-        worker_command command;
-        {
-            std::unique_lock lock(mutex_);
-            changed_.wait(lock, [this] {
-                return stopping_ || needs_report_ || !pending_.starts.empty() ||
-                       !pending_.stops.empty();
-            });
-            if (stopping_ || needs_report_) {
-                continue;
-            }
-            command = make_command();
-            command.incarnation = incarnation_;
-            command.session = session_;
-            command.starts = std::move(pending_.starts);
-            command.stops = std::move(pending_.stops);
-            pending_ = {};
+    }
+}
+
+/// Waits for commands and sends them, or asks for a report if one is needed.
+void http_worker_link::send_commands()
+{
+    if (needs_report_) {
+        if (!send_report()) {
+            check_lost();
+            pause(retry_delay);
+        }
+        return;
+    }
+    worker_command command;
+    {
+        std::unique_lock lock(mutex_);
+        changed_.wait(lock, [this] {
+            return stopping_ || needs_report_ || !pending_.starts.empty() ||
+                   !pending_.stops.empty();
+        });
+        if (stopping_ || needs_report_) {
+            return;
         }
-        send_batch(std::move(command));
+        command = make_command();
+        command.incarnation = incarnation_;
+        command.session = session_;
+        command.starts = std::move(pending_.starts);
+        command.stops = std::move(pending_.stops);
+        pending_ = {};
     }
+    send_batch(std::move(command));
 }
 
 bool http_worker_link::send_report()
@@ -270,56 +296,63 @@
 void http_worker_link::run_events()
 {
     while (!stopping_) {
-        std::uint64_t after = 0;
-        std::string incarnation;
-        std::uint64_t session = 0;
-        std::uint64_t answered = 0;
-        {
-            std::unique_lock lock(mutex_);
-            changed_.wait(lock, [this] { return stopping_ || !needs_report_; });
-            if (stopping_) {
-                return;
-            }
-            after = last_event_;
-            incarnation = incarnation_;
-            session = session_;
-            answered = answered_;
-        }
-        const auto path = "/v1/events?epoch=" + std::to_string(options_.epoch) +
-                          "&session=" + std::to_string(session) +
-                          "&after=" + std::to_string(after) +
-                          "&wait_ms=" + std::to_string(options_.poll_wait.count()) +
-                          "&lease_ms=" + std::to_string(options_.lease.count()) +
-                          "&answered=" + std::to_string(answered);
-        event_batch batch;
-        try {
-            const auto response = event_client_.call(
-                {.path = path, .timeout = options_.poll_wait + options_.response_timeout});
-            batch = from_json<event_batch>(response.body);
-        } catch (const error&) {
-            check_lost();
-            pause(retry_delay);
-            continue;
+        if (!run_guarded("the events of a worker", [this] { receive_events(); })) {
+            recover();
         }
-        {
-            const std::lock_guard lock(mutex_);
-            if (session != session_) {
-                continue;
-            }
-        }
-        if (!batch.accepted || batch.incarnation != incarnation) {
-            require_report();
-            continue;
+    }
+}
+
+/// Waits for events and passes them to the listener.
+void http_worker_link::receive_events()
+{
+    std::uint64_t after = 0;
+    std::string incarnation;
+    std::uint64_t session = 0;
+    std::uint64_t answered = 0;
+    {
+        std::unique_lock lock(mutex_);
+        changed_.wait(lock, [this] { return stopping_ || !needs_report_; });
+        if (stopping_) {
+            return;
         }
-        record_contact(batch.contact);
-        for (const auto& event : batch.events) {
-            listener_.on_event(to_string(options_.worker), event);
+        after = last_event_;
+        incarnation = incarnation_;
+        session = session_;
+        answered = answered_;
+    }
+    const auto path = "/v1/events?epoch=" + std::to_string(options_.epoch) +
+                      "&session=" + std::to_string(session) + "&after=" + std::to_string(after) +
+                      "&wait_ms=" + std::to_string(options_.poll_wait.count()) +
+                      "&lease_ms=" + std::to_string(options_.lease.count()) +
+                      "&answered=" + std::to_string(answered);
+    event_batch batch;
+    try {
+        const auto response = event_client_.call(
+            {.path = path, .timeout = options_.poll_wait + options_.response_timeout});
+        batch = from_json<event_batch>(response.body);
+    } catch (const error&) {
+        check_lost();
+        pause(retry_delay);
+        return;
+    }
+    {
+        const std::lock_guard lock(mutex_);
+        if (session != session_) {
+            return;
         }
-        if (!batch.events.empty()) {
-            const std::lock_guard lock(mutex_);
-            if (!needs_report_ && incarnation_ == batch.incarnation) {
-                last_event_ = std::max(last_event_, batch.events.back().sequence);
-            }
+    }
+    if (!batch.accepted || batch.incarnation != incarnation) {
+        require_report();
+        return;
+    }
+    record_contact(batch.contact);
+    for (const auto& event : batch.events) {
+        listener_.on_event(to_string(options_.worker), event);
+    }
+    if (!batch.events.empty()) {
+        const std::lock_guard lock(mutex_);
+        if (!needs_report_ && incarnation_ == batch.incarnation) {
+            last_event_ = std::max(last_event_, batch.events.back().sequence);
         }
     }
 }
--- a/flamingoseam/worker/worker_link.hpp
+++ b/flamingoseam/worker/worker_link.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "flamingoseam/core/clock.hpp"
+#include "flamingoseam/core/service_thread.hpp"
 #include "flamingoseam/http/http_client.hpp"
 #include "flamingoseam/worker/messages.hpp"
 
@@ -9,12 +10,12 @@
 #include <memory>
 #include <mutex>
 #include <string>
-#include <thread>
 #include <vector>
 
 namespace flamingoseam {
 
-/// Receives the events of a worker link. Its functions are called on the link's threads.
+/// Receives the events of a worker link. Its functions are called on the link's threads. After one
+/// that throws, the link asks the worker for a report of all its tasks.
 class worker_listener {
 public:
     virtual ~worker_listener() = default;
@@ -73,6 +74,7 @@
 class http_worker_link : public worker_link {
 public:
     /// Starts the link's threads; the first command fences the worker and requests its report.
+    /// Throws resource_error if the system has no threads left.
     http_worker_link(const worker_link_options& options, worker_listener& listener);
 
     /// Stops both threads; waits for requests in flight.
@@ -88,7 +90,10 @@
 
 private:
     void run_commands();
+    void send_commands();
     void run_events();
+    void receive_events();
+    void recover();
     bool send_report();
     void send_batch(worker_command command);
     // A refusal applies to the newest copy of a command only. An earlier copy may have been
@@ -122,8 +127,8 @@
     bool fenced_ = false; ///< The worker has accepted this owner's epoch, so no earlier owner
                           ///< can renew its lease.
     std::atomic<bool> stopping_{false};
-    std::thread command_thread_;
-    std::thread event_thread_;
+    service_thread command_thread_;
+    service_thread event_thread_;
 };
 
 } // namespace flamingoseam
--- a/flamingoseam/worker/worker_link_test.cpp
+++ b/flamingoseam/worker/worker_link_test.cpp
@@ -1,13 +1,18 @@
 #include "flamingoseam/worker/worker_link.hpp"
 
+#include "flamingoseam/core/error.hpp"
 #include "flamingoseam/http/http_server.hpp"
 #include "flamingoseam/http/json.hpp"
+#include "tests/thread_limit.hpp"
 
 #include <catch2/catch.hpp>
 #include <unistd.h>
 
+#include <atomic>
 #include <condition_variable>
 #include <mutex>
+#include <stdexcept>
+#include <string>
 #include <thread>
 
 using namespace flamingoseam;
@@ -131,3 +136,157 @@
     CHECK(worker.starts_seen() >= 2);
     CHECK(listener.results().empty());
 }
+
+namespace {
+
+/// A worker that accepts all commands and has an event that is new in each poll. It answers no
+/// calls once it is silent.
+class answering_worker {
+public:
+    answering_worker()
+        : server_({.address = worker_address().address, .port = worker_address().port},
+                  [this](const http_request& request) { return handle(request); })
+    {
+    }
+
+    std::atomic<bool> silent{false};
+
+private:
+    http_response handle(const http_request& request)
+    {
+        if (silent) {
+            return {.status = 500};
+        }
+        const auto sequence = ++events_;
+        if (request.path != "/v1/command") {
+            std::this_thread::sleep_for(milliseconds(5));
+            return {.body =
+                        to_json(event_batch{.accepted = true,
+                                            .incarnation = "A",
+                                            .events = {{.sequence = sequence, .task_id = "t1"}}})};
+        }
+        const auto command = from_json<worker_command>(request.body);
+        command_response response{.accepted = true, .epoch = command.epoch, .incarnation = "A"};
+        for (const auto& task : command.starts) {
+            response.results.push_back({.task_id = task.task_id, .started = true});
+        }
+        return {.body = to_json(response)};
+    }
+
+    std::atomic<std::uint64_t> events_{0};
+    http_server server_;
+};
+
+/// Counts what a link delivers. One of its functions fails at its first call.
+class failing_listener final : public worker_listener {
+public:
+    explicit failing_listener(std::string failing) : failing_(std::move(failing)) {}
+
+    void on_report(const std::string& /*address*/, const command_response& /*report*/) override
+    {
+        fail_once_in("report");
+        ++reports;
+    }
+    void on_start_result(const std::string& /*address*/, const start_result& /*result*/) override
+    {
+        fail_once_in("start");
+        ++results;
+    }
+    void on_event(const std::string& /*address*/, const task_event& /*event*/) override
+    {
+        fail_once_in("event");
+        ++events;
+    }
+    void on_lost(const std::string& /*address*/) override
+    {
+        fail_once_in("loss");
+        ++losses;
+    }
+    void on_stale_epoch(const std::string& /*address*/, std::uint64_t /*newest_epoch*/) override {}
+
+    std::atomic<int> reports{0};
+    std::atomic<int> results{0};
+    std::atomic<int> events{0};
+    std::atomic<int> losses{0};
+
+private:
+    void fail_once_in(const std::string& function)
+    {
+        if (function == failing_ && !has_failed_.exchange(true)) {
+            throw std::out_of_range("no such worker");
+        }
+    }
+
+    std::string failing_;
+    std::atomic<bool> has_failed_{false};
+};
+
+template <typename Condition> bool holds_soon(const Condition& condition)
+{
+    const auto end = now() + std::chrono::seconds(5);
+    while (!condition() && now() < end) {
+        std::this_thread::sleep_for(milliseconds(5));
+    }
+    return condition();
+}
+
+} // namespace
+
+TEST_CASE("a link to a worker goes on with a report after a listener has failed")
+{
+    answering_worker worker;
+    const auto start_link = [](failing_listener& listener) {
+        return std::make_unique<http_worker_link>(worker_link_options{.worker = worker_address(),
+                                                                      .shard = "s",
+                                                                      .owner = "o",
+                                                                      .epoch = 1,
+                                                                      .lease = milliseconds(800)},
+                                                  listener);
+    };
+
+    SECTION("with a report")
+    {
+        failing_listener listener("report");
+        const auto link = start_link(listener);
+        CHECK(holds_soon([&] { return listener.reports > 0 && listener.events > 0; }));
+    }
+    SECTION("with the result of a start")
+    {
+        failing_listener listener("start");
+        const auto link = start_link(listener);
+        REQUIRE(holds_soon([&] { return listener.reports > 0; }));
+        link->resume();
+        link->start({.task_id = "t1", .customer = "c", .request_id = "r"});
+        CHECK(holds_soon([&] { return listener.reports > 1; }));
+        CHECK(listener.results == 0);
+        link->resume();
+        link->start({.task_id = "t2", .customer = "c", .request_id = "r"});
+        CHECK(holds_soon([&] { return listener.results == 1; }));
+    }
+    SECTION("with an event")
+    {
+        failing_listener listener("event");
+        const auto link = start_link(listener);
+        CHECK(holds_soon([&] { return listener.reports > 1 && listener.events > 0; }));
+    }
+    SECTION("with the loss of the worker")
+    {
+        failing_listener listener("loss");
+        const auto link = start_link(listener);
+        REQUIRE(holds_soon([&] { return listener.reports > 0; }));
+        worker.silent = true;
+        CHECK(holds_soon([&] { return listener.losses == 1; }));
+    }
+}
+
+TEST_CASE("a link to a worker without a thread for each connection is not created")
+{
+    failing_listener listener("");
+    for (const std::size_t threads : {0U, 1U}) {
+        const thread_limit limit(threads);
+        CHECK_THROWS_AS(
+            (http_worker_link({.worker = worker_address(), .shard = "s", .owner = "o", .epoch = 1},
+                              listener)),
+            resource_error);
+    }
+}
