Drop the shards, not the process, when a scheduler's decision fails

Callers saw: the scheduler aborts, and requests that were open there get no answer.

Since the control loop goes on after a failed step, a decision that failed half way left the state of its shard as it was.

Now such threads go on after a pause. If threads are missing, run() ends those that it has started and throws, and a worker without a thread for its link gets one when the list of VMs is read next.

Tests: a scheduler owns its shard after an exception that is no error of the store (five calls of the store; aborted before); a scheduler takes its shards over again after an error in its decisions (it kept the shard, with epoch 1); a scheduler without threads for all its duties ends those that it has started (hung before).

--- a/daemons/scheduler_main.cpp
+++ b/daemons/scheduler_main.cpp
@@ -1,11 +1,12 @@
+#include "flamingoseam/core/service_thread.hpp"
 #include "flamingoseam/daemon/daemon.hpp"
 #include "flamingoseam/scheduler/scheduler.hpp"
 #include "flamingoseam/store/http_config_store.hpp"
 
 #include <gflags/gflags.h>
 
+#include <csignal>
 #include <iostream>
-#include <thread>
 
 DEFINE_string(settings, "", "TOML file with the scheduler's settings");
 DEFINE_bool(check, false, "validate the settings and exit with 0 when they are valid, else with 1");
@@ -23,12 +24,16 @@
     const auto signals = block_shutdown_signals();
     auto store = std::make_unique<http_config_store>(settings.store, settings.store_timeout);
     scheduler daemon(settings, std::move(store));
-    std::thread shutdown_thread([&daemon, &signals] {
+    const service_thread shutdown_thread("shutdown", [&daemon, &signals] {
         wait_for_shutdown_signal(signals);
         daemon.shut_down();
     });
-    daemon.run();
-    shutdown_thread.join();
+    try {
+        daemon.run();
+    } catch (...) {
+        std::raise(SIGTERM); // Ends the other thread.
+        throw;
+    }
 }
 
 } // namespace
--- a/flamingoseam/job/journal_store.cpp
+++ b/flamingoseam/job/journal_store.cpp
@@ -1,9 +1,11 @@
 #include "flamingoseam/job/journal_store.hpp"
 
-#include "flamingoseam/core/error.hpp"
+#include "flamingoseam/core/service_thread.hpp"
 #include "flamingoseam/http/json.hpp"
 #include "flamingoseam/store/cell_records.hpp"
 
+#include <glog/logging.h>
+
 namespace flamingoseam {
 
 std::optional<stored_journal> fence_journal(config_store& store, const std::string& shard,
@@ -58,7 +60,9 @@
         }
         version = result.current.version;
         return current.sequence == record.sequence ? journal_write::written : journal_write::failed;
-    } catch (const error&) {
+    } catch (...) { // It may have been written, which the next attempt finds out.
+        LOG_EVERY_N(WARNING, 50) << "the journal of shard " << shard
+                                 << " could not be written: " << describe_current_exception();
         return journal_write::failed;
     }
 }
--- a/flamingoseam/scheduler/operator_api.cpp
+++ b/flamingoseam/scheduler/operator_api.cpp
@@ -1,5 +1,6 @@
 #include "flamingoseam/contract/key.hpp"
 #include "flamingoseam/core/error.hpp"
+#include "flamingoseam/core/service_thread.hpp"
 #include "flamingoseam/http/json.hpp"
 #include "flamingoseam/scheduler/operator_messages.hpp"
 #include "flamingoseam/scheduler/scheduler.hpp"
@@ -207,7 +208,9 @@
                 const auto response = peer_client_.exchange(
                     peer, {.revision = revision, .contracts = {}, .shards = {}}, peer_timeout);
                 return response.revision >= revision;
-            } catch (const error&) {
+            } catch (...) {
+                LOG_EVERY_N(WARNING, 50) << "scheduler " << to_string(peer)
+                                         << " does not confirm: " << describe_current_exception();
                 return false;
             }
         });
--- a/flamingoseam/scheduler/owned_shard.cpp
+++ b/flamingoseam/scheduler/owned_shard.cpp
@@ -1,5 +1,6 @@
 #include "flamingoseam/scheduler/owned_shard.hpp"
 
+#include "flamingoseam/core/error.hpp"
 #include "flamingoseam/log/log.hpp"
 
 #include <glog/logging.h>
@@ -17,9 +18,7 @@
 
 owned_shard::~owned_shard()
 {
-    for (auto& [address, link] : links_) {
-        link->request_stop();
-    }
+    stop_links();
 }
 
 std::uint64_t owned_shard::add_reply(scheduler_service::reply_outcome reply)
@@ -39,7 +38,13 @@
                                       .owner = entry_.owner,
                                       .epoch = entry_.epoch,
                                       .lease = worker_lease_};
-    links_.emplace(vm.address, std::make_unique<http_worker_link>(options, *this));
+    try {
+        links_.emplace(vm.address, std::make_unique<http_worker_link>(options, *this));
+    } catch (const resource_error& cause) {
+        LOG_EVERY_N(WARNING, 20) << "worker " << vm.address
+                                 << " gets no work until there is a thread for its link: "
+                                 << cause.what();
+    }
 }
 
 void owned_shard::apply_vm_list(const std::vector<vm_entry>& vms, time_point time)
@@ -112,12 +117,28 @@
 }
 
 void owned_shard::abandon()
+{
+    stop_links();
+    state_->abandon();
+    dispatch();
+    answer_waiting_callers();
+}
+
+void owned_shard::abandon_incomplete()
+{
+    stop_links();
+    answer_waiting_callers();
+}
+
+void owned_shard::stop_links()
 {
     for (auto& [address, link] : links_) {
         link->request_stop();
     }
-    state_->abandon();
-    dispatch();
+}
+
+void owned_shard::answer_waiting_callers()
+{
     for (auto& confirmation : pending_confirmations) {
         confirmation.reply(false);
     }
--- a/flamingoseam/scheduler/owned_shard.hpp
+++ b/flamingoseam/scheduler/owned_shard.hpp
@@ -51,6 +51,10 @@
     /// Answers every waiting caller and stops the links. The shard must not be used afterwards.
     void abandon();
 
+    /// Does the same after an error that may have left the state incomplete: carries out none of
+    /// its pending actions.
+    void abandon_incomplete();
+
     void on_report(const std::string& address, const command_response& report) override;
     void on_start_result(const std::string& address, const start_result& result) override;
     void on_event(const std::string& address, const task_event& event) override;
@@ -79,6 +83,8 @@
     std::map<std::string, time_point> last_offer;         ///< Time of sending, by transfer id.
 
 private:
+    void stop_links();
+    void answer_waiting_callers();
     void open_link(const vm_entry& vm);
 
     /// Handles a worker that has been missing from the list for too long. Returns whether its time
--- a/flamingoseam/scheduler/scheduler.cpp
+++ b/flamingoseam/scheduler/scheduler.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <random>
+#include <thread>
 
 namespace flamingoseam {
 
@@ -26,6 +27,8 @@
 constexpr milliseconds max_tick_gap{2000}; ///< Between two ticks. A longer gap means that
 ///< the process was paused.
 constexpr unsigned operator_threads = 16;
+constexpr milliseconds min_failure_pause{200}; ///< After an exception that is no error of a call.
+constexpr milliseconds max_failure_pause{600};
 
 std::int64_t monotonic_ms()
 {
@@ -47,6 +50,9 @@
 
 scheduler::scheduler(scheduler_settings settings, std::unique_ptr<config_store> store)
     : settings_(std::move(settings)), store_(std::move(store)), spans_(settings_.span_file),
+      control_loop_(nullptr, [this](const std::string& /*cause*/) { drop_all_shards(); }),
+      ownership_loop_(nullptr, [this](const std::string& /*cause*/) { post_drop_all_shards(); }),
+      journal_loop_(nullptr, [this](const std::string& /*cause*/) { post_drop_all_shards(); }),
       random_(std::random_device()())
 {
     const endpoint rpc{settings_.address, settings_.rpc_port};
@@ -62,38 +68,70 @@
 
 scheduler::~scheduler()
 {
-    stopping_ = true;
-    for (auto& thread : threads_) {
-        thread.join();
-    }
+    stop_threads();
     operator_server_.reset();
     rpc_server_.reset();
 }
 
 void scheduler::run()
 {
-    for (auto* loop : {&ownership_loop_, &journal_loop_, &share_loop_, &destruction_loop_}) {
-        threads_.emplace_back([loop] { loop->run(std::chrono::seconds(1), [] {}); });
+    try {
+        start_threads();
+        LOG(INFO) << "scheduler listens on " << own_address_;
+        control_loop_.run(tick_interval, [this] { after_batch(); });
+    } catch (...) {
+        stop_threads();
+        throw;
     }
-    threads_.emplace_back([this] { run_watch(); });
-    threads_.emplace_back([this] { run_membership(); });
-    threads_.emplace_back([this] { run_vm_list(); });
-    threads_.emplace_back([this] { run_peer_exchange(); });
-    LOG(INFO) << "scheduler listens on " << own_address_;
-    control_loop_.run(tick_interval, [this] { after_batch(); });
     stopping_ = true;
     for (auto& [id, shard] : owned_) {
-        shard->abandon();
+        run_guarded("the end of a shard", [&owned = *shard] { owned.abandon(); });
     }
+    stop_threads();
+    owned_.clear();
+    LOG(INFO) << "scheduler has shut down";
+}
+
+void scheduler::start_threads()
+{
+    const auto start_loop = [this](const char* name, control_loop& loop) {
+        threads_.emplace_back(name, [&loop] { loop.run(std::chrono::seconds(1), [] {}); });
+    };
+    start_loop("ownership", ownership_loop_);
+    start_loop("journal", journal_loop_);
+    start_loop("shares", share_loop_);
+    start_loop("destruction", destruction_loop_);
+    threads_.emplace_back("store watch", [this, revision = std::uint64_t{0}]() mutable {
+        repeat("the watch on the store", [&] { follow_store(revision); });
+    });
+    threads_.emplace_back("membership", [this] { run_membership(); });
+    threads_.emplace_back("VM list", [this] {
+        http_client client(settings_.vm_list);
+        repeat("the reading of the VM list", [&] { read_vm_list(client); });
+    });
+    const auto& peers = settings_.peers;
+    const auto first = peers.empty() ? 0 : short_hash(own_address_) % peers.size();
+    threads_.emplace_back("peers", [this, next = std::size_t{first}]() mutable {
+        repeat("the exchange with peers", [&] { exchange_with_peers(next); });
+    });
+}
+
+void scheduler::stop_threads()
+{
+    stopping_ = true;
     for (auto* loop : {&ownership_loop_, &journal_loop_, &share_loop_, &destruction_loop_}) {
         loop->stop();
     }
-    for (auto& thread : threads_) {
-        thread.join();
-    }
     threads_.clear();
-    owned_.clear();
-    LOG(INFO) << "scheduler has shut down";
+}
+
+void scheduler::repeat(const char* duty, const std::function<void()>& action)
+{
+    while (!stopping_) {
+        if (!run_guarded(duty, action)) {
+            sleep_random(min_failure_pause, max_failure_pause);
+        }
+    }
 }
 
 void scheduler::shut_down()
@@ -254,26 +292,29 @@
     }
 }
 
-void scheduler::run_watch()
+/// Reads all records, or waits for changes of those that have been read.
+void scheduler::follow_store(std::uint64_t& revision)
 {
-    std::uint64_t revision = 0;
-    bool listed = false;
-    while (!stopping_) {
-        try {
-            auto events = listed ? store_->watch(watched_prefix, revision, watch_wait)
-                                 : store_->list(watched_prefix);
-            revision = std::max(revision, events.revision);
-            const bool is_full_list = !listed;
-            listed = true;
-            set_store_available(true);
-            control_loop_.post([this, events = std::move(events), is_full_list] {
-                apply_store_events(events, is_full_list);
-            });
-        } catch (const error& cause) {
-            set_store_available(false);
-            LOG_EVERY_N(WARNING, 50) << "watch on the store failed: " << cause.what();
-            sleep_random(milliseconds(200), milliseconds(1000));
+    const bool is_full_list = !is_listed_.exchange(true);
+    try {
+        auto events = is_full_list ? store_->list(watched_prefix)
+                                   : store_->watch(watched_prefix, revision, watch_wait);
+        revision = std::max(revision, events.revision);
+        set_store_available(true);
+        control_loop_.post([this, events = std::move(events), is_full_list] {
+            apply_store_events(events, is_full_list);
+        });
+    } catch (const error& cause) {
+        if (is_full_list) {
+            is_listed_ = false;
         }
+        set_store_available(false);
+        LOG_EVERY_N(WARNING, 50) << "watch on the store failed: " << cause.what();
+        sleep_random(milliseconds(200), milliseconds(1000));
+    } catch (...) {
+        is_listed_ = false; // Changes may have been read, but not applied.
+        set_store_available(false);
+        throw;
     }
 }
 
@@ -295,70 +336,69 @@
     std::string lease;
     bool joined = false;
     while (!stopping_ && !leaving_) {
-        const auto sent_ms = monotonic_ms();
-        try {
-            if (lease.empty() || !joined) {
-                joined = join_cell(lease);
-            } else if (store_->keep_alive(lease, settings_.member_lease).empty()) {
-                LOG(WARNING) << "membership lease of this scheduler has expired; joining again";
-                lease.clear();
-                joined = false;
-                continue;
-            }
-            set_store_available(true);
-            last_renewal_ms_ = joined ? sent_ms : 0;
-            control_loop_.post([this, joined] { joined_ = joined; });
-            sleep_random(settings_.member_lease / 4, settings_.member_lease / 3);
-        } catch (const error&) {
+        if (!run_guarded("the membership", [&] { renew_membership(lease, joined); })) {
             set_store_available(false);
-            sleep_random(milliseconds(200), milliseconds(600));
+            sleep_random(min_failure_pause, max_failure_pause);
         }
     }
+    if (!lease.empty()) {
+        run_guarded("the end of the membership, which expires with its lease",
+                    [&] { store_->keep_alive(lease, milliseconds(1)); });
+    }
+}
+
+void scheduler::renew_membership(std::string& lease, bool& joined)
+{
+    const auto sent_ms = monotonic_ms();
     try {
-        if (!lease.empty()) {
-            store_->keep_alive(lease, milliseconds(1));
+        if (lease.empty() || !joined) {
+            joined = join_cell(lease);
+        } else if (store_->keep_alive(lease, settings_.member_lease).empty()) {
+            LOG(WARNING) << "membership lease of this scheduler has expired; joining again";
+            lease.clear();
+            joined = false;
+            return;
         }
+        set_store_available(true);
+        last_renewal_ms_ = joined ? sent_ms : 0;
+        control_loop_.post([this, joined] { joined_ = joined; });
+        sleep_random(settings_.member_lease / 4, settings_.member_lease / 3);
     } catch (const error&) {
-        LOG(WARNING) << "membership could not be ended; it expires with its lease";
+        set_store_available(false);
+        sleep_random(min_failure_pause, max_failure_pause);
     }
 }
 
-void scheduler::run_vm_list()
+void scheduler::read_vm_list(http_client& client)
 {
-    http_client client(settings_.vm_list);
-    while (!stopping_) {
-        try {
-            const auto answer = client.call({.path = "/v1/vms", .timeout = peer_timeout});
-            auto list = from_json<vm_list>(answer.body);
-            std::map<std::string, std::vector<vm_entry>> by_shard;
-            for (auto& vm : list.vms) {
-                const auto shard = shard_id_for(settings_.cell, vm);
-                by_shard[shard].push_back(std::move(vm));
-            }
-            control_loop_.post([this, by_shard = std::move(by_shard)]() mutable {
-                vms_ = std::move(by_shard);
-                for (auto& [id, shard] : owned_) {
-                    shard->apply_vm_list(vms_[id], now());
-                }
-            });
-        } catch (const error& cause) {
-            LOG_EVERY_N(WARNING, 20) << "VM list could not be fetched: " << cause.what();
+    try {
+        const auto answer = client.call({.path = "/v1/vms", .timeout = peer_timeout});
+        auto list = from_json<vm_list>(answer.body);
+        std::map<std::string, std::vector<vm_entry>> by_shard;
+        for (auto& vm : list.vms) {
+            const auto shard = shard_id_for(settings_.cell, vm);
+            by_shard[shard].push_back(std::move(vm));
         }
-        sleep_random(vm_list_interval, vm_list_interval + vm_list_interval / 10);
+        control_loop_.post([this, by_shard = std::move(by_shard)]() mutable {
+            vms_ = std::move(by_shard);
+            for (auto& [id, shard] : owned_) {
+                shard->apply_vm_list(vms_[id], now());
+            }
+        });
+    } catch (const error& cause) {
+        LOG_EVERY_N(WARNING, 20) << "VM list could not be fetched: " << cause.what();
     }
+    sleep_random(vm_list_interval, vm_list_interval + vm_list_interval / 10);
 }
 
-void scheduler::run_peer_exchange()
+void scheduler::exchange_with_peers(std::size_t& next)
 {
     const auto& peers = settings_.peers;
-    std::size_t next = peers.empty() ? 0 : short_hash(own_address_) % peers.size();
-    while (!stopping_) {
-        const auto round = std::min(peers.size(), peers_per_round);
-        for (std::size_t i = 0; i < round && !stopping_; ++i) {
-            exchange_with(peers[next++ % peers.size()]);
-        }
-        sleep_random(peer_interval, peer_interval + peer_interval / 5);
+    const auto round = std::min(peers.size(), peers_per_round);
+    for (std::size_t i = 0; i < round && !stopping_; ++i) {
+        exchange_with(peers[next++ % peers.size()]);
     }
+    sleep_random(peer_interval, peer_interval + peer_interval / 5);
 }
 
 void scheduler::exchange_with(const endpoint& peer)
--- a/flamingoseam/scheduler/scheduler.hpp
+++ b/flamingoseam/scheduler/scheduler.hpp
@@ -2,7 +2,10 @@
 
 #include "flamingoseam/contract/contract_table.hpp"
 #include "flamingoseam/core/control_loop.hpp"
+#include "flamingoseam/core/service_thread.hpp"
+#include "flamingoseam/http/http_client.hpp"
 #include "flamingoseam/http/http_server.hpp"
+#include "flamingoseam/job/journal_store.hpp"
 #include "flamingoseam/peer/rpc_client.hpp"
 #include "flamingoseam/peer/rpc_server.hpp"
 #include "flamingoseam/scheduler/metrics.hpp"
@@ -12,12 +15,12 @@
 #include "flamingoseam/trace/span.hpp"
 
 #include <atomic>
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
 #include <set>
 #include <string>
-#include <thread>
 #include <vector>
 
 namespace flamingoseam {
@@ -33,7 +36,7 @@
     scheduler& operator=(const scheduler&) = delete;
 
     /// Runs the control loop on the calling thread until the shutdown that shut_down() starts has
-    /// completed.
+    /// completed. Throws resource_error if the system has no threads left.
     void run();
 
     /// Starts a graceful shutdown: new work is refused, calls in progress are answered, and shards
@@ -77,6 +80,12 @@
                            std::uint64_t version);
     void hand_over(owned_shard& shard);
     void drop_shard(const std::string& shard_id);
+    void destroy_later(std::unique_ptr<owned_shard> dropped);
+    /// Called when an error may have left the state of this process incomplete. The owned shards
+    /// are taken over again from their journals.
+    void drop_all_shards() noexcept;
+    void post_drop_all_shards();
+    void start_taken_shard(const shard_entry& entry, const stored_journal& journal);
     void write_journals();
     void handle_journal_written(const std::string& shard_id, std::uint64_t epoch,
                                 std::uint64_t sequence, std::uint64_t version, bool lost);
@@ -106,11 +115,18 @@
     outcome refusal(const std::string& reason, const std::string& detail,
                     const work_request& request) const;
 
+    void start_threads();
+    void stop_threads();
+
+    /// Calls `action` until stopping, and goes on after an exception that leaves it.
+    void repeat(const char* duty, const std::function<void()>& action);
+
     // Run on other threads.
-    void run_watch();
+    void follow_store(std::uint64_t& revision);
     void run_membership();
-    void run_vm_list();
-    void run_peer_exchange();
+    void renew_membership(std::string& lease, bool& joined);
+    void read_vm_list(http_client& client);
+    void exchange_with_peers(std::size_t& next);
     void exchange_with(const endpoint& peer);
 
     /// Sleeps for a random time within the bounds, or until stopping.
@@ -157,16 +173,18 @@
     time_point last_member_join_{};
     time_point last_tick_{};
     time_point last_ownership_{};
+    time_point next_takeover_{}; ///< No shard is taken over before.
     std::mt19937_64 random_;
 
     std::atomic<std::int64_t> last_store_contact_ms_{0}; ///< Monotonic clock, as below.
     std::atomic<std::int64_t> last_renewal_ms_{0}; ///< When the last successful renewal was sent.
     std::atomic<std::int64_t> last_peer_contact_ms_{0};
     std::atomic<bool> store_available_{false};
+    std::atomic<bool> is_listed_{false}; ///< All records have been read; changes are being watched.
     std::atomic<bool> stopping_{false};
     std::atomic<bool> leaving_{false};
     std::atomic<std::uint64_t> revision_{0};
-    std::vector<std::thread> threads_;
+    std::vector<service_thread> threads_;
     std::unique_ptr<rpc_server> rpc_server_;
     std::unique_ptr<http_server> operator_server_;
 };
--- a/flamingoseam/scheduler/scheduler_shards.cpp
+++ b/flamingoseam/scheduler/scheduler_shards.cpp
@@ -1,4 +1,5 @@
 #include "flamingoseam/core/error.hpp"
+#include "flamingoseam/core/service_thread.hpp"
 #include "flamingoseam/http/json.hpp"
 #include "flamingoseam/job/journal_store.hpp"
 #include "flamingoseam/job/request_id.hpp"
@@ -10,6 +11,7 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace flamingoseam {
 
@@ -19,6 +21,7 @@
 constexpr milliseconds handover_delay{3000};  ///< Minimum age of a member before a shard is
 ///< handed over to it.
 constexpr milliseconds takeover_timeout{3000};
+constexpr milliseconds takeover_pause{3000}; ///< Between an error and the next takeover.
 constexpr milliseconds share_request_interval{200};
 constexpr milliseconds offer_interval{1000};
 constexpr milliseconds share_timeout{1000};
@@ -170,7 +173,9 @@
     const auto known = shards_.find(setting.id);
     const auto owner = known == shards_.end() ? std::string() : known->second.owner;
     const bool is_unowned = owner.empty() || owner == own_address_ || !members_.contains(owner);
-    if (preferred == own_address_ && is_unowned && !takeovers_.contains(setting.id)) {
+    const bool may_take_over = time >= next_takeover_;
+    if (may_take_over && preferred == own_address_ && is_unowned &&
+        !takeovers_.contains(setting.id)) {
         start_takeover(setting);
     }
 }
@@ -199,18 +204,28 @@
                 journal = fence_journal(*store_, taken->shard, taken->epoch, own_address_, share,
                                         deadline);
             }
-        } catch (const error& cause) {
-            LOG(ERROR) << "shard " << requested.shard << " can't be taken over: " << cause.what();
+        } catch (...) {
+            LOG(ERROR) << "shard " << requested.shard
+                       << " can't be taken over: " << describe_current_exception();
         }
         control_loop_.post([this, requested, taken, journal] {
             takeovers_.erase(requested.shard);
             if (taken && journal && !draining_) {
-                start_owned_shard(*taken, journal->record, journal->version);
+                start_taken_shard(*taken, *journal);
             }
         });
     });
 }
 
+void scheduler::start_taken_shard(const shard_entry& entry, const stored_journal& journal)
+{
+    const bool has_started = run_guarded(
+        "the start of a shard", [&] { start_owned_shard(entry, journal.record, journal.version); });
+    if (!has_started) {
+        next_takeover_ = now() + takeover_pause;
+    }
+}
+
 void scheduler::start_owned_shard(const shard_entry& entry, const journal_record& journal,
                                   std::uint64_t version)
 {
@@ -252,7 +267,9 @@
     shard.release_queued = true;
     const auto entry = shard.entry();
     ownership_loop_.post([this, entry] {
-        const bool released = release_shard(*store_, entry, now() + takeover_timeout);
+        bool released = false;
+        run_guarded("the release of a shard",
+                    [&] { released = release_shard(*store_, entry, now() + takeover_timeout); });
         control_loop_.post([this, entry, released] {
             auto* shard = find_shard(entry.shard);
             if (shard == nullptr || shard->entry().epoch != entry.epoch) {
@@ -275,12 +292,39 @@
     if (found == owned_.end()) {
         return;
     }
-    std::shared_ptr<owned_shard> shard = std::move(found->second);
+    auto shard = std::move(found->second);
     owned_.erase(found);
     shard->abandon();
     const log_scope scope({.shard = shard_id});
     LOG(INFO) << "no longer the owner; epoch was " << shard->entry().epoch;
-    destruction_loop_.post([shard]() mutable { shard.reset(); });
+    destroy_later(std::move(shard));
+}
+
+void scheduler::destroy_later(std::unique_ptr<owned_shard> dropped)
+{
+    std::shared_ptr<owned_shard> shard = std::move(dropped);
+    destruction_loop_.post([shard = std::move(shard)]() mutable { shard.reset(); });
+}
+
+void scheduler::drop_all_shards() noexcept
+{
+    next_takeover_ = now() + takeover_pause;
+    is_listed_ = false;
+    takeovers_.clear();
+    auto dropped = std::exchange(owned_, {});
+    for (auto& entry : dropped) {
+        run_guarded("the end of a shard", [&shard = *entry.second] { shard.abandon_incomplete(); });
+        run_guarded("the end of a shard", [this, &entry] {
+            LOG(ERROR) << "shard " << entry.first << " is dropped after an error; epoch was "
+                       << entry.second->entry().epoch;
+            destroy_later(std::move(entry.second));
+        });
+    }
+}
+
+void scheduler::post_drop_all_shards()
+{
+    control_loop_.post([this] { drop_all_shards(); });
 }
 
 void scheduler::write_journals()
@@ -370,9 +414,10 @@
                 try {
                     missing -= peer_client_.request_share(endpoint_from_string(other.owner),
                                                           transfer, share_timeout);
-                } catch (const error&) {
-                    LOG_EVERY_N(WARNING, 50) << "share request for " << request.customer << ": "
-                                             << other.owner << " is unreachable";
+                } catch (...) {
+                    LOG_EVERY_N(WARNING, 50)
+                        << "share request for " << request.customer << ": " << other.owner
+                        << " is unreachable: " << describe_current_exception();
                 }
             }
         });
@@ -401,7 +446,9 @@
                                               share_timeout)) {
                     return;
                 }
-            } catch (const error&) {
+            } catch (...) {
+                LOG_EVERY_N(WARNING, 50)
+                    << "offer of a share to " << owner << ": " << describe_current_exception();
                 return;
             }
             post_to_shard(id, epoch, [transfer](owned_shard& sender) {
