Keep an entry running after an exception of any type, and don't call a sent request not run

An exception that is not one of ours ended the entry on its threads that poll the schedulers. One that is no std::exception (those of the RPC library) left the handler of a request. An entry whose address was in use, or which got no second thread, aborted at its start.

A parse error that arose after a request had been sent (the next owner's address, as a scheduler names it, can't be parsed) was taken for a malformed request of the caller and answered with not_run. Only what the parsing of the body throws is a bad request now; all else is answered with may_have_run.

--- a/flamingoseam/daemon/daemon.cpp
+++ b/flamingoseam/daemon/daemon.cpp
@@ -1,6 +1,6 @@
 #include "flamingoseam/daemon/daemon.hpp"
 
-#include "flamingoseam/core/error.hpp"
+#include "flamingoseam/core/service_thread.hpp"
 #include "flamingoseam/log/log.hpp"
 
 #include <sodium.h>
@@ -38,6 +38,9 @@
     } catch (const std::exception& cause) {
         std::cerr << cause.what() << '\n';
         return 1;
+    } catch (...) {
+        std::cerr << describe_current_exception() << '\n';
+        return 1;
     }
     return 0;
 }
--- a/flamingoseam/entry/entry.cpp
+++ b/flamingoseam/entry/entry.cpp
@@ -11,6 +11,8 @@
 #include <prometheus/histogram.h>
 #include <prometheus/text_serializer.h>
 
+#include <thread>
+
 namespace flamingoseam {
 
 namespace {
@@ -48,10 +50,18 @@
                     .Help("Time from a request's arrival to its answer")
                     .Register(*registry_)
                     .Add({}, latency_buckets_seconds);
-    for (std::size_t i = 0; i < poll_thread_count; ++i) {
-        const auto first_index = i * settings_.schedulers.size() / poll_thread_count;
-        poll_threads_.emplace_back([this, first_index] { poll_schedulers(first_index); });
+    try {
+        start_polling();
+        start_server();
+    } catch (...) {
+        stopping_ = true; // Ends the threads that have been started.
+        throw;
     }
+    LOG(INFO) << "entry listens on " << settings_.address << ":" << settings_.port;
+}
+
+void entry::start_server()
+{
     server_ = std::make_unique<http_server>(
         http_server_options{.address = settings_.address,
                             .port = settings_.port,
@@ -59,18 +69,23 @@
                             .max_body_bytes = settings_.max_body_bytes,
                             .read_timeout = settings_.sender_timeout},
         [this](const http_request& request) { return handle(request); });
-    LOG(INFO) << "entry listens on " << settings_.address << ":" << settings_.port;
 }
 
 entry::~entry()
 {
     stopping_ = true;
-    for (auto& thread : poll_threads_) {
-        thread.join();
-    }
+    poll_threads_.clear();
     server_.reset();
 }
 
+void entry::start_polling()
+{
+    for (std::size_t i = 0; i < poll_thread_count; ++i) {
+        const auto first_index = i * settings_.schedulers.size() / poll_thread_count;
+        poll_threads_.emplace_back("polls", [this, first_index] { poll_schedulers(first_index); });
+    }
+}
+
 void entry::shut_down()
 {
     std::unique_lock lock(mutex_);
@@ -88,7 +103,8 @@
 {
     const auto& schedulers = settings_.schedulers;
     for (auto next = first_index; !stopping_; ++next) {
-        poll_scheduler(schedulers[next % schedulers.size()]);
+        run_guarded("a poll of a scheduler",
+                    [&] { poll_scheduler(schedulers[next % schedulers.size()]); });
         std::this_thread::sleep_for(poll_interval);
     }
 }
@@ -169,13 +185,12 @@
     http_response response;
     try {
         response = dispatch(request, *terms, request_span);
-    } catch (const parse_error& cause) {
-        response = refuse("bad_request", cause.what());
-    } catch (const std::exception& cause) {
-        LOG(ERROR) << "request failed: " << cause.what();
-        response = answer(
-            "", {.kind = verdict::may_have_run, .reason = "internal_error", .detail = cause.what()},
-            request_span);
+    } catch (...) {
+        const auto cause = describe_current_exception();
+        LOG(ERROR) << "request failed: " << cause;
+        response =
+            answer("", {.kind = verdict::may_have_run, .reason = "internal_error", .detail = cause},
+                   request_span);
     }
     latency_->Observe(std::chrono::duration<double>(now() - start_time).count());
     end_request();
@@ -220,7 +235,12 @@
 http_response entry::submit(const http_request& request, const contract& terms, bool is_job,
                             span& request_span)
 {
-    auto work = read_caller_request(request.body, is_job);
+    work_request work;
+    try {
+        work = read_caller_request(request.body, is_job);
+    } catch (const parse_error& cause) {
+        return refuse("bad_request", cause.what());
+    }
     if (work.request_id.empty()) {
         work.request_id = entry_id_prefix + make_request_id(wall_now());
     }
--- a/flamingoseam/entry/entry.hpp
+++ b/flamingoseam/entry/entry.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "flamingoseam/core/service_thread.hpp"
 #include "flamingoseam/entry/router.hpp"
 #include "flamingoseam/entry/settings.hpp"
 #include "flamingoseam/http/http_server.hpp"
@@ -11,7 +12,6 @@
 #include <condition_variable>
 #include <memory>
 #include <mutex>
-#include <thread>
 #include <vector>
 
 namespace flamingoseam {
@@ -20,6 +20,8 @@
 /// them to schedulers. Keeps no state of requests but the open calls.
 class entry {
 public:
+    /// Throws transport_error if the address can't be used, resource_error if the system has no
+    /// threads left.
     explicit entry(entry_settings settings);
     ~entry();
     entry(const entry&) = delete;
@@ -42,6 +44,9 @@
     bool begin_request();
     void end_request();
 
+    void start_polling();
+    void start_server();
+
     /// Polls the schedulers in turn for owners and contracts, from index `first_index` on, until
     /// stopping.
     void poll_schedulers(std::size_t first_index);
@@ -62,7 +67,7 @@
     int open_requests_ = 0;
     bool draining_ = false;
     std::atomic<bool> stopping_{false};
-    std::vector<std::thread> poll_threads_;
+    std::vector<service_thread> poll_threads_;
     std::unique_ptr<http_server> server_;
 };
 
