Name a path in the test of a request that must not be sent again

Its first check failed as well (500 instead of 201), since a request without a path is refused by the HTTP library before it reaches the handler.

--- a/flamingoseam/http/http_client_test.cpp
+++ b/flamingoseam/http/http_client_test.cpp
@@ -72,7 +72,7 @@
     };
     auto earlier = std::make_unique<http_server>(options, answer);
     http_client client({"127.0.0.1", port});
-    const http_call call{.timeout = milliseconds(500), .may_send_again = false};
+    const http_call call{.path = "/small", .timeout = milliseconds(500), .may_send_again = false};
     CHECK(client.call(call).status == 201);
 
     earlier.reset();
