A server's threads all exist from its start, and an exception costs none of them

Callers saw: the connections to a node end when more calls come at once than before and the system has no thread left; the node's process aborts.

Cause: cxxtools creates threads when all of them are busy, up to the limit, on the thread of its event loop, which had no handler: cxxtools::SystemError from pthread_create ended the process. The same error at the start ended it without a line of its own. An exception of a handler that is no std::exception ended a thread of cxxtools, its request had no answer, and the server could not be stopped any more.

The event loop goes on after an exception, and any exception of a handler, or while a request is read, is logged and answered with 500. cxxtools waits for ever for threads that it could not start, so such a server remains until the process ends, without calling its handler.

--- a/flamingoseam/http/http_server.cpp
+++ b/flamingoseam/http/http_server.cpp
@@ -1,17 +1,23 @@
 #include "flamingoseam/http/http_server.hpp"
 
 #include "flamingoseam/core/error.hpp"
+#include "flamingoseam/core/service_thread.hpp"
 #include "flamingoseam/http/read_available.hpp"
 
+#include <cxxtools/connectable.h>
+#include <cxxtools/eventloop.h>
+
 #include <cxxtools/http/reply.h>
 #include <cxxtools/http/request.h>
 #include <cxxtools/http/responder.h>
+#include <cxxtools/http/server.h>
 #include <cxxtools/http/service.h>
 #include <cxxtools/query_params.h>
 #include <cxxtools/regex.h>
 #include <glog/logging.h>
 
 #include <atomic>
+#include <future>
 #include <iterator>
 #include <vector>
 
@@ -42,15 +48,22 @@
     void close_after_answers() { closing_ = true; }
     bool is_closing() const { return closing_; }
 
+    /// Calls the handler no more.
+    void withdraw() { is_withdrawn_ = true; }
+    bool is_withdrawn() const { return is_withdrawn_; }
+
 private:
     http_handler handler_;
     std::size_t max_body_bytes_;
     std::vector<std::string> kept_headers_;
     std::atomic<bool> closing_{false};
+    std::atomic<bool> is_withdrawn_{false};
 };
 
 namespace {
 
+constexpr milliseconds failure_pause{10}; ///< Before the server goes on after an exception.
+
 std::string header_or_empty(const cxxtools::http::Request& request, const char* name)
 {
     const char* value = request.getHeader(name);
@@ -100,10 +113,7 @@
     void reply(std::ostream& out, cxxtools::http::Request& request,
                cxxtools::http::Reply& reply) override
     {
-        auto received = to_http_request(request, service_.kept_headers());
-        received.body = std::move(body_);
-        received.body_too_large = too_large_;
-        const auto response = handle(received);
+        const auto response = handle(request);
         if (response.close_without_answer) {
             throw transport_error(
                 302, "the handler requested to close the connection without a response", true);
@@ -129,15 +139,23 @@
         body_.append(data, size);
     }
 
-    http_response handle(const http_request& request)
+    /// Returns the handler's response, or an error response if an exception of any type is thrown.
+    http_response handle(const cxxtools::http::Request& request)
     {
         try {
-            return service_.handler()(request);
+            if (service_.is_withdrawn()) {
+                return {.status = 503, .body = "{}"};
+            }
+            auto received = to_http_request(request, service_.kept_headers());
+            received.body = std::move(body_);
+            received.body_too_large = too_large_;
+            return service_.handler()(received);
         } catch (const parse_error& cause) {
             return {.status = 400, .body = cause.what(), .content_type = "text/plain"};
-        } catch (const std::exception& cause) {
-            LOG(ERROR) << "handler of " << request.path << " failed: " << cause.what();
-            return {.status = 500, .body = cause.what(), .content_type = "text/plain"};
+        } catch (...) { // An exception that is no std::exception would end a thread of cxxtools.
+            const auto cause = describe_current_exception();
+            LOG(ERROR) << "handler of " << request.url() << " failed: " << cause;
+            return {.status = 500, .body = cause, .content_type = "text/plain"};
         }
     }
 
@@ -153,41 +171,116 @@
     return new handler_responder(*this);
 }
 
+/// The server of cxxtools with its loop of events, which runs on the thread of http_server.
+class http_server_loop : public cxxtools::Connectable {
+public:
+    http_server_loop(const http_server_options& options, http_handler handler)
+        : service_(std::move(handler), options), server_(loop_, options.address, options.port)
+    {
+        server_.minThreads(options.max_threads);
+        server_.maxThreads(options.max_threads);
+        server_.readTimeout(cxxtools::Milliseconds(options.read_timeout.count()));
+        server_.keepAliveTimeout(cxxtools::Milliseconds(options.keep_alive_timeout.count()));
+        server_.addService(cxxtools::Regex(".*"), service_);
+        cxxtools::connect(server_.runmodeChanged, *this, &http_server_loop::on_runmode);
+    }
+
+    handler_service& service() { return service_; }
+
+    /// Waits until all threads of the server have started. Throws what prevented it.
+    void wait_until_started() { started_.get_future().get(); }
+
+    /// Runs the loop until stop() is called. After an exception the server goes on with the
+    /// connections that it has, except if not all of its threads could be started.
+    void run()
+    {
+        try {
+            loop_.run();
+            return;
+        } catch (...) {
+            if (!has_started_) {
+                started_.set_exception(std::current_exception());
+                return;
+            }
+            LOG(ERROR) << "an HTTP server goes on after: " << describe_current_exception();
+        }
+        while (!run_guarded("the loop of an HTTP server", [this] { loop_.run(); })) {
+            std::this_thread::sleep_for(failure_pause);
+        }
+    }
+
+    void stop() { loop_.exit(); }
+
+private:
+    void on_runmode(cxxtools::http::Server::Runmode mode)
+    {
+        if (mode == cxxtools::http::Server::Running && !has_started_) {
+            has_started_ = true;
+            started_.set_value();
+        }
+    }
+
+    handler_service service_;
+    cxxtools::EventLoop loop_;
+    cxxtools::http::Server server_;
+    std::promise<void> started_;
+    bool has_started_ = false; ///< Used by the thread that calls run() only.
+};
+
 } // namespace detail
 
-http_server::http_server(const http_server_options& options, http_handler handler)
-    : service_(std::make_unique<detail::handler_service>(std::move(handler), options))
+namespace {
+
+std::unique_ptr<detail::http_server_loop> make_loop(const http_server_options& options,
+                                                    http_handler handler)
 {
     try {
-        server_ = std::make_unique<cxxtools::http::Server>(loop_, options.address, options.port);
+        return std::make_unique<detail::http_server_loop>(options, std::move(handler));
     } catch (const std::exception& cause) {
         throw transport_error(301,
                               "cannot listen on " + options.address + ":" +
                                   std::to_string(options.port) + ": " + cause.what(),
                               false);
     }
-    server_->minThreads(4);
-    server_->maxThreads(options.max_threads);
-    server_->readTimeout(cxxtools::Milliseconds(options.read_timeout.count()));
-    server_->keepAliveTimeout(cxxtools::Milliseconds(options.keep_alive_timeout.count()));
-    server_->addService(cxxtools::Regex(".*"), *service_);
-    thread_ = std::thread([this] { loop_.run(); });
+}
+
+} // namespace
+
+http_server::http_server(const http_server_options& options, http_handler handler)
+    : loop_(make_loop(options, std::move(handler)))
+{
+    thread_ = service_thread("HTTP server", [this] { loop_->run(); });
+    try {
+        loop_->wait_until_started();
+    } catch (...) {
+        thread_.join();
+        loop_->service().withdraw();
+        // cxxtools would wait for ever for the threads that could not be started. Those that were
+        // started remain until the process ends.
+        static_cast<void>(loop_.release());
+        throw resource_error(402, "can't start the " + std::to_string(options.max_threads) +
+                                      " threads of the server of " + options.address + ":" +
+                                      std::to_string(options.port) + ": " +
+                                      describe_current_exception());
+    }
 }
 
 void http_server::close_after_answers()
 {
-    service_->close_after_answers();
+    if (loop_) {
+        loop_->service().close_after_answers();
+    }
 }
 
 void http_server::stop()
 {
-    if (!server_) {
+    if (!loop_) {
         return;
     }
     close_after_answers();
-    loop_.exit();
+    loop_->stop();
     thread_.join();
-    server_.reset();
+    loop_.reset();
 }
 
 http_server::~http_server()
--- a/flamingoseam/http/http_server.hpp
+++ b/flamingoseam/http/http_server.hpp
@@ -1,16 +1,13 @@
 #pragma once
 
 #include "flamingoseam/core/clock.hpp"
-
-#include <cxxtools/eventloop.h>
-#include <cxxtools/http/server.h>
+#include "flamingoseam/core/service_thread.hpp"
 
 #include <cstddef>
 #include <functional>
 #include <map>
 #include <memory>
 #include <string>
-#include <thread>
 #include <utility>
 #include <vector>
 
@@ -44,9 +41,10 @@
 
 /// The address and the limits of a server.
 struct http_server_options {
-    std::string address;                    ///< An IP address.
-    unsigned short port = 0;                ///< 1 to 65535.
-    unsigned max_threads = 64;              ///< Maximum number of concurrent requests.
+    std::string address;     ///< An IP address.
+    unsigned short port = 0; ///< 1 to 65535.
+    /// Maximum number of concurrent requests. All these threads are started with the server.
+    unsigned max_threads = 64;
     std::size_t max_body_bytes = 1'000'000; ///< Handlers answer longer bodies with 413.
     milliseconds read_timeout = std::chrono::seconds(10);    ///< Limit for a slow sender.
     milliseconds keep_alive_timeout = std::chrono::hours(1); ///< Limit for idle connections.
@@ -54,14 +52,18 @@
 };
 
 namespace detail {
-class handler_service;
+class http_server_loop;
 }
 
-/// An HTTP/1.1 server with its own threads, based on cxxtools.
+/// An HTTP/1.1 server with its own threads, based on cxxtools. An exception of any type that a
+/// handler throws is answered with 500.
 class http_server {
 public:
     /// Starts listening and passes every request to `handler`, which several threads call
-    /// concurrently. Throws transport_error (id 301) when the address cannot be bound.
+    /// concurrently. Throws transport_error (id 301) when the address cannot be bound, and
+    /// resource_error when the system has not enough threads left: id 401 if nothing was started,
+    /// else id 402. After 402 the address stays bound until the process ends, but requests don't
+    /// reach the handler.
     http_server(const http_server_options& options, http_handler handler);
 
     /// Stops the server as stop() does.
@@ -78,10 +80,8 @@
     http_server& operator=(const http_server&) = delete;
 
 private:
-    std::unique_ptr<detail::handler_service> service_;
-    cxxtools::EventLoop loop_;
-    std::unique_ptr<cxxtools::http::Server> server_;
-    std::thread thread_;
+    std::unique_ptr<detail::http_server_loop> loop_;
+    service_thread thread_;
 };
 
 } // namespace flamingoseam
--- a/standins/link_main.cpp
+++ b/standins/link_main.cpp
@@ -153,7 +153,9 @@
     link_mode mode;
     std::thread([&mode] { forwarder(mode).run(); }).detach();
     const flamingoseam::http_server control(
-        {.address = FLAGS_address, .port = static_cast<unsigned short>(FLAGS_control_port)},
+        {.address = FLAGS_address,
+         .port = static_cast<unsigned short>(FLAGS_control_port),
+         .max_threads = 4},
         [&mode](const flamingoseam::http_request& request) -> flamingoseam::http_response {
             const auto name = request.query_or("mode", "pass");
             mode.cut = name == "cut";
--- a/standins/platform_main.cpp
+++ b/standins/platform_main.cpp
@@ -28,6 +28,8 @@
 
 using nlohmann::json;
 
+constexpr unsigned worker_threads = 12; ///< Of each worker, for orders and for long polls.
+
 std::vector<std::string> split(const std::string& text)
 {
     std::vector<std::string> parts;
@@ -107,8 +109,10 @@
         workers.push_back(
             std::make_unique<platform_worker>(id, milliseconds(FLAGS_drain_ms), ledger));
         servers.push_back(std::make_unique<http_server>(
-            http_server_options{
-                .address = address, .port = port, .kept_headers = {"X-Expect-Instance"}},
+            http_server_options{.address = address,
+                                .port = port,
+                                .max_threads = worker_threads,
+                                .kept_headers = {"X-Expect-Instance"}},
             [worker = workers.back().get()](const http_request& request) {
                 return worker->handle(request);
             }));
--- a/standins/platform_worker_main.cpp
+++ b/standins/platform_worker_main.cpp
@@ -31,6 +31,7 @@
 constexpr milliseconds write_timeout{1'000};
 constexpr milliseconds retry_interval{200};
 constexpr milliseconds leaving_notice{2'000};
+constexpr unsigned server_threads = 16; ///< For orders and for long polls.
 
 /// Appends one line of JSON for each event of a run or of the worker's lease.
 class run_record final : public run_observer {
@@ -117,6 +118,7 @@
     platform_worker worker(FLAGS_id, leaving_notice, record);
     const http_server server({.address = FLAGS_address,
                               .port = static_cast<unsigned short>(FLAGS_port),
+                              .max_threads = server_threads,
                               .kept_headers = {"X-Expect-Instance"}},
                              [&](const http_request& request) { return worker.handle(request); });
     std::thread([&worker] { keep_registered(worker); }).detach();
