The address space of a process does not grow with each thread's arena and 8 MiB stack

Callers saw: a node aborts at its takeover where the address space is limited. Cause: each thread reserved a stack of 8 MiB, and with it often an arena of 64 MiB of its own (up to eight arenas a processor).

Now a daemon gives its threads stacks of 1 MiB and at most 4 arenas, unless MALLOC_ARENA_MAX is set. Parsing nested JSON and destroying it does not recurse, so the deepest body that is accepted fits such a stack (copying and writing it would not beyond a depth of about 5,000; nothing does that with what it received).

--- a/flamingoseam/daemon/daemon.cpp
+++ b/flamingoseam/daemon/daemon.cpp
@@ -1,6 +1,7 @@
 #include "flamingoseam/daemon/daemon.hpp"
 
 #include "flamingoseam/core/error.hpp"
+#include "flamingoseam/daemon/process_bounds.hpp"
 #include "flamingoseam/log/log.hpp"
 
 #include <sodium.h>
@@ -28,6 +29,7 @@
 
 int run_daemon(const char* program, const std::function<void()>& body)
 {
+    bound_threads();
     init_logging(program);
     if (sodium_init() < 0) {
         std::cerr << "libsodium could not be initialized\n";
