An error of one connection between nodes ends neither the process nor the other connections

Callers saw: a node ends without an answer when its connection to another node can't be closed properly.

Cause: a connection was destroyed under a shared_ptr, whose release must not throw, but destructors of kj do; a failed call dropped its connection with a second call inside its catch block, which could throw kj::Exception past callers that expect transport_error; the threads of connections and of the server had no handler for what is not kj::Exception; a reply callback threw into the control thread.

Now a connection closes under a guard that logs the error; whatever a call throws is a transport_error, sent unless the connection was not established; only an error of the kind "disconnected" while it is opened is a refused connection (317), so that a lack of something here never confirms that the owner is gone; both threads report any exception at their start, and begin anew after one later; a reply that can't be delivered is logged.

Evidence, before: "an error at the close of a connection ..." ended by SIGABRT (signal 6); passes now. Passed before and after, as guards: an exception in a call is the answer to that call only; a call that is answered when the server has stopped; a lack of descriptors is not taken for a closed port. Not shown by a test: an exception of the event loop itself.

--- a/flamingoseam/node/coordinator_rpc_test.cpp
+++ b/flamingoseam/node/coordinator_rpc_test.cpp
@@ -1,11 +1,17 @@
 #include "flamingoseam/node/coordinator_rpc.hpp"
 
 #include "flamingoseam/core/error.hpp"
+#include "tests/child_process.hpp"
 #include "tests/descriptor_limit.hpp"
 
+#include <arpa/inet.h>
 #include <catch2/catch.hpp>
+#include <sys/socket.h>
 #include <unistd.h>
 
+#include <optional>
+#include <stdexcept>
+
 using namespace flamingoseam;
 using namespace flamingoseam::node;
 
@@ -32,13 +38,27 @@
     {
         reply(false);
     }
-    void confirm_owner_gone(std::uint64_t /*epoch*/, flag_reply reply) override { reply(false); }
+    void confirm_owner_gone(std::uint64_t epoch, flag_reply reply) override
+    {
+        if (epoch == failing_epoch) {
+            throw std::out_of_range("no such epoch");
+        }
+        if (epoch == waiting_epoch) {
+            kept_reply = reply;
+            return;
+        }
+        reply(false);
+    }
     void lend_workers(const workflow::worker_request& request, count_reply reply) override
     {
         last_worker_request = request;
         reply(7);
     }
 
+    static constexpr std::uint64_t failing_epoch = 13; ///< Throws.
+    static constexpr std::uint64_t waiting_epoch = 14; ///< Is not answered.
+
+    flag_reply kept_reply;
     workflow::permission_request last_request;
     workflow::worker_request last_worker_request;
 };
@@ -51,6 +71,32 @@
             7301};
 }
 
+/// Closes the descriptors of this process that are connected to the server, under their owner.
+void close_connections_of_client()
+{
+    constexpr int most_descriptors = 1'000;
+    for (int descriptor = 3; descriptor < most_descriptors; ++descriptor) {
+        sockaddr_in peer{};
+        socklen_t size = sizeof peer;
+        const bool is_connected =
+            ::getpeername(descriptor, reinterpret_cast<sockaddr*>(&peer), &size) == 0;
+        if (is_connected && ntohs(peer.sin_port) == own_address().port) {
+            ::close(descriptor);
+        }
+    }
+}
+
+/// Returns the id of the error with which a call ends, or 0 if it is answered.
+int error_of_call(coordinator_client& client, std::uint64_t epoch)
+{
+    try {
+        client.confirms_owner_gone(own_address(), epoch, milliseconds(300));
+        return 0;
+    } catch (const transport_error& cause) {
+        return cause.id();
+    }
+}
+
 } // namespace
 
 // Permission calls of more than 1.5 s through other nodes always timed out, so that gangs never
@@ -107,3 +153,51 @@
     CHECK_THROWS_AS(coordinator_server(own_address(), service), transport_error);
     CHECK_THROWS_AS(coordinator_client(), transport_error);
 }
+
+TEST_CASE("an error at the close of a connection does not end the process")
+{
+    const auto end = run_in_child([] {
+        recording_service service;
+        const coordinator_server server(own_address(), service);
+        coordinator_client client;
+        const int first = error_of_call(client, 1);
+        close_connections_of_client();
+        const int failed = error_of_call(client, 1);
+        return first == 0 && failed != 0 && error_of_call(client, 1) == 0 ? 0 : 1;
+    });
+    CHECK(end.signal == 0);
+    CHECK(end.code == 0);
+}
+
+TEST_CASE("an exception in a call of another node is the answer to that call only")
+{
+    recording_service service;
+    const coordinator_server server(own_address(), service);
+    coordinator_client client;
+    CHECK(error_of_call(client, recording_service::failing_epoch) == 307);
+    CHECK(error_of_call(client, 1) == 0);
+}
+
+TEST_CASE(
+    "a call of another node that is answered when the server has stopped does not end the process")
+{
+    const auto end = run_in_child([] {
+        recording_service service;
+        std::optional<coordinator_server> server(std::in_place, own_address(), service);
+        coordinator_client client;
+        const int unanswered = error_of_call(client, recording_service::waiting_epoch);
+        server.reset();
+        service.kept_reply(true);
+        service.kept_reply = nullptr;
+        return unanswered == 307 ? 0 : 1;
+    });
+    CHECK(end.signal == 0);
+    CHECK(end.code == 0);
+}
+
+TEST_CASE("a lack of descriptors is not taken for a closed port")
+{
+    coordinator_client client;
+    const descriptor_limit limit(0);
+    CHECK(error_of_call(client, 1) == 306);
+}
--- a/flamingoseam/peer/rpc_listener.cpp
+++ b/flamingoseam/peer/rpc_listener.cpp
@@ -1,12 +1,13 @@
 #include "flamingoseam/peer/rpc_listener.hpp"
 
 #include "flamingoseam/core/error.hpp"
+#include "flamingoseam/peer/rpc_errors.hpp"
 
 #include <capnp/rpc-twoparty.h>
 #include <glog/logging.h>
 #include <kj/async-io.h>
 
-#include <optional>
+#include <thread>
 #include <utility>
 
 namespace flamingoseam::detail {
@@ -14,6 +15,7 @@
 namespace {
 
 constexpr milliseconds accept_retry_delay{50};
+constexpr milliseconds listen_retry_pause{50};
 
 /// Serves all connections until the promise is cancelled. An error, such as a lack of file
 /// descriptors, delays the connections that wait.
@@ -37,43 +39,63 @@
 {
     std::promise<void> ready;
     auto ready_future = ready.get_future();
-    thread_ = std::thread([this, listen, &ready] { run(listen, ready); });
-    try {
-        ready_future.get();
-    } catch (...) {
-        thread_.join();
-        throw;
-    }
+    thread_ = service_thread("RPC server", [this, listen, &ready] { run(listen, ready); });
+    ready_future.get();
 }
 
 rpc_listener::~rpc_listener()
 {
-    stop_->fulfill();
+    {
+        const std::lock_guard lock(mutex_);
+        stopping_ = true;
+        run_guarded("stopping the RPC server", [this] { stop_->fulfill(); });
+    }
     thread_.join();
 }
 
+/// Serves until the destructor is called. After an exception it listens anew.
 void rpc_listener::run(const endpoint& listen, std::promise<void>& ready)
 {
-    std::optional<kj::AsyncIoContext> io;
-    std::optional<capnp::TwoPartyServer> server;
-    kj::Own<kj::ConnectionReceiver> receiver;
-    try {
-        io.emplace(kj::setupAsyncIo());
-        server.emplace(make_server_());
-        auto& network = io->provider->getNetwork();
-        receiver = network.parseAddress(listen.address, listen.port).wait(io->waitScope)->listen();
-    } catch (const kj::Exception& cause) {
-        ready.set_exception(std::make_exception_ptr(transport_error(
-            301, "can't listen on " + to_string(listen) + ": " + cause.getDescription().cStr(),
-            false)));
-        return;
+    bool is_ready = false;
+    const auto report_ready = [&] {
+        if (!std::exchange(is_ready, true)) {
+            ready.set_value();
+        }
+    };
+    while (!stopping_) {
+        try {
+            serve(listen, report_ready);
+        } catch (...) {
+            const auto cause =
+                "can't listen on " + to_string(listen) + ": " + describe_rpc_failure();
+            if (!is_ready) {
+                ready.set_exception(std::make_exception_ptr(transport_error(301, cause, false)));
+                return;
+            }
+            LOG(ERROR) << cause;
+            std::this_thread::sleep_for(listen_retry_pause);
+        }
     }
+}
+
+void rpc_listener::serve(const endpoint& listen, const std::function<void()>& report_ready)
+{
+    auto io = kj::setupAsyncIo();
+    capnp::TwoPartyServer server(make_server_());
+    auto& network = io.provider->getNetwork();
+    auto receiver = network.parseAddress(listen.address, listen.port).wait(io.waitScope)->listen();
     auto stop = kj::newPromiseAndCrossThreadFulfiller<void>();
-    stop_ = kj::mv(stop.fulfiller);
-    ready.set_value();
-    accept_connections(*server, *receiver, io->provider->getTimer())
+    {
+        const std::lock_guard lock(mutex_);
+        if (stopping_) {
+            return;
+        }
+        stop_ = kj::mv(stop.fulfiller);
+    }
+    report_ready();
+    accept_connections(server, *receiver, io.provider->getTimer())
         .exclusiveJoin(kj::mv(stop.promise))
-        .wait(io->waitScope);
+        .wait(io.waitScope);
 }
 
 } // namespace flamingoseam::detail
