Replace bytes that are not UTF-8 in a line of the log instead of ending the process

Callers saw one owner after the other end with SIGABRT once the list of workers had an entry of another writer with bytes that are not UTF-8, and all nodes at once after such a configuration.

Cause: json_sink decoded each message strictly and threw cxxtools::ConversionError from within the destructor of google::LogMessage. Which text a warning repeats is not in our hands: the messages of nlohmann::json contain the bytes that can't be parsed.

The line is now written by nlohmann::json with replacement, as the event log does it already, so that no text of a message can make it throw. Names and order of the fields stay.

--- a/flamingoseam/log/log.cpp
+++ b/flamingoseam/log/log.cpp
@@ -1,10 +1,10 @@
 #include "flamingoseam/log/log.hpp"
 
 #include "flamingoseam/core/clock.hpp"
-#include "flamingoseam/http/json.hpp"
 #include "flamingoseam/log/ready_output.hpp"
 
 #include <glog/logging.h>
+#include <nlohmann/json.hpp>
 
 #include <unistd.h>
 
@@ -28,25 +28,27 @@
     log_fields fields;
 };
 
-void add_unless_empty(cxxtools::SerializationInfo& info, const std::string& name,
-                      const std::string& text)
+void add_unless_empty(nlohmann::ordered_json& line, const char* name, const std::string& text)
 {
     if (!text.empty()) {
-        detail::put_text(info, name, text);
+        line[name] = text;
     }
 }
 
-void operator<<=(cxxtools::SerializationInfo& info, const log_line& value)
+/// Returns a line as JSON. Replaces bytes that are not UTF-8, since a message may repeat what
+/// another program has written.
+std::string to_text(const log_line& value)
 {
-    info.addMember("time_ms") <<= value.time_ms;
-    info.addMember("severity") <<= value.severity;
-    info.addMember("program") <<= value.program;
-    info.addMember("file") <<= value.file;
-    detail::put_text(info, "message", value.message);
-    add_unless_empty(info, "request_id", value.fields.request_id);
-    add_unless_empty(info, "customer", value.fields.customer);
-    add_unless_empty(info, "worker", value.fields.worker);
-    add_unless_empty(info, "shard", value.fields.shard);
+    nlohmann::ordered_json line = {{"time_ms", value.time_ms},
+                                   {"severity", value.severity},
+                                   {"program", value.program},
+                                   {"file", value.file},
+                                   {"message", value.message}};
+    add_unless_empty(line, "request_id", value.fields.request_id);
+    add_unless_empty(line, "customer", value.fields.customer);
+    add_unless_empty(line, "worker", value.fields.worker);
+    add_unless_empty(line, "shard", value.fields.shard);
+    return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
 }
 
 class json_sink : public google::LogSink {
@@ -57,13 +59,12 @@
               const char* base_filename, int line, const google::LogMessageTime& /*time*/,
               const char* message, std::size_t size) override
     {
-        const auto text = to_json(log_line{.time_ms = wall_now().count(),
-                                           .severity = google::GetLogSeverityName(severity),
-                                           .program = program_,
-                                           .file = base_filename + (":" + std::to_string(line)),
-                                           .message = std::string(message, size),
-                                           .fields = current_fields}) +
-                          "\n";
+        const auto text = to_text({.time_ms = wall_now().count(),
+                                   .severity = google::GetLogSeverityName(severity),
+                                   .program = program_,
+                                   .file = base_filename + (":" + std::to_string(line)),
+                                   .message = std::string(message, size),
+                                   .fields = current_fields});
         write_ready(STDERR_FILENO, text, no_wait); // Drops a line that does not fit.
     }
 
