Report a request that can't be built as a failed call, of which nothing was sent

Callers saw an owner end with SIGABRT, and then each successor, when the list of workers had an id that is too long for a header.

Cause: http_client::call() caught the exceptions of the library while it sends a request, but not those while it builds one ('message header too big' is a std::runtime_error). The threads of a worker_session expect transport_error only.

Building is now part of what is caught, and the error says that nothing was sent.

Evidence: 'a header that is too long for the library ...' failed before (unexpected exception) and passes.

--- a/flamingoseam/http/http_client.cpp
+++ b/flamingoseam/http/http_client.cpp
@@ -127,7 +127,9 @@
     return answer;
 }
 
-http_answer http_client::call(const http_call& request)
+namespace {
+
+cxxtools::http::Request make_message(const http_call& request)
 {
     cxxtools::http::Request message(request.path);
     message.method(request.method);
@@ -141,13 +143,23 @@
         message.setHeader(name.c_str(), value.c_str());
     }
     message.body() << request.body;
+    return message;
+}
+
+} // namespace
+
+http_answer http_client::call(const http_call& request)
+{
+    bool sent = false;
     try {
+        const auto message = make_message(request);
+        sent = true; // At least a part may be from now on.
         return send(message, request);
     } catch (const std::exception& cause) {
         client_.reset();
         single_send_client_.reset();
         throw transport_error(
-            304, "no answer from " + to_string(server_) + request.path + ": " + cause.what(), true);
+            304, "no answer from " + to_string(server_) + request.path + ": " + cause.what(), sent);
     }
 }
 
