Show that a reported run of a step that its job lacks ends the owner (known red)

A worker that reports a run of an open job's step or task that the job does not have makes the owner read beyond the job's steps as soon as this run is gone, lost with its worker's lease or lost in a crash, and each successor adopts the run and does the same. It happens too when a job's id is submitted again with fewer steps while a worker still holds a run of the earlier job.

Evidence, on: SIGSEGV in each of the 3 sections of the new test, run one by one.

--- a/flamingoseam/workflow/workflow_state_test.cpp
+++ b/flamingoseam/workflow/workflow_state_test.cpp
@@ -612,3 +612,32 @@
         CHECK_FALSE(driver.state.workers().at(0).reported);
     }
 }
+
+TEST_CASE("a worker that reports a run of a step that its job lacks does not end the owner")
+{
+    constexpr int lacking_step = 100'000'000;
+    driven_state driver;
+    driver.make_usable();
+    driver.submit(driver.job("fedcba9876543210", 1'000));
+    const run_name unknown{{"fedcba9876543210", lacking_step, 0}, 1};
+    driver.state.on_report(0, {.incarnation = 1, .present = {{.name = unknown}}}, driver.time,
+                           wall);
+    REQUIRE(driver.next().stops.size() == 1);
+
+    SECTION("and is gone after its stop")
+    {
+        driver.state.on_stop(0, unknown, driver.time);
+        driver.time += milliseconds(10);
+        driver.state.on_report(0, {.incarnation = 1, .asked = driver.time}, driver.time, wall);
+    }
+    SECTION("and is lost with the lease of its worker")
+    {
+        driver.state.on_emptied(0, emptied_reason::lease_expired, driver.time, wall);
+    }
+    SECTION("and is lost in a crash of its worker")
+    {
+        driver.state.on_emptied(0, emptied_reason::replaced, driver.time, wall);
+    }
+    CHECK(driver.state.workers().at(0).runs.empty());
+    CHECK(driver.state.find("fedcba9876543210"));
+}
