Ignore the loss of a run of a step that its job lacks

Callers would see the owner, and then each successor, end with SIGSEGV after a worker had reported such a run.

Cause: adopt() and apply_end() checked the step and the index of a reported run, but interrupt() and record_crash(), by which the run leaves again, did not.

All four use the same check now.

--- a/flamingoseam/workflow/job_record.cpp
+++ b/flamingoseam/workflow/job_record.cpp
@@ -112,6 +112,12 @@
         [](const ticket& granted, std::size_t wanted) { return granted.worker < wanted; });
 }
 
+bool job_record::has_task(const task_name& task) const
+{
+    const auto step = static_cast<std::size_t>(task.step);
+    return step < steps.size() && static_cast<std::size_t>(task.index) < steps[step].tasks.size();
+}
+
 bool job_record::are_predecessors_done(std::size_t step) const
 {
     const auto& after = spec.steps[step].after;
--- a/flamingoseam/workflow/job_record.hpp
+++ b/flamingoseam/workflow/job_record.hpp
@@ -154,6 +154,10 @@
 
     [[nodiscard]] bool is_stored() const { return stored_at >= changed_at; }
 
+    /// Checks whether the job has this task and still keeps it. A worker may report runs of others.
+    /// Complexity: constant.
+    [[nodiscard]] bool has_task(const task_name& task) const;
+
     /// Checks whether all predecessors of `step` have finished. Complexity: linear in the
     /// predecessors.
     [[nodiscard]] bool are_predecessors_done(std::size_t step) const;
--- a/flamingoseam/workflow/workflow_crashes.cpp
+++ b/flamingoseam/workflow/workflow_crashes.cpp
@@ -26,7 +26,7 @@
                                   wall_time wall)
 {
     auto* job = find_job(name.task.job);
-    if (job == nullptr || is_final(job->phase)) {
+    if (job == nullptr || is_final(job->phase) || !job->has_task(name.task)) {
         return;
     }
     auto& record = job->steps[static_cast<std::size_t>(name.task.step)];
--- a/flamingoseam/workflow/workflow_reports.cpp
+++ b/flamingoseam/workflow/workflow_reports.cpp
@@ -192,11 +192,11 @@
 void workflow_state::apply_end(job_record& job, std::size_t worker, const ended_run& end,
                                time_point time, wall_time wall)
 {
-    const auto step = static_cast<std::size_t>(end.name.task.step);
-    const auto index = static_cast<std::size_t>(end.name.task.index);
-    if (step >= job.steps.size() || index >= job.steps[step].tasks.size()) {
+    if (!job.has_task(end.name.task)) {
         return;
     }
+    const auto step = static_cast<std::size_t>(end.name.task.step);
+    const auto index = static_cast<std::size_t>(end.name.task.index);
     auto& record = job.steps[step];
     const bool gang = job.spec.steps[step].gang;
     if (end.how == run_end::done) {
@@ -228,7 +228,7 @@
 void workflow_state::interrupt(std::size_t worker, const run_name& name)
 {
     auto* job = find_job(name.task.job);
-    if (job == nullptr || is_final(job->phase)) {
+    if (job == nullptr || is_final(job->phase) || !job->has_task(name.task)) {
         return;
     }
     const auto step = static_cast<std::size_t>(name.task.step);
@@ -281,8 +281,7 @@
     auto* job = find_job(name.task.job);
     const auto step = static_cast<std::size_t>(name.task.step);
     const auto index = static_cast<std::size_t>(name.task.index);
-    const bool is_open = job != nullptr && !is_final(job->phase) && step < job->steps.size() &&
-                         index < job->steps[step].tasks.size();
+    const bool is_open = job != nullptr && !is_final(job->phase) && job->has_task(name.task);
     assigned_run assigned{.size = is_open ? job->spec.steps[step].size : resources{},
                           .shares_worker = is_open,
                           .state = assigned_run::run_state::present,
