Name the limits that a daemon checks at its start apart from those of the log

Callers saw nothing yet. Two structs of one name, flamingoseam::process_limits, had come together with different members; the programs held both, which the language forbids, and the tests did not build.

Evidence: 'redefinition of struct flamingoseam::process_limits' in platform/job_api_test.cpp before; the tests build now.

--- a/flamingoseam/daemon/process_bounds.cpp
+++ b/flamingoseam/daemon/process_bounds.cpp
@@ -54,14 +54,14 @@
     }
 }
 
-process_limits own_limits()
+system_limits own_limits()
 {
     return {.threads = ::geteuid() == 0 ? std::nullopt : own_limit(RLIMIT_NPROC),
             .address_space_bytes = own_limit(RLIMIT_AS),
             .descriptors = own_limit(RLIMIT_NOFILE)};
 }
 
-std::vector<std::string> find_shortages(const process_limits& limits, const process_need& need)
+std::vector<std::string> find_shortages(const system_limits& limits, const process_need& need)
 {
     std::vector<std::string> lines;
     add_shortage(lines, "RLIMIT_NPROC (threads of the user)", limits.threads, need.threads);
--- a/flamingoseam/daemon/process_bounds.hpp
+++ b/flamingoseam/daemon/process_bounds.hpp
@@ -20,16 +20,16 @@
 };
 
 /// Limits of the system for a process; none where there is no limit.
-struct process_limits {
+struct system_limits {
     std::optional<std::int64_t> threads; ///< RLIMIT_NPROC, which counts all threads of the user.
     std::optional<std::int64_t> address_space_bytes; ///< RLIMIT_AS.
     std::optional<std::int64_t> descriptors;         ///< RLIMIT_NOFILE.
 };
 
 /// Returns the limits of this process. The limit of threads does not apply to the user root.
-process_limits own_limits();
+system_limits own_limits();
 
 /// Returns one line for each limit that is below the need, with its name, its value and the need.
-std::vector<std::string> find_shortages(const process_limits& limits, const process_need& need);
+std::vector<std::string> find_shortages(const system_limits& limits, const process_need& need);
 
 } // namespace flamingoseam
