Show that a session that can't be opened ends the process (known red)

A node that took over without room for the threads of its sessions ended with SIGSEGV in worker_session::request_stop(), under job_owner::request_stop().

The new test ends with SIGSEGV.

--- a/flamingoseam/node/job_owner_test.cpp
+++ b/flamingoseam/node/job_owner_test.cpp
@@ -253,6 +253,7 @@
     memory_records records;
     std::array<leased_worker, 3> workers;
     int sink = open("/dev/null", O_WRONLY | O_CLOEXEC);
+    std::atomic<bool> opens_channels{true};
     std::string failing_event; ///< The log throws an exception when this event is written.
     event_log log{{.program = "test",
                    .node = "test",
@@ -297,6 +298,10 @@
                                    .channels =
                                        [this](const workflow::worker_entry& entry) {
                                            const auto index = entry.address.port - 1U;
+                                           if (!cell_.opens_channels) {
+                                               throw std::system_error(EAGAIN,
+                                                                       std::generic_category());
+                                           }
                                            return std::make_unique<path_channel>(
                                                cell_.workers.at(index), reaches.at(index));
                                        },
@@ -476,3 +481,17 @@
     CHECK(count_begun(shared) == 2);
     CHECK(count_concurrent(shared) == 0);
 }
+
+TEST_CASE("a session with a worker that can't be opened ends the ownership, and not the process")
+{
+    cell shared;
+    shared.opens_channels = false;
+    {
+        owner_process process(shared, 0, all);
+        REQUIRE(wait_until([&] { return process.failed.load(); }));
+    }
+    shared.opens_channels = true;
+    owner_process later(shared, 1, all);
+    later.submit("job", 2);
+    CHECK(wait_until([&] { return count_begun(shared) == 2; }));
+}
