Keep no place for a session that could not be opened

A node that took over without room for the threads of its sessions ended with SIGSEGV.

Cause: open_sessions() inserted an empty pointer for the worker before it created the session. When that failed, the failed ownership was ended by calling all sessions, also the empty one.

The session is inserted once it exists, and a session that is replaced leaves the map at once.

Evidence: 'a session with a worker that can't be opened ...' ended with SIGSEGV before and passes.

--- a/flamingoseam/node/job_owner_workers.cpp
+++ b/flamingoseam/node/job_owner_workers.cpp
@@ -176,16 +176,16 @@
         if (!state.listed && !state.lease_stored) {
             continue;
         }
-        auto& session = sessions_[worker];
-        if (session && session->entry().address == state.entry.address) {
+        const auto found = sessions_.find(worker);
+        if (found != sessions_.end() && found->second->entry().address == state.entry.address) {
             if (!state.listed || state.entry.leaving) {
-                session->withdraw_starts();
+                found->second->withdraw_starts();
             }
             continue;
         }
-        if (session) {
-            session->request_stop();
-            retired_sessions_.push_back(std::move(session));
+        if (auto earlier = sessions_.extract(worker)) {
+            earlier.mapped()->request_stop();
+            retired_sessions_.push_back(std::move(earlier.mapped()));
         }
         if (state.silence_stored && !state.unreachable) {
             // The store may still say that the lease is not renewed, so the new session has to wait
@@ -193,13 +193,14 @@
             state_.on_unreachable_changed(worker, true, now(), now(), wall_now());
         }
         worker_listener& listener = *this;
-        session = std::make_unique<worker_session>(
+        auto session = std::make_unique<worker_session>(
             worker_session_options{.id = {.worker = worker, .number = ++last_session_},
                                    .epoch = state.entry.token_base + epoch_,
                                    .lease = dependencies_.worker_lease,
                                    .silent_for = silence_of(state, wall_now()),
                                    .earlier_renewals_end = earlier_renewals_end_},
             state.entry, dependencies_.channels, listener);
+        sessions_.emplace(worker, std::move(session)); // Not before, as opening it may fail.
     }
 }
 
