Let nodes run short of address space and of descriptors in the soak

The soak limited nothing, so that a node which ends for want of threads was never seen there. Two faults bound the address space (to what is in use and up to 96 MiB more) or the descriptors (16 to 128) of one or several nodes for up to 8 s, also while other faults hit them. Starting processes are left out. All checks stay. A node that ended by itself is printed at once and hit by no other fault; before, the next fault that chose it stopped the script with another error.

--- a/scenarios/platform_soak.lua
+++ b/scenarios/platform_soak.lua
@@ -1,8 +1,8 @@
 -- A cell whose store, workers and nodes are processes of their own is used by clients while a plan of faults, drawn
 -- from the seed, is carried out: processes are killed, frozen, restarted under their ids and shut down, links are cut
--- in one or both directions, for all nodes or for one, and the store is away or forgets its history. The faults
--- overlap. Afterwards every accepted job must be completed, no task may have run twice, and no process may have ended
--- by itself.
+-- in one or both directions, for all nodes or for one, nodes run short of address space or of descriptors, and the
+-- store is away or forgets its history. The faults overlap. Afterwards every accepted job must be completed, no task
+-- may have run twice, and no process may have ended by itself.
 --
 -- Environment: SOAK_SECONDS is the length of the plan, SOAK_FAULTS the names of its faults, separated by spaces.
 dofile("scenarios/platform.lua")
@@ -13,6 +13,8 @@
 local WORKER_LINKS_GROUP = 21 -- Of the addresses under which workers are registered.
 local LENGTH_MS = 1000 * tonumber(os.getenv("SOAK_SECONDS") or "40")
 local MEAN_PAUSE_MS = 900 -- Between two faults.
+local MOST_SPARE_BYTES = 96 * 1024 * 1024 -- Of a node with a bound, beyond what it uses; a thread takes 8 MiB.
+local FEWEST_DESCRIPTORS = 16
 local RECORD = OUT .. "/runs.jsonl"
 math.randomseed(SEED)
 
@@ -115,6 +117,38 @@
     after(length_ms, function() node.paths_busy = false end)
 end
 
+-- Returns the address space that a node uses in bytes, nil if its process `pid` does not run any more.
+local function address_space(node, pid)
+    if node.pid ~= pid or node.is_down or node.bad_exit then return nil end
+    local used_kb = process_stat(pid, "status"):match("VmSize:%s+(%d+) kB")
+    return used_kb and 1024 * tonumber(used_kb)
+end
+
+-- Checks whether the process of a node runs and has started to serve.
+local function is_serving(node)
+    return address_space(node, node.pid) and
+        request { server = node.ready, path = "/api/ready", timeout_ms = 100 } ~= 0
+end
+
+-- Bounds a resource of one or several nodes for a time between two bounds, also of those that other faults hit.
+-- `most(used_bytes)` is what a node may have of it. A process that is starting is not bounded.
+local function bound_nodes(resource, min_ms, max_ms, most)
+    for _ = 1, math.random(NODES) do
+        local node = nodes[math.random(NODES)]
+        local pid = node.pid
+        if node.bounded_pid ~= pid and is_serving(node) then
+            local bound, length_ms = most(address_space(node, pid)), math.random(min_ms, max_ms)
+            log_fault(string.format("%s of %s bounded to %d for %d ms", resource, node.name, bound, length_ms))
+            limit(pid, resource, bound)
+            node.bounded_pid = pid
+            after(length_ms, function()
+                if node.bounded_pid == pid then node.bounded_pid = nil end
+                if address_space(node, pid) then limit(pid, resource) end
+            end)
+        end
+    end
+end
+
 local store = { pid = cell.pid }
 local faults = {
     worker_restart = function()
@@ -176,8 +210,10 @@
         log_fault("node_kill " .. node.name)
         signal(node.pid, "KILL")
         wait_exit(node.pid, 2000)
+        node.is_down = true
         after(math.random(100, 1500), function()
             start_node(node)
+            node.is_down = false
             release()
         end)
     end,
@@ -225,6 +261,14 @@
         freeze(node.link.pid, length_ms, occupy(node.link))
         freeze_paths(node, 1, WORKERS, length_ms)
     end,
+    node_address_space = function()
+        bound_nodes("address_space", 300, 8000, function(used_bytes)
+            return used_bytes + math.random(0, MOST_SPARE_BYTES)
+        end)
+    end,
+    node_descriptors = function()
+        bound_nodes("descriptors", 300, 8000, function() return math.random(FEWEST_DESCRIPTORS, 128) end)
+    end,
     store_away = function()
         if store.busy then return end
         log_fault("store_away")
@@ -271,7 +315,11 @@
     for _, node in ipairs(nodes) do
         if not node.busy and not node.bad_exit then
             local code = wait_exit(node.pid, 1)
-            if code then node.bad_exit = "ended by itself with exit code " .. code end
+            if code then
+                node.bad_exit = "ended by itself with exit code " .. code
+                node.busy = true -- No further fault hits it.
+                log_fault(node.name .. " " .. node.bad_exit)
+            end
         end
     end
 end
