Bound the places for tasks without a size, whose sum overflowed

Seen by the undefined behaviour sanitizer: an owner whose workers have room for a gang of tasks that need neither processors nor memory added 2,147,483,647 places per worker ('signed integer overflow', find_unknown_workers(), workflow_search.cpp:116). Without a sanitizer the sum became negative, so that such a gang counted as one that the room does not suffice for. It ends no process.

A worker now has at most 100,000 places, above the tasks of any step, so that sums stay representable.

--- a/flamingoseam/workflow/fleet.cpp
+++ b/flamingoseam/workflow/fleet.cpp
@@ -1,13 +1,19 @@
 #include "flamingoseam/workflow/fleet.hpp"
 
 #include <algorithm>
-#include <limits>
 
 namespace flamingoseam::workflow {
 
+namespace {
+
+/// Above the number of tasks of any step. Sums over all workers stay representable.
+constexpr std::int64_t max_fitting_tasks = 100'000;
+
+} // namespace
+
 int tasks_that_fit(const resources& size, const resources& free_capacity)
 {
-    std::int64_t count = std::numeric_limits<int>::max();
+    auto count = max_fitting_tasks;
     const auto limit = [&count](std::int64_t need, std::int64_t has) {
         if (need > 0) {
             count = std::min(count, std::max<std::int64_t>(0, has) / need);
--- a/flamingoseam/workflow/workflow_state_test.cpp
+++ b/flamingoseam/workflow/workflow_state_test.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <limits>
 
 using namespace flamingoseam;
 using namespace flamingoseam::workflow;
@@ -641,3 +642,11 @@
     CHECK(driver.state.workers().at(0).runs.empty());
     CHECK(driver.state.find("fedcba9876543210"));
 }
+
+TEST_CASE("the places for tasks without a size are added up over all workers without overflow")
+{
+    constexpr std::int64_t workers = 10'000;
+    const auto places = tasks_that_fit({}, driven_state().worker().capacity);
+    CHECK(places >= job_limits().tasks_per_step);
+    CHECK(places * workers <= std::numeric_limits<int>::max());
+}
