--- a/flamingoseam/http/http_client.cpp
+++ b/flamingoseam/http/http_client.cpp
@@ -1,6 +1,7 @@
 #include "flamingoseam/http/http_client.hpp"
 
 #include "flamingoseam/core/error.hpp"
+#include "flamingoseam/core/service_thread.hpp"
 #include "flamingoseam/http/read_available.hpp"
 
 #include <cxxtools/connectable.h>
@@ -78,6 +79,26 @@
 
 } // namespace detail
 
+namespace {
+
+/// Writes all but the path. Throws an exception if the headers are too long.
+void write(cxxtools::http::Request& message, const http_call& request)
+{
+    message.method(request.method);
+    if (!request.authorization.empty()) {
+        message.setHeader("Authorization", request.authorization.c_str());
+    }
+    if (!request.traceparent.empty()) {
+        message.setHeader("traceparent", request.traceparent.c_str());
+    }
+    for (const auto& [name, value] : request.headers) {
+        message.setHeader(name.c_str(), value.c_str());
+    }
+    message.body() << request.body;
+}
+
+} // namespace
+
 std::string to_string(const endpoint& value)
 {
     return value.address + ":" + std::to_string(value.port);
@@ -129,25 +150,18 @@
 
 http_answer http_client::call(const http_call& request)
 {
-    cxxtools::http::Request message(request.path);
-    message.method(request.method);
-    if (!request.authorization.empty()) {
-        message.setHeader("Authorization", request.authorization.c_str());
-    }
-    if (!request.traceparent.empty()) {
-        message.setHeader("traceparent", request.traceparent.c_str());
-    }
-    for (const auto& [name, value] : request.headers) {
-        message.setHeader(name.c_str(), value.c_str());
-    }
-    message.body() << request.body;
+    bool is_sending = false;
     try {
+        cxxtools::http::Request message(request.path);
+        write(message, request);
+        is_sending = true;
         return send(message, request);
-    } catch (const std::exception& cause) {
+    } catch (...) {
+        const auto cause = describe_current_exception();
         client_.reset();
         single_send_client_.reset();
         throw transport_error(
-            304, "no answer from " + to_string(server_) + request.path + ": " + cause.what(), true);
+            304, "no answer from " + to_string(server_) + request.path + ": " + cause, is_sending);
     }
 }
 
--- a/flamingoseam/http/http_client.hpp
+++ b/flamingoseam/http/http_client.hpp
@@ -64,8 +64,9 @@
     /// Sends a request and waits for the response. When a reused connection breaks or delivers no
     /// response within the timeout, cxxtools repeats the request over a new connection. The server
     /// may therefore receive the request twice, and the response is the one to the second copy.
-    /// Throws transport_error (id 304) when the connection could not be established, failed or
-    /// delivered no response in time; the request may have reached the server. The connection is
+    /// Throws transport_error (id 304), and nothing else, when the request can't be written (it was
+    /// not sent then), or the connection could not be established, failed or delivered no response
+    /// in time; the request may have reached the server then. The connection is
     /// then closed, and the next call opens a new one. A request that must not follow an earlier
     /// copy after a timeout is sent with `may_send_again` = false. cxxtools repeats even that at
     /// once if its reused connection turns out to be closed.
--- a/flamingoseam/http/http_client_test.cpp
+++ b/flamingoseam/http/http_client_test.cpp
@@ -84,3 +84,15 @@
     CHECK_THROWS_AS(client.call(call), transport_error);
     CHECK(received == 0);
 }
+
+TEST_CASE("a request whose headers are too long is an error of that call, and is not sent")
+{
+    http_client client({"127.0.0.1", 17'563});
+    try {
+        client.call({.path = "/", .headers = {{"X-Text", std::string(10'000, 'x')}}});
+        FAIL("no exception");
+    } catch (const transport_error& cause) {
+        CHECK(cause.id() == 304);
+        CHECK_FALSE(cause.sent());
+    }
+}
