--- a/flamingoseam/node/job_owner.cpp
+++ b/flamingoseam/node/job_owner.cpp
@@ -365,9 +365,9 @@
 void job_owner::report_superseded()
 {
     if (!superseded_.exchange(true)) {
+        dependencies_.on_superseded();
         dependencies_.log->write(
             {.event = "superseded", .detail = "epoch " + std::to_string(epoch_)});
-        dependencies_.on_superseded();
     }
 }
 
--- a/flamingoseam/node/job_owner_workers.cpp
+++ b/flamingoseam/node/job_owner_workers.cpp
@@ -27,12 +27,15 @@
 {
     std::unique_ptr<worker_directory> directory;
     while (!ending_) {
-        run_guarded("the reading of the list of workers", [&] {
+        const bool is_passed_on = run_guarded("the reading of the list of workers", [&] {
             if (!directory) {
                 directory = dependencies_.directory();
             }
             read_worker_list(*directory);
         });
+        if (!is_passed_on) {
+            directory.reset(); // What it has read is lost, so everything is read again.
+        }
         std::this_thread::sleep_for(directory_read_delay);
     }
 }
@@ -91,8 +94,12 @@
         dependencies_.stores());
     while (!ending_) {
         bool has_update = false;
-        run_guarded("the reading of the assignments of workers",
-                    [&] { has_update = read_assignments(watch, prefix); });
+        const bool is_passed_on =
+            run_guarded("the reading of the assignments of workers",
+                        [&] { has_update = read_assignments(watch, prefix); });
+        if (!is_passed_on) {
+            watch.read_again(); // What it has read is lost.
+        }
         if (!has_update) {
             std::this_thread::sleep_for(assignments_retry_delay);
         }
