--- a/flamingoseam/http/http_client.cpp
+++ b/flamingoseam/http/http_client.cpp
@@ -1,6 +1,7 @@
 #include "flamingoseam/http/http_client.hpp"
 
 #include "flamingoseam/core/error.hpp"
+#include "flamingoseam/http/http_message.hpp"
 #include "flamingoseam/http/read_available.hpp"
 
 #include <cxxtools/connectable.h>
@@ -19,6 +20,23 @@
 
 namespace detail {
 
+cxxtools::http::Request to_message(const http_call& request)
+{
+    cxxtools::http::Request message(request.path);
+    message.method(request.method);
+    if (!request.authorization.empty()) {
+        message.setHeader("Authorization", request.authorization.c_str());
+    }
+    if (!request.traceparent.empty()) {
+        message.setHeader("traceparent", request.traceparent.c_str());
+    }
+    for (const auto& [name, value] : request.headers) {
+        message.setHeader(name.c_str(), value.c_str());
+    }
+    message.body() << request.body;
+    return message;
+}
+
 /// A connection on which a request is sent at most once for its whole timeout. The blocking calls
 /// of the HTTP library send a request again, after a timeout on a connection that was used before.
 class single_send_client : public cxxtools::Connectable {
@@ -129,18 +147,7 @@
 
 http_answer http_client::call(const http_call& request)
 {
-    cxxtools::http::Request message(request.path);
-    message.method(request.method);
-    if (!request.authorization.empty()) {
-        message.setHeader("Authorization", request.authorization.c_str());
-    }
-    if (!request.traceparent.empty()) {
-        message.setHeader("traceparent", request.traceparent.c_str());
-    }
-    for (const auto& [name, value] : request.headers) {
-        message.setHeader(name.c_str(), value.c_str());
-    }
-    message.body() << request.body;
+    const auto message = detail::to_message(request);
     try {
         return send(message, request);
     } catch (const std::exception& cause) {
