Sessions with workers share a fixed number of threads

Cause: each session with a worker has two threads of its own, for blocking calls, which the owner starts at its takeover; with 180 workers an owner has 399 threads and 7.4 GB of address space.

Now a node starts four threads with itself (worker_io: two loops for orders, two for polls), over which all sessions are spread, and a takeover starts none for workers. What a session promises is as before, with these differences: a poll in flight is cancelled at the end of a session instead of awaited; an order in flight still gets its result. An exception of any type in a call is an answer that did not arrive, so that a start that may have been sent is `unknown`. A result that the listener could not take is reported again.

The answer is an optional now. The test of it can't fail for certain, as an undefined value may be zero; it passed with the faulty code in this build.

Tests: the fakes of worker_session_test, job_owner_test and sharded_node_test stay synchronous, on threads of their own (tests/blocking_channel); their checks are unchanged.

--- a/bench/session_bench.cpp
+++ b/bench/session_bench.cpp
@@ -59,6 +59,7 @@
     [[nodiscard]] bool may_start() const override { return true; }
     [[nodiscard]] bool may_renew() const override { return true; }
 
+    node::worker_io io;
     std::vector<std::unique_ptr<node::worker_session>> sessions;
     std::atomic<bool> is_open{false}; ///< All sessions are open.
     std::atomic<std::int64_t> started{0};
@@ -69,8 +70,8 @@
 
 void open_sessions(counting_listener& listener)
 {
-    const auto channels = [](const workflow::worker_entry& worker) {
-        return std::make_unique<platform::worker_api>(worker);
+    const auto channels = [](io_loop& loop, const workflow::worker_entry& worker) {
+        return std::make_unique<platform::worker_api>(loop, worker);
     };
     for (int worker = 0; worker < FLAGS_workers; ++worker) {
         const auto number = std::to_string(worker + 1);
@@ -80,7 +81,7 @@
         listener.sessions.push_back(std::make_unique<node::worker_session>(
             node::worker_session_options{.id = {.worker = static_cast<std::size_t>(worker)},
                                          .epoch = 1},
-            entry, channels, listener));
+            entry, listener.io.next_loops(), channels, listener));
     }
     listener.is_open = true;
 }
--- a/flamingoseam/node/job_owner.hpp
+++ b/flamingoseam/node/job_owner.hpp
@@ -46,6 +46,7 @@
     workflow::record_keys keys;
     milliseconds worker_lease{6'000};
     milliseconds ended_kept{150'000}; ///< How long an ended job can be looked up.
+    std::shared_ptr<worker_io> io;    ///< For the sessions with workers.
     worker_channel_factory channels;
     worker_directory_factory directory;
     permission_call_factory permissions;
--- a/flamingoseam/node/job_owner_test.cpp
+++ b/flamingoseam/node/job_owner_test.cpp
@@ -2,6 +2,7 @@
 
 #include "flamingoseam/core/error.hpp"
 #include "flamingoseam/node/owner_claim.hpp"
+#include "tests/blocking_channel.hpp"
 #include "tests/memory_store.hpp"
 
 #include <catch2/catch.hpp>
@@ -188,7 +189,7 @@
 
 using paths = std::array<std::atomic<bool>, 3>; ///< Whether an owner reaches each worker.
 
-class path_channel final : public worker_channel {
+class path_channel final : public tests::blocking_channel {
 public:
     path_channel(leased_worker& worker, const std::atomic<bool>& reachable)
         : worker_(worker), reachable_(reachable)
@@ -290,28 +291,29 @@
                             .jobs = std::move(stored.jobs),
                             .leased_workers = std::move(stored.leased_workers),
                             .earlier_certainty = earlier ? std::optional(0ms) : std::nullopt},
-            job_owner_dependencies{.head_keys = {"head/0"},
-                                   .stores = [this] { return store(); },
-                                   .keys = keys,
-                                   .worker_lease = worker_lease,
-                                   .channels =
-                                       [this](const workflow::worker_entry& entry) {
-                                           const auto index = entry.address.port - 1U;
-                                           return std::make_unique<path_channel>(
-                                               cell_.workers.at(index), reaches.at(index));
-                                       },
-                                   .directory = [] { return std::make_unique<all_workers>(); },
-                                   .permissions = [](const std::string&) -> permission_call {
-                                       return [](const auto&) -> permission_answer {
-                                           throw transport_error(304, "no service", false);
-                                       };
-                                   },
-                                   .log = &cell_.log,
-                                   .metrics = &cell_.metrics,
-                                   .is_certain = [this] { return is_certain.load(); },
-                                   .on_store_unreachable = [] {},
-                                   .on_superseded = [this] { superseded = true; },
-                                   .on_failed = [this] { failed = true; }});
+            job_owner_dependencies{
+                .head_keys = {"head/0"},
+                .stores = [this] { return store(); },
+                .keys = keys,
+                .worker_lease = worker_lease,
+                .io = tests::shared_worker_io(),
+                .channels = tests::on_own_threads([this](const workflow::worker_entry& entry) {
+                    const auto index = entry.address.port - 1U;
+                    return std::make_unique<path_channel>(cell_.workers.at(index),
+                                                          reaches.at(index));
+                }),
+                .directory = [] { return std::make_unique<all_workers>(); },
+                .permissions = [](const std::string&) -> permission_call {
+                    return [](const auto&) -> permission_answer {
+                        throw transport_error(304, "no service", false);
+                    };
+                },
+                .log = &cell_.log,
+                .metrics = &cell_.metrics,
+                .is_certain = [this] { return is_certain.load(); },
+                .on_store_unreachable = [] {},
+                .on_superseded = [this] { superseded = true; },
+                .on_failed = [this] { failed = true; }});
     }
 
     /// Submits a job with tasks that each take half a worker.
--- a/flamingoseam/node/job_owner_workers.cpp
+++ b/flamingoseam/node/job_owner_workers.cpp
@@ -187,7 +187,7 @@
                                    .lease = dependencies_.worker_lease,
                                    .silent_for = silence_of(state, wall_now()),
                                    .earlier_renewals_end = earlier_renewals_end_},
-            state.entry, dependencies_.channels, listener);
+            state.entry, dependencies_.io->next_loops(), dependencies_.channels, listener);
     }
 }
 
--- a/flamingoseam/node/node.hpp
+++ b/flamingoseam/node/node.hpp
@@ -49,6 +49,7 @@
     permission_call permission; ///< Calls the permission service from this node; null if none.
     event_log* log = nullptr;
     node_metrics* metrics = nullptr;
+    std::shared_ptr<worker_io> io = nullptr; ///< For the sessions with workers.
 };
 
 /// Times of an orderly shutdown.
--- a/flamingoseam/node/sharded_node.cpp
+++ b/flamingoseam/node/sharded_node.cpp
@@ -47,6 +47,7 @@
     : options_(std::move(options)), dependencies_(std::move(dependencies))
 {
     options_.node.incarnation = make_incarnation();
+    dependencies_.io = std::make_shared<worker_io>();
     membership_ = std::make_shared<membership>(
         membership_options{
             .prefix = options_.node.store_prefix + "m/",
--- a/flamingoseam/node/sharded_node_test.cpp
+++ b/flamingoseam/node/sharded_node_test.cpp
@@ -1,6 +1,7 @@
 #include "flamingoseam/node/sharded_node.hpp"
 
 #include "flamingoseam/core/error.hpp"
+#include "tests/blocking_channel.hpp"
 #include "tests/commit_only_store.hpp"
 
 #include <catch2/catch.hpp>
@@ -138,7 +139,7 @@
     std::atomic<int> fenced_answers{0};
 };
 
-class late_worker_channel final : public worker_channel {
+class late_worker_channel final : public tests::blocking_channel {
 public:
     explicit late_worker_channel(late_worker& worker) : worker_(worker) { ++worker_.connections; }
     ~late_worker_channel() override { --worker_.connections; }
@@ -204,10 +205,9 @@
           failing_event_(std::move(failing_event)),
           node_({.node = {.name = "node1", .rpc = own_address()}},
                 {.stores = [this] { return std::make_unique<cell_store>(records); },
-                 .channels =
-                     [&worker](const auto& /*entry*/) {
-                         return std::make_unique<late_worker_channel>(worker);
-                     },
+                 .channels = tests::on_own_threads([&worker](const auto& /*entry*/) {
+                     return std::make_unique<late_worker_channel>(worker);
+                 }),
                  .directory = [] { return std::make_unique<one_worker_directory>(); },
                  .permission = std::move(permission),
                  .log = &log_,
--- a/flamingoseam/node/worker_channel.hpp
+++ b/flamingoseam/node/worker_channel.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "flamingoseam/core/call_result.hpp"
+#include "flamingoseam/http/io_loop.hpp"
 #include "flamingoseam/workflow/messages.hpp"
 
 #include <functional>
@@ -45,22 +47,28 @@
     workflow::worker_report report;
 };
 
-/// A connection to a worker, to be used from one thread. Each call throws transport_error when
-/// there is no answer in time, after which it is not repeated; the worker may have executed the
-/// call nevertheless, or may still do so.
+/// A connection to a worker, to be used on the thread of one I/O loop, except that it may be
+/// created on any thread. Each call returns at once, and its handler is called on that thread
+/// later, exactly once: with the answer, or with transport_error when there is none in time, after
+/// which the call is not repeated; the worker may have executed it nevertheless, or may still do
+/// so. The handler is not called if the call throws an exception, or once the channel has been
+/// destroyed, which no handler may do. Only one call may be in flight.
 class worker_channel {
 public:
+    using order_handler = std::function<void(call_result<order_answer>)>;
+    using renew_handler = std::function<void(call_result<renew_answer>)>;
+
     virtual ~worker_channel() = default;
-    virtual order_answer start(const start_call& call, milliseconds timeout) = 0;
+    virtual void start(const start_call& call, milliseconds timeout, order_handler handler) = 0;
 
     /// Stops a run. The outcome is `started` when the worker has accepted the stop.
-    virtual order_answer stop(const workflow::run_name& name, std::uint64_t epoch,
-                              milliseconds timeout) = 0;
-    virtual renew_answer renew(const renew_call& call, milliseconds timeout) = 0;
+    virtual void stop(const workflow::run_name& name, std::uint64_t epoch, milliseconds timeout,
+                      order_handler handler) = 0;
+    virtual void renew(const renew_call& call, milliseconds timeout, renew_handler handler) = 0;
 };
 
-/// Creates connections to workers.
-using worker_channel_factory =
-    std::function<std::unique_ptr<worker_channel>(const workflow::worker_entry& worker)>;
+/// Creates connections to workers, for use on the thread of a loop.
+using worker_channel_factory = std::function<std::unique_ptr<worker_channel>(
+    io_loop& loop, const workflow::worker_entry& worker)>;
 
 } // namespace flamingoseam::node
--- a/flamingoseam/node/worker_session.cpp
+++ b/flamingoseam/node/worker_session.cpp
@@ -1,11 +1,11 @@
 #include "flamingoseam/node/worker_session.hpp"
 
 #include "flamingoseam/core/error.hpp"
-#include "flamingoseam/core/thread_times.hpp"
 
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <thread>
 #include <utility>
 
 namespace flamingoseam::node {
@@ -20,6 +20,7 @@
 constexpr milliseconds rejection_delay{1'000};
 /// Answers on different connections may arrive in another order within this time.
 constexpr milliseconds max_answer_reordering{1'000};
+constexpr milliseconds stop_retry_delay{20};
 
 worker_time elapsed_on_slow_clock(time_point since, time_point time)
 {
@@ -27,6 +28,15 @@
     return worker_time(static_cast<std::int64_t>(elapsed.count() * min_clock_rate));
 }
 
+/// To be called in a catch block.
+void log_no_answer(const char* call) noexcept
+{
+    run_guarded("a warning", [call] {
+        LOG_EVERY_N(WARNING, 50) << "worker did not answer " << call << ": "
+                                 << describe_current_exception();
+    });
+}
+
 } // namespace
 
 void lease_clock::record(worker_time clock, time_point received)
@@ -64,33 +74,30 @@
 }
 
 worker_session::worker_session(worker_session_options options, const workflow::worker_entry& entry,
-                               const worker_channel_factory& channels, worker_listener& listener)
-    : options_(options), entry_(entry), listener_(listener), order_channel_(channels(entry)),
-      poll_channel_(channels(entry)), clock_(options.lease), incarnation_(entry.incarnation),
-      unreachable_(options.silent_for.has_value()),
+                               const worker_loops& loops, const worker_channel_factory& channels,
+                               worker_listener& listener)
+    : options_(options), entry_(entry), listener_(listener), clock_(options.lease),
+      incarnation_(entry.incarnation), unreachable_(options.silent_for.has_value()),
       silent_since_(now() - std::clamp(options.silent_for.value_or(milliseconds(0)), -options.lease,
                                        options.lease)),
       may_renew_(!unreachable_),
       earlier_renewals_end_(unreachable_ ? silent_since_ + clock_difference
                                          : std::max(now(), options.earlier_renewals_end)),
-      retry_delay_(initial_retry_delay)
+      order_channel_(channels(loops.orders, entry)), poll_channel_(channels(loops.polls, entry)),
+      retry_delay_(initial_retry_delay),
+      orders_(loops.orders, "sending orders to a worker", [this] { run_orders(); }),
+      polls_(loops.polls, "polling a worker", [this] { run_polls(); })
 {
-    order_thread_ = std::thread([this] {
-        run_orders();
-        withdraw_starts(); // No more are queued, since the session is ending.
-        --running_threads_;
-    });
-    poll_thread_ = std::thread([this] {
-        run_polls();
-        --running_threads_;
-    });
+    polls_.wake();
 }
 
 worker_session::~worker_session()
 {
-    request_stop();
-    order_thread_.join();
-    poll_thread_.join();
+    while (!run_guarded("the end of a worker's session", [this] { request_stop(); })) {
+        std::this_thread::sleep_for(stop_retry_delay); // There was no memory left.
+    }
+    orders_.wait_until_ended();
+    polls_.wait_until_ended();
 }
 
 void worker_session::request_stop()
@@ -99,8 +106,8 @@
         const std::lock_guard lock(mutex_);
         ending_ = true;
     }
-    orders_changed_.notify_one();
-    polls_changed_.notify_one();
+    orders_.wake();
+    polls_.wake();
 }
 
 void worker_session::release()
@@ -128,7 +135,7 @@
     starts_.push_back(std::move(start));
     has_runs_ = true;
     lock.unlock();
-    orders_changed_.notify_one();
+    orders_.wake();
 }
 
 void worker_session::stop(const workflow::stop_order& order)
@@ -140,7 +147,7 @@
         }
         stops_.push_back(order.name);
     }
-    orders_changed_.notify_one();
+    orders_.wake();
 }
 
 void worker_session::withdraw_starts()
@@ -171,7 +178,7 @@
             return;
         }
     }
-    polls_changed_.notify_one();
+    polls_.wake();
 }
 
 void worker_session::permit_renewal(time_point silent_since)
@@ -196,87 +203,203 @@
 
 void worker_session::run_orders()
 {
-    thread_timer timer(thread_duty::orders);
-    bool is_stop_next = true; // Stops and starts take turns, so that neither waits for all others.
-    std::unique_lock lock(mutex_);
-    while (!ending_) {
-        timer.update();
-        if (!stops_.empty() && (is_stop_next || starts_.empty())) {
-            const auto name = std::move(stops_.front());
-            stops_.pop_front();
-            lock.unlock();
-            send_stop(name);
-            lock.lock();
-            is_stop_next = false;
-        } else if (!starts_.empty()) {
-            const auto start = std::move(starts_.front());
-            starts_.pop_front();
-            lock.unlock();
-            send_start(start);
-            lock.lock();
-            is_stop_next = true;
-        } else {
-            orders_changed_.wait(lock);
-        }
+    deliver_start_result(); // Again, if the listener has thrown an exception.
+    if (order_result_) {
+        handle_order_answer();
+    }
+    if (ending_) {
+        end_orders();
+        return;
+    }
+    while (!sent_order_ && send_next_order()) {
     }
 }
 
-/// Sends an order to start a run, and once more if its connection turns out to be closed and runs
-/// may still be started.
-order_answer worker_session::call_start(const start_call& call)
+/// Reports the starts that were not sent, and ends the orders once none is in flight.
+void worker_session::end_orders()
 {
-    const auto sent_at = now();
-    try {
-        return order_channel_->start(call, options_.order_timeout);
-    } catch (const transport_error&) {
-        const bool is_closed = now() - sent_at < options_.order_timeout / 2;
-        if (!is_closed || !listener_.may_start()) {
-            throw;
-        }
+    while (auto start = take_start()) {
+        report_start(std::move(start->order.name), workflow::start_outcome::not_sent);
+    }
+    if (!sent_order_) {
+        order_channel_.reset();
+        orders_.end();
+    }
+}
+
+/// Returns the start that has waited longest, none if there is none.
+std::optional<worker_session::queued_start> worker_session::take_start()
+{
+    const std::lock_guard lock(mutex_);
+    if (starts_.empty()) {
+        return std::nullopt;
+    }
+    std::optional<queued_start> start = std::move(starts_.front());
+    starts_.pop_front();
+    return start;
+}
+
+/// Returns the stop that has waited longest if its turn has come, none otherwise.
+std::optional<workflow::run_name> worker_session::take_stop()
+{
+    const std::lock_guard lock(mutex_);
+    if (stops_.empty() || (!is_stop_next_ && !starts_.empty())) {
+        return std::nullopt;
     }
-    return order_channel_->start(call, options_.order_timeout);
+    std::optional<workflow::run_name> name = std::move(stops_.front());
+    stops_.pop_front();
+    return name;
 }
 
-void worker_session::send_start(const queued_start& start)
+/// Takes the next order and sends it unless it must not be sent. Returns whether there was one.
+bool worker_session::send_next_order()
 {
-    const auto& order = start.order;
+    if (auto name = take_stop()) {
+        is_stop_next_ = false;
+        sent_order_.emplace();
+        sent_order_->call.name = std::move(*name);
+        send_stop();
+        return true;
+    }
+    if (auto start = take_start()) {
+        is_stop_next_ = true;
+        prepare_start(std::move(*start));
+        return true;
+    }
+    return false;
+}
+
+void worker_session::prepare_start(queued_start start)
+{
+    // The result if the order must not be sent, and after an exception.
+    unreported_start_ = {.name = std::move(start.order.name),
+                         .outcome = workflow::start_outcome::not_sent};
     const auto lease_until = extend_lease();
     const bool is_late = now() - start.queued_at > options_.max_start_age;
     if (is_late || lease_until == worker_time(0) || !listener_.may_start()) {
-        report_not_sent(start);
+        deliver_start_result();
         return;
     }
+    sent_order_ = {.is_start = true,
+                   .call = {.name = std::move(unreported_start_->name),
+                            .payload = std::move(start.order.payload),
+                            .checkpoint = std::move(start.order.checkpoint),
+                            .ticket = std::move(start.order.ticket),
+                            .epoch = options_.epoch,
+                            .lease_until = lease_until}};
+    unreported_start_.reset();
+    send_start();
+}
+
+void worker_session::send_start()
+{
+    sent_order_->sent_at = now();
+    send_order([this](const worker_channel::order_handler& handler) {
+        order_channel_->start(sent_order_->call, options_.order_timeout, handler);
+    });
+}
+
+void worker_session::send_stop()
+{
+    send_order([this](const worker_channel::order_handler& handler) {
+        order_channel_->stop(sent_order_->call.name, options_.epoch, options_.order_timeout,
+                             handler);
+    });
+}
+
+/// Calls `send` with the handler of an order's answer. An exception counts as an answer that did
+/// not arrive, as the order may have been sent.
+void worker_session::send_order(
+    const std::function<void(const worker_channel::order_handler&)>& send)
+{
+    const auto handle = [this](call_result<order_answer> result) {
+        order_result_.emplace(std::move(result));
+        orders_.wake_after(milliseconds(0));
+    };
     try {
-        const auto answer = call_start({.name = order.name,
-                                        .payload = order.payload,
-                                        .checkpoint = order.checkpoint,
-                                        .ticket = order.ticket,
-                                        .epoch = options_.epoch,
-                                        .lease_until = lease_until});
-        record_clock(answer.clock);
-        if (answer.outcome == workflow::start_outcome::fenced) {
-            report_fenced(); // First, so that the run is not assigned again.
+        send(handle);
+    } catch (...) {
+        handle(std::current_exception());
+    }
+}
+
+void worker_session::handle_order_answer()
+{
+    auto result = std::move(*order_result_);
+    order_result_.reset();
+    if (sent_order_->is_start) {
+        handle_start_answer(std::move(result));
+    } else {
+        handle_stop_answer(std::move(result));
+    }
+}
+
+void worker_session::handle_start_answer(call_result<order_answer> result)
+{
+    // Not an answer that is assigned in the block: with optimization, GCC 12 leaves such an object
+    // undefined after an exception.
+    std::optional<order_answer> received;
+    try {
+        received = result.take();
+    } catch (const transport_error&) {
+        if (may_send_again()) {
+            sent_order_->is_repeated = true;
+            send_start();
+            return;
         }
-        listener_.on_start(options_.id.worker, order.name, answer.outcome);
-    } catch (const transport_error& cause) {
-        LOG_EVERY_N(WARNING, 50) << "worker did not answer a start order: " << cause.what();
-        listener_.on_start(options_.id.worker, order.name, workflow::start_outcome::unknown);
+        log_no_answer("a start order");
+    } catch (...) {
+        log_no_answer("a start order");
+    }
+    const auto answer = received.value_or(order_answer{}); // Otherwise of unknown outcome.
+    record_clock(answer.clock);
+    unreported_start_ = {.name = std::move(sent_order_->call.name), .outcome = answer.outcome};
+    sent_order_.reset();
+    if (answer.outcome == workflow::start_outcome::fenced) {
+        report_fenced(); // First, so that the run is not assigned again.
+    }
+    deliver_start_result();
+}
+
+/// Checks whether an order to start a run may be sent once more, as its connection has turned out
+/// to be closed and runs may still be started.
+bool worker_session::may_send_again() const
+{
+    const bool is_closed = now() - sent_order_->sent_at < options_.order_timeout / 2;
+    bool may_start = false;
+    run_guarded("asking whether runs may be started",
+                [this, &may_start] { may_start = listener_.may_start(); });
+    return is_closed && !sent_order_->is_repeated && may_start;
+}
+
+void worker_session::report_start(workflow::run_name name, workflow::start_outcome outcome)
+{
+    unreported_start_ = {.name = std::move(name), .outcome = outcome};
+    deliver_start_result();
+}
+
+void worker_session::deliver_start_result()
+{
+    if (unreported_start_) {
+        listener_.on_start(options_.id.worker, unreported_start_->name, unreported_start_->outcome);
+        unreported_start_.reset();
     }
 }
 
-void worker_session::send_stop(const workflow::run_name& name)
+void worker_session::handle_stop_answer(call_result<order_answer> result)
 {
+    const auto name = std::move(sent_order_->call.name);
+    sent_order_.reset();
     try {
-        const auto answer = order_channel_->stop(name, options_.epoch, options_.order_timeout);
+        const auto answer = result.take();
         record_clock(answer.clock);
         if (answer.outcome == workflow::start_outcome::started) {
             listener_.on_stop(options_.id.worker, name);
         } else if (answer.outcome == workflow::start_outcome::fenced) {
             report_fenced();
         }
-    } catch (const transport_error& cause) {
-        LOG_EVERY_N(WARNING, 50) << "worker did not answer a stop order, which is sent again: "
-                                 << cause.what();
+    } catch (...) {
+        log_no_answer("a stop order, which is sent again");
     }
 }
 
@@ -303,35 +426,73 @@
 
 void worker_session::run_polls()
 {
-    thread_timer timer(thread_duty::polls);
-    while (!ending_) {
-        timer.update();
-        if (!poll()) {
-            pause(retry_delay_);
-        }
+    if (ending_) {
+        end_polls();
+        return;
+    }
+    if (poll_result_) {
+        handle_poll_answer();
+    }
+    if (is_poll_sent_ || is_waiting_for_storage()) {
+        return;
+    }
+    const auto left = std::chrono::ceil<milliseconds>(next_poll_ - now());
+    if (left > milliseconds(0)) {
+        polls_.wake_after(left);
+    } else {
+        send_poll();
     }
 }
 
-bool worker_session::poll()
+void worker_session::end_polls()
 {
-    renew_call call{.epoch = options_.epoch, .lease_until = extend_lease()};
-    {
-        const std::lock_guard lock(mutex_);
-        // After an unanswered poll a new incarnation may answer, whose ends have the same numbers.
-        call.forget_up_to = unreachable_ ? 0 : forget_up_to_;
-        call.wait = clock_.is_known() ? next_wait() : milliseconds(0);
+    poll_channel_.reset(); // Cancels a poll in flight.
+    polls_.end();
+}
+
+void worker_session::send_poll()
+{
+    const auto call = next_poll();
+    const auto handle = [this](call_result<renew_answer> result) {
+        poll_result_.emplace(std::move(result));
+        polls_.wake_after(milliseconds(0));
+    };
+    asked_ = now();
+    is_poll_sent_ = true;
+    try {
+        poll_channel_->renew(call, call.wait + options_.answer_timeout, handle);
+    } catch (...) {
+        handle(std::current_exception());
     }
-    const auto asked = now();
+}
+
+renew_call worker_session::next_poll()
+{
+    renew_call call{.epoch = options_.epoch, .lease_until = extend_lease()};
+    const std::lock_guard lock(mutex_);
+    // After an unanswered poll a new incarnation may answer, whose ends have the same numbers.
+    call.forget_up_to = unreachable_ ? 0 : forget_up_to_;
+    call.wait = clock_.is_known() ? next_wait() : milliseconds(0);
+    return call;
+}
+
+void worker_session::handle_poll_answer()
+{
+    auto result = std::move(*poll_result_);
+    poll_result_.reset();
+    is_poll_sent_ = false;
+    pause_polls(max_retry_delay); // After an exception of the listener.
+    renew_answer answer;
     try {
-        auto answer = poll_channel_->renew(call, call.wait + options_.answer_timeout);
-        record_clock(answer.clock);
-        handle_answer(std::move(answer), asked);
-        return true;
-    } catch (const transport_error& cause) {
-        LOG_EVERY_N(WARNING, 50) << "worker did not answer a poll: " << cause.what();
+        answer = result.take();
+    } catch (...) {
+        log_no_answer("a poll");
         record_failed_poll();
-        return false;
+        pause_polls(retry_delay_);
+        return;
     }
+    record_clock(answer.clock);
+    handle_renewal(std::move(answer));
 }
 
 milliseconds worker_session::next_wait()
@@ -348,29 +509,29 @@
     return std::clamp(left, options_.min_poll_wait, options_.poll_wait);
 }
 
-void worker_session::handle_answer(renew_answer answer, time_point asked)
+void worker_session::handle_renewal(renew_answer answer)
 {
     using kind = renew_answer::kind;
     if (answer.outcome == kind::fenced) {
         report_fenced();
-        pause(rejection_delay);
+        pause_polls(rejection_delay);
         return;
     }
     if (answer.outcome == kind::wrong_incarnation) {
         set_unreachable(true);
         listener_.on_emptied(options_.id, workflow::emptied_reason::replaced);
-        pause(rejection_delay);
+        pause_polls(rejection_delay);
         return;
     }
     if (answer.outcome == kind::refused) {
         record_failed_poll();
-        pause(max_retry_delay);
+        pause_polls(max_retry_delay);
         return;
     }
     retry_delay_ = initial_retry_delay;
+    emptied_ = false;
     {
         const std::lock_guard lock(mutex_);
-        emptied_ = false;
         has_runs_ = !answer.report.present.empty() || !answer.report.ended.empty();
         if (answer.report.incarnation != 0 && answer.report.incarnation != incarnation_) {
             incarnation_ = answer.report.incarnation;
@@ -381,25 +542,38 @@
     }
     const auto newest_end =
         answer.report.ended.empty() ? std::int64_t{0} : answer.report.ended.back().number;
-    answer.report.asked = asked;
+    answer.report.asked = asked_;
     set_unreachable(false);
     listener_.on_report(options_.id, std::move(answer.report));
+    next_poll_ = now();
     wait_until_stored(newest_end);
 }
 
 void worker_session::wait_until_stored(std::int64_t newest_end)
 {
-    if (newest_end == 0) {
-        return;
-    }
-    std::unique_lock lock(mutex_);
+    storage_wait_end_ = now() + options_.storage_wait;
+    const std::lock_guard lock(mutex_);
     awaited_end_ = newest_end;
-    polls_changed_.wait_for(lock, options_.storage_wait,
-                            [&] { return ending_ || forget_up_to_ >= newest_end; });
+}
+
+/// Checks whether the next poll waits for ends to be stored. After that wait it is delayed, so that
+/// its report combines several ends.
+bool worker_session::is_waiting_for_storage()
+{
+    const std::lock_guard lock(mutex_);
+    if (awaited_end_ == 0) {
+        return false;
+    }
+    const auto left = std::chrono::ceil<milliseconds>(storage_wait_end_ - now());
+    if (forget_up_to_ < awaited_end_ && left > milliseconds(0)) {
+        polls_.wake_after(left);
+        return true;
+    }
     awaited_end_ = 0;
     if (!report_expected_) {
-        polls_changed_.wait_for(lock, options_.report_spacing, [this] { return ending_.load(); });
+        pause_polls(options_.report_spacing);
     }
+    return false;
 }
 
 void worker_session::record_failed_poll()
@@ -415,10 +589,10 @@
             !emptied_ && (clock_.is_known() ? clock_.has_expired(time)
                                             : time > earlier_renewals_end_ &&
                                                   time - earlier_renewals_end_ > max_earlier_lease);
-        emptied_ = emptied_ || expired;
     }
     if (expired) {
         listener_.on_emptied(options_.id, workflow::emptied_reason::lease_expired);
+        emptied_ = true;
     }
 }
 
@@ -440,10 +614,4 @@
     listener_.on_unreachable_changed(options_.id, unreachable, silent_since);
 }
 
-void worker_session::pause(milliseconds length)
-{
-    std::unique_lock lock(mutex_);
-    polls_changed_.wait_for(lock, length, [this] { return ending_.load(); });
-}
-
 } // namespace flamingoseam::node
--- a/flamingoseam/node/worker_session.hpp
+++ b/flamingoseam/node/worker_session.hpp
@@ -1,14 +1,13 @@
 #pragma once
 
 #include "flamingoseam/node/worker_channel.hpp"
+#include "flamingoseam/node/worker_io.hpp"
 
 #include <atomic>
-#include <condition_variable>
 #include <deque>
 #include <memory>
 #include <mutex>
 #include <optional>
-#include <thread>
 
 namespace flamingoseam::node {
 
@@ -18,9 +17,9 @@
     std::uint64_t number = 0;
 };
 
-/// Receives the reports and answers of a worker. Called from the threads of the session, and by
-/// calls that find orders that are not sent. The results of orders concern the worker, everything
-/// else the session.
+/// Receives the reports and answers of a worker. Called from the threads of the session's loops,
+/// which serve other workers, too, so that no function may wait for long; and by calls that find
+/// orders that are not sent. The results of orders concern the worker, everything else the session.
 class worker_listener {
 public:
     virtual ~worker_listener() = default;
@@ -104,14 +103,34 @@
     worker_time leased_until_{0};
 };
 
+namespace detail {
+
+/// An order that was sent and has no result yet.
+struct sent_order {
+    bool is_start = false;
+    start_call call; ///< Of a stop, only the name of the run.
+    time_point sent_at{};
+    bool is_repeated = false;
+};
+
+/// A result of a start that the listener has not received yet.
+struct start_result {
+    workflow::run_name name;
+    workflow::start_outcome outcome = workflow::start_outcome::unknown;
+};
+
+} // namespace detail
+
 /// Communication of an owner with one worker: a connection for orders and one for the long poll
-/// that renews the lease and receives reports, each with a thread of its own.
+/// that renews the lease and receives reports, each on an I/O loop that serves other workers, too.
 class worker_session {
 public:
     worker_session(worker_session_options options, const workflow::worker_entry& entry,
-                   const worker_channel_factory& channels, worker_listener& listener);
+                   const worker_loops& loops, const worker_channel_factory& channels,
+                   worker_listener& listener);
 
-    /// Stops both threads and waits for the calls in flight.
+    /// Cancels a poll in flight and waits for the answer to an order in flight. Not to be called on
+    /// the thread of a loop.
     ~worker_session();
 
     worker_session(const worker_session&) = delete;
@@ -143,15 +162,15 @@
     /// Requests a report at `time`: a poll that starts before `time` ends by then.
     void expect_report(time_point time);
 
-    /// Makes the threads end soon, without waiting for them.
+    /// Makes the session end soon, without waiting for that.
     void request_stop();
 
     /// Ends the session of a worker that another shard's owner may use from now on. A higher epoch
     /// at the worker is no sign of a newer owner any more.
     void release();
 
-    /// Checks whether both threads have ended, so that the destructor does not wait.
-    [[nodiscard]] bool has_ended() const { return running_threads_ == 0; }
+    /// Checks whether no call is in flight and none will be, so that the destructor does not wait.
+    [[nodiscard]] bool has_ended() const { return orders_.has_ended() && polls_.has_ended(); }
 
     [[nodiscard]] const workflow::worker_entry& entry() const { return entry_; }
     [[nodiscard]] std::uint64_t number() const { return options_.id.number; }
@@ -163,17 +182,32 @@
     };
 
     void run_orders();
-    void send_start(const queued_start& start);
-    order_answer call_start(const start_call& call);
+    void end_orders();
+    std::optional<queued_start> take_start();
+    std::optional<workflow::run_name> take_stop();
+    bool send_next_order();
+    void prepare_start(queued_start start);
+    void send_start();
+    void send_stop();
+    void send_order(const std::function<void(const worker_channel::order_handler&)>& send);
+    void handle_order_answer();
+    void handle_start_answer(call_result<order_answer> result);
+    void handle_stop_answer(call_result<order_answer> result);
+    bool may_send_again() const;
+    void report_start(workflow::run_name name, workflow::start_outcome outcome);
+    void deliver_start_result();
     void report_not_sent(const queued_start& start);
-    void send_stop(const workflow::run_name& name);
     void run_polls();
-    bool poll();
+    void end_polls();
+    void send_poll();
+    renew_call next_poll();
     milliseconds next_wait();
-    void handle_answer(renew_answer answer, time_point asked);
+    void handle_poll_answer();
+    void handle_renewal(renew_answer answer);
     void record_failed_poll();
     void wait_until_stored(std::int64_t newest_end);
-    void pause(milliseconds length);
+    bool is_waiting_for_storage();
+    void pause_polls(milliseconds length) { next_poll_ = now() + length; }
     void set_unreachable(bool unreachable);
     void report_fenced();
     worker_time extend_lease();
@@ -182,11 +216,7 @@
     worker_session_options options_;
     workflow::worker_entry entry_;
     worker_listener& listener_;
-    std::unique_ptr<worker_channel> order_channel_;
-    std::unique_ptr<worker_channel> poll_channel_;
     std::mutex mutex_;
-    std::condition_variable orders_changed_; ///< Notifies the thread that sends orders.
-    std::condition_variable polls_changed_;  ///< Notifies the thread that polls.
     std::deque<queued_start> starts_;
     std::deque<workflow::run_name> stops_;
     lease_clock clock_;
@@ -199,16 +229,32 @@
     bool unreachable_;
     time_point silent_since_; ///< When the worker was last found to be silent.
     bool may_renew_;          ///< No stored record says that the lease is not renewed.
-    bool emptied_ = false;
     std::optional<time_point> report_expected_;
     bool has_runs_ = true; ///< According to the last report, or a start was ordered since.
     time_point earlier_renewals_end_; ///< An earlier owner does not extend the lease after this.
-    milliseconds retry_delay_;
     std::atomic<bool> ending_{false};
     std::atomic<bool> released_{false};
-    std::atomic<int> running_threads_{2};
-    std::thread order_thread_;
-    std::thread poll_thread_;
+
+    // Used on the loop for orders only.
+    std::unique_ptr<worker_channel> order_channel_;
+    bool is_stop_next_ =
+        true; ///< Stops and starts take turns, so that neither waits for all others.
+    std::optional<detail::sent_order> sent_order_;
+    std::optional<call_result<order_answer>> order_result_; ///< Not handled yet.
+    std::optional<detail::start_result> unreported_start_;
+
+    // Used on the loop for polls only.
+    std::unique_ptr<worker_channel> poll_channel_;
+    bool is_poll_sent_ = false; ///< The result of a poll has not been handled yet.
+    time_point asked_{};        ///< When the last poll was sent.
+    std::optional<call_result<renew_answer>> poll_result_; ///< Not handled yet.
+    time_point next_poll_{};                               ///< No poll is sent before.
+    time_point storage_wait_end_{};
+    milliseconds retry_delay_;
+    bool emptied_ = false;
+
+    io_activity orders_;
+    io_activity polls_;
 };
 
 } // namespace flamingoseam::node
--- a/flamingoseam/node/worker_session_test.cpp
+++ b/flamingoseam/node/worker_session_test.cpp
@@ -1,11 +1,21 @@
 #include "flamingoseam/node/worker_session.hpp"
 
 #include "flamingoseam/core/error.hpp"
+#include "tests/blocking_channel.hpp"
 
 #include <catch2/catch.hpp>
 
 #include <atomic>
+#include <filesystem>
 #include <functional>
+#include <future>
+#include <iterator>
+#include <map>
+#include <mutex>
+#include <new>
+#include <stdexcept>
+#include <string>
+#include <thread>
 
 using namespace flamingoseam;
 using namespace flamingoseam::node;
@@ -38,7 +48,7 @@
     }
 };
 
-class fake_channel final : public worker_channel {
+class fake_channel final : public tests::blocking_channel {
 public:
     explicit fake_channel(fake_worker& worker) : worker_(worker) {}
 
@@ -158,9 +168,10 @@
     counting_listener listener;
     worker_session session{{.id = {}, .epoch = 1, .lease = milliseconds(400)},
                            {.id = "w"},
-                           [this](const workflow::worker_entry& /*entry*/) {
+                           tests::shared_worker_io()->next_loops(),
+                           tests::on_own_threads([this](const workflow::worker_entry& /*entry*/) {
                                return std::make_unique<fake_channel>(worker);
-                           },
+                           }),
                            listener};
 };
 
@@ -346,3 +357,292 @@
     std::this_thread::sleep_for(milliseconds(700));
     CHECK(worker.stops <= 6); // A stop that was in flight is repeated.
 }
+
+namespace {
+
+/// What a channel without a thread of its own does with the orders that it gets.
+struct order_policy {
+    std::atomic<bool> answers{true}; ///< Otherwise the answer does not arrive until the timeout.
+    std::atomic<bool> throws{false}; ///< Throws an exception that is not of ours.
+    std::atomic<bool> fails_oddly{false}; ///< The answer is an exception that is not of ours.
+    std::atomic<int> starts{0};
+    std::atomic<int> polls{0};
+};
+
+/// A connection to a worker that answers all polls.
+class loop_channel final : public worker_channel {
+public:
+    loop_channel(io_loop& loop, order_policy& policy)
+        : policy_(policy), answer_(loop, [this] { std::exchange(pending_, nullptr)(); })
+    {
+    }
+
+    void start(const start_call& /*call*/, milliseconds timeout, order_handler handler) override
+    {
+        ++policy_.starts;
+        if (policy_.throws) {
+            throw std::bad_alloc();
+        }
+        pending_ = [this, handler = std::move(handler)] { handler(start_result()); };
+        answer_.start(policy_.answers ? milliseconds(1) : timeout);
+    }
+    void stop(const workflow::run_name& /*name*/, std::uint64_t /*epoch*/, milliseconds /*timeout*/,
+              order_handler handler) override
+    {
+        pending_ = [handler = std::move(handler)] {
+            handler(order_answer{.outcome = workflow::start_outcome::started});
+        };
+        answer_.start(milliseconds(1));
+    }
+    void renew(const renew_call& /*call*/, milliseconds /*timeout*/, renew_handler handler) override
+    {
+        if (policy_.throws) {
+            throw std::out_of_range("no such element");
+        }
+        pending_ = [this, handler = std::move(handler)] {
+            ++policy_.polls;
+            handler(renew_answer{.clock = worker_time(1'000)});
+        };
+        answer_.start(milliseconds(10));
+    }
+
+private:
+    call_result<order_answer> start_result() const
+    {
+        if (policy_.fails_oddly) {
+            return std::make_exception_ptr(std::out_of_range("no such element"));
+        }
+        if (!policy_.answers) {
+            return std::make_exception_ptr(transport_error(304, "no answer", true));
+        }
+        return order_answer{.outcome = workflow::start_outcome::started};
+    }
+
+    order_policy& policy_;
+    std::function<void()> pending_;
+    io_timer answer_;
+};
+
+/// Records all results of starts.
+class recording_listener final : public worker_listener {
+public:
+    void on_report(const session_id& /*session*/, workflow::worker_report /*report*/) override {}
+    void on_start(std::size_t worker, const workflow::run_name& name,
+                  workflow::start_outcome outcome) override
+    {
+        if (failures > 0) {
+            --failures;
+            throw std::bad_alloc();
+        }
+        const std::lock_guard lock(mutex_);
+        results_[{worker, name.task.index}].push_back(outcome);
+        ++count;
+    }
+    void on_stop(std::size_t /*worker*/, const workflow::run_name& /*name*/) override {}
+    void on_unreachable_changed(const session_id& /*session*/, bool unreachable,
+                                time_point /*since*/) override
+    {
+        is_unreachable = unreachable;
+    }
+    void on_emptied(const session_id& /*session*/, workflow::emptied_reason /*reason*/) override
+    {
+        ++emptied;
+    }
+    void on_fenced(std::size_t /*worker*/) override {}
+    [[nodiscard]] bool may_start() const override { return true; }
+    [[nodiscard]] bool may_renew() const override { return true; }
+
+    /// Returns the results by worker and task.
+    std::map<std::pair<std::size_t, int>, std::vector<workflow::start_outcome>> results() const
+    {
+        const std::lock_guard lock(mutex_);
+        return results_;
+    }
+
+    std::atomic<int> count{0};
+    std::atomic<int> emptied{0};
+    std::atomic<bool> is_unreachable{false};
+    std::atomic<int> failures{0}; ///< Calls of on_start() that throw an exception first.
+
+private:
+    mutable std::mutex mutex_;
+    std::map<std::pair<std::size_t, int>, std::vector<workflow::start_outcome>> results_;
+};
+
+/// Sessions with several workers.
+struct session_group {
+    explicit session_group(std::size_t count)
+    {
+        for (std::size_t worker = 0; worker < count; ++worker) {
+            sessions.push_back(std::make_unique<worker_session>(
+                worker_session_options{.id = {.worker = worker}, .epoch = 1},
+                workflow::worker_entry{.id = "w"}, tests::shared_worker_io()->next_loops(),
+                [this](io_loop& loop, const workflow::worker_entry& /*entry*/) {
+                    return std::make_unique<loop_channel>(loop, policy);
+                },
+                listener));
+        }
+        const int enough = 3 * static_cast<int>(count);
+        REQUIRE(holds_within(milliseconds(5'000), [&] { return policy.polls > enough; }));
+    }
+
+    void start(std::size_t worker, int task)
+    {
+        sessions.at(worker)->start({.worker = worker, .name = {{"job", 0, task}, 1}});
+    }
+
+    order_policy policy;
+    recording_listener listener;
+    std::vector<std::unique_ptr<worker_session>> sessions;
+};
+
+std::ptrdiff_t count_threads()
+{
+    return std::distance(std::filesystem::directory_iterator("/proc/self/task"), {});
+}
+
+/// Keeps all loops for orders busy until it is destroyed.
+class busy_loops {
+public:
+    busy_loops()
+    {
+        for (std::size_t index = 0; index < worker_io::loops_per_duty; ++index) {
+            tests::shared_worker_io()->next_loops().orders.post([end = end_] { end.wait(); });
+        }
+    }
+    ~busy_loops() { ended_.set_value(); }
+    busy_loops(const busy_loops&) = delete;
+    busy_loops& operator=(const busy_loops&) = delete;
+
+private:
+    std::promise<void> ended_;
+    std::shared_future<void> end_ = ended_.get_future().share();
+};
+
+} // namespace
+
+// Guards against an owner that needs more threads than the machine has left when it takes over.
+TEST_CASE("sessions with further workers need no further threads")
+{
+    const session_group one(1);
+    const auto threads = count_threads();
+    const session_group many(200);
+    CHECK(count_threads() == threads);
+}
+
+TEST_CASE("each start has one result when the loops are busy")
+{
+    constexpr int tasks = 20;
+    session_group group(10);
+    {
+        const busy_loops busy;
+        for (int task = 0; task < tasks; ++task) {
+            for (std::size_t worker = 0; worker < group.sessions.size(); ++worker) {
+                group.start(worker, task);
+            }
+        }
+        group.sessions[0]->withdraw_starts();
+        CHECK(group.listener.count == tasks);
+        group.sessions[1]->request_stop();
+        std::this_thread::sleep_for(milliseconds(50));
+        CHECK(group.policy.starts == 0);
+    }
+    REQUIRE(holds_within(milliseconds(5'000), [&] { return group.listener.count >= 10 * tasks; }));
+    group.sessions.clear();
+    const auto results = group.listener.results();
+    CHECK(results.size() == std::size_t{10} * tasks);
+    for (const auto& [run, outcomes] : results) {
+        REQUIRE(outcomes.size() == 1);
+        const auto expected =
+            run.first < 2 ? workflow::start_outcome::not_sent : workflow::start_outcome::started;
+        CHECK(outcomes.front() == expected);
+    }
+}
+
+// Guards against a task that runs twice: a start that may have reached its worker counted as not
+// sent.
+TEST_CASE("an order in flight at the end of a session has its result before the session is gone")
+{
+    session_group group(2);
+    group.policy.answers = false;
+    for (std::size_t worker = 0; worker < 2; ++worker) {
+        group.start(worker, 0);
+        group.start(worker, 1);
+    }
+    REQUIRE(holds_within(milliseconds(2'000), [&] { return group.policy.starts == 2; }));
+    for (const auto& session : group.sessions) {
+        session->request_stop();
+    }
+    CHECK(holds_within(milliseconds(200), [&] { return group.listener.count == 2; }));
+    CHECK_FALSE(group.sessions[0]->has_ended());
+    CHECK(holds_within(milliseconds(2'000), [&] { return group.sessions[0]->has_ended(); }));
+    group.sessions.clear();
+
+    const auto results = group.listener.results();
+    REQUIRE(results.size() == 4);
+    for (const auto& [run, outcomes] : results) {
+        REQUIRE(outcomes.size() == 1);
+        const auto expected =
+            run.second == 0 ? workflow::start_outcome::unknown : workflow::start_outcome::not_sent;
+        CHECK(outcomes.front() == expected);
+    }
+    CHECK(group.policy.starts == 2);
+}
+
+TEST_CASE("an exception of any type in a call to a worker is an answer that did not arrive")
+{
+    session_group group(1);
+
+    SECTION("thrown by the call")
+    {
+        group.policy.throws = true;
+        group.start(0, 0);
+        REQUIRE(holds_within(milliseconds(2'000), [&] { return group.listener.count == 1; }));
+        group.policy.throws = false;
+    }
+    SECTION("instead of the answer")
+    {
+        group.policy.fails_oddly = true;
+        group.start(0, 0);
+        REQUIRE(holds_within(milliseconds(2'000), [&] { return group.listener.count == 1; }));
+        group.policy.fails_oddly = false;
+    }
+    CHECK(group.listener.results().at({0, 0}).front() == workflow::start_outcome::unknown);
+    CHECK(group.policy.starts == 1);
+    const int polls = group.policy.polls;
+    CHECK(holds_within(milliseconds(2'000), [&] { return group.policy.polls > polls + 1; }));
+}
+
+// Guards against a task that runs twice: the time of the worker's clock in an answer that had not
+// arrived was undefined, and the worker's lease seemed to have expired.
+TEST_CASE("an order without an answer says nothing of the worker's clock")
+{
+    session_group group(1);
+    SECTION("at its timeout")
+    {
+        group.policy.answers = false;
+    }
+    SECTION("after an exception that is not of ours")
+    {
+        group.policy.fails_oddly = true;
+    }
+    group.start(0, 0);
+    REQUIRE(holds_within(milliseconds(2'000), [&] { return group.listener.count == 1; }));
+    group.policy.throws = true;
+    CHECK(holds_within(milliseconds(2'000), [&] { return group.listener.is_unreachable.load(); }));
+    std::this_thread::sleep_for(milliseconds(200));
+    CHECK(group.listener.emptied == 0);
+    group.policy.throws = false;
+}
+
+TEST_CASE("a result that the listener could not take is reported again")
+{
+    session_group group(1);
+    group.listener.failures = 2;
+    group.start(0, 0);
+    group.start(0, 1);
+    CHECK(holds_within(milliseconds(2'000), [&] { return group.listener.count == 2; }));
+    group.sessions.clear();
+    CHECK(group.listener.results().at({0, 0}).size() == 1);
+    CHECK(group.listener.results().at({0, 1}).size() == 1);
+}
