--- a/flamingoseam/http/http_client.cpp
+++ b/flamingoseam/http/http_client.cpp
@@ -2,6 +2,7 @@
 
 #include "flamingoseam/core/error.hpp"
 #include "flamingoseam/core/service_thread.hpp"
+#include "flamingoseam/http/http_message.hpp"
 #include "flamingoseam/http/read_available.hpp"
 
 #include <cxxtools/connectable.h>
@@ -20,6 +21,23 @@
 
 namespace detail {
 
+cxxtools::http::Request to_message(const http_call& request)
+{
+    cxxtools::http::Request message(request.path);
+    message.method(request.method);
+    if (!request.authorization.empty()) {
+        message.setHeader("Authorization", request.authorization.c_str());
+    }
+    if (!request.traceparent.empty()) {
+        message.setHeader("traceparent", request.traceparent.c_str());
+    }
+    for (const auto& [name, value] : request.headers) {
+        message.setHeader(name.c_str(), value.c_str());
+    }
+    message.body() << request.body;
+    return message;
+}
+
 /// A connection on which a request is sent at most once for its whole timeout. The blocking calls
 /// of the HTTP library send a request again, after a timeout on a connection that was used before.
 class single_send_client : public cxxtools::Connectable {
@@ -79,26 +97,6 @@
 
 } // namespace detail
 
-namespace {
-
-/// Writes all but the path. Throws an exception if the headers are too long.
-void write(cxxtools::http::Request& message, const http_call& request)
-{
-    message.method(request.method);
-    if (!request.authorization.empty()) {
-        message.setHeader("Authorization", request.authorization.c_str());
-    }
-    if (!request.traceparent.empty()) {
-        message.setHeader("traceparent", request.traceparent.c_str());
-    }
-    for (const auto& [name, value] : request.headers) {
-        message.setHeader(name.c_str(), value.c_str());
-    }
-    message.body() << request.body;
-}
-
-} // namespace
-
 std::string to_string(const endpoint& value)
 {
     return value.address + ":" + std::to_string(value.port);
@@ -152,8 +150,7 @@
 {
     bool is_sending = false;
     try {
-        cxxtools::http::Request message(request.path);
-        write(message, request);
+        const auto message = detail::to_message(request);
         is_sending = true;
         return send(message, request);
     } catch (...) {
--- a/flamingoseam/node/job_owner_workers.cpp
+++ b/flamingoseam/node/job_owner_workers.cpp
@@ -94,9 +94,9 @@
         dependencies_.stores());
     while (!ending_) {
         bool has_update = false;
-        const bool is_passed_on =
-            run_guarded("the reading of the assignments of workers",
-                        [&] { has_update = read_assignments(watch, prefix); });
+        const bool is_passed_on = run_guarded("the reading of the assignments of workers", [&] {
+            has_update = read_assignments(watch, prefix);
+        });
         if (!is_passed_on) {
             watch.read_again(); // What it has read is lost.
         }
@@ -206,7 +206,7 @@
                                    .lease = dependencies_.worker_lease,
                                    .silent_for = silence_of(state, wall_now()),
                                    .earlier_renewals_end = earlier_renewals_end_},
-            state.entry, dependencies_.channels, listener);
+            state.entry, dependencies_.io->next_loops(), dependencies_.channels, listener);
         sessions_.emplace(worker, std::move(session)); // Not before, as opening it may fail.
     }
 }
--- a/flamingoseam/node/node.hpp
+++ b/flamingoseam/node/node.hpp
@@ -49,7 +49,8 @@
     permission_call permission; ///< Calls the permission service from this node; null if none.
     event_log* log = nullptr;
     node_metrics* metrics = nullptr;
-    usage_log* usage = nullptr; ///< Logs what the process uses; null if nothing does.
+    usage_log* usage = nullptr;              ///< Logs what the process uses; null if nothing does.
+    std::shared_ptr<worker_io> io = nullptr; ///< For the sessions with workers.
 };
 
 /// Times of an orderly shutdown.
