Report an exception of a step also when there is no memory to describe it

Callers would have seen an owner, or a scheduler of the own cell, go on deciding with a state that an exception had left incomplete, and its records stored: worse than an end.

Cause: the description of the exception was made before the handler was called. When the memory for the text was missing, as it is after std::bad_alloc, the handler was skipped.

Evidence: 'an exception of a step is reported although there is no memory to describe it' failed before ('the handling of a failed step failed: std::bad_alloc') and passes. A description never throws now, so that the other handlers that begin with one (the changes for a commit stream, an attempt of a write) work as well.

--- a/flamingoseam/core/control_loop.cpp
+++ b/flamingoseam/core/control_loop.cpp
@@ -43,13 +43,13 @@
     try {
         action();
     } catch (...) {
-        run_guarded("the handling of a failed step", [this] {
-            const auto cause = describe_current_exception();
-            LOG(ERROR) << "a step of the control thread failed: " << cause;
+        const auto cause = describe_current_exception();
+        run_guarded("the handling of a failed step", [&] {
             if (handle_failure_) {
                 handle_failure_(cause);
             }
         });
+        LOG(ERROR) << "a step of the control thread failed: " << cause;
     }
 }
 
--- a/flamingoseam/core/control_loop_test.cpp
+++ b/flamingoseam/core/control_loop_test.cpp
@@ -1,5 +1,7 @@
 #include "flamingoseam/core/control_loop.hpp"
 
+#include "tests/child_exit.hpp"
+
 #include <catch2/catch.hpp>
 
 #include <atomic>
@@ -11,6 +13,19 @@
 using namespace flamingoseam;
 using namespace std::chrono_literals;
 
+namespace {
+
+constexpr std::int64_t mebibyte = std::int64_t{1} << 20;
+
+/// An exception with a text of 64 MiB.
+struct long_exception : std::exception {
+    const char* what() const noexcept override { return text.c_str(); }
+
+    static inline std::string text;
+};
+
+} // namespace
+
 TEST_CASE("steps posted in quick succession run in one batch")
 {
     control_loop loop;
@@ -73,3 +88,22 @@
     CHECK(causes[0] == "std::out_of_range: no such job");
     CHECK(steps == 1);
 }
+
+// The runtime of a sanitizer ends a process for which there is no memory.
+#if !defined(__SANITIZE_ADDRESS__) && !defined(__SANITIZE_THREAD__)
+// Guards against an owner that went on deciding with an incomplete state.
+TEST_CASE("an exception of a step is reported although there is no memory to describe it")
+{
+    const auto ended = exit_of_child([] {
+        long_exception::text.assign(64 * mebibyte, 'x');
+        limit_address_space(16 * mebibyte);
+        std::string reported;
+        control_loop loop(nullptr, [&](const std::string& cause) { reported = cause; });
+        loop.post([] { throw long_exception(); });
+        loop.stop();
+        loop.run(1ms, [] {});
+        return reported == "out of memory" ? 0 : 1;
+    });
+    CHECK(ended.code == 0);
+}
+#endif
--- a/flamingoseam/core/service_thread.cpp
+++ b/flamingoseam/core/service_thread.cpp
@@ -40,14 +40,18 @@
 
 } // namespace
 
-std::string describe_current_exception()
+std::string describe_current_exception() noexcept
 {
     try {
-        throw;
-    } catch (const std::exception& cause) {
-        return current_exception_type() + ": " + cause.what();
+        try {
+            throw;
+        } catch (const std::exception& cause) {
+            return current_exception_type() + ": " + cause.what();
+        } catch (...) {
+            return current_exception_type();
+        }
     } catch (...) {
-        return current_exception_type();
+        return "out of memory"; // So short that it needs no memory of its own.
     }
 }
 
--- a/flamingoseam/core/service_thread.hpp
+++ b/flamingoseam/core/service_thread.hpp
@@ -7,8 +7,8 @@
 namespace flamingoseam {
 
 /// Returns the type and the text of the exception that is being handled, for a log line. To be
-/// called in a catch block.
-std::string describe_current_exception();
+/// called in a catch block. Returns "out of memory" if there is no memory for the description.
+std::string describe_current_exception() noexcept;
 
 /// Calls `action`, and logs an exception of any type that leaves it. Returns whether there was
 /// none. `duty` names the action in the log.
