Keep the shards of a scheduler when the list of VMs has an odd address

Callers of the own cell were told 'not_owner' by each scheduler for as long as one entry of the list of VMs had an address that is not ADDRESS:PORT.

Cause: open_link() let the parse_error out, on the control thread: it ended the process once, and since the guards it prevents the start of each shard, or drops all shards at each reading of the list.

Evidence: 'an odd address in the list of VMs does not cost a scheduler its shards' failed before ('the start of a shard failed: parse_error: 'no address' is not ADDRESS:PORT') and passes. Such a VM gets no link, so no work, as one for which there is no thread.

--- a/flamingoseam/scheduler/owned_shard.cpp
+++ b/flamingoseam/scheduler/owned_shard.cpp
@@ -33,17 +33,16 @@
     if (links_.contains(vm.address)) {
         return;
     }
-    const worker_link_options options{.worker = endpoint_from_string(vm.address),
-                                      .shard = entry_.shard,
-                                      .owner = entry_.owner,
-                                      .epoch = entry_.epoch,
-                                      .lease = worker_lease_};
     try {
+        const worker_link_options options{.worker = endpoint_from_string(vm.address),
+                                          .shard = entry_.shard,
+                                          .owner = entry_.owner,
+                                          .epoch = entry_.epoch,
+                                          .lease = worker_lease_};
         links_.emplace(vm.address, std::make_unique<http_worker_link>(options, *this));
-    } catch (const resource_error& cause) {
+    } catch (const error& cause) {
         LOG_EVERY_N(WARNING, 20) << "worker " << vm.address
-                                 << " gets no work until there is a thread for its link: "
-                                 << cause.what();
+                                 << " gets no work until it has a link: " << cause.what();
     }
 }
 
--- a/flamingoseam/scheduler/scheduler_test.cpp
+++ b/flamingoseam/scheduler/scheduler_test.cpp
@@ -1,8 +1,10 @@
 #include "flamingoseam/scheduler/scheduler.hpp"
 
 #include "flamingoseam/core/error.hpp"
+#include "flamingoseam/http/http_server.hpp"
 #include "flamingoseam/http/json.hpp"
 #include "flamingoseam/store/cell_records.hpp"
+#include "flamingoseam/worker/vm_list.hpp"
 #include "tests/thread_limit.hpp"
 
 #include <catch2/catch.hpp>
@@ -111,8 +113,9 @@
 /// A scheduler that runs until it is destroyed.
 class running_scheduler {
 public:
-    explicit running_scheduler(store_contents& contents)
-        : scheduler_(single_scheduler(), std::make_unique<config_store_in_memory>(contents)),
+    explicit running_scheduler(store_contents& contents,
+                               const scheduler_settings& settings = single_scheduler())
+        : scheduler_(settings, std::make_unique<config_store_in_memory>(contents)),
           runner_([this] { scheduler_.run(); })
     {
     }
@@ -194,6 +197,25 @@
     CHECK(owner_epoch(contents) == 2);
 }
 
+TEST_CASE("an odd address in the list of VMs does not cost a scheduler its shards")
+{
+    auto settings = single_scheduler();
+    settings.vm_list.port = 19'083;
+    const http_server platform(
+        {.address = settings.vm_list.address, .port = settings.vm_list.port, .max_threads = 2},
+        [](const http_request& /*request*/) {
+            const vm_list list{.vms = {{.address = "no address", .zone = "z", .rack = "r1"}}};
+            return http_response{.body = to_json(list)};
+        });
+    store_contents contents;
+    running_scheduler process(contents, settings);
+    const auto owns_shard = [&] { return submit_job(process.get()) != "not_owner"; };
+    REQUIRE(holds_within(milliseconds(8'000), owns_shard));
+    std::this_thread::sleep_for(milliseconds(2'500)); // The list is read again meanwhile.
+    CHECK(owns_shard());
+    CHECK(owner_epoch(contents) == 1);
+}
+
 TEST_CASE("a scheduler without threads for all its duties ends those that it has started")
 {
     for (const std::size_t threads : {0U, 1U, 4U, 7U}) {
