Set a stored job aside whose step follows a step that it lacks

Callers would have seen one owner after the other end, since each read the record at its takeover and used the number of the step as an index without a check.

Cause: the numbers were checked when a job is accepted, but not when its record is read.

Not shown: a way by which such a record gets into the store.

--- a/flamingoseam/workflow/job_spec.cpp
+++ b/flamingoseam/workflow/job_spec.cpp
@@ -46,6 +46,13 @@
 
 } // namespace
 
+void check_predecessors(const job_spec& job)
+{
+    for (std::size_t index = 0; index < job.steps.size(); ++index) {
+        check_predecessors(job.steps[index], index);
+    }
+}
+
 void check_job(const job_spec& job, const job_limits& limits)
 {
     if (job.id.size() != id_digits || !is_hexadecimal(job.id)) {
--- a/flamingoseam/workflow/job_spec.hpp
+++ b/flamingoseam/workflow/job_spec.hpp
@@ -75,6 +75,10 @@
 /// a step's tasks or sizes, 124 for a step with a predecessor that is not an earlier step.
 void check_job(const job_spec& job, const job_limits& limits);
 
+/// Checks that each step follows earlier steps only. Complexity: linear in the steps.
+/// Throws parse_error (id 124).
+void check_predecessors(const job_spec& job);
+
 /// Returns the length of the critical path: the largest sum of estimates over a sequence of
 /// dependent steps, of which only those with `counts(step)` are added.
 /// Complexity: linear in the steps and their predecessors.
--- a/flamingoseam/workflow/stored_job.cpp
+++ b/flamingoseam/workflow/stored_job.cpp
@@ -204,6 +204,7 @@
         for (const auto& step : value.at("steps")) {
             job.spec.steps.push_back(step_from_json(step));
         }
+        check_predecessors(job.spec);
         job.spec_stored = true;
         fill_steps(job, task_phase::unlocated);
         return job;
--- a/flamingoseam/workflow/stored_job_test.cpp
+++ b/flamingoseam/workflow/stored_job_test.cpp
@@ -26,6 +26,14 @@
     return text.replace(text.find(usual), usual.size(), R"("tasks":)" + tasks);
 }
 
+/// Returns the specification of a job whose only step follows another one.
+std::string specification_with_predecessor(const std::string& step)
+{
+    auto text = good_specification();
+    const std::string tasks = R"("tasks":2)";
+    return text.replace(text.find(tasks), tasks.size(), R"("after":[)" + step + "]," + tasks);
+}
+
 } // namespace
 
 TEST_CASE("a stored job that can't be read does not keep a node from taking over the others")
@@ -56,7 +64,9 @@
         for (const auto& text :
              {std::string("{"), std::string("[]"), std::string("\xff"), nested,
               specification_with_tasks("1e30"), specification_with_tasks("0"),
-              specification_with_tasks("2000000000"), specification_with_tasks(nested)}) {
+              specification_with_tasks("2000000000"), specification_with_tasks(nested),
+              specification_with_predecessor("0"), specification_with_predecessor("7"),
+              specification_with_predecessor("-1")}) {
             expect_unreadable(text, "");
         }
     }
