Open the connection for the assignments of a shard's workers again after an exception

Callers would have seen an owner of a shard that accepts jobs and starts none of them, for as long as it lives: it never learned which workers it has.

Cause: the connection to the store was opened before the guarded loop of the thread, so an exception of any type (a lack of descriptors or memory) ended the thread, and only a line of the log said so.

Evidence: 'the owner of a shard without a connection for its assignments tries to open it again' failed before ('assignments failed: std::runtime_error', no run begun within 10 s) and passes.

The store of the tests waits in a watch, as a store does, instead of answering at once without end.

--- a/flamingoseam/node/job_owner.hpp
+++ b/flamingoseam/node/job_owner.hpp
@@ -146,8 +146,8 @@
                             time_point confirmed);
     void apply_worker_list();
     void watch_assignments();
-    bool read_assignments(record_watch& watch, const std::string& prefix);
-    void handle_assignments(const record_update& update, const std::string& prefix);
+    bool read_assignments(record_watch& watch);
+    void handle_assignments(const record_update& update);
     void release_session(std::size_t worker);
     void borrow_workers(time_point time);
     void open_sessions();
--- a/flamingoseam/node/job_owner_test.cpp
+++ b/flamingoseam/node/job_owner_test.cpp
@@ -1,6 +1,7 @@
 #include "flamingoseam/node/job_owner.hpp"
 
 #include "flamingoseam/core/error.hpp"
+#include "flamingoseam/core/thread_name.hpp"
 #include "flamingoseam/node/owner_claim.hpp"
 #include "tests/memory_store.hpp"
 
@@ -253,7 +254,9 @@
     memory_records records;
     std::array<leased_worker, 3> workers;
     int sink = open("/dev/null", O_WRONLY | O_CLOEXEC);
-    std::string failing_event; ///< The log throws an exception when this event is written.
+    std::string failing_event;  ///< The log throws an exception when this event is written.
+    std::string failing_thread; ///< The first connection that it opens to the store fails.
+    std::atomic<bool> has_failed{false}; ///< Whether that has happened.
     event_log log{{.program = "test",
                    .node = "test",
                    .descriptor = sink,
@@ -271,7 +274,9 @@
 class owner_process {
 public:
     /// The owner reaches the first `reached` workers at first.
-    owner_process(cell& shared, std::uint64_t earlier_epoch, std::size_t reached) : cell_(shared)
+    owner_process(cell& shared, std::uint64_t earlier_epoch, std::size_t reached,
+                  const shard_identity& shard = {})
+        : cell_(shared)
     {
         for (std::size_t worker = 0; worker < reached; ++worker) {
             reaches.at(worker) = true;
@@ -306,6 +311,8 @@
                                            throw transport_error(304, "no service", false);
                                        };
                                    },
+                                   .shard = shard,
+                                   .borrow_workers = [](const workflow::worker_request&) {},
                                    .log = &cell_.log,
                                    .metrics = &cell_.metrics,
                                    .is_certain = [this] { return is_certain.load(); },
@@ -330,6 +337,9 @@
 
     std::unique_ptr<shared_store> store()
     {
+        if (thread_name() == cell_.failing_thread && !cell_.has_failed.exchange(true)) {
+            throw std::runtime_error("no descriptor is left");
+        }
         return std::make_unique<memory_store>(cell_.records, reaches_store);
     }
 
@@ -476,3 +486,38 @@
     CHECK(count_begun(shared) == 2);
     CHECK(count_concurrent(shared) == 0);
 }
+
+TEST_CASE("the owner of a shard without a connection for its assignments tries to open it again")
+{
+    cell shared;
+    shared.failing_thread = "assignments";
+    owner_process process(shared, 0, all, {.index = 0, .count = 2});
+    process.submit("job", 1);
+    CHECK(wait_until([&] { return count_begun(shared) == 1; }));
+    CHECK(shared.has_failed);
+}
+
+// Guards against steps that used what an exception had left incomplete.
+TEST_CASE("an owner that has failed uses its state no more")
+{
+    cell shared;
+    shared.failing_event = "ownership_uncertain";
+    owner_process process(shared, 0, all);
+    process.submit("job", 2);
+    REQUIRE(wait_until([&] { return count_begun(shared) == 2; }));
+    process.is_certain = false;
+    REQUIRE(wait_until([&] { return process.failed.load(); }));
+    process.is_certain = true;
+
+    const auto verdict_of = [](const auto& call) {
+        std::promise<owner_verdict> verdict;
+        call([&](const owner_answer& answer) { verdict.set_value(answer.verdict); });
+        return verdict.get_future().get();
+    };
+    CHECK(verdict_of([&](auto reply) { process.owner->find("job", reply); }) ==
+          owner_verdict::no_owner);
+    CHECK(verdict_of([&](auto reply) { process.owner->cancel("job", reply); }) ==
+          owner_verdict::no_owner);
+    CHECK(verdict_of([&](auto reply) { process.owner->count_pending("queue", reply); }) ==
+          owner_verdict::no_owner);
+}
--- a/flamingoseam/node/job_owner_workers.cpp
+++ b/flamingoseam/node/job_owner_workers.cpp
@@ -83,16 +83,21 @@
 
 void job_owner::watch_assignments()
 {
-    const auto prefix = dependencies_.keys.assignment_prefix();
-    record_watch watch(
-        {.name = "assignments",
-         .prefix = prefix,
-         .report = [this](const log_event& event) { dependencies_.log->write(event); }},
-        dependencies_.stores());
+    std::optional<record_watch> watch;
     while (!ending_) {
         bool has_update = false;
-        run_guarded("the reading of the assignments of workers",
-                    [&] { has_update = read_assignments(watch, prefix); });
+        run_guarded("the reading of the assignments of workers", [&] {
+            if (!watch) {
+                watch.emplace(record_watch_options{.name = "assignments",
+                                                   .prefix = dependencies_.keys.assignment_prefix(),
+                                                   .report =
+                                                       [this](const log_event& event) {
+                                                           dependencies_.log->write(event);
+                                                       }},
+                              dependencies_.stores());
+            }
+            has_update = read_assignments(*watch);
+        });
         if (!has_update) {
             std::this_thread::sleep_for(assignments_retry_delay);
         }
@@ -100,12 +105,11 @@
 }
 
 /// Returns false if the store did not answer.
-bool job_owner::read_assignments(record_watch& watch, const std::string& prefix)
+bool job_owner::read_assignments(record_watch& watch)
 {
     try {
         auto update = watch.next();
-        loop_.post(
-            [this, prefix, update = std::move(update)] { handle_assignments(update, prefix); });
+        loop_.post([this, update = std::move(update)] { handle_assignments(update); });
         return true;
     } catch (const error& cause) {
         LOG_EVERY_N(WARNING, 20) << "the assignments of workers cannot be read: " << cause.what();
@@ -113,11 +117,12 @@
     }
 }
 
-void job_owner::handle_assignments(const record_update& update, const std::string& prefix)
+void job_owner::handle_assignments(const record_update& update)
 {
     if (ending_ || (!update.is_complete && update.records.empty())) {
         return;
     }
+    const auto prefix = dependencies_.keys.assignment_prefix();
     if (update.is_complete) {
         assignments_.clear();
     }
--- a/tests/memory_store.hpp
+++ b/tests/memory_store.hpp
@@ -48,6 +48,15 @@
         return page;
     }
 
+    /// Reports no changes.
+    shared_changes watch(const std::string& /*prefix*/, std::uint64_t revision,
+                         watch_times times) override
+    {
+        std::this_thread::sleep_for(times.wait);
+        throw_if_unreachable();
+        return {.revision = revision};
+    }
+
     shared_result commit(const shared_transaction& changes, milliseconds /*timeout*/) override
     {
         throw_if_unreachable();
