Leave out the steps of an owner that has failed which would use its state

Callers could be told the phase, or the number, of jobs by a state that an exception had left incomplete, and the process could still end: the steps that follow (reports, stored writes, the list of workers) use what the failed one has left, for example the pointer in `open_` of a job that jobs_.emplace() did not take for lack of memory.

Cause: only the decisions after a batch and the commit streams asked whether the owner still acts.

--- a/flamingoseam/node/job_owner.cpp
+++ b/flamingoseam/node/job_owner.cpp
@@ -47,7 +47,7 @@
 
     void on_stored() override
     {
-        owner_.loop_.post([&owner = owner_, index = index_, records = records_] {
+        owner_.post_decision([&owner = owner_, index = index_, records = records_] {
             owner.meter_.record_transaction(records);
             owner.state_.on_stored(index);
             owner.set_store_unreachable(false); // Although another stream may still retry.
@@ -58,7 +58,7 @@
 
     void on_store_unreachable() override
     {
-        owner_.loop_.post([&owner = owner_] { owner.on_store_unreachable(); });
+        owner_.post_decision([&owner = owner_] { owner.on_store_unreachable(); });
     }
 
     job_owner& owner_;
@@ -93,7 +93,7 @@
     permission_dispatcher_ = std::make_unique<permission_dispatcher>(
         dependencies_.permissions,
         [this](std::uint64_t number, auto grants) {
-            loop_.post([this, number, grants = std::move(grants)] {
+            post_decision([this, number, grants = std::move(grants)] {
                 state_.on_permission(number, grants, now());
             });
         },
@@ -106,7 +106,7 @@
     if (dependencies_.shard.count > 1) {
         borrower_ = std::make_unique<worker_borrower>(dependencies_.borrow_workers);
     }
-    loop_.post([this] {
+    post_decision([this] {
         open_sessions();
         if (dependencies_.usage != nullptr) {
             dependencies_.usage->record("sessions opened, epoch " + std::to_string(epoch_));
@@ -193,6 +193,17 @@
     return true;
 }
 
+/// Queues a step that uses the state, and is left out once this owner acts no more: an exception
+/// may have left the state incomplete.
+void job_owner::post_decision(std::function<void()> step)
+{
+    loop_.post([this, step = std::move(step)] {
+        if (!superseded_) {
+            step();
+        }
+    });
+}
+
 std::uint64_t job_owner::store_reply(owner_service::owner_reply reply)
 {
     replies_.emplace(next_token_, std::move(reply));
@@ -217,7 +228,7 @@
 void job_owner::cancel(const std::string& job, owner_service::owner_reply reply)
 {
     loop_.post([this, job, reply = std::move(reply)]() mutable {
-        const bool exists = state_.find(job).has_value();
+        const bool exists = !superseded_ && state_.find(job).has_value();
         if (handing_over_ || superseded_ || (!exists && !dependencies_.is_certain())) {
             reply({.verdict = owner_verdict::no_owner, .reason = "owner_changes"});
             return;
@@ -234,7 +245,7 @@
         if (answer_unreadable(job, reply)) {
             return;
         }
-        const auto phase = state_.find(job);
+        const auto phase = superseded_ ? std::nullopt : state_.find(job);
         if (phase) {
             reply({.verdict = owner_verdict::accepted, .phase = workflow::to_string(*phase)});
         } else if (superseded_ || !dependencies_.is_certain()) {
@@ -248,6 +259,10 @@
 void job_owner::count_pending(const std::string& queue, owner_service::owner_reply reply)
 {
     loop_.post([this, queue, reply = std::move(reply)] {
+        if (superseded_) {
+            reply({.verdict = owner_verdict::no_owner, .reason = "owner_changes"});
+            return;
+        }
         reply({.verdict = owner_verdict::accepted, .pending = state_.count_pending(queue)});
     });
 }
@@ -255,7 +270,7 @@
 void job_owner::set_nodes(const std::vector<std::string>& nodes)
 {
     permission_dispatcher_->set_nodes(nodes);
-    loop_.post([this, slots = nodes.size()] { state_.set_permission_call_slots(slots); });
+    post_decision([this, slots = nodes.size()] { state_.set_permission_call_slots(slots); });
 }
 
 bool job_owner::hand_over(workflow::record_change last, milliseconds timeout)
@@ -277,7 +292,7 @@
 
 void job_owner::on_report(const session_id& session, workflow::worker_report report)
 {
-    loop_.post([this, session, report = std::move(report)] {
+    post_decision([this, session, report = std::move(report)] {
         if (is_current(session)) {
             state_.on_report(session.worker, report, now(), wall_now());
         }
@@ -288,18 +303,18 @@
                          workflow::start_outcome outcome)
 {
     dependencies_.metrics->count_start(outcome);
-    loop_.post([this, worker, name, outcome] { state_.on_start(worker, name, outcome, now()); });
+    post_decision([this, worker, name, outcome] { state_.on_start(worker, name, outcome, now()); });
 }
 
 void job_owner::on_stop(std::size_t worker, const workflow::run_name& name)
 {
-    loop_.post([this, worker, name] { state_.on_stop(worker, name, now()); });
+    post_decision([this, worker, name] { state_.on_stop(worker, name, now()); });
 }
 
 void job_owner::on_unreachable_changed(const session_id& session, bool unreachable,
                                        time_point silent_since)
 {
-    loop_.post([this, session, unreachable, silent_since] {
+    post_decision([this, session, unreachable, silent_since] {
         if (is_current(session)) {
             state_.on_unreachable_changed(session.worker, unreachable, silent_since, now(),
                                           wall_now());
@@ -309,7 +324,7 @@
 
 void job_owner::on_emptied(const session_id& session, workflow::emptied_reason reason)
 {
-    loop_.post([this, session, reason] {
+    post_decision([this, session, reason] {
         if (!is_current(session)) {
             return;
         }
--- a/flamingoseam/node/job_owner.hpp
+++ b/flamingoseam/node/job_owner.hpp
@@ -138,6 +138,7 @@
     void report_queues(time_point time);
     void set_gauges();
     bool answer_unreadable(const std::string& job, const owner_service::owner_reply& reply) const;
+    void post_decision(std::function<void()> step);
     std::uint64_t store_reply(owner_service::owner_reply reply);
     void answer_all_unknown();
     void watch_workers();
--- a/flamingoseam/node/job_owner_workers.cpp
+++ b/flamingoseam/node/job_owner_workers.cpp
@@ -42,9 +42,10 @@
     try {
         auto workers = directory.next();
         if (!ending_) {
-            loop_.post([this, workers = std::move(workers), confirmed = directory.confirmed_at()] {
-                handle_worker_list(workers, confirmed);
-            });
+            post_decision(
+                [this, workers = std::move(workers), confirmed = directory.confirmed_at()] {
+                    handle_worker_list(workers, confirmed);
+                });
         }
     } catch (const error& cause) {
         LOG_EVERY_N(WARNING, 20) << "the list of workers cannot be read: " << cause.what();
@@ -109,7 +110,7 @@
 {
     try {
         auto update = watch.next();
-        loop_.post([this, update = std::move(update)] { handle_assignments(update); });
+        post_decision([this, update = std::move(update)] { handle_assignments(update); });
         return true;
     } catch (const error& cause) {
         LOG_EVERY_N(WARNING, 20) << "the assignments of workers cannot be read: " << cause.what();
