End the threads of a node that can't start after an exception of any type

Callers would have seen a node that holds the ownership and does nothing: without memory for the second thread (std::bad_alloc, not resource_error) the constructors of job_owner and node waited for ever for the first one, which nothing had told to end; that of job_owner on the thread of the election.

Cause: only resource_error was caught. membership, config_follower and http_worker_link catch all.

Evidence: by reading. No test makes std::bad_alloc fall exactly there; the tests of a lack of threads pass as before.

--- a/flamingoseam/node/job_owner.cpp
+++ b/flamingoseam/node/job_owner.cpp
@@ -114,7 +114,7 @@
     });
     try {
         start_threads();
-    } catch (const resource_error&) {
+    } catch (...) {
         ending_ = true; // Ends the threads that have been started.
         throw;
     }
--- a/flamingoseam/node/node.cpp
+++ b/flamingoseam/node/node.cpp
@@ -48,7 +48,7 @@
     listener_ = membership_->add_listener([this] { on_view_changed(); });
     try {
         start_threads();
-    } catch (const resource_error&) {
+    } catch (...) {
         request_stop();
         throw;
     }
