Join the threads of the links to VMs that are gone

Operators of the own cell would have seen the address space of a scheduler grow with each VM that came and went, for as long as it owned the shard, up to a limit at which it fails.

Cause: the links of such VMs were kept until the shard ended; a thread that has ended keeps its stack until it is joined.

Evidence: 'the links of workers that are gone use no memory' failed before (786,816 kB more after 48 VMs, at most 65,536 allowed) and passes: links whose threads have ended are destroyed at the next list.

--- a/flamingoseam/scheduler/owned_shard.cpp
+++ b/flamingoseam/scheduler/owned_shard.cpp
@@ -63,6 +63,7 @@
         it = missing && handle_missing_worker(it->first, time) ? last_listed_.erase(it)
                                                                : std::next(it);
     }
+    std::erase_if(retired_links_, [](const auto& link) { return link->has_ended(); });
 }
 
 bool owned_shard::handle_missing_worker(const std::string& address, time_point time)
--- a/flamingoseam/worker/worker_link.cpp
+++ b/flamingoseam/worker/worker_link.cpp
@@ -26,9 +26,15 @@
     : options_(options), listener_(listener), command_client_(options.worker),
       event_client_(options.worker), last_contact_(now())
 {
-    command_thread_ = service_thread("commands", [this] { run_commands(); });
+    command_thread_ = service_thread("commands", [this] {
+        run_commands();
+        --running_threads_;
+    });
     try {
-        event_thread_ = service_thread("worker events", [this] { run_events(); });
+        event_thread_ = service_thread("worker events", [this] {
+            run_events();
+            --running_threads_;
+        });
     } catch (...) {
         request_stop();
         throw;
--- a/flamingoseam/worker/worker_link.hpp
+++ b/flamingoseam/worker/worker_link.hpp
@@ -53,6 +53,9 @@
 
     /// Requests the link's threads to stop. Unlike the destructor, does not wait for them.
     virtual void request_stop() = 0;
+
+    /// Checks whether the threads have ended, so that the destructor doesn't wait.
+    [[nodiscard]] virtual bool has_ended() const = 0;
 };
 
 /// Options of a worker link.
@@ -87,6 +90,7 @@
     void control(const task_control_request& request) override;
     void resume() override;
     void request_stop() override;
+    [[nodiscard]] bool has_ended() const override { return running_threads_ == 0; }
 
 private:
     void run_commands();
@@ -127,6 +131,7 @@
     bool fenced_ = false; ///< The worker has accepted this owner's epoch, so no earlier owner
                           ///< can renew its lease.
     std::atomic<bool> stopping_{false};
+    std::atomic<int> running_threads_{2};
     service_thread command_thread_;
     service_thread event_thread_;
 };
