--- a/flamingoseam/http/http_client_test.cpp
+++ b/flamingoseam/http/http_client_test.cpp
@@ -91,3 +91,15 @@
     const http_call call{.headers = {{"X-Expect-Instance", std::string(5'000, 'i')}}};
     CHECK_THROWS_AS(client.call(call), transport_error);
 }
+
+TEST_CASE("a request whose headers are too long is an error of that call, and is not sent")
+{
+    http_client client({"127.0.0.1", 17'563});
+    try {
+        client.call({.path = "/", .headers = {{"X-Text", std::string(10'000, 'x')}}});
+        FAIL("no exception");
+    } catch (const transport_error& cause) {
+        CHECK(cause.id() == 304);
+        CHECK_FALSE(cause.sent());
+    }
+}
--- a/flamingoseam/node/job_owner_test.cpp
+++ b/flamingoseam/node/job_owner_test.cpp
@@ -254,6 +254,7 @@
     memory_records records;
     std::array<leased_worker, 3> workers;
     int sink = open("/dev/null", O_WRONLY | O_CLOEXEC);
+    std::atomic<bool> opens_channels{true};
     std::string failing_event;  ///< The log throws an exception when this event is written.
     std::string failing_thread; ///< The first connection that it opens to the store fails.
     std::atomic<bool> has_failed{false}; ///< Whether that has happened.
@@ -302,6 +303,10 @@
                                    .channels =
                                        [this](const workflow::worker_entry& entry) {
                                            const auto index = entry.address.port - 1U;
+                                           if (!cell_.opens_channels) {
+                                               throw std::system_error(EAGAIN,
+                                                                       std::generic_category());
+                                           }
                                            return std::make_unique<path_channel>(
                                                cell_.workers.at(index), reaches.at(index));
                                        },
@@ -521,3 +526,17 @@
     CHECK(verdict_of([&](auto reply) { process.owner->count_pending("queue", reply); }) ==
           owner_verdict::no_owner);
 }
+
+TEST_CASE("a session with a worker that can't be opened ends the ownership, and not the process")
+{
+    cell shared;
+    shared.opens_channels = false;
+    {
+        owner_process process(shared, 0, all);
+        REQUIRE(wait_until([&] { return process.failed.load(); }));
+    }
+    shared.opens_channels = true;
+    owner_process later(shared, 1, all);
+    later.submit("job", 2);
+    CHECK(wait_until([&] { return count_begun(shared) == 2; }));
+}
