--- a/flamingoseam/node/job_owner_workers.cpp
+++ b/flamingoseam/node/job_owner_workers.cpp
@@ -27,12 +27,15 @@
 {
     std::unique_ptr<worker_directory> directory;
     while (!ending_) {
-        run_guarded("the reading of the list of workers", [&] {
+        const bool is_passed_on = run_guarded("the reading of the list of workers", [&] {
             if (!directory) {
                 directory = dependencies_.directory();
             }
             read_worker_list(*directory);
         });
+        if (!is_passed_on) {
+            directory.reset(); // What it has read is lost, so everything is read again.
+        }
         std::this_thread::sleep_for(directory_read_delay);
     }
 }
@@ -87,7 +90,7 @@
     std::optional<record_watch> watch;
     while (!ending_) {
         bool has_update = false;
-        run_guarded("the reading of the assignments of workers", [&] {
+        const bool is_passed_on = run_guarded("the reading of the assignments of workers", [&] {
             if (!watch) {
                 watch.emplace(record_watch_options{.name = "assignments",
                                                    .prefix = dependencies_.keys.assignment_prefix(),
@@ -99,6 +102,9 @@
             }
             has_update = read_assignments(*watch);
         });
+        if (!is_passed_on) {
+            watch.reset(); // What it has read is lost, so everything is read again.
+        }
         if (!has_update) {
             std::this_thread::sleep_for(assignments_retry_delay);
         }
@@ -205,7 +211,7 @@
                                    .lease = dependencies_.worker_lease,
                                    .silent_for = silence_of(state, wall_now()),
                                    .earlier_renewals_end = earlier_renewals_end_},
-            state.entry, dependencies_.channels, listener);
+            state.entry, dependencies_.io->next_loops(), dependencies_.channels, listener);
         sessions_.emplace(worker, std::move(session)); // Not before, as opening it may fail.
     }
 }
