--- a/flamingoseam/node/job_owner.hpp
+++ b/flamingoseam/node/job_owner.hpp
@@ -139,6 +139,7 @@
     void report_queues(time_point time);
     void set_gauges();
     bool answer_unreadable(const std::string& job, const owner_service::owner_reply& reply) const;
+    void post_decision(std::function<void()> step);
     std::uint64_t store_reply(owner_service::owner_reply reply);
     void answer_all_unknown();
     void watch_workers();
@@ -147,8 +148,8 @@
                             time_point confirmed);
     void apply_worker_list();
     void watch_assignments();
-    bool read_assignments(record_watch& watch, const std::string& prefix);
-    void handle_assignments(const record_update& update, const std::string& prefix);
+    bool read_assignments(record_watch& watch);
+    void handle_assignments(const record_update& update);
     void release_session(std::size_t worker);
     void borrow_workers(time_point time);
     void open_sessions();
--- a/flamingoseam/node/job_owner_workers.cpp
+++ b/flamingoseam/node/job_owner_workers.cpp
@@ -45,9 +45,10 @@
     try {
         auto workers = directory.next();
         if (!ending_) {
-            loop_.post([this, workers = std::move(workers), confirmed = directory.confirmed_at()] {
-                handle_worker_list(workers, confirmed);
-            });
+            post_decision(
+                [this, workers = std::move(workers), confirmed = directory.confirmed_at()] {
+                    handle_worker_list(workers, confirmed);
+                });
         }
     } catch (const error& cause) {
         LOG_EVERY_N(WARNING, 20) << "the list of workers cannot be read: " << cause.what();
@@ -86,19 +87,23 @@
 
 void job_owner::watch_assignments()
 {
-    const auto prefix = dependencies_.keys.assignment_prefix();
-    record_watch watch(
-        {.name = "assignments",
-         .prefix = prefix,
-         .report = [this](const log_event& event) { dependencies_.log->write(event); }},
-        dependencies_.stores());
+    std::optional<record_watch> watch;
     while (!ending_) {
         bool has_update = false;
         const bool is_passed_on = run_guarded("the reading of the assignments of workers", [&] {
-            has_update = read_assignments(watch, prefix);
+            if (!watch) {
+                watch.emplace(record_watch_options{.name = "assignments",
+                                                   .prefix = dependencies_.keys.assignment_prefix(),
+                                                   .report =
+                                                       [this](const log_event& event) {
+                                                           dependencies_.log->write(event);
+                                                       }},
+                              dependencies_.stores());
+            }
+            has_update = read_assignments(*watch);
         });
         if (!is_passed_on) {
-            watch.read_again(); // What it has read is lost.
+            watch.reset(); // What it has read is lost, so everything is read again.
         }
         if (!has_update) {
             std::this_thread::sleep_for(assignments_retry_delay);
@@ -107,12 +112,11 @@
 }
 
 /// Returns false if the store did not answer.
-bool job_owner::read_assignments(record_watch& watch, const std::string& prefix)
+bool job_owner::read_assignments(record_watch& watch)
 {
     try {
         auto update = watch.next();
-        loop_.post(
-            [this, prefix, update = std::move(update)] { handle_assignments(update, prefix); });
+        post_decision([this, update = std::move(update)] { handle_assignments(update); });
         return true;
     } catch (const error& cause) {
         LOG_EVERY_N(WARNING, 20) << "the assignments of workers cannot be read: " << cause.what();
@@ -120,11 +124,12 @@
     }
 }
 
-void job_owner::handle_assignments(const record_update& update, const std::string& prefix)
+void job_owner::handle_assignments(const record_update& update)
 {
     if (ending_ || (!update.is_complete && update.records.empty())) {
         return;
     }
+    const auto prefix = dependencies_.keys.assignment_prefix();
     if (update.is_complete) {
         assignments_.clear();
     }
