--- a/flamingoseam/daemon/process_bounds_test.cpp
+++ b/flamingoseam/daemon/process_bounds_test.cpp
@@ -41,6 +41,10 @@
 
 TEST_CASE("threads reserve little address space, so that an owner fits into a limit of it")
 {
+    if (has_sanitizer) {
+        WARN("not run: a sanitizer needs address space of its own");
+        return;
+    }
     constexpr std::int64_t most_kb = 420'000; // Stacks of 64 MiB, and four arenas of 64 MiB.
     const auto end = run_in_child([] {
         ::unsetenv("MALLOC_ARENA_MAX");
--- a/flamingoseam/http/http_server_test.cpp
+++ b/flamingoseam/http/http_server_test.cpp
@@ -115,6 +115,10 @@
 
 TEST_CASE("a server that can't start its threads reports it, and the process does not end")
 {
+    if (has_sanitizer) {
+        WARN("not run: a sanitizer needs address space of its own");
+        return;
+    }
     const auto end = run_in_child([] {
         std::atomic<int> calls{0};
         limit_address_space(few_bytes);
@@ -136,6 +140,10 @@
 
 TEST_CASE("requests that arrive when there is no thread left do not end the process")
 {
+    if (has_sanitizer) {
+        WARN("not run: a sanitizer needs address space of its own");
+        return;
+    }
     const auto end = run_in_child([] {
         const http_server server({.address = "127.0.0.1", .port = port},
                                  [](const http_request& /*request*/) {
--- a/tests/child_process.hpp
+++ b/tests/child_process.hpp
@@ -10,6 +10,14 @@
 
 namespace flamingoseam {
 
+/// Whether this is a build with a sanitizer that maps much address space of its own, so that limits
+/// of address space end it.
+#if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
+inline constexpr bool has_sanitizer = true;
+#else
+inline constexpr bool has_sanitizer = false;
+#endif
+
 /// Returns a number of /proc/self/status, for example "Threads", or "VmSize" in kB.
 inline std::int64_t own_status(const std::string& name)
 {
