--- a/flamingoseam/daemon/process_bounds_test.cpp
+++ b/flamingoseam/daemon/process_bounds_test.cpp
@@ -1,6 +1,6 @@
 #include "flamingoseam/daemon/process_bounds.hpp"
 
-#include "tests/child_process.hpp"
+#include "tests/child_exit.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -46,7 +46,7 @@
         return;
     }
     constexpr std::int64_t most_kb = 420'000; // Stacks of 64 MiB, and four arenas of 64 MiB.
-    const auto end = run_in_child([] {
+    const auto end = exit_of_child([] {
         ::unsetenv("MALLOC_ARENA_MAX");
         bound_threads();
         return address_space_of_threads() <= most_kb ? 0 : 1;
--- a/flamingoseam/http/http_server_test.cpp
+++ b/flamingoseam/http/http_server_test.cpp
@@ -2,7 +2,7 @@
 
 #include "flamingoseam/core/error.hpp"
 #include "flamingoseam/http/http_client.hpp"
-#include "tests/child_process.hpp"
+#include "tests/child_exit.hpp"
 #include "tests/descriptor_limit.hpp"
 
 #include <catch2/catch.hpp>
@@ -119,7 +119,7 @@
         WARN("not run: a sanitizer needs address space of its own");
         return;
     }
-    const auto end = run_in_child([] {
+    const auto end = exit_of_child([] {
         std::atomic<int> calls{0};
         limit_address_space(few_bytes);
         try {
@@ -144,7 +144,7 @@
         WARN("not run: a sanitizer needs address space of its own");
         return;
     }
-    const auto end = run_in_child([] {
+    const auto end = exit_of_child([] {
         const http_server server({.address = "127.0.0.1", .port = port},
                                  [](const http_request& /*request*/) {
                                      std::this_thread::sleep_for(milliseconds(200));
--- a/flamingoseam/node/coordinator_rpc_test.cpp
+++ b/flamingoseam/node/coordinator_rpc_test.cpp
@@ -1,7 +1,7 @@
 #include "flamingoseam/node/coordinator_rpc.hpp"
 
 #include "flamingoseam/core/error.hpp"
-#include "tests/child_process.hpp"
+#include "tests/child_exit.hpp"
 #include "tests/descriptor_limit.hpp"
 
 #include <arpa/inet.h>
@@ -156,7 +156,7 @@
 
 TEST_CASE("an error at the close of a connection does not end the process")
 {
-    const auto end = run_in_child([] {
+    const auto end = exit_of_child([] {
         recording_service service;
         const coordinator_server server(own_address(), service);
         coordinator_client client;
@@ -181,7 +181,7 @@
 TEST_CASE(
     "a call of another node that is answered when the server has stopped does not end the process")
 {
-    const auto end = run_in_child([] {
+    const auto end = exit_of_child([] {
         recording_service service;
         std::optional<coordinator_server> server(std::in_place, own_address(), service);
         coordinator_client client;
--- a/flamingoseam/node/job_owner.cpp
+++ b/flamingoseam/node/job_owner.cpp
@@ -106,7 +106,12 @@
     if (dependencies_.shard.count > 1) {
         borrower_ = std::make_unique<worker_borrower>(dependencies_.borrow_workers);
     }
-    loop_.post([this] { open_sessions(); });
+    loop_.post([this] {
+        open_sessions();
+        if (dependencies_.usage != nullptr) {
+            dependencies_.usage->record("sessions opened, epoch " + std::to_string(epoch_));
+        }
+    });
     try {
         start_threads();
     } catch (const resource_error&) {
@@ -122,7 +127,7 @@
     if (dependencies_.shard.count > 1) {
         assignments_thread_ = service_thread("assignments", [this] { watch_assignments(); });
     }
-    loop_thread_ = service_thread("owner", [this] {
+    loop_thread_ = service_thread("control", [this] {
         loop_.run(
             tick, [this] { after_batch(); }, batch_spacing);
     });
@@ -130,8 +135,8 @@
 
 job_owner::~job_owner()
 {
-    request_stop();
-    wait_for_batch();
+    run_until_done("the end of an owner", [this] { request_stop(); });
+    run_until_done("the end of an owner", [this] { wait_for_batch(); });
     streams_.clear();
     loop_.stop();
     loop_thread_.join();
@@ -373,12 +378,12 @@
     if (superseded_.exchange(true)) {
         return;
     }
-    dependencies_.log->write({.event = "owner_failed",
-                              .request = {},
-                              .detail = "epoch " + std::to_string(epoch_) + ": " + cause});
     if (dependencies_.on_failed) {
         dependencies_.on_failed();
     }
+    dependencies_.log->write({.event = "owner_failed",
+                              .request = {},
+                              .detail = "epoch " + std::to_string(epoch_) + ": " + cause});
 }
 
 /// Takes changes for a commit stream; none if the owner acts no more, as they may be incomplete.
--- a/flamingoseam/node/membership.hpp
+++ b/flamingoseam/node/membership.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "flamingoseam/core/service_thread.hpp"
 #include "flamingoseam/http/http_client.hpp"
 #include "flamingoseam/node/shard.hpp"
 #include "flamingoseam/store/record_watch.hpp"
@@ -13,7 +14,6 @@
 #include <mutex>
 #include <optional>
 #include <string>
-#include <thread>
 #include <vector>
 
 namespace flamingoseam::node {
@@ -74,14 +74,14 @@
 /// all shards, on two threads.
 class membership {
 public:
-    /// Starts both threads.
+    /// Starts both threads. Throws resource_error if the system has no threads left.
     membership(membership_options options, const shared_store_factory& stores);
     ~membership();
     membership(const membership&) = delete;
     membership& operator=(const membership&) = delete;
 
-    /// Calls `on_change` from the watch thread after each change of a view. Returns a number for
-    /// remove_listener().
+    /// Calls `on_change` from the watch thread after each change of a view. An exception that
+    /// leaves it is logged. Returns a number for remove_listener().
     int add_listener(std::function<void()> on_change);
 
     /// Removes a listener, which is not called any more afterwards.
@@ -132,13 +132,18 @@
     [[nodiscard]] member self(const shard_identity& shard) const;
 
 private:
+    void request_stop();
     void run_lease();
+    milliseconds try_to_renew();
+    void end_lease();
     void renew(shared_store& store);
     void join(shared_store& store);
     void run_watch();
+    bool try_to_read_changes();
     void notify_listeners();
     void apply_update(const record_update& update);
     void apply(const shared_record& record);
+    void report_earlier_process();
     bool is_missing_from_view() const;
     bool is_join_confirmed() const;
     std::optional<std::string> member_name(const std::string& key) const;
@@ -159,6 +164,7 @@
     std::mutex listeners_mutex_;
     std::map<int, std::function<void()>> listeners_; ///< Guarded by `listeners_mutex_`.
     int last_listener_ = 0;                          ///< Guarded by `listeners_mutex_`.
+    bool has_reported_earlier_process_ = false;      ///< Used by the watch thread only.
     std::uint64_t lease_ = 0;
     bool is_view_complete_ = false; ///< False while the view may lack changes.
     time_point view_asked_at_{};    ///< The view contains every change of an earlier time.
@@ -169,8 +175,8 @@
     std::atomic<time_point> renewed_at_{};
     std::atomic<bool> stopping_{false};
     std::atomic<bool> leaving_{false};
-    std::thread lease_thread_;
-    std::thread watch_thread_;
+    service_thread lease_thread_;
+    service_thread watch_thread_;
 };
 
 } // namespace flamingoseam::node
--- a/flamingoseam/node/node_election.cpp
+++ b/flamingoseam/node/node_election.cpp
@@ -77,6 +77,9 @@
 
 void node::handle_events(const election_events& events)
 {
+    if (dependencies_.usage != nullptr) {
+        dependencies_.usage->update(now(), is_owner());
+    }
     const auto view = this->view();
     if (events.owner_lost || is_superseded(view)) {
         stop_local_owner();
@@ -461,10 +464,10 @@
     } catch (const transport_error& cause) {
         LOG(WARNING) << "can't take over ownership: " << cause.what();
     } catch (...) {
-        LOG(ERROR) << "can't take over ownership: " << describe_current_exception();
         if (claimed_epoch != 0) {
             record_failed_owner(claimed_epoch);
         }
+        LOG(ERROR) << "can't take over ownership: " << describe_current_exception();
     }
     const std::lock_guard lock(mutex_);
     owner_missing_since_.reset();
@@ -485,6 +488,9 @@
 void node::begin_ownership(const claimed_head& claimed,
                            std::optional<milliseconds> earlier_certainty)
 {
+    if (dependencies_.usage != nullptr) {
+        dependencies_.usage->record("takeover, epoch " + std::to_string(claimed.head.epoch));
+    }
     dependencies_.log->write(
         {.event = "owner_begins",
          .request = {},
@@ -509,6 +515,7 @@
         .borrow_workers = options_.borrow_workers,
         .log = dependencies_.log,
         .metrics = dependencies_.metrics,
+        .usage = dependencies_.usage,
         .is_certain =
             [this, epoch = claimed.head.epoch] {
                 return membership_->is_certain_owner(options_.shard, epoch);
--- a/tests/child_process.hpp
+++ b/tests/child_process.hpp
@@ -1,64 +1,84 @@
 #pragma once
 
+#include "flamingoseam/log/log.hpp"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
 #include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
-#include <cstdint>
-#include <fstream>
+#include <array>
+#include <functional>
+#include <sstream>
 #include <string>
+#include <vector>
 
 namespace flamingoseam {
 
-/// Whether this is a build with a sanitizer that maps much address space of its own, so that limits
-/// of address space end it.
-#if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
-inline constexpr bool has_sanitizer = true;
-#else
-inline constexpr bool has_sanitizer = false;
-#endif
+/// How a child process ended, and what it wrote to standard error.
+struct ended_process {
+    int status = 0;
+    std::string output;
 
-/// Returns a number of /proc/self/status, for example "Threads", or "VmSize" in kB.
-inline std::int64_t own_status(const std::string& name)
-{
-    std::ifstream status("/proc/self/status");
-    std::string line;
-    while (std::getline(status, line)) {
-        if (line.starts_with(name + ":")) {
-            return std::stoll(line.substr(name.size() + 1));
+    /// Returns the lines of JSON in which the member `name` has the value `value`.
+    [[nodiscard]] std::vector<nlohmann::json> lines_with(const std::string& name,
+                                                         const std::string& value) const
+    {
+        std::vector<nlohmann::json> found;
+        std::istringstream lines(output);
+        for (std::string text; std::getline(lines, text);) {
+            auto line = nlohmann::json::parse(text, nullptr, false);
+            if (line.is_object() && line.value(name, "") == value) {
+                found.push_back(std::move(line));
+            }
         }
+        return found;
     }
-    return -1;
-}
+};
 
-/// Limits the address space of this process, for good, to what it uses and `further_bytes`.
-inline void limit_address_space(std::int64_t further_bytes)
+/// Sets a limit of the process.
+inline void set_limit(__rlimit_resource resource, rlim_t value)
 {
-    const auto limit = static_cast<rlim_t>(1'024 * own_status("VmSize") + further_bytes);
-    const rlimit limits{.rlim_cur = limit, .rlim_max = limit};
-    ::setrlimit(RLIMIT_AS, &limits);
+    rlimit limit{};
+    ::getrlimit(resource, &limit);
+    limit.rlim_cur = value;
+    ::setrlimit(resource, &limit);
 }
 
-/// How a child process ended.
-struct child_end {
-    int code = -1;  ///< Its exit code, or -1 after a signal.
-    int signal = 0; ///< The signal that ended it, or 0.
-};
+/// Returns all that can be read from a descriptor until its other end is closed.
+inline std::string read_to_end(int descriptor)
+{
+    std::string text;
+    std::array<char, 4'096> buffer{};
+    for (ssize_t size = 0; (size = ::read(descriptor, buffer.data(), buffer.size())) > 0;) {
+        text.append(buffer.data(), static_cast<std::size_t>(size));
+    }
+    return text;
+}
 
-/// Runs `body` in a child process, which exits with its result, and waits for the end. A child that
-/// takes longer than 10 s is ended by SIGALRM.
-template <typename Body> child_end run_in_child(const Body& body)
+/// Runs `task` in a child process that logs as our programs do and ends with status 0 after it.
+inline ended_process run_in_child(const std::function<void()>& task)
 {
-    constexpr unsigned longest_seconds = 10;
+    std::array<int, 2> ends{};
+    REQUIRE(::pipe(ends.data()) == 0);
     const auto child = ::fork();
+    REQUIRE(child >= 0);
     if (child == 0) {
-        ::alarm(longest_seconds);
-        ::_exit(body());
+        ::dup2(ends[1], STDERR_FILENO);
+        ::close_range(STDERR_FILENO + 1, ~0U, 0);
+        set_limit(RLIMIT_CORE, 0);
+        ::alarm(30); // Ends a child that hangs.
+        init_logging("/some/folder/flamingoseam-node");
+        task();
+        ::_exit(0);
     }
-    int status = 0;
-    ::waitpid(child, &status, 0);
-    return {.code = WIFEXITED(status) ? WEXITSTATUS(status) : -1,
-            .signal = WIFSIGNALED(status) ? WTERMSIG(status) : 0};
+    ::close(ends[1]);
+    ended_process ended{.output = read_to_end(ends[0])};
+    ::close(ends[0]);
+    ::waitpid(child, &ended.status, 0);
+    return ended;
 }
 
 } // namespace flamingoseam
