Leave the ownership with a weaker node for a while after an own owner has failed

Callers would have seen the owner change every few seconds without end where the strongest node lacks something: it fails, a weaker one takes over and serves, and as soon as the strong one abstains no more it takes the ownership back, since its processor share is larger, and fails again.

Cause: a node whose owner has failed abstains for 3 s from any takeover, but nothing kept it from replacing a weaker owner that serves after that. A node that gave up its ownership because of the store has such a pause.

Evidence: 'a node whose owner has failed does not replace a weaker one that serves' failed before (it took over again within 6 s) and passes. A pause of 5 minutes costs only that a weaker node serves meanwhile; where no owner serves, the node takes over after 3 s as before.

--- a/flamingoseam/node/node.hpp
+++ b/flamingoseam/node/node.hpp
@@ -205,12 +205,12 @@
     std::atomic<time_point> abstains_until_{}; ///< This node takes over no ownership before.
     bool stopping_ = false;
     std::optional<time_point> owner_missing_since_;
-    time_point next_release_{};                ///< Used by the election thread only.
-    time_point next_offer_{};                  ///< Used by the election thread only.
-    time_point next_balancing_{};              ///< Used by the election thread only.
-    std::optional<time_point> stronger_since_; ///< Used by the election thread only.
-    time_point may_replace_owner_from_{};      ///< Used by the election thread only.
-    std::set<std::string> logged_members_;     ///< Used by the election thread only.
+    time_point next_release_{};                        ///< Used by the election thread only.
+    time_point next_offer_{};                          ///< Used by the election thread only.
+    time_point next_balancing_{};                      ///< Used by the election thread only.
+    std::optional<time_point> stronger_since_;         ///< Used by the election thread only.
+    std::atomic<time_point> may_replace_owner_from_{}; ///< This node replaces no owner before.
+    std::set<std::string> logged_members_;             ///< Used by the election thread only.
     std::shared_ptr<membership> membership_;
     int listener_ = 0;
     std::unique_ptr<coordinator_server> server_;
--- a/flamingoseam/node/node_election.cpp
+++ b/flamingoseam/node/node_election.cpp
@@ -38,6 +38,9 @@
 constexpr milliseconds leaving_offer_interval{100};
 /// A node whose owner has failed leaves the next takeover to others for this long.
 constexpr milliseconds abstention{3'000};
+/// A node whose owner has failed does not replace another one for this long, even if its processor
+/// share is much larger: its next owner may fail, too.
+constexpr milliseconds replacement_pause_after_failure{300'000};
 constexpr milliseconds release_interval{200}; ///< Of the attempts to give up ownership.
 constexpr milliseconds release_timeout{500};
 
@@ -90,7 +93,8 @@
     if (events.store_unreachable && now() >= next_offer_) {
         next_offer_ = now() + offer_interval;
         if (offer_to_others(view, false)) {
-            may_replace_owner_from_ = now() + replacement_pause;
+            may_replace_owner_from_ =
+                std::max(may_replace_owner_from_.load(), now() + replacement_pause);
         }
     }
     confirm_suspicion(view);
@@ -108,6 +112,7 @@
 void node::record_failed_owner(std::uint64_t epoch)
 {
     abstains_until_ = now() + abstention;
+    may_replace_owner_from_ = now() + replacement_pause_after_failure;
     {
         const std::lock_guard lock(mutex_);
         superseded_epoch_ = std::max(superseded_epoch_, epoch);
@@ -351,7 +356,8 @@
     const auto owner = view.live_owner();
     const auto stronger =
         owner ? find_stronger(view, owner->owner, owner->epoch, options_.shard) : std::nullopt;
-    const bool is_eligible = membership_->has_valid_lease() && time >= may_replace_owner_from_;
+    const bool is_eligible =
+        membership_->has_valid_lease() && time >= may_replace_owner_from_.load();
     if (!stronger || stronger->name != options_.name || !is_eligible) {
         stronger_since_.reset();
         return false;
--- a/flamingoseam/node/sharded_node_test.cpp
+++ b/flamingoseam/node/sharded_node_test.cpp
@@ -343,6 +343,23 @@
     CHECK(holds_within(std::chrono::seconds(6), [&] { return worker.newest_epoch == 2; }));
 }
 
+// Guards against an ownership that a strong node took from a weaker one, and lost, again and again.
+TEST_CASE("a node whose owner has failed does not replace a weaker one that serves")
+{
+    late_worker worker;
+    single_node node(worker, nullptr, "owner_begins");
+    cell_store store(node.records);
+    REQUIRE(holds_within(std::chrono::seconds(4), [&] {
+        const auto owner = store.get("fs/m/owner");
+        return owner && read_owner(owner->value).owner.name.empty();
+    }));
+    const member weaker{
+        .name = "node2", .incarnation = "i2", .address = {"127.0.0.1", 1}, .processor_share = 0.5};
+    node.records.put("fs/m/node/node2", write_member(weaker));
+    node.records.put("fs/m/owner", write_owner({.epoch = 2, .owner = weaker}));
+    CHECK_FALSE(holds_within(std::chrono::seconds(6), [&] { return worker.newest_epoch > 0; }));
+}
+
 TEST_CASE("a node forms its shards after an exception that is no error of the store")
 {
     late_worker worker;
