--- a/flamingoseam/http/io_loop.cpp
+++ b/flamingoseam/http/io_loop.cpp
@@ -22,7 +22,7 @@
 
 void throw_system_error(const char* action)
 {
-    throw resource_error(402, std::string(action) + ": " + std::generic_category().message(errno));
+    throw resource_error(403, std::string(action) + ": " + std::generic_category().message(errno));
 }
 
 } // namespace
--- a/flamingoseam/node/job_owner.cpp
+++ b/flamingoseam/node/job_owner.cpp
@@ -198,7 +198,7 @@
 void job_owner::post_decision(std::function<void()> step)
 {
     loop_.post([this, step = std::move(step)] {
-        if (!superseded_) {
+        if (!acts_no_more_) {
             step();
         }
     });
@@ -214,7 +214,7 @@
                        owner_service::owner_reply reply)
 {
     loop_.post([this, job, terms, reply = std::move(reply)]() mutable {
-        if (handing_over_ || superseded_) {
+        if (handing_over_ || acts_no_more_) {
             reply({.verdict = owner_verdict::no_owner, .reason = "owner_changes"});
             return;
         }
@@ -228,8 +228,8 @@
 void job_owner::cancel(const std::string& job, owner_service::owner_reply reply)
 {
     loop_.post([this, job, reply = std::move(reply)]() mutable {
-        const bool exists = !superseded_ && state_.find(job).has_value();
-        if (handing_over_ || superseded_ || (!exists && !dependencies_.is_certain())) {
+        const bool exists = !acts_no_more_ && state_.find(job).has_value();
+        if (handing_over_ || acts_no_more_ || (!exists && !dependencies_.is_certain())) {
             reply({.verdict = owner_verdict::no_owner, .reason = "owner_changes"});
             return;
         }
@@ -245,10 +245,10 @@
         if (answer_unreadable(job, reply)) {
             return;
         }
-        const auto phase = superseded_ ? std::nullopt : state_.find(job);
+        const auto phase = acts_no_more_ ? std::nullopt : state_.find(job);
         if (phase) {
             reply({.verdict = owner_verdict::accepted, .phase = workflow::to_string(*phase)});
-        } else if (superseded_ || !dependencies_.is_certain()) {
+        } else if (acts_no_more_ || !dependencies_.is_certain()) {
             reply({.verdict = owner_verdict::no_owner, .reason = "owner_changes"});
         } else {
             reply({.verdict = owner_verdict::not_found});
@@ -259,7 +259,7 @@
 void job_owner::count_pending(const std::string& queue, owner_service::owner_reply reply)
 {
     loop_.post([this, queue, reply = std::move(reply)] {
-        if (superseded_) {
+        if (acts_no_more_) {
             reply({.verdict = owner_verdict::no_owner, .reason = "owner_changes"});
             return;
         }
@@ -353,12 +353,12 @@
 
 bool job_owner::may_start() const
 {
-    return !ending_ && !superseded_ && !handing_over_ && dependencies_.is_certain();
+    return !ending_ && !acts_no_more_ && !handing_over_ && dependencies_.is_certain();
 }
 
 bool job_owner::may_renew() const
 {
-    return !superseded_ && (dependencies_.is_certain() || boot_now() < renewals_end_.load());
+    return !acts_no_more_ && (dependencies_.is_certain() || boot_now() < renewals_end_.load());
 }
 
 void job_owner::on_store_unreachable()
@@ -379,7 +379,7 @@
 
 void job_owner::report_superseded()
 {
-    if (!superseded_.exchange(true)) {
+    if (!acts_no_more_.exchange(true)) {
         dependencies_.on_superseded();
         dependencies_.log->write(
             {.event = "superseded", .detail = "epoch " + std::to_string(epoch_)});
@@ -390,7 +390,7 @@
 /// from the state in the store.
 void job_owner::handle_failure(const std::string& cause)
 {
-    if (superseded_.exchange(true)) {
+    if (acts_no_more_.exchange(true)) {
         return;
     }
     if (dependencies_.on_failed) {
@@ -404,7 +404,7 @@
 /// Takes changes for a commit stream; none if the owner acts no more, as they may be incomplete.
 workflow::record_batch job_owner::take_batch(std::size_t stream, std::size_t max_changes)
 {
-    if (superseded_) {
+    if (acts_no_more_) {
         return {};
     }
     try {
@@ -417,7 +417,7 @@
 
 void job_owner::after_batch()
 {
-    if (ending_ || superseded_) {
+    if (ending_ || acts_no_more_) {
         return;
     }
     const auto started = now();
--- a/flamingoseam/node/job_owner.hpp
+++ b/flamingoseam/node/job_owner.hpp
@@ -194,7 +194,8 @@
     /// Used by the control thread only.
     time_point earlier_renewals_end_;
     std::atomic<bool> ending_{false};
-    std::atomic<bool> superseded_{false};
+    /// Another owner has taken over, or an error has left the decisions incomplete.
+    std::atomic<bool> acts_no_more_{false};
     std::atomic<bool> handing_over_{false};
     service_thread loop_thread_;
     service_thread directory_thread_;
