--- a/flamingoseam/node/node_election.cpp
+++ b/flamingoseam/node/node_election.cpp
@@ -149,14 +149,17 @@
     shared_transaction transaction;
     transaction.conditions.push_back({key, view.owner_revision});
     transaction.writes.push_back({key, write_owner({.epoch = view.owner->epoch, .owner = {}}), 0});
+    shared_result result;
     try {
-        dependencies_.stores()->commit(transaction, release_timeout);
+        result = dependencies_.stores()->commit(transaction, release_timeout);
     } catch (const transport_error& cause) {
         LOG(WARNING) << "can't give up the ownership of a failed owner: " << cause.what();
         return false;
     }
-    dependencies_.log->write(
-        {.event = "owner_ends", .request = {}, .detail = "given up after a failure"});
+    if (result.applied) { // Otherwise there is another owner.
+        dependencies_.log->write(
+            {.event = "owner_ends", .request = {}, .detail = "given up after a failure"});
+    }
     return true;
 }
 
