Use run_until_done where two loops wrote it again

No other change of behaviour; all unit tests but the known red ones, platform_short_of_threads and platform_path passed.

--- a/flamingoseam/http/http_server.cpp
+++ b/flamingoseam/http/http_server.cpp
@@ -62,8 +62,6 @@
 
 namespace {
 
-constexpr milliseconds failure_pause{10}; ///< Before the server goes on after an exception.
-
 std::string header_or_empty(const cxxtools::http::Request& request, const char* name)
 {
     const char* value = request.getHeader(name);
@@ -204,9 +202,7 @@
             }
             LOG(ERROR) << "an HTTP server goes on after: " << describe_current_exception();
         }
-        while (!run_guarded("the loop of an HTTP server", [this] { loop_.run(); })) {
-            std::this_thread::sleep_for(failure_pause);
-        }
+        run_until_done("the loop of an HTTP server", [this] { loop_.run(); });
     }
 
     void stop() { loop_.exit(); }
--- a/flamingoseam/node/worker_session.cpp
+++ b/flamingoseam/node/worker_session.cpp
@@ -20,7 +20,6 @@
 constexpr milliseconds rejection_delay{1'000};
 /// Answers on different connections may arrive in another order within this time.
 constexpr milliseconds max_answer_reordering{1'000};
-constexpr milliseconds stop_retry_delay{20};
 
 worker_time elapsed_on_slow_clock(time_point since, time_point time)
 {
@@ -93,9 +92,7 @@
 
 worker_session::~worker_session()
 {
-    while (!run_guarded("the end of a worker's session", [this] { request_stop(); })) {
-        std::this_thread::sleep_for(stop_retry_delay); // There was no memory left.
-    }
+    run_until_done("the end of a worker's session", [this] { request_stop(); });
     orders_.wait_until_ended();
     polls_.wait_until_ended();
 }
