Log for how long an owner itself has not renewed the lease of a worker that it takes for empty

worker_emptied said only how old the silence was by the time of day, which two owners may read differently. It now also says how long this owner has waited by its own steady clock, and whether the silence was stored by an earlier owner; a short own wait with a long loaded silence shows a lease that was given up on another owner's clock.

--- a/flamingoseam/workflow/fleet.hpp
+++ b/flamingoseam/workflow/fleet.hpp
@@ -55,7 +55,10 @@
     bool is_emptied = false;  ///< Its runs were taken for lost, and it has not reported since.
     bool unreachable = false; ///< The worker does not answer at present.
     wall_time unreachable_since{0}; ///< Since when its lease is not renewed; 0 while it answers.
-    bool lease_stored = false;      ///< The store has recorded that the worker may hold runs.
+    /// Since when its lease is not renewed, by this owner's steady clock: for a loaded silence,
+    /// since the loading.
+    time_point silent_since{};
+    bool lease_stored = false; ///< The store has recorded that the worker may hold runs.
     /// The store may say that the lease is not renewed; a later owner relies on it.
     bool silence_stored = false;
     /// The silence that has ended, until the store does not contain it any more.
--- a/flamingoseam/workflow/workflow_jobs.cpp
+++ b/flamingoseam/workflow/workflow_jobs.cpp
@@ -42,6 +42,7 @@
         state.lease_stored = true;
         state.unreachable = worker.unreachable_since != wall_time(0);
         state.unreachable_since = worker.unreachable_since;
+        state.silent_since = time;
         state.silence_stored = state.unreachable;
         state.silence_loaded = state.unreachable;
         leased_workers_.insert(index);
--- a/flamingoseam/workflow/workflow_reports.cpp
+++ b/flamingoseam/workflow/workflow_reports.cpp
@@ -559,6 +559,7 @@
     worker_state.unreachable = unreachable;
     worker_state.silence_loaded = false;
     worker_state.unreachable_since = unreachable ? wall - silent_for : wall_time(0);
+    worker_state.silent_since = silent_since;
     leased_workers_changed_ =
         leased_workers_changed_ || worker_state.lease_stored || worker_state.silence_stored;
     log_decision(unreachable ? "worker_silent" : "worker_answers", "", worker_state.entry.id,
@@ -604,13 +605,16 @@
         leased_workers_changed_ = true;
     }
     const bool was_silent = worker_state.unreachable;
-    log_decision("worker_emptied", "",
-                 worker_state.entry.id + (reason == emptied_reason::replaced
-                                              ? ": another incarnation answers"
-                                              : ": its lease has expired"),
-                 {{"silent_ms", was_silent ? (wall - worker_state.unreachable_since).count() : 0},
-                  {"lost_runs", static_cast<std::int64_t>(runs.size()) - awaited_starts},
-                  {"awaited_starts", awaited_starts}});
+    log_decision(
+        "worker_emptied", "",
+        worker_state.entry.id + (reason == emptied_reason::replaced
+                                     ? ": another incarnation answers"
+                                     : ": its lease has expired"),
+        {{"silent_ms", was_silent ? (wall - worker_state.unreachable_since).count() : 0},
+         {"own_silent_ms", was_silent ? (time - worker_state.silent_since) / milliseconds(1) : 0},
+         {"silence_loaded", worker_state.silence_loaded ? 1 : 0},
+         {"lost_runs", static_cast<std::int64_t>(runs.size()) - awaited_starts},
+         {"awaited_starts", awaited_starts}});
     mark_located(worker);
 }
 
