Let scenarios shift the time of day of a node from outside

Callers on a site whose clocks jump saw tasks run twice, and no scenario could show it: all processes of a scenario share the machine's time of day. A node now starts with a clock of its own where a scenario asks for one, and step_clock() moves it while the node runs.

The offset is read from a mapped file, so a step costs no signal and no restart. Ruled out: a setting of the product for tests, as users would have to carry a means to falsify the clock that owners decide by, and a wrong one would be hard to tell from the fault that it stands for; a namespace, as Linux has one for steady and boot time only, not for the time of day. Built with the tests only, on x86-64 here; not built on arm64 by us.

Programs that were built with the address sanitizer's shared runtime do not start with such a library before it; such a build needs ASAN_OPTIONS=verify_asan_link_order=0 (by reading, not run).

--- a/scenarios/platform.lua
+++ b/scenarios/platform.lua
@@ -54,10 +54,14 @@
         "--record=" .. record })
 end
 
+-- Starts a node, with a clock of its own if `node.clock` names one (see step_clock).
 function start_node(node)
-    node.pid = start(node.name, { "flamingoseam-node", "--settings=" .. OUT .. "/" .. node.name .. ".toml" })
+    node.pid = start(node.name, { "flamingoseam-node", "--settings=" .. OUT .. "/" .. node.name .. ".toml" }, node.clock)
 end
 
+-- Sets how far the time of day of a node that has a clock of its own is ahead of the machine's, behind it if negative.
+function step_clock(node, offset_ms) shift_clock(node.clock, offset_ms) end
+
 function wait_ready(node)
     wait_until(node.name .. " to be ready", 10000, function()
         return request { server = node.ready, path = "/api/ready", timeout_ms = 500 } == 200
@@ -117,6 +121,14 @@
     return owner
 end
 
+-- Checks whether the log of a node has an event with this detail.
+function has_logged(node, event, detail)
+    local file = assert(io.open(OUT .. "/" .. node.name .. ".log"))
+    local log = file:read("a")
+    file:close()
+    return log:find('"detail":"' .. detail .. '","event":"' .. event .. '"', 1, true) ~= nil
+end
+
 -- Makes the stand-in store discard its history after `mute_ms`, during which watches get no answer. The watches that
 -- wait then are never answered (how = "cut"), or at the end of their wait (how = "hold").
 function discard_history(cell, mute_ms, how)
--- a/scenarios/platform_paths.lua
+++ b/scenarios/platform_paths.lua
@@ -37,17 +37,19 @@
     end
 end
 
-local function start_node_with_links(cell, number)
+local function start_node_with_links(cell, number, has_clock)
     local store_host = address(STORE_LINKS_GROUP, number)
     local node = new_platform_node(number, store_host .. ":7900", cell.store)
     node.store_link = start_link(node.name .. "-store", store_host, 7900, store_view(number), 7100)
     start_worker_links(node, number, cell.workers)
+    if has_clock then node.clock = node.name end
     start_node(node)
     return node
 end
 
--- Starts a cell whose workers append to the file `record`, and waits until its nodes are ready.
-function start_cell_with_paths(workers, nodes, record)
+-- Starts a cell whose workers append to the file `record`, and waits until its nodes are ready. These have clocks of
+-- their own if `have_clocks`.
+function start_cell_with_paths(workers, nodes, record, have_clocks)
     local cell = start_platform_with_views(nodes, WORKERS_GROUP)
     cell.workers = {}
     for i = 1, workers do
@@ -55,7 +57,7 @@
         cell.workers[i] = { id = "w" .. i, host = host, registered = host .. ":7100" }
         start_platform_worker(cell, cell.workers[i], record)
     end
-    for i = 1, nodes do cell.nodes[i] = start_node_with_links(cell, i) end
+    for i = 1, nodes do cell.nodes[i] = start_node_with_links(cell, i, have_clocks) end
     for _, node in ipairs(cell.nodes) do wait_ready(node) end
     return cell
 end
--- a/scenarios/processes.cpp
+++ b/scenarios/processes.cpp
@@ -18,14 +18,25 @@
 
 constexpr milliseconds poll_interval{10};
 
-std::vector<char*> arguments_of(std::vector<std::string>& command)
+/// Returns pointers to the strings, and a null pointer after them.
+std::vector<char*> pointers_to(std::vector<std::string>& strings)
 {
-    std::vector<char*> arguments;
-    for (auto& argument : command) {
-        arguments.push_back(argument.data());
+    std::vector<char*> pointers;
+    for (auto& string : strings) {
+        pointers.push_back(string.data());
     }
-    arguments.push_back(nullptr);
-    return arguments;
+    pointers.push_back(nullptr);
+    return pointers;
+}
+
+/// Returns our environment with `variables`.
+std::vector<std::string> environment_with(const std::vector<std::string>& variables)
+{
+    auto environment = variables;
+    for (char** variable = environ; *variable != nullptr; ++variable) {
+        environment.emplace_back(*variable);
+    }
+    return environment;
 }
 
 } // namespace
@@ -38,10 +49,13 @@
     }
 }
 
-pid_t process_table::start(const std::string& name, const std::vector<std::string>& command)
+pid_t process_table::start(const std::string& name, const std::vector<std::string>& command,
+                           const std::vector<std::string>& variables)
 {
     auto copy = command;
-    auto arguments = arguments_of(copy);
+    auto arguments = pointers_to(copy);
+    auto environment = environment_with(variables);
+    auto environment_pointers = pointers_to(environment);
     const auto log = log_folder_ + "/" + name + ".log";
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
@@ -49,8 +63,8 @@
                                      O_CREAT | O_WRONLY | O_APPEND, 0644);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
     pid_t pid = 0;
-    const int error_number =
-        ::posix_spawn(&pid, arguments[0], &actions, nullptr, arguments.data(), environ);
+    const int error_number = ::posix_spawn(&pid, arguments[0], &actions, nullptr, arguments.data(),
+                                           environment_pointers.data());
     posix_spawn_file_actions_destroy(&actions);
     if (error_number != 0) {
         throw std::runtime_error("can't start " + command.at(0));
--- a/scenarios/processes.hpp
+++ b/scenarios/processes.hpp
@@ -20,9 +20,11 @@
     process_table(const process_table&) = delete;
     process_table& operator=(const process_table&) = delete;
 
-    /// Starts a program and appends its output to the file `name`.log in the log folder.
+    /// Starts a program and appends its output to the file `name`.log in the log folder. Its
+    /// environment is ours with `variables`, each NAME=VALUE.
     /// Throws std::runtime_error if the program can't be started.
-    pid_t start(const std::string& name, const std::vector<std::string>& command);
+    pid_t start(const std::string& name, const std::vector<std::string>& command,
+                const std::vector<std::string>& variables = {});
 
     /// Sends a signal to a process. Throws std::runtime_error if it isn't in this table.
     void signal(pid_t pid, int number);
--- a/scenarios/runner.cpp
+++ b/scenarios/runner.cpp
@@ -7,6 +7,7 @@
 #include "flamingoseam/job/request_id.hpp"
 #include "scenarios/load.hpp"
 #include "scenarios/processes.hpp"
+#include "tests/shifted_clock.hpp"
 
 #include <gflags/gflags.h>
 #include <lua.hpp>
@@ -36,6 +37,7 @@
     process_table processes;
     std::map<int, std::unique_ptr<load>> loads;
     int next_load = 1;
+    std::map<std::string, std::unique_ptr<shifted_clock>> clocks; ///< By name.
 };
 
 context& context_of(lua_State* lua)
@@ -117,15 +119,40 @@
     value.info = info;
 }
 
+shifted_clock& clock_named(context& scenario, const std::string& name)
+{
+    auto& clock = scenario.clocks[name];
+    if (!clock) {
+        clock = std::make_unique<shifted_clock>(FLAGS_out + "/" + name + ".clock");
+    }
+    return *clock;
+}
+
+/// start(NAME, COMMAND, CLOCK) starts a program and returns its id. With CLOCK, a name, its time of
+/// day is the machine's with the offset that shift_clock() sets.
 int lua_start(lua_State* lua)
 {
+    auto& scenario = context_of(lua);
     const std::string name = luaL_checkstring(lua, 1);
     auto command = string_list(lua, 2);
     command.at(0) = FLAGS_programs + "/" + command.at(0);
-    lua_pushinteger(lua, context_of(lua).processes.start(name, command));
+    std::vector<std::string> variables;
+    if (lua_isstring(lua, 3) != 0) {
+        variables = clock_named(scenario, lua_tostring(lua, 3))
+                        .environment(FLAGS_programs + "/libshifted_clock.so");
+    }
+    lua_pushinteger(lua, scenario.processes.start(name, command, variables));
     return 1;
 }
 
+/// shift_clock(CLOCK, OFFSET_MS) sets how far a clock is ahead of the machine's time of day.
+int lua_shift_clock(lua_State* lua)
+{
+    clock_named(context_of(lua), luaL_checkstring(lua, 1))
+        .set_offset(milliseconds(luaL_checkinteger(lua, 2)));
+    return 0;
+}
+
 int lua_signal(lua_State* lua)
 {
     static const std::map<std::string, int> numbers = {
@@ -300,10 +327,11 @@
 
 int run(const std::string& script)
 {
-    context scenario{.processes = process_table(FLAGS_out), .loads = {}};
+    context scenario{.processes = process_table(FLAGS_out), .loads = {}, .clocks = {}};
     std::unique_ptr<lua_State, decltype(&lua_close)> lua(luaL_newstate(), &lua_close);
     luaL_openlibs(lua.get());
     register_function<lua_start>(lua.get(), scenario, "start");
+    register_function<lua_shift_clock>(lua.get(), scenario, "shift_clock");
     register_function<lua_signal>(lua.get(), scenario, "signal");
     register_function<lua_limit>(lua.get(), scenario, "limit");
     register_function<lua_wait_exit>(lua.get(), scenario, "wait_exit");
