Show that a step of the time of day makes a successor start tasks again (red)

Callers saw tasks ordered by one owner, done, noted, and started again on another worker by the next owner. In the scenario the owner's time of day is 2.4 s behind and the others' 2.4 s ahead while a worker is cut off, whose runs end behind the cut; the owner is killed. The successor reads when the worker fell silent as a time of day, takes it for silent for 4.8 s longer than it was, and starts its tasks on others at about 4.5 s after their start, while the lease runs for 6 s. The worker is back 0.8 s before its lease lapses and lists its ends, which count.

The scenario also fails if the worker's ends came too late to count, so it can't pass without what it is about. It does not look at how a successor decides, only at what runs.

--- a/scenarios/run_record.lua
+++ b/scenarios/run_record.lua
@@ -87,3 +87,24 @@
     end
     return most
 end
+
+-- Returns how many runs of a worker ended as done between two times and were acknowledged under the same lease.
+function count_acknowledged(tasks, worker, from_ms, until_ms)
+    local count = 0
+    for _, runs in pairs(tasks) do
+        for _, run in ipairs(runs) do
+            local is_between = run.ended_ms and run.ended_ms > from_ms and run.ended_ms < until_ms
+            if run.worker == worker and is_between and run.how == "done" and run.acknowledged then count = count + 1 end
+        end
+    end
+    return count
+end
+
+-- Returns when a worker last began a run; 0 if it did not.
+function last_begin(file, worker)
+    local last_ms = 0
+    for _, event in ipairs(read_events(file)) do
+        if event.event == "begin" and event.worker == worker then last_ms = math.max(last_ms, event.time_ms) end
+    end
+    return last_ms
+end
