Print who ordered the runs of a repeated task, and when leases lapsed between

A TWICE line of the soak named the workers and times only, so finding the owners took the logs of all nodes, by hand. It now names for both runs the node and its epoch (from the run's number and the job's shard), the fencing token that the worker was given, when the end was taken note of, and the lapses of the first worker's lease since. The stand-in worker records the token.

--- a/scenarios/platform.lua
+++ b/scenarios/platform.lua
@@ -153,3 +153,32 @@
     end)
     return owner_of_shard(cell, 0), owner_of_shard(cell, 1)
 end
+
+-- Returns how many shards a cell has, by the log of one of its nodes.
+local function shard_count(node)
+    local count = 1
+    for line in io.lines(OUT .. "/" .. node.name .. ".log") do
+        count = tonumber(line:match('"detail":"(%d+) shards","event":"layout_known"')) or count
+    end
+    return count
+end
+
+local RUNS_PER_EPOCH = 1000
+
+-- Returns a function of a task and a run that returns the name of the node that ordered the run: the owner of the job's
+-- shard in the epoch from which the run has its number.
+function find_orderers(cell)
+    local count, owners = shard_count(cell.nodes[1]), {}
+    for _, node in ipairs(cell.nodes) do
+        for line in io.lines(OUT .. "/" .. node.name .. ".log") do
+            local epoch = line:match('"detail":"(epoch %d+[^"]*)","event":"owner_begins"')
+            if epoch then owners[epoch] = node.name end
+        end
+    end
+    return function(task, run)
+        local epoch = "epoch " .. 1 + (run.number - 1) // RUNS_PER_EPOCH
+        local shard = count > 1 and shard_of_job(task:match("^[^.]*"), count)
+        if shard then epoch = epoch .. " of shard " .. shard .. " of " .. count end
+        return string.format("%s in %s", owners[epoch] or "?", epoch)
+    end
+end
--- a/scenarios/platform_clock_step.lua
+++ b/scenarios/platform_clock_step.lua
@@ -39,4 +39,4 @@
 
 wait_completed(second, ids, 20000)
 expect(cut.id .. " listed ends in time", count_acknowledged(read_runs(RECORD, {}), cut.id, cut_ms, back_ms) > 0)
-expect_no_repeated_runs(RECORD, {})
+expect_no_repeated_runs(cell, RECORD, {})
--- a/scenarios/platform_cut_off_owner.lua
+++ b/scenarios/platform_cut_off_owner.lua
@@ -42,4 +42,4 @@
 restore_all_paths(cell)
 
 wait_completed(second, ids, 14000)
-expect_no_repeated_runs(RECORD, killed)
+expect_no_repeated_runs(cell, RECORD, killed)
--- a/scenarios/platform_paths.lua
+++ b/scenarios/platform_paths.lua
@@ -107,8 +107,8 @@
 local MAX_PRINTED = 10
 
 -- Fails if a task ran twice according to the record of the workers, after printing some of the runs.
-function expect_no_repeated_runs(record, killed)
-    local lines = find_repeated_runs(read_runs(record, killed))
+function expect_no_repeated_runs(cell, record, killed)
+    local lines = find_repeated_runs(read_runs(record, killed), find_orderers(cell))
     table.sort(lines)
     for i = 1, math.min(#lines, MAX_PRINTED) do print("  TWICE " .. lines[i]) end
     expect("no task ran twice, but " .. #lines .. " did", #lines == 0)
--- a/scenarios/platform_split_cell.lua
+++ b/scenarios/platform_split_cell.lua
@@ -34,4 +34,4 @@
 restore_all_paths(cell)
 
 wait_completed(second, ids, 20000)
-expect_no_repeated_runs(RECORD, {})
+expect_no_repeated_runs(cell, RECORD, {})
--- a/scenarios/run_record.lua
+++ b/scenarios/run_record.lua
@@ -24,11 +24,13 @@
         if a.time_ms ~= b.time_ms then return a.time_ms < b.time_ms end
         return a.position < b.position
     end)
-    local tasks, active, lapses = {}, {}, {}
+    local tasks, active, lapses, all_lapses = {}, {}, {}, {}
     for _, event in ipairs(events) do
         local name = event.task and event.worker .. " " .. event.task .. " " .. event.run
         if event.event == "begin" then
-            local run = { worker = event.worker, number = event.run, began_ms = event.time_ms }
+            all_lapses[event.worker] = all_lapses[event.worker] or {}
+            local run = { worker = event.worker, number = event.run, token = event.token, began_ms = event.time_ms,
+                lapses = all_lapses[event.worker] }
             active[name] = run
             tasks[event.task] = tasks[event.task] or {}
             table.insert(tasks[event.task], run)
@@ -36,10 +38,13 @@
             active[name].ended_ms, active[name].how = event.time_ms, event.how
         elseif event.event == "lease_lapsed" then
             lapses[event.worker] = event.time_ms
+            all_lapses[event.worker] = all_lapses[event.worker] or {}
+            table.insert(all_lapses[event.worker], event.time_ms)
         elseif event.event == "acknowledged" and active[name] then
             local run = active[name]
             -- An end after which the worker's lease lapsed counts for nothing.
             run.acknowledged = (lapses[event.worker] or 0) <= (run.ended_ms or 0)
+            run.noted_ms = event.time_ms
         elseif event.event == "killed" then
             for _, run in pairs(active) do
                 if run.worker == event.worker and not run.ended_ms then
@@ -51,13 +56,30 @@
     return tasks
 end
 
-local function describe(run)
-    return string.format("run %d on %s, %d to %s %s%s", run.number, run.worker, run.began_ms,
-        run.ended_ms or "-", run.how or "", run.acknowledged and ", acknowledged" or "")
+-- Returns which node gave the order for a run, as far as `orderer_of(task, run)` knows, and its fencing token.
+local function describe_order(task, run, orderer_of)
+    return string.format("by %s, token %s", orderer_of and orderer_of(task, run) or "?", run.token or "?")
+end
+
+local function describe(task, run, orderer_of)
+    return string.format("run %d on %s %s, %d to %s %s%s", run.number, run.worker,
+        describe_order(task, run, orderer_of), run.began_ms, run.ended_ms or "-", run.how or "",
+        run.noted_ms and (", noted " .. run.noted_ms .. (run.acknowledged and "" or " for nothing")) or "")
+end
+
+-- Returns when the lease of the worker of a run lapsed after the run began.
+local function describe_lapses(run)
+    local times = {}
+    for _, time_ms in ipairs(run.lapses) do
+        if time_ms >= run.began_ms then times[#times + 1] = time_ms end
+    end
+    if #times == 0 then return "no lapse on " .. run.worker .. " since" end
+    return "lapses on " .. run.worker .. " since at " .. table.concat(times, ", ")
 end
 
 -- Returns a line for each task that ran twice at the same time, or again after an acknowledged end as done.
-function find_repeated_runs(tasks)
+-- `orderer_of(task, run)`, if given, returns the name of the node that gave the order for a run.
+function find_repeated_runs(tasks, orderer_of)
     local found = {}
     for task, runs in pairs(tasks) do
         for i, first in ipairs(runs) do
@@ -66,8 +88,9 @@
                 local overlaps = not first.ended_ms or second.began_ms < first.ended_ms
                 local repeats = first.how == "done" and first.acknowledged
                 if overlaps or repeats then
-                    found[#found + 1] = task .. (overlaps and " at once: " or " again: ") .. describe(first) ..
-                        "; " .. describe(second)
+                    found[#found + 1] = task .. (overlaps and " at once: " or " again: ") ..
+                        describe(task, first, orderer_of) .. "; " .. describe(task, second, orderer_of) .. "; " ..
+                        describe_lapses(first)
                 end
             end
         end
--- a/scenarios/runner.cpp
+++ b/scenarios/runner.cpp
@@ -5,6 +5,7 @@
 #include "flamingoseam/http/http_client.hpp"
 #include "flamingoseam/http/json.hpp"
 #include "flamingoseam/job/request_id.hpp"
+#include "flamingoseam/node/shard.hpp"
 #include "scenarios/load.hpp"
 #include "scenarios/processes.hpp"
 #include "tests/shifted_clock.hpp"
@@ -296,6 +297,15 @@
     return 1;
 }
 
+/// shard_of_job(ID, COUNT) returns the shard of a job without a wide gang.
+int lua_shard_of_job(lua_State* lua)
+{
+    const auto shards = node::possible_shards(luaL_checkstring(lua, 1),
+                                              static_cast<std::size_t>(luaL_checkinteger(lua, 2)));
+    lua_pushinteger(lua, static_cast<lua_Integer>(shards.front()));
+    return 1;
+}
+
 int lua_process_stat(lua_State* lua)
 {
     std::ifstream in("/proc/" + std::to_string(luaL_checkinteger(lua, 1)) + "/" +
@@ -343,6 +353,7 @@
     register_function<lua_write_file>(lua.get(), scenario, "write_file");
     register_function<lua_hash_key>(lua.get(), scenario, "hash_key");
     register_function<lua_request_id>(lua.get(), scenario, "request_id");
+    register_function<lua_shard_of_job>(lua.get(), scenario, "shard_of_job");
     register_function<lua_process_stat>(lua.get(), scenario, "process_stat");
     lua_pushinteger(lua.get(), FLAGS_net);
     lua_setglobal(lua.get(), "NET");
--- a/standins/platform_worker.cpp
+++ b/standins/platform_worker.cpp
@@ -22,7 +22,7 @@
 
 } // namespace
 
-void run_ledger::on_begin(const run_id& run)
+void run_ledger::on_begin(const run_id& run, std::int64_t /*token*/)
 {
     const std::lock_guard lock(mutex_);
     ++starts_;
@@ -153,7 +153,7 @@
                      .number = number,
                      .began = now(),
                      .ends = now() + run_time_of(body.value("spec", ""))});
-    observer_.on_begin({task, number});
+    observer_.on_begin({task, number}, token_);
     if (leaving_since_ && now() - *leaving_since_ > notice_) {
         observer_.on_late_start();
     }
--- a/standins/platform_worker.hpp
+++ b/standins/platform_worker.hpp
@@ -26,7 +26,9 @@
 class run_observer {
 public:
     virtual ~run_observer() = default;
-    virtual void on_begin(const run_id& run) = 0;
+
+    /// Called when a run begins by an order with this fencing token.
+    virtual void on_begin(const run_id& run, std::int64_t token) = 0;
 
     /// Called when a run has ended as `how`, the end with this number on its worker.
     virtual void on_end(std::int64_t number, const run_id& run, const std::string& how) = 0;
@@ -46,7 +48,7 @@
 /// tasks that ran concurrently or ran again after they were done. Thread-safe.
 class run_ledger final : public run_observer {
 public:
-    void on_begin(const run_id& run) override;
+    void on_begin(const run_id& run, std::int64_t token) override;
     void on_end(std::int64_t number, const run_id& run, const std::string& how) override;
     void on_acknowledged(const run_id& /*run*/, const std::string& /*how*/) override {}
     void on_lease_lapsed(wall_time /*time*/) override {}
--- a/standins/platform_worker_main.cpp
+++ b/standins/platform_worker_main.cpp
@@ -45,9 +45,9 @@
     run_record(const run_record&) = delete;
     run_record& operator=(const run_record&) = delete;
 
-    void on_begin(const run_id& run) override
+    void on_begin(const run_id& run, std::int64_t token) override
     {
-        write({{"event", "begin"}, {"task", run.task}, {"run", run.number}});
+        write({{"event", "begin"}, {"task", run.task}, {"run", run.number}, {"token", token}});
     }
     void on_end(std::int64_t number, const run_id& run, const std::string& how) override
     {
--- a/standins/platform_worker_test.cpp
+++ b/standins/platform_worker_test.cpp
@@ -21,7 +21,7 @@
 public:
     explicit recorded_events(milliseconds begin_delay = 0ms) : begin_delay_(begin_delay) {}
 
-    void on_begin(const standin::run_id& /*run*/) override
+    void on_begin(const standin::run_id& /*run*/, std::int64_t /*token*/) override
     {
         std::this_thread::sleep_for(begin_delay_);
     }
