Divide the cell of the soak, with weak nodes, steps of clocks and flapping workers

The soak's cell had one shard, equal nodes and one time of day, so faults of a divided cell and of clocks that jump could not show there. SOAK_SHARDS divides it (12 workers, 6 nodes, every other one strong). New faults: clock_step, worker_flap, worker_reborn, strong_cut and herd_kill. They are carried out only if SOAK_FAULTS names them, so the seeds of a run without them, with and without a list, draw the same plans as before.

--- a/scenarios/platform_soak.lua
+++ b/scenarios/platform_soak.lua
@@ -5,17 +5,26 @@
 -- may have run twice, and no process may have ended by itself.
 --
 -- Environment: SOAK_SECONDS is the length of the plan, SOAK_FAULTS the names of its faults, separated by spaces.
+-- Those of `named_faults` are carried out only if they are named. SOAK_SHARDS divides the cell, which then has more
+-- workers and nodes, half of them weak.
 dofile("scenarios/platform.lua")
 dofile("scenarios/run_record.lua")
 dofile("scenarios/platform_paths.lua")
 
-local WORKERS, NODES = 8, 4
+local SHARDS = tonumber(os.getenv("SOAK_SHARDS") or "1")
+local WORKERS, NODES = SHARDS > 1 and 12 or 8, SHARDS > 1 and 6 or 4
+local STRONG, WEAK = "processor_share = 0.5\n", "processor_share = 0.12\n"
 local WORKER_LINKS_GROUP = 21 -- Of the addresses under which workers are registered.
 local LENGTH_MS = 1000 * tonumber(os.getenv("SOAK_SECONDS") or "40")
 local MEAN_PAUSE_MS = 900 -- Between two faults.
 local MOST_SPARE_BYTES = 96 * 1024 * 1024 -- Of a node with a bound, beyond what it uses; a thread takes 8 MiB.
 local FEWEST_DESCRIPTORS = 16
+local MOST_STEP_MS = 2400 -- Of a clock, either way.
+local FLAP_PAUSE_MS = 1500 -- Between two deaths of a flapping worker.
+local MOST_FLAPPING = 3
 local RECORD = OUT .. "/runs.jsonl"
+local names = {}
+for name in (os.getenv("SOAK_FAULTS") or ""):gmatch("%S+") do names[#names + 1] = name end
 math.randomseed(SEED)
 
 local cell = start_platform_with_views(NODES, WORKER_LINKS_GROUP)
@@ -40,6 +49,20 @@
 
 local function start_worker(worker) start_platform_worker(cell, worker, RECORD) end
 
+-- Returns the settings of node `number`: every other node of a divided cell is strong.
+local function settings_of(number)
+    if SHARDS == 1 then return nil end
+    return (number % 2 == 1 and STRONG or WEAK) .. "workers_per_shard = " .. math.ceil(WORKERS / SHARDS) .. "\n"
+end
+
+-- Checks whether the plan may have steps of clocks.
+local function has_clocks()
+    for _, name in ipairs(names) do
+        if name == "clock_step" then return true end
+    end
+    return false
+end
+
 local workers, nodes = {}, {}
 for i = 1, WORKERS do
     local worker = { id = "w" .. i, host = address(20, i) }
@@ -50,8 +73,9 @@
 end
 for i = 1, NODES do
     local link = start_link("node" .. i, address(6, i), store_view(i), 7100)
-    nodes[i] = new_platform_node(i, link.address, cell.store)
+    nodes[i] = new_platform_node(i, link.address, cell.store, settings_of(i))
     nodes[i].link = link
+    if has_clocks() then nodes[i].clock = nodes[i].name end
     start_worker_links(nodes[i], i, workers)
     start_node(nodes[i])
 end
@@ -68,9 +92,15 @@
     return #free > 0 and free[math.random(#free)] or nil
 end
 
--- Returns the owner more often than another node, as most faults matter most there.
+-- Returns the owner of a shard, or nil.
+local function pick_owner()
+    if SHARDS == 1 then return owner_of(cell) end
+    return owner_of(cell, " of shard " .. math.random(0, SHARDS - 1) .. " of %d+")
+end
+
+-- Returns an owner more often than another node, as most faults matter most there.
 local function pick_node()
-    local owner = owner_of(cell)
+    local owner = pick_owner()
     if owner and is_free(owner) and math.random() < 0.6 then return owner end
     return pick(nodes)
 end
@@ -149,6 +179,49 @@
     end
 end
 
+local function kill_node(node)
+    local release = occupy(node)
+    log_fault("node_kill " .. node.name)
+    signal(node.pid, "KILL")
+    wait_exit(node.pid, 2000)
+    node.is_down = true
+    after(math.random(100, 1500), function()
+        start_node(node)
+        node.is_down = false
+        release()
+    end)
+end
+
+-- Lets one or several nodes' times of day jump, each for a time of its own.
+local function step_clocks()
+    for _ = 1, math.random(NODES) do
+        local node = pick_node()
+        if node and not node.is_stepped then
+            local offset_ms = math.random(-MOST_STEP_MS, MOST_STEP_MS)
+            log_fault(string.format("clock_step %s by %d ms", node.name, offset_ms))
+            node.is_stepped = true
+            step_clock(node, offset_ms)
+            after(math.random(1000, 8000), function()
+                step_clock(node, 0)
+                node.is_stepped = false
+            end)
+        end
+    end
+end
+
+-- Kills and restarts a worker under its id several times.
+local function flap(worker, turns)
+    local release = occupy(worker)
+    for turn = 1, turns do
+        after(turn * FLAP_PAUSE_MS, function()
+            log_fault("worker_flap " .. worker.id)
+            kill_worker(worker)
+            after(math.random(0, 500), function() start_worker(worker) end)
+        end)
+    end
+    after((turns + 1) * FLAP_PAUSE_MS, release)
+end
+
 local store = { pid = cell.pid }
 local faults = {
     worker_restart = function()
@@ -205,17 +278,7 @@
     worker_reset = function() change_link("worker_reset", "cut", 50, 3000) end,
     node_kill = function()
         local node = pick_node()
-        if not node then return end
-        local release = occupy(node)
-        log_fault("node_kill " .. node.name)
-        signal(node.pid, "KILL")
-        wait_exit(node.pid, 2000)
-        node.is_down = true
-        after(math.random(100, 1500), function()
-            start_node(node)
-            node.is_down = false
-            release()
-        end)
+        if node then kill_node(node) end
     end,
     node_freeze = function()
         local node = pick_node()
@@ -290,8 +353,51 @@
         end)
     end,
 }
-local names = {}
-for name in (os.getenv("SOAK_FAULTS") or ""):gmatch("%S+") do names[#names + 1] = name end
+-- Faults that are only carried out if they are named, so that seeds keep their meaning without them.
+local named_faults = {
+    clock_step = step_clocks,
+    worker_flap = function() -- Workers crash and restart by turns.
+        local turns = math.random(3, 5)
+        log_fault("worker_flap, " .. turns .. " turns")
+        for _ = 1, MOST_FLAPPING do
+            local worker = pick(workers)
+            if worker then flap(worker, turns) end
+        end
+    end,
+    worker_reborn = function() -- It restarts behind a cut of all its paths.
+        local worker = pick(workers)
+        if not worker then return end
+        local release = occupy(worker)
+        log_fault("worker_reborn " .. worker.id)
+        request { server = worker.link.control, path = "/v1/mode?mode=forget" }
+        signal(worker.link.pid, "STOP")
+        after(math.random(300, 6000), function()
+            log_fault("worker_reborn " .. worker.id .. " restarts")
+            kill_worker(worker)
+            start_worker(worker)
+        end)
+        after(math.random(6500, 11000), function()
+            signal(worker.link.pid, "CONT")
+            release()
+        end)
+    end,
+    strong_cut = function() -- Strong nodes lose the store, some also the workers, and return.
+        local length_ms = math.random(3000, 12000)
+        for number = 1, NODES, 2 do
+            local node, loses_workers = nodes[number], math.random() < 0.5
+            if math.random() < 0.8 and not node.link.busy then
+                log_fault("strong_cut " .. node.name .. (loses_workers and " with workers" or ""))
+                freeze(node.link.pid, length_ms, occupy(node.link))
+                if loses_workers and not node.paths_busy then freeze_paths(node, 1, WORKERS, length_ms) end
+            end
+        end
+    end,
+    herd_kill = function() -- Several nodes at once.
+        for _, node in ipairs(nodes) do
+            if is_free(node) and math.random() < 0.6 then kill_node(node) end
+        end
+    end,
+}
 if #names == 0 then
     for name in pairs(faults) do names[#names + 1] = name end
 end
@@ -330,7 +436,9 @@
     run_plan()
     if now_ms() >= next_ms and now_ms() < end_ms then
         next_ms = now_ms() + math.random(0, 2 * MEAN_PAUSE_MS)
-        faults[names[math.random(#names)]]()
+        local name = names[math.random(#names)]
+        local carry_out = faults[name] or named_faults[name]
+        carry_out()
     end
     check_processes()
     pause(10)
@@ -371,7 +479,7 @@
     -- A job may be given up after a task of it has run on several workers that crashed.
     if state ~= "failed" or most_killed_runs(runs, id) < 2 then report("LOST " .. id .. " is " .. tostring(state)) end
 end
-for _, line in ipairs(find_repeated_runs(runs)) do report("TWICE " .. line) end
+for _, line in ipairs(find_repeated_runs(runs, find_orderers(cell))) do report("TWICE " .. line) end
 for _, node in ipairs(nodes) do
     if node.bad_exit then report("FAULT " .. node.name .. " " .. node.bad_exit) end
 end
