--- a/scenarios/platform_soak.lua
+++ b/scenarios/platform_soak.lua
@@ -47,6 +47,10 @@
         "--target_port=" .. target_port, "--control_port=7901" }), address = host .. ":7900", control = host .. ":7901" }
 end
 
+local function start_worker_link(worker)
+    worker.link = start_link(worker.id, worker.link_host, worker.host, 7100)
+end
+
 local function start_worker(worker) start_platform_worker(cell, worker, RECORD) end
 
 -- Returns the settings of node `number`: every other node of a divided cell is strong.
@@ -65,8 +69,8 @@
 
 local workers, nodes = {}, {}
 for i = 1, WORKERS do
-    local worker = { id = "w" .. i, host = address(20, i) }
-    worker.link = start_link(worker.id, address(WORKER_LINKS_GROUP, i), worker.host, 7100)
+    local worker = { id = "w" .. i, host = address(20, i), link_host = address(WORKER_LINKS_GROUP, i) }
+    start_worker_link(worker)
     worker.registered = worker.link.address
     start_worker(worker)
     workers[i] = worker
@@ -377,7 +381,9 @@
             start_worker(worker)
         end)
         after(math.random(6500, 11000), function()
-            signal(worker.link.pid, "CONT")
+            signal(worker.link.pid, "KILL") -- What it has kept is dropped, so that no order comes late.
+            wait_exit(worker.link.pid, 2000)
+            start_worker_link(worker)
             release()
         end)
     end,
