--- a/scenarios/platform.lua
+++ b/scenarios/platform.lua
@@ -54,10 +54,14 @@
         "--record=" .. record })
 end
 
+-- Starts a node, with a clock of its own if `node.clock` names one (see step_clock).
 function start_node(node)
-    node.pid = start(node.name, { "flamingoseam-node", "--settings=" .. OUT .. "/" .. node.name .. ".toml" })
+    node.pid = start(node.name, { "flamingoseam-node", "--settings=" .. OUT .. "/" .. node.name .. ".toml" }, node.clock)
 end
 
+-- Sets how far the time of day of a node that has a clock of its own is ahead of the machine's, behind it if negative.
+function step_clock(node, offset_ms) shift_clock(node.clock, offset_ms) end
+
 function wait_ready(node)
     wait_until(node.name .. " to be ready", 10000, function()
         return request { server = node.ready, path = "/api/ready", timeout_ms = 500 } == 200
@@ -117,6 +121,14 @@
     return owner
 end
 
+-- Checks whether the log of a node has an event with this detail.
+function has_logged(node, event, detail)
+    local file = assert(io.open(OUT .. "/" .. node.name .. ".log"))
+    local log = file:read("a")
+    file:close()
+    return log:find('"detail":"' .. detail .. '","event":"' .. event .. '"', 1, true) ~= nil
+end
+
 -- Makes the stand-in store discard its history after `mute_ms`, during which watches get no answer. The watches that
 -- wait then are never answered (how = "cut"), or at the end of their wait (how = "hold").
 function discard_history(cell, mute_ms, how)
@@ -141,3 +153,32 @@
     end)
     return owner_of_shard(cell, 0), owner_of_shard(cell, 1)
 end
+
+-- Returns how many shards a cell has, by the log of one of its nodes.
+local function shard_count(node)
+    local count = 1
+    for line in io.lines(OUT .. "/" .. node.name .. ".log") do
+        count = tonumber(line:match('"detail":"(%d+) shards","event":"layout_known"')) or count
+    end
+    return count
+end
+
+local RUNS_PER_EPOCH = 1000
+
+-- Returns a function of a task and a run that returns the name of the node that ordered the run: the owner of the job's
+-- shard in the epoch from which the run has its number.
+function find_orderers(cell)
+    local count, owners = shard_count(cell.nodes[1]), {}
+    for _, node in ipairs(cell.nodes) do
+        for line in io.lines(OUT .. "/" .. node.name .. ".log") do
+            local epoch = line:match('"detail":"(epoch %d+[^"]*)","event":"owner_begins"')
+            if epoch then owners[epoch] = node.name end
+        end
+    end
+    return function(task, run)
+        local epoch = "epoch " .. 1 + (run.number - 1) // RUNS_PER_EPOCH
+        local shard = count > 1 and shard_of_job(task:match("^[^.]*"), count)
+        if shard then epoch = epoch .. " of shard " .. shard .. " of " .. count end
+        return string.format("%s in %s", owners[epoch] or "?", epoch)
+    end
+end
--- a/scenarios/runner.cpp
+++ b/scenarios/runner.cpp
@@ -5,8 +5,10 @@
 #include "flamingoseam/http/http_client.hpp"
 #include "flamingoseam/http/json.hpp"
 #include "flamingoseam/job/request_id.hpp"
+#include "flamingoseam/node/shard.hpp"
 #include "scenarios/load.hpp"
 #include "scenarios/processes.hpp"
+#include "tests/shifted_clock.hpp"
 
 #include <gflags/gflags.h>
 #include <lua.hpp>
@@ -36,6 +38,7 @@
     process_table processes;
     std::map<int, std::unique_ptr<load>> loads;
     int next_load = 1;
+    std::map<std::string, std::unique_ptr<shifted_clock>> clocks; ///< By name.
 };
 
 context& context_of(lua_State* lua)
@@ -117,15 +120,40 @@
     value.info = info;
 }
 
+shifted_clock& clock_named(context& scenario, const std::string& name)
+{
+    auto& clock = scenario.clocks[name];
+    if (!clock) {
+        clock = std::make_unique<shifted_clock>(FLAGS_out + "/" + name + ".clock");
+    }
+    return *clock;
+}
+
+/// start(NAME, COMMAND, CLOCK) starts a program and returns its id. With CLOCK, a name, its time of
+/// day is the machine's with the offset that shift_clock() sets.
 int lua_start(lua_State* lua)
 {
+    auto& scenario = context_of(lua);
     const std::string name = luaL_checkstring(lua, 1);
     auto command = string_list(lua, 2);
     command.at(0) = FLAGS_programs + "/" + command.at(0);
-    lua_pushinteger(lua, context_of(lua).processes.start(name, command));
+    std::vector<std::string> variables;
+    if (lua_isstring(lua, 3) != 0) {
+        variables = clock_named(scenario, lua_tostring(lua, 3))
+                        .environment(FLAGS_programs + "/libshifted_clock.so");
+    }
+    lua_pushinteger(lua, scenario.processes.start(name, command, variables));
     return 1;
 }
 
+/// shift_clock(CLOCK, OFFSET_MS) sets how far a clock is ahead of the machine's time of day.
+int lua_shift_clock(lua_State* lua)
+{
+    clock_named(context_of(lua), luaL_checkstring(lua, 1))
+        .set_offset(milliseconds(luaL_checkinteger(lua, 2)));
+    return 0;
+}
+
 int lua_signal(lua_State* lua)
 {
     static const std::map<std::string, int> numbers = {
@@ -269,6 +297,15 @@
     return 1;
 }
 
+/// shard_of_job(ID, COUNT) returns the shard of a job without a wide gang.
+int lua_shard_of_job(lua_State* lua)
+{
+    const auto shards = node::possible_shards(luaL_checkstring(lua, 1),
+                                              static_cast<std::size_t>(luaL_checkinteger(lua, 2)));
+    lua_pushinteger(lua, static_cast<lua_Integer>(shards.front()));
+    return 1;
+}
+
 int lua_process_stat(lua_State* lua)
 {
     std::ifstream in("/proc/" + std::to_string(luaL_checkinteger(lua, 1)) + "/" +
@@ -300,10 +337,11 @@
 
 int run(const std::string& script)
 {
-    context scenario{.processes = process_table(FLAGS_out), .loads = {}};
+    context scenario{.processes = process_table(FLAGS_out), .loads = {}, .clocks = {}};
     std::unique_ptr<lua_State, decltype(&lua_close)> lua(luaL_newstate(), &lua_close);
     luaL_openlibs(lua.get());
     register_function<lua_start>(lua.get(), scenario, "start");
+    register_function<lua_shift_clock>(lua.get(), scenario, "shift_clock");
     register_function<lua_signal>(lua.get(), scenario, "signal");
     register_function<lua_limit>(lua.get(), scenario, "limit");
     register_function<lua_wait_exit>(lua.get(), scenario, "wait_exit");
@@ -315,6 +353,7 @@
     register_function<lua_write_file>(lua.get(), scenario, "write_file");
     register_function<lua_hash_key>(lua.get(), scenario, "hash_key");
     register_function<lua_request_id>(lua.get(), scenario, "request_id");
+    register_function<lua_shard_of_job>(lua.get(), scenario, "shard_of_job");
     register_function<lua_process_stat>(lua.get(), scenario, "process_stat");
     lua_pushinteger(lua.get(), FLAGS_net);
     lua_setglobal(lua.get(), "NET");
