--- a/flamingoseam/workflow/workflow_state_test.cpp
+++ b/flamingoseam/workflow/workflow_state_test.cpp
@@ -504,6 +504,39 @@
     CHECK_FALSE(driver.state.is_recovering());
 }
 
+// Guards against a second run of a task: a leaving worker was dropped from the stored list before
+// the end that it had reported was stored, and the next owner did not ask it for its ends.
+TEST_CASE("a leaving worker stays among the leased workers until its ends are stored")
+{
+    driven_state driver;
+    driver.make_usable();
+    driver.submit(driver.job("fedcba9876543210", 1'000));
+    const auto started = driver.next().starts;
+    REQUIRE(started.size() == 1);
+    auto leaving = driver.worker();
+    leaving.leaving = true;
+    driver.state.on_worker_list({leaving}, driver.time);
+
+    const auto writes_leased_workers = [](const record_batch& batch) {
+        const auto key = record_keys{.prefix = "fs/"}.leased_workers();
+        return std::ranges::any_of(batch.changes,
+                                   [&](const auto& change) { return change.key == key; });
+    };
+    driver.state.on_report(
+        0, {.incarnation = 1, .ended = {{.number = 1, .name = started[0].name}}, .asked = {}},
+        driver.time, wall);
+    driver.next(milliseconds(300));
+    const auto end_batch = driver.state.take_batch(0, 30, driver.time);
+    CHECK_FALSE(end_batch.changes.empty());
+    CHECK_FALSE(writes_leased_workers(end_batch));
+    driver.state.on_stored(0);
+
+    driver.next(milliseconds(300));
+    const auto list_batch = driver.state.take_batch(0, 30, driver.time);
+    REQUIRE(writes_leased_workers(list_batch));
+    CHECK(read_leased_workers(*list_batch.changes[0].value).empty());
+}
+
 // Guards against a task that counts as placed for good: the result of its start order was lost.
 TEST_CASE("a start order whose result never arrives does not keep its task placed")
 {
