Take no run for lost while a worker has more ends than it lists

A worker lists at most 500 ends in one report. A run whose end was not among them counted as missing, was taken for lost after two reports and started again, and a new owner regarded the worker as heard. Found by reading; the test failed before (without the flag the run is lost after two reports). A report with a full list of ends now says nothing of runs that it does not contain.

--- a/flamingoseam/workflow/messages.hpp
+++ b/flamingoseam/workflow/messages.hpp
@@ -97,6 +97,7 @@
     std::int64_t incarnation = 0; ///< 0 if the worker does not report it.
     std::vector<present_run> present;
     std::vector<ended_run> ended;
+    bool has_more_ends = false; ///< The worker lists further ends once these are acknowledged.
     time_point asked{};         ///< When the report was requested; its content is at least as new.
 };
 
--- a/flamingoseam/workflow/workflow_reports.cpp
+++ b/flamingoseam/workflow/workflow_reports.cpp
@@ -101,6 +101,9 @@
     for (const auto& run : report.present) {
         handle_present_run(worker, run, time);
     }
+    if (report.has_more_ends) {
+        return; // Runs that are missing may be among the ends that are not listed yet.
+    }
     handle_missing_runs(worker, report, time, wall);
     mark_located(worker);
 }
--- a/flamingoseam/workflow/workflow_state_test.cpp
+++ b/flamingoseam/workflow/workflow_state_test.cpp
@@ -504,6 +504,25 @@
     CHECK_FALSE(driver.state.is_recovering());
 }
 
+// Guards against a second run of a task: its end was not on the first page of a long list of ends.
+TEST_CASE("a run is not taken for lost while a worker has more ends than it lists")
+{
+    driven_state driver;
+    driver.make_usable();
+    driver.submit(driver.job("fedcba9876543210", 1'000));
+    const auto started = driver.next().starts;
+    REQUIRE(started.size() == 1);
+    driver.state.on_start(0, started[0].name, start_outcome::started, driver.time);
+    constexpr int reports = 5;
+    for (int report = 0; report < reports; ++report) {
+        driver.time += milliseconds(100);
+        driver.state.on_report(0, {.incarnation = 1, .has_more_ends = true, .asked = driver.time},
+                               driver.time, wall);
+        CHECK(driver.next().starts.empty());
+    }
+    CHECK(driver.state.counts().lost_runs == 0);
+}
+
 // Guards against a second run of a task: a leaving worker was dropped from the stored list before
 // the end that it had reported was stored, and the next owner did not ask it for its ends.
 TEST_CASE("a leaving worker stays among the leased workers until its ends are stored")
