--- a/flamingoseam/workflow/stored_job_test.cpp
+++ b/flamingoseam/workflow/stored_job_test.cpp
@@ -86,3 +86,25 @@
         expect_unreadable("", R"({"phase":1})");
     }
 }
+
+TEST_CASE("a stored list of leased workers says what their leases are")
+{
+    const std::vector<worker_entry> workers = {{.id = "a"},
+                                               {.id = "b", .renewal = lease_renewal::withheld},
+                                               {.id = "c", .renewal = lease_renewal::expired}};
+    const auto read = read_leased_workers(write_leased_workers(workers));
+    REQUIRE(read.size() == workers.size());
+    for (std::size_t index = 0; index < workers.size(); ++index) {
+        CHECK(read[index].id == workers[index].id);
+        CHECK(read[index].renewal == workers[index].renewal);
+    }
+
+    SECTION("the time of a silence in a list of an earlier version counts as withheld")
+    {
+        const auto earlier = read_leased_workers(
+            R"([["a",1,"127.0.0.1",1,"s","z",0,0],["b",1,"127.0.0.1",2,"s","z",1765000000000,0]])");
+        REQUIRE(earlier.size() == 2);
+        CHECK(earlier[0].renewal == lease_renewal::renewed);
+        CHECK(earlier[1].renewal == lease_renewal::withheld);
+    }
+}
