--- a/scenarios/platform_soak.lua
+++ b/scenarios/platform_soak.lua
@@ -387,14 +387,16 @@
             release()
         end)
     end,
-    strong_cut = function() -- Strong nodes lose the store, some also the workers, and return.
+    strong_cut = function() -- Strong nodes lose the store, some also workers, and return, to workers later.
         local length_ms = math.random(3000, 12000)
         for number = 1, NODES, 2 do
             local node, loses_workers = nodes[number], math.random() < 0.5
             if math.random() < 0.8 and not node.link.busy then
                 log_fault("strong_cut " .. node.name .. (loses_workers and " with workers" or ""))
                 freeze(node.link.pid, length_ms, occupy(node.link))
-                if loses_workers and not node.paths_busy then freeze_paths(node, 1, WORKERS, length_ms) end
+                if loses_workers and not node.paths_busy then
+                    freeze_paths(node, math.random(WORKERS), WORKERS, length_ms + math.random(0, 8000))
+                end
             end
         end
     end,
