Log ends and runs of unknown jobs that workers list

An end of a job that the owner doesn't know is acknowledged at once, and such a run is stopped, without a trace in the log. In a divided cell the job may belong to another shard, so an incident's log could not tell whether a foreign shard had acknowledged an end. Each such end is now logged as end_unknown_job (worker, run, how it ended, number of the end, token base, epoch, incarnation) and each such run as run_unknown_job. Ends of known jobs cost nothing more.

--- a/flamingoseam/workflow/workflow_reports.cpp
+++ b/flamingoseam/workflow/workflow_reports.cpp
@@ -176,6 +176,8 @@
     pass_requested_ = true;
     auto* job = find_job(end.name.task.job);
     if (job == nullptr) {
+        log_unknown_job("end_unknown_job", worker, end.name, to_string(end.how),
+                        {{"end", end.number}});
         acknowledge_end(worker, incarnation, end.number);
         return;
     }
@@ -189,6 +191,19 @@
     waiters_[job].ends.emplace_back(job->changed_at, end_key{worker, incarnation, end.number});
 }
 
+/// Logs a run of a job that this owner doesn't know, and with which token it uses the worker.
+void workflow_state::log_unknown_job(const std::string& event, std::size_t worker,
+                                     const run_name& name, const std::string& what,
+                                     std::vector<log_field> fields)
+{
+    const auto& entry = fleet_.at(worker).entry;
+    fields.push_back({"token_base", static_cast<std::int64_t>(entry.token_base)});
+    fields.push_back({"epoch", static_cast<std::int64_t>(options_.epoch)});
+    fields.push_back({"incarnation", entry.incarnation});
+    log_decision(event, name.task.job, to_string(name) + " on " + entry.id + ": " + what,
+                 std::move(fields));
+}
+
 void workflow_state::apply_end(job_record& job, std::size_t worker, const ended_run& end,
                                time_point time, wall_time wall)
 {
@@ -289,6 +304,9 @@
                           .confirmed_at = time,
                           .percent = run.percent,
                           .percent_changed_at = time};
+    if (job == nullptr) {
+        log_unknown_job("run_unknown_job", worker, name, "to be stopped");
+    }
     if (!is_open) {
         request_stop(worker, name, fleet_.assign(worker, name, assigned));
         return;
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -253,6 +253,8 @@
     void begin_incarnation(std::size_t worker, std::int64_t incarnation, bool after_crash,
                            time_point time);
     void handle_end(std::size_t worker, const ended_run& end, time_point time, wall_time wall);
+    void log_unknown_job(const std::string& event, std::size_t worker, const run_name& name,
+                         const std::string& what, std::vector<log_field> fields = {});
     void apply_end(job_record& job, std::size_t worker, const ended_run& end, time_point time,
                    wall_time wall);
     void interrupt(std::size_t worker, const run_name& name);
