Repeat no request over another connection if it must not be sent again

Callers saw a request with may_send_again = false arrive at a server that started after the connection was opened: cxxtools repeats a request at once when its kept connection turns out to be closed.

A selector of our own, which both clients use, remembers the socket of the kept connection and ends the request as soon as the library has replaced that socket. The library only begins to connect in that step, so that nothing is written yet. The descriptor doesn't tell (the library gets the same number again), so the socket's inode is compared. A connection that its server has closed is noticed before the request is written.

Ruled out: a new connection for each request, since connections to workers cost.

--- a/flamingoseam/http/async_http_client.cpp
+++ b/flamingoseam/http/async_http_client.cpp
@@ -1,6 +1,7 @@
 #include "flamingoseam/http/async_http_client.hpp"
 
 #include "flamingoseam/core/error.hpp"
+#include "flamingoseam/http/connection_selector.hpp"
 #include "flamingoseam/http/http_message.hpp"
 #include "flamingoseam/http/read_available.hpp"
 
@@ -10,7 +11,6 @@
 #include <cxxtools/http/request.h>
 #include <cxxtools/ioerror.h>
 #include <cxxtools/net/tcpsocket.h>
-#include <cxxtools/selector.h>
 
 #include <exception>
 #include <utility>
@@ -19,25 +19,6 @@
 
 namespace detail {
 
-/// Handles the events of one connection of the HTTP library, whose socket it makes accessible.
-class connection_selector final : public cxxtools::Selector {
-public:
-    [[nodiscard]] const cxxtools::net::TcpSocket& socket() const
-    {
-        return dynamic_cast<const cxxtools::net::TcpSocket&>(*added_);
-    }
-
-protected:
-    void onAdd(cxxtools::Selectable& added) override
-    {
-        cxxtools::Selector::onAdd(added);
-        added_ = &added;
-    }
-
-private:
-    cxxtools::Selectable* added_ = nullptr;
-};
-
 /// A connection of the HTTP library that sends one request at a time. Has a selector of its own:
 /// one for the connections of a whole loop would handle all of them at each event.
 class async_connection : public cxxtools::Connectable {
@@ -57,6 +38,7 @@
         body_.clear();
         failure_ = nullptr;
         is_finished_ = false;
+        choose_connection(request.may_send_again);
         client_.beginExecute(request_);
         handle_events();
     }
@@ -75,10 +57,22 @@
     }
 
 private:
+    void choose_connection(bool may_send_again)
+    {
+        if (may_send_again) {
+            selector_.release_connection();
+        } else {
+            selector_.keep_connection();
+        }
+    }
+
     void handle_events()
     {
         try {
-            while (!is_finished_ && selector_.wait(cxxtools::Milliseconds(0))) {
+            bool has_events = true;
+            while (!is_finished_ && has_events) {
+                selector_.check_connection();
+                has_events = selector_.wait(cxxtools::Milliseconds(0));
             }
             if (!is_finished_) {
                 wait_for_socket();
--- a/flamingoseam/http/async_http_client.hpp
+++ b/flamingoseam/http/async_http_client.hpp
@@ -28,10 +28,11 @@
     async_http_client(const async_http_client&) = delete;
     async_http_client& operator=(const async_http_client&) = delete;
 
-    /// Sends a request, never again after a timeout, whatever `may_send_again` says. Calls
-    /// `handler` once, after this function has returned, with the answer or with the
-    /// transport_error (id 304) of http_client::call(). The handler may destroy the client. There
-    /// must be no other call in flight.
+    /// Sends a request, never again after a timeout, whatever `may_send_again` says; that decides
+    /// only whether it is repeated when the kept connection turns out to be closed. Calls `handler`
+    /// once, after this function has returned, with the answer or with the transport_error (id 304)
+    /// of http_client::call(). The handler may destroy the client. There must be no other call in
+    /// flight.
     void call(const http_call& request, answer_handler handler);
 
 private:
--- a/flamingoseam/http/async_http_client_test.cpp
+++ b/flamingoseam/http/async_http_client_test.cpp
@@ -158,6 +158,24 @@
             [](const http_request& /*request*/) { return http_response{.status = 202}; });
         CHECK(client.call(post_of("/small", milliseconds(1'000))).status == 202);
     }
+    SECTION("does not reach a server that started later if it must not be sent again")
+    {
+        auto call = post_of("/small", milliseconds(1'000));
+        call.may_send_again = false;
+        CHECK(client.call(call).status == 201);
+        server.reset();
+        std::atomic<int> received_later{0};
+        server =
+            std::make_unique<http_server>(http_server_options{.address = "127.0.0.1", .port = port},
+                                          [&](const http_request& /*request*/) {
+                                              ++received_later;
+                                              return http_response{.status = 202};
+                                          });
+        CHECK_THROWS_AS(client.call(call), transport_error);
+        CHECK(received_later == 0);
+        CHECK(client.call(call).status == 202);
+        server.reset();
+    }
     SECTION("has no result any more once its client has been destroyed")
     {
         delay_ms = 100;
@@ -209,6 +227,42 @@
     ::close(connected);
 }
 
+TEST_CASE("a request whose kept connection is closed while it waits for its answer is not repeated")
+{
+    const idle_listener listener;
+    tested_client client(listener.address());
+    auto call = post_of("/", milliseconds(2'000));
+    call.may_send_again = false;
+    auto first = client.begin(call);
+    const int connected = listener.accept();
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    std::array<char, 2'000> request{};
+    REQUIRE(::recv(connected, request.data(), request.size(), 0) > 0);
+    REQUIRE(::send(connected, answer.data(), answer.size(), 0) > 0);
+    CHECK(first.get().take().body == "ok");
+
+    auto second = client.begin(call);
+    REQUIRE(::recv(connected, request.data(), request.size(), 0) > 0);
+    ::close(connected);
+    const auto closed_at = now();
+    CHECK_THROWS_AS(second.get().take(), transport_error);
+    CHECK(now() - closed_at < milliseconds(1'000));
+
+    // The library may have opened a connection, on which nothing must have been written.
+    auto third = client.begin(call);
+    ::ssize_t received = 0;
+    while (received == 0) {
+        const int next = listener.accept();
+        received = ::recv(next, request.data(), request.size(), 0);
+        if (received > 0) {
+            REQUIRE(::send(next, answer.data(), answer.size(), 0) > 0);
+            CHECK(third.get().take().body == "ok");
+        }
+        ::close(next);
+    }
+    CHECK(client.results == 3);
+}
+
 TEST_CASE("an answer that comes in pieces, or breaks off, has one result")
 {
     const idle_listener listener;
--- a/flamingoseam/http/http_client.cpp
+++ b/flamingoseam/http/http_client.cpp
@@ -2,6 +2,7 @@
 
 #include "flamingoseam/core/error.hpp"
 #include "flamingoseam/core/service_thread.hpp"
+#include "flamingoseam/http/connection_selector.hpp"
 #include "flamingoseam/http/http_message.hpp"
 #include "flamingoseam/http/read_available.hpp"
 
@@ -12,7 +13,6 @@
 #include <cxxtools/ioerror.h>
 #include <cxxtools/net/addrinfo.h>
 #include <cxxtools/query_params.h>
-#include <cxxtools/selector.h>
 
 #include <charconv>
 #include <exception>
@@ -38,8 +38,8 @@
     return message;
 }
 
-/// A connection on which a request is sent at most once for its whole timeout. The blocking calls
-/// of the HTTP library send a request again, after a timeout on a connection that was used before.
+/// A connection on which a request is sent at most once. The blocking calls of the HTTP library
+/// send a request again, after a timeout on a connection that was used before.
 class single_send_client : public cxxtools::Connectable {
 public:
     explicit single_send_client(const endpoint& server)
@@ -56,8 +56,10 @@
         failure_ = nullptr;
         is_finished_ = false;
         const auto end = now() + timeout;
+        selector_.keep_connection();
         client_.beginExecute(request);
         while (!is_finished_) {
+            selector_.check_connection();
             const auto left = std::chrono::ceil<milliseconds>(end - now());
             if (left <= milliseconds(0)) {
                 throw cxxtools::IOTimeout();
@@ -88,7 +90,7 @@
         }
     }
 
-    cxxtools::Selector selector_;
+    connection_selector selector_;
     cxxtools::http::Client client_;
     std::string body_;
     std::exception_ptr failure_;
--- a/flamingoseam/http/http_client.hpp
+++ b/flamingoseam/http/http_client.hpp
@@ -49,7 +49,8 @@
     std::string traceparent;
     std::vector<std::pair<std::string, std::string>> headers = {}; ///< Other headers.
     milliseconds timeout{1000};
-    /// Whether the request may be sent again after a timeout; see http_client::call().
+    /// Whether the request may be sent again after a timeout, or when the kept connection turns out
+    /// to be closed; see http_client::call().
     bool may_send_again = true;
 };
 
@@ -67,9 +68,9 @@
     /// Throws transport_error (id 304), and nothing else, when the request can't be written (it was
     /// not sent then), or the connection could not be established, failed or delivered no response
     /// in time; the request may have reached the server then. The connection is
-    /// then closed, and the next call opens a new one. A request that must not follow an earlier
-    /// copy after a timeout is sent with `may_send_again` = false. cxxtools repeats even that at
-    /// once if its reused connection turns out to be closed.
+    /// then closed, and the next call opens a new one. A request that must not reach the server
+    /// twice, or a server that started later, is sent with `may_send_again` = false. It fails when
+    /// the reused connection turns out to be closed.
     http_answer call(const http_call& request);
 
     /// Returns the address of the server.
