Give each incarnation of a worker a higher fencing token

Callers saw two successful runs of one task: a poll that acknowledged ends of one incarnation of a worker, carried out late in the next one under the same id, made that one forget its own ends with the same numbers, which nobody had read. The runs vanished without an end, were taken for lost after two reports and were started again.

The protocol names no incarnation in a call, but a worker does nothing for a lower fencing token. The tokens of an owner are now 1,000 times (token base + epoch), plus the number of incarnations of the worker that it has met: from the first call for an incarnation on, late polls, starts and stops for an earlier one are refused. The refusal of a call with an older token of the same session is no sign of another owner. The count outlasts the session, as a worker that moved may be a new incarnation.

A poll or order whose connection turned out to be closed is sent once more by the session, a poll without its acknowledgement, so that a worker that closes its connections isn't taken for silent. - A worker that the list shows with a new incarnation is polled at once; the delay after failed polls was up to 500 ms. - An order's answer that shows a restart by the worker's clock begins the lease anew: a young worker shortens an earlier deadline to the longest lease, counted from the order's arrival, so that it ran on after the lease had ended in the owner's eyes.

In sharded_node_test the fake worker takes the epoch out of the token; its checks are as they were.

Ruled out: starting nothing in a new incarnation for as long as a poll may be late, which would idle a worker for 12 s after each crash; acknowledging only in polls that don't wait, which doubles the polls and leaves a window.

--- a/flamingoseam/node/job_owner.cpp
+++ b/flamingoseam/node/job_owner.cpp
@@ -330,9 +330,7 @@
         }
         state_.on_emptied(session.worker, reason, now(), wall_now());
         if (!state_.workers().at(session.worker).listed) {
-            auto ended = sessions_.extract(session.worker);
-            ended.mapped()->request_stop();
-            retired_sessions_.push_back(std::move(ended.mapped()));
+            retire_session(session.worker);
         }
     });
 }
@@ -510,7 +508,7 @@
         return found == sessions_.end() ? nullptr : found->second.get();
     };
     for (const auto worker : actions.released_workers) {
-        release_session(worker);
+        retire_session(worker);
     }
     for (const auto& order : actions.stops) {
         if (auto* session = session_of(order.worker)) {
--- a/flamingoseam/node/job_owner.hpp
+++ b/flamingoseam/node/job_owner.hpp
@@ -150,7 +150,7 @@
     void watch_assignments();
     bool read_assignments(record_watch& watch);
     void handle_assignments(const record_update& update);
-    void release_session(std::size_t worker);
+    void retire_session(std::size_t worker);
     void borrow_workers(time_point time);
     void open_sessions();
     [[nodiscard]] bool is_current(const session_id& session) const;
@@ -177,6 +177,7 @@
     std::map<std::size_t, std::unique_ptr<worker_session>> sessions_;
     std::uint64_t last_session_ = 0; ///< Number of the newest session.
     std::vector<std::unique_ptr<worker_session>> retired_sessions_;
+    std::map<std::size_t, std::uint64_t> met_incarnations_; ///< Of workers with retired sessions.
     std::unique_ptr<permission_dispatcher> permission_dispatcher_;
     std::vector<std::unique_ptr<owner_commit_source>> streams_;
     bool store_unreachable_ = false; ///< Used by the control thread only.
--- a/flamingoseam/node/job_owner_test.cpp
+++ b/flamingoseam/node/job_owner_test.cpp
@@ -83,6 +83,9 @@
             return {.outcome = renew_answer::kind::fenced, .clock = clock()};
         }
         std::erase_if(ended_, [&](const auto& run) { return run.number <= call.forget_up_to; });
+        if (call.forget_up_to > 0) {
+            acknowledgement_ = call;
+        }
         extend(call.lease_until);
         percent_ = percent_ % max_percent + 1; // All runs make progress and never stall.
         renew_answer answer{.clock = clock()};
@@ -124,6 +127,16 @@
         }
     }
 
+    /// Carries out the newest poll that acknowledged ends once more, as a late one.
+    void repeat_acknowledgement()
+    {
+        const auto call = [this] {
+            const std::lock_guard lock(mutex_);
+            return acknowledgement_;
+        }();
+        renew(call);
+    }
+
     /// Returns all runs that were begun, in their order.
     std::vector<begun_run> runs()
     {
@@ -185,6 +198,7 @@
     std::vector<begun_run> runs_;
     std::vector<workflow::ended_run> ended_;
     std::int64_t next_end_ = 1;
+    renew_call acknowledgement_; ///< The newest poll that acknowledged ends.
     int percent_ = 0;
 };
 
@@ -541,3 +555,26 @@
     later.submit("job", 2);
     CHECK(wait_until([&] { return count_begun(shared) == 2; }));
 }
+
+// Guards against a second run of a task: its end in the next incarnation of its worker, with the
+// same number, was forgotten unread.
+TEST_CASE("a poll that is carried out in the next incarnation of its worker acknowledges nothing")
+{
+    cell shared;
+    owner_process process(shared, 0, all);
+    process.submit("job", 6);
+    REQUIRE(wait_until([&] { return count_begun(shared) == 6; }));
+    auto& worker = shared.workers[0];
+    worker.finish_all();
+    REQUIRE(wait_until([&] { return worker.unacknowledged_ends() == 0; }));
+
+    worker.restart();
+    process.submit("later", 2);
+    REQUIRE(wait_until([&] { return count_begun(shared) == 8; }));
+    process.reaches[0] = false;
+    worker.finish_all();
+    worker.repeat_acknowledgement();
+    process.reaches[0] = true;
+    std::this_thread::sleep_for(2s);
+    CHECK(count_begun(shared) == 8);
+}
--- a/flamingoseam/node/job_owner_workers.cpp
+++ b/flamingoseam/node/job_owner_workers.cpp
@@ -150,12 +150,14 @@
     apply_worker_list();
 }
 
-/// Ends the session of a worker that was given to another shard.
-void job_owner::release_session(std::size_t worker)
+/// Ends the session of a worker, if it has one. The next session uses higher fencing tokens, so
+/// that calls of this one that are carried out later have no effect.
+void job_owner::retire_session(std::size_t worker)
 {
     auto session = sessions_.extract(worker);
     if (!session.empty()) {
         session.mapped()->release();
+        met_incarnations_[worker] = session.mapped()->incarnations() + 1;
         retired_sessions_.push_back(std::move(session.mapped()));
     }
 }
@@ -193,12 +195,10 @@
             if (!state.listed || state.entry.leaving) {
                 found->second->withdraw_starts();
             }
+            found->second->expect_incarnation(state.entry.incarnation);
             continue;
         }
-        if (auto earlier = sessions_.extract(worker)) {
-            earlier.mapped()->request_stop();
-            retired_sessions_.push_back(std::move(earlier.mapped()));
-        }
+        retire_session(worker);
         if (state.silence_stored && !state.unreachable) {
             // The store may still say that the lease is not renewed, so the new session has to wait
             // for the end of that silence to be stored, too.
@@ -208,6 +208,7 @@
         auto session = std::make_unique<worker_session>(
             worker_session_options{.id = {.worker = worker, .number = ++last_session_},
                                    .epoch = state.entry.token_base + epoch_,
+                                   .earlier_incarnations = met_incarnations_[worker],
                                    .lease = dependencies_.worker_lease,
                                    .silent_for = silence_of(state, wall_now()),
                                    .earlier_renewals_end = earlier_renewals_end_},
--- a/flamingoseam/node/sharded_node_test.cpp
+++ b/flamingoseam/node/sharded_node_test.cpp
@@ -155,9 +155,10 @@
     }
     renew_answer renew(const renew_call& call, milliseconds /*timeout*/) override
     {
-        worker_.newest_epoch = std::max(worker_.newest_epoch.load(), call.epoch);
+        const auto epoch = call.epoch / tokens_per_epoch;
+        worker_.newest_epoch = std::max(worker_.newest_epoch.load(), epoch);
         std::this_thread::sleep_for(milliseconds(700));
-        if (call.epoch == worker_.fenced_epoch) {
+        if (epoch == worker_.fenced_epoch) {
             ++worker_.fenced_answers;
             return {.outcome = renew_answer::kind::fenced};
         }
--- a/flamingoseam/node/worker_channel.hpp
+++ b/flamingoseam/node/worker_channel.hpp
@@ -19,7 +19,7 @@
     std::string payload;
     std::string checkpoint;
     std::string ticket;
-    std::uint64_t epoch = 0;
+    std::uint64_t epoch = 0;    ///< The fencing token.
     worker_time lease_until{0}; ///< The worker kills all its runs then unless the lease is renewed.
 };
 
@@ -31,7 +31,7 @@
 
 /// Renews the lease of all runs of a worker and asks which runs it has.
 struct renew_call {
-    std::uint64_t epoch = 0;
+    std::uint64_t epoch = 0; ///< The fencing token.
     std::int64_t forget_up_to = 0;
     worker_time lease_until{0}; ///< 0 leaves the lease unchanged.
 
--- a/flamingoseam/node/worker_session.cpp
+++ b/flamingoseam/node/worker_session.cpp
@@ -75,8 +75,9 @@
 worker_session::worker_session(worker_session_options options, const workflow::worker_entry& entry,
                                const worker_loops& loops, const worker_channel_factory& channels,
                                worker_listener& listener)
-    : options_(options), entry_(entry), listener_(listener), clock_(options.lease),
-      incarnation_(entry.incarnation), unreachable_(options.silent_for.has_value()),
+    : options_(options), entry_(entry), listener_(listener), channels_(channels),
+      poll_loop_(loops.polls), clock_(options.lease), incarnation_(entry.incarnation),
+      incarnations_(options.earlier_incarnations), unreachable_(options.silent_for.has_value()),
       silent_since_(now() - std::clamp(options.silent_for.value_or(milliseconds(0)), -options.lease,
                                        options.lease)),
       may_renew_(!unreachable_),
@@ -113,9 +114,11 @@
     request_stop();
 }
 
-void worker_session::report_fenced()
+/// Passes on that the worker knows a higher token than one that was sent. It may be this session's
+/// next one, which it got meanwhile.
+void worker_session::report_fenced(std::uint64_t sent_token)
 {
-    if (!released_) {
+    if (!released_ && sent_token == token()) {
         listener_.on_fenced(options_.id.worker);
     }
 }
@@ -192,6 +195,39 @@
     }
 }
 
+std::uint64_t worker_session::token() const
+{
+    const std::lock_guard lock(mutex_);
+    return options_.epoch * tokens_per_epoch + std::min(incarnations_, tokens_per_epoch - 1);
+}
+
+std::uint64_t worker_session::incarnations() const
+{
+    const std::lock_guard lock(mutex_);
+    return incarnations_;
+}
+
+/// Forgets what concerns the earlier incarnation only. Requires the lock.
+void worker_session::begin_incarnation()
+{
+    ++incarnations_;
+    forget_up_to_ = 0;
+}
+
+void worker_session::expect_incarnation(std::int64_t incarnation)
+{
+    {
+        const std::lock_guard lock(mutex_);
+        if (incarnation <= std::max(incarnation_, listed_incarnation_)) {
+            return;
+        }
+        listed_incarnation_ = incarnation;
+        begin_incarnation();
+    }
+    poll_at_once_ = true;
+    polls_.wake();
+}
+
 void worker_session::expect_report(time_point time)
 {
     const std::lock_guard lock(mutex_);
@@ -282,7 +318,7 @@
                             .payload = std::move(start.order.payload),
                             .checkpoint = std::move(start.order.checkpoint),
                             .ticket = std::move(start.order.ticket),
-                            .epoch = options_.epoch,
+                            .epoch = token(),
                             .lease_until = lease_until}};
     unreported_start_.reset();
     send_start();
@@ -290,7 +326,6 @@
 
 void worker_session::send_start()
 {
-    sent_order_->sent_at = now();
     send_order([this](const worker_channel::order_handler& handler) {
         order_channel_->start(sent_order_->call, options_.order_timeout, handler);
     });
@@ -298,9 +333,10 @@
 
 void worker_session::send_stop()
 {
+    sent_order_->call.epoch = token();
     send_order([this](const worker_channel::order_handler& handler) {
-        order_channel_->stop(sent_order_->call.name, options_.epoch, options_.order_timeout,
-                             handler);
+        order_channel_->stop(sent_order_->call.name, sent_order_->call.epoch,
+                             options_.order_timeout, handler);
     });
 }
 
@@ -313,6 +349,7 @@
         order_result_.emplace(std::move(result));
         orders_.wake_after(milliseconds(0));
     };
+    sent_order_->sent_at = now();
     try {
         send(handle);
     } catch (...) {
@@ -339,7 +376,7 @@
     try {
         received = result.take();
     } catch (const transport_error&) {
-        if (may_send_again()) {
+        if (is_connection_closed() && may_start()) {
             sent_order_->is_repeated = true;
             send_start();
             return;
@@ -350,23 +387,28 @@
     }
     const auto answer = received.value_or(order_answer{}); // Otherwise of unknown outcome.
     record_clock(answer.clock);
+    const auto token = sent_order_->call.epoch;
     unreported_start_ = {.name = std::move(sent_order_->call.name), .outcome = answer.outcome};
     sent_order_.reset();
     if (answer.outcome == workflow::start_outcome::fenced) {
-        report_fenced(); // First, so that the run is not assigned again.
+        report_fenced(token); // First, so that the run is not assigned again.
     }
     deliver_start_result();
 }
 
-/// Checks whether an order to start a run may be sent once more, as its connection has turned out
-/// to be closed and runs may still be started.
-bool worker_session::may_send_again() const
+/// Checks whether the order in flight, which got no answer, may be sent once more, as its
+/// connection has turned out to be closed.
+bool worker_session::is_connection_closed() const
+{
+    return !sent_order_->is_repeated && now() - sent_order_->sent_at < options_.order_timeout / 2;
+}
+
+bool worker_session::may_start() const
 {
-    const bool is_closed = now() - sent_order_->sent_at < options_.order_timeout / 2;
     bool may_start = false;
     run_guarded("asking whether runs may be started",
                 [this, &may_start] { may_start = listener_.may_start(); });
-    return is_closed && !sent_order_->is_repeated && may_start;
+    return may_start;
 }
 
 void worker_session::report_start(workflow::run_name name, workflow::start_outcome outcome)
@@ -385,19 +427,27 @@
 
 void worker_session::handle_stop_answer(call_result<order_answer> result)
 {
-    const auto name = std::move(sent_order_->call.name);
-    sent_order_.reset();
+    std::optional<order_answer> received;
     try {
-        const auto answer = result.take();
-        record_clock(answer.clock);
-        if (answer.outcome == workflow::start_outcome::started) {
-            listener_.on_stop(options_.id.worker, name);
-        } else if (answer.outcome == workflow::start_outcome::fenced) {
-            report_fenced();
-        }
+        received = result.take();
     } catch (...) {
+        if (is_connection_closed()) {
+            sent_order_->is_repeated = true;
+            send_stop();
+            return;
+        }
         log_no_answer("a stop order, which is sent again");
     }
+    const auto answer = received.value_or(order_answer{}); // Otherwise of unknown outcome.
+    record_clock(answer.clock);
+    const auto name = std::move(sent_order_->call.name);
+    const auto token = sent_order_->call.epoch;
+    sent_order_.reset();
+    if (answer.outcome == workflow::start_outcome::started) {
+        listener_.on_stop(options_.id.worker, name);
+    } else if (answer.outcome == workflow::start_outcome::fenced) {
+        report_fenced(token);
+    }
 }
 
 /// Returns until when the worker's runs are leased, or 0 if the lease must not be extended. That of
@@ -415,7 +465,9 @@
     if (clock != worker_time(0)) {
         const std::lock_guard lock(mutex_);
         if (clock_.has_restarted(clock)) {
-            forget_up_to_ = 0;
+            begin_incarnation();
+            // It may have taken the earlier incarnation's deadline for the longest lease.
+            clock_ = lease_clock(options_.lease);
         }
         clock_.record(clock, now());
     }
@@ -430,6 +482,9 @@
     if (poll_result_) {
         handle_poll_answer();
     }
+    if (poll_at_once_.exchange(false)) {
+        cancel_poll();
+    }
     if (is_poll_sent_ || is_waiting_for_storage()) {
         return;
     }
@@ -441,6 +496,19 @@
     }
 }
 
+/// Ends the wait for the answer of an earlier incarnation and all delays.
+void worker_session::cancel_poll()
+{
+    if (is_poll_sent_) {
+        poll_channel_.reset();
+        poll_channel_ = channels_(poll_loop_, entry_);
+        is_poll_sent_ = false;
+    }
+    next_poll_ = now();
+    const std::lock_guard lock(mutex_);
+    awaited_end_ = 0;
+}
+
 void worker_session::end_polls()
 {
     poll_channel_.reset(); // Cancels a poll in flight.
@@ -454,10 +522,13 @@
         poll_result_.emplace(std::move(result));
         polls_.wake_after(milliseconds(0));
     };
+    const auto timeout = call.wait + options_.answer_timeout;
     asked_ = now();
+    answer_due_ = asked_ + timeout;
+    asked_token_ = call.epoch;
     is_poll_sent_ = true;
     try {
-        poll_channel_->renew(call, call.wait + options_.answer_timeout, handle);
+        poll_channel_->renew(call, timeout, handle);
     } catch (...) {
         handle(std::current_exception());
     }
@@ -465,10 +536,10 @@
 
 renew_call worker_session::next_poll()
 {
-    renew_call call{.epoch = options_.epoch, .lease_until = extend_lease()};
+    renew_call call{.epoch = token(), .lease_until = extend_lease()};
     const std::lock_guard lock(mutex_);
     // After an unanswered poll a new incarnation may answer, whose ends have the same numbers.
-    call.forget_up_to = unreachable_ ? 0 : forget_up_to_;
+    call.forget_up_to = unreachable_ || is_poll_repeated_ ? 0 : forget_up_to_;
     call.wait = clock_.is_known() ? next_wait() : milliseconds(0);
     return call;
 }
@@ -483,15 +554,29 @@
     try {
         answer = result.take();
     } catch (...) {
-        log_no_answer("a poll");
-        record_failed_poll();
-        pause_polls(retry_delay_);
+        handle_lost_poll();
         return;
     }
+    is_poll_repeated_ = false;
     record_clock(answer.clock);
     handle_renewal(std::move(answer));
 }
 
+/// Polls once more without delay if the connection has turned out to be closed, which need not mean
+/// that the worker is gone.
+void worker_session::handle_lost_poll()
+{
+    if (now() < answer_due_ && !is_poll_repeated_) {
+        is_poll_repeated_ = true;
+        next_poll_ = now();
+        return;
+    }
+    is_poll_repeated_ = false;
+    log_no_answer("a poll");
+    record_failed_poll();
+    pause_polls(retry_delay_);
+}
+
 milliseconds worker_session::next_wait()
 {
     if (!may_renew_) {
@@ -510,8 +595,8 @@
 {
     using kind = renew_answer::kind;
     if (answer.outcome == kind::fenced) {
-        report_fenced();
-        pause_polls(rejection_delay);
+        report_fenced(asked_token_);
+        pause_polls(asked_token_ == token() ? rejection_delay : milliseconds(0));
         return;
     }
     if (answer.outcome == kind::wrong_incarnation) {
@@ -532,7 +617,7 @@
         has_runs_ = !answer.report.present.empty() || !answer.report.ended.empty();
         if (answer.report.incarnation != 0 && answer.report.incarnation != incarnation_) {
             incarnation_ = answer.report.incarnation;
-            forget_up_to_ = 0;
+            begin_incarnation();
             clock_ = lease_clock(options_.lease);
             clock_.record(answer.clock, now());
         }
--- a/flamingoseam/node/worker_session.hpp
+++ b/flamingoseam/node/worker_session.hpp
@@ -47,10 +47,19 @@
     [[nodiscard]] virtual bool may_renew() const = 0;
 };
 
+/// Number of fencing tokens of an owner for one worker. The owner uses a higher one for each
+/// incarnation of the worker that it meets, so that a call that was meant for an earlier
+/// incarnation and is carried out late has no effect in a later one.
+inline constexpr std::uint64_t tokens_per_epoch = 1'000;
+
 /// Options of a worker session.
 struct worker_session_options {
     session_id id;
-    std::uint64_t epoch = 0;
+    std::uint64_t epoch = 0; ///< The owner's, plus the worker's token base.
+
+    /// How many incarnations of the worker earlier sessions of this owner have met.
+    std::uint64_t earlier_incarnations = 0;
+
     milliseconds lease{6'000}; ///< Length of the lease of all runs of the worker.
 
     /// For how long the lease has not been renewed, if the worker is known to be silent; negative
@@ -162,11 +171,18 @@
     /// Requests a report at `time`: a poll that starts before `time` ends by then.
     void expect_report(time_point time);
 
+    /// Polls at once, as the worker is listed with a new incarnation. Has no effect if that
+    /// incarnation, or a newer one, has reported.
+    void expect_incarnation(std::int64_t incarnation);
+
+    /// Returns how many incarnations of the worker this session and earlier ones have met.
+    [[nodiscard]] std::uint64_t incarnations() const;
+
     /// Makes the session end soon, without waiting for that.
     void request_stop();
 
-    /// Ends the session of a worker that another shard's owner may use from now on. A higher epoch
-    /// at the worker is no sign of a newer owner any more.
+    /// Ends the session of a worker that another session, or another shard's owner, may use from
+    /// now on. A higher token at the worker is no sign of a newer owner any more.
     void release();
 
     /// Checks whether no call is in flight and none will be, so that the destructor does not wait.
@@ -193,7 +209,8 @@
     void handle_order_answer();
     void handle_start_answer(call_result<order_answer> result);
     void handle_stop_answer(call_result<order_answer> result);
-    bool may_send_again() const;
+    bool is_connection_closed() const;
+    bool may_start() const;
     void report_start(workflow::run_name name, workflow::start_outcome outcome);
     void deliver_start_result();
     void report_not_sent(const queued_start& start);
@@ -204,23 +221,31 @@
     milliseconds next_wait();
     void handle_poll_answer();
     void handle_renewal(renew_answer answer);
+    void handle_lost_poll();
     void record_failed_poll();
+    void cancel_poll();
     void wait_until_stored(std::int64_t newest_end);
     bool is_waiting_for_storage();
     void pause_polls(milliseconds length) { next_poll_ = now() + length; }
     void set_unreachable(bool unreachable);
-    void report_fenced();
+    void report_fenced(std::uint64_t sent_token);
     worker_time extend_lease();
+    std::uint64_t token() const;
+    void begin_incarnation();
     void record_clock(worker_time clock);
 
     worker_session_options options_;
     workflow::worker_entry entry_;
     worker_listener& listener_;
-    std::mutex mutex_;
+    const worker_channel_factory channels_;
+    io_loop& poll_loop_;
+    mutable std::mutex mutex_;
     std::deque<queued_start> starts_;
     std::deque<workflow::run_name> stops_;
     lease_clock clock_;
     std::int64_t incarnation_ = 0;
+    std::int64_t listed_incarnation_ = 0; ///< The newest one that was expected to report.
+    std::uint64_t incarnations_;          ///< How many incarnations were met.
     std::int64_t forget_up_to_ = 0;
 
     /// Number of the end that must be stored before the next poll; 0 when the poll does not wait.
@@ -247,6 +272,10 @@
     std::unique_ptr<worker_channel> poll_channel_;
     bool is_poll_sent_ = false; ///< The result of a poll has not been handled yet.
     time_point asked_{};        ///< When the last poll was sent.
+    time_point answer_due_{};   ///< When its timeout is over.
+    std::uint64_t asked_token_ = 0;
+    bool is_poll_repeated_ = false; ///< The connection of the poll before was closed.
+    std::atomic<bool> poll_at_once_{false};
     std::optional<call_result<renew_answer>> poll_result_; ///< Not handled yet.
     time_point next_poll_{};                               ///< No poll is sent before.
     time_point storage_wait_end_{};
--- a/flamingoseam/node/worker_session_test.cpp
+++ b/flamingoseam/node/worker_session_test.cpp
@@ -38,6 +38,11 @@
     std::atomic<int> clock_offset_ms{0};
     std::atomic<int> polls_at_offset{0};    ///< Polls answered with another clock.
     std::atomic<int> closed_connections{0}; ///< Starts that fail at once.
+    std::atomic<int> closed_polls{0};       ///< Polls that fail at once.
+    std::atomic<int> polls{0};
+    std::atomic<bool> was_poll_closed{false};
+    std::atomic<std::int64_t> forgotten_after_close{-1}; ///< By the poll after a closed one.
+    std::atomic<std::uint64_t> token{0}; ///< The highest one seen; lower ones are refused.
     std::function<void()> on_closed = [] {};
     time_point began = now();
 
@@ -52,9 +57,12 @@
 public:
     explicit fake_channel(fake_worker& worker) : worker_(worker) {}
 
-    order_answer start(const start_call& /*call*/, milliseconds /*timeout*/) override
+    order_answer start(const start_call& call, milliseconds /*timeout*/) override
     {
         throw_if_unreachable();
+        if (!accepts(call.epoch)) {
+            return {.outcome = workflow::start_outcome::fenced, .clock = worker_.clock()};
+        }
         if (worker_.closed_connections > 0) {
             --worker_.closed_connections;
             worker_.on_closed();
@@ -78,6 +86,18 @@
     {
         std::this_thread::sleep_for(milliseconds(worker_.poll_time_ms.load()));
         throw_if_unreachable();
+        ++worker_.polls;
+        if (worker_.closed_polls > 0) {
+            --worker_.closed_polls;
+            worker_.was_poll_closed = true;
+            throw transport_error(304, "the connection is closed", true);
+        }
+        if (!accepts(call.epoch)) {
+            return {.outcome = renew_answer::kind::fenced, .clock = worker_.clock()};
+        }
+        if (worker_.was_poll_closed.exchange(false)) {
+            worker_.forgotten_after_close = call.forget_up_to;
+        }
         if (worker_.is_replaced) {
             return {.outcome = renew_answer::kind::wrong_incarnation, .clock = worker_.clock()};
         }
@@ -101,6 +121,15 @@
         }
     }
 
+    bool accepts(std::uint64_t token) const
+    {
+        if (token < worker_.token) {
+            return false;
+        }
+        worker_.token = token;
+        return true;
+    }
+
     fake_worker& worker_;
 };
 
@@ -129,7 +158,7 @@
         ++emptied;
         replaced += reason == workflow::emptied_reason::replaced ? 1 : 0;
     }
-    void on_fenced(std::size_t /*worker*/) override {}
+    void on_fenced(std::size_t /*worker*/) override { ++fenced; }
     [[nodiscard]] bool may_start() const override { return starts_allowed; }
     [[nodiscard]] bool may_renew() const override { return renewals_allowed; }
 
@@ -138,6 +167,7 @@
     std::atomic<int> starts{0};
     std::atomic<int> emptied{0};
     std::atomic<int> replaced{0};
+    std::atomic<int> fenced{0};
     std::atomic<bool> starts_allowed{true};
     std::atomic<bool> renewals_allowed{true};
     std::atomic<bool> is_unreachable{false};
@@ -296,6 +326,91 @@
         REQUIRE(holds_within(milliseconds(2'000), [&] { return listener.starts == 1; }));
         CHECK(holds_within(milliseconds(2'000), [&] { return worker.forgotten == 0; }));
     }
+    // Guards against a second run of a task: a poll that was carried out late acknowledged ends of
+    // a later incarnation that nobody had read.
+    SECTION("calls meant for an earlier incarnation carry a lower token than those for a later one")
+    {
+        const auto earlier = worker.token.load();
+        SECTION("which is known from a report")
+        {
+            worker.incarnation = 2;
+        }
+        SECTION("which is known from the list")
+        {
+            session.expect_incarnation(2);
+        }
+        SECTION("which is known from its clock")
+        {
+            worker.clock_offset_ms = 1'000'000;
+            std::this_thread::sleep_for(milliseconds(100));
+            worker.clock_offset_ms = 0;
+        }
+        CHECK(holds_within(milliseconds(2'000), [&] { return worker.token > earlier; }));
+        CHECK(worker.token / tokens_per_epoch == earlier / tokens_per_epoch);
+        CHECK(session.incarnations() > 0);
+        session.start({.worker = 0, .name = {{"job", 0, 0}, 1}});
+        REQUIRE(holds_within(milliseconds(2'000), [&] { return listener.starts == 1; }));
+        CHECK(listener.last_start == workflow::start_outcome::started);
+        CHECK(listener.fenced == 0);
+    }
+    SECTION("an order that the session's own next token has overtaken is no sign of another owner")
+    {
+        worker.poll_time_ms = 300;
+        std::this_thread::sleep_for(milliseconds(50));
+        session.expect_incarnation(2); // The poll in flight has the earlier token.
+        const int reports = listener.reports;
+        session.start({.worker = 0, .name = {{"job", 0, 0}, 1}});
+        CHECK(holds_within(milliseconds(3'000), [&] { return listener.reports > reports + 1; }));
+        CHECK(listener.fenced == 0);
+        CHECK_FALSE(listener.is_unreachable);
+    }
+    SECTION("a worker with a higher token than the session ever had has another owner")
+    {
+        worker.token = worker.token + 1;
+        CHECK(holds_within(milliseconds(2'000), [&] { return listener.fenced > 0; }));
+    }
+    SECTION("a poll whose connection was closed is repeated without an acknowledgement")
+    {
+        worker.newest_end = 3;
+        session.forget({.worker = 0, .incarnation = 0, .up_to = 3});
+        REQUIRE(holds_within(milliseconds(2'000), [&] { return worker.forgotten == 3; }));
+        worker.closed_polls = 1;
+        REQUIRE(holds_within(milliseconds(2'000), [&] { return worker.closed_polls == 0; }));
+        const int reports = listener.reports;
+        REQUIRE(holds_within(milliseconds(2'000), [&] { return listener.reports > reports + 1; }));
+        CHECK(worker.forgotten_after_close == 0);
+        CHECK(listener.silent_since.load() == time_point{});
+    }
+    SECTION("a worker that is listed with a new incarnation is polled without delay")
+    {
+        worker.unreachable = true;
+        REQUIRE(holds_within(milliseconds(2'000), [&] { return listener.is_unreachable.load(); }));
+        std::this_thread::sleep_for(milliseconds(900)); // The delay has reached its maximum.
+        worker.unreachable = false;
+        worker.incarnation = 2;
+        const int polls = worker.polls;
+        session.expect_incarnation(2);
+        CHECK(holds_within(milliseconds(60), [&] { return worker.polls > polls; }));
+    }
+    // Guards against a second run of a task: a young incarnation shortens an earlier one's deadline
+    // to the longest lease, counted from the arrival of the order.
+    SECTION("the lease that an order gives to a restarted worker counts from its answer")
+    {
+        worker.clock_offset_ms = 1'000'000;
+        REQUIRE(holds_within(milliseconds(2'000), [&] { return worker.polls_at_offset > 1; }));
+        worker.poll_time_ms = 2'400; // Beyond the timeout, so that no other poll is sent.
+        std::this_thread::sleep_for(milliseconds(50));
+        worker.clock_offset_ms = 0;
+        std::this_thread::sleep_for(milliseconds(1'750));
+        worker.start_time_ms = 500;
+        session.start({.worker = 0, .name = {{"job", 0, 0}, 1}});
+        REQUIRE(holds_within(milliseconds(2'000), [&] { return listener.starts == 1; }));
+        const auto answered = now();
+        worker.unreachable = true;
+        worker.poll_time_ms = 5;
+        REQUIRE(holds_within(milliseconds(5'000), [&] { return listener.emptied == 1; }));
+        CHECK(now() - answered > milliseconds(400));
+    }
     SECTION("starts that wait for a slow worker are not sent once it leaves")
     {
         worker.start_time_ms = 400;
--- a/flamingoseam/workflow/messages.hpp
+++ b/flamingoseam/workflow/messages.hpp
@@ -47,8 +47,8 @@
     /// In a record of leased workers: since when the owner has not renewed the worker's lease; 0
     /// while the worker answers.
     wall_time unreachable_since{0};
-    /// The fencing token of an owner for this worker is this number plus the owner's epoch. It
-    /// increases whenever the worker is transferred to another shard.
+    /// The fencing tokens of an owner for this worker are counted from this number plus the owner's
+    /// epoch. It increases whenever the worker is transferred to another shard.
     std::uint64_t token_base = 0;
 };
 
