Act as the owner only on recent answers of the store that prove it

What callers saw: tasks that had ended as done were started again by another owner (TWICE on a divided cell). One way that was left: an owner counted as certain for 3 s after an answer of its members watch, also an empty one. The platform lets watches hear nothing for a second while changes are made, so an owner might start runs for longer than its successor allowed for.

Now the certainty needs a proof, too: a transaction that is conditional on a head record, the claim, or a linearizable read of a head record, whose call was sent less than 1.5 s ago by a clock that counts suspensions. The age is that of the attempt that was answered, so an unanswered transaction that is applied seconds later, or one that is recognized by reading the head, proves nothing earlier or later than that. The watch and the lease can only take certainty away, as before. Transactions give proofs at no cost; an owner that writes nothing reads its head record once a second at most.

ownership_certain and ownership_uncertain say how old the newest proof is and which call gave it.

Ruled out: proof by the node's lease (it outlives the ownership), a shorter watch (an empty answer stays no proof).

The fixture of job_owner_test passes the time of the claim on, as the node does; without it the owner began uncertain.

--- a/flamingoseam/node/commit_stream.cpp
+++ b/flamingoseam/node/commit_stream.cpp
@@ -120,8 +120,8 @@
     if (batch.changes.empty()) {
         return !is_last;
     }
-    if (!write(batch) ||
-        !repeat_until_done("a report of stored changes", [this] { source_.on_stored(); })) {
+    if (!write(batch) || !repeat_until_done("a report of stored changes",
+                                            [this] { source_.on_stored(stored_sent_); })) {
         return false;
     }
     wake(); // More changes may have arrived in the meantime.
@@ -204,8 +204,10 @@
 /// taken over, and nothing when the outcome is not known yet.
 std::optional<bool> commit_stream::attempt(const shared_transaction& transaction)
 {
+    const auto sent = boot_now();
     try {
         const auto result = store_->commit(transaction, attempt_timeout_);
+        stored_sent_ = sent;
         if (result.applied) {
             revision_ = result.revision;
             return true;
--- a/flamingoseam/node/commit_stream.hpp
+++ b/flamingoseam/node/commit_stream.hpp
@@ -58,8 +58,9 @@
     /// Removes and returns the next changes, at most `max_changes`.
     virtual workflow::record_batch take_batch(std::size_t max_changes) = 0;
 
-    /// Called when the changes taken last are stored.
-    virtual void on_stored() = 0;
+    /// Called when the changes taken last are stored. The attempt whose answer shows that was sent
+    /// at `sent`, by boot_now(); no other owner had taken over before.
+    virtual void on_stored(time_point sent) = 0;
 
     /// Called when another owner has taken over, after which nothing can be written any more.
     virtual void on_superseded() = 0;
@@ -111,7 +112,8 @@
     stream_head head_;
     std::uint64_t revision_;
     commit_source& source_;
-    int failed_attempts_ = 0; ///< Consecutive attempts without an answer.
+    time_point stored_sent_{}; ///< When the attempt was sent that was answered last, by boot_now().
+    int failed_attempts_ = 0;  ///< Consecutive attempts without an answer.
     milliseconds attempt_timeout_;
     std::mutex mutex_;
     std::condition_variable changed_;
--- a/flamingoseam/node/commit_stream_test.cpp
+++ b/flamingoseam/node/commit_stream_test.cpp
@@ -90,9 +90,10 @@
         }
         return batch;
     }
-    void on_stored() override
+    void on_stored(time_point sent) override
     {
         fail_if(fails_to_hear);
+        stored_sent = sent;
         ++stored;
     }
     void on_superseded() override
@@ -107,6 +108,7 @@
     }
 
     std::atomic<int> stored{0};
+    std::atomic<time_point> stored_sent{}; ///< When the attempt was sent that was answered last.
     std::atomic<bool> superseded{false};
     std::atomic<bool> seen_unreachable{false};
     std::atomic<bool> fails_to_take{false}; ///< The next call for changes fails.
@@ -247,3 +249,23 @@
                                    first_head, 10, source)),
                     resource_error);
 }
+
+TEST_CASE("what a commit stream proves is as old as the attempt that was answered")
+{
+    fake_records records;
+    records.head = write_head(first_head);
+    records.outcomes = {commit_outcome::apply_and_lose_answer, commit_outcome::lose_request,
+                        commit_outcome::apply};
+    counting_source source(1);
+    const auto began = boot_now();
+    commit_stream stream({.head_key = "head", .batch_delay = milliseconds(0)},
+                         std::make_unique<fake_store>(records), first_head, 10, source);
+    stream.wake();
+    for (int wait = 0; wait < 500 && source.stored == 0; ++wait) {
+        std::this_thread::sleep_for(milliseconds(10));
+    }
+    REQUIRE(source.stored == 1);
+    // The attempts before it were followed by pauses of 20 and 40 ms.
+    CHECK(source.stored_sent.load() - began >= milliseconds(60));
+    CHECK(source.stored_sent.load() <= boot_now());
+}
--- a/flamingoseam/node/job_owner.cpp
+++ b/flamingoseam/node/job_owner.cpp
@@ -45,8 +45,9 @@
         return batch;
     }
 
-    void on_stored() override
+    void on_stored(time_point sent) override
     {
+        owner_.proof_.record(sent, proof_source::commit);
         owner_.post_decision([&owner = owner_, index = index_, records = records_] {
             owner.meter_.record_transaction(records);
             owner.state_.on_stored(index);
@@ -69,7 +70,8 @@
 
 job_owner::job_owner(job_owner_start start, job_owner_dependencies dependencies)
     : dependencies_(std::move(dependencies)), epoch_(start.head.epoch),
-      assignments_(dependencies_.shard), meter_(now(), {.process = read_processor_times().process}),
+      proof_(start.claim_sent, proof_source::claim), assignments_(dependencies_.shard),
+      meter_(now(), {.process = read_processor_times().process}),
       loop_([this](const step_times& times) { record_step(times); },
             [this](const std::string& cause) { handle_failure(cause); }),
       state_({.epoch = start.head.epoch,
@@ -127,6 +129,7 @@
     if (dependencies_.shard.count > 1) {
         assignments_thread_ = service_thread("assignments", [this] { watch_assignments(); });
     }
+    proof_thread_ = service_thread("ownership", [this] { prove_ownership(); });
     loop_thread_ = service_thread("control", [this] {
         loop_.run(
             tick, [this] { after_batch(); }, batch_spacing);
@@ -145,6 +148,7 @@
     sessions_.clear();
     retired_sessions_.clear();
     directory_thread_.join();
+    proof_thread_.join();
     assignments_thread_.join();
     answer_all_unknown();
 }
@@ -229,7 +233,7 @@
 {
     loop_.post([this, job, reply = std::move(reply)]() mutable {
         const bool exists = !acts_no_more_ && state_.find(job).has_value();
-        if (handing_over_ || acts_no_more_ || (!exists && !dependencies_.is_certain())) {
+        if (handing_over_ || acts_no_more_ || (!exists && !is_certain())) {
             reply({.verdict = owner_verdict::no_owner, .reason = "owner_changes"});
             return;
         }
@@ -248,7 +252,7 @@
         const auto phase = acts_no_more_ ? std::nullopt : state_.find(job);
         if (phase) {
             reply({.verdict = owner_verdict::accepted, .phase = workflow::to_string(*phase)});
-        } else if (acts_no_more_ || !dependencies_.is_certain()) {
+        } else if (acts_no_more_ || !is_certain()) {
             reply({.verdict = owner_verdict::no_owner, .reason = "owner_changes"});
         } else {
             reply({.verdict = owner_verdict::not_found});
@@ -353,12 +357,12 @@
 
 bool job_owner::may_start() const
 {
-    return !ending_ && !acts_no_more_ && !handing_over_ && dependencies_.is_certain();
+    return !ending_ && !acts_no_more_ && !handing_over_ && is_certain();
 }
 
 bool job_owner::may_renew() const
 {
-    return !acts_no_more_ && (dependencies_.is_certain() || boot_now() < renewals_end_.load());
+    return !acts_no_more_ && (is_certain() || boot_now() < renewals_end_.load());
 }
 
 void job_owner::on_store_unreachable()
@@ -421,8 +425,9 @@
         return;
     }
     const auto started = now();
+    const auto boot_started = boot_now(); // Before the questions, as the process may be paused.
     update_certainty(started);
-    update_renewals_end(started);
+    update_renewals_end(started, boot_started);
     bound_earlier_renewals(started);
     const auto passes = state_.counts().passes;
     state_.tick(started);
@@ -449,34 +454,46 @@
 /// Passes on whether it is certain that this is the only owner, and logs each change.
 void job_owner::update_certainty(time_point time)
 {
-    const bool is_certain = dependencies_.is_certain();
-    state_.set_certain(is_certain);
-    if (is_certain == !uncertain_since_) {
+    const bool certain = is_certain();
+    state_.set_certain(certain);
+    if (certain == !uncertain_since_) {
         return;
     }
+    report_certainty(certain, time);
+    uncertain_since_ = certain ? std::nullopt : std::optional(time);
+}
+
+/// Logs whether it is certain that this is the only owner, and why.
+void job_owner::report_certainty(bool is_certain, time_point time)
+{
+    const auto proof_age = proof_.age(boot_now());
+    const auto* state = proof_age >= max_proof_age ? "is too old"
+                        : is_certain               ? "is recent"
+                                                   : "is recent, unlike the node's lease or view";
     log_event event{.event = is_certain ? "ownership_certain" : "ownership_uncertain",
                     .request = {},
-                    .detail = "epoch " + std::to_string(epoch_)};
+                    .detail = "epoch " + std::to_string(epoch_) + ", the newest proof, by " +
+                              to_string(proof_.source()) + ", " + state,
+                    .fields = {{"proof_age_ms", proof_age.count()}}};
     if (uncertain_since_) {
         const auto age = std::chrono::duration_cast<milliseconds>(time - *uncertain_since_);
         event.fields.push_back({"uncertain_ms", age.count()});
     }
     dependencies_.log->write(event);
-    uncertain_since_ = is_certain ? std::nullopt : std::optional(time);
 }
 
 /// Extends the time in which leases are renewed. As long as a majority of the workers answers, no
 /// later owner has been accepted by a majority, as it has to be before it regards a worker that it
 /// doesn't reach as empty.
-void job_owner::update_renewals_end(time_point time)
+void job_owner::update_renewals_end(time_point time, time_point boot_time)
 {
     if (!uncertain_since_) {
         certain_at_ = time;
-        renewals_end_ = boot_now() + renewals_after_answers;
+        renewals_end_ = boot_time + renewals_after_answers;
     } else if (const auto answered = state_.majority_answered_at(certain_at_)) {
         const auto end = std::min(std::max(*answered, certain_at_) + renewals_after_answers,
                                   certain_at_ + max_renewals_without_store);
-        renewals_end_ = boot_now() + (end - time);
+        renewals_end_ = boot_time + (end - time);
     }
 }
 
--- a/flamingoseam/node/job_owner.hpp
+++ b/flamingoseam/node/job_owner.hpp
@@ -7,6 +7,7 @@
 #include "flamingoseam/node/load_meter.hpp"
 #include "flamingoseam/node/node_metrics.hpp"
 #include "flamingoseam/node/owner_service.hpp"
+#include "flamingoseam/node/ownership_proof.hpp"
 #include "flamingoseam/node/permission_dispatcher.hpp"
 #include "flamingoseam/node/shard.hpp"
 #include "flamingoseam/node/usage_log.hpp"
@@ -33,6 +34,7 @@
 struct job_owner_start {
     stream_head head;           ///< The head record by which the owner took over.
     std::uint64_t revision = 0; ///< Revision of that head record.
+    time_point claim_sent{};    ///< When the claim was sent, by boot_now(); zero if not known.
     workflow::stored_jobs jobs;
     std::vector<workflow::worker_entry> leased_workers;
     /// For how long an earlier owner may still be certain that it is the only one; none if there
@@ -57,8 +59,8 @@
     node_metrics* metrics = nullptr;
     usage_log* usage = nullptr; ///< Logs what the process uses; null if nothing does.
 
-    /// Returns whether this node is certain to be the only owner at present. Called from all
-    /// threads.
+    /// Returns whether nothing that this node knows of its lease and of the other nodes speaks
+    /// against its being the only owner at present. Called from all threads.
     std::function<bool()> is_certain;
 
     /// Called when writes to the store get no answer.
@@ -125,10 +127,14 @@
     void on_store_unreachable();
     void set_store_unreachable(bool unreachable);
 
+    [[nodiscard]] bool is_certain() const;
+    void prove_ownership();
+    void read_own_head(shared_store& store);
     void wait_for_batch();
     void after_batch();
     void update_certainty(time_point time);
-    void update_renewals_end(time_point time);
+    void report_certainty(bool is_certain, time_point time);
+    void update_renewals_end(time_point time, time_point boot_time);
     void bound_earlier_renewals(time_point time);
     void dispatch(workflow::workflow_actions actions);
     void answer(const workflow::caller_answer& call_result);
@@ -162,6 +168,7 @@
 
     job_owner_dependencies dependencies_;
     std::uint64_t epoch_;
+    ownership_proof proof_;
     /// Workers of the whole cell, none until they have been read; used by the control thread only.
     std::optional<std::vector<workflow::worker_entry>> listed_workers_;
     worker_assignments assignments_; ///< Used by the control thread only.
@@ -199,6 +206,7 @@
     std::atomic<bool> handing_over_{false};
     service_thread loop_thread_;
     service_thread directory_thread_;
+    service_thread proof_thread_;
     service_thread assignments_thread_;         ///< Runs only if the cell is divided.
     std::unique_ptr<worker_borrower> borrower_; ///< Null if the cell is not divided.
 };
--- /dev/null
+++ b/flamingoseam/node/job_owner_ownership.cpp
@@ -0,0 +1,69 @@
+#include "flamingoseam/node/job_owner.hpp"
+
+#include "flamingoseam/core/error.hpp"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <thread>
+
+namespace flamingoseam::node {
+
+namespace {
+
+/// Age of the newest proof from which the owner reads its head record. An owner with work to do
+/// commits more often, which gives proofs at no further cost.
+constexpr milliseconds max_age_without_read{1'000};
+constexpr milliseconds proof_check_interval{250};
+constexpr milliseconds proof_retry_delay{100};
+
+} // namespace
+
+bool job_owner::is_certain() const
+{
+    return proof_.is_recent(boot_now()) && dependencies_.is_certain();
+}
+
+/// Gets proofs of the ownership while the commit streams write nothing.
+void job_owner::prove_ownership()
+{
+    std::unique_ptr<shared_store> store;
+    while (!ending_ && !acts_no_more_) {
+        const auto left = max_age_without_read - proof_.age(boot_now());
+        if (left > milliseconds(0)) {
+            std::this_thread::sleep_for(std::min(left, proof_check_interval));
+            continue;
+        }
+        const bool has_read = run_guarded("the reading of the owner's head record", [&] {
+            if (!store) {
+                store = dependencies_.stores();
+            }
+            read_own_head(*store);
+        });
+        if (!has_read) {
+            store.reset();
+        }
+        std::this_thread::sleep_for(proof_retry_delay);
+    }
+}
+
+/// Reads a head record, which every claim of another owner replaces.
+void job_owner::read_own_head(shared_store& store)
+{
+    const auto sent = boot_now();
+    std::optional<shared_record> record;
+    try {
+        record = store.get(dependencies_.head_keys.front());
+    } catch (const transport_error& cause) {
+        LOG_EVERY_N(WARNING, 20) << "the store did not answer the reading of a head record: "
+                                 << cause.what();
+        return;
+    }
+    if (record && read_head(record->value).epoch == epoch_) {
+        proof_.record(sent, proof_source::read);
+    } else {
+        report_superseded();
+    }
+}
+
+} // namespace flamingoseam::node
--- a/flamingoseam/node/job_owner_test.cpp
+++ b/flamingoseam/node/job_owner_test.cpp
@@ -132,6 +132,13 @@
         return runs_;
     }
 
+    /// Returns the newest owner's token that the present life of the worker has accepted.
+    std::uint64_t token()
+    {
+        const std::lock_guard lock(mutex_);
+        return token_;
+    }
+
     std::size_t unacknowledged_ends()
     {
         const std::lock_guard lock(mutex_);
@@ -277,7 +284,7 @@
 public:
     /// The owner reaches the first `reached` workers at first.
     owner_process(cell& shared, std::uint64_t earlier_epoch, std::size_t reached,
-                  const shard_identity& shard = {})
+                  const shard_identity& shard = {}, milliseconds earlier_certainty = 0ms)
         : cell_(shared)
     {
         for (std::size_t worker = 0; worker < reached; ++worker) {
@@ -294,9 +301,11 @@
         owner = std::make_unique<job_owner>(
             job_owner_start{.head = claimed->head,
                             .revision = claimed->revision,
+                            .claim_sent = claimed->sent,
                             .jobs = std::move(stored.jobs),
                             .leased_workers = std::move(stored.leased_workers),
-                            .earlier_certainty = earlier ? std::optional(0ms) : std::nullopt},
+                            .earlier_certainty =
+                                earlier ? std::optional(earlier_certainty) : std::nullopt},
             job_owner_dependencies{
                 .head_keys = {"head/0"},
                 .stores = [this] { return store(); },
@@ -541,3 +550,35 @@
     later.submit("job", 2);
     CHECK(wait_until([&] { return count_begun(shared) == 2; }));
 }
+
+TEST_CASE("an owner that hears nothing of its successor starts nothing once its proof is old")
+{
+    cell shared;
+    owner_process earlier(shared, 0, all);
+    earlier.submit("job", 6);
+    REQUIRE(wait_until([&] { return count_begun(shared) == 6; }));
+
+    earlier.reaches[0] = false;
+    earlier.reaches[1] = false;
+    std::this_thread::sleep_for(3 * worker_lease); // The silence of both workers is stored.
+    owner_process later(shared, 1, 2);
+    std::this_thread::sleep_for(2s); // The earlier owner has nothing to write meanwhile.
+    shared.workers[2].restart();
+    std::this_thread::sleep_for(1s);
+    CHECK(shared.workers[2].runs().size() == 2);
+}
+
+TEST_CASE("an owner that gets no proof from the store starts nothing once its last one is old")
+{
+    cell shared;
+    owner_process process(shared, 0, 1);
+    process.submit("job", 2);
+    REQUIRE(wait_until([&] { return count_begun(shared) == 2; }));
+
+    process.reaches_store = false; // Its lease and its view show nothing yet.
+    process.submit("in-flight", 1);
+    std::this_thread::sleep_for(1'600ms);
+    shared.workers[0].restart();
+    std::this_thread::sleep_for(1s);
+    CHECK(count_begun(shared) == 2);
+}
--- a/flamingoseam/node/job_owner_workers.cpp
+++ b/flamingoseam/node/job_owner_workers.cpp
@@ -164,7 +164,7 @@
                              owner_service::count_reply reply)
 {
     loop_.post([this, request, reply = std::move(reply)] {
-        const bool may_lend = !handing_over_ && !acts_no_more_ && dependencies_.is_certain();
+        const bool may_lend = !handing_over_ && !acts_no_more_ && is_certain();
         reply(may_lend ? state_.lend_workers(request, now()) : 0);
     });
 }
--- a/flamingoseam/node/node_election.cpp
+++ b/flamingoseam/node/node_election.cpp
@@ -508,6 +508,7 @@
     auto stored = read_stored_state(dependencies_.stores, record_keys);
     job_owner_start start{.head = claimed.head,
                           .revision = claimed.revision,
+                          .claim_sent = claimed.sent,
                           .jobs = std::move(stored.jobs),
                           .leased_workers = std::move(stored.leased_workers),
                           .earlier_certainty = earlier_certainty};
--- a/flamingoseam/node/owner_claim.cpp
+++ b/flamingoseam/node/owner_claim.cpp
@@ -39,14 +39,14 @@
 }
 
 std::optional<claimed_head> claim_outcome(const shared_result& result, const owner_claim& claim,
-                                          const stream_head& head)
+                                          const stream_head& head, time_point sent)
 {
     if (result.applied) {
-        return claimed_head{.head = head, .revision = result.revision};
+        return claimed_head{.head = head, .revision = result.revision, .sent = sent};
     }
     for (const auto& record : result.conflicting) {
         if (is_own_record(record, claim, head)) {
-            return claimed_head{.head = head, .revision = record.revision};
+            return claimed_head{.head = head, .revision = record.revision, .sent = sent};
         }
     }
     return std::nullopt;
@@ -84,8 +84,9 @@
                            .owner = claim.self.name + "/" + claim.self.incarnation};
     const auto transaction = make_transaction(claim, head);
     for (int attempt = 0; attempt < claim.max_attempts; ++attempt) {
+        const auto sent = boot_now();
         try {
-            return claim_outcome(store.commit(transaction, claim.timeout), claim, head);
+            return claim_outcome(store.commit(transaction, claim.timeout), claim, head, sent);
         } catch (...) { // It may have been applied, whatever the exception is.
             LOG(WARNING) << "the store did not answer the ownership claim; retrying: "
                          << describe_current_exception();
--- a/flamingoseam/node/owner_claim.hpp
+++ b/flamingoseam/node/owner_claim.hpp
@@ -28,6 +28,8 @@
 struct claimed_head {
     stream_head head;
     std::uint64_t revision = 0; ///< Revision of the owner's record and of each stream's head.
+    /// When the attempt was sent whose answer shows that the claim is stored, by boot_now().
+    time_point sent{};
 };
 
 /// Replaces the owner's record, on condition that it has the expected revision, together with the
