--- a/scenarios/platform_soak.lua
+++ b/scenarios/platform_soak.lua
@@ -360,8 +360,10 @@
 -- Faults that are only carried out if they are named, so that seeds keep their meaning without them.
 local named_faults = {
     clock_step = step_clocks,
-    worker_flap = function() -- Workers crash and restart by turns.
+    worker_flap = function() -- Some workers crash and restart by turns.
+        if workers.flap_until_ms and now_ms() < workers.flap_until_ms then return end
         local turns = math.random(3, 5)
+        workers.flap_until_ms = now_ms() + turns * FLAP_PAUSE_MS
         log_fault("worker_flap, " .. turns .. " turns")
         for _ = 1, MOST_FLAPPING do
             local worker = pick(workers)
