Start nothing that an earlier owner may still start elsewhere

What callers saw: a task started again on another worker by the next owner (TWICE on a divided cell). One way that was left, by reading: a worker restarts while an owner with a valid proof is being replaced, by a stronger node or because its port refuses connections. In its new life it knows no fencing token, so the earlier owner may start tasks there, while the successor, which had the worker's report before the restart, starts the same tasks elsewhere.

Now a successor leaves the tasks of the jobs that it has loaded unlocated until the earlier owner's last proof is surely too old (1.6 s after the claim), or until that owner has said that it has stopped. Tasks that are lost meanwhile become unlocated again instead of waiting. Jobs that are submitted to the successor are not held up. A worker that was heard last before that time is taken for empty only once the earlier owner renews no leases any more and a lease has passed, as one that was never heard: its next life may hold runs of the earlier owner.

Cost: loaded tasks that wait are started up to 1.6 s after a takeover whose earlier owner doesn't answer; a worker that falls silent within that time is taken for empty up to 4.1 s later than before.

Ruled out: holding only tasks that were never located, as a located one may be lost with its worker's life at both owners; asking only the majority of workers, since a worker in a new life forgets what it has accepted.

--- a/flamingoseam/node/job_owner.cpp
+++ b/flamingoseam/node/job_owner.cpp
@@ -79,10 +79,15 @@
               .ended_retention = dependencies_.ended_kept + clock_skew_margin,
               .streams = dependencies_.head_keys.size()}),
       certain_at_(now()), earlier_certainty_(start.earlier_certainty.value_or(milliseconds(0))),
+      earlier_starts_end_(certain_at_ + earlier_certainty_),
+      earlier_ended_(!start.earlier_certainty),
       earlier_renewals_limit_(certain_at_ + earlier_certainty_ + max_renewals_without_store +
                               renewals_after_answers),
       earlier_renewals_end_(start.earlier_certainty ? time_point::max() : certain_at_)
 {
+    if (start.earlier_certainty) {
+        state_.await_earlier_owner();
+    }
     state_.load(std::move(start.jobs.jobs), start.leased_workers, now(), wall_now());
     if (!start.earlier_certainty) {
         state_.set_earlier_renewals_end(wall_now());
@@ -428,6 +433,7 @@
     const auto boot_started = boot_now(); // Before the questions, as the process may be paused.
     update_certainty(started);
     update_renewals_end(started, boot_started);
+    update_earlier_owner(started);
     bound_earlier_renewals(started);
     const auto passes = state_.counts().passes;
     state_.tick(started);
@@ -500,24 +506,32 @@
 /// Finds out when an earlier owner that may still be running stops renewing leases.
 void job_owner::bound_earlier_renewals(time_point time)
 {
-    if (earlier_renewals_end_ != time_point::max()) {
+    if (earlier_stopped_ && earlier_renewals_end_ > time) {
+        set_earlier_renewals_end(time, time);
+    } else if (earlier_renewals_end_ != time_point::max()) {
         return;
-    }
-    if (state_.has_majority_accepted()) {
-        earlier_renewals_end_ = time + earlier_certainty_ + renewals_after_answers;
+    } else if (state_.has_majority_accepted()) {
+        set_earlier_renewals_end(time + earlier_certainty_ + renewals_after_answers, time);
     } else if (time >= earlier_renewals_limit_) {
-        earlier_renewals_end_ = time;
-    } else {
-        return;
+        set_earlier_renewals_end(time, time);
     }
+}
+
+/// Passes on when an earlier owner stops renewing leases.
+void job_owner::set_earlier_renewals_end(time_point end, time_point time)
+{
+    earlier_renewals_end_ = end;
     for (const auto& [worker, session] : sessions_) {
         session->set_earlier_renewals_end(earlier_renewals_end_);
     }
     state_.set_earlier_renewals_end(
         wall_now() + std::chrono::duration_cast<milliseconds>(earlier_renewals_end_ - time));
-    dependencies_.log->write({.event = "earlier_renewals_bounded",
-                              .request = {},
-                              .detail = "epoch " + std::to_string(epoch_)});
+    dependencies_.log->write(
+        {.event = "earlier_renewals_bounded",
+         .request = {},
+         .detail = "epoch " + std::to_string(epoch_) +
+                   (earlier_stopped_ ? ", the earlier owner has stopped" : ""),
+         .fields = {{"end_in_ms", std::chrono::ceil<milliseconds>(end - time).count()}}});
 }
 
 void job_owner::dispatch(workflow::workflow_actions actions)
--- a/flamingoseam/node/job_owner.hpp
+++ b/flamingoseam/node/job_owner.hpp
@@ -104,6 +104,16 @@
     /// `timeout`.
     bool hand_over(workflow::record_change last, milliseconds timeout);
 
+    /// Makes this owner act no more, since another one has taken over. Thread-safe.
+    void report_superseded();
+
+    /// Records that no earlier owner of the shard acts any more.
+    void confirm_earlier_stopped();
+
+    /// Checks whether it is certain that no earlier owner of the shard starts runs any more.
+    /// Thread-safe.
+    [[nodiscard]] bool have_earlier_ended() const { return earlier_ended_; }
+
     /// Makes all threads end soon. Nothing is sent to workers any more, and calls whose outcome is
     /// not stored yet are answered with the verdict `unknown`.
     void request_stop();
@@ -136,6 +146,8 @@
     void report_certainty(bool is_certain, time_point time);
     void update_renewals_end(time_point time, time_point boot_time);
     void bound_earlier_renewals(time_point time);
+    void set_earlier_renewals_end(time_point end, time_point time);
+    void update_earlier_owner(time_point time);
     void dispatch(workflow::workflow_actions actions);
     void answer(const workflow::caller_answer& call_result);
     void record_timings(const workflow::workflow_actions& actions, time_point started);
@@ -161,7 +173,6 @@
     void open_sessions();
     [[nodiscard]] bool is_current(const session_id& session) const;
     void drop_finished_sessions();
-    void report_superseded();
     void handle_failure(const std::string& cause);
     workflow::record_batch take_batch(std::size_t stream, std::size_t max_changes);
     void start_threads();
@@ -194,6 +205,10 @@
     /// although that is not certain.
     std::atomic<time_point> renewals_end_{};
     milliseconds earlier_certainty_; ///< For how long an earlier owner may still be certain.
+    time_point earlier_starts_end_;  ///< Latest time at which an earlier owner starts a run.
+    bool earlier_stopped_ =
+        false; ///< An earlier owner has said so; used by the control thread only.
+    std::atomic<bool> earlier_ended_; ///< No earlier owner starts runs any more.
     /// Latest time at which an earlier owner stops renewing leases, if too few workers show that it
     /// does; used by the control thread only.
     time_point earlier_renewals_limit_;
--- a/flamingoseam/node/job_owner_ownership.cpp
+++ b/flamingoseam/node/job_owner_ownership.cpp
@@ -66,4 +66,27 @@
     }
 }
 
+void job_owner::confirm_earlier_stopped()
+{
+    post_decision([this] { earlier_stopped_ = true; });
+}
+
+/// Lets the tasks that an earlier owner knew be started once that owner starts none any more.
+void job_owner::update_earlier_owner(time_point time)
+{
+    if (earlier_ended_ || (!earlier_stopped_ && time < earlier_starts_end_)) {
+        return;
+    }
+    earlier_ended_ = true;
+    state_.on_earlier_owner_ended();
+    const auto waited =
+        std::chrono::ceil<milliseconds>(time - earlier_starts_end_) + earlier_certainty_;
+    dependencies_.log->write(
+        {.event = "earlier_owner_ended",
+         .request = {},
+         .detail = "epoch " + std::to_string(epoch_) +
+                   (earlier_stopped_ ? ", it has said so" : ", its last proof is too old"),
+         .fields = {{"waited_ms", waited.count()}}});
+}
+
 } // namespace flamingoseam::node
--- a/flamingoseam/node/job_owner_test.cpp
+++ b/flamingoseam/node/job_owner_test.cpp
@@ -582,3 +582,54 @@
     std::this_thread::sleep_for(1s);
     CHECK(count_begun(shared) == 2);
 }
+
+namespace {
+
+/// Lets an owner that has a recent proof, but gets no answer from the store any more, be replaced
+/// by one that has a report of the only worker at work. That worker restarts then, and only the
+/// earlier owner reaches it at first.
+void restart_unseen_by_later_owner(cell& shared, owner_process& earlier,
+                                   std::unique_ptr<owner_process>& later)
+{
+    earlier.submit("job", 2);
+    REQUIRE(wait_until([&] { return count_begun(shared) == 2; }));
+    earlier.reaches_store = false;
+    earlier.submit("in-flight", 1);
+    std::this_thread::sleep_for(100ms);
+    earlier.reaches[0] = false;
+    later = std::make_unique<owner_process>(shared, 1, all, shard_identity{}, 1'600ms);
+    REQUIRE(wait_until([&] { return shared.workers[0].token() == 2; }));
+    std::this_thread::sleep_for(50ms); // The report arrives.
+    later->reaches[0] = false;
+    shared.workers[0].restart();
+    earlier.reaches[0] = true;
+    REQUIRE(wait_until([&] { return shared.workers[0].runs().size() > 2; }, 1s));
+}
+
+} // namespace
+
+TEST_CASE("what an earlier owner may still start in a worker's new life is not started elsewhere")
+{
+    cell shared;
+    owner_process earlier(shared, 0, 1);
+    std::unique_ptr<owner_process> later;
+    restart_unseen_by_later_owner(shared, earlier, later);
+
+    SECTION("if the later owner reaches the worker again soon")
+    {
+        std::this_thread::sleep_for(3 * worker_lease); // The worker is taken for empty meanwhile.
+        later->reaches[0] = true;
+        REQUIRE(wait_until([&] { return shared.workers[0].token() == 2; }));
+        std::this_thread::sleep_for(1s);
+    }
+    SECTION("if the later owner does not reach it while it is leased")
+    {
+        CHECK(wait_until([&] {
+            const auto runs = all_runs(shared);
+            return std::ranges::any_of(runs, [](const auto& run) { return run.token == 2; });
+        }));
+    }
+    const auto runs = all_runs(shared);
+    CHECK(std::ranges::count_if(runs, [](const auto& run) { return !run.ended; }) == 2);
+    CHECK(count_concurrent(shared) == 0);
+}
--- a/flamingoseam/node/job_owner_workers.cpp
+++ b/flamingoseam/node/job_owner_workers.cpp
@@ -210,7 +210,8 @@
                                    .epoch = state.entry.token_base + epoch_,
                                    .lease = dependencies_.worker_lease,
                                    .silent_for = silence_of(state, wall_now()),
-                                   .earlier_renewals_end = earlier_renewals_end_},
+                                   .earlier_renewals_end = earlier_renewals_end_,
+                                   .earlier_starts_end = earlier_starts_end_},
             state.entry, dependencies_.io->next_loops(), dependencies_.channels, listener);
         sessions_.emplace(worker, std::move(session)); // Not before, as opening it may fail.
     }
--- a/flamingoseam/node/worker_session.cpp
+++ b/flamingoseam/node/worker_session.cpp
@@ -187,9 +187,7 @@
 void worker_session::set_earlier_renewals_end(time_point end)
 {
     const std::lock_guard lock(mutex_);
-    if (earlier_renewals_end_ == time_point::max()) {
-        earlier_renewals_end_ = end;
-    }
+    earlier_renewals_end_ = std::min(earlier_renewals_end_, end);
 }
 
 void worker_session::expect_report(time_point time)
@@ -540,6 +538,7 @@
     const auto newest_end =
         answer.report.ended.empty() ? std::int64_t{0} : answer.report.ended.back().number;
     answer.report.asked = asked_;
+    answered_asked_ = asked_;
     set_unreachable(false);
     listener_.on_report(options_.id, std::move(answer.report));
     next_poll_ = now();
@@ -580,12 +579,7 @@
     bool expired = false;
     {
         const std::lock_guard lock(mutex_);
-        const auto time = now();
-        const auto max_earlier_lease = scaled(options_.lease, 1 / min_clock_rate) + expiry_margin;
-        expired =
-            !emptied_ && (clock_.is_known() ? clock_.has_expired(time)
-                                            : time > earlier_renewals_end_ &&
-                                                  time - earlier_renewals_end_ > max_earlier_lease);
+        expired = !emptied_ && has_lease_expired(now());
     }
     if (expired) {
         listener_.on_emptied(options_.id, workflow::emptied_reason::lease_expired);
@@ -593,6 +587,20 @@
     }
 }
 
+/// Checks whether nothing runs on the silent worker any more. Requires `mutex_`.
+bool worker_session::has_lease_expired(time_point time) const
+{
+    if (clock_.is_known() && !clock_.has_expired(time)) {
+        return false;
+    }
+    if (clock_.is_known() && answered_asked_ >= options_.earlier_starts_end) {
+        return true;
+    }
+    // An earlier owner may have started runs on it, also in a new life since its last answer.
+    const auto max_earlier_lease = scaled(options_.lease, 1 / min_clock_rate) + expiry_margin;
+    return time > earlier_renewals_end_ && time - earlier_renewals_end_ > max_earlier_lease;
+}
+
 void worker_session::set_unreachable(bool unreachable)
 {
     time_point silent_since;
--- a/flamingoseam/node/worker_session.hpp
+++ b/flamingoseam/node/worker_session.hpp
@@ -60,6 +60,9 @@
     /// When an earlier owner stops renewing the lease; time_point::max() if that is not known yet.
     time_point earlier_renewals_end{};
 
+    /// Until then an earlier owner may start runs on the worker if it restarts unseen.
+    time_point earlier_starts_end{};
+
     milliseconds poll_wait{800};        ///< How long the worker holds a poll when it has no news.
     milliseconds idle_poll_wait{1'800}; ///< The same while the worker has no runs.
     milliseconds answer_timeout{500};   ///< Time for the answer to a poll, beyond the wait.
@@ -156,7 +159,8 @@
     /// renewed. Has no effect if the worker has become silent again.
     void permit_renewal(time_point silent_since);
 
-    /// Sets when an earlier owner stops renewing the lease, if that was not known.
+    /// Sets when an earlier owner stops renewing the lease, if that was not known or is earlier
+    /// than was known.
     void set_earlier_renewals_end(time_point end);
 
     /// Requests a report at `time`: a poll that starts before `time` ends by then.
@@ -205,6 +209,7 @@
     void handle_poll_answer();
     void handle_renewal(renew_answer answer);
     void record_failed_poll();
+    [[nodiscard]] bool has_lease_expired(time_point time) const;
     void wait_until_stored(std::int64_t newest_end);
     bool is_waiting_for_storage();
     void pause_polls(milliseconds length) { next_poll_ = now() + length; }
@@ -245,8 +250,9 @@
 
     // Used on the loop for polls only.
     std::unique_ptr<worker_channel> poll_channel_;
-    bool is_poll_sent_ = false; ///< The result of a poll has not been handled yet.
-    time_point asked_{};        ///< When the last poll was sent.
+    bool is_poll_sent_ = false;   ///< The result of a poll has not been handled yet.
+    time_point asked_{};          ///< When the last poll was sent.
+    time_point answered_asked_{}; ///< When the poll was sent that the worker has answered last.
     std::optional<call_result<renew_answer>> poll_result_; ///< Not handled yet.
     time_point next_poll_{};                               ///< No poll is sent before.
     time_point storage_wait_end_{};
--- a/flamingoseam/workflow/workflow_jobs.cpp
+++ b/flamingoseam/workflow/workflow_jobs.cpp
@@ -47,9 +47,10 @@
         leased_workers_.insert(index);
         unreported_.insert(index);
     }
+    last_loaded_sequence_ = last_sequence_;
     loaded_workers_ = unreported_.size();
     stored_leased_workers_ = leased_workers_;
-    if (unreported_.empty()) {
+    if (unreported_.empty() && !awaits_earlier_owner_) {
         release_unlocated();
     }
     close_completed_jobs(wall);
@@ -303,7 +304,8 @@
     const auto phase =
         job.steps[static_cast<std::size_t>(step)].tasks[static_cast<std::size_t>(index)].phase;
     if (phase == task_phase::placed) {
-        set_task_phase(job, step, index, task_phase::waiting);
+        set_task_phase(job, step, index,
+                       awaits_earlier_owner(job) ? task_phase::unlocated : task_phase::waiting);
     }
 }
 
--- a/flamingoseam/workflow/workflow_reports.cpp
+++ b/flamingoseam/workflow/workflow_reports.cpp
@@ -407,11 +407,24 @@
 
 void workflow_state::mark_located(std::size_t worker)
 {
-    if (unreported_.erase(worker) > 0 && unreported_.empty()) {
+    if (unreported_.erase(worker) > 0 && unreported_.empty() && !awaits_earlier_owner_) {
         release_unlocated();
     }
 }
 
+void workflow_state::on_earlier_owner_ended()
+{
+    if (std::exchange(awaits_earlier_owner_, false) && unreported_.empty()) {
+        release_unlocated();
+    }
+}
+
+/// Checks whether an earlier owner that knows the job may still start its tasks.
+bool workflow_state::awaits_earlier_owner(const job_record& job) const
+{
+    return awaits_earlier_owner_ && job.sequence <= last_loaded_sequence_;
+}
+
 void workflow_state::release_unlocated()
 {
     for (const auto& [sequence, job] : open_) {
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -146,6 +146,13 @@
     /// that no transaction has tried to store yet. Complexity: linear in the open jobs.
     void set_store_available(bool available);
 
+    /// Declares that an earlier owner may still start the tasks of the jobs that are about to be
+    /// loaded. Until on_earlier_owner_ended(), none of them is started that isn't known to run.
+    void await_earlier_owner() { awaits_earlier_owner_ = true; }
+
+    /// Records that no earlier owner starts runs any more.
+    void on_earlier_owner_ended();
+
     /// Sets whether it is certain that no later owner exists. While it is not, no run is started:
     /// a later owner may have started the same task on another worker.
     void set_certain(bool certain);
@@ -276,6 +283,7 @@
     void acknowledge_end(std::size_t worker, std::int64_t incarnation, std::int64_t number);
     void mark_located(std::size_t worker);
     void release_unlocated();
+    [[nodiscard]] bool awaits_earlier_owner(const job_record& job) const;
     void record_health(std::size_t worker, const std::string& job, bool failed, time_point time);
 
     // load of queues
@@ -475,6 +483,9 @@
     bool leased_workers_changed_ = false;
     bool store_available_ = true;
     bool certain_ = true; ///< No later owner can exist.
+    /// An earlier owner may still start tasks of the loaded jobs.
+    bool awaits_earlier_owner_ = false;
+    std::uint64_t last_loaded_sequence_ = 0; ///< Of the jobs that were loaded.
     time_point worker_list_confirmed_{};
     bool pass_requested_ = false;
     std::size_t waiting_steps_ = 0;
