Ask a replaced owner whether it has stopped, and never take its record's end for that

What callers saw: the class of 'started again by another owner'. A successor took an owner whose member record was missing for one that had lost its certainty, and allowed it no time. But the store may take a record away at once, without a sign, and an owner may have claimed and died before the one before it had stopped.

So that a takeover from an owner that lives need not wait, the successor asks it to stop by a call of its own, stopOwner. The owner answers true when it acts no more and was itself certain that no earlier owner did. Without an answer the successor waits.

Evidence: 'an earlier owner may still act for a while, whether or not its record stands' states the bound, which was 0 ms for a missing record before.

Ruled out: a refused connection as an answer, since a port may refuse while the process acts on.

--- a/flamingoseam/node/coordinator.capnp
+++ b/flamingoseam/node/coordinator.capnp
@@ -71,4 +71,7 @@
   # Returns how many it gives at once.
   lendWorkers @7 (shard :UInt32, service :Text, workers :UInt32, demand :Float64, desired :Float64)
       -> (workers :UInt32);
+  # Tells the callee that another node has replaced the owner of this epoch. `stopped` is true when
+  # that owner was one of the callee and neither it nor an earlier one acts any more.
+  stopOwner @8 (epoch :UInt64) -> (stopped :Bool);
 }
--- a/flamingoseam/node/coordinator.capnp.c++
+++ b/flamingoseam/node/coordinator.capnp.c++
@@ -683,7 +683,7 @@
   0, 2, i_acbaabe7022d6688, nullptr, nullptr, { &s_acbaabe7022d6688, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<107> b_edc252c094bcf7fd = {
+static const ::capnp::_::AlignedData<118> b_edc252c094bcf7fd = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     253, 247, 188, 148, 192,  82, 194, 237,
      36,   0,   0,   0,   3,   0,   0,   0,
@@ -693,8 +693,8 @@
      21,   0,   0,   0, 130,   1,   0,   0,
      41,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     37,   0,   0,   0,   7,   2,   0,   0,
-    125,   1,   0,   0,   7,   0,   0,   0,
+     37,   0,   0,   0,  71,   2,   0,   0,
+    169,   1,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     102, 108,  97, 109, 105, 110, 103, 111,
     115, 101,  97, 109,  47, 110, 111, 100,
@@ -703,71 +703,79 @@
     112, 110, 112,  58,  67, 111, 111, 114,
     100, 105, 110,  97, 116, 111, 114,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     32,   0,   0,   0,   3,   0,   5,   0,
+     36,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      82, 216, 237, 100, 104, 244, 113, 142,
     235,  13,  91, 119,  55,  54,  34, 164,
-    241,   0,   0,   0,  58,   0,   0,   0,
+     17,   1,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    229,   0,   0,   0,   7,   0,   0,   0,
+      5,   1,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
     114, 114, 212, 216,  96,  22, 200, 142,
     138,  12, 183, 186, 243,  99,  90, 157,
-    217,   0,   0,   0,  58,   0,   0,   0,
+    249,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    205,   0,   0,   0,   7,   0,   0,   0,
+    237,   0,   0,   0,   7,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
     153, 178, 140, 223, 234,   0, 175, 248,
      66, 136, 130,  84, 195, 209, 159, 172,
-    193,   0,   0,   0,  42,   0,   0,   0,
+    225,   0,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    181,   0,   0,   0,   7,   0,   0,   0,
+    213,   0,   0,   0,   7,   0,   0,   0,
       3,   0,   0,   0,   0,   0,   0,   0,
      96, 218,  22,  58, 183,  20, 182, 182,
      41,  54, 130,  63, 225, 210, 180, 198,
-    169,   0,   0,   0, 106,   0,   0,   0,
+    201,   0,   0,   0, 106,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    161,   0,   0,   0,   7,   0,   0,   0,
+    193,   0,   0,   0,   7,   0,   0,   0,
       4,   0,   0,   0,   0,   0,   0,   0,
     105,   3, 105,  65,   1,  41, 202, 192,
     120, 173, 100,   0,  65,  42,  75, 138,
-    149,   0,   0,   0, 114,   0,   0,   0,
+    181,   0,   0,   0, 114,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    141,   0,   0,   0,   7,   0,   0,   0,
+    173,   0,   0,   0,   7,   0,   0,   0,
       5,   0,   0,   0,   0,   0,   0,   0,
     149,  57, 131,  16, 210,  65, 117, 186,
      51, 227,   7, 205,  77, 170, 218, 132,
-    129,   0,   0,   0, 122,   0,   0,   0,
+    161,   0,   0,   0, 122,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    121,   0,   0,   0,   7,   0,   0,   0,
+    153,   0,   0,   0,   7,   0,   0,   0,
       6,   0,   0,   0,   0,   0,   0,   0,
     145,  37,  95,  16, 152,  19, 153, 153,
      72,  36,  58,  40, 213,  31, 156, 145,
-    109,   0,   0,   0, 138,   0,   0,   0,
+    141,   0,   0,   0, 138,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    105,   0,   0,   0,   7,   0,   0,   0,
+    137,   0,   0,   0,   7,   0,   0,   0,
       7,   0,   0,   0,   0,   0,   0,   0,
      54,  64, 115,  61,  28, 120,  10, 203,
     234, 140, 121, 217,  39,  28, 195, 180,
-     93,   0,   0,   0,  98,   0,   0,   0,
+    125,   0,   0,   0,  98,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     85,   0,   0,   0,   7,   0,   0,   0,
+    117,   0,   0,   0,   7,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+    107,   2,  93, 194,  97, 251,   4, 254,
+     74, 227, 146,  75, 193, 242, 108, 222,
+    105,   0,   0,   0,  82,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97,   0,   0,   0,   7,   0,   0,   0,
     115, 117,  98, 109, 105, 116,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
      99,  97, 110,  99, 101, 108,   0,   0,
@@ -790,6 +798,9 @@
     108, 101, 110, 100,  87, 111, 114, 107,
     101, 114, 115,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    115, 116, 111, 112,  79, 119, 110, 101,
+    114,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_edc252c094bcf7fd = b_edc252c094bcf7fd.words;
@@ -810,12 +821,14 @@
   &s_c0ca290141690369,
   &s_c6b4d2e13f823629,
   &s_cb0a781c3d734036,
+  &s_de6cf2c14b92e34a,
   &s_f8af00eadf8cb299,
+  &s_fe04fb61c25d026b,
 };
-static const uint16_t m_edc252c094bcf7fd[] = {4, 1, 6, 3, 2, 7, 5, 0};
+static const uint16_t m_edc252c094bcf7fd[] = {4, 1, 6, 3, 2, 7, 5, 8, 0};
 const ::capnp::_::RawSchema s_edc252c094bcf7fd = {
-  0xedc252c094bcf7fd, b_edc252c094bcf7fd.words, 107, d_edc252c094bcf7fd, m_edc252c094bcf7fd,
-  16, 8, nullptr, nullptr, nullptr, { &s_edc252c094bcf7fd, nullptr, nullptr, 0, 0, nullptr }
+  0xedc252c094bcf7fd, b_edc252c094bcf7fd.words, 118, d_edc252c094bcf7fd, m_edc252c094bcf7fd,
+  18, 9, nullptr, nullptr, nullptr, { &s_edc252c094bcf7fd, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<51> b_8e71f46864edd852 = {
@@ -1761,6 +1774,102 @@
   0, 1, i_b4c31c27d9798cea, nullptr, nullptr, { &s_b4c31c27d9798cea, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<37> b_fe04fb61c25d026b = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    107,   2,  93, 194,  97, 251,   4, 254,
+     48,   0,   0,   0,   1,   0,   1,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  10,   2,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     45,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    102, 108,  97, 109, 105, 110, 103, 111,
+    115, 101,  97, 109,  47, 110, 111, 100,
+    101,  47,  99, 111, 111, 114, 100, 105,
+    110,  97, 116, 111, 114,  46,  99,  97,
+    112, 110, 112,  58,  67, 111, 111, 114,
+    100, 105, 110,  97, 116, 111, 114,  46,
+    115, 116, 111, 112,  79, 119, 110, 101,
+    114,  36,  80,  97, 114,  97, 109, 115,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     20,   0,   0,   0,   2,   0,   1,   0,
+    101, 112, 111,  99, 104,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_fe04fb61c25d026b = b_fe04fb61c25d026b.words;
+#if !CAPNP_LITE
+static const uint16_t m_fe04fb61c25d026b[] = {0};
+static const uint16_t i_fe04fb61c25d026b[] = {0};
+const ::capnp::_::RawSchema s_fe04fb61c25d026b = {
+  0xfe04fb61c25d026b, b_fe04fb61c25d026b.words, 37, nullptr, m_fe04fb61c25d026b,
+  0, 1, i_fe04fb61c25d026b, nullptr, nullptr, { &s_fe04fb61c25d026b, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<37> b_de6cf2c14b92e34a = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     74, 227, 146,  75, 193, 242, 108, 222,
+     48,   0,   0,   0,   1,   0,   1,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  18,   2,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     45,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    102, 108,  97, 109, 105, 110, 103, 111,
+    115, 101,  97, 109,  47, 110, 111, 100,
+    101,  47,  99, 111, 111, 114, 100, 105,
+    110,  97, 116, 111, 114,  46,  99,  97,
+    112, 110, 112,  58,  67, 111, 111, 114,
+    100, 105, 110,  97, 116, 111, 114,  46,
+    115, 116, 111, 112,  79, 119, 110, 101,
+    114,  36,  82, 101, 115, 117, 108, 116,
+    115,   0,   0,   0,   0,   0,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     20,   0,   0,   0,   2,   0,   1,   0,
+    115, 116, 111, 112, 112, 101, 100,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_de6cf2c14b92e34a = b_de6cf2c14b92e34a.words;
+#if !CAPNP_LITE
+static const uint16_t m_de6cf2c14b92e34a[] = {0};
+static const uint16_t i_de6cf2c14b92e34a[] = {0};
+const ::capnp::_::RawSchema s_de6cf2c14b92e34a = {
+  0xde6cf2c14b92e34a, b_de6cf2c14b92e34a.words, 37, nullptr, m_de6cf2c14b92e34a,
+  0, 1, i_de6cf2c14b92e34a, nullptr, nullptr, { &s_de6cf2c14b92e34a, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 }  // namespace schemas
 }  // namespace capnp
 
@@ -1890,6 +1999,16 @@
       "flamingoseam/node/coordinator.capnp:Coordinator", "lendWorkers",
       0xedc252c094bcf7fdull, 7);
 }
+::capnp::Request< ::flamingoseam::rpc::Coordinator::StopOwnerParams,  ::flamingoseam::rpc::Coordinator::StopOwnerResults>
+Coordinator::Client::stopOwnerRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::flamingoseam::rpc::Coordinator::StopOwnerParams,  ::flamingoseam::rpc::Coordinator::StopOwnerResults>(
+      0xedc252c094bcf7fdull, 8, sizeHint);
+}
+::kj::Promise<void> Coordinator::Server::stopOwner(StopOwnerContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "flamingoseam/node/coordinator.capnp:Coordinator", "stopOwner",
+      0xedc252c094bcf7fdull, 8);
+}
 ::capnp::Capability::Server::DispatchCallResult Coordinator::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -1952,6 +2071,12 @@
              ::flamingoseam::rpc::Coordinator::LendWorkersParams,  ::flamingoseam::rpc::Coordinator::LendWorkersResults>(context)),
         false
       };
+    case 8:
+      return {
+        stopOwner(::capnp::Capability::Server::internalGetTypedContext<
+             ::flamingoseam::rpc::Coordinator::StopOwnerParams,  ::flamingoseam::rpc::Coordinator::StopOwnerResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -2095,6 +2220,22 @@
 constexpr ::capnp::_::RawSchema const* Coordinator::LendWorkersResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Coordinator::StopOwnerParams
+constexpr uint16_t Coordinator::StopOwnerParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Coordinator::StopOwnerParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Coordinator::StopOwnerParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Coordinator::StopOwnerParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Coordinator::StopOwnerResults
+constexpr uint16_t Coordinator::StopOwnerResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Coordinator::StopOwnerResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Coordinator::StopOwnerResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Coordinator::StopOwnerResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 
 }  // namespace
 }  // namespace
--- a/flamingoseam/node/coordinator.capnp.h
+++ b/flamingoseam/node/coordinator.capnp.h
@@ -41,6 +41,8 @@
 CAPNP_DECLARE_SCHEMA(919c1fd5283a2448);
 CAPNP_DECLARE_SCHEMA(cb0a781c3d734036);
 CAPNP_DECLARE_SCHEMA(b4c31c27d9798cea);
+CAPNP_DECLARE_SCHEMA(fe04fb61c25d026b);
+CAPNP_DECLARE_SCHEMA(de6cf2c14b92e34a);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -147,6 +149,8 @@
   struct ConfirmOwnerGoneResults;
   struct LendWorkersParams;
   struct LendWorkersResults;
+  struct StopOwnerParams;
+  struct StopOwnerResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -396,6 +400,36 @@
   };
 };
 
+struct Coordinator::StopOwnerParams {
+  StopOwnerParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fe04fb61c25d026b, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Coordinator::StopOwnerResults {
+  StopOwnerResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(de6cf2c14b92e34a, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class StepSpec::Reader {
@@ -1019,6 +1053,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::flamingoseam::rpc::Coordinator::LendWorkersParams,  ::flamingoseam::rpc::Coordinator::LendWorkersResults> lendWorkersRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::flamingoseam::rpc::Coordinator::StopOwnerParams,  ::flamingoseam::rpc::Coordinator::StopOwnerResults> stopOwnerRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -1067,6 +1103,10 @@
   typedef  ::flamingoseam::rpc::Coordinator::LendWorkersResults LendWorkersResults;
   typedef ::capnp::CallContext<LendWorkersParams, LendWorkersResults> LendWorkersContext;
   virtual ::kj::Promise<void> lendWorkers(LendWorkersContext context);
+  typedef  ::flamingoseam::rpc::Coordinator::StopOwnerParams StopOwnerParams;
+  typedef  ::flamingoseam::rpc::Coordinator::StopOwnerResults StopOwnerResults;
+  typedef ::capnp::CallContext<StopOwnerParams, StopOwnerResults> StopOwnerContext;
+  virtual ::kj::Promise<void> stopOwner(StopOwnerContext context);
 
   inline  ::flamingoseam::rpc::Coordinator::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -2417,6 +2457,158 @@
 };
 #endif  // !CAPNP_LITE
 
+class Coordinator::StopOwnerParams::Reader {
+public:
+  typedef StopOwnerParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getEpoch() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Coordinator::StopOwnerParams::Builder {
+public:
+  typedef StopOwnerParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getEpoch();
+  inline void setEpoch( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Coordinator::StopOwnerParams::Pipeline {
+public:
+  typedef StopOwnerParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Coordinator::StopOwnerResults::Reader {
+public:
+  typedef StopOwnerResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool getStopped() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Coordinator::StopOwnerResults::Builder {
+public:
+  typedef StopOwnerResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool getStopped();
+  inline void setStopped(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Coordinator::StopOwnerResults::Pipeline {
+public:
+  typedef StopOwnerResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 inline  ::int32_t StepSpec::Reader::getTasks() const {
@@ -3827,6 +4019,34 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Coordinator::StopOwnerParams::Reader::getEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Coordinator::StopOwnerParams::Builder::getEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Coordinator::StopOwnerParams::Builder::setEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Coordinator::StopOwnerResults::Reader::getStopped() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Coordinator::StopOwnerResults::Builder::getStopped() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Coordinator::StopOwnerResults::Builder::setStopped(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/flamingoseam/node/coordinator_rpc.cpp
+++ b/flamingoseam/node/coordinator_rpc.cpp
@@ -194,6 +194,13 @@
             .then([context](bool gone) mutable { context.getResults().setGone(gone); });
     }
 
+    kj::Promise<void> stopOwner(StopOwnerContext context) override
+    {
+        const auto epoch = context.getParams().getEpoch();
+        return detail::promise_of<bool>([&](auto reply) { service_.stop_owner(epoch, reply); })
+            .then([context](bool stopped) mutable { context.getResults().setStopped(stopped); });
+    }
+
     kj::Promise<void> lendWorkers(LendWorkersContext context) override
     {
         const auto params = context.getParams();
@@ -367,6 +374,18 @@
         true);
 }
 
+bool coordinator_client::stop_owner(const endpoint& node, std::uint64_t epoch, milliseconds timeout)
+{
+    return impl_->call<bool>(
+        node, timeout,
+        [&](rpc::Coordinator::Client& client) {
+            auto message = client.stopOwnerRequest();
+            message.setEpoch(epoch);
+            return message.send().then([](auto response) { return response.getStopped(); });
+        },
+        true);
+}
+
 std::size_t coordinator_client::lend_workers(const endpoint& owner,
                                              const workflow::worker_request& request,
                                              milliseconds timeout)
--- a/flamingoseam/node/coordinator_rpc_test.cpp
+++ b/flamingoseam/node/coordinator_rpc_test.cpp
@@ -55,6 +55,12 @@
         reply(7);
     }
 
+    void stop_owner(std::uint64_t epoch, flag_reply reply) override
+    {
+        reply(epoch == stopped_epoch);
+    }
+
+    static constexpr std::uint64_t stopped_epoch = 15; ///< Of an owner that has stopped.
     static constexpr std::uint64_t failing_epoch = 13; ///< Throws.
     static constexpr std::uint64_t waiting_epoch = 14; ///< Is not answered.
 
@@ -133,6 +139,15 @@
     CHECK(service.last_worker_request.demand.desired == 90);
 }
 
+TEST_CASE("a node tells whether its replaced owner has stopped")
+{
+    recording_service service;
+    const coordinator_server server(own_address(), service);
+    coordinator_client client;
+    CHECK(client.stop_owner(own_address(), recording_service::stopped_epoch, milliseconds(2'000)));
+    CHECK_FALSE(client.stop_owner(own_address(), 1, milliseconds(2'000)));
+}
+
 TEST_CASE("a server without a file descriptor for a node's connection accepts it later")
 {
     recording_service service;
--- a/flamingoseam/node/membership.hpp
+++ b/flamingoseam/node/membership.hpp
@@ -104,15 +104,13 @@
     /// Checks whether this node's lease was renewed within the last `length`.
     [[nodiscard]] bool was_renewed_within(milliseconds length) const;
 
-    /// Checks whether no other node can have become the owner of a shard after this process did
-    /// with `epoch`: its lease is valid, and the store has shown no newer owner since the process
-    /// joined last, nor lately been silent. A node whose lease has ended is certain again only
+    /// Checks whether nothing that this node knows speaks against its still being the owner of a
+    /// shard with `epoch`: its lease is valid, and the store has shown no newer owner since the
+    /// process joined last, nor lately been silent. That is no proof, since a watch may miss
+    /// changes for a while; see ownership_proof. A node whose lease has ended is certain again only
     /// after it has rejoined and asked.
     [[nodiscard]] bool is_certain_owner(const shard_identity& shard, std::uint64_t epoch) const;
 
-    /// Returns for how long an owner that hears nothing from the store is certain at most.
-    [[nodiscard]] milliseconds max_view_age() const { return options_.max_view_age; }
-
     /// Checks whether this process is a member in its own view.
     [[nodiscard]] bool has_joined() const;
 
--- a/flamingoseam/node/node_election.cpp
+++ b/flamingoseam/node/node_election.cpp
@@ -41,6 +41,8 @@
 /// A node whose owner has failed does not replace another one for this long, even if its processor
 /// share is much larger: its next owner may fail, too.
 constexpr milliseconds replacement_pause_after_failure{300'000};
+constexpr milliseconds stop_timeout{200}; ///< Of a call that asks a replaced owner to stop.
+constexpr milliseconds stop_retry_delay{100};
 constexpr milliseconds release_interval{200}; ///< Of the attempts to give up ownership.
 constexpr milliseconds release_timeout{500};
 
@@ -450,9 +452,7 @@
 /// Returns the key of the owner's member record if it is replaced because that record is missing.
 std::string node::key_absent_at_takeover(const membership_view& view) const
 {
-    const bool is_missing = view.owner && !view.owner->owner.name.empty() &&
-                            !view.members.contains(view.owner->owner.name);
-    return is_missing ? membership_->member_key(view.owner->owner.name) : "";
+    return is_owner_record_missing(view) ? membership_->member_key(view.owner->owner.name) : "";
 }
 
 void node::take_over(const membership_view& view)
@@ -468,7 +468,8 @@
                                               .absent_key = key_absent_at_takeover(view)});
         if (claimed) {
             claimed_epoch = claimed->head.epoch;
-            begin_ownership(*claimed, earlier_certainty(view));
+            begin_ownership(*claimed, view);
+            confirm_stop_of_earlier_owner(view);
         }
     } catch (const transport_error& cause) {
         LOG(WARNING) << "can't take over ownership: " << cause.what();
@@ -482,28 +483,72 @@
     owner_missing_since_.reset();
 }
 
-/// Returns for how long an earlier owner may still be certain that it is the only one, after a
-/// claim on the basis of a view; none if there was no owner. An owner whose record was missing had
-/// lost its certainty before.
-std::optional<milliseconds> node::earlier_certainty(const membership_view& view) const
+/// Asks the earlier owner in the background to stop, so that this one needn't wait until it has
+/// surely done so.
+void node::confirm_stop_of_earlier_owner(const membership_view& view)
 {
-    if (!view.owner) {
-        return std::nullopt;
+    const auto owner = local_owner();
+    const bool can_ask = view.owner && !view.owner->owner.name.empty() &&
+                         view.owner->owner.incarnation != options_.incarnation;
+    if (!owner || !can_ask) {
+        return;
+    }
+    background_tasks_.run([this, earlier = *view.owner, waiting = std::weak_ptr(owner),
+                           end = now() + max_earlier_certainty] {
+        while (now() < end) {
+            const bool has_stopped = asks_owner_to_stop(earlier);
+            const auto later = waiting.lock();
+            if (!later || later->have_earlier_ended()) {
+                return;
+            }
+            if (has_stopped) {
+                later->confirm_earlier_stopped();
+                return;
+            }
+            std::this_thread::sleep_for(stop_retry_delay);
+        }
+    });
+}
+
+/// Asks a replaced owner to stop. Returns whether it has, and all earlier ones, too.
+bool node::asks_owner_to_stop(const owner_record& earlier)
+{
+    try {
+        return client_.stop_owner(earlier.owner.address, earlier.epoch, stop_timeout);
+    } catch (const transport_error& cause) {
+        LOG_EVERY_N(WARNING, 10) << "can't ask a replaced owner to stop: " << cause.what();
+        return false;
     }
-    const bool was_missing = !key_absent_at_takeover(view).empty();
-    return was_missing ? milliseconds(0) : membership_->max_view_age();
 }
 
-void node::begin_ownership(const claimed_head& claimed,
-                           std::optional<milliseconds> earlier_certainty)
+void node::stop_owner(std::uint64_t epoch, flag_reply reply)
 {
+    std::shared_ptr<job_owner> owner;
+    bool has_stopped = false;
+    {
+        const std::lock_guard lock(mutex_);
+        owner = owner_;
+        has_stopped = stopped_epoch_ == epoch;
+    }
+    if (owner && owner->epoch() == epoch) {
+        owner->report_superseded();
+        has_stopped = owner->have_earlier_ended();
+    }
+    reply(has_stopped);
+}
+
+void node::begin_ownership(const claimed_head& claimed, const membership_view& earlier)
+{
+    const auto certainty = earlier_certainty(earlier);
     if (dependencies_.usage != nullptr) {
         dependencies_.usage->record("takeover, epoch " + std::to_string(claimed.head.epoch));
     }
     dependencies_.log->write(
         {.event = "owner_begins",
          .request = {},
-         .detail = "epoch " + std::to_string(claimed.head.epoch) + to_text(options_.shard)});
+         .detail = "epoch " + std::to_string(claimed.head.epoch) + to_text(options_.shard),
+         .fields = {{"predecessor_certainty_ms", certainty.value_or(milliseconds(0)).count()},
+                    {"predecessor_missing", is_owner_record_missing(earlier) ? 1 : 0}}});
     const auto record_keys = keys();
     auto stored = read_stored_state(dependencies_.stores, record_keys);
     job_owner_start start{.head = claimed.head,
@@ -511,7 +556,7 @@
                           .claim_sent = claimed.sent,
                           .jobs = std::move(stored.jobs),
                           .leased_workers = std::move(stored.leased_workers),
-                          .earlier_certainty = earlier_certainty};
+                          .earlier_certainty = certainty};
     job_owner_dependencies parts{
         .head_keys = head_keys(),
         .stores = dependencies_.stores,
@@ -581,6 +626,10 @@
         return;
     }
     dropped->request_stop();
+    if (dropped->have_earlier_ended()) {
+        const std::lock_guard lock(mutex_);
+        stopped_epoch_ = std::max(stopped_epoch_, dropped->epoch());
+    }
 }
 
 /// Offers ownership to other nodes until one accepts, and keeps serving until it takes over, so
--- a/flamingoseam/node/owner_claim.cpp
+++ b/flamingoseam/node/owner_claim.cpp
@@ -1,6 +1,7 @@
 #include "flamingoseam/node/owner_claim.hpp"
 
 #include "flamingoseam/core/service_thread.hpp"
+#include "flamingoseam/node/ownership_proof.hpp"
 
 #include <glog/logging.h>
 
@@ -95,6 +96,17 @@
     return std::nullopt;
 }
 
+bool is_owner_record_missing(const membership_view& view)
+{
+    return view.owner && !view.owner->owner.name.empty() &&
+           !view.members.contains(view.owner->owner.name);
+}
+
+std::optional<milliseconds> earlier_certainty(const membership_view& view)
+{
+    return view.owner ? std::optional(max_earlier_certainty) : std::nullopt;
+}
+
 stored_state read_stored_state(const shared_store_factory& stores,
                                const workflow::record_keys& keys)
 {
--- a/flamingoseam/node/owner_claim.hpp
+++ b/flamingoseam/node/owner_claim.hpp
@@ -38,6 +38,14 @@
 /// was answered. Complexity: usually one call to the store.
 std::optional<claimed_head> claim_ownership(shared_store& store, const owner_claim& claim);
 
+/// Checks whether the owner to be replaced has no member record any more.
+bool is_owner_record_missing(const membership_view& view);
+
+/// Returns for how long after a claim on the basis of a view an earlier owner may still act as the
+/// owner; none if there was no owner. That its record is missing shows nothing of the owner: the
+/// store may have removed the record early, and further owners may have come and gone before.
+std::optional<milliseconds> earlier_certainty(const membership_view& view);
+
 /// The state that earlier owners have stored.
 struct stored_state {
     workflow::stored_jobs jobs;
--- a/flamingoseam/node/owner_claim_test.cpp
+++ b/flamingoseam/node/owner_claim_test.cpp
@@ -1,6 +1,7 @@
 #include "flamingoseam/node/owner_claim.hpp"
 
 #include "flamingoseam/core/error.hpp"
+#include "flamingoseam/node/ownership_proof.hpp"
 #include "tests/commit_only_store.hpp"
 #include "tests/thread_limit.hpp"
 
@@ -148,3 +149,22 @@
     const auto state = read_stored_state([] { return std::make_unique<memory_store>(); }, keys);
     CHECK(state.jobs.jobs.empty());
 }
+
+// Guards against a successor that takes a record which the store has removed early for a proof.
+TEST_CASE("an earlier owner may still act for a while, whether or not its record stands")
+{
+    membership_view view;
+    CHECK_FALSE(earlier_certainty(view));
+
+    view.owner = {.epoch = 3, .owner = {.name = "node1", .incarnation = "i1"}};
+    CHECK(is_owner_record_missing(view));
+    CHECK(earlier_certainty(view) == max_earlier_certainty);
+
+    view.members["node1"] = view.owner->owner;
+    CHECK_FALSE(is_owner_record_missing(view));
+    CHECK(earlier_certainty(view) == max_earlier_certainty);
+
+    view.owner->owner = {}; // It has handed over, perhaps before an earlier one had stopped.
+    CHECK_FALSE(is_owner_record_missing(view));
+    CHECK(earlier_certainty(view) == max_earlier_certainty);
+}
--- a/flamingoseam/node/owner_service.hpp
+++ b/flamingoseam/node/owner_service.hpp
@@ -67,6 +67,10 @@
 
     /// Gives idle workers of this shard to another one and replies with their number.
     virtual void lend_workers(const workflow::worker_request& request, count_reply reply) = 0;
+
+    /// Stops the owner of this epoch, which another node has replaced, if it is one of this
+    /// process. Replies whether it was and neither it nor an earlier one acts any more.
+    virtual void stop_owner(std::uint64_t epoch, flag_reply reply) = 0;
 };
 
 } // namespace flamingoseam::node
