--- a/flamingoseam/node/job_owner_test.cpp
+++ b/flamingoseam/node/job_owner_test.cpp
@@ -633,3 +633,31 @@
     CHECK(std::ranges::count_if(runs, [](const auto& run) { return !run.ended; }) == 2);
     CHECK(count_concurrent(shared) == 0);
 }
+
+TEST_CASE("a successor starts loaded tasks once the earlier owner has said that it has stopped")
+{
+    cell shared;
+    owner_process earlier(shared, 0, 0);
+    earlier.submit("job", 2);
+    REQUIRE(wait_until([&] {
+        const std::lock_guard lock(shared.records.mutex);
+        return std::ranges::any_of(shared.records.records, [](const auto& record) {
+            return record.first.find("job") != std::string::npos;
+        });
+    }));
+    std::this_thread::sleep_for(300ms); // The list of leased workers is stored as well.
+    owner_process later(shared, 1, all, {}, 60s);
+    later.submit("new", 1);
+    REQUIRE(wait_until([&] { return count_begun(shared) == 1; }));
+    std::this_thread::sleep_for(500ms);
+    CHECK(count_begun(shared) == 1);
+    CHECK_FALSE(later.owner->have_earlier_ended());
+
+    earlier.owner->report_superseded();
+    CHECK(earlier.owner->have_earlier_ended());
+    later.owner->confirm_earlier_stopped();
+    CHECK(wait_until([&] { return count_begun(shared) == 3; }));
+    CHECK(later.owner->have_earlier_ended());
+    const auto runs = all_runs(shared);
+    CHECK(std::ranges::all_of(runs, [](const auto& run) { return run.token == 2; }));
+}
