--- a/flamingoseam/node/sharded_node_test.cpp
+++ b/flamingoseam/node/sharded_node_test.cpp
@@ -382,3 +382,19 @@
     REQUIRE(owner);
     CHECK(read_owner(owner->value).owner.name.empty());
 }
+
+TEST_CASE("an owner that is told of its successor stops, and its node goes on to tell so")
+{
+    late_worker worker;
+    const single_node node(worker);
+    REQUIRE(holds_within(std::chrono::seconds(3), [&] { return worker.newest_epoch == 1; }));
+    coordinator_client client;
+    const auto has_stopped = [&client](std::uint64_t epoch) {
+        return client.stop_owner(own_address(), epoch, std::chrono::seconds(1));
+    };
+    CHECK_FALSE(has_stopped(7)); // That was no owner of this process.
+    CHECK(has_stopped(1));
+    // No other node has taken over in fact, so this one does.
+    REQUIRE(holds_within(std::chrono::seconds(4), [&] { return worker.newest_epoch == 2; }));
+    CHECK(has_stopped(1));
+}
