--- a/flamingoseam/node/job_owner_test.cpp
+++ b/flamingoseam/node/job_owner_test.cpp
@@ -661,3 +661,22 @@
     const auto runs = all_runs(shared);
     CHECK(std::ranges::all_of(runs, [](const auto& run) { return run.token == 2; }));
 }
+
+TEST_CASE("an idle owner keeps its proof recent with one read of the store a second at most")
+{
+    cell shared;
+    owner_process process(shared, 0, all);
+    std::this_thread::sleep_for(500ms); // The list of leased workers is stored.
+    const int reads = shared.records.single_reads;
+    const auto began = now();
+    while (now() - began < 3'500ms) {
+        std::promise<owner_verdict> verdict;
+        process.owner->find("unknown",
+                            [&](const owner_answer& answer) { verdict.set_value(answer.verdict); });
+        CHECK(verdict.get_future().get() == owner_verdict::not_found); // That needs a proof.
+        std::this_thread::sleep_for(100ms);
+    }
+    const auto seconds = std::chrono::ceil<std::chrono::seconds>(now() - began).count();
+    CHECK(shared.records.single_reads - reads >= 2);
+    CHECK(shared.records.single_reads - reads <= seconds);
+}
--- a/tests/memory_store.hpp
+++ b/tests/memory_store.hpp
@@ -16,6 +16,7 @@
     std::mutex mutex;
     std::map<std::string, shared_record> records;
     std::uint64_t revision = 1;
+    std::atomic<int> single_reads{0}; ///< Reads of one record.
 };
 
 /// A connection to a store in memory with reads and conditional transactions. It gets no answer
@@ -29,6 +30,7 @@
 
     std::optional<shared_record> get(const std::string& key) override
     {
+        ++store_.single_reads;
         throw_if_unreachable();
         const std::lock_guard lock(store_.mutex);
         const auto found = store_.records.find(key);
