--- a/flamingoseam/node/job_owner_test.cpp
+++ b/flamingoseam/node/job_owner_test.cpp
@@ -667,3 +667,101 @@
     std::this_thread::sleep_for(1s);
     CHECK(count_begun(shared) == 2);
 }
+
+namespace {
+
+/// Lets an owner that has a recent proof, but gets no answer from the store any more, be replaced
+/// by one that has a report of the only worker at work. That worker restarts then, and only the
+/// earlier owner reaches it at first.
+void restart_unseen_by_later_owner(cell& shared, owner_process& earlier,
+                                   std::unique_ptr<owner_process>& later)
+{
+    earlier.submit("job", 2);
+    REQUIRE(wait_until([&] { return count_begun(shared) == 2; }));
+    earlier.reaches_store = false;
+    earlier.submit("in-flight", 1);
+    std::this_thread::sleep_for(100ms);
+    earlier.reaches[0] = false;
+    later = std::make_unique<owner_process>(shared, 1, all, shard_identity{}, 1'600ms);
+    REQUIRE(wait_until([&] { return shared.workers[0].token() == 2; }));
+    std::this_thread::sleep_for(50ms); // The report arrives.
+    later->reaches[0] = false;
+    shared.workers[0].restart();
+    earlier.reaches[0] = true;
+    REQUIRE(wait_until([&] { return shared.workers[0].runs().size() > 2; }, 1s));
+}
+
+} // namespace
+
+TEST_CASE("what an earlier owner may still start in a worker's new life is not started elsewhere")
+{
+    cell shared;
+    owner_process earlier(shared, 0, 1);
+    std::unique_ptr<owner_process> later;
+    restart_unseen_by_later_owner(shared, earlier, later);
+
+    SECTION("if the later owner reaches the worker again soon")
+    {
+        std::this_thread::sleep_for(3 * worker_lease); // The worker is taken for empty meanwhile.
+        later->reaches[0] = true;
+        REQUIRE(wait_until([&] { return shared.workers[0].token() == 2; }));
+        std::this_thread::sleep_for(1s);
+    }
+    SECTION("if the later owner does not reach it while it is leased")
+    {
+        CHECK(wait_until([&] {
+            const auto runs = all_runs(shared);
+            return std::ranges::any_of(runs, [](const auto& run) { return run.token == 2; });
+        }));
+    }
+    const auto runs = all_runs(shared);
+    CHECK(std::ranges::count_if(runs, [](const auto& run) { return !run.ended; }) == 2);
+    CHECK(count_concurrent(shared) == 0);
+}
+
+TEST_CASE("a successor starts loaded tasks once the earlier owner has said that it has stopped")
+{
+    cell shared;
+    owner_process earlier(shared, 0, 0);
+    earlier.submit("job", 2);
+    REQUIRE(wait_until([&] {
+        const std::lock_guard lock(shared.records.mutex);
+        return std::ranges::any_of(shared.records.records, [](const auto& record) {
+            return record.first.find("job") != std::string::npos;
+        });
+    }));
+    std::this_thread::sleep_for(300ms); // The list of leased workers is stored as well.
+    owner_process later(shared, 1, all, {}, 60s);
+    later.submit("new", 1);
+    REQUIRE(wait_until([&] { return count_begun(shared) == 1; }));
+    std::this_thread::sleep_for(500ms);
+    CHECK(count_begun(shared) == 1);
+    CHECK_FALSE(later.owner->have_earlier_ended());
+
+    earlier.owner->report_superseded();
+    CHECK(earlier.owner->have_earlier_ended());
+    later.owner->confirm_earlier_stopped();
+    CHECK(wait_until([&] { return count_begun(shared) == 3; }));
+    CHECK(later.owner->have_earlier_ended());
+    const auto runs = all_runs(shared);
+    CHECK(std::ranges::all_of(runs, [](const auto& run) { return run.token == 2; }));
+}
+
+TEST_CASE("an idle owner keeps its proof recent with one read of the store a second at most")
+{
+    cell shared;
+    owner_process process(shared, 0, all);
+    std::this_thread::sleep_for(500ms); // The list of leased workers is stored.
+    const int reads = shared.records.single_reads;
+    const auto began = now();
+    while (now() - began < 3'500ms) {
+        std::promise<owner_verdict> verdict;
+        process.owner->find("unknown",
+                            [&](const owner_answer& answer) { verdict.set_value(answer.verdict); });
+        CHECK(verdict.get_future().get() == owner_verdict::not_found); // That needs a proof.
+        std::this_thread::sleep_for(100ms);
+    }
+    const auto seconds = std::chrono::ceil<std::chrono::seconds>(now() - began).count();
+    CHECK(shared.records.single_reads - reads >= 2);
+    CHECK(shared.records.single_reads - reads <= seconds);
+}
--- a/flamingoseam/node/job_owner_workers.cpp
+++ b/flamingoseam/node/job_owner_workers.cpp
@@ -206,7 +206,8 @@
                                    .earlier_incarnations = met_incarnations_[worker],
                                    .lease = dependencies_.worker_lease,
                                    .is_renewal_withheld = state.unreachable,
-                                   .earlier_renewals_end = earlier_renewals_end_of(state)},
+                                   .earlier_renewals_end = earlier_renewals_end_of(state),
+                                   .earlier_starts_end = earlier_starts_end_},
             state.entry, dependencies_.io->next_loops(), dependencies_.channels, listener);
         sessions_.emplace(worker, std::move(session)); // Not before, as opening it may fail.
     }
--- a/flamingoseam/node/worker_session.cpp
+++ b/flamingoseam/node/worker_session.cpp
@@ -186,9 +186,7 @@
 void worker_session::set_earlier_renewals_end(time_point end)
 {
     const std::lock_guard lock(mutex_);
-    if (earlier_renewals_end_ == time_point::max()) {
-        earlier_renewals_end_ = end;
-    }
+    earlier_renewals_end_ = std::min(earlier_renewals_end_, end);
 }
 
 std::uint64_t worker_session::token() const
@@ -621,6 +619,7 @@
     const auto newest_end =
         answer.report.ended.empty() ? std::int64_t{0} : answer.report.ended.back().number;
     answer.report.asked = asked_;
+    answered_asked_ = asked_;
     set_unreachable(false);
     listener_.on_report(options_.id, std::move(answer.report));
     next_poll_ = now();
@@ -669,15 +668,18 @@
     }
 }
 
-/// Checks whether every lease of the worker has certainly expired, whoever has extended it. The
-/// worker may have restarted since it accepted this owner, so what an earlier owner may have done
-/// counts in any case. To be called with the mutex locked.
+/// Checks whether nothing runs on the silent worker any more. Requires `mutex_`.
 bool worker_session::has_lease_expired(time_point time) const
 {
+    if (clock_.is_known() && !clock_.has_expired(time)) {
+        return false;
+    }
+    if (clock_.is_known() && answered_asked_ >= options_.earlier_starts_end) {
+        return true;
+    }
+    // An earlier owner may have started runs on it, also in a new life since its last answer.
     const auto max_earlier_lease = scaled(options_.lease, 1 / min_clock_rate) + expiry_margin;
-    const bool earlier_expired =
-        time > earlier_renewals_end_ && time - earlier_renewals_end_ > max_earlier_lease;
-    return earlier_expired && (!clock_.is_known() || clock_.has_expired(time));
+    return time > earlier_renewals_end_ && time - earlier_renewals_end_ > max_earlier_lease;
 }
 
 void worker_session::set_unreachable(bool unreachable)
--- a/flamingoseam/node/worker_session.hpp
+++ b/flamingoseam/node/worker_session.hpp
@@ -70,6 +70,9 @@
     /// time_point::max() if that is not known yet.
     time_point earlier_renewals_end{};
 
+    /// Until then an earlier owner may start runs on the worker if it restarts unseen.
+    time_point earlier_starts_end{};
+
     milliseconds poll_wait{800};        ///< How long the worker holds a poll when it has no news.
     milliseconds idle_poll_wait{1'800}; ///< The same while the worker has no runs.
     milliseconds answer_timeout{500};   ///< Time for the answer to a poll, beyond the wait.
@@ -166,7 +169,8 @@
     /// renewed. Has no effect if the worker has become silent again.
     void permit_renewal(time_point silent_since);
 
-    /// Sets when an earlier owner stops renewing the lease, if that was not known.
+    /// Sets when an earlier owner stops renewing the lease, if that was not known or is earlier
+    /// than was known.
     void set_earlier_renewals_end(time_point end);
 
     /// Requests a report at `time`: a poll that starts before `time` ends by then.
@@ -278,6 +282,7 @@
     std::uint64_t asked_token_ = 0;
     bool is_poll_repeated_ = false; ///< The connection of the poll before was closed.
     std::atomic<bool> poll_at_once_{false};
+    time_point answered_asked_{}; ///< When the poll was sent that the worker has answered last.
     std::optional<call_result<renew_answer>> poll_result_; ///< Not handled yet.
     time_point next_poll_{};                               ///< No poll is sent before.
     time_point storage_wait_end_{};
