Keep a leaving worker on the stored list until the results of its ends are stored

An owner dropped a leaving worker from the stored list of leased workers as soon as no run was left there, although the results of its ends were not stored yet. If it was replaced between the two writes, its successor did not wait for the worker, started its tasks again at once, then heard of their ends from the worker itself, which was still listed, and acknowledged them. Every loaded worker counts as leaving until an owner has read the platform's list of workers, so that a worker that does not leave was dropped in that time, too. The wider the backlog of changes (a slow store, a weak owner), the longer the two writes are apart.

Now the worker stays on the list until its runs have ended and the results are stored. Ruled out as a fix: to store both in one transaction, as a backlog does not fit into one.

The model now lets workers leave, checks that no end is acknowledged as done that the store does not contain, and checks the rule itself: a task is not started after an end that is acknowledged later, unless the worker had no lease in between.

--- a/flamingoseam/workflow/fleet.hpp
+++ b/flamingoseam/workflow/fleet.hpp
@@ -92,6 +92,10 @@
         return exclusive_runs > 0 ? resources{} : entry.capacity - used;
     }
 
+    /// Checks whether the worker holds runs, or ends whose results are not stored. Complexity:
+    /// constant.
+    [[nodiscard]] bool has_results() const { return !runs.empty() || !unacknowledged_ends.empty(); }
+
     /// Checks whether the owner holds the worker, which answers and does not leave. Complexity:
     /// constant.
     [[nodiscard]] bool is_held() const
--- a/flamingoseam/workflow/workflow_ends_test.cpp
+++ b/flamingoseam/workflow/workflow_ends_test.cpp
@@ -10,6 +10,7 @@
 
 namespace {
 
+const std::string known_job = "00000000000000aa";
 const std::string unknown_job = "00000000000000bb";
 
 ended_run end_of(std::int64_t number, const run_name& name, run_end how = run_end::done)
@@ -33,6 +34,27 @@
     return found->value;
 }
 
+/// A worker with one run of a stored job.
+struct running_state : driven_state {
+    running_state()
+    {
+        make_usable();
+        submit(job(known_job, 1'000));
+        const auto starts = next().starts;
+        REQUIRE(starts.size() == 1);
+        name = starts[0].name;
+        state.on_start(0, name, start_outcome::started, time);
+    }
+
+    void report(const std::vector<ended_run>& ended)
+    {
+        time += 1ms;
+        state.on_report(0, {.incarnation = 1, .ended = ended, .asked = time}, time, wall);
+    }
+
+    run_name name;
+};
+
 } // namespace
 
 TEST_CASE("ends and runs of unknown jobs are logged")
@@ -59,3 +81,43 @@
     CHECK(run.job == unknown_job);
     CHECK(run.detail.starts_with(to_string(running) + " on w"));
 }
+
+// A later owner did not wait for the worker, whose end it did not know, and started the task again.
+TEST_CASE("a leaving worker stays among the stored leased workers until its ends are stored")
+{
+    running_state driver;
+    auto& state = driver.state;
+    auto leaving = driver.worker();
+    leaving.leaving = true;
+    state.on_worker_list({leaving}, driver.time);
+    driver.report({end_of(1, driver.name)});
+    driver.next(200ms);
+
+    const auto batch = state.take_batch(0, 2, driver.time, wall); // Too small for both records.
+    CHECK(std::ranges::count(batch.changes, "fs/roster", &record_change::key) == 0);
+    CHECK(state.workers().at(0).lease_stored);
+    state.on_stored(0);
+    driver.next(200ms);
+    driver.store();
+    CHECK_FALSE(state.workers().at(0).lease_stored);
+}
+
+// An owner knows its loaded workers as leaving until it has the platform's list of workers.
+TEST_CASE("a loaded worker stays among the stored leased workers until its ends are stored")
+{
+    running_state driver;
+    job_record stored;
+    stored.spec = driver.job(known_job, 1'000);
+    stored.terms = driver.terms();
+    stored.spec_stored = true;
+    fill_steps(stored, task_phase::unlocated);
+    auto loaded = driver.worker();
+    loaded.leaving = true;
+    driver.state = workflow_state({.epoch = 3, .streams = 3});
+    driver.state.load({stored}, {loaded}, driver.time, wall);
+    driver.report({end_of(1, driver.name)});
+    driver.next(200ms);
+
+    const auto batch = driver.state.take_batch(0, 2, driver.time, wall); // Too small for both.
+    CHECK(std::ranges::count(batch.changes, "fs/roster", &record_change::key) == 0);
+}
--- a/flamingoseam/workflow/workflow_maintenance.cpp
+++ b/flamingoseam/workflow/workflow_maintenance.cpp
@@ -142,13 +142,13 @@
     }
 }
 
-/// Removes the leaving workers that hold no run from the leased workers, so that a later owner need
-/// not wait for them.
+/// Removes the leaving workers that hold no run, and no end whose result is not stored, from the
+/// leased workers, so that a later owner need not wait for them.
 void workflow_state::remove_idle_leaving_workers()
 {
     std::erase_if(leased_workers_, [this](std::size_t worker) {
         auto& worker_state = fleet_.at(worker);
-        if (!worker_state.entry.leaving || !worker_state.reported || !worker_state.runs.empty()) {
+        if (!worker_state.entry.leaving || !worker_state.reported || worker_state.has_results()) {
             return false;
         }
         worker_state.lease_stored = false;
--- a/tests/workflow_model.cpp
+++ b/tests/workflow_model.cpp
@@ -75,6 +75,7 @@
     std::map<task_name, std::int64_t> refused_up_to; ///< Runs up to this number are rejected.
     std::vector<ended_run> ended;
     std::int64_t next_end = 1;
+    milliseconds lapsed_at{-1}; ///< When the worker last had no lease.
 
     resources used() const
     {
@@ -104,6 +105,8 @@
     std::map<task_name, int> acknowledged_failures;
     std::map<task_name, std::set<std::int64_t>> failed_runs;
     std::set<task_name> done;
+    std::map<run_name, milliseconds> done_at;
+    std::map<task_name, milliseconds> last_started_at;
 };
 
 struct workflow_model::owner {
@@ -194,6 +197,9 @@
     for (int index = 0; index < options_.worker_restarts; ++index) {
         at(between(300, span), [this, any_worker] { restart_worker(any_worker()); });
     }
+    for (int index = 0; index < options_.worker_drains; ++index) {
+        at(between(300, span), [this, any_worker] { drain_worker(any_worker()); });
+    }
     for (int index = 0; index < options_.worker_disconnections; ++index) {
         at(between(300, span), [this, any_worker] {
             auto& target = any_worker();
@@ -663,7 +669,8 @@
         });
         return;
     }
-    const auto batch = sender->state.take_batch(stream, 6, clock(), simulation_start + now_);
+    const auto batch = sender->state.take_batch(stream, options_.records_per_write, clock(),
+                                                simulation_start + now_);
     if (batch.changes.empty()) {
         sender->streams_in_flight.erase(stream);
         return;
@@ -910,9 +917,22 @@
     }
 }
 
+/// Checks, when a worker drops the end of a task that is done, that the task has not been started
+/// since it ended, unless the worker has had no lease in between.
+void workflow_model::check_not_started_again(const ended_run& end, const worker& target)
+{
+    auto& history = *jobs_[end.name.task.job];
+    const auto done_at = history.done_at[end.name];
+    if (target.lapsed_at < done_at && history.last_started_at[end.name.task] > done_at) {
+        record_violation("started after its end, which is acknowledged now: " +
+                         to_string(end.name) + " on " + target.entry.id);
+    }
+}
+
 void workflow_model::check_start(const worker& target, const start_order& order)
 {
     auto& history = *jobs_[order.name.task.job];
+    history.last_started_at[order.name.task] = now_;
     const auto& step = history.spec.steps[static_cast<std::size_t>(order.name.task.step)];
     const auto text = to_string(order.name) + " on " + target.entry.id;
     if (!fits(target.used() + step.size, target.entry.capacity)) {
@@ -981,6 +1001,8 @@
             trace(end.name.task.job, to_string(end.name) + " is dropped by the worker");
             auto& history = *jobs_[end.name.task.job];
             if (end.how == run_end::done) {
+                check_stored(end, target);
+                check_not_started_again(end, target);
                 history.acknowledged_successes.insert(end.name.task);
             } else if (end.how == run_end::failed) {
                 ++history.acknowledged_failures[end.name.task];
@@ -999,6 +1021,27 @@
     return report;
 }
 
+/// Checks that the store says of a task that it is done, before its end is dropped.
+void workflow_model::check_stored(const ended_run& end, const worker& target)
+{
+    const auto& task = end.name.task;
+    const auto found = records_.find(keys_of(shard_of(task.job)).progress(task.job));
+    bool is_done = false;
+    if (found != records_.end()) {
+        job_record stored;
+        stored.spec = jobs_.at(task.job)->spec;
+        fill_steps(stored, task_phase::unlocated);
+        read_progress(found->second, stored);
+        const auto& tasks = stored.steps[static_cast<std::size_t>(task.step)].tasks;
+        is_done = is_final(stored.phase) ||
+                  tasks[static_cast<std::size_t>(task.index)].phase == task_phase::done;
+    }
+    if (!is_done && options_.forget_after_storing) {
+        record_violation("the end of " + to_string(end.name) + " on " + target.entry.id +
+                         " is acknowledged and not stored");
+    }
+}
+
 void workflow_model::end_run(worker& target, const run_name& name, run_end how)
 {
     trace(name.task.job, to_string(name) + " on " + target.entry.id + " ends " + to_string(how));
@@ -1010,6 +1053,7 @@
     auto& history = *jobs_[name.task.job];
     if (how == run_end::done) {
         history.done.insert(name.task);
+        history.done_at[name] = now_;
     } else if (how == run_end::failed) {
         history.failed_runs[name.task].insert(name.run);
     }
@@ -1028,12 +1072,27 @@
     at(between(100, 1'500), [this] { send_worker_lists(); });
 }
 
+/// Lets a worker report that it leaves, and restart a while later.
+void workflow_model::drain_worker(worker& target)
+{
+    if (target.entry.leaving) {
+        return;
+    }
+    target.entry.leaving = true;
+    at(between(100, 500), [this] { send_worker_lists(); });
+    at(between(2'000, 6'000), [this, &target] {
+        target.entry.leaving = false;
+        restart_worker(target);
+    });
+}
+
 void workflow_model::expire_leases()
 {
     for (const auto& worker : workers_) {
         if (worker->lease_until > now_) {
             continue;
         }
+        worker->lapsed_at = now_;
         for (auto found = worker->runs.begin(); found != worker->runs.end();) {
             const auto name = (found++)->first;
             end_run(*worker, name, run_end::lapsed);
--- a/tests/workflow_model.hpp
+++ b/tests/workflow_model.hpp
@@ -29,8 +29,10 @@
     double failing_run_share = 0.1;
     int owner_crashes = 2;
     int worker_restarts = 2;
+    int worker_drains = 0; ///< Times that a worker leaves and is replaced by a new incarnation.
     int worker_disconnections = 2; ///< Times that a worker becomes unreachable but keeps running.
     int store_outages = 1;
+    std::size_t records_per_write = 6;
     milliseconds fault_time{0}; ///< Faults begin within this time; 0 for the load time.
     /// Whether the queues need permission, which a worker's new incarnation may lose or gain.
     bool needs_permission = false;
@@ -115,7 +117,10 @@
                                                        std::int64_t forget_up_to,
                                                        milliseconds lease_until);
     void end_run(worker& target, const workflow::run_name& name, workflow::run_end how);
+    void check_not_started_again(const workflow::ended_run& end, const worker& target);
+    void check_stored(const workflow::ended_run& end, const worker& target);
     void restart_worker(worker& target);
+    void drain_worker(worker& target);
     void expire_leases();
     void check_start(const worker& target, const workflow::start_order& order);
     void check_finished();
--- a/tests/workflow_model_test.cpp
+++ b/tests/workflow_model_test.cpp
@@ -54,6 +54,24 @@
     CHECK(lent > 100);
 }
 
+// A leaving worker was dropped from the stored leased workers before its ends were stored, so the
+// next owner started their tasks again.
+TEST_CASE("jobs finish although workers leave while owners crash")
+{
+    REQUIRE(rc::check("no violation", [](std::uint64_t seed) {
+        const auto violation = workflow_model({.seed = seed,
+                                               .shards = seed % 2 == 0 ? 1 : 2,
+                                               .jobs = 150,
+                                               .owner_crashes = 8,
+                                               .worker_drains = 8,
+                                               .records_per_write = 2})
+                                   .run();
+        if (!violation.empty()) {
+            RC_FAIL("seed " + std::to_string(seed) + " " + violation);
+        }
+    }));
+}
+
 TEST_CASE("a worker that changes its shard needs a higher fencing token")
 {
     CHECK_FALSE(find_violation({.shards = 2, .owner_crashes = 4, .raise_token = false}).empty());
