Keep the unstored ends of a worker whose lease has lapsed

When a lease lapsed, the owner forgot which ends of the worker were not stored yet, but not that it had processed them. Back in the same life, the worker listed them again, they were skipped, and the acknowledgement of any later end covered them (lastSeen is cumulative). The worker could be given to another shard as well, whose owner does not know their jobs and acknowledges them at once. After a replacement of the owner their tasks were started again.

What is unstored is now forgotten only with a new incarnation of the worker.

--- a/flamingoseam/workflow/worker_lending_test.cpp
+++ b/flamingoseam/workflow/worker_lending_test.cpp
@@ -244,6 +244,30 @@
         driver.store();
         CHECK(driver.lend() == 1);
     }
+    SECTION("a worker whose runs' ends are not stored yet stays although its lease has lapsed")
+    {
+        driver.submit(driver.job("0123456789abcdef", 6'000, 3));
+        const auto starts = driver.next().starts;
+        REQUIRE(starts.size() == 3);
+        for (const auto& start : starts) {
+            state.on_start(start.worker, start.name, start_outcome::started, driver.time);
+            state.on_report(start.worker,
+                            {.incarnation = 1, .ended = {{.number = 1, .name = start.name}}},
+                            driver.time, wall);
+            state.on_unreachable_changed(start.worker, true, driver.time, driver.time, wall);
+            state.on_emptied(start.worker, emptied_reason::lease_expired, driver.time, wall);
+            state.on_unreachable_changed(start.worker, false, driver.time, driver.time, wall);
+            state.on_report(start.worker,
+                            {.incarnation = 1, .ended = {{.number = 1, .name = start.name}}},
+                            driver.time, wall);
+        }
+        state.take_batch(0, 2, driver.time, wall); // Too small for both records.
+        state.on_stored(0);
+        REQUIRE(state.workers().at(0).is_held());
+        CHECK(driver.lend() == 0);
+        driver.store();
+        CHECK(driver.lend() == 1);
+    }
     SECTION("a worker that may still receive an earlier order stays")
     {
         driver.submit(driver.job("0123456789abcdef", 6'000, 3));
--- a/flamingoseam/workflow/workflow_ends_test.cpp
+++ b/flamingoseam/workflow/workflow_ends_test.cpp
@@ -18,6 +18,16 @@
     return {.number = number, .name = name, .how = how};
 }
 
+/// Returns the number up to which the worker may discard ends; 0 if there is no such order.
+std::int64_t forgotten_up_to(const workflow_actions& actions)
+{
+    std::int64_t up_to = 0;
+    for (const auto& order : actions.forgets) {
+        up_to = std::max(up_to, order.up_to);
+    }
+    return up_to;
+}
+
 /// Returns the logged decision of a kind, which must have been logged once.
 logged_decision find_decision(const workflow_actions& actions, const std::string& event)
 {
@@ -52,6 +62,16 @@
         state.on_report(0, {.incarnation = 1, .ended = ended, .asked = time}, time, wall);
     }
 
+    /// Lets the worker be silent until its lease has lapsed, and answer again.
+    void lapse()
+    {
+        const auto silent_since = time;
+        state.on_unreachable_changed(0, true, silent_since, time, wall);
+        time += 7s;
+        state.on_emptied(0, emptied_reason::lease_expired, time, wall);
+        state.on_unreachable_changed(0, false, silent_since, time, wall);
+    }
+
     run_name name;
 };
 
@@ -121,3 +141,15 @@
     const auto batch = driver.state.take_batch(0, 2, driver.time, wall); // Too small for both.
     CHECK(std::ranges::count(batch.changes, "fs/roster", &record_change::key) == 0);
 }
+
+TEST_CASE("an unstored end is not acknowledged with a later one after its worker's lease lapsed")
+{
+    running_state driver;
+    driver.report({end_of(1, driver.name)});
+    driver.state.take_batch(0, 30, driver.time, wall);
+    driver.lapse();
+    driver.report({end_of(1, driver.name), end_of(2, {{unknown_job, 0, 0}, 1})});
+    CHECK(forgotten_up_to(driver.next()) == 0);
+    driver.state.on_stored(0);
+    CHECK(forgotten_up_to(driver.next()) == 2);
+}
--- a/flamingoseam/workflow/workflow_reports.cpp
+++ b/flamingoseam/workflow/workflow_reports.cpp
@@ -616,7 +616,6 @@
     }
     worker_state.reported = false;
     worker_state.is_emptied = true;
-    worker_state.unacknowledged_ends.clear();
     if (!worker_state.listed && leased_workers_.erase(worker) > 0) {
         worker_state.lease_stored = false;
         leased_workers_changed_ = true;
