Don't conclude that a run is gone from a worker that lists only a part of its ends

A worker lists 500 ends at a time. The owner took a run that was neither running nor among them for lost and started its task again, although its end may have been the 501st; after a change of owner one such report counted as the location of all tasks of that worker; and the worker could be given to another shard with ends that this owner had never seen. By reading, no site brings 500 unstored ends of one worker about; an end that stays unacknowledged for good does.

A report with 500 ends now says nothing of runs that it does not contain, and the worker is neither located nor lent until it lists less.

--- a/flamingoseam/workflow/fleet.hpp
+++ b/flamingoseam/workflow/fleet.hpp
@@ -76,9 +76,10 @@
     std::int64_t last_end = 0; ///< Number of the newest end that was processed.
     /// Whether the result of an end is stored, by the number of the end.
     std::map<std::int64_t, bool> unacknowledged_ends;
-    std::int64_t forget_up_to = 0; ///< The worker may discard ends up to this number.
-    time_point drain_until{};      ///< Until then the worker gets no new run; zero if not drained.
-    std::size_t drains_for = 0;    ///< The shard that gets the worker once it is idle.
+    bool lists_part_of_ends = false; ///< The newest report has as many ends as a worker lists.
+    std::int64_t forget_up_to = 0;   ///< The worker may discard ends up to this number.
+    time_point drain_until{};   ///< Until then the worker gets no new run; zero if not drained.
+    std::size_t drains_for = 0; ///< The shard that gets the worker once it is idle.
     /// Token base with which this owner has released the worker to another shard; 0 if it never
     /// did.
     std::uint64_t released_base = 0;
@@ -94,7 +95,10 @@
 
     /// Checks whether the worker holds runs, or ends whose results are not stored. Complexity:
     /// constant.
-    [[nodiscard]] bool has_results() const { return !runs.empty() || !unacknowledged_ends.empty(); }
+    [[nodiscard]] bool has_results() const
+    {
+        return !runs.empty() || !unacknowledged_ends.empty() || lists_part_of_ends;
+    }
 
     /// Checks whether the owner holds the worker, which answers and does not leave. Complexity:
     /// constant.
--- a/flamingoseam/workflow/worker_lending_test.cpp
+++ b/flamingoseam/workflow/worker_lending_test.cpp
@@ -268,6 +268,22 @@
         driver.store();
         CHECK(driver.lend() == 1);
     }
+    SECTION("a worker stays that has more ends than it lists at a time")
+    {
+        constexpr std::int64_t listed_at_a_time = 500;
+        worker_report report{.incarnation = 1};
+        for (std::int64_t number = 1; number <= listed_at_a_time; ++number) {
+            report.ended.push_back({.number = number, .name = {{"0123456789abcdef", 0, 0}, 1}});
+        }
+        for (std::size_t worker = 0; worker < 3; ++worker) {
+            state.on_report(worker, report, driver.time, wall);
+        }
+        CHECK(driver.lend() == 0);
+        for (std::size_t worker = 0; worker < 3; ++worker) {
+            state.on_report(worker, {.incarnation = 1}, driver.time, wall);
+        }
+        CHECK(driver.lend() == 1);
+    }
     SECTION("a worker that may still receive an earlier order stays")
     {
         driver.submit(driver.job("0123456789abcdef", 6'000, 3));
--- a/flamingoseam/workflow/workflow_ends_test.cpp
+++ b/flamingoseam/workflow/workflow_ends_test.cpp
@@ -153,3 +153,47 @@
     driver.state.on_stored(0);
     CHECK(forgotten_up_to(driver.next()) == 2);
 }
+
+TEST_CASE("a run is not taken for lost while its worker lists only a part of its ends")
+{
+    constexpr std::int64_t listed_at_a_time = 500;
+    running_state driver;
+    std::vector<ended_run> ended;
+    for (std::int64_t number = 1; number <= listed_at_a_time; ++number) {
+        ended.push_back(end_of(number, {{unknown_job, 0, 0}, number}));
+    }
+    for (int report = 0; report < 3; ++report) {
+        driver.report(ended);
+    }
+    CHECK(driver.state.workers().at(0).runs.contains(driver.name));
+
+    driver.report({end_of(listed_at_a_time + 1, driver.name)});
+    driver.store();
+    CHECK(driver.state.find(known_job) == job_phase::completed);
+    CHECK(forgotten_up_to(driver.next()) == listed_at_a_time + 1);
+}
+
+TEST_CASE("the tasks of a worker that lists only a part of its ends are not located yet")
+{
+    constexpr std::int64_t listed_at_a_time = 500;
+    running_state driver;
+    auto stored = read_specification(write_specification([&driver] {
+        job_record record;
+        record.spec = driver.job(known_job, 1'000);
+        record.terms = driver.terms();
+        return record;
+    }()));
+    stored.spec.id = known_job;
+    workflow_state next_owner({.epoch = 3, .streams = 3});
+    next_owner.load({stored}, {driver.worker()}, driver.time, wall);
+    worker_report report{.incarnation = 1};
+    for (std::int64_t number = 1; number <= listed_at_a_time; ++number) {
+        report.ended.push_back(end_of(number, {{unknown_job, 0, 0}, number}));
+    }
+    next_owner.on_report(0, report, driver.time, wall);
+    CHECK(next_owner.is_recovering());
+    next_owner.on_report(0, {.incarnation = 1, .ended = {end_of(501, driver.name)}}, driver.time,
+                         wall);
+    CHECK_FALSE(next_owner.is_recovering());
+    CHECK(next_owner.open_jobs() == 0);
+}
--- a/flamingoseam/workflow/workflow_reports.cpp
+++ b/flamingoseam/workflow/workflow_reports.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr int missing_reports_until_lost = 2;
+constexpr std::size_t max_listed_ends = 500; ///< A worker lists so many ends at a time.
 constexpr milliseconds exclusion_without_capacity{200};
 constexpr milliseconds exclusion_when_unhealthy{500};
 constexpr milliseconds exclusion_in_quarantine{4'000};
@@ -102,6 +103,10 @@
     for (const auto& run : report.present) {
         handle_present_run(worker, run, time);
     }
+    worker_state.lists_part_of_ends = report.ended.size() >= max_listed_ends;
+    if (worker_state.lists_part_of_ends) {
+        return; // A run that is not among them may have ended.
+    }
     handle_missing_runs(worker, report, time, wall);
     mark_located(worker);
 }
