Acknowledge ends again that a worker lists although they were acknowledged

An order to discard ends was given once, when their results were stored. The session of a worker that has moved begins without that number, so the worker went on listing these ends until another one was stored, and each of its reports waited for storage in vain.

--- a/flamingoseam/workflow/workflow_ends_test.cpp
+++ b/flamingoseam/workflow/workflow_ends_test.cpp
@@ -197,3 +197,14 @@
     CHECK_FALSE(next_owner.is_recovering());
     CHECK(next_owner.open_jobs() == 0);
 }
+
+// The session of a worker that has moved begins without the number of the last acknowledged end.
+TEST_CASE("ends that are listed again after they were acknowledged are acknowledged again")
+{
+    running_state driver;
+    driver.report({end_of(1, driver.name)});
+    driver.store();
+    CHECK(forgotten_up_to(driver.next()) == 1);
+    driver.report({end_of(1, driver.name)});
+    CHECK(forgotten_up_to(driver.next()) == 1);
+}
--- a/flamingoseam/workflow/workflow_reports.cpp
+++ b/flamingoseam/workflow/workflow_reports.cpp
@@ -103,6 +103,7 @@
     for (const auto& run : report.present) {
         handle_present_run(worker, run, time);
     }
+    repeat_forget(worker, report);
     worker_state.lists_part_of_ends = report.ended.size() >= max_listed_ends;
     if (worker_state.lists_part_of_ends) {
         return; // A run that is not among them may have ended.
@@ -111,6 +112,16 @@
     mark_located(worker);
 }
 
+/// Allows a worker once more to discard ends that it still lists, as a session that began later has
+/// not been told so.
+void workflow_state::repeat_forget(std::size_t worker, const worker_report& report)
+{
+    const auto& state = fleet_.at(worker);
+    if (!report.ended.empty() && report.ended.front().number <= state.forget_up_to) {
+        order_forget(worker);
+    }
+}
+
 /// Logs whether the owner has waited for the worker's report, and how many runs in it the owner did
 /// not order or expect.
 void workflow_state::log_first_report(std::size_t worker, const worker_report& report)
@@ -420,14 +431,19 @@
                                      std::int64_t number)
 {
     if (fleet_.mark_end_stored(worker, incarnation, number)) {
-        const auto& worker_state = fleet_.at(worker);
-        actions_.forgets.push_back({.worker = worker,
-                                    .incarnation = incarnation,
-                                    .up_to = worker_state.forget_up_to,
-                                    .all_stored = worker_state.unacknowledged_ends.empty()});
+        order_forget(worker);
     }
 }
 
+void workflow_state::order_forget(std::size_t worker)
+{
+    const auto& worker_state = fleet_.at(worker);
+    actions_.forgets.push_back({.worker = worker,
+                                .incarnation = worker_state.entry.incarnation,
+                                .up_to = worker_state.forget_up_to,
+                                .all_stored = worker_state.unacknowledged_ends.empty()});
+}
+
 void workflow_state::mark_located(std::size_t worker)
 {
     if (unreported_.erase(worker) > 0 && unreported_.empty()) {
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -252,6 +252,7 @@
     majority_answered_at(const std::set<std::size_t>& workers, time_point certain_at) const;
     void begin_incarnation(std::size_t worker, std::int64_t incarnation, bool after_crash,
                            time_point time);
+    void repeat_forget(std::size_t worker, const worker_report& report);
     void handle_end(std::size_t worker, const ended_run& end, time_point time, wall_time wall);
     void log_unknown_job(const std::string& event, std::size_t worker, const run_name& name,
                          const std::string& what, std::vector<log_field> fields = {});
@@ -276,6 +277,7 @@
     void release_undelivered_runs(time_point time);
     void record_crash(std::size_t worker, const run_name& name, time_point time, wall_time wall);
     void acknowledge_end(std::size_t worker, std::int64_t incarnation, std::int64_t number);
+    void order_forget(std::size_t worker);
     void mark_located(std::size_t worker);
     void release_unlocated();
     void record_health(std::size_t worker, const std::string& job, bool failed, time_point time);
