Don't acknowledge the end of a job whose records can't be read

An end of an unknown job is acknowledged at once. A job whose stored records can't be read is unknown to the decisions, too, so the results of its tasks were thrown away, and a later owner that can read the records (of another version, say) started the tasks again after their acknowledged ends.

Such an end stays unacknowledged now if it is done or failed. Later ends are processed as before. As the number up to which a worker discards ends is cumulative and a worker lists 500, the end is acknowledged after all, with the line unreadable_end_dropped, when 100 ends have followed it: then the job's task may run again, which is preferred to a worker whose reports fall silent. Nothing is added for the ends of known jobs but a comparison.

--- a/flamingoseam/node/job_owner.cpp
+++ b/flamingoseam/node/job_owner.cpp
@@ -90,6 +90,7 @@
         dependencies_.log->write(
             {.event = "job_unreadable", .request = job.id, .detail = job.reason});
     }
+    state_.set_unreadable_jobs(unreadable_jobs_);
     permission_dispatcher_ = std::make_unique<permission_dispatcher>(
         dependencies_.permissions,
         [this](std::uint64_t number, auto grants) {
--- a/flamingoseam/workflow/fleet.hpp
+++ b/flamingoseam/workflow/fleet.hpp
@@ -76,6 +76,8 @@
     std::int64_t last_end = 0; ///< Number of the newest end that was processed.
     /// Whether the result of an end is stored, by the number of the end.
     std::map<std::int64_t, bool> unacknowledged_ends;
+    /// Ends that can't be stored, because the records of their jobs can't be read.
+    std::map<std::int64_t, run_name> kept_ends;
     bool lists_part_of_ends = false; ///< The newest report has as many ends as a worker lists.
     std::int64_t forget_up_to = 0;   ///< The worker may discard ends up to this number.
     time_point drain_until{};   ///< Until then the worker gets no new run; zero if not drained.
--- a/flamingoseam/workflow/workflow_ends_test.cpp
+++ b/flamingoseam/workflow/workflow_ends_test.cpp
@@ -208,3 +208,41 @@
     driver.report({end_of(1, driver.name)});
     CHECK(forgotten_up_to(driver.next()) == 1);
 }
+
+// A later owner that can read the records starts the task again.
+TEST_CASE("the end of a job whose records can't be read is not acknowledged")
+{
+    const std::string unreadable_job = "00000000000000cc";
+    constexpr std::int64_t many_ends = 300;
+    running_state driver;
+    driver.state.set_unreadable_jobs({unreadable_job});
+
+    SECTION("but later ends are processed, and acknowledged after it")
+    {
+        driver.report({end_of(1, {{unreadable_job, 0, 0}, 1}), end_of(2, driver.name)});
+        driver.store();
+        CHECK(driver.state.find(known_job) == job_phase::completed);
+        CHECK(driver.next().forgets.empty());
+    }
+    SECTION("but if it was stopped")
+    {
+        driver.report({end_of(1, {{unreadable_job, 0, 0}, 1}, run_end::stopped)});
+        CHECK(forgotten_up_to(driver.next()) == 1);
+    }
+    SECTION("until so many ends follow that the worker's list might become full")
+    {
+        std::vector<ended_run> ended;
+        for (std::int64_t number = 1; number <= many_ends; ++number) {
+            const auto& job = number == 1 || number == 90 ? unreadable_job : unknown_job;
+            ended.push_back(end_of(number, {{job, 0, 0}, number}));
+        }
+        driver.report({ended.begin(), ended.begin() + 50});
+        CHECK(forgotten_up_to(driver.next()) == 0);
+        driver.report({ended.begin(), ended.begin() + 150});
+        const auto actions = driver.next();
+        CHECK(forgotten_up_to(actions) == 89);
+        CHECK(find_decision(actions, "unreadable_end_dropped").job == unreadable_job);
+        driver.report(ended);
+        CHECK(forgotten_up_to(driver.next()) == many_ends);
+    }
+}
--- a/flamingoseam/workflow/workflow_reports.cpp
+++ b/flamingoseam/workflow/workflow_reports.cpp
@@ -13,6 +13,9 @@
 
 constexpr int missing_reports_until_lost = 2;
 constexpr std::size_t max_listed_ends = 500; ///< A worker lists so many ends at a time.
+/// An end that can't be stored is acknowledged when more ends have followed it, as a full list
+/// would hide later ones.
+constexpr std::size_t max_ends_behind_kept_end = 100;
 constexpr milliseconds exclusion_without_capacity{200};
 constexpr milliseconds exclusion_when_unhealthy{500};
 constexpr milliseconds exclusion_in_quarantine{4'000};
@@ -27,6 +30,12 @@
            listed_incarnation != worker.listed_incarnation;
 }
 
+/// Checks whether an end decides if its task may be started again.
+bool has_result(const ended_run& end)
+{
+    return end.how == run_end::done || end.how == run_end::failed;
+}
+
 } // namespace
 
 void workflow_state::on_worker_list(const std::vector<worker_entry>& workers, time_point time)
@@ -150,6 +159,7 @@
     worker_state.reported = false;
     worker_state.last_end = 0;
     worker_state.unacknowledged_ends.clear();
+    worker_state.kept_ends.clear();
     worker_state.forget_up_to = 0;
     for (auto& [name, run] : worker_state.runs) {
         // A confirmed run may belong to either incarnation; the next report shows to which. An
@@ -186,6 +196,9 @@
     }
     worker_state.last_end = end.number;
     worker_state.unacknowledged_ends.emplace(end.number, false);
+    if (worker_state.unacknowledged_ends.size() > max_ends_behind_kept_end) {
+        drop_kept_end(worker);
+    }
     const auto incarnation = worker_state.entry.incarnation;
     record_run_time(worker, end, time);
     fleet_.release(worker, end.name);
@@ -194,7 +207,11 @@
     if (job == nullptr) {
         log_unknown_job("end_unknown_job", worker, end.name, to_string(end.how),
                         {{"end", end.number}});
-        acknowledge_end(worker, incarnation, end.number);
+        if (has_result(end) && unreadable_jobs_.contains(end.name.task.job)) {
+            worker_state.kept_ends.emplace(end.number, end.name);
+        } else {
+            acknowledge_end(worker, incarnation, end.number);
+        }
         return;
     }
     if (!is_final(job->phase)) {
@@ -207,6 +224,20 @@
     waiters_[job].ends.emplace_back(job->changed_at, end_key{worker, incarnation, end.number});
 }
 
+/// Acknowledges the first kept end of a worker, as too many have followed it.
+void workflow_state::drop_kept_end(std::size_t worker)
+{
+    auto& worker_state = fleet_.at(worker);
+    if (worker_state.kept_ends.empty()) {
+        return;
+    }
+    const auto [number, name] = *worker_state.kept_ends.begin();
+    worker_state.kept_ends.erase(worker_state.kept_ends.begin());
+    log_unknown_job("unreadable_end_dropped", worker, name, "too many ends follow",
+                    {{"end", number}});
+    acknowledge_end(worker, worker_state.entry.incarnation, number);
+}
+
 /// Logs a run of a job that this owner doesn't know, and with which token it uses the worker.
 void workflow_state::log_unknown_job(const std::string& event, std::size_t worker,
                                      const run_name& name, const std::string& what,
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -57,6 +57,10 @@
     void load(std::vector<job_record> jobs, const std::vector<worker_entry>& leased_workers,
               time_point time, wall_time wall);
 
+    /// Sets the accepted jobs whose stored records can't be read. Their ends are not acknowledged,
+    /// unless so many follow on the same worker that it could not list all of them.
+    void set_unreadable_jobs(std::set<std::string> jobs) { unreadable_jobs_ = std::move(jobs); }
+
     /// Handles the submission of a job; the answer follows under `token` when the job is stored. A
     /// submission with a known id refers to the existing job. Complexity: linear in the tasks.
     void submit(std::uint64_t token, const job_spec& spec, const queue_terms& terms,
@@ -254,6 +258,7 @@
                            time_point time);
     void repeat_forget(std::size_t worker, const worker_report& report);
     void handle_end(std::size_t worker, const ended_run& end, time_point time, wall_time wall);
+    void drop_kept_end(std::size_t worker);
     void log_unknown_job(const std::string& event, std::size_t worker, const run_name& name,
                          const std::string& what, std::vector<log_field> fields = {});
     void apply_end(job_record& job, std::size_t worker, const ended_run& end, time_point time,
@@ -450,6 +455,7 @@
     /// Requested stops that the worker has not accepted yet.
     std::set<std::pair<std::size_t, run_name>> unaccepted_stops_;
     std::unordered_map<std::string, std::unique_ptr<job_record>> jobs_;
+    std::set<std::string> unreadable_jobs_;
     std::map<std::uint64_t, job_record*> open_; ///< By the order in which they were received.
     std::map<const job_record*, waiters> waiters_;
     std::map<std::uint64_t, permission_request> requests_; ///< Requests in flight, by number.
