--- a/tests/workflow_model_test.cpp
+++ b/tests/workflow_model_test.cpp
@@ -62,6 +62,7 @@
         const auto violation = workflow_model({.seed = seed,
                                                .shards = seed % 2 == 0 ? 1 : 2,
                                                .jobs = 150,
+                                               .late_order_share = 0,
                                                .owner_crashes = 8,
                                                .worker_drains = 8,
                                                .records_per_write = 2})
