--- a/flamingoseam/workflow/workflow_ends_test.cpp
+++ b/flamingoseam/workflow/workflow_ends_test.cpp
@@ -10,6 +10,7 @@
 
 namespace {
 
+const std::string known_job = "00000000000000aa";
 const std::string unknown_job = "00000000000000bb";
 
 ended_run end_of(std::int64_t number, const run_name& name, run_end how = run_end::done)
@@ -17,6 +18,16 @@
     return {.number = number, .name = name, .how = how};
 }
 
+/// Returns the number up to which the worker may discard ends; 0 if there is no such order.
+std::int64_t forgotten_up_to(const workflow_actions& actions)
+{
+    std::int64_t up_to = 0;
+    for (const auto& order : actions.forgets) {
+        up_to = std::max(up_to, order.up_to);
+    }
+    return up_to;
+}
+
 /// Returns the logged decision of a kind, which must have been logged once.
 logged_decision find_decision(const workflow_actions& actions, const std::string& event)
 {
@@ -33,6 +44,39 @@
     return found->value;
 }
 
+/// A worker with one run of a stored job.
+struct running_state : driven_state {
+    running_state()
+    {
+        make_usable();
+        submit(job(known_job, 1'000));
+        const auto starts = next().starts;
+        REQUIRE(starts.size() == 1);
+        name = starts[0].name;
+        state.on_start(0, name, start_outcome::started, time);
+    }
+
+    void report(const std::vector<ended_run>& ended, bool has_more_ends = false)
+    {
+        time += 1ms;
+        state.on_report(
+            0, {.incarnation = 1, .ended = ended, .has_more_ends = has_more_ends, .asked = time},
+            time, wall);
+    }
+
+    /// Lets the worker be silent until its lease has lapsed, and answer again.
+    void lapse()
+    {
+        const auto silent_since = time;
+        state.on_unreachable_changed(0, true, silent_since, time);
+        time += 7s;
+        state.on_emptied(0, emptied_reason::lease_expired, time, wall);
+        state.on_unreachable_changed(0, false, silent_since, time);
+    }
+
+    run_name name;
+};
+
 } // namespace
 
 TEST_CASE("ends and runs of unknown jobs are logged")
@@ -59,3 +103,148 @@
     CHECK(run.job == unknown_job);
     CHECK(run.detail.starts_with(to_string(running) + " on w"));
 }
+
+// A later owner did not wait for the worker, whose end it did not know, and started the task again.
+TEST_CASE("a leaving worker stays among the stored leased workers until its ends are stored")
+{
+    running_state driver;
+    auto& state = driver.state;
+    auto leaving = driver.worker();
+    leaving.leaving = true;
+    state.on_worker_list({leaving}, driver.time);
+    driver.report({end_of(1, driver.name)});
+    driver.next(200ms);
+
+    const auto batch = state.take_batch(0, 2, driver.time); // Too small for both records.
+    CHECK(std::ranges::count(batch.changes, "fs/roster", &record_change::key) == 0);
+    CHECK(state.workers().at(0).lease_stored);
+    state.on_stored(0);
+    driver.next(200ms);
+    driver.store();
+    CHECK_FALSE(state.workers().at(0).lease_stored);
+}
+
+// An owner knows its loaded workers as leaving until it has the platform's list of workers.
+TEST_CASE("a loaded worker stays among the stored leased workers until its ends are stored")
+{
+    running_state driver;
+    job_record stored;
+    stored.spec = driver.job(known_job, 1'000);
+    stored.terms = driver.terms();
+    stored.spec_stored = true;
+    fill_steps(stored, task_phase::unlocated);
+    auto loaded = driver.worker();
+    loaded.leaving = true;
+    driver.state = workflow_state({.epoch = 3, .streams = 3});
+    driver.state.load({stored}, {loaded}, driver.time, wall);
+    driver.report({end_of(1, driver.name)});
+    driver.next(200ms);
+
+    const auto batch = driver.state.take_batch(0, 2, driver.time); // Too small for both.
+    CHECK(std::ranges::count(batch.changes, "fs/roster", &record_change::key) == 0);
+}
+
+TEST_CASE("an unstored end is not acknowledged with a later one after its worker's lease lapsed")
+{
+    running_state driver;
+    driver.report({end_of(1, driver.name)});
+    driver.state.take_batch(0, 30, driver.time);
+    driver.lapse();
+    driver.report({end_of(1, driver.name), end_of(2, {{unknown_job, 0, 0}, 1})});
+    CHECK(forgotten_up_to(driver.next()) == 0);
+    driver.state.on_stored(0);
+    CHECK(forgotten_up_to(driver.next()) == 2);
+}
+
+TEST_CASE("a run is not taken for lost while its worker lists only a part of its ends")
+{
+    constexpr std::int64_t listed_at_a_time = 500;
+    running_state driver;
+    std::vector<ended_run> ended;
+    for (std::int64_t number = 1; number <= listed_at_a_time; ++number) {
+        ended.push_back(end_of(number, {{unknown_job, 0, 0}, number}));
+    }
+    for (int report = 0; report < 3; ++report) {
+        driver.report(ended, true);
+    }
+    CHECK(driver.state.workers().at(0).runs.contains(driver.name));
+
+    driver.report({end_of(listed_at_a_time + 1, driver.name)});
+    driver.store();
+    CHECK(driver.state.find(known_job) == job_phase::completed);
+    CHECK(forgotten_up_to(driver.next()) == listed_at_a_time + 1);
+}
+
+TEST_CASE("the tasks of a worker that lists only a part of its ends are not located yet")
+{
+    constexpr std::int64_t listed_at_a_time = 500;
+    running_state driver;
+    auto stored = read_specification(write_specification([&driver] {
+        job_record record;
+        record.spec = driver.job(known_job, 1'000);
+        record.terms = driver.terms();
+        return record;
+    }()));
+    stored.spec.id = known_job;
+    workflow_state next_owner({.epoch = 3, .streams = 3});
+    next_owner.load({stored}, {driver.worker()}, driver.time, wall);
+    worker_report report{.incarnation = 1, .has_more_ends = true};
+    for (std::int64_t number = 1; number <= listed_at_a_time; ++number) {
+        report.ended.push_back(end_of(number, {{unknown_job, 0, 0}, number}));
+    }
+    next_owner.on_report(0, report, driver.time, wall);
+    CHECK(next_owner.is_recovering());
+    next_owner.on_report(0, {.incarnation = 1, .ended = {end_of(501, driver.name)}}, driver.time,
+                         wall);
+    CHECK_FALSE(next_owner.is_recovering());
+    CHECK(next_owner.open_jobs() == 0);
+}
+
+// The session of a worker that has moved begins without the number of the last acknowledged end.
+TEST_CASE("ends that are listed again after they were acknowledged are acknowledged again")
+{
+    running_state driver;
+    driver.report({end_of(1, driver.name)});
+    driver.store();
+    CHECK(forgotten_up_to(driver.next()) == 1);
+    driver.report({end_of(1, driver.name)});
+    CHECK(forgotten_up_to(driver.next()) == 1);
+}
+
+// A later owner that can read the records starts the task again.
+TEST_CASE("the end of a job whose records can't be read is not acknowledged")
+{
+    const std::string unreadable_job = "00000000000000cc";
+    constexpr std::int64_t many_ends = 300;
+    running_state driver;
+    driver.state.set_unreadable_jobs({unreadable_job});
+
+    SECTION("but later ends are processed, and acknowledged after it")
+    {
+        driver.report({end_of(1, {{unreadable_job, 0, 0}, 1}), end_of(2, driver.name)});
+        driver.store();
+        CHECK(driver.state.find(known_job) == job_phase::completed);
+        CHECK(driver.next().forgets.empty());
+    }
+    SECTION("but if it was stopped")
+    {
+        driver.report({end_of(1, {{unreadable_job, 0, 0}, 1}, run_end::stopped)});
+        CHECK(forgotten_up_to(driver.next()) == 1);
+    }
+    SECTION("until so many ends follow that the worker's list might become full")
+    {
+        std::vector<ended_run> ended;
+        for (std::int64_t number = 1; number <= many_ends; ++number) {
+            const auto& job = number == 1 || number == 90 ? unreadable_job : unknown_job;
+            ended.push_back(end_of(number, {{job, 0, 0}, number}));
+        }
+        driver.report({ended.begin(), ended.begin() + 50});
+        CHECK(forgotten_up_to(driver.next()) == 0);
+        driver.report({ended.begin(), ended.begin() + 150});
+        const auto actions = driver.next();
+        CHECK(forgotten_up_to(actions) == 89);
+        CHECK(find_decision(actions, "unreadable_end_dropped").job == unreadable_job);
+        driver.report(ended);
+        CHECK(forgotten_up_to(driver.next()) == many_ends);
+    }
+}
