Lend workers by what stranded steps may use, and let each service borrow

Cause: lenders gave away workers by index, whatever they were of use for, and never the last that they keep; and only the service of the most urgent step asked for workers.

A request for workers now says whether a step is stranded, and what the shard knows of workers that it had earlier: helpful for a stranded step or not, by incarnation. Lenders give the helpful ones first, then unknown ones, and last those that their own waiting steps need, of which they have few. One that has no more than it keeps gives a single worker that may help, down to half of that, and asks for another until it has as many as before. Transfers are made as before, so nothing of their safety changes. Services with waiting work ask in turn, and a waiting request is replaced only by one for the same service.

Ruled out: asking the permission service about workers of other shards (calls are slow and priced).

--- a/flamingoseam/workflow/worker_lending_test.cpp
+++ b/flamingoseam/workflow/worker_lending_test.cpp
@@ -119,6 +119,26 @@
     CHECK(lend(0, 135).idle == 27);
 }
 
+TEST_CASE("a shard that has no more workers than it keeps exchanges one for a stranded step")
+{
+    worker_request request{
+        .shard = 0, .service = "s", .workers = 400, .demand = {.total = 9, .desired = 410}};
+    request.is_stranded = true;
+    const auto lend = [&](double own_demand, std::size_t workers) {
+        return decide_lending(request, {.total = own_demand}, {.workers = workers, .idle = workers},
+                              limits);
+    };
+    REQUIRE(kept_workers(limits) == 34);
+
+    CHECK(lend(0, 34) == lending_decision{.idle = 0, .drain = 0, .exchanged = 1});
+    CHECK(lend(0, 18) == lending_decision{.idle = 0, .drain = 0, .exchanged = 1});
+    CHECK(lend(0, 17) == lending_decision{});
+    CHECK(lend(27.1, 34) == lending_decision{});
+    CHECK(lend(0, 40).exchanged == 0);
+    request.is_stranded = false;
+    CHECK(lend(0, 34) == lending_decision{});
+}
+
 TEST_CASE("an assignment is stored as JSON")
 {
     const worker_assignment value{.shard = 3, .token_base = 17};
@@ -403,3 +423,133 @@
         CHECK_FALSE(state.find_worker_request(driver.time).has_value());
     }
 }
+
+// Workers were given away by index, whether the steps that waited for them may run there or not.
+TEST_CASE("a shard with a stranded step gets workers that may help it first")
+{
+    lending_state driver;
+    auto& state = driver.state;
+    worker_request request{.shard = 1, .service = "service", .workers = 3, .demand = {.total = 30}};
+    request.is_stranded = true;
+    request.known = {{.id = "w0", .incarnation = 1, .is_useful = false}};
+
+    SECTION("not one that does not help")
+    {
+        REQUIRE(state.lend_workers(request, driver.time) == 1);
+        CHECK(driver.next(0ms).released_workers == std::vector<std::size_t>{1});
+    }
+    SECTION("one that is known to help before others")
+    {
+        request.known.push_back({.id = "w2", .incarnation = 1, .is_useful = true});
+        REQUIRE(state.lend_workers(request, driver.time) == 1);
+        CHECK(driver.next(0ms).released_workers == std::vector<std::size_t>{2});
+    }
+    SECTION("what is known of an earlier incarnation does not count")
+    {
+        request.known.front().incarnation = 7;
+        REQUIRE(state.lend_workers(request, driver.time) == 1);
+        CHECK(driver.next(0ms).released_workers == std::vector<std::size_t>{0});
+    }
+}
+
+TEST_CASE("a shard with no more workers than it keeps does not exchange one that does not help")
+{
+    lending_state driver;
+    auto& state = driver.state;
+    state.set_lending_limits({.shard = 0, .shards = 2, .cell_workers = 24});
+    worker_request request{
+        .shard = 1, .service = "service", .workers = 21, .demand = {.total = 1, .desired = 22}};
+    request.is_stranded = true;
+    for (const auto* id : {"w0", "w1", "w2"}) {
+        request.known.push_back({.id = id, .incarnation = 1, .is_useful = false});
+    }
+
+    CHECK(state.lend_workers(request, driver.time) == 0);
+    request.known.back().is_useful = true;
+    CHECK(state.lend_workers(request, driver.time) == 1);
+    CHECK(driver.next(0ms).released_workers == std::vector<std::size_t>{2});
+
+    const auto asked = state.find_worker_request(driver.time);
+    REQUIRE(asked.has_value());
+    CHECK(asked->demand.desired == 3);
+    CHECK_FALSE(asked->is_stranded);
+}
+
+TEST_CASE("a shard asks for what it knows of others' workers for its stranded step")
+{
+    lending_state driver;
+    auto& state = driver.state;
+    auto terms = driver.terms();
+    terms.permission = permission_terms{fractional_ms(10), fractional_ms(1), milliseconds(1'500)};
+    state.submit(1, driver.job("fedcba9876543210", 1'000, 2), terms, driver.time, wall);
+    driver.store();
+    const auto asked = driver.next().permissions;
+    REQUIRE(asked.size() == 1);
+    state.on_permission(asked[0].number, std::vector<ticket_grant>{}, driver.time);
+    auto listed = driver.list();
+    listed.pop_back();
+    state.on_worker_list(listed, driver.time);
+    driver.next(300ms);
+
+    const auto request = state.find_worker_request(driver.time);
+    REQUIRE(request.has_value());
+    CHECK(request->is_stranded);
+    CHECK(request->known ==
+          std::vector<known_worker>{{.id = "w2", .incarnation = 1, .is_useful = false}});
+}
+
+TEST_CASE("a shard does not give away first the workers that its own waiting steps need")
+{
+    lending_state driver;
+    auto& state = driver.state;
+    auto terms = driver.terms();
+    terms.permission = permission_terms{fractional_ms(10), fractional_ms(1), milliseconds(1'500)};
+    auto gang = driver.job("fedcba9876543210", 6'000, 2);
+    gang.steps[0].gang = true;
+    state.submit(1, gang, terms, driver.time, wall);
+    driver.store();
+    const auto asked = driver.next().permissions;
+    REQUIRE(asked.size() == 1);
+    state.on_permission(asked[0].number, std::vector<ticket_grant>{{"w0", "ticket"}}, driver.time);
+    driver.next(300ms);
+
+    REQUIRE(driver.lend() == 1);
+    CHECK(driver.next(0ms).released_workers == std::vector<std::size_t>{1});
+}
+
+// Only the service of the most urgent step was asked for.
+TEST_CASE("each service with stranded work has its turn to ask for workers")
+{
+    lending_state driver;
+    auto& state = driver.state;
+    auto workers = driver.list();
+    for (const auto* id : {"v0", "v1", "v2"}) {
+        workers.push_back(driver.worker());
+        workers.back().id = id;
+        workers.back().service = "other";
+    }
+    state.on_worker_list(workers, driver.time);
+    for (std::size_t index = 3; index < 6; ++index) {
+        state.on_report(index, {.incarnation = 1}, driver.time, wall);
+    }
+    driver.store();
+    auto other_terms = driver.terms();
+    other_terms.service = "other";
+    for (const auto& [id, terms] : {std::pair("0123456789abcdef", driver.terms()),
+                                    std::pair("fedcba9876543210", other_terms)}) {
+        auto gang = driver.job(id, 6'000, 5);
+        gang.steps[0].gang = true;
+        state.submit(1, gang, terms, driver.time, wall);
+    }
+    driver.store();
+    driver.next(600ms);
+    driver.next(600ms);
+
+    std::vector<std::string> services;
+    for (int turn = 0; turn < 3; ++turn) {
+        const auto request = state.find_worker_request(driver.time);
+        REQUIRE(request.has_value());
+        services.push_back(request->service);
+    }
+    CHECK(services == std::vector<std::string>{"other", "service", "other"});
+}
