Keep workers that join meanwhile out of the quorum of earlier owners

Tasks could be started a second time while their first runs went on. Cause: an owner that is cut off from the store extends leases while a majority of its stored list answers it. Its successor added workers that had been listed since to that list, and an owner after it took the majority of the longer list, of which the first owner knows nothing, for the end of the first one's renewals; it would take silent workers for empty after 5.5 s and a lease, though the first owner may renew for up to 30 s. Fix: each leased worker in the stored list says whether it counts for a majority. Until no earlier owner extends leases any more, only the workers of the loaded quorum do. Workers that join are used as before, and the next owner waits for their reports as before. A list of an earlier version counts all workers that have not expired. Ruled out: removals. A worker leaves the list before that time only if it has accepted the new owner or is gone, so two majorities still meet. Evidence: the unit test failed before the fix (a majority of the joined workers alone was accepted) and passes with it.

--- a/flamingoseam/workflow/messages.hpp
+++ b/flamingoseam/workflow/messages.hpp
@@ -53,6 +53,9 @@
     resources capacity;
     bool leaving = false; ///< The worker ends soon; no new run is started on it.
     lease_renewal renewal = lease_renewal::renewed; ///< Known in a record of leased workers.
+    /// Known in a record of leased workers: the worker is one of those of which a majority keeps
+    /// earlier owners from extending leases. Its lease has not expired.
+    bool in_quorum = true;
     /// The fencing tokens of an owner for this worker are counted from this number plus the owner's
     /// epoch. It increases whenever the worker is transferred to another shard.
     std::uint64_t token_base = 0;
--- a/flamingoseam/workflow/stored_job.cpp
+++ b/flamingoseam/workflow/stored_job.cpp
@@ -13,6 +13,7 @@
 constexpr std::size_t silence_field = 6; ///< Written by earlier versions; not 0 if withheld.
 constexpr std::size_t token_base_field = 7;
 constexpr std::size_t renewal_field = 8;
+constexpr std::size_t quorum_field = 9;
 constexpr std::int64_t no_silence = 0;
 
 /// Parses a stored record.
@@ -331,7 +332,8 @@
     for (const auto& worker : workers) {
         entries.push_back({worker.id, worker.incarnation, worker.address.address,
                            worker.address.port, worker.service, worker.zone, no_silence,
-                           worker.token_base, static_cast<int>(worker.renewal)});
+                           worker.token_base, static_cast<int>(worker.renewal),
+                           worker.in_quorum ? 1 : 0});
     }
     return entries.dump();
 }
@@ -348,6 +350,9 @@
             worker.service = fields.at(4).get<std::string>();
             worker.zone = fields.at(5).get<std::string>();
             worker.renewal = read_renewal(fields);
+            worker.in_quorum = fields.size() > quorum_field
+                                   ? fields.at(quorum_field).get<int>() != 0
+                                   : worker.renewal != lease_renewal::expired;
             worker.token_base = fields.size() > token_base_field
                                     ? fields.at(token_base_field).get<std::uint64_t>()
                                     : 0;
--- a/flamingoseam/workflow/workflow_jobs.cpp
+++ b/flamingoseam/workflow/workflow_jobs.cpp
@@ -49,11 +49,13 @@
         if (!state.is_emptied) {
             unreported_.insert(index);
         }
+        if (worker.in_quorum && !state.is_emptied) {
+            loaded_quorum_.insert(index);
+        }
     }
     last_loaded_sequence_ = last_sequence_;
-    not_accepting_ = unreported_;
-    stored_quorum_ = unreported_;
-    loaded_quorum_ = unreported_.size();
+    not_accepting_ = loaded_quorum_;
+    stored_quorum_ = loaded_quorum_;
     if (unreported_.empty() && !awaits_earlier_owner_) {
         release_unlocated();
     }
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -174,7 +174,7 @@
     /// majority of them can answer an earlier owner any more. Complexity: constant.
     [[nodiscard]] bool has_majority_accepted() const
     {
-        return 2 * not_accepting_.size() <= loaded_quorum_;
+        return 2 * not_accepting_.size() <= loaded_quorum_.size();
     }
 
     /// Repeats unanswered orders, stops stalled runs and places waiting tasks. To be called at
@@ -414,6 +414,7 @@
     void add_changes(stream_state& stream, std::size_t max_records, record_batch& batch);
     [[nodiscard]] bool may_write(std::size_t stream, time_point time) const;
     void add_leased_workers(record_batch& batch);
+    [[nodiscard]] bool may_join_quorum(std::size_t worker) const;
     [[nodiscard]] lease_renewal renewal_to_store(const fleet_worker& worker) const;
     void on_leased_workers_stored();
     void add_assignments(record_batch& batch);
@@ -472,16 +473,16 @@
     std::vector<std::string> newly_ended_; ///< Their retention begins with the next batch.
     std::vector<std::string> removals_;    ///< Keys to be removed from the store.
     std::set<std::size_t> batch_leased_workers_;
-    std::set<std::size_t> batch_quorum_; ///< Those of them whose leases have not expired.
+    std::set<std::size_t> batch_quorum_; ///< Those of them that count for a majority.
     /// Workers of the batch whose lease, it says, is not renewed.
     std::set<std::size_t> batch_silent_workers_;
     bool leased_workers_in_batch_ = false;
     std::set<std::size_t> leased_workers_; ///< Workers that may hold runs.
-    /// Those that the store is known to contain and whose leases, it says, have not expired. An
-    /// owner that is accepted by a majority of them is the only one that is.
+    /// Those that the store is known to contain as members of the quorum. An owner that is accepted
+    /// by a majority of them is the only one that is.
     std::set<std::size_t> stored_quorum_;
     std::set<std::size_t> unreported_;    ///< Earlier owner's leased workers without a report.
-    std::size_t loaded_quorum_ = 0;       ///< Number of workers in the loaded quorum.
+    std::set<std::size_t> loaded_quorum_; ///< The quorum in the earlier owner's list.
     std::set<std::size_t> not_accepting_; ///< Those of them that have not reported to this owner.
     lending_limits lending_limits_;
     std::map<std::string, worker_assignment> assignments_; ///< To be stored, by worker.
--- a/flamingoseam/workflow/workflow_state_test.cpp
+++ b/flamingoseam/workflow/workflow_state_test.cpp
@@ -451,6 +451,71 @@
     }
 }
 
+namespace {
+
+/// Commits the pending changes and returns the list of leased workers among them.
+std::vector<worker_entry> store_leased_workers(driven_state& driver)
+{
+    std::vector<worker_entry> stored;
+    for (const auto& change : driver.state.take_batch(0, 30, driver.time).changes) {
+        if (change.key == record_keys{.prefix = "fs/"}.leased_workers()) {
+            stored = read_leased_workers(*change.value);
+        }
+    }
+    driver.state.on_stored(0);
+    return stored;
+}
+
+} // namespace
+
+// Guards against a second run of a task: a third owner had the majority of a list to which the
+// second one had added workers, while a majority of the shorter list still answered the first one.
+TEST_CASE("workers that join while an earlier owner may extend leases don't end its majority")
+{
+    const auto workers = numbered_workers(7);
+    const std::vector<worker_entry> leased_by_first(workers.begin(), workers.begin() + 3);
+    const auto answer = [](driven_state& driver, std::size_t worker) {
+        driver.state.on_report(worker, {.incarnation = 1, .asked = driver.time}, driver.time, wall);
+    };
+    driven_state second;
+    second.state.load({}, leased_by_first, second.time, wall);
+    second.state.on_worker_list(workers, second.time);
+    for (const std::size_t worker : {3, 4, 5, 6}) {
+        answer(second, worker);
+    }
+    CHECK_FALSE(second.state.has_majority_accepted());
+    auto stored = store_leased_workers(second);
+    REQUIRE(stored.size() == 7);
+
+    SECTION("an owner that begins meanwhile needs a majority of the earlier list")
+    {
+        driven_state third;
+        third.state.load({}, stored, third.time, wall);
+        for (const std::size_t worker : {3, 4, 5, 6, 0}) {
+            answer(third, worker);
+            CHECK_FALSE(third.state.has_majority_accepted());
+        }
+        answer(third, 1);
+        CHECK(third.state.has_majority_accepted());
+        CHECK(third.state.is_recovering());
+        answer(third, 2);
+        CHECK_FALSE(third.state.is_recovering());
+    }
+    SECTION("they count once the earlier owner extends none any more")
+    {
+        second.state.on_earlier_renewals_ended();
+        stored = store_leased_workers(second);
+        driven_state third;
+        third.state.load({}, stored, third.time, wall);
+        for (const std::size_t worker : {0, 1, 2}) {
+            answer(third, worker);
+            CHECK_FALSE(third.state.has_majority_accepted());
+        }
+        answer(third, 3);
+        CHECK(third.state.has_majority_accepted());
+    }
+}
+
 TEST_CASE("a lease is stored as withheld only once no earlier owner extends it")
 {
     driven_state driver;
--- a/flamingoseam/workflow/workflow_storing.cpp
+++ b/flamingoseam/workflow/workflow_storing.cpp
@@ -75,7 +75,8 @@
             state.silence_stored = true;
             batch_silent_workers_.insert(worker);
         }
-        if (renewal != lease_renewal::expired) {
+        workers.back().in_quorum = renewal != lease_renewal::expired && may_join_quorum(worker);
+        if (workers.back().in_quorum) {
             batch_quorum_.insert(worker);
         }
     }
@@ -84,6 +85,14 @@
     add_assignments(batch);
 }
 
+/// Checks whether the quorum may contain a worker. An earlier owner that still extends leases knows
+/// nothing of workers that have joined since: were they counted, a later owner could have a
+/// majority besides the one that still answers that owner.
+bool workflow_state::may_join_quorum(std::size_t worker) const
+{
+    return earlier_renewals_ended_ || loaded_quorum_.contains(worker);
+}
+
 lease_renewal workflow_state::renewal_to_store(const fleet_worker& worker) const
 {
     const bool others_withhold = earlier_renewals_ended_ || worker.silence_loaded;
