Store the new address of a worker that has moved before anything is started there

A task could be started a second time after its worker had moved and its owner had died. Cause: the stored list kept the address at which the worker had been leased first. The next owner asked there, and if another worker answered, took this one for empty at once, whatever it held at its new address. Fix: a change of the address is written like a new lease, and nothing is started until it is stored. Evidence: the unit test failed before the fix (usable, address not written) and passes with it.

--- a/flamingoseam/workflow/workflow_reports.cpp
+++ b/flamingoseam/workflow/workflow_reports.cpp
@@ -55,8 +55,14 @@
         if (entry.leaving && !was_leaving) {
             log_decision("worker_leaving", "", entry.id);
         }
+        const bool has_moved = known && fleet_.at(*known).entry.address != entry.address;
         const auto index = fleet_.put(entry);
         listed.insert(index);
+        if (has_moved && leased_workers_.contains(index)) {
+            fleet_.at(index).lease_stored = false; // Not with the address that it has now.
+            batch_leased_workers_.erase(index);
+            leased_workers_changed_ = true;
+        }
         fleet_.at(index).listed_incarnation = listed_incarnation;
         if (is_restarted) {
             begin_incarnation(index, listed_incarnation, !was_leaving, time);
--- a/flamingoseam/workflow/workflow_state_test.cpp
+++ b/flamingoseam/workflow/workflow_state_test.cpp
@@ -621,6 +621,29 @@
     CHECK(read_leased_workers(*list_batch.changes[0].value).empty());
 }
 
+// Guards against a second run of a task: the next owner asked the worker at its former address,
+// where another one answered.
+TEST_CASE("a worker that has moved gets no run before its new address is stored")
+{
+    driven_state driver;
+    driver.make_usable();
+    auto moved = driver.worker();
+    moved.address.port = 2;
+    driver.state.on_worker_list({moved}, driver.time);
+    driver.submit_unstored(driver.job("fedcba9876543210", 1'000));
+    CHECK_FALSE(driver.state.workers().at(0).is_usable(driver.time));
+
+    bool is_address_stored = false;
+    for (const auto& change : driver.state.take_batch(0, 30, driver.time).changes) {
+        if (change.key == record_keys{.prefix = "fs/"}.leased_workers()) {
+            is_address_stored = read_leased_workers(*change.value).at(0).address == moved.address;
+        }
+    }
+    CHECK(is_address_stored);
+    driver.state.on_stored(0);
+    CHECK(driver.next().starts.size() == 1);
+}
+
 // Guards against a task that counts as placed for good: the result of its start order was lost.
 TEST_CASE("a start order whose result never arrives does not keep its task placed")
 {
