--- a/flamingoseam/node/coordinator.capnp
+++ b/flamingoseam/node/coordinator.capnp
@@ -53,13 +53,6 @@
   ticket @1 :Text;
 }
 
-# What a shard knows of another one's worker; see known_worker in workflow/worker_lending.hpp.
-struct KnownWorker {
-  id @0 :Text;
-  incarnation @1 :Int64;
-  useful @2 :Bool;
-}
-
 interface Coordinator {
   submit @0 (job :JobSpec, terms :QueueTerms) -> (answer :OwnerAnswer);
   cancel @1 (job :Text) -> (answer :OwnerAnswer);
@@ -76,8 +69,8 @@
   confirmOwnerGone @6 (epoch :UInt64) -> (gone :Bool);
   # Asks the owner of a shard for workers of a service; see worker_request in workflow/worker_lending.hpp.
   # Returns how many it gives at once.
-  lendWorkers @7 (shard :UInt32, service :Text, workers :UInt32, demand :Float64, desired :Float64,
-      stranded :Bool, known :List(KnownWorker)) -> (workers :UInt32);
+  lendWorkers @7 (shard :UInt32, service :Text, workers :UInt32, demand :Float64, desired :Float64)
+      -> (workers :UInt32);
   # Tells the callee that another node has replaced the owner of this epoch. `stopped` is true when
   # that owner was one of the callee and neither it nor an earlier one acts any more.
   stopOwner @8 (epoch :UInt64) -> (stopped :Bool);
--- a/flamingoseam/node/coordinator.capnp.h
+++ b/flamingoseam/node/coordinator.capnp.h
@@ -24,7 +24,6 @@
 CAPNP_DECLARE_SCHEMA(9ac2a2058cadc1a4);
 CAPNP_DECLARE_SCHEMA(afccfab1ba2fe381);
 CAPNP_DECLARE_SCHEMA(acbaabe7022d6688);
-CAPNP_DECLARE_SCHEMA(a29fda10f8cd6bae);
 CAPNP_DECLARE_SCHEMA(edc252c094bcf7fd);
 CAPNP_DECLARE_SCHEMA(8e71f46864edd852);
 CAPNP_DECLARE_SCHEMA(a4223637775b0deb);
@@ -126,21 +125,6 @@
   };
 };
 
-struct KnownWorker {
-  KnownWorker() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a29fda10f8cd6bae, 2, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
 struct Coordinator {
   Coordinator() = delete;
 
@@ -394,7 +378,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cb0a781c3d734036, 4, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(cb0a781c3d734036, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1034,97 +1018,6 @@
 };
 #endif  // !CAPNP_LITE
 
-class KnownWorker::Reader {
-public:
-  typedef KnownWorker Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline bool hasId() const;
-  inline  ::capnp::Text::Reader getId() const;
-
-  inline  ::int64_t getIncarnation() const;
-
-  inline bool getUseful() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class KnownWorker::Builder {
-public:
-  typedef KnownWorker Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasId();
-  inline  ::capnp::Text::Builder getId();
-  inline void setId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initId(unsigned int size);
-  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownId();
-
-  inline  ::int64_t getIncarnation();
-  inline void setIncarnation( ::int64_t value);
-
-  inline bool getUseful();
-  inline void setUseful(bool value);
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class KnownWorker::Pipeline {
-public:
-  typedef KnownWorker Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
 #if !CAPNP_LITE
 class Coordinator::Client
     : public virtual ::capnp::Capability::Client {
@@ -2415,11 +2308,6 @@
 
   inline double getDesired() const;
 
-  inline bool getStranded() const;
-
-  inline bool hasKnown() const;
-  inline  ::capnp::List< ::flamingoseam::rpc::KnownWorker,  ::capnp::Kind::STRUCT>::Reader getKnown() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2467,16 +2355,6 @@
   inline double getDesired();
   inline void setDesired(double value);
 
-  inline bool getStranded();
-  inline void setStranded(bool value);
-
-  inline bool hasKnown();
-  inline  ::capnp::List< ::flamingoseam::rpc::KnownWorker,  ::capnp::Kind::STRUCT>::Builder getKnown();
-  inline void setKnown( ::capnp::List< ::flamingoseam::rpc::KnownWorker,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::flamingoseam::rpc::KnownWorker,  ::capnp::Kind::STRUCT>::Builder initKnown(unsigned int size);
-  inline void adoptKnown(::capnp::Orphan< ::capnp::List< ::flamingoseam::rpc::KnownWorker,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::flamingoseam::rpc::KnownWorker,  ::capnp::Kind::STRUCT>> disownKnown();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3459,68 +3337,6 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool KnownWorker::Reader::hasId() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool KnownWorker::Builder::hasId() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader KnownWorker::Reader::getId() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder KnownWorker::Builder::getId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void KnownWorker::Builder::setId( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder KnownWorker::Builder::initId(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void KnownWorker::Builder::adoptId(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> KnownWorker::Builder::disownId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline  ::int64_t KnownWorker::Reader::getIncarnation() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t KnownWorker::Builder::getIncarnation() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void KnownWorker::Builder::setIncarnation( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool KnownWorker::Reader::getUseful() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
-}
-
-inline bool KnownWorker::Builder::getUseful() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
-}
-inline void KnownWorker::Builder::setUseful(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
-}
-
 #if !CAPNP_LITE
 inline Coordinator::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
@@ -4189,54 +4005,6 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Coordinator::LendWorkersParams::Reader::getStranded() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
-}
-
-inline bool Coordinator::LendWorkersParams::Builder::getStranded() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
-}
-inline void Coordinator::LendWorkersParams::Builder::setStranded(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Coordinator::LendWorkersParams::Reader::hasKnown() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool Coordinator::LendWorkersParams::Builder::hasKnown() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::flamingoseam::rpc::KnownWorker,  ::capnp::Kind::STRUCT>::Reader Coordinator::LendWorkersParams::Reader::getKnown() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::flamingoseam::rpc::KnownWorker,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::flamingoseam::rpc::KnownWorker,  ::capnp::Kind::STRUCT>::Builder Coordinator::LendWorkersParams::Builder::getKnown() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::flamingoseam::rpc::KnownWorker,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void Coordinator::LendWorkersParams::Builder::setKnown( ::capnp::List< ::flamingoseam::rpc::KnownWorker,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::flamingoseam::rpc::KnownWorker,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::flamingoseam::rpc::KnownWorker,  ::capnp::Kind::STRUCT>::Builder Coordinator::LendWorkersParams::Builder::initKnown(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::flamingoseam::rpc::KnownWorker,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void Coordinator::LendWorkersParams::Builder::adoptKnown(
-    ::capnp::Orphan< ::capnp::List< ::flamingoseam::rpc::KnownWorker,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::flamingoseam::rpc::KnownWorker,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::flamingoseam::rpc::KnownWorker,  ::capnp::Kind::STRUCT>> Coordinator::LendWorkersParams::Builder::disownKnown() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::flamingoseam::rpc::KnownWorker,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
 inline  ::uint32_t Coordinator::LendWorkersResults::Reader::getWorkers() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/flamingoseam/node/coordinator_rpc.cpp
+++ b/flamingoseam/node/coordinator_rpc.cpp
@@ -204,18 +204,11 @@
     kj::Promise<void> lendWorkers(LendWorkersContext context) override
     {
         const auto params = context.getParams();
-        workflow::worker_request request{
+        const workflow::worker_request request{
             .shard = params.getShard(),
             .service = params.getService().cStr(),
             .workers = params.getWorkers(),
-            .demand = {.total = params.getDemand(), .desired = params.getDesired()},
-            .is_stranded = params.getStranded(),
-            .known = {}};
-        for (const auto worker : params.getKnown()) {
-            request.known.push_back({.id = worker.getId().cStr(),
-                                     .incarnation = worker.getIncarnation(),
-                                     .is_useful = worker.getUseful()});
-        }
+            .demand = {.total = params.getDemand(), .desired = params.getDesired()}};
         return detail::promise_of<std::size_t>(
                    [&](auto reply) { service_.lend_workers(request, reply); })
             .then([context](std::size_t lent) mutable {
@@ -406,13 +399,6 @@
             message.setWorkers(static_cast<std::uint32_t>(request.workers));
             message.setDemand(request.demand.total);
             message.setDesired(request.demand.desired);
-            message.setStranded(request.is_stranded);
-            auto known = message.initKnown(static_cast<unsigned>(request.known.size()));
-            for (unsigned index = 0; index < known.size(); ++index) {
-                known[index].setId(request.known[index].id);
-                known[index].setIncarnation(request.known[index].incarnation);
-                known[index].setUseful(request.known[index].is_useful);
-            }
             return message.send().then(
                 [](auto response) -> std::size_t { return response.getWorkers(); });
         },
--- a/flamingoseam/node/worker_borrower.cpp
+++ b/flamingoseam/node/worker_borrower.cpp
@@ -1,6 +1,5 @@
 #include "flamingoseam/node/worker_borrower.hpp"
 
-#include <algorithm>
 #include <utility>
 
 namespace flamingoseam::node {
@@ -23,13 +22,7 @@
 {
     {
         const std::lock_guard lock(mutex_);
-        const auto waiting =
-            std::ranges::find(requests_, request.service, &workflow::worker_request::service);
-        if (waiting == requests_.end()) {
-            requests_.push_back(std::move(request));
-        } else {
-            *waiting = std::move(request);
-        }
+        request_ = std::move(request);
     }
     changed_.notify_one();
 }
@@ -38,13 +31,8 @@
 std::optional<workflow::worker_request> worker_borrower::next()
 {
     std::unique_lock lock(mutex_);
-    changed_.wait(lock, [this] { return stopping_ || !requests_.empty(); });
-    if (stopping_) {
-        return std::nullopt;
-    }
-    auto request = std::move(requests_.front());
-    requests_.pop_front();
-    return request;
+    changed_.wait(lock, [this] { return stopping_ || request_; });
+    return stopping_ ? std::nullopt : std::exchange(request_, std::nullopt);
 }
 
 void worker_borrower::run()
--- a/flamingoseam/node/worker_borrower.hpp
+++ b/flamingoseam/node/worker_borrower.hpp
@@ -5,7 +5,6 @@
 #include "flamingoseam/workflow/worker_lending.hpp"
 
 #include <condition_variable>
-#include <deque>
 #include <functional>
 #include <mutex>
 #include <optional>
@@ -28,8 +27,7 @@
     worker_borrower(const worker_borrower&) = delete;
     worker_borrower& operator=(const worker_borrower&) = delete;
 
-    /// Makes a call soon. Replaces a request for the same service for which no call has been made
-    /// yet.
+    /// Makes a call soon. Replaces a request for which no call has been made yet.
     void request(workflow::worker_request request);
 
 private:
@@ -39,7 +37,7 @@
     borrow_call call_;
     std::mutex mutex_;
     std::condition_variable changed_;
-    std::deque<workflow::worker_request> requests_; ///< At most one for each service.
+    std::optional<workflow::worker_request> request_;
     bool stopping_ = false;
     service_thread thread_;
 };
--- a/flamingoseam/workflow/worker_lending.cpp
+++ b/flamingoseam/workflow/worker_lending.cpp
@@ -19,8 +19,6 @@
 constexpr double min_lent_share = 0.05;
 /// Share of its workers that may be drained at a time, as they serve nobody meanwhile.
 constexpr double max_drained_share = 0.04;
-/// Share of the workers that a shard keeps below which it does not exchange any.
-constexpr double min_exchanging_share = 0.5;
 /// For work beyond the demand, a shard gives away what exceeds its own demand times this.
 constexpr double own_demand_allowance = 1.25;
 
@@ -90,18 +88,13 @@
     return demand.total > min_load * workers || demand.desired > workers;
 }
 
-std::size_t kept_workers(const lending_limits& limits)
-{
-    const double equal_share =
-        static_cast<double>(limits.cell_workers) / static_cast<double>(limits.shards);
-    return whole_workers(std::ceil(min_kept_share * equal_share));
-}
-
 lending_decision decide_lending(const worker_request& request, const worker_demand& own_demand,
                                 const worker_stock& own, const lending_limits& limits)
 {
     const auto workers = static_cast<double>(own.workers);
-    const auto kept = static_cast<double>(kept_workers(limits));
+    const double equal_share =
+        static_cast<double>(limits.cell_workers) / static_cast<double>(limits.shards);
+    const double kept = std::ceil(min_kept_share * equal_share);
     const double most = std::min(workers - kept, std::ceil(max_lent_share * workers));
 
     double balanced = std::min(proportional_share(request, own_demand.total, workers), most);
@@ -116,11 +109,7 @@
     const auto idle = std::min(wanted, own.idle);
     const auto undrained = whole_workers(balanced) - std::min(whole_workers(balanced), idle);
     const auto max_drained = whole_workers(std::ceil(max_drained_share * workers));
-    const bool may_exchange = request.is_stranded && idle == 0 && own.idle > 0 && surplus >= 1 &&
-                              workers - 1 >= min_exchanging_share * kept;
-    return {.idle = idle,
-            .drain = std::min(undrained, max_drained),
-            .exchanged = may_exchange ? std::size_t{1} : 0};
+    return {.idle = idle, .drain = std::min(undrained, max_drained)};
 }
 
 } // namespace flamingoseam::workflow
--- a/flamingoseam/workflow/worker_lending.hpp
+++ b/flamingoseam/workflow/worker_lending.hpp
@@ -3,7 +3,6 @@
 #include "flamingoseam/core/clock.hpp"
 
 #include <cstddef>
-#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -18,15 +17,6 @@
     double desired = 0;
 };
 
-/// What a shard knows of an incarnation of another shard's worker.
-struct known_worker {
-    std::string id;
-    std::int64_t incarnation = 0;
-    bool is_useful = false; ///< A step that can't run on the own workers may run there.
-
-    bool operator==(const known_worker&) const = default;
-};
-
 /// A request for workers of other shards. It tells the demand of the shard that asks, so that the
 /// workers can be divided in proportion to the demands.
 struct worker_request {
@@ -34,10 +24,6 @@
     std::string service;
     std::size_t workers = 0; ///< Workers that the shard has.
     worker_demand demand;
-    bool is_stranded = false; ///< A step can't run on the own workers, even if these were empty.
-    /// If a step is stranded, the workers of other shards of which this one knows whether they
-    /// help. Any other worker may help.
-    std::vector<known_worker> known;
 };
 
 /// A step whose tasks wait to be placed.
@@ -74,24 +60,17 @@
 /// Checks whether a shard with this demand should ask the others for workers. Complexity: constant.
 bool needs_workers(const worker_demand& demand, const worker_stock& own);
 
-/// Returns how many workers a shard keeps, whatever the demands are, so that it can start urgent
-/// work at once. Complexity: constant.
-std::size_t kept_workers(const lending_limits& limits);
-
 /// How many workers a shard gives away for a request.
 struct lending_decision {
     std::size_t idle = 0;  ///< Workers that are idle now.
     std::size_t drain = 0; ///< Workers that get no new work until they are idle and then follow.
-    /// Further idle workers, but only such as may help the stranded step of the other shard.
-    std::size_t exchanged = 0;
 
     bool operator==(const lending_decision&) const = default;
 };
 
 /// Decides on a request of another shard. Workers are divided in proportion to the demands of the
 /// two shards. For work beyond the demand, the shard gets idle workers that the own work does not
-/// need. A shard that has no more than it keeps gives single ones to one with a stranded step, and
-/// asks for others in exchange. Complexity: constant.
+/// need. Complexity: constant.
 lending_decision decide_lending(const worker_request& request, const worker_demand& own_demand,
                                 const worker_stock& own, const lending_limits& limits);
 
--- a/flamingoseam/workflow/workflow_lending.cpp
+++ b/flamingoseam/workflow/workflow_lending.cpp
@@ -2,8 +2,6 @@
 #include "flamingoseam/workflow/workflow_state.hpp"
 
 #include <algorithm>
-#include <set>
-#include <tuple>
 
 namespace flamingoseam::workflow {
 
@@ -68,14 +66,16 @@
     return workers == 0 ? 1 : static_cast<double>(labelled) / static_cast<double>(workers);
 }
 
-/// Returns how many of `needed` tasks of a step find no place on the shard's workers, even if these
-/// were empty. Returns 0 as long as a worker has not been asked about.
-int workflow_state::missing_places(const ready_step& step, int needed, time_point time) const
+/// Returns how many tasks of a step find no place on the shard's workers, even if these were empty:
+/// of a gang all tasks count, otherwise one. Returns 0 as long as a worker has not been asked
+/// about.
+int workflow_state::stranded_tasks(const ready_step& step, time_point time) const
 {
     const bool needs_permission = step.job->terms.permission.has_value();
     if (!needs_permission && step.spec().label.empty()) {
         return 0;
     }
+    const int needed = step.spec().gang ? step.record().waiting() : 1;
     int places = 0;
     for (std::size_t worker = 0; worker < fleet_.size() && places < needed; ++worker) {
         if (!can_run(step, worker, time)) {
@@ -91,12 +91,6 @@
     return std::max(0, needed - places);
 }
 
-/// Returns how many tasks of a step are stranded. Of a gang all tasks count, otherwise one.
-int workflow_state::stranded_tasks(const ready_step& step, time_point time) const
-{
-    return missing_places(step, step.spec().gang ? step.record().waiting() : 1, time);
-}
-
 waiting_step workflow_state::as_waiting(const ready_step& step, time_point time) const
 {
     const auto& record = step.record();
@@ -115,76 +109,34 @@
                                          time_point time)
 {
     std::vector<waiting_step> steps;
-    for (const auto& step : steps_without_workers(service, time)) {
-        steps.push_back(as_waiting(step, time));
-    }
-    auto demand = demand_of(stock, steps, lending_limits_);
-    if (const auto found = before_exchange_.find(service); found != before_exchange_.end()) {
-        demand.desired = std::max(demand.desired, static_cast<double>(found->second));
-    }
-    return demand;
-}
-
-/// Returns the steps of a service's queues that wait for so long that other workers may be of use.
-std::vector<ready_step> workflow_state::steps_without_workers(const std::string& service,
-                                                              time_point time)
-{
-    std::vector<ready_step> steps;
     for (const auto& entry : ready_.in_order()) {
         ++counts_.examined;
         const auto& record = entry.step.record();
         const bool has_waited =
             record.waits_since != time_point{} && time - record.waits_since >= min_wait;
         if (has_waited && entry.step.job->terms.service == service) {
-            steps.push_back(entry.step);
+            steps.push_back(as_waiting(entry.step, time));
         }
     }
-    return steps;
+    return demand_of(stock, steps, lending_limits_);
 }
 
 std::optional<worker_request> workflow_state::find_worker_request(time_point time)
 {
-    if (lending_limits_.shards <= 1 || !store_available_ || fleet_.size() == 0) {
+    const auto& steps = ready_.in_order();
+    if (lending_limits_.shards <= 1 || !store_available_ || fleet_.size() == 0 || steps.empty()) {
         return std::nullopt;
     }
-    for (const auto& service : borrowing_services()) {
-        const auto stock = stock_of(service, time);
-        const auto owed = before_exchange_.find(service);
-        if (owed != before_exchange_.end() && stock.workers >= owed->second) {
-            before_exchange_.erase(owed);
-        }
-        const auto demand = demand_for(service, stock, time);
-        if (!needs_workers(demand, stock)) {
-            continue;
-        }
-        last_borrowing_service_ = service;
-        worker_request request{.shard = lending_limits_.shard,
-                               .service = service,
-                               .workers = stock.workers,
-                               .demand = demand,
-                               .is_stranded = false,
-                               .known = {}};
-        add_known_workers(request, time);
-        return request;
-    }
-    return std::nullopt;
-}
-
-/// Returns the services that may need workers of other shards, in an order in which each has its
-/// turn.
-std::vector<std::string> workflow_state::borrowing_services() const
-{
-    std::set<std::string> services;
-    for (const auto& entry : ready_.in_order()) {
-        services.insert(entry.step.job->terms.service);
-    }
-    for (const auto& [service, workers] : before_exchange_) {
-        services.insert(service);
+    const auto& service = steps.begin()->step.job->terms.service;
+    const auto stock = stock_of(service, time);
+    const auto demand = demand_for(service, stock, time);
+    if (!needs_workers(demand, stock)) {
+        return std::nullopt;
     }
-    std::vector<std::string> in_turn(services.begin(), services.end());
-    const auto next = std::ranges::upper_bound(in_turn, last_borrowing_service_);
-    std::rotate(in_turn.begin(), next, in_turn.end());
-    return in_turn;
+    return worker_request{.shard = lending_limits_.shard,
+                          .service = service,
+                          .workers = stock.workers,
+                          .demand = demand};
 }
 
 std::size_t workflow_state::lend_workers(const worker_request& request, time_point time)
@@ -197,9 +149,14 @@
     const auto stock = stock_of(request.service, time);
     const auto demand = demand_for(request.service, stock, time);
     const auto decision = decide_lending(request, demand, stock, lending_limits_);
-    const auto lent = lend_idle_workers(request, decision, time);
-    if (lent > decision.idle) {
-        before_exchange_.try_emplace(request.service, stock.workers);
+    std::size_t lent = 0;
+    for (std::size_t worker = 0; worker < fleet_.size() && lent < decision.idle; ++worker) {
+        const auto& state = fleet_.at(worker);
+        if (state.entry.service == request.service && state.is_usable(time) &&
+            can_release(worker, time)) {
+            release_worker(worker, request.shard);
+            ++lent;
+        }
     }
     const auto drained = drain_workers(request, decision.drain, time);
     if (lent + drained > 0) {
@@ -215,36 +172,6 @@
     return lent;
 }
 
-/// Gives away the idle workers that were decided on, first those that are known to help the other
-/// shard, last those that own work needs. Returns their number.
-std::size_t workflow_state::lend_idle_workers(const worker_request& request,
-                                              const lending_decision& decision, time_point time)
-{
-    if (decision.idle + decision.exchanged == 0) {
-        return 0;
-    }
-    const auto needed = workers_needed_here(request.service, time);
-    std::vector<std::tuple<bool, usefulness, std::size_t>> offers;
-    for (std::size_t worker = 0; worker < fleet_.size(); ++worker) {
-        const auto& state = fleet_.at(worker);
-        if (state.entry.service == request.service && state.is_usable(time) &&
-            can_release(worker, time)) {
-            offers.emplace_back(needed.contains(worker), usefulness_of(worker, request), worker);
-        }
-    }
-    std::ranges::sort(offers);
-    std::size_t lent = 0;
-    for (const auto& [is_needed, use, worker] : offers) {
-        const bool may_exchange = !is_needed && use != usefulness::none;
-        if (lent >= decision.idle + (may_exchange ? decision.exchanged : 0)) {
-            break;
-        }
-        release_worker(worker, request.shard);
-        ++lent;
-    }
-    return lent;
-}
-
 /// Starts to drain those workers that have the least to do, and returns their number.
 std::size_t workflow_state::drain_workers(const worker_request& request, std::size_t count,
                                           time_point time)
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -426,17 +426,7 @@
     [[nodiscard]] bool can_release(std::size_t worker, time_point time) const;
     void release_worker(std::size_t worker, std::size_t shard);
     [[nodiscard]] double labelled_share(const ready_step& step, time_point time) const;
-    [[nodiscard]] int missing_places(const ready_step& step, int needed, time_point time) const;
     [[nodiscard]] int stranded_tasks(const ready_step& step, time_point time) const;
-    std::vector<ready_step> steps_without_workers(const std::string& service, time_point time);
-    [[nodiscard]] std::vector<std::string> borrowing_services() const;
-    void add_known_workers(worker_request& request, time_point time);
-    /// What a worker is worth to another shard; the more useful ones are less.
-    enum class usefulness { some, unknown, none };
-    [[nodiscard]] usefulness usefulness_of(std::size_t worker, const worker_request& request) const;
-    std::set<std::size_t> workers_needed_here(const std::string& service, time_point time);
-    std::size_t lend_idle_workers(const worker_request& request, const lending_decision& decision,
-                                  time_point time);
     [[nodiscard]] waiting_step as_waiting(const ready_step& step, time_point time) const;
     worker_demand demand_for(const std::string& service, const worker_stock& stock,
                              time_point time);
@@ -495,10 +485,6 @@
     std::set<std::size_t> loaded_quorum_; ///< The quorum in the earlier owner's list.
     std::set<std::size_t> not_accepting_; ///< Those of them that have not reported to this owner.
     lending_limits lending_limits_;
-    std::string last_borrowing_service_;
-    /// Workers of each service that the shard had before it gave some away although it keeps no
-    /// more, until it has so many again.
-    std::map<std::string, std::size_t> before_exchange_;
     std::map<std::string, worker_assignment> assignments_; ///< To be stored, by worker.
     std::vector<std::string> batch_assignments_; ///< Workers whose assignment is being stored.
     workflow_actions actions_;
