Keep the unreadable jobs and the end of earlier renewals in one place

The owner and its decisions each held the set of jobs whose records can't be read, and each a flag that earlier owners extend no leases any more. The decisions keep both now, and the owner asks or tells them. Nothing else changes.

--- a/flamingoseam/node/job_owner.cpp
+++ b/flamingoseam/node/job_owner.cpp
@@ -5,6 +5,7 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace flamingoseam::node {
@@ -88,12 +89,13 @@
         state_.await_earlier_owner();
     }
     state_.load(std::move(start.jobs.jobs), start.leased_workers, now(), wall_now());
+    std::set<std::string> unreadable;
     for (const auto& job : start.jobs.unreadable) {
-        unreadable_jobs_.insert(job.id);
+        unreadable.insert(job.id);
         dependencies_.log->write(
             {.event = "job_unreadable", .request = job.id, .detail = job.reason});
     }
-    state_.set_unreadable_jobs(unreadable_jobs_);
+    state_.set_unreadable_jobs(std::move(unreadable));
     permission_dispatcher_ = std::make_unique<permission_dispatcher>(
         dependencies_.permissions,
         [this](std::uint64_t number, auto grants) {
@@ -192,7 +194,7 @@
 bool job_owner::answer_unreadable(const std::string& job,
                                   const owner_service::owner_reply& reply) const
 {
-    if (!unreadable_jobs_.contains(job)) {
+    if (!state_.is_unreadable(job)) {
         return false;
     }
     reply({.verdict = owner_verdict::unknown, .reason = "unreadable_record"});
@@ -429,7 +431,9 @@
     update_renewals_end(started, boot_started);
     update_earlier_owner(started);
     bound_earlier_renewals(started);
-    end_earlier_renewals(started);
+    if (started >= earlier_renewals_end_) {
+        state_.on_earlier_renewals_ended();
+    }
     const auto passes = state_.counts().passes;
     state_.tick(started);
     borrow_workers(started);
@@ -527,14 +531,6 @@
          .fields = {{"end_in_ms", std::chrono::ceil<milliseconds>(end - time).count()}}});
 }
 
-void job_owner::end_earlier_renewals(time_point time)
-{
-    if (!earlier_renewals_ended_ && time >= earlier_renewals_end_) {
-        earlier_renewals_ended_ = true;
-        state_.on_earlier_renewals_ended();
-    }
-}
-
 void job_owner::dispatch(workflow::workflow_actions actions)
 {
     const auto session_of = [this](std::size_t worker) -> worker_session* {
--- a/flamingoseam/node/job_owner.hpp
+++ b/flamingoseam/node/job_owner.hpp
@@ -23,7 +23,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -146,7 +145,6 @@
     void report_certainty(bool is_certain, time_point time);
     void update_renewals_end(time_point time, time_point boot_time);
     void bound_earlier_renewals(time_point time);
-    void end_earlier_renewals(time_point time);
     void set_earlier_renewals_end(time_point end, time_point time);
     void update_earlier_owner(time_point time);
     void dispatch(workflow::workflow_actions actions);
@@ -191,7 +189,6 @@
     change_ages change_ages_;        ///< Used by the control thread only.
     control_loop loop_;
     workflow::workflow_state state_;
-    std::set<std::string> unreadable_jobs_; ///< Accepted, but their records can't be read.
     std::unordered_map<std::uint64_t, owner_service::owner_reply> replies_;
     std::uint64_t next_token_ = 1;
     std::map<std::size_t, std::unique_ptr<worker_session>> sessions_;
@@ -218,8 +215,6 @@
     /// When the earlier owner stops renewing leases; time_point::max() while that is not known.
     /// Used by the control thread only.
     time_point earlier_renewals_end_;
-    bool earlier_renewals_ended_ =
-        false; ///< That time has passed; used by the control thread only.
     std::atomic<bool> ending_{false};
     /// Another owner has taken over, or an error has left the decisions incomplete.
     std::atomic<bool> acts_no_more_{false};
--- a/flamingoseam/workflow/workflow_reports.cpp
+++ b/flamingoseam/workflow/workflow_reports.cpp
@@ -211,7 +211,7 @@
     if (job == nullptr) {
         log_unknown_job("end_unknown_job", worker, end.name, to_string(end.how),
                         {{"end", end.number}});
-        if (has_result(end) && unreadable_jobs_.contains(end.name.task.job)) {
+        if (has_result(end) && is_unreadable(end.name.task.job)) {
             worker_state.kept_ends.emplace(end.number, end.name);
         } else {
             acknowledge_end(worker, incarnation, end.number);
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -61,6 +61,13 @@
     /// unless so many follow on the same worker that it could not list all of them.
     void set_unreadable_jobs(std::set<std::string> jobs) { unreadable_jobs_ = std::move(jobs); }
 
+    /// Checks whether the stored records of an accepted job can't be read. Complexity: logarithmic
+    /// in the number of such jobs.
+    [[nodiscard]] bool is_unreadable(const std::string& job) const
+    {
+        return unreadable_jobs_.contains(job);
+    }
+
     /// Handles the submission of a job; the answer follows under `token` when the job is stored. A
     /// submission with a known id refers to the existing job. Complexity: linear in the tasks.
     void submit(std::uint64_t token, const job_spec& spec, const queue_terms& terms,
@@ -167,7 +174,8 @@
     [[nodiscard]] std::optional<time_point> majority_answered_at(time_point certain_at) const;
 
     /// Records that no earlier owner extends leases any more. Until then the store must not say of
-    /// a worker that its lease is not extended, unless an earlier owner has stored that.
+    /// a worker that its lease is not extended, unless an earlier owner has stored that. Has no
+    /// effect when it is repeated.
     void on_earlier_renewals_ended();
 
     /// Checks whether so many of the loaded leased workers have accepted this owner's epoch that no
--- a/flamingoseam/workflow/workflow_storing.cpp
+++ b/flamingoseam/workflow/workflow_storing.cpp
@@ -105,7 +105,9 @@
 
 void workflow_state::on_earlier_renewals_ended()
 {
-    earlier_renewals_ended_ = true;
+    if (std::exchange(earlier_renewals_ended_, true)) {
+        return;
+    }
     leased_workers_changed_ = leased_workers_changed_ || !leased_workers_.empty();
 }
 
