--- a/flamingoseam/workflow/stored_job.cpp
+++ b/flamingoseam/workflow/stored_job.cpp
@@ -8,8 +8,8 @@
 
 using nlohmann::json;
 
-/// Position of a worker's token base in its record; older records end before it.
-// Fields of a leased worker.
+// Positions of fields of a leased worker in its record. Records of earlier versions end before
+// some of them.
 constexpr std::size_t silence_field = 6; ///< Written by earlier versions; not 0 if withheld.
 constexpr std::size_t token_base_field = 7;
 constexpr std::size_t renewal_field = 8;
