--- /dev/null
+++ b/review/standins-2/worker.cc
@@ -0,0 +1,157 @@
+/// A stand-in for one worker of the users' platform, as a process of its own. Its kind and
+/// its rack are its labels. It registers itself in the store at its start and keeps the entry for three
+/// heartbeats of 1.5 s, and appends what happens to its runs to a file that workers may share. On SIGTERM it
+/// reports that it is draining, serves on for a while and leaves.
+#include "flamingoseam/core/error.hpp"
+#include "flamingoseam/daemon/daemon.hpp"
+#include "flamingoseam/http/http_server.hpp"
+#include "platform/kv_store.hpp"
+#include "standins/platform_worker.hpp"
+
+#include <gflags/gflags.h>
+#include <glog/logging.h>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <thread>
+
+DEFINE_string(id, "w1", "id of the worker in the store");
+DEFINE_string(address, "127.0.0.1", "IP address to listen on");
+DEFINE_int32(port, 7100, "TCP port to listen on");
+DEFINE_string(store, "", "ADDRESS:PORT of the store");
+DEFINE_string(record, "", "file to which the record of runs is appended");
+DEFINE_string(kind, "a", "kind of the worker, its first label");
+DEFINE_string(rack, "r1", "rack of the worker, its second label");
+DEFINE_string(service, "service", "service of the worker");
+DEFINE_int32(processors, 16, "processors of the worker");
+DEFINE_int32(drain_ms, 2'500,
+             "how long the worker serves after the store has accepted that it is draining");
+
+namespace flamingoseam::standin {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr milliseconds heartbeat{1'500};
+constexpr milliseconds entry_lifetime{4'500};
+constexpr milliseconds write_timeout{1'000};
+constexpr milliseconds retry_interval{200};
+constexpr milliseconds leaving_notice{2'000};
+constexpr unsigned server_threads = 16;
+
+class run_record final : public run_observer {
+public:
+    explicit run_record(const std::string& file)
+        : descriptor_(::open(file.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644))
+    {
+        write({{"event", "up"}});
+    }
+
+    void on_begin(const run_id& run, std::int64_t token) override
+    {
+        write({{"event", "begin"}, {"task", run.task}, {"run", run.number}, {"token", token}});
+    }
+    void on_end(std::int64_t number, const run_id& run, const std::string& how) override
+    {
+        write({{"event", "end"},
+               {"task", run.task},
+               {"run", run.number},
+               {"how", how},
+               {"number", number}});
+    }
+    void on_acknowledged(const run_id& run, const std::string& how) override
+    {
+        write({{"event", "acknowledged"}, {"task", run.task}, {"run", run.number}, {"how", how}});
+    }
+    void on_lease_lapsed(wall_time /*time*/) override { write({{"event", "lease_lapsed"}}); }
+    void on_late_start() override { write({{"event", "late_start"}}); }
+
+private:
+    void write(json fields)
+    {
+        fields["worker"] = FLAGS_id;
+        fields["kind"] = FLAGS_kind;
+        fields["time_ms"] = wall_now().count();
+        const auto line = fields.dump() + "\n";
+        if (::write(descriptor_, line.data(), line.size()) < 0) {
+            PLOG(ERROR) << "can't write the record of runs";
+        }
+    }
+
+    int descriptor_;
+};
+
+std::atomic<bool> draining{false};
+
+json entry_of(const platform_worker& worker)
+{
+    return {{"service", FLAGS_service},
+            {"address", FLAGS_address + ":" + std::to_string(FLAGS_port)},
+            {"zone", "zone"},
+            {"state", draining ? "draining" : "ready"},
+            {"born", worker.start_wall_ms()},
+            {"capacity", {{"cpu", FLAGS_processors * 1000}, {"memMb", 32'000}, {"gpu", 0}}},
+            {"labels", {FLAGS_kind, FLAGS_rack}}};
+}
+
+/// Keeps the worker's entry in the store under a lease.
+[[noreturn]] void keep_registered(const platform_worker& worker)
+{
+    platform::kv_store store(endpoint_from_string(FLAGS_store));
+    std::uint64_t lease = 0;
+    bool says_draining = false;
+    time_point next_heartbeat{};
+    while (true) {
+        try {
+            const bool is_new = lease == 0 || (now() >= next_heartbeat && !store.renew_lease(lease));
+            if (is_new) {
+                lease = store.grant_lease(entry_lifetime);
+            }
+            if (is_new || says_draining != draining) {
+                says_draining = draining;
+                shared_transaction entry;
+                entry.writes.push_back({"servers/" + FLAGS_id, entry_of(worker).dump(), lease});
+                store.commit(entry, write_timeout);
+            }
+            if (says_draining) {
+                std::this_thread::sleep_for(milliseconds(FLAGS_drain_ms));
+                store.end_lease(lease);
+                std::_Exit(0);
+            }
+            next_heartbeat = now() >= next_heartbeat ? now() + heartbeat : next_heartbeat;
+        } catch (const error& cause) {
+            lease = 0;
+        }
+        std::this_thread::sleep_for(retry_interval);
+    }
+}
+
+void serve()
+{
+    const auto signals = block_shutdown_signals();
+    run_record record(FLAGS_record);
+    platform_worker worker(FLAGS_id, leaving_notice, record);
+    const http_server server({.address = FLAGS_address,
+                              .port = static_cast<unsigned short>(FLAGS_port),
+                              .max_threads = server_threads,
+                              .kept_headers = {"X-Expect-Instance"}},
+                             [&](const http_request& request) { return worker.handle(request); });
+    std::thread([&worker] { keep_registered(worker); }).detach();
+    wait_for_shutdown_signal(signals);
+    draining = true;
+    std::this_thread::sleep_for(std::chrono::minutes(1)); // keep_registered() ends the process.
+}
+
+} // namespace
+
+} // namespace flamingoseam::standin
+
+int main(int argc, char** argv)
+{
+    gflags::SetUsageMessage("stand-in for one worker of the users' platform");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    return flamingoseam::run_daemon(argv[0], flamingoseam::standin::serve);
+}
