--- a/review/standins-2/cell.sh
+++ b/review/standins-2/cell.sh
@@ -33,6 +33,7 @@
     rm -rf "$work"
 }
 trap finish EXIT
+trap 'exit 2' TERM INT HUP
 
 cannot_run() {
     note "the case could not run: $*"
