--- a/review/standins-2/worker.cc
+++ b/review/standins-2/worker.cc
@@ -1,7 +1,7 @@
 /// A stand-in for one worker of the users' platform, as a process of its own. Its kind and
-/// its rack are its labels. It registers itself in the store at its start and keeps the entry for three
-/// heartbeats of 1.5 s, and appends what happens to its runs to a file that workers may share. On SIGTERM it
-/// reports that it is draining, serves on for a while and leaves.
+/// its rack are its labels. It registers itself in the store at its start and keeps the entry for
+/// three heartbeats of 1.5 s, and appends what happens to its runs to a file that workers may
+/// share. On SIGTERM it reports that it is draining, serves on for a while and leaves.
 #include "flamingoseam/core/error.hpp"
 #include "flamingoseam/daemon/daemon.hpp"
 #include "flamingoseam/http/http_server.hpp"
@@ -106,7 +106,8 @@
     time_point next_heartbeat{};
     while (true) {
         try {
-            const bool is_new = lease == 0 || (now() >= next_heartbeat && !store.renew_lease(lease));
+            const bool is_new =
+                lease == 0 || (now() >= next_heartbeat && !store.renew_lease(lease));
             if (is_new) {
                 lease = store.grant_lease(entry_lifetime);
             }
