Say for which rack, service or label a step waits

`step_waits` and `steps_wait` now have "no room in its preferred rack R", "no room in a single rack", "no worker is usable of service S", "no worker is usable with label L" and "tasks under which workers crashed wait for idle workers". "no worker is usable" stays for a fleet without any. The metric flamingoseam_step_wait_reports_total counts the reports by reason; names are left out of its label, as there may be thousands of racks.

Tests: two new sections of "a step that has waited for long is reported with the reason", one of "the metrics of a node".

--- a/flamingoseam/node/node_metrics.cpp
+++ b/flamingoseam/node/node_metrics.cpp
@@ -41,6 +41,8 @@
     : registry_(std::make_shared<prometheus::Registry>()),
       events_(counter(*registry_, "flamingoseam_events_total", "Log events, by name")),
       refusals_(counter(*registry_, "flamingoseam_refusals_total", "Refused jobs, by reason")),
+      wait_reports_(counter(*registry_, "flamingoseam_step_wait_reports_total",
+                            "Reports that steps have waited for over 5 s, by reason")),
       starts_(counter(*registry_, "flamingoseam_start_answers_total",
                       "Orders to start a run, by outcome")),
       first_start_waits_(histogram(*registry_, "flamingoseam_wait_seconds",
@@ -94,6 +96,8 @@
     events_.Add({{"event", event}}).Increment();
     if (event == "refused") {
         refusals_.Add({{"reason", detail}}).Increment();
+    } else if (event == "steps_wait") {
+        wait_reports_.Add({{"reason", detail}}).Increment();
     }
 }
 
--- a/flamingoseam/node/node_metrics.hpp
+++ b/flamingoseam/node/node_metrics.hpp
@@ -83,6 +83,7 @@
     std::shared_ptr<prometheus::Registry> registry_;
     prometheus::Family<prometheus::Counter>& events_;
     prometheus::Family<prometheus::Counter>& refusals_;
+    prometheus::Family<prometheus::Counter>& wait_reports_;
     prometheus::Family<prometheus::Counter>& starts_;
     prometheus::Family<prometheus::Histogram>& first_start_waits_;
     prometheus::Family<prometheus::Histogram>& job_durations_;
--- a/flamingoseam/node/node_metrics_test.cpp
+++ b/flamingoseam/node/node_metrics_test.cpp
@@ -21,6 +21,12 @@
         CHECK(text.find("flamingoseam_refusals_total{reason=\"store_unavailable\"} 2") !=
               std::string::npos);
     }
+    SECTION("count the reports of waiting steps by reason")
+    {
+        metrics.count_event("steps_wait", "no room");
+        CHECK_THAT(metrics.text(0),
+                   Catch::Contains("flamingoseam_step_wait_reports_total{reason=\"no room\"} 1"));
+    }
     SECTION("report how long jobs waited, by priority")
     {
         metrics.observe_first_start({.priority = 1, .length = milliseconds(300)});
--- a/flamingoseam/workflow/placing.hpp
+++ b/flamingoseam/workflow/placing.hpp
@@ -19,6 +19,12 @@
 /// How long a step waits for its preferred rack, in estimated run times.
 inline constexpr double rack_wait_factor = 2.0;
 
+/// Checks whether the tasks of a step run faster in some rack than elsewhere. Complexity: constant.
+inline bool wants_rack(const step_spec& step)
+{
+    return !step.preferred_rack.empty() || (step.gang && step.same_rack);
+}
+
 /// Checks whether a step still waits for its preferred rack instead of running in another one.
 /// Complexity: constant.
 inline bool is_waiting_for_rack(const ready_step& step, time_point time)
--- a/flamingoseam/workflow/workflow_gangs.cpp
+++ b/flamingoseam/workflow/workflow_gangs.cpp
@@ -8,6 +8,7 @@
 
 using detail::is_waiting_for_rack;
 using detail::ticket_use_margin;
+using detail::wants_rack;
 
 namespace {
 
@@ -47,8 +48,7 @@
         }
         return remaining == 0 ? std::optional(std::move(allocations)) : std::nullopt;
     };
-    const bool wants_rack = spec.same_rack || !spec.preferred_rack.empty();
-    if (!wants_rack) {
+    if (!wants_rack(spec)) {
         return choose([](const candidate&) { return true; });
     }
     std::set<std::string> racks;
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -408,12 +408,18 @@
         int places = 0;             ///< Tasks that fit on permitted workers now.
         int places_with_ticket = 0; ///< Tasks that may start there at once.
     };
+    /// Why a step waits.
+    struct wait_reason {
+        std::string text;
+        std::string name = {}; ///< Of the service, label or rack that the text speaks of, if any.
+    };
     wait_facts facts_of(const ready_step& step, time_point time);
-    [[nodiscard]] std::string reason_for_waiting(const ready_step& step, const wait_facts& facts,
+    [[nodiscard]] wait_reason reason_for_waiting(const ready_step& step, const wait_facts& facts,
                                                  time_point time) const;
+    [[nodiscard]] wait_reason reason_without_workers(const ready_step& step, time_point time) const;
     bool has_present_run(const job_record& job);
     void report_waiting_step(const ready_step& step, const wait_facts& facts,
-                             const std::string& reason, time_point time);
+                             const wait_reason& reason, time_point time);
     void report_waiting_steps(time_point time);
     void forget_ended(time_point time);
     void release_waiters(job_record& job);
--- a/flamingoseam/workflow/workflow_state_test.cpp
+++ b/flamingoseam/workflow/workflow_state_test.cpp
@@ -395,6 +395,28 @@
         REQUIRE(report != decisions.end());
         CHECK(report->detail == "step 0: its starts are not confirmed");
     }
+    SECTION("only workers of other services are there")
+    {
+        driver.make_usable();
+        auto terms = driver.terms();
+        terms.service = "gone";
+        driver.state.submit(1, driver.job("fedcba9876543210", 1'000), terms, driver.time, wall);
+        driver.store();
+        const auto decisions = reports();
+        REQUIRE(decisions.size() == 2);
+        CHECK(decisions[0].detail == "step 0: no worker is usable of service gone");
+        CHECK(decisions[1].detail == "no worker is usable of service");
+    }
+    SECTION("no worker has the label that it requires")
+    {
+        driver.make_usable();
+        auto job = driver.job("fedcba9876543210", 1'000);
+        job.steps[0].label = "gpu";
+        driver.submit(job);
+        const auto decisions = reports();
+        REQUIRE(decisions.size() == 2);
+        CHECK(decisions[0].detail == "step 0: no worker is usable with label gpu");
+    }
 }
 
 namespace {
--- a/flamingoseam/workflow/workflow_waiting.cpp
+++ b/flamingoseam/workflow/workflow_waiting.cpp
@@ -7,6 +7,9 @@
 
 namespace flamingoseam::workflow {
 
+using detail::is_waiting_for_rack;
+using detail::wants_rack;
+
 namespace {
 
 constexpr milliseconds report_interval{2'500};
@@ -15,6 +18,14 @@
 constexpr int max_examined_steps = 24;      ///< At a time; the oldest ones. Bounds the time used.
 constexpr milliseconds recent_refusal{500}; ///< Call slots are asked for again within this.
 
+/// Checks whether all waiting tasks of a step wait for workers of their own.
+bool are_all_isolated(const ready_step& step, time_point time)
+{
+    return std::ranges::all_of(step.record().tasks, [time](const task_record& task) {
+        return task.phase != task_phase::waiting || time < task.isolate_until;
+    });
+}
+
 /// Returns for how many milliseconds something has lasted, -1 if it has not happened.
 std::int64_t elapsed_ms(time_point since, time_point time)
 {
@@ -50,54 +61,85 @@
     return facts;
 }
 
+/// Returns why no worker is usable for a step.
+workflow_state::wait_reason workflow_state::reason_without_workers(const ready_step& step,
+                                                                   time_point time) const
+{
+    const auto& service = step.job->terms.service;
+    bool is_any_usable = false;
+    bool is_any_of_service = false;
+    for (std::size_t worker = 0; worker < fleet_.size(); ++worker) {
+        const auto& state = fleet_.at(worker);
+        const bool is_usable = state.is_usable(time);
+        is_any_usable = is_any_usable || is_usable;
+        is_any_of_service = is_any_of_service || (is_usable && state.entry.service == service);
+    }
+    if (!is_any_usable) {
+        return {"no worker is usable"};
+    }
+    if (!is_any_of_service) {
+        return {"no worker is usable of service", service};
+    }
+    return {"no worker is usable with label", step.spec().label};
+}
+
 /// Returns why no task of a step runs at present.
-std::string workflow_state::reason_for_waiting(const ready_step& step, const wait_facts& facts,
-                                               time_point time) const
+workflow_state::wait_reason workflow_state::reason_for_waiting(const ready_step& step,
+                                                               const wait_facts& facts,
+                                                               time_point time) const
 {
     const auto& job = *step.job;
     const auto& record = step.record();
     const auto& permission = record.permission;
     const int needed = step.spec().gang ? record.waiting() : 1;
     if (!job.spec_stored) {
-        return "the job is not stored";
+        return {"the job is not stored"};
     }
     if (record.gang_broken) {
-        return "runs of the gang are being stopped";
+        return {"runs of the gang are being stopped"};
     }
     if (record.unlocated > 0) {
-        return "runs of an earlier owner are not located";
+        return {"runs of an earlier owner are not located"};
     }
     if (record.placed > 0) {
-        return "its starts are not confirmed";
+        return {"its starts are not confirmed"};
     }
     if (!ready_.contains(job, step.step)) {
-        return "it is not queued";
+        return {"it is not queued"};
     }
     if (record.not_before > time) {
-        return "a run has failed";
+        return {"a run has failed"};
     }
     if (facts.usable == 0) {
-        return "no worker is usable";
+        return reason_without_workers(step, time);
+    }
+    if (are_all_isolated(step, time)) {
+        return {"tasks under which workers crashed wait for idle workers"};
+    }
+    if (wants_rack(step.spec()) && is_waiting_for_rack(step, time)) {
+        const auto& rack = step.spec().preferred_rack;
+        return rack.empty() ? wait_reason{"no room in a single rack"}
+                            : wait_reason{"no room in its preferred rack", rack};
     }
     if (permission.outstanding != 0) {
-        return "a permission request is not answered";
+        return {"a permission request is not answered"};
     }
     if (facts.places_with_ticket >= needed) {
-        return "more urgent steps wait";
+        return {"more urgent steps wait"};
     }
     if (time - record.call_refused_at < recent_refusal) {
-        return "no call slot for a permission request";
+        return {"no call slot for a permission request"};
     }
     if (job.terms.permission && !permission.has_answer()) {
-        return "no worker has been asked about";
+        return {"no worker has been asked about"};
     }
     if (facts.places >= needed) {
-        return "its tickets have expired";
+        return {"its tickets have expired"};
     }
     if (job.terms.permission && facts.unknown == 0) {
-        return "no room, and all workers were asked about";
+        return {"no room, and all workers were asked about"};
     }
-    return "no room";
+    return {"no room"};
 }
 
 /// Checks whether a worker has confirmed that it runs a task of the job.
@@ -122,14 +164,15 @@
 }
 
 void workflow_state::report_waiting_step(const ready_step& step, const wait_facts& facts,
-                                         const std::string& reason, time_point time)
+                                         const wait_reason& reason, time_point time)
 {
     const auto& record = step.record();
     const auto outstanding = requests_.find(record.permission.outstanding);
     const auto asked = outstanding == requests_.end() ? time_point{} : outstanding->second.asked;
     const auto late = lateness_of(*step.job, time);
     log_decision("step_waits", step.job->spec.id,
-                 "step " + std::to_string(step.step) + ": " + reason,
+                 "step " + std::to_string(step.step) + ": " + reason.text +
+                     (reason.name.empty() ? "" : " " + reason.name),
                  {{"tasks", static_cast<std::int64_t>(record.tasks.size())},
                   {"waiting", record.waiting()},
                   {"placed", record.placed},
@@ -181,7 +224,7 @@
             const ready_step step{job, static_cast<int>(index)};
             const auto facts = facts_of(step, time);
             const auto reason = reason_for_waiting(step, facts, time);
-            if (++reports[reason] <= max_reports_per_reason) {
+            if (++reports[reason.text] <= max_reports_per_reason) {
                 report_waiting_step(step, facts, reason, time);
             }
         }
