Wait for a rack only as long as it pays off and somebody can end the wait

Cause: is_waiting_for_rack asked only for the time. It let a step wait for twice its estimate from when this owner received the job, whatever had become of the rack and however idle all others were. A gang with same_rack that fits in no rack waited in the same way.

Now a step waits only for a rack that could run it without other work: one with usable workers of its service that have its label, are large enough and not refused by the permission service; for a gang with room for all of it. While under half of the service's processors are in use it waits for 1 s at most, since a job with room must not have nothing running for 3 s; otherwise for twice its estimate as before, which is when waiting stops paying off. The wait counts from the step's turn, and after a change of owner from the job's acceptance. Permissions elsewhere are asked for before the wait ends. A gang that prefers a lost rack and wants a single one is placed in another single rack, if it fits.

--- a/flamingoseam/workflow/fleet.cpp
+++ b/flamingoseam/workflow/fleet.cpp
@@ -36,13 +36,24 @@
     const auto [found, is_new] = by_id_.try_emplace(entry.id, workers_.size());
     if (is_new) {
         workers_.push_back({.entry = entry});
+        racks_[entry.rack].push_back(found->second);
     } else {
+        set_rack(found->second, entry.rack);
         workers_[found->second].entry = entry;
     }
     workers_[found->second].pool = pools_.try_emplace(entry.service, pools_.size()).first->second;
     return found->second;
 }
 
+void fleet::set_rack(std::size_t worker, const std::string& rack)
+{
+    const auto& earlier = workers_[worker].entry.rack;
+    if (earlier != rack) {
+        std::erase(racks_[earlier], worker);
+        racks_[rack].push_back(worker);
+    }
+}
+
 std::optional<std::size_t> fleet::find_pool(const std::string& service) const
 {
     const auto found = pools_.find(service);
--- a/flamingoseam/workflow/fleet.hpp
+++ b/flamingoseam/workflow/fleet.hpp
@@ -123,7 +123,8 @@
 /// All workers that may hold runs. Indices stay valid for the lifetime of the fleet.
 class fleet {
 public:
-    /// Adds a worker or updates its list entry, and returns its index. Complexity: constant.
+    /// Adds a worker or updates its list entry, and returns its index. Complexity: logarithmic in
+    /// the racks.
     std::size_t put(const worker_entry& entry);
 
     /// Returns the index of the worker with an id, none if there is no such worker.
@@ -135,6 +136,12 @@
     [[nodiscard]] std::optional<std::size_t> find_pool(const std::string& service) const;
 
     [[nodiscard]] std::size_t pools() const { return pools_.size(); }
+
+    /// Returns the workers of each rack, listed or not, by the rack's name. Complexity: constant.
+    [[nodiscard]] const std::map<std::string, std::vector<std::size_t>>& racks() const
+    {
+        return racks_;
+    }
     [[nodiscard]] std::size_t size() const { return workers_.size(); }
     [[nodiscard]] fleet_worker& at(std::size_t index) { return workers_.at(index); }
     [[nodiscard]] const fleet_worker& at(std::size_t index) const { return workers_.at(index); }
@@ -163,9 +170,12 @@
     bool mark_end_stored(std::size_t worker, std::int64_t incarnation, std::int64_t number);
 
 private:
+    void set_rack(std::size_t worker, const std::string& rack);
+
     std::vector<fleet_worker> workers_;
     std::unordered_map<std::string, std::size_t> by_id_;
     std::unordered_map<std::string, std::size_t> pools_; ///< Pool numbers by service.
+    std::map<std::string, std::vector<std::size_t>> racks_;
 };
 
 /// Checks whether a worker has a label; every worker has the empty label.
--- a/flamingoseam/workflow/free_capacity_index.hpp
+++ b/flamingoseam/workflow/free_capacity_index.hpp
@@ -34,6 +34,10 @@
     /// another pool. Complexity: constant.
     [[nodiscard]] const worker_capacity* find(std::size_t pool, std::size_t worker) const;
 
+    /// Returns the share of a pool's processors that is in use on the listed workers that do not
+    /// leave, 0 if there is none. Complexity: constant.
+    [[nodiscard]] double used_share(std::size_t pool) const;
+
     /// Checks whether a task may fit on some worker of a pool. False means that it certainly does
     /// not fit; true may be wrong, since the maximum is taken for each resource separately.
     /// Complexity: linear in the size of the pool after its capacity has changed, else constant.
@@ -44,6 +48,8 @@
         std::vector<worker_capacity> capacities;
         resources max_free; ///< Maximum free capacity on any worker, for each resource.
         bool max_free_is_valid = false;
+        std::int64_t milli_cpus = 0; ///< Of the listed workers that do not leave.
+        std::int64_t used_milli_cpus = 0;
     };
     struct position {
         std::size_t pool = 0;
--- a/flamingoseam/workflow/job_record.hpp
+++ b/flamingoseam/workflow/job_record.hpp
@@ -119,6 +119,7 @@
     std::int64_t gang_run = 0;                  ///< Number of the gang's current run, 0 for none.
     bool gang_broken = false; ///< The current run has ended; its members are being removed.
     time_point not_before{};  ///< Earliest start of the next run after a failure.
+    time_point turn_since{};  ///< Since when all predecessors have finished; zero if unknown.
     time_point waits_since{}; ///< Since when tasks are ready to run and wait; zero if none wait.
     time_point turn_ended{};  ///< When the step's last turn to go first has ended.
     time_point examined_at{}; ///< When a scheduling pass has examined the step last.
--- a/flamingoseam/workflow/placing.hpp
+++ b/flamingoseam/workflow/placing.hpp
@@ -16,8 +16,6 @@
 inline constexpr std::size_t max_workers_per_request = 100;
 /// No unanswered order is executed after this time.
 inline constexpr milliseconds max_order_delay{13'000};
-/// How long a step waits for its preferred rack, in estimated run times.
-inline constexpr double rack_wait_factor = 2.0;
 
 /// Checks whether the tasks of a step run faster in some rack than elsewhere. Complexity: constant.
 inline bool wants_rack(const step_spec& step)
@@ -25,13 +23,6 @@
     return !step.preferred_rack.empty() || (step.gang && step.same_rack);
 }
 
-/// Checks whether a step still waits for its preferred rack instead of running in another one.
-/// Complexity: constant.
-inline bool is_waiting_for_rack(const ready_step& step, time_point time)
-{
-    return time < step.job->received + scaled(step.spec().estimate, rack_wait_factor);
-}
-
 /// Returns how many tasks of a step fit on one worker within this capacity. Complexity: constant.
 inline int fits_in(const step_spec& step, const resources& capacity)
 {
--- a/flamingoseam/workflow/workflow_gangs.cpp
+++ b/flamingoseam/workflow/workflow_gangs.cpp
@@ -6,9 +6,7 @@
 
 namespace flamingoseam::workflow {
 
-using detail::is_waiting_for_rack;
 using detail::ticket_use_margin;
-using detail::wants_rack;
 
 namespace {
 
@@ -20,55 +18,72 @@
 
 } // namespace
 
+/// Returns how many tasks of a gang to start on which candidates, all of them in one rack if that
+/// is not null, or none if the gang does not fit.
 std::optional<std::vector<workflow_state::task_allocation>>
-workflow_state::choose_for_gang(const ready_step& step, const std::vector<candidate>& candidates,
-                                time_point time) const
+workflow_state::allocate_gang(const ready_step& step, const std::vector<candidate>& candidates,
+                              const std::string* rack) const
 {
-    const int needed = step.record().waiting();
-    const auto& spec = step.spec();
-    const auto choose = [&](const auto& is_offered) -> std::optional<std::vector<task_allocation>> {
-        std::vector<const candidate*> offered;
-        for (const auto& option : candidates) {
-            if (is_offered(option)) {
-                offered.push_back(&option);
-            }
+    std::vector<const candidate*> offered;
+    for (const auto& option : candidates) {
+        if (rack == nullptr || fleet_.at(option.worker).entry.rack == *rack) {
+            offered.push_back(&option);
         }
-        std::sort(offered.begin(), offered.end(), [](const auto* left, const auto* right) {
-            return std::tie(left->is_reserved, right->fits, left->worker) <
-                   std::tie(right->is_reserved, left->fits, right->worker);
-        });
-        std::vector<task_allocation> allocations;
-        int remaining = needed;
-        for (const auto* option : offered) {
-            const int tasks = std::min(remaining, option->fits);
-            if (tasks > 0) {
-                allocations.push_back({option->worker, tasks});
-                remaining -= tasks;
-            }
+    }
+    std::sort(offered.begin(), offered.end(), [](const auto* left, const auto* right) {
+        return std::tie(left->is_reserved, right->fits, left->worker) <
+               std::tie(right->is_reserved, left->fits, right->worker);
+    });
+    std::vector<task_allocation> allocations;
+    int remaining = step.record().waiting();
+    for (const auto* option : offered) {
+        const int tasks = std::min(remaining, option->fits);
+        if (tasks > 0) {
+            allocations.push_back({option->worker, tasks});
+            remaining -= tasks;
         }
-        return remaining == 0 ? std::optional(std::move(allocations)) : std::nullopt;
-    };
-    if (!wants_rack(spec)) {
-        return choose([](const candidate&) { return true; });
     }
+    return remaining == 0 ? std::optional(std::move(allocations)) : std::nullopt;
+}
+
+/// Allocates a gang to the first single rack in which it fits.
+std::optional<std::vector<workflow_state::task_allocation>>
+workflow_state::allocate_gang_to_any_rack(const ready_step& step,
+                                          const std::vector<candidate>& candidates) const
+{
     std::set<std::string> racks;
     for (const auto& option : candidates) {
-        const auto& rack = fleet_.at(option.worker).entry.rack;
-        if (spec.preferred_rack.empty() || spec.preferred_rack == rack) {
-            racks.insert(rack);
-        }
+        racks.insert(fleet_.at(option.worker).entry.rack);
     }
     for (const auto& rack : racks) {
-        auto allocations = choose(
-            [&](const candidate& option) { return fleet_.at(option.worker).entry.rack == rack; });
-        if (allocations) {
+        if (auto allocations = allocate_gang(step, candidates, &rack)) {
+            return allocations;
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<std::vector<workflow_state::task_allocation>>
+workflow_state::choose_for_gang(const ready_step& step, const std::vector<candidate>& candidates,
+                                time_point time)
+{
+    const auto& spec = step.spec();
+    if (!spec.preferred_rack.empty()) {
+        if (auto allocations = allocate_gang(step, candidates, &spec.preferred_rack)) {
+            return allocations;
+        }
+    }
+    const bool waits_for_preferred_rack =
+        !spec.preferred_rack.empty() && is_waiting_for_rack(step, time);
+    if (spec.same_rack && !waits_for_preferred_rack) {
+        if (auto allocations = allocate_gang_to_any_rack(step, candidates)) {
             return allocations;
         }
     }
     if (is_waiting_for_rack(step, time)) {
         return std::nullopt;
     }
-    return choose([](const candidate&) { return true; });
+    return allocate_gang(step, candidates, nullptr);
 }
 
 void workflow_state::place_gang(const ready_step& step, time_point time)
--- a/flamingoseam/workflow/workflow_jobs.cpp
+++ b/flamingoseam/workflow/workflow_jobs.cpp
@@ -33,6 +33,7 @@
             open_.emplace(job->sequence, job.get());
             ready_.mark_changed(*job);
             isolate_loaded_suspects(*job, time);
+            record_loaded_turns(*job, time - std::max(wall_time(0), wall - job->accepted));
         }
         jobs_.emplace(job->spec.id, std::move(job));
     }
@@ -62,6 +63,18 @@
     close_completed_jobs(wall);
 }
 
+/// Records that the turn of a loaded job's steps has come when the job was accepted, so that no
+/// owner lets them wait for a rack for as long again. The store does not know when it came in
+/// truth.
+void workflow_state::record_loaded_turns(job_record& job, time_point accepted)
+{
+    for (std::size_t index = 0; index < job.steps.size(); ++index) {
+        if (job.are_predecessors_done(index)) {
+            job.steps[index].turn_since = accepted;
+        }
+    }
+}
+
 /// Closes the jobs whose tasks are all done. Closing a job removes it from the open jobs.
 void workflow_state::close_completed_jobs(wall_time wall)
 {
--- a/flamingoseam/workflow/workflow_schedule.cpp
+++ b/flamingoseam/workflow/workflow_schedule.cpp
@@ -7,7 +7,6 @@
 
 namespace flamingoseam::workflow {
 
-using detail::is_waiting_for_rack;
 using detail::ticket_use_margin;
 
 namespace {
@@ -71,6 +70,9 @@
         return; // It was placed in this pass before its turn in the order.
     }
     record.examined_at = time;
+    if (record.turn_since == time_point{}) {
+        record.turn_since = time;
+    }
     if (record.waits_since == time_point{}) {
         record.waits_since = time;
     }
@@ -194,17 +196,19 @@
 void workflow_state::place_tasks(const ready_step& step, time_point time)
 {
     auto candidates = find_candidates(step, time);
-    const auto& spec = step.spec();
-    if (!spec.preferred_rack.empty() && is_waiting_for_rack(step, time)) {
-        std::erase_if(candidates, [&](const candidate& option) {
-            return fleet_.at(option.worker).entry.rack != spec.preferred_rack;
-        });
+    std::vector<candidate> elsewhere;
+    const auto wait_left = rack_wait_left(step, time);
+    if (wait_left > time_point::duration::zero()) {
+        elsewhere = take_other_racks(step, candidates);
     }
     const int waiting = step.record().waiting();
     start_suspects(step, candidates, time);
     start_on_best(step, candidates, time);
     record_placed(step, waiting - step.record().waiting(), time);
     if (step.record().waiting() > 0) {
+        if (is_rack_wait_ending(step, wait_left)) {
+            candidates.insert(candidates.end(), elsewhere.begin(), elsewhere.end());
+        }
         request_more_permissions(step, candidates, time);
     }
 }
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -254,6 +254,7 @@
     void close_job(job_record& job, job_phase phase, wall_time wall);
     void close_if_completed(job_record& job, wall_time wall);
     void close_completed_jobs(wall_time wall);
+    static void record_loaded_turns(job_record& job, time_point accepted);
     void stop_runs_of(const job_record& job);
     void requeue_task(job_record& job, int step, int index);
     void break_gang(job_record& job, int step);
@@ -334,6 +335,17 @@
     [[nodiscard]] bool can_run(const ready_step& step, std::size_t worker, time_point time) const;
     [[nodiscard]] bool is_permitted(const ready_step& step, std::size_t worker) const;
     void place_tasks(const ready_step& step, time_point time);
+    time_point::duration rack_wait_left(const ready_step& step, time_point time);
+    bool is_waiting_for_rack(const ready_step& step, time_point time)
+    {
+        return rack_wait_left(step, time) > time_point::duration::zero();
+    }
+    bool has_suitable_rack(const ready_step& step, time_point time);
+    int places_if_empty(const ready_step& step, const std::vector<std::size_t>& workers,
+                        time_point time);
+    std::vector<candidate> take_other_racks(const ready_step& step,
+                                            std::vector<candidate>& candidates) const;
+    [[nodiscard]] bool is_rack_wait_ending(const ready_step& step, time_point::duration left) const;
     /// Whether the worker is reserved for a gang, whether it is outside the preferred rack, the
     /// free processors left, and the worker's index. The lowest cost is used first.
     using task_cost = std::tuple<bool, bool, std::int64_t, std::size_t>;
@@ -347,8 +359,14 @@
                                   time_point time);
     void place_gang(const ready_step& step, time_point time);
     std::optional<std::vector<task_allocation>>
+    allocate_gang(const ready_step& step, const std::vector<candidate>& candidates,
+                  const std::string* rack) const;
+    std::optional<std::vector<task_allocation>>
+    allocate_gang_to_any_rack(const ready_step& step,
+                              const std::vector<candidate>& candidates) const;
+    std::optional<std::vector<task_allocation>>
     choose_for_gang(const ready_step& step, const std::vector<candidate>& candidates,
-                    time_point time) const;
+                    time_point time);
     void start_gang(const ready_step& step, const std::vector<task_allocation>& allocations,
                     time_point time);
     /// How a started task uses its worker.
@@ -414,8 +432,8 @@
         std::string name = {}; ///< Of the service, label or rack that the text speaks of, if any.
     };
     wait_facts facts_of(const ready_step& step, time_point time);
-    [[nodiscard]] wait_reason reason_for_waiting(const ready_step& step, const wait_facts& facts,
-                                                 time_point time) const;
+    wait_reason reason_for_waiting(const ready_step& step, const wait_facts& facts,
+                                   time_point time);
     [[nodiscard]] wait_reason reason_without_workers(const ready_step& step, time_point time) const;
     bool has_present_run(const job_record& job);
     void report_waiting_step(const ready_step& step, const wait_facts& facts,
--- a/flamingoseam/workflow/workflow_waiting.cpp
+++ b/flamingoseam/workflow/workflow_waiting.cpp
@@ -7,9 +7,6 @@
 
 namespace flamingoseam::workflow {
 
-using detail::is_waiting_for_rack;
-using detail::wants_rack;
-
 namespace {
 
 constexpr milliseconds report_interval{2'500};
@@ -84,9 +81,8 @@
 }
 
 /// Returns why no task of a step runs at present.
-workflow_state::wait_reason workflow_state::reason_for_waiting(const ready_step& step,
-                                                               const wait_facts& facts,
-                                                               time_point time) const
+workflow_state::wait_reason
+workflow_state::reason_for_waiting(const ready_step& step, const wait_facts& facts, time_point time)
 {
     const auto& job = *step.job;
     const auto& record = step.record();
@@ -116,7 +112,7 @@
     if (are_all_isolated(step, time)) {
         return {"tasks under which workers crashed wait for idle workers"};
     }
-    if (wants_rack(step.spec()) && is_waiting_for_rack(step, time)) {
+    if (is_waiting_for_rack(step, time)) {
         const auto& rack = step.spec().preferred_rack;
         return rack.empty() ? wait_reason{"no room in a single rack"}
                             : wait_reason{"no room in its preferred rack", rack};
