Let accepted jobs follow their queue to another service

What callers saw: eight jobs wait for the two workers of their queue's service; the operators send the queue to another service, whose twelve workers are idle, and take the two away.

Cause: a queue's terms were stored with each job at its acceptance and never read again. Nodes follow the configuration, but its owner heard of a version through new jobs only.

Ruled out: capacity and permission (a job handed in after the change ran at once on the new service).

Now the owner takes over each version that its node learns. Open jobs follow its service, priority and permission, which say where and in which order work runs; target, stretch and attempts stay those of the acceptance. Reservations of gangs on the earlier service are dropped. Terms carry their version (also to the owner and into the store): neither an older configuration nor a job from a node that knows an older one brings a job back. Open: an owner that takes over begins with what its own node knows, which may lag by a second. An answer about permission for a queue that has stopped to need one has no effect (it was dereferenced).

`queue_moved` tells how many jobs went where; it stands in `trace`, too.

--- a/flamingoseam/log/request_trace.cpp
+++ b/flamingoseam/log/request_trace.cpp
@@ -14,9 +14,9 @@
 namespace {
 
 /// Events that concern all requests that are open when they occur.
-constexpr std::array shared_events = {"owner_begins", "recovered",    "superseded",
-                                      "owner_gone",   "owner_ends",   "ownership_offered",
-                                      "store_silent", "store_answers"};
+constexpr std::array shared_events = {"owner_begins", "recovered",     "superseded",
+                                      "owner_gone",   "owner_ends",    "ownership_offered",
+                                      "store_silent", "store_answers", "queue_moved"};
 
 bool is_shared(const std::string& event)
 {
--- a/flamingoseam/node/coordinator.capnp
+++ b/flamingoseam/node/coordinator.capnp
@@ -37,6 +37,8 @@
   decisionMs @6 :Float64;
   perWorkerMs @7 :Float64;
   validityMs @8 :Int64;
+  # Of the configuration that has these terms; 0 if the caller does not tell.
+  version @9 :Int64;
 }
 
 # The owner's answer; `verdict` is the name of an owner_verdict in node/owner_service.hpp.
--- a/flamingoseam/node/coordinator.capnp.h
+++ b/flamingoseam/node/coordinator.capnp.h
@@ -88,7 +88,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9ac2a2058cadc1a4, 7, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(9ac2a2058cadc1a4, 8, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -731,6 +731,8 @@
 
   inline  ::int64_t getValidityMs() const;
 
+  inline  ::int64_t getVersion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -790,6 +792,9 @@
   inline  ::int64_t getValidityMs();
   inline void setValidityMs( ::int64_t value);
 
+  inline  ::int64_t getVersion();
+  inline void setVersion( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3139,6 +3144,20 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t QueueTerms::Reader::getVersion() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t QueueTerms::Builder::getVersion() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void QueueTerms::Builder::setVersion( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool OwnerAnswer::Reader::hasVerdict() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/flamingoseam/node/coordinator_rpc.cpp
+++ b/flamingoseam/node/coordinator_rpc.cpp
@@ -72,6 +72,7 @@
 
 void write(rpc::QueueTerms::Builder out, const workflow::queue_terms& terms)
 {
+    out.setVersion(terms.version);
     out.setService(terms.service);
     out.setPriority(terms.priority);
     out.setMostAttempts(terms.max_attempts);
@@ -88,6 +89,7 @@
 workflow::queue_terms read(const std::string& queue, rpc::QueueTerms::Reader in)
 {
     workflow::queue_terms terms{.name = queue,
+                                .version = in.getVersion(),
                                 .service = in.getService().cStr(),
                                 .priority = in.getPriority(),
                                 .max_attempts = in.getMostAttempts(),
--- a/flamingoseam/node/coordinator_rpc_test.cpp
+++ b/flamingoseam/node/coordinator_rpc_test.cpp
@@ -20,9 +20,10 @@
 /// Grants permission requests and stores the last of them.
 class recording_service final : public owner_service {
 public:
-    void submit(const workflow::job_spec& /*job*/, const workflow::queue_terms& /*terms*/,
+    void submit(const workflow::job_spec& /*job*/, const workflow::queue_terms& terms,
                 owner_reply reply) override
     {
+        last_terms = terms;
         reply({});
     }
     void cancel(const std::string& /*job*/, owner_reply reply) override { reply({}); }
@@ -67,6 +68,7 @@
     flag_reply kept_reply;
     workflow::permission_request last_request;
     workflow::worker_request last_worker_request;
+    workflow::queue_terms last_terms;
 };
 
 endpoint own_address()
@@ -139,6 +141,22 @@
     CHECK(service.last_worker_request.demand.desired == 90);
 }
 
+TEST_CASE("the terms of a job's queue reach the owner with their version")
+{
+    recording_service service;
+    const coordinator_server server(own_address(), service);
+    coordinator_client client;
+    const workflow::queue_terms terms{
+        .name = "q", .version = 42, .service = "s", .priority = 3, .max_attempts = 5};
+    client.submit(own_address(), {.id = "j", .queue = "q", .payload = {}, .steps = {}}, terms,
+                  milliseconds(2'000));
+    CHECK(service.last_terms.name == "q");
+    CHECK(service.last_terms.version == 42);
+    CHECK(service.last_terms.service == "s");
+    CHECK(service.last_terms.priority == 3);
+    CHECK(service.last_terms.max_attempts == 5);
+}
+
 TEST_CASE("a node tells whether its replaced owner has stopped")
 {
     recording_service service;
--- a/flamingoseam/node/job_owner.cpp
+++ b/flamingoseam/node/job_owner.cpp
@@ -435,6 +435,7 @@
         state_.on_earlier_renewals_ended();
     }
     const auto passes = state_.counts().passes;
+    update_queues(started);
     state_.tick(started);
     borrow_workers(started);
     auto actions = state_.take_actions();
@@ -456,6 +457,18 @@
         started);
 }
 
+/// Passes on the configuration of the queues when this node has learnt a newer version.
+void job_owner::update_queues(time_point time)
+{
+    if (!dependencies_.queues) {
+        return;
+    }
+    if (const auto newest = dependencies_.queues(queues_version_)) {
+        queues_version_ = newest->version;
+        state_.on_queue_configuration(*newest, time);
+    }
+}
+
 /// Passes on whether it is certain that this is the only owner, and logs each change.
 void job_owner::update_certainty(time_point time)
 {
--- a/flamingoseam/node/job_owner.hpp
+++ b/flamingoseam/node/job_owner.hpp
@@ -29,6 +29,11 @@
 
 namespace flamingoseam::node {
 
+/// Returns the newest configuration of the queues that this node knows if its version is above a
+/// number, none otherwise. Called often.
+using queue_configuration_source =
+    std::function<std::optional<workflow::queue_configuration>(std::int64_t after)>;
+
 /// Initial state of a new owner.
 struct job_owner_start {
     stream_head head;           ///< The head record by which the owner took over.
@@ -52,6 +57,7 @@
     worker_channel_factory channels;
     worker_directory_factory directory;
     permission_call_factory permissions;
+    queue_configuration_source queues = nullptr; ///< Null if the queues never change.
     shard_identity shard;
     borrow_call borrow_workers = nullptr; ///< Set if the cell is divided.
     event_log* log = nullptr;
@@ -141,6 +147,7 @@
     void read_own_head(shared_store& store);
     void wait_for_batch();
     void after_batch();
+    void update_queues(time_point time);
     void update_certainty(time_point time);
     void report_certainty(bool is_certain, time_point time);
     void update_renewals_end(time_point time, time_point boot_time);
@@ -182,11 +189,12 @@
     ownership_proof proof_;
     /// Workers of the whole cell, none until they have been read; used by the control thread only.
     std::optional<std::vector<workflow::worker_entry>> listed_workers_;
-    worker_assignments assignments_; ///< Used by the control thread only.
-    bool assignments_known_ = false; ///< Used by the control thread only.
-    time_point next_borrowing_{};    ///< Used by the control thread only.
-    load_meter meter_;               ///< Used by the control thread only.
-    change_ages change_ages_;        ///< Used by the control thread only.
+    worker_assignments assignments_;  ///< Used by the control thread only.
+    bool assignments_known_ = false;  ///< Used by the control thread only.
+    time_point next_borrowing_{};     ///< Used by the control thread only.
+    std::int64_t queues_version_ = 0; ///< Used by the control thread only.
+    load_meter meter_;                ///< Used by the control thread only.
+    change_ages change_ages_;         ///< Used by the control thread only.
     control_loop loop_;
     workflow::workflow_state state_;
     std::unordered_map<std::uint64_t, owner_service::owner_reply> replies_;
--- a/flamingoseam/node/node_election.cpp
+++ b/flamingoseam/node/node_election.cpp
@@ -567,6 +567,7 @@
         .channels = dependencies_.channels,
         .directory = dependencies_.directory,
         .permissions = [this](const std::string& name) { return permission_call_through(name); },
+        .queues = dependencies_.queues,
         .shard = options_.shard,
         .borrow_workers = options_.borrow_workers,
         .log = dependencies_.log,
--- a/flamingoseam/workflow/job_record.hpp
+++ b/flamingoseam/workflow/job_record.hpp
@@ -139,9 +139,13 @@
 /// A job and its state.
 struct job_record {
     job_spec spec;
+    /// Those of the queue at the job's acceptance, except for the service, the priority and the
+    /// permission, which follow the newest version of the configuration.
     queue_terms terms;
-    wall_time accepted{0}; ///< Stored with the job; the same for every owner.
-    time_point due{};      ///< Target time of completion, by this owner's clock.
+    std::string accepted_service; ///< The queue's service when the job was accepted.
+    std::string newest_service;   ///< The queue's service in the newest version.
+    wall_time accepted{0};        ///< Stored with the job; the same for every owner.
+    time_point due{};             ///< Target time of completion, by this owner's clock.
     time_point received{};
     job_phase phase = job_phase::queued;
     bool has_begun = false;  ///< A task was started.
--- a/flamingoseam/workflow/job_spec.hpp
+++ b/flamingoseam/workflow/job_spec.hpp
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -27,16 +28,19 @@
         return std::chrono::ceil<milliseconds>(decision +
                                                per_worker * static_cast<double>(workers));
     }
+
+    bool operator==(const permission_terms&) const = default;
 };
 
 /// The terms of a contract for one queue of jobs.
 struct queue_terms {
     std::string name;
-    std::string service;    ///< The pool of workers that runs the queue's tasks.
-    int priority = 0;       ///< 0 is the highest priority.
-    int max_attempts = 1;   ///< The job fails after this number of failed runs of one task.
-    double stretch = 1.0;   ///< The target time is the critical path times this factor ...
-    milliseconds target{0}; ///< ... plus this time.
+    std::int64_t version = 0; ///< Of the configuration that has these terms; 0 if unknown.
+    std::string service;      ///< The pool of workers that runs the queue's tasks.
+    int priority = 0;         ///< 0 is the highest priority.
+    int max_attempts = 1;     ///< The job fails after this number of failed runs of one task.
+    double stretch = 1.0;     ///< The target time is the critical path times this factor ...
+    milliseconds target{0};   ///< ... plus this time.
     std::optional<permission_terms> permission; ///< None if every worker is permitted.
 };
 
--- a/flamingoseam/workflow/stored_job.cpp
+++ b/flamingoseam/workflow/stored_job.cpp
@@ -86,11 +86,9 @@
 
 json terms_to_json(const queue_terms& terms)
 {
-    json value = {{"service", terms.service},
-                  {"priority", terms.priority},
-                  {"most_attempts", terms.max_attempts},
-                  {"stretch", terms.stretch},
-                  {"target_ms", terms.target.count()}};
+    json value = {{"version", terms.version},   {"service", terms.service},
+                  {"priority", terms.priority}, {"most_attempts", terms.max_attempts},
+                  {"stretch", terms.stretch},   {"target_ms", terms.target.count()}};
     if (terms.permission) {
         value["permission"] = {{"decision_ms", terms.permission->decision.count()},
                                {"per_worker_ms", terms.permission->per_worker.count()},
@@ -103,6 +101,7 @@
 {
     queue_terms terms;
     terms.name = name;
+    terms.version = value.value("version", std::int64_t{0}); // Missing in older records.
     terms.service = value.at("service").get<std::string>();
     terms.priority = value.at("priority").get<int>();
     terms.max_attempts = value.at("most_attempts").get<int>();
--- a/flamingoseam/workflow/workflow_gangs.cpp
+++ b/flamingoseam/workflow/workflow_gangs.cpp
@@ -157,6 +157,13 @@
     preempt_runs(step, *reservation, time);
 }
 
+void workflow_state::drop_reservations(const job_record& job)
+{
+    for (int step = 0; step < static_cast<int>(job.steps.size()); ++step) {
+        gang_reservations_.drop(job.spec.id, step);
+    }
+}
+
 /// Drops the reservations that have expired. The next one of the same gang is firm: the estimates
 /// from which the first was planned did not hold.
 void workflow_state::drop_expired_reservations(time_point time)
--- a/flamingoseam/workflow/workflow_jobs.cpp
+++ b/flamingoseam/workflow/workflow_jobs.cpp
@@ -29,6 +29,8 @@
         if (is_final(job->phase)) {
             ended_.emplace(time + options_.ended_retention, job->spec.id);
         } else {
+            job->accepted_service = job->terms.service;
+            job->newest_service = job->terms.service;
             job->due = time + (job->accepted - wall) + target_time(job->spec, job->terms);
             open_.emplace(job->sequence, job.get());
             ready_.mark_changed(*job);
@@ -87,8 +89,8 @@
     }
 }
 
-void workflow_state::submit(std::uint64_t token, const job_spec& spec, const queue_terms& terms,
-                            time_point time, wall_time wall)
+void workflow_state::submit(std::uint64_t token, const job_spec& spec,
+                            const queue_terms& submitted_terms, time_point time, wall_time wall)
 {
     if (auto* known = find_job(spec.id)) {
         if (known->is_stored() || known->spec_stored) {
@@ -106,6 +108,8 @@
         refuse(token, spec.id, "too_many_open_jobs", retry_after_job_limit);
         return;
     }
+    // The node that forwards the job may know an older configuration.
+    const auto terms = queues_.newest(submitted_terms);
     const auto verdict = may_admit(spec, terms, time);
     if (!verdict.is_accepted) {
         refuse(token, spec.id, verdict.reason, verdict.retry_after);
@@ -114,6 +118,8 @@
     auto job = std::make_unique<job_record>();
     job->spec = spec;
     job->terms = terms;
+    job->accepted_service = terms.service;
+    job->newest_service = terms.service;
     job->accepted = wall;
     job->received = time;
     job->due = admission_.first_submission(spec.id, time) + target_time(spec, terms);
@@ -288,9 +294,7 @@
     job.phase = phase;
     job.ended = wall;
     actions_.ends.push_back({job.terms.priority, wall - job.accepted});
-    for (int step = 0; step < static_cast<int>(job.steps.size()); ++step) {
-        gang_reservations_.drop(job.spec.id, step);
-    }
+    drop_reservations(job);
     if (phase != job_phase::completed) {
         stop_runs_of(job);
     }
--- a/flamingoseam/workflow/workflow_maintenance.cpp
+++ b/flamingoseam/workflow/workflow_maintenance.cpp
@@ -66,6 +66,7 @@
         withdraw_requests();
         end_overdue_requests(time);
         release_drained(time);
+        update_moved_jobs(time);
         report_waiting_steps(time);
     }
     run_pass(time);
--- a/flamingoseam/workflow/workflow_permission.cpp
+++ b/flamingoseam/workflow/workflow_permission.cpp
@@ -183,6 +183,9 @@
     permission.outstanding = 0;
     const auto age =
         std::chrono::duration_cast<milliseconds>(time - request.mapped().asked).count();
+    if (!job->terms.permission) {
+        return; // The queue has stopped to need permission.
+    }
     if (!grants) {
         permission.next_request = time + pause_after_failed_request;
         log_decision("permission_failed", job->spec.id,
--- /dev/null
+++ b/flamingoseam/workflow/workflow_queues.cpp
@@ -0,0 +1,97 @@
+#include "flamingoseam/workflow/workflow_state.hpp"
+
+#include <map>
+
+namespace flamingoseam::workflow {
+
+void workflow_state::on_queue_configuration(const queue_configuration& configuration,
+                                            time_point time)
+{
+    if (!queues_.replace(configuration)) {
+        return;
+    }
+    for (const auto& [sequence, job] : open_) {
+        const auto* terms = queues_.find(job->spec.queue);
+        if (terms != nullptr && terms->version > job->terms.version) {
+            follow_terms(*job, *terms);
+        }
+    }
+    update_moved_jobs(time);
+}
+
+/// Adopts the newest terms that decide where and in which order a job runs. Its service changes in
+/// update_moved_jobs().
+void workflow_state::follow_terms(job_record& job, const queue_terms& newest)
+{
+    job.terms.version = newest.version;
+    job.newest_service = newest.service;
+    if (job.newest_service != job.terms.service) {
+        moved_jobs_.insert(job.sequence);
+    }
+    if (job.terms.priority == newest.priority && job.terms.permission == newest.permission) {
+        return;
+    }
+    job.terms.priority = newest.priority;
+    job.terms.permission = newest.permission;
+    drop_reservations(job);
+    ready_.mark_changed(job);
+    pass_requested_ = true;
+}
+
+/// Chooses the service of each job whose queue has got another one since its acceptance: the newest
+/// one, but that of the acceptance as long as only that one has usable workers. Complexity: linear
+/// in these jobs, and in the workers if there are any.
+void workflow_state::update_moved_jobs(time_point time)
+{
+    if (moved_jobs_.empty()) {
+        return;
+    }
+    const auto usable = usable_services(time);
+    std::map<std::string, std::int64_t> moves;
+    std::erase_if(moved_jobs_, [&](std::uint64_t sequence) {
+        const auto found = open_.find(sequence);
+        if (found == open_.end()) {
+            return true;
+        }
+        auto& job = *found->second;
+        const bool uses_accepted =
+            usable.contains(job.accepted_service) && !usable.contains(job.newest_service);
+        const auto& service = uses_accepted ? job.accepted_service : job.newest_service;
+        if (service != job.terms.service) {
+            ++moves[job.spec.queue + " from " + job.terms.service + " to " + service];
+            move_job(job, service);
+        }
+        return job.accepted_service == job.newest_service;
+    });
+    for (const auto& [move, jobs] : moves) {
+        log_decision("queue_moved", "", move, {{"jobs", jobs}});
+    }
+}
+
+/// Returns the services that have a usable worker.
+std::set<std::string> workflow_state::usable_services(time_point time) const
+{
+    std::set<std::string> services;
+    for (std::size_t worker = 0; worker < fleet_.size(); ++worker) {
+        const auto& state = fleet_.at(worker);
+        if (state.is_usable(time)) {
+            services.insert(state.entry.service);
+        }
+    }
+    return services;
+}
+
+/// Lets the tasks of a job that do not run yet run on workers of another service.
+void workflow_state::move_job(job_record& job, const std::string& service)
+{
+    job.terms.service = service;
+    drop_reservations(job);
+    for (auto& step : job.steps) {
+        step.next_reservation_attempt = {};
+        step.permission.next_search = {};
+    }
+    ready_.mark_changed(job);
+    pass_requested_ = true;
+}
+
+} // namespace flamingoseam::workflow
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -10,6 +10,7 @@
 #include "flamingoseam/workflow/order_window.hpp"
 #include "flamingoseam/workflow/permission_budget.hpp"
 #include "flamingoseam/workflow/permission_shares.hpp"
+#include "flamingoseam/workflow/queue_catalog.hpp"
 #include "flamingoseam/workflow/queue_load.hpp"
 #include "flamingoseam/workflow/ready_queue.hpp"
 #include "flamingoseam/workflow/stored_job.hpp"
@@ -69,10 +70,17 @@
     }
 
     /// Handles the submission of a job; the answer follows under `token` when the job is stored. A
-    /// submission with a known id refers to the existing job. Complexity: linear in the tasks.
-    void submit(std::uint64_t token, const job_spec& spec, const queue_terms& terms,
+    /// submission with a known id refers to the existing job. The newest known terms of its queue
+    /// apply. Complexity: linear in the tasks.
+    void submit(std::uint64_t token, const job_spec& spec, const queue_terms& submitted_terms,
                 time_point time, wall_time wall);
 
+    /// Handles a version of the operators' configuration; has no effect unless it is newer than the
+    /// last one. The open jobs of its queues run where and in the order that it says; their targets
+    /// and attempts stay those of their acceptance. Complexity: linear in the queues and in the
+    /// open jobs, and in the workers if a queue has got another service.
+    void on_queue_configuration(const queue_configuration& configuration, time_point time);
+
     /// Cancels a job; the answer follows under `token` when the cancellation is stored.
     void cancel(std::uint64_t token, const std::string& job, wall_time wall);
 
@@ -242,6 +250,13 @@
         bool writes_specification;
     };
 
+    // jobs of queues whose terms change
+    void follow_terms(job_record& job, const queue_terms& newest);
+    void update_moved_jobs(time_point time);
+    [[nodiscard]] std::set<std::string> usable_services(time_point time) const;
+    void move_job(job_record& job, const std::string& service);
+    void drop_reservations(const job_record& job);
+
     // jobs and their tasks
     job_record* find_job(const std::string& id);
     void change(job_record& job) { changes_.record(job); }
@@ -496,6 +511,9 @@
     std::unordered_map<std::string, std::unique_ptr<job_record>> jobs_;
     std::set<std::string> unreadable_jobs_;
     std::map<std::uint64_t, job_record*> open_; ///< By the order in which they were received.
+    queue_catalog queues_;
+    /// Open jobs whose queue has got another service since they were accepted.
+    std::set<std::uint64_t> moved_jobs_;
     std::map<const job_record*, waiters> waiters_;
     std::map<std::uint64_t, permission_request> requests_; ///< Requests in flight, by number.
     permission_budget permission_budget_;
--- a/scenarios/platform.lua
+++ b/scenarios/platform.lua
@@ -47,11 +47,11 @@
 end
 
 -- Starts a worker as a process of its own, which appends to the file `record`. `worker` has its id, its host and, if
--- nodes reach it through a link, the address under which it is registered.
+-- nodes reach it through a link, the address under which it is registered. Its service may be named, too.
 function start_platform_worker(cell, worker, record)
     worker.pid = start(worker.id, { "standin-platform-worker", "--id=" .. worker.id, "--address=" .. worker.host,
         "--registered_address=" .. (worker.registered or worker.host .. ":7100"), "--store=" .. cell.store,
-        "--record=" .. record })
+        "--record=" .. record, "--service=" .. (worker.service or "service") })
 end
 
 -- Starts a node, with a clock of its own if `node.clock` names one (see step_clock).
--- a/standins/platform_main.cpp
+++ b/standins/platform_main.cpp
@@ -1,7 +1,8 @@
 /// A stand-in for the users' platform in one process: its key-value service, its workers and its
-/// permission service, with a fixed configuration that has one queue. A worker announces that it
-/// leaves when a test calls /standin/leave?number=N. The store can be served at several addresses,
-/// one for each node, at which the workers have addresses of their own.
+/// permission service, with a configuration of one queue, whose service can be changed with
+/// /standin/route?service=NAME. A worker announces that it leaves when a test calls
+/// /standin/leave?number=N. The store can be served at several addresses, one for each node, at
+/// which the workers have addresses of their own.
 #include "flamingoseam/daemon/daemon.hpp"
 #include "flamingoseam/http/http_server.hpp"
 #include "flamingoseam/log/log.hpp"
@@ -12,6 +13,8 @@
 #include <gflags/gflags.h>
 #include <sodium.h>
 
+#include <atomic>
+
 DEFINE_string(address, "127.0.0.1", "IP address of the store and of the permission service");
 DEFINE_string(worker_addresses, "", "IP addresses of the workers, separated by commas");
 DEFINE_string(views, "",
@@ -53,17 +56,17 @@
     return {.body = json{{"allowed", allowed}}.dump()};
 }
 
-json configuration()
+json configuration(int version, const std::string& service)
 {
     const json route = {{"name", "queue"},
                         {"host", ""},
                         {"prefix", "/jobs/"},
-                        {"service", "service"},
+                        {"service", service},
                         {"targetCompletionMs", 500},
                         {"maxAttempts", 3},
                         {"stretch", 2.0},
                         {"advice", {{"decisionMs", 1.0}, {"periodMs", 0.1}, {"validityMs", 2000}}}};
-    return {{"version", 1}, {"routes", json::array({route})}, {"services", json::array()}};
+    return {{"version", version}, {"routes", json::array({route})}, {"services", json::array()}};
 }
 
 std::string worker_id(std::size_t index)
@@ -125,7 +128,12 @@
         workers.at(index)->begin_leaving();
         return http_response{.body = "{}"};
     };
-    store.put("op/config", configuration().dump());
+    std::atomic<int> version{1};
+    const auto set_service = [&](const std::string& service) {
+        store.put("op/config", configuration(version++, service).dump());
+        return http_response{.body = "{}"};
+    };
+    set_service("service");
     for (const auto& definition : split(FLAGS_views)) {
         servers.push_back(serve_view(store, definition));
     }
@@ -137,6 +145,9 @@
             if (request.path == "/standin/ledger") {
                 return http_response{.body = ledger.to_json().dump()};
             }
+            if (request.path == "/standin/route") {
+                return set_service(request.query_or("service", "service"));
+            }
             if (request.path == "/standin/leave") {
                 return announce_leaving(request);
             }
--- a/standins/platform_worker_main.cpp
+++ b/standins/platform_worker_main.cpp
@@ -18,6 +18,7 @@
 DEFINE_string(registered_address, "", "ADDRESS:PORT under which nodes reach the worker");
 DEFINE_string(store, "", "ADDRESS:PORT of the store");
 DEFINE_string(record, "", "file to which the record of runs is appended");
+DEFINE_string(service, "service", "service whose tasks the worker runs");
 DEFINE_int32(processors, 16, "processors of the worker");
 
 namespace flamingoseam::standin {
@@ -80,7 +81,7 @@
 
 json entry_of(const platform_worker& worker)
 {
-    return {{"service", "service"},
+    return {{"service", FLAGS_service},
             {"address", FLAGS_registered_address},
             {"zone", "zone"},
             {"state", "ready"},
