Read the newest configuration of the queues before an owner decides

What callers could see: after a change of owner, jobs of a queue that had been sent to another service run on the earlier one again, for as long as the new owner's node lags (its follower polls each 0.9 s).

Cause: an owner loads the terms of a job's acceptance and began with what its own node knew of the configuration.

Now a node that takes over reads the record once before its owner decides, so that it is at least as new as any that the owner before knew. The source is an interface, which the follower of the platform implements.

--- a/flamingoseam/node/job_owner.cpp
+++ b/flamingoseam/node/job_owner.cpp
@@ -460,10 +460,10 @@
 /// Passes on the configuration of the queues when this node has learnt a newer version.
 void job_owner::update_queues(time_point time)
 {
-    if (!dependencies_.queues) {
+    if (dependencies_.queues == nullptr) {
         return;
     }
-    if (const auto newest = dependencies_.queues(queues_version_)) {
+    if (const auto newest = dependencies_.queues->queues_after(queues_version_)) {
         queues_version_ = newest->version;
         state_.on_queue_configuration(*newest, time);
     }
--- a/flamingoseam/node/job_owner.hpp
+++ b/flamingoseam/node/job_owner.hpp
@@ -9,6 +9,7 @@
 #include "flamingoseam/node/owner_service.hpp"
 #include "flamingoseam/node/ownership_proof.hpp"
 #include "flamingoseam/node/permission_dispatcher.hpp"
+#include "flamingoseam/node/queue_configuration_source.hpp"
 #include "flamingoseam/node/shard.hpp"
 #include "flamingoseam/node/usage_log.hpp"
 #include "flamingoseam/node/worker_borrower.hpp"
@@ -29,11 +30,6 @@
 
 namespace flamingoseam::node {
 
-/// Returns the newest configuration of the queues that this node knows if its version is above a
-/// number, none otherwise. Called often.
-using queue_configuration_source =
-    std::function<std::optional<workflow::queue_configuration>(std::int64_t after)>;
-
 /// Initial state of a new owner.
 struct job_owner_start {
     stream_head head;           ///< The head record by which the owner took over.
@@ -57,7 +53,7 @@
     worker_channel_factory channels;
     worker_directory_factory directory;
     permission_call_factory permissions;
-    queue_configuration_source queues = nullptr; ///< Null if the queues never change.
+    const queue_configuration_source* queues = nullptr; ///< Null if the queues never change.
     shard_identity shard;
     borrow_call borrow_workers = nullptr; ///< Set if the cell is divided.
     event_log* log = nullptr;
--- a/flamingoseam/node/node.hpp
+++ b/flamingoseam/node/node.hpp
@@ -47,7 +47,7 @@
     worker_channel_factory channels;
     worker_directory_factory directory;
     permission_call permission; ///< Calls the permission service from this node; null if none.
-    queue_configuration_source queues = nullptr; ///< Null if the queues never change.
+    queue_configuration_source* queues = nullptr; ///< Null if the queues never change.
     event_log* log = nullptr;
     node_metrics* metrics = nullptr;
     usage_log* usage = nullptr;              ///< Logs what the process uses; null if nothing does.
--- a/flamingoseam/node/node_election.cpp
+++ b/flamingoseam/node/node_election.cpp
@@ -549,6 +549,9 @@
          .detail = "epoch " + std::to_string(claimed.head.epoch) + to_text(options_.shard),
          .fields = {{"predecessor_certainty_ms", certainty.value_or(milliseconds(0)).count()},
                     {"predecessor_missing", is_owner_record_missing(earlier) ? 1 : 0}}});
+    if (dependencies_.queues != nullptr) {
+        dependencies_.queues->refresh();
+    }
     const auto record_keys = keys();
     auto stored = read_stored_state(dependencies_.stores, record_keys);
     job_owner_start start{.head = claimed.head,
--- a/flamingoseam/node/sharded_node_test.cpp
+++ b/flamingoseam/node/sharded_node_test.cpp
@@ -189,6 +189,21 @@
     int socket_;
 };
 
+/// Counts how often the configuration of the queues is read from the store.
+class counted_queues final : public queue_configuration_source {
+public:
+    [[nodiscard]] std::optional<workflow::queue_configuration>
+    queues_after(std::int64_t /*version*/) const override
+    {
+        asked_before_refresh = asked_before_refresh || refreshes == 0;
+        return std::nullopt;
+    }
+    void refresh() override { ++refreshes; }
+
+    std::atomic<int> refreshes{0};
+    mutable std::atomic<bool> asked_before_refresh{false};
+};
+
 /// A node that is the only one of its cell, and thus the owner.
 class single_node {
 public:
@@ -212,6 +227,7 @@
                  }),
                  .directory = [] { return std::make_unique<one_worker_directory>(); },
                  .permission = std::move(permission),
+                 .queues = &queues,
                  .log = &log_,
                  .metrics = &metrics_})
     {
@@ -225,6 +241,7 @@
     }
 
     cell_records records;
+    counted_queues queues;
 
 private:
     /// An open file to which nothing is written.
@@ -307,6 +324,15 @@
     CHECK(running == 0);
 }
 
+TEST_CASE("an owner decides only after its node has read the newest configuration of the queues")
+{
+    late_worker worker;
+    const single_node node(worker);
+    REQUIRE(holds_within(std::chrono::seconds(3), [&] { return worker.newest_epoch > 0; }));
+    CHECK(node.queues.refreshes == 1);
+    CHECK_FALSE(node.queues.asked_before_refresh);
+}
+
 TEST_CASE("a node that ends waits for the threads of its owner")
 {
     late_worker worker;
--- a/scenarios/platform_queue_moves.lua
+++ b/scenarios/platform_queue_moves.lua
@@ -19,13 +19,19 @@
 end
 local function set_service(name) request { server = cell.store, path = "/standin/route?service=" .. name } end
 
+local function serving_node()
+    for _, node in ipairs(cell.nodes) do
+        if not node.killed then return node end
+    end
+end
+
 -- Submits jobs of which each task needs a whole worker.
 local submitted = 0
 local function submit_wide(count, steps)
     local ids = {}
     for i = 1, count do
         submitted = submitted + 1
-        local code, id = submit(cell.nodes[1], submitted, steps, RUN_MS)
+        local code, id = submit(serving_node(), submitted, steps, RUN_MS)
         expect("job " .. submitted .. " is accepted", code == 200)
         ids[i] = id
     end
@@ -33,12 +39,6 @@
 end
 local whole = { count = 1, cpu = 16000 }
 
-local function serving_nodes()
-    local nodes = {}
-    for _, node in ipairs(cell.nodes) do if not node.killed then nodes[#nodes + 1] = node end end
-    return nodes
-end
-
 -- Sends the queue from one service to another, ends all workers of the first one, and waits for the jobs.
 local function move_queue(from, to, jobs, while_moving)
     set_service(to)
@@ -46,7 +46,7 @@
     for number, worker in ipairs(from) do
         if worker.pid then signal(worker.pid, "KILL") else announce_leaving(cell, number) end
     end
-    wait_completed(serving_nodes()[1], jobs, MAX_WAIT_MS + 3 * RUN_MS)
+    wait_completed(serving_node(), jobs, MAX_WAIT_MS + 3 * RUN_MS)
 end
 
 local first = { {}, {} }
