Leave workers that are stored as silent out of the majority

Cause: an owner may extend leases without the store as long as a majority of the stored workers answers it, and its successor waits for the majority of the same list. Workers whose lease the list calls withheld stayed in it, so that the successor waited for workers that were gone: for 34.1 s, and a lease more.

Now the list counts only workers whose lease is renewed. Both owners read the same list, so that one majority still excludes the other: neither needs silent workers, nor counts them.

Restarts count from the proof now. The hole was there before for a majority of all workers.

--- a/flamingoseam/node/job_owner.cpp
+++ b/flamingoseam/node/job_owner.cpp
@@ -502,13 +502,14 @@
 
 /// Extends the time in which leases are renewed. As long as a majority of the workers answers, no
 /// later owner has been accepted by a majority, as it has to be before it regards a worker that it
-/// doesn't reach as empty.
+/// doesn't reach as empty. A later owner can only have been accepted since the newest proof, so
+/// that a worker that has restarted since then may have forgotten it.
 void job_owner::update_renewals_end(time_point time, time_point boot_time)
 {
     if (!uncertain_since_) {
         certain_at_ = time;
         renewals_end_ = boot_time + renewals_after_answers;
-    } else if (const auto answered = state_.majority_answered_at(certain_at_)) {
+    } else if (const auto answered = state_.majority_answered_at(time - proof_.age(boot_time))) {
         const auto end = std::min(std::max(*answered, certain_at_) + renewals_after_answers,
                                   certain_at_ + max_renewals_without_store);
         renewals_end_ = boot_time + (end - time);
--- a/flamingoseam/workflow/messages.hpp
+++ b/flamingoseam/workflow/messages.hpp
@@ -54,7 +54,8 @@
     bool leaving = false; ///< The worker ends soon; no new run is started on it.
     lease_renewal renewal = lease_renewal::renewed; ///< Known in a record of leased workers.
     /// Known in a record of leased workers: the worker is one of those of which a majority keeps
-    /// earlier owners from extending leases. Its lease has not expired.
+    /// earlier owners from extending leases. Its lease is renewed: an owner must not need the
+    /// answers of workers that it has stored to be silent, nor may it count them.
     bool in_quorum = true;
     /// The fencing tokens of an owner for this worker are counted from this number plus the owner's
     /// epoch. It increases whenever the worker is transferred to another shard.
--- a/flamingoseam/workflow/workflow_reports.cpp
+++ b/flamingoseam/workflow/workflow_reports.cpp
@@ -312,25 +312,25 @@
     }
 }
 
-std::optional<time_point> workflow_state::majority_answered_at(time_point certain_at) const
+std::optional<time_point> workflow_state::majority_answered_at(time_point proven_at) const
 {
-    const auto answered = majority_answered_at(stored_quorum_, certain_at);
+    const auto answered = majority_answered_at(stored_quorum_, proven_at);
     const bool may_be_replaced = leased_workers_in_batch_ && streams_[0].writes_since;
     if (!answered || !may_be_replaced) {
         return answered;
     }
     // A later owner has read either list.
-    const auto other = majority_answered_at(batch_quorum_, certain_at);
+    const auto other = majority_answered_at(batch_quorum_, proven_at);
     return other ? std::optional(std::min(*answered, *other)) : std::nullopt;
 }
 
 std::optional<time_point> workflow_state::majority_answered_at(const std::set<std::size_t>& workers,
-                                                               time_point certain_at) const
+                                                               time_point proven_at) const
 {
     std::vector<time_point> answers;
     for (const auto worker : workers) {
         const auto& state = fleet_.at(worker);
-        if (state.incarnation_since <= certain_at) {
+        if (state.incarnation_since <= proven_at) {
             answers.push_back(state.last_asked);
         }
     }
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -176,10 +176,10 @@
     void set_certain(bool certain);
 
     /// Returns since when more than half of the leased workers have answered this owner, as far as
-    /// they have not restarted after `certain_at`, when it was certain that there was no later
-    /// owner; none if so many have never answered. A restarted worker does not count, since it may
-    /// have forgotten a later owner. Complexity: linear in the workers.
-    [[nodiscard]] std::optional<time_point> majority_answered_at(time_point certain_at) const;
+    /// they have not restarted after `proven_at`, when there was no later owner; none if so many
+    /// have never answered. A restarted worker does not count, since it may have forgotten a later
+    /// owner. Complexity: linear in the workers.
+    [[nodiscard]] std::optional<time_point> majority_answered_at(time_point proven_at) const;
 
     /// Records that no earlier owner extends leases any more. Until then the store must not say of
     /// a worker that its lease is not extended, unless an earlier owner has stored that. Has no
@@ -282,7 +282,7 @@
     // workers' reports
     void log_first_report(std::size_t worker, const worker_report& report);
     [[nodiscard]] std::optional<time_point>
-    majority_answered_at(const std::set<std::size_t>& workers, time_point certain_at) const;
+    majority_answered_at(const std::set<std::size_t>& workers, time_point proven_at) const;
     void begin_incarnation(std::size_t worker, std::int64_t incarnation, bool after_crash,
                            time_point time);
     void repeat_forget(std::size_t worker, const worker_report& report);
--- a/flamingoseam/workflow/workflow_state_test.cpp
+++ b/flamingoseam/workflow/workflow_state_test.cpp
@@ -574,6 +574,61 @@
     CHECK(stored_renewals() == renewals{lease_renewal::withheld, lease_renewal::renewed});
 }
 
+// Guards against LOST: workers that were lost before their owner was killed counted for the
+// majority that the next owner waits for.
+TEST_CASE("workers whose lease is stored as withheld don't count for a majority")
+{
+    constexpr int lost_workers = 3;
+    const auto workers = numbered_workers(5);
+    driven_state owner;
+    owner.state.load({}, workers, owner.time, wall);
+    owner.state.on_worker_list(workers, owner.time);
+    owner.state.on_earlier_renewals_ended();
+    const auto certain_at = owner.time;
+    const auto answer = [&](driven_state& driver, std::size_t worker) {
+        driver.state.on_report(worker, {.incarnation = 1, .asked = driver.time}, driver.time, wall);
+    };
+    for (std::size_t worker = 0; worker < workers.size(); ++worker) {
+        answer(owner, worker);
+    }
+    for (std::size_t worker = 0; worker < lost_workers; ++worker) {
+        owner.state.on_unreachable_changed(worker, true, owner.time, owner.time);
+    }
+    const auto stored = store_leased_workers(owner);
+    REQUIRE(stored.size() == workers.size());
+
+    SECTION("a later owner needs the other ones only")
+    {
+        driven_state later;
+        later.state.load({}, stored, later.time, wall);
+        CHECK_FALSE(later.state.has_majority_accepted());
+        answer(later, 3);
+        CHECK(later.state.has_majority_accepted());
+    }
+    SECTION("and the owner may not count them either")
+    {
+        owner.time += milliseconds(100);
+        answer(owner, 0);
+        answer(owner, 1);
+        answer(owner, 2);
+        answer(owner, 3);
+        CHECK(owner.state.majority_answered_at(certain_at) == certain_at);
+        answer(owner, 4);
+        CHECK(owner.state.majority_answered_at(certain_at) == owner.time);
+    }
+    SECTION("until the store says that their lease is renewed")
+    {
+        owner.state.on_unreachable_changed(0, false, owner.time, owner.time);
+        const auto renewed = store_leased_workers(owner);
+        driven_state later;
+        later.state.load({}, renewed, later.time, wall);
+        answer(later, 3);
+        CHECK_FALSE(later.state.has_majority_accepted());
+        answer(later, 0);
+        CHECK(later.state.has_majority_accepted());
+    }
+}
+
 TEST_CASE("a later owner waits for workers whose leases have not expired, and only for these")
 {
     driven_state driver;
--- a/flamingoseam/workflow/workflow_storing.cpp
+++ b/flamingoseam/workflow/workflow_storing.cpp
@@ -75,7 +75,7 @@
             state.silence_stored = true;
             batch_silent_workers_.insert(worker);
         }
-        workers.back().in_quorum = renewal != lease_renewal::expired && may_join_quorum(worker);
+        workers.back().in_quorum = renewal == lease_renewal::renewed && may_join_quorum(worker);
         if (workers.back().in_quorum) {
             batch_quorum_.insert(worker);
         }
