Start nothing on a worker before the list describes its present life

Cause: a report with a newer start makes the owner begin a new incarnation, but labels, service and capacity stayed those of the listed entry.

Now a worker is usable only while the entry in the list is that of the incarnation that answers, as far as both are known. It still answers polls, so its runs and ends count as before. The price: a worker that restarts is used once its entry has arrived, which it writes at its start.

"a worker whose new incarnation has an earlier start time is not ignored for good" asked for a start while the list was out of date, which is the fault itself: it asks now for none then, and for one when the list shows the present life. The lists of driven_state::make_usable and job_owner_test, in which a restarted worker kept its first entry for ever, follow the worker; no check of theirs changed.

--- a/flamingoseam/node/job_owner_test.cpp
+++ b/flamingoseam/node/job_owner_test.cpp
@@ -148,6 +148,12 @@
         return runs_;
     }
 
+    std::int64_t incarnation()
+    {
+        const std::lock_guard lock(mutex_);
+        return incarnation_;
+    }
+
     /// Returns the newest owner's token that the present life of the worker has accepted.
     std::uint64_t token()
     {
@@ -251,28 +257,38 @@
     const std::atomic<bool>& reachable_;
 };
 
-workflow::worker_entry entry_of(std::size_t index)
+workflow::worker_entry entry_of(std::size_t index, std::int64_t incarnation)
 {
     return {.id = "w" + std::to_string(index),
-            .incarnation = 1,
+            .incarnation = incarnation,
             .service = "service",
             .address = {"127.0.0.1", static_cast<unsigned short>(index + 1)},
             .capacity = {.milli_cpus = 2'000, .memory_mb = 16'000}};
 }
 
+/// Lists all workers, each with its present incarnation.
 class all_workers final : public worker_directory {
 public:
+    explicit all_workers(std::array<leased_worker, 3>& workers) : workers_(workers) {}
+
     std::optional<std::vector<workflow::worker_entry>> next() override
     {
-        if (std::exchange(is_read_, true)) {
+        std::vector<std::int64_t> incarnations;
+        std::vector<workflow::worker_entry> entries;
+        for (auto& worker : workers_) {
+            incarnations.push_back(worker.incarnation());
+            entries.push_back(entry_of(entries.size(), incarnations.back()));
+        }
+        if (std::exchange(listed_, incarnations) == incarnations) {
             return std::nullopt;
         }
-        return std::vector{entry_of(0), entry_of(1), entry_of(2)};
+        return entries;
     }
     time_point confirmed_at() const override { return now(); }
 
 private:
-    bool is_read_ = false;
+    std::array<leased_worker, 3>& workers_;
+    std::vector<std::int64_t> listed_;
 };
 
 /// The store, the workers and what every owner of the cell uses.
@@ -346,7 +362,7 @@
                     return std::make_unique<path_channel>(cell_.workers.at(index),
                                                           reaches.at(index));
                 }),
-                .directory = [] { return std::make_unique<all_workers>(); },
+                .directory = [this] { return std::make_unique<all_workers>(cell_.workers); },
                 .permissions = [](const std::string&) -> permission_call {
                     return [](const auto&) -> permission_answer {
                         throw transport_error(304, "no service", false);
--- a/flamingoseam/workflow/fleet.hpp
+++ b/flamingoseam/workflow/fleet.hpp
@@ -110,10 +110,18 @@
                !entry.leaving;
     }
 
+    /// Checks whether the list describes the incarnation that answers, as far as both are known.
+    /// Another one may have other labels, another service or less capacity. Complexity: constant.
+    [[nodiscard]] bool is_described() const
+    {
+        return listed_incarnation == 0 || entry.incarnation == 0 ||
+               listed_incarnation == entry.incarnation;
+    }
+
     /// Checks whether new runs may be started on the worker. Complexity: constant.
     [[nodiscard]] bool is_usable(time_point time) const
     {
-        return is_held() && excluded_until <= time && drain_until <= time;
+        return is_held() && is_described() && excluded_until <= time && drain_until <= time;
     }
 };
 
--- a/flamingoseam/workflow/workflow_state_test.cpp
+++ b/flamingoseam/workflow/workflow_state_test.cpp
@@ -365,6 +365,63 @@
     CHECK(driver.next().starts.size() == 1);
 }
 
+// Guards against ROUTE: the labels of a worker's earlier life were used for its present one.
+TEST_CASE("a worker that restarts as another kind gets no run before the list shows it")
+{
+    driven_state driver;
+    auto earlier = driver.worker();
+    earlier.labels = {"a"};
+    driver.state.on_worker_list({earlier}, driver.time);
+    driver.state.on_report(0, {.incarnation = 1}, driver.time, wall);
+    driver.store();
+    const auto submit_for = [&driver](const std::string& label) {
+        auto job = driver.job("job for kind " + label, 1'000);
+        job.steps[0].label = label;
+        driver.submit(job);
+    };
+    const auto next_jobs = [&driver] {
+        std::vector<std::string> jobs;
+        for (const auto& start : driver.next().starts) {
+            jobs.push_back(start.name.task.job);
+        }
+        return jobs;
+    };
+    const std::vector<std::string> none;
+    const auto restart_as_b = [&](std::int64_t incarnation) {
+        driver.state.on_report(0, {.incarnation = incarnation, .asked = driver.time}, driver.time,
+                               wall);
+        submit_for("a");
+        submit_for("b");
+        CHECK(next_jobs() == none);
+        driver.state.on_worker_list({earlier}, driver.time);
+        CHECK(next_jobs() == none);
+        auto present = earlier;
+        present.incarnation = incarnation;
+        present.labels = {"b"};
+        driver.state.on_worker_list({present}, driver.time);
+        driver.state.on_report(0, {.incarnation = incarnation, .asked = driver.time}, driver.time,
+                               wall);
+        CHECK(next_jobs() == std::vector<std::string>{"job for kind b"});
+    };
+
+    SECTION("later than its earlier life by its clock")
+    {
+        restart_as_b(2);
+    }
+    SECTION("earlier, since its clock was set back")
+    {
+        restart_as_b(-5);
+    }
+    SECTION("but an entry that names no incarnation is believed")
+    {
+        earlier.incarnation = 0;
+        driver.state.on_worker_list({earlier}, driver.time);
+        driver.state.on_report(0, {.incarnation = 7, .asked = driver.time}, driver.time, wall);
+        submit_for("a");
+        CHECK(next_jobs().size() == 1);
+    }
+}
+
 TEST_CASE("a step that has waited for long is reported with the reason")
 {
     driven_state driver;
@@ -803,6 +860,11 @@
             0, {.incarnation = incarnation, .present = std::move(present), .asked = driver.time},
             driver.time, wall);
     };
+    const auto list_present = [&] {
+        auto present = leased;
+        present.incarnation = earlier_start;
+        driver.state.on_worker_list({present}, driver.time);
+    };
 
     SECTION("the tasks of an earlier owner are located")
     {
@@ -820,6 +882,8 @@
         CHECK_FALSE(driver.state.is_recovering());
         driver.store();
         driver.state.on_worker_list({leased}, driver.time); // The list is out of date.
+        CHECK(driver.next().starts.empty());
+        list_present();
         CHECK(driver.next().starts.size() == 1);
     }
     SECTION("its earlier runs are lost")
@@ -834,6 +898,7 @@
         std::vector<start_order> starts;
         for (int round = 0; round < 10 && starts.empty(); ++round) {
             report(earlier_start);
+            list_present();
             const auto actions = driver.next();
             starts = actions.starts;
             for (const auto& order : actions.stops) {
--- a/tests/driven_state.hpp
+++ b/tests/driven_state.hpp
@@ -39,11 +39,13 @@
                 .target = milliseconds(500)};
     }
 
-    /// Delivers a worker list and a report, and commits the pending changes, so that the worker
-    /// accepts tasks.
+    /// Delivers a worker list and a report of the same incarnation, and commits the pending changes,
+    /// so that the worker accepts tasks.
     void make_usable(const worker_report& report = {.incarnation = 1})
     {
-        state.on_worker_list({worker()}, time);
+        auto entry = worker();
+        entry.incarnation = report.incarnation;
+        state.on_worker_list({entry}, time);
         state.on_report(0, report, time, wall);
         store();
     }
