Refuse a job that was cancelled before it arrived

What callers saw: a client sends a job to a node that is suspended, leaves, and cancels the job through another node, which answers 410.

Cause: the owner kept nothing of the cancelling of a job that it doesn't know. The node can't tell when the request arrived: it was suspended.

Now the owner remembers such ids for 60 s, 20,000 at most, and refuses their submission with the time that is left as Retry-After. The ids are not stored: after a change of owner between the two calls the job would still start; a stored record would show a job that perhaps nobody has submitted.

The refused callers of the admission were kept in the same way; both use recent_ids now.

--- a/flamingoseam/node/job_owner.cpp
+++ b/flamingoseam/node/job_owner.cpp
@@ -242,7 +242,7 @@
             return;
         }
         if (!answer_unreadable(job, reply)) {
-            state_.cancel(store_reply(std::move(reply)), job, wall_now());
+            state_.cancel(store_reply(std::move(reply)), job, now(), wall_now());
         }
     });
 }
--- a/flamingoseam/workflow/admission.cpp
+++ b/flamingoseam/workflow/admission.cpp
@@ -20,8 +20,6 @@
 constexpr double max_obsolete_gang_share = 0.5;
 constexpr milliseconds retry_after_gangs{2'000}; ///< Time in which some of these gangs start.
 constexpr milliseconds min_retry_after{500};
-constexpr milliseconds refusal_retention{30'000};
-constexpr std::size_t max_refusals = 20'000;
 
 std::int64_t slot_of(time_point time)
 {
@@ -219,32 +217,9 @@
     return std::min(retry_after, max_wait);
 }
 
-void admission::record_refused(const std::string& job, time_point time)
-{
-    remove_expired_refusals(time);
-    if (!refused_.emplace(job, time).second) {
-        return;
-    }
-    refused_by_age_.emplace_back(time, job);
-    if (refused_by_age_.size() > max_refusals) {
-        refused_.erase(refused_by_age_.front().second);
-        refused_by_age_.pop_front();
-    }
-}
-
-void admission::remove_expired_refusals(time_point time)
-{
-    while (!refused_by_age_.empty() && time - refused_by_age_.front().first > refusal_retention) {
-        refused_.erase(refused_by_age_.front().second);
-        refused_by_age_.pop_front();
-    }
-}
-
 time_point admission::first_submission(const std::string& job, time_point time) const
 {
-    const auto found = refused_.find(job);
-    const bool is_recorded = found != refused_.end() && time - found->second <= refusal_retention;
-    return is_recorded ? found->second : time;
+    return refused_.find(job, time).value_or(time);
 }
 
 admission_decision admission::decide(const admission_request& request, time_point time)
--- a/flamingoseam/workflow/admission.hpp
+++ b/flamingoseam/workflow/admission.hpp
@@ -1,13 +1,13 @@
 #pragma once
 
 #include "flamingoseam/core/clock.hpp"
+#include "flamingoseam/workflow/recent_ids.hpp"
 
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
 #include <string>
-#include <unordered_map>
 #include <utility>
 
 namespace flamingoseam::workflow {
@@ -91,7 +91,7 @@
     admission_decision decide(const admission_request& request, time_point time);
 
     /// Records that a job was refused. Its caller may submit it again.
-    void record_refused(const std::string& job, time_point time);
+    void record_refused(const std::string& job, time_point time) { refused_.record(job, time); }
 
     /// Returns the time of the first recorded refusal of a job, or `time` if no refusal of it is
     /// recorded or the record has expired.
@@ -118,8 +118,6 @@
     };
     using meter = start_meter priority_level::*;
 
-    void remove_expired_refusals(time_point time);
-
     static work_amount rate(const service_pool& pool, meter measured_work, int most_urgent_up_to,
                             time_point measured_since, time_point time);
     static milliseconds wait_on_time(const service_pool& pool, int priority, time_point time);
@@ -129,9 +127,11 @@
     static milliseconds next_retry(service_pool& pool, const admission_request& request,
                                    milliseconds wait, time_point time);
 
+    static constexpr milliseconds refusal_retention{30'000};
+    static constexpr std::size_t max_refusals = 20'000;
+
     std::map<std::string, service_pool> pools_; ///< Work by service.
-    std::unordered_map<std::string, time_point> refused_;
-    std::deque<std::pair<time_point, std::string>> refused_by_age_;
+    recent_ids refused_{refusal_retention, max_refusals};
 };
 
 } // namespace flamingoseam::workflow
--- a/flamingoseam/workflow/queue_move_test.cpp
+++ b/flamingoseam/workflow/queue_move_test.cpp
@@ -168,7 +168,7 @@
         REQUIRE(cell.next_workers() == nowhere); // It reserves the old worker.
         cell.send_queue_to("new", 2);
         REQUIRE(cell.next_workers() == std::vector{new_worker});
-        cell.driver.state.cancel(2, "0000000000000001", wall);
+        cell.driver.state.cancel(2, "0000000000000001", cell.driver.time, wall);
         cell.remove_old_worker();
         cell.workers.insert(cell.workers.begin(), worker_of("old"));
         cell.list_workers();
--- a/flamingoseam/workflow/worker_lending_test.cpp
+++ b/flamingoseam/workflow/worker_lending_test.cpp
@@ -292,7 +292,7 @@
         for (const auto& start : starts) {
             state.on_start(start.worker, start.name, start_outcome::unknown, driver.time);
         }
-        state.cancel(9, "0123456789abcdef", wall);
+        state.cancel(9, "0123456789abcdef", driver.time, wall);
         driver.next();
         for (const auto& start : starts) {
             state.on_stop(start.worker, start.name, driver.time);
--- a/flamingoseam/workflow/workflow_jobs.cpp
+++ b/flamingoseam/workflow/workflow_jobs.cpp
@@ -100,6 +100,11 @@
         }
         return;
     }
+    if (const auto cancelled = unknown_cancelled_.find(spec.id, time)) {
+        const auto left = *cancelled + unknown_cancelled_.retention() - time;
+        refuse(token, spec.id, "cancelled", std::chrono::ceil<milliseconds>(left));
+        return;
+    }
     if (!store_available_) {
         refuse(token, spec.id, store_unavailable, retry_after_store_unavailable);
         return;
@@ -175,10 +180,12 @@
     }
 }
 
-void workflow_state::cancel(std::uint64_t token, const std::string& job, wall_time wall)
+void workflow_state::cancel(std::uint64_t token, const std::string& job, time_point time,
+                            wall_time wall)
 {
     auto* known = find_job(job);
     if (known == nullptr) {
+        unknown_cancelled_.record(job, time);
         actions_.answers.push_back({.token = token, .kind = caller_answer::answer_kind::unknown});
         return;
     }
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -13,6 +13,7 @@
 #include "flamingoseam/workflow/queue_catalog.hpp"
 #include "flamingoseam/workflow/queue_load.hpp"
 #include "flamingoseam/workflow/ready_queue.hpp"
+#include "flamingoseam/workflow/recent_ids.hpp"
 #include "flamingoseam/workflow/stored_job.hpp"
 #include "flamingoseam/workflow/work_order.hpp"
 #include "flamingoseam/workflow/worker_assignment.hpp"
@@ -81,8 +82,9 @@
     /// open jobs, and in the workers if a queue has got another service.
     void on_queue_configuration(const queue_configuration& configuration, time_point time);
 
-    /// Cancels a job; the answer follows under `token` when the cancellation is stored.
-    void cancel(std::uint64_t token, const std::string& job, wall_time wall);
+    /// Cancels a job; the answer follows under `token` when the cancellation is stored. A job that
+    /// is not known is refused if its submission arrives soon after this.
+    void cancel(std::uint64_t token, const std::string& job, time_point time, wall_time wall);
 
     /// Returns the phase of a job, none if the job is unknown. A final phase is returned only when
     /// it is stored; until then the phase is `running`.
@@ -512,6 +514,10 @@
     std::set<std::string> unreadable_jobs_;
     std::map<std::uint64_t, job_record*> open_; ///< By the order in which they were received.
     queue_catalog queues_;
+    /// A submission may be on its way for as long as a node that forwards it is suspended.
+    static constexpr milliseconds unknown_cancelled_retention{60'000};
+    static constexpr std::size_t max_unknown_cancelled = 20'000;
+    recent_ids unknown_cancelled_{unknown_cancelled_retention, max_unknown_cancelled};
     /// Open jobs whose queue has got another service since they were accepted.
     std::set<std::uint64_t> moved_jobs_;
     std::map<const job_record*, waiters> waiters_;
--- a/flamingoseam/workflow/workflow_state_test.cpp
+++ b/flamingoseam/workflow/workflow_state_test.cpp
@@ -116,7 +116,7 @@
     driver.make_usable();
     driver.submit(driver.job("0123456789abcdef", 1'000));
     const auto name = driver.next().starts.at(0).name;
-    driver.state.cancel(2, "0123456789abcdef", wall);
+    driver.state.cancel(2, "0123456789abcdef", driver.time, wall);
     driver.store();
     REQUIRE(driver.next().stops.size() == 1);
     driver.state.on_stop(0, name, driver.time);
@@ -238,7 +238,7 @@
     }
     SECTION("but not for a job that was cancelled meanwhile")
     {
-        driver.state.cancel(2, "fedcba9876543210", wall);
+        driver.state.cancel(2, "fedcba9876543210", driver.time, wall);
         driver.state.on_report(0, ended, driver.time + milliseconds(1'500), wall);
         CHECK(driver.state.take_queue_loads(driver.time)[0].done_runs == 0);
     }
@@ -275,7 +275,7 @@
     }
     SECTION("what is being stopped counts until it has ended")
     {
-        driver.state.cancel(2, "running", wall);
+        driver.state.cancel(2, "running", driver.time, wall);
         CHECK(driver.next().stops.size() == 2);
         CHECK(driver.next().starts.empty());
     }
@@ -365,6 +365,39 @@
     CHECK(driver.next().starts.size() == 1);
 }
 
+// Guards against UNASKED: a node that had been suspended forwarded a job that its client had
+// cancelled meanwhile, with the answer that there is no such job.
+TEST_CASE("a job that was cancelled before it arrived does not start")
+{
+    driven_state driver;
+    driver.make_usable();
+    driver.state.cancel(7, "fedcba9876543210", driver.time, wall);
+    const auto answers = driver.next().answers;
+    REQUIRE(answers.size() == 1);
+    CHECK(answers[0].kind == caller_answer::answer_kind::unknown);
+
+    SECTION("it is refused, so that a caller that still wants it can come again")
+    {
+        driver.time += std::chrono::seconds(4);
+        driver.submit(driver.job("fedcba9876543210", 1'000));
+        const auto actions = driver.next();
+        CHECK(actions.starts.empty());
+        REQUIRE(actions.answers.size() == 1);
+        CHECK(actions.answers[0].kind == caller_answer::answer_kind::refused);
+        CHECK(actions.answers[0].reason == "cancelled");
+        CHECK(actions.answers[0].retry_after > milliseconds(0));
+        CHECK_FALSE(driver.state.find("fedcba9876543210"));
+        driver.time += actions.answers[0].retry_after + milliseconds(1);
+        driver.submit(driver.job("fedcba9876543210", 1'000));
+        CHECK(driver.next().starts.size() == 1);
+    }
+    SECTION("other jobs start")
+    {
+        driver.submit(driver.job("0123456789abcdef", 1'000));
+        CHECK(driver.next().starts.size() == 1);
+    }
+}
+
 // Guards against ROUTE: the labels of a worker's earlier life were used for its present one.
 TEST_CASE("a worker that restarts as another kind gets no run before the list shows it")
 {
--- a/flamingoseam/workflow/workflow_storing_test.cpp
+++ b/flamingoseam/workflow/workflow_storing_test.cpp
@@ -52,7 +52,7 @@
     SECTION("a job that is being written is in no other transaction")
     {
         driver.time += milliseconds(60);
-        driver.state.cancel(2, "0000000000000001", wall);
+        driver.state.cancel(2, "0000000000000001", driver.time, wall);
         const auto second = take(driver, 1);
         REQUIRE(second.changes.size() == 1);
         CHECK(second.changes[0].key == "fs/job/0000000000000002");
--- a/tests/permission_simulation.cpp
+++ b/tests/permission_simulation.cpp
@@ -82,7 +82,7 @@
 
 void permission_simulation::cancel(const std::string& id)
 {
-    state_.cancel(0, id, wall);
+    state_.cancel(0, id, time_, wall);
     commit_changes();
 }
 
--- a/tests/workflow_model.cpp
+++ b/tests/workflow_model.cpp
@@ -335,7 +335,7 @@
             const auto current = owners_[shard];
             if (current && current->state.find(id)) {
                 jobs_[id]->cancelled = true;
-                current->state.cancel(0, id, simulation_start + now_);
+                current->state.cancel(0, id, clock(), simulation_start + now_);
                 tick_owner(current);
             }
         });
