Hold idle workers for a gang only shortly before it can start

What callers could see (found by asking of each reason for waiting who can end it): fourteen workers, two of them at work for ten seconds, a gang that needs all of them.

Now, while under half of a service's processors are in use, a reservation for a gang whose start is expected in over 2 s does not hold against a step that has waited for 1 s. In a busy service, and shortly before the start, it holds as before.

--- a/flamingoseam/workflow/placing.hpp
+++ b/flamingoseam/workflow/placing.hpp
@@ -23,6 +23,11 @@
     return !step.preferred_rack.empty() || (step.gang && step.same_rack);
 }
 
+/// How long free capacity is kept from a step that waits while much of its service is idle: a third
+/// of the time for which a job that has room may have nothing running. The rest is left for a
+/// permission call and the start.
+inline constexpr milliseconds max_wait_beside_idle{1'000};
+
 /// Returns how many tasks of a step fit on one worker within this capacity. Complexity: constant.
 inline int fits_in(const step_spec& step, const resources& capacity)
 {
--- a/flamingoseam/workflow/workflow_racks.cpp
+++ b/flamingoseam/workflow/workflow_racks.cpp
@@ -6,17 +6,13 @@
 namespace flamingoseam::workflow {
 
 using detail::fits_in;
+using detail::max_wait_beside_idle;
 using detail::wants_rack;
 
 namespace {
 
 /// How long a step waits for room in its rack, in estimated run times.
 constexpr double rack_wait_factor = 2.0;
-/// The same while much of the service is idle: a third of the time for which a job that has room
-/// may have nothing running. The rest is left for a permission call and the start.
-constexpr milliseconds max_rack_wait_beside_idle{1'000};
-/// From this share of its processors in use on, a service does not count as idle.
-constexpr double busy_share = 0.5;
 
 } // namespace
 
@@ -31,9 +27,8 @@
         return time_point::duration::zero();
     }
     auto limit = scaled(spec.estimate, rack_wait_factor);
-    const auto pool = fleet_.find_pool(step.job->terms.service);
-    if (!pool || free_capacity_.used_share(*pool) < busy_share) {
-        limit = std::min(limit, max_rack_wait_beside_idle);
+    if (is_service_idle(step)) {
+        limit = std::min(limit, max_wait_beside_idle);
     }
     const auto left = step.record().turn_since + limit - time;
     if (left <= time_point::duration::zero() || !has_suitable_rack(step, time)) {
--- a/flamingoseam/workflow/workflow_schedule.cpp
+++ b/flamingoseam/workflow/workflow_schedule.cpp
@@ -7,10 +7,16 @@
 
 namespace flamingoseam::workflow {
 
+using detail::max_wait_beside_idle;
 using detail::ticket_use_margin;
 
 namespace {
 
+/// How long before a gang can start idle workers may be held for it while much of the service is
+/// idle.
+constexpr milliseconds max_idle_hold{2'000};
+/// From this share of its processors in use on, a service does not count as idle.
+constexpr double busy_share = 0.5;
 constexpr double estimate_allowance = 1.25; ///< Factor by which a run may exceed its estimate.
 constexpr std::int64_t runs_per_epoch = 1'000;
 /// Limits on the number of steps and workers that one pass examines, for each worker of the fleet:
@@ -101,6 +107,15 @@
                             : permission.has_ticket(time + ticket_use_margin);
 }
 
+/// Checks whether less than half of the processors of a step's service are in use.
+bool workflow_state::is_service_idle(const ready_step& step) const
+{
+    const auto pool = fleet_.find_pool(step.job->terms.service);
+    return !pool || free_capacity_.used_share(*pool) < busy_share;
+}
+
+/// Checks whether a step may use a worker that may be reserved for a gang of another job. While
+/// much of the service is idle, a reservation does not hold long before the gang can start.
 bool workflow_state::may_use(const ready_step& step, std::size_t worker, bool& is_reserved,
                              time_point time)
 {
@@ -110,6 +125,11 @@
     if (!is_reserved || step.job->terms.priority < reservation->priority) {
         return true;
     }
+    const bool holds_for_long = reservation->expected - time > max_idle_hold;
+    const bool has_waited = time - step.record().waits_since >= max_wait_beside_idle;
+    if (holds_for_long && has_waited && is_service_idle(step)) {
+        return true;
+    }
     return !reservation->is_firm &&
            time + scaled(step.spec().estimate, estimate_allowance) <= reservation->expected;
 }
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -345,6 +345,7 @@
         int tasks = 0;
     };
     std::vector<candidate> find_candidates(const ready_step& step, time_point time);
+    [[nodiscard]] bool is_service_idle(const ready_step& step) const;
     bool may_use(const ready_step& step, std::size_t worker, bool& is_reserved, time_point time);
     std::optional<candidate> find_candidate(const ready_step& step,
                                             const free_capacity_index::worker_capacity& capacity,
