Borrow workers for each service, and lend of small services, too

What callers could see (by reading, a divided cell): a queue is sent to a service of which a shard has no worker. Its jobs there wait for good if work for another service stands first in the shard's order and lacks workers as well, or if the other shards have fewer workers of the service than a quarter of an equal share of all workers, whatever they run.

Now services that lack workers take turns in asking, and what a shard keeps is measured by the workers of the same service.

--- a/flamingoseam/node/job_owner_workers.cpp
+++ b/flamingoseam/node/job_owner_workers.cpp
@@ -72,9 +72,14 @@
     if (!listed_workers_ || !knows_assignments) {
         return;
     }
+    std::map<std::string, std::size_t> service_workers;
+    for (const auto& worker : *listed_workers_) {
+        ++service_workers[worker.service];
+    }
     state_.set_lending_limits({.shard = dependencies_.shard.index,
                                .shards = dependencies_.shard.count,
-                               .cell_workers = listed_workers_->size()});
+                               .cell_workers = listed_workers_->size(),
+                               .service_workers = std::move(service_workers)});
     state_.on_worker_list(assignments_.select_own(*listed_workers_), now());
     open_sessions();
     drop_finished_sessions();
--- a/flamingoseam/workflow/worker_lending.cpp
+++ b/flamingoseam/workflow/worker_lending.cpp
@@ -52,6 +52,16 @@
 
 } // namespace
 
+lending_limits lending_limits::of_service(const std::string& service) const
+{
+    auto limits = *this;
+    const auto found = service_workers.find(service);
+    if (found != service_workers.end()) {
+        limits.cell_workers = found->second;
+    }
+    return limits;
+}
+
 worker_demand demand_of(const worker_stock& own, const std::vector<waiting_step>& steps,
                         const lending_limits& limits)
 {
--- a/flamingoseam/workflow/worker_lending.hpp
+++ b/flamingoseam/workflow/worker_lending.hpp
@@ -3,6 +3,7 @@
 #include "flamingoseam/core/clock.hpp"
 
 #include <cstddef>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -50,6 +51,11 @@
     std::size_t shard = 0; ///< Index of the own shard.
     std::size_t shards = 1;
     std::size_t cell_workers = 0; ///< Workers of all shards.
+    /// The same for each service; empty if all run the same one.
+    std::map<std::string, std::size_t> service_workers = {};
+
+    /// Returns the limits for the workers of one service. Complexity: logarithmic.
+    [[nodiscard]] lending_limits of_service(const std::string& service) const;
 };
 
 /// Returns the demand of a shard. Leaves out steps that no worker, or not all workers together, can
--- a/flamingoseam/workflow/worker_lending_test.cpp
+++ b/flamingoseam/workflow/worker_lending_test.cpp
@@ -412,6 +412,51 @@
     CHECK(request->demand.desired == 5);
 }
 
+// Guards against LOST: a shard without any worker of the service to which a queue was sent did not
+// ask for some while other work waited first.
+TEST_CASE("a shard asks for workers of each service that lacks them")
+{
+    lending_state driver;
+    auto& state = driver.state;
+    auto first = driver.job("0123456789abcdef", 1'000);
+    first.steps[0].label = "nobody has it";
+    driver.submit(first);
+    auto terms = driver.terms();
+    terms.service = "other";
+    terms.name = "other queue";
+    terms.priority = 1;
+    auto spec = driver.job("fedcba9876543210", 1'000);
+    spec.queue = terms.name;
+    state.submit(1, spec, terms, driver.time, wall);
+    driver.store();
+    for (int step = 0; step < 10; ++step) {
+        driver.next(100ms);
+    }
+    std::map<std::string, std::size_t> requests; // The workers that the shard has, by service.
+    for (int call = 0; call < 2; ++call) {
+        const auto request = state.find_worker_request(driver.time);
+        REQUIRE(request);
+        requests[request->service] = request->workers;
+    }
+    CHECK(requests == std::map<std::string, std::size_t>{{"other", 0}, {"service", 3}});
+}
+
+// Guards against LOST: a shard kept more workers than the whole cell had of a small service.
+TEST_CASE("a shard gives workers of a service that only few workers of the cell run")
+{
+    constexpr std::size_t workers_of_large_service = 400;
+    lending_state driver;
+    driver.state.set_lending_limits(
+        {.shard = 0,
+         .shards = 2,
+         .cell_workers = 3 + workers_of_large_service,
+         .service_workers = {{"service", 3}, {"large", workers_of_large_service}}});
+    CHECK(
+        driver.state.lend_workers(
+            {.shard = 1, .service = "service", .workers = 0, .demand = {.total = 1, .desired = 1}},
+            driver.time) == 1);
+}
+
 // Issue 45: a few small tasks waited for good in a shard none of whose workers may run them, while
 // the workers of other shards were idle.
 TEST_CASE("a small step that no worker of its shard may run asks for workers of others")
--- a/flamingoseam/workflow/workflow_lending.cpp
+++ b/flamingoseam/workflow/workflow_lending.cpp
@@ -118,7 +118,7 @@
             steps.push_back(as_waiting(entry.step, time));
         }
     }
-    return demand_of(stock, steps, lending_limits_);
+    return demand_of(stock, steps, lending_limits_.of_service(service));
 }
 
 std::optional<worker_request> workflow_state::find_worker_request(time_point time)
@@ -127,7 +127,27 @@
     if (lending_limits_.shards <= 1 || !store_available_ || fleet_.size() == 0 || steps.empty()) {
         return std::nullopt;
     }
-    const auto& service = steps.begin()->step.job->terms.service;
+    std::set<std::string> examined;
+    std::optional<worker_request> repeated;
+    for (const auto& entry : steps) {
+        const auto& service = entry.step.job->terms.service;
+        if (!examined.insert(service).second) {
+            continue;
+        }
+        auto request = worker_request_for(service, time);
+        if (request && service != last_borrowing_service_) {
+            last_borrowing_service_ = service;
+            return request;
+        }
+        repeated = request ? std::move(request) : std::move(repeated);
+    }
+    return repeated;
+}
+
+/// Returns a request for workers of one service, or none if the own ones suffice.
+std::optional<worker_request> workflow_state::worker_request_for(const std::string& service,
+                                                                 time_point time)
+{
     const auto stock = stock_of(service, time);
     const auto demand = demand_for(service, stock, time);
     if (!needs_workers(demand, stock)) {
@@ -148,7 +168,8 @@
     }
     const auto stock = stock_of(request.service, time);
     const auto demand = demand_for(request.service, stock, time);
-    const auto decision = decide_lending(request, demand, stock, lending_limits_);
+    const auto decision =
+        decide_lending(request, demand, stock, lending_limits_.of_service(request.service));
     std::size_t lent = 0;
     for (std::size_t worker = 0; worker < fleet_.size() && lent < decision.idle; ++worker) {
         const auto& state = fleet_.at(worker);
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -99,8 +99,9 @@
     /// Sets the own shard and the sizes of the cell, which limit the lending of workers.
     void set_lending_limits(const lending_limits& limits) { lending_limits_ = limits; }
 
-    /// Returns a request for workers of other shards, or none if the own ones suffice.
-    /// Complexity: linear in the workers and the waiting steps.
+    /// Returns a request for workers of other shards, or none if the own ones suffice. Services
+    /// that lack workers take turns. Complexity: linear in the workers and the waiting steps, for
+    /// each service.
     [[nodiscard]] std::optional<worker_request> find_worker_request(time_point time);
 
     /// Decides on a request of another shard for workers. Returns how many it gets at once; more
@@ -478,6 +479,7 @@
     [[nodiscard]] double labelled_share(const ready_step& step, time_point time) const;
     [[nodiscard]] int stranded_tasks(const ready_step& step, time_point time) const;
     [[nodiscard]] waiting_step as_waiting(const ready_step& step, time_point time) const;
+    std::optional<worker_request> worker_request_for(const std::string& service, time_point time);
     worker_demand demand_for(const std::string& service, const worker_stock& stock,
                              time_point time);
     std::size_t drain_workers(const worker_request& request, std::size_t count, time_point time);
@@ -542,6 +544,7 @@
     std::set<std::size_t> loaded_quorum_; ///< The quorum in the earlier owner's list.
     std::set<std::size_t> not_accepting_; ///< Those of them that have not reported to this owner.
     lending_limits lending_limits_;
+    std::string last_borrowing_service_; ///< Of the last request for workers of other shards.
     std::map<std::string, worker_assignment> assignments_; ///< To be stored, by worker.
     std::vector<std::string> batch_assignments_; ///< Workers whose assignment is being stored.
     workflow_actions actions_;
