Begin an ownership although the configuration can't be read

By reading: the read of the queues before an owner decides could fail, as while the store is away, and made the node give up the ownership that it had just claimed.

Test: "a node that can't read the configuration of the queues serves all the same"; not run on the code before.

--- a/flamingoseam/node/node.hpp
+++ b/flamingoseam/node/node.hpp
@@ -150,6 +150,7 @@
     bool should_give_up_shard() const;
     void offer_to_idle_node(const membership_view& view, time_point time);
     void record_owner_gone(const membership_view& view, const std::string& confirming_node);
+    void refresh_queues();
     void begin_ownership(const claimed_head& claimed, const membership_view& earlier);
     void confirm_stop_of_earlier_owner(const membership_view& view);
     bool asks_owner_to_stop(const owner_record& earlier);
--- a/flamingoseam/node/node_election.cpp
+++ b/flamingoseam/node/node_election.cpp
@@ -537,6 +537,20 @@
     reply(has_stopped);
 }
 
+/// Reads the newest configuration of the queues. An owner that can't begins with the known one, and
+/// learns of a newer one later.
+void node::refresh_queues()
+{
+    if (dependencies_.queues == nullptr) {
+        return;
+    }
+    try {
+        dependencies_.queues->refresh();
+    } catch (const transport_error& cause) {
+        LOG(WARNING) << "can't read the configuration of the queues: " << cause.what();
+    }
+}
+
 void node::begin_ownership(const claimed_head& claimed, const membership_view& earlier)
 {
     const auto certainty = earlier_certainty(earlier);
@@ -549,9 +563,7 @@
          .detail = "epoch " + std::to_string(claimed.head.epoch) + to_text(options_.shard),
          .fields = {{"predecessor_certainty_ms", certainty.value_or(milliseconds(0)).count()},
                     {"predecessor_missing", is_owner_record_missing(earlier) ? 1 : 0}}});
-    if (dependencies_.queues != nullptr) {
-        dependencies_.queues->refresh();
-    }
+    refresh_queues();
     const auto record_keys = keys();
     auto stored = read_stored_state(dependencies_.stores, record_keys);
     job_owner_start start{.head = claimed.head,
--- a/flamingoseam/node/sharded_node_test.cpp
+++ b/flamingoseam/node/sharded_node_test.cpp
@@ -192,14 +192,23 @@
 /// Counts how often the configuration of the queues is read from the store.
 class counted_queues final : public queue_configuration_source {
 public:
+    explicit counted_queues(bool fails_to_read) : fails(fails_to_read) {}
+
     [[nodiscard]] std::optional<workflow::queue_configuration>
     queues_after(std::int64_t /*version*/) const override
     {
         asked_before_refresh = asked_before_refresh || refreshes == 0;
         return std::nullopt;
     }
-    void refresh() override { ++refreshes; }
+    void refresh() override
+    {
+        ++refreshes;
+        if (fails) {
+            throw transport_error(304, "no answer", true);
+        }
+    }
 
+    const bool fails;
     std::atomic<int> refreshes{0};
     mutable std::atomic<bool> asked_before_refresh{false};
 };
@@ -209,8 +218,9 @@
 public:
     /// If `failing_event` is set, the log throws an exception the first time that it is written.
     explicit single_node(late_worker& worker, permission_call permission = nullptr,
-                         std::string failing_event = "")
-        : log_({.program = "test",
+                         std::string failing_event = "", bool fails_to_read_queues = false)
+        : queues(fails_to_read_queues),
+          log_({.program = "test",
                 .node = "node1",
                 .descriptor = output_.descriptor,
                 .observer =
@@ -333,6 +343,14 @@
     CHECK_FALSE(node.queues.asked_before_refresh);
 }
 
+TEST_CASE("a node that can't read the configuration of the queues serves all the same")
+{
+    late_worker worker;
+    const single_node node(worker, nullptr, "", true);
+    CHECK(holds_within(std::chrono::seconds(3), [&] { return worker.newest_epoch > 0; }));
+    CHECK(node.queues.refreshes == 1);
+}
+
 TEST_CASE("a node that ends waits for the threads of its owner")
 {
     late_worker worker;
