--- a/flamingoseam/workflow/workflow_racks.cpp
+++ b/flamingoseam/workflow/workflow_racks.cpp
@@ -75,11 +75,12 @@
 workflow_state::take_other_racks(const ready_step& step, std::vector<candidate>& candidates) const
 {
     const auto& rack = step.spec().preferred_rack;
-    const auto others = std::ranges::stable_partition(candidates, [&](const candidate& option) {
-        return fleet_.at(option.worker).entry.rack == rack;
-    });
-    std::vector<candidate> taken(others.begin(), others.end());
-    candidates.erase(others.begin(), others.end());
+    const auto others =
+        std::stable_partition(candidates.begin(), candidates.end(), [&](const candidate& option) {
+            return fleet_.at(option.worker).entry.rack == rack;
+        });
+    std::vector<candidate> taken(others, candidates.end());
+    candidates.erase(others, candidates.end());
     return taken;
 }
 
--- a/tests/driven_state.hpp
+++ b/tests/driven_state.hpp
@@ -39,8 +39,8 @@
                 .target = milliseconds(500)};
     }
 
-    /// Delivers a worker list and a report of the same incarnation, and commits the pending changes,
-    /// so that the worker accepts tasks.
+    /// Delivers a worker list and a report of the same incarnation, and commits the pending
+    /// changes, so that the worker accepts tasks.
     void make_usable(const worker_report& report = {.incarnation = 1})
     {
         auto entry = worker();
