Run a job where its steps can run after its queue has moved

A job whose queue was sent to another service waited for ever if the workers of the newer service lacked its label, were too small or too few for its gang, although the service of its acceptance could have run it.

Cause: the choice between the two services looked only at whether the newer one had any usable worker.

Now it looks at what waits: labels, the size of the workers and the width of a gang, as if nothing else ran there. A job that has no step waiting is treated as before.

--- a/flamingoseam/workflow/queue_move_test.cpp
+++ b/flamingoseam/workflow/queue_move_test.cpp
@@ -242,6 +242,76 @@
     }
 }
 
+// Guards against LOST: workers of the newer service are usable, but none of them can run what
+// waits.
+TEST_CASE("a job runs on the service of its acceptance while only that one can run what waits")
+{
+    moving_cell cell;
+    auto job = cell.driver.job(job_id, whole_worker);
+
+    SECTION("as no worker of the newer one has the label")
+    {
+        cell.workers[old_worker].labels = {"gpu"};
+        job.steps[0].label = "gpu";
+    }
+    SECTION("as the workers of the newer one are too small")
+    {
+        cell.workers[new_worker].capacity.milli_cpus = whole_worker / 2;
+    }
+    SECTION("as the newer one has too few workers for a gang")
+    {
+        cell.workers[new_worker].capacity.milli_cpus = whole_worker / 2;
+        job.steps[0].size.milli_cpus = whole_worker / 4;
+        job.steps[0].tasks = 3;
+        job.steps[0].gang = true;
+    }
+    SECTION("as the newer one may run too few tasks of a gang on a worker")
+    {
+        auto second_old_worker = worker_of("old");
+        second_old_worker.id = "second worker of old";
+        cell.workers.push_back(second_old_worker);
+        job.steps[0].size.milli_cpus = whole_worker / 4;
+        job.steps[0].tasks = 2;
+        job.steps[0].gang = true;
+        job.steps[0].max_per_worker = 1;
+    }
+    cell.list_workers();
+    for (std::size_t worker = 0; worker < cell.workers.size(); ++worker) {
+        cell.report(worker, {.incarnation = 1});
+    }
+    cell.driver.store();
+    cell.submit(job, cell.terms("old", 1));
+    cell.send_queue_to("new", 2);
+    const auto started = cell.next_workers();
+    CHECK(static_cast<int>(started.size()) == job.steps[0].tasks);
+    CHECK(std::ranges::find(started, new_worker) == started.end());
+
+    cell.submit(cell.driver.job("0000000000000002", 1'000), cell.terms("old", 1));
+    CHECK(cell.next_workers() == std::vector{new_worker});
+}
+
+// Guards against LOST: the service is chosen for each step, not once for the job.
+TEST_CASE("a step returns to the service of the job's acceptance if only that one can run it")
+{
+    moving_cell cell;
+    cell.workers[old_worker].labels = {"gpu"};
+    cell.list_workers();
+    auto job = cell.driver.job(job_id, whole_worker);
+    job.steps.push_back(job.steps[0]);
+    job.steps[1].after = {0};
+    job.steps[1].label = "gpu";
+    cell.submit(job, cell.terms("old", 1));
+    cell.send_queue_to("new", 2);
+    const auto first = cell.driver.next().starts;
+    REQUIRE(first.size() == 1);
+    REQUIRE(first[0].worker == new_worker);
+    cell.driver.state.on_start(new_worker, first[0].name, start_outcome::started, cell.driver.time);
+    cell.report(new_worker,
+                {.incarnation = 1, .present = {}, .ended = {{.number = 1, .name = first[0].name}}});
+    cell.driver.store();
+    CHECK(cell.driver.next(longer_than_a_change).starts.at(0).worker == old_worker);
+}
+
 // Guards against a start on the service of an older configuration.
 TEST_CASE("the terms of a queue never go back to an older version")
 {
--- a/flamingoseam/workflow/workflow_queues.cpp
+++ b/flamingoseam/workflow/workflow_queues.cpp
@@ -1,9 +1,34 @@
+#include "flamingoseam/workflow/service_places.hpp"
 #include "flamingoseam/workflow/workflow_state.hpp"
 
 #include <map>
 
 namespace flamingoseam::workflow {
 
+namespace {
+
+/// Checks whether a service could run a step of a job that waits, or has any usable worker if no
+/// step waits.
+bool can_continue(const job_record& job, const std::string& service, service_places& places)
+{
+    bool waits = false;
+    for (std::size_t index = 0; index < job.steps.size(); ++index) {
+        const int waiting = job.steps[index].waiting();
+        if (waiting == 0 || !job.are_predecessors_done(index)) {
+            continue;
+        }
+        waits = true;
+        const auto& spec = job.spec.steps[index];
+        const int needed = spec.gang ? waiting : 1;
+        if (places.count(service, spec) >= needed) {
+            return true;
+        }
+    }
+    return !waits && places.has_workers(service);
+}
+
+} // namespace
+
 void workflow_state::on_queue_configuration(const queue_configuration& configuration,
                                             time_point time)
 {
@@ -39,14 +64,14 @@
 }
 
 /// Chooses the service of each job whose queue has got another one since its acceptance: the newest
-/// one, but that of the acceptance as long as only that one has usable workers. Complexity: linear
-/// in these jobs, and in the workers if there are any.
+/// one, but that of the acceptance as long as only that one can run what waits. Complexity: linear
+/// in these jobs, and for each kind of task that waits, in the workers of both services.
 void workflow_state::update_moved_jobs(time_point time)
 {
     if (moved_jobs_.empty()) {
         return;
     }
-    const auto usable = usable_services(time);
+    service_places places(fleet_, time);
     std::map<std::string, std::int64_t> moves;
     std::erase_if(moved_jobs_, [&](std::uint64_t sequence) {
         const auto found = open_.find(sequence);
@@ -54,8 +79,8 @@
             return true;
         }
         auto& job = *found->second;
-        const bool uses_accepted =
-            usable.contains(job.accepted_service) && !usable.contains(job.newest_service);
+        const bool uses_accepted = !can_continue(job, job.newest_service, places) &&
+                                   can_continue(job, job.accepted_service, places);
         const auto& service = uses_accepted ? job.accepted_service : job.newest_service;
         if (service != job.terms.service) {
             ++moves[job.spec.queue + " from " + job.terms.service + " to " + service];
@@ -68,19 +93,6 @@
     }
 }
 
-/// Returns the services that have a usable worker.
-std::set<std::string> workflow_state::usable_services(time_point time) const
-{
-    std::set<std::string> services;
-    for (std::size_t worker = 0; worker < fleet_.size(); ++worker) {
-        const auto& state = fleet_.at(worker);
-        if (state.is_usable(time)) {
-            services.insert(state.entry.service);
-        }
-    }
-    return services;
-}
-
 /// Lets the tasks of a job that do not run yet run on workers of another service.
 void workflow_state::move_job(job_record& job, const std::string& service)
 {
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -256,7 +256,6 @@
     // jobs of queues whose terms change
     void follow_terms(job_record& job, const queue_terms& newest);
     void update_moved_jobs(time_point time);
-    [[nodiscard]] std::set<std::string> usable_services(time_point time) const;
     void move_job(job_record& job, const std::string& service);
     void drop_reservations(const job_record& job);
 
