--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -79,7 +79,7 @@
     /// Handles a version of the operators' configuration; has no effect unless it is newer than the
     /// last one. The open jobs of its queues run where and in the order that it says; their targets
     /// and attempts stay those of their acceptance. Complexity: linear in the queues and in the
-    /// open jobs, and in the workers if a queue has got another service.
+    /// open jobs, and if a queue has got another service, in the workers for each kind of task.
     void on_queue_configuration(const queue_configuration& configuration, time_point time);
 
     /// Cancels a job; the answer follows under `token` when the cancellation is stored. A job that
