Ask in one place whether a step has waiting tasks and how many must fit

The choice of a moved job's service had written both questions again: they stood in three other places each (ready queue, admission, queue loads; racks, lending, reasons for waiting). job_record::has_waiting_tasks() and ready_step::needed_places() answer them now. No behaviour changes.

--- a/flamingoseam/workflow/job_record.hpp
+++ b/flamingoseam/workflow/job_record.hpp
@@ -166,6 +166,13 @@
     /// Checks whether all predecessors of `step` have finished. Complexity: linear in the
     /// predecessors.
     [[nodiscard]] bool are_predecessors_done(std::size_t step) const;
+
+    /// Checks whether the turn of `step` has come and no worker runs some of its tasks. Complexity:
+    /// linear in the predecessors.
+    [[nodiscard]] bool has_waiting_tasks(std::size_t step) const
+    {
+        return steps[step].waiting() > 0 && are_predecessors_done(step);
+    }
 };
 
 /// Creates the records of the steps, with every task in `phase`.
--- a/flamingoseam/workflow/ready_queue.cpp
+++ b/flamingoseam/workflow/ready_queue.cpp
@@ -13,7 +13,7 @@
     const auto& step = job.steps[index];
     const bool gang_is_placed =
         job.spec.steps[index].gang && (step.placed > 0 || step.unlocated > 0 || step.gang_broken);
-    return step.waiting() > 0 && !gang_is_placed && job.are_predecessors_done(index);
+    return !gang_is_placed && job.has_waiting_tasks(index);
 }
 
 } // namespace
--- a/flamingoseam/workflow/work_order.hpp
+++ b/flamingoseam/workflow/work_order.hpp
@@ -18,6 +18,10 @@
     {
         return job->spec.steps[static_cast<std::size_t>(step)];
     }
+
+    /// Returns for how many tasks there has to be room at a time: for all that wait if the step is
+    /// a gang, for one otherwise.
+    [[nodiscard]] int needed_places() const { return spec().gang ? record().waiting() : 1; }
 };
 
 /// Returns how long a job can still wait and complete within its target time. The result is
--- a/flamingoseam/workflow/workflow_admission.cpp
+++ b/flamingoseam/workflow/workflow_admission.cpp
@@ -115,7 +115,7 @@
         for (std::size_t index = 0; index < job->steps.size(); ++index) {
             const int waiting = job->steps[index].waiting();
             const bool is_gang = job->spec.steps[index].gang;
-            if (waiting > 0 && !is_gang && job->are_predecessors_done(index)) {
+            if (!is_gang && job->has_waiting_tasks(index)) {
                 admission_.record_waiting(
                     {.service = job->terms.service,
                      .priority = job->terms.priority,
--- a/flamingoseam/workflow/workflow_lending.cpp
+++ b/flamingoseam/workflow/workflow_lending.cpp
@@ -75,7 +75,7 @@
     if (!needs_permission && step.spec().label.empty()) {
         return 0;
     }
-    const int needed = step.spec().gang ? step.record().waiting() : 1;
+    const int needed = step.needed_places();
     int places = 0;
     for (std::size_t worker = 0; worker < fleet_.size() && places < needed; ++worker) {
         if (!can_run(step, worker, time)) {
--- a/flamingoseam/workflow/workflow_queue_load.cpp
+++ b/flamingoseam/workflow/workflow_queue_load.cpp
@@ -39,7 +39,7 @@
     for (const auto& [sequence, job] : open_) {
         for (std::size_t step = 0; step < job->steps.size(); ++step) {
             const auto& record = job->steps[step];
-            if (record.waiting() == 0 || !job->are_predecessors_done(step)) {
+            if (!job->has_waiting_tasks(step)) {
                 continue;
             }
             auto& load = load_of(*job);
--- a/flamingoseam/workflow/workflow_queues.cpp
+++ b/flamingoseam/workflow/workflow_queues.cpp
@@ -9,18 +9,16 @@
 
 /// Checks whether a service could run a step of a job that waits, or has any usable worker if no
 /// step waits.
-bool can_continue(const job_record& job, const std::string& service, service_places& places)
+bool can_continue(job_record& job, const std::string& service, service_places& places)
 {
     bool waits = false;
     for (std::size_t index = 0; index < job.steps.size(); ++index) {
-        const int waiting = job.steps[index].waiting();
-        if (waiting == 0 || !job.are_predecessors_done(index)) {
+        if (!job.has_waiting_tasks(index)) {
             continue;
         }
         waits = true;
-        const auto& spec = job.spec.steps[index];
-        const int needed = spec.gang ? waiting : 1;
-        if (places.count(service, spec) >= needed) {
+        const ready_step step{&job, static_cast<int>(index)};
+        if (places.count(service, step.spec()) >= step.needed_places()) {
             return true;
         }
     }
--- a/flamingoseam/workflow/workflow_racks.cpp
+++ b/flamingoseam/workflow/workflow_racks.cpp
@@ -40,7 +40,7 @@
 /// Checks whether some rack that a step wants could run it if no other tasks ran there.
 bool workflow_state::has_suitable_rack(const ready_step& step, time_point time)
 {
-    const int needed = step.spec().gang ? step.record().waiting() : 1;
+    const int needed = step.needed_places();
     const auto& preferred = step.spec().preferred_rack;
     if (!preferred.empty()) {
         const auto found = fleet_.racks().find(preferred);
--- a/flamingoseam/workflow/workflow_waiting.cpp
+++ b/flamingoseam/workflow/workflow_waiting.cpp
@@ -87,7 +87,7 @@
     const auto& job = *step.job;
     const auto& record = step.record();
     const auto& permission = record.permission;
-    const int needed = step.spec().gang ? record.waiting() : 1;
+    const int needed = step.needed_places();
     if (!job.spec_stored) {
         return {"the job is not stored"};
     }
