--- a/flamingoseam/workflow/rack_wait_test.cpp
+++ b/flamingoseam/workflow/rack_wait_test.cpp
@@ -19,6 +19,8 @@
 /// after this time.
 constexpr milliseconds max_wait_with_room{3'000};
 constexpr milliseconds long_estimate{15'000};
+/// A step is reported 5 s after its job has begun to wait, and at the next report of steps.
+constexpr milliseconds latest_wait_report{8'000};
 
 worker_entry worker_in(const std::string& id, const std::string& rack)
 {
@@ -88,6 +90,19 @@
         }
     }
 
+    /// Returns what the first report on a waiting step says, nothing if none comes for a time.
+    std::string first_wait_report()
+    {
+        for (const auto end = driver.time + latest_wait_report; driver.time < end;) {
+            for (const auto& decision : driver.next(pass).decisions) {
+                if (decision.event == "step_waits") {
+                    return decision.detail;
+                }
+            }
+        }
+        return {};
+    }
+
     /// Returns the starts of the first pass with any, none if there are none for a time.
     std::vector<start_order> starts_within(milliseconds limit)
     {
@@ -241,6 +256,29 @@
     }
 }
 
+// Guards against a wait whose report does not tell what the step waits for.
+TEST_CASE("a step that waits for a rack is reported with it")
+{
+    rack_cell cell(two_racks());
+    cell.fill("near", 2);
+    cell.fill("far", 6); // More than half of the service.
+
+    SECTION("that it prefers")
+    {
+        cell.driver.submit(cell.near_job());
+        CHECK(cell.first_wait_report() == "step 0: no room in its preferred rack near");
+    }
+    SECTION("that its gang needs, whichever it is")
+    {
+        auto gang = cell.driver.job(job_id, 8'000, 10);
+        gang.steps[0].estimate = long_estimate;
+        gang.steps[0].gang = true;
+        gang.steps[0].same_rack = true;
+        cell.driver.submit(gang);
+        CHECK(cell.first_wait_report() == "step 0: no room in a single rack");
+    }
+}
+
 // Guards against LOST: a rack was full of long work, while all other workers were idle.
 TEST_CASE("a job doesn't wait for long for a full rack while other workers are idle")
 {
