Log which tasks an owner finds nowhere, and which kinds of lines are lost

In the users' record a node starts a task, but no line of it names the job. A start is never decided without a line, so lines were lost or cut, and nothing told which.

lines_left_out now states the number of lost lines for each kind of event. tasks_not_found names each loaded step whose tasks are started again because no report showed them, and placed has the number of the first run, which tells the owner's epoch.

--- a/flamingoseam/log/event_log.cpp
+++ b/flamingoseam/log/event_log.cpp
@@ -59,6 +59,7 @@
     const std::lock_guard lock(mutex_);
     if (pending_.size() + line.size() > options_.max_pending_bytes) {
         ++dropped_lines_;
+        ++unreported_lines_[event.event];
         return;
     }
     const bool was_empty = pending_.empty();
@@ -84,14 +85,20 @@
 
 void event_log::append_dropped_lines(std::string& text)
 {
-    if (dropped_lines_ != reported_dropped_lines_) {
-        const auto count = dropped_lines_ - reported_dropped_lines_;
-        text += to_line(options_, {.event = "lines_left_out",
-                                   .request = {},
-                                   .detail = std::to_string(count) +
-                                             " lines were dropped because the buffer was full"});
-        reported_dropped_lines_ = dropped_lines_;
+    if (unreported_lines_.empty()) {
+        return;
+    }
+    std::int64_t count = 0;
+    std::string events;
+    for (const auto& [event, lines] : std::exchange(unreported_lines_, {})) {
+        count += lines;
+        events += (events.empty() ? "" : ", ") + std::to_string(lines) + " " + event;
     }
+    text +=
+        to_line(options_, {.event = "lines_left_out",
+                           .request = {},
+                           .detail = std::to_string(count) +
+                                     " lines were dropped because the buffer was full: " + events});
 }
 
 std::string event_log::take_pending()
--- a/flamingoseam/log/event_log.hpp
+++ b/flamingoseam/log/event_log.hpp
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <mutex>
 #include <string>
 
@@ -28,8 +29,8 @@
 };
 
 /// Writes events as JSON lines from its own thread, so that a reader that stops reading blocks only
-/// the log. Lines that do not fit into the buffer are dropped, and a later line states their
-/// number.
+/// the log. Lines that do not fit into the buffer are dropped, and a later line states their number
+/// for each kind of event.
 class event_log {
 public:
     /// Throws resource_error if the system has no thread left.
@@ -63,7 +64,8 @@
     std::condition_variable changed_;
     std::string pending_;
     std::uint64_t dropped_lines_ = 0;
-    std::uint64_t reported_dropped_lines_ = 0;
+    /// Dropped lines that no line has stated yet, by the name of the event.
+    std::map<std::string, std::int64_t> unreported_lines_;
     bool stopping_ = false;
     service_thread thread_;
 };
--- a/flamingoseam/log/event_log_test.cpp
+++ b/flamingoseam/log/event_log_test.cpp
@@ -109,6 +109,7 @@
             return std::string();
         }();
         CHECK(text.find("lines_left_out") != std::string::npos);
+        CHECK(text.find(" placed\"") != std::string::npos); // The kind of event.
     }
 }
 
--- a/flamingoseam/workflow/workflow_schedule.cpp
+++ b/flamingoseam/workflow/workflow_schedule.cpp
@@ -271,7 +271,8 @@
             actions_.first_starts.push_back({step.job->terms.priority, age});
         }
         const auto list_age = std::chrono::duration_cast<milliseconds>(worker_list_age(time));
-        std::vector<log_field> fields{{"worker_list_ms", list_age.count()}};
+        std::vector<log_field> fields{{"worker_list_ms", list_age.count()},
+                                      {"first_run", actions_.starts.end()[-tasks].name.run}};
         if (const auto left = shortest_ticket(step, tasks, time)) {
             fields.push_back({"ticket_left_ms", left->count()});
             fields.push_back({"permission_calls", step.record().permission.calls});
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -321,6 +321,7 @@
 
     // load of queues
     queue_load& load_of(const job_record& job);
+    void release_unlocated(job_record& job, int step);
     void record_run_time(std::size_t worker, const ended_run& end, time_point time);
 
     // placing
--- a/flamingoseam/workflow/workflow_takeover.cpp
+++ b/flamingoseam/workflow/workflow_takeover.cpp
@@ -132,18 +132,7 @@
 {
     for (const auto& [sequence, job] : open_) {
         for (int step = 0; step < static_cast<int>(job->steps.size()); ++step) {
-            auto& record = job->steps[static_cast<std::size_t>(step)];
-            if (record.unlocated == 0) {
-                continue;
-            }
-            for (int index = 0; index < static_cast<int>(record.tasks.size()); ++index) {
-                if (record.tasks[static_cast<std::size_t>(index)].phase == task_phase::unlocated) {
-                    set_task_phase(*job, step, index, task_phase::waiting);
-                }
-            }
-            if (record.gang_run != 0) {
-                break_gang(*job, step);
-            }
+            release_unlocated(*job, step);
         }
     }
     log_decision("recovered", "", std::to_string(open_.size()) + " open jobs");
@@ -151,3 +140,25 @@
 }
 
 } // namespace flamingoseam::workflow
+/// Lets the tasks of a loaded step wait that run nowhere and whose end is not known.
+void workflow_state::release_unlocated(job_record& job, int step)
+{
+    auto& record = job.steps[static_cast<std::size_t>(step)];
+    if (record.unlocated == 0) {
+        return;
+    }
+    if (job.has_begun) {
+        log_decision("tasks_not_found", job.spec.id,
+                     "step " + std::to_string(step) + ": " + std::to_string(record.unlocated) +
+                         " tasks neither run nor have ended");
+    }
+    for (int index = 0; index < static_cast<int>(record.tasks.size()); ++index) {
+        if (record.tasks[static_cast<std::size_t>(index)].phase == task_phase::unlocated) {
+            set_task_phase(job, step, index, task_phase::waiting);
+        }
+    }
+    if (record.gang_run != 0) {
+        break_gang(job, step);
+    }
+}
+
