Bound the renewals of all earlier owners, not only of the one that is asked

A task is started by a new owner after its run has ended as done, which is noted later.

Cause: a replaced owner that is asked to stop answered that it had, and that those before it start nothing more. The new owner took that for the end of all renewals of leases. Two takeovers in a row are enough: the third owner took the first one's workers for empty a lease after its own begin, while their leases ran. Besides, an owner whose node said that it had stopped went on renewing until its control thread had ended the sessions.

The answer now has the time after which no earlier owner renews leases, as far as the replaced one knows it, so that no wait is added where it is known. An owner that ends renews nothing.

--- a/flamingoseam/node/coordinator.capnp
+++ b/flamingoseam/node/coordinator.capnp
@@ -74,6 +74,8 @@
   lendWorkers @7 (shard :UInt32, service :Text, workers :UInt32, demand :Float64, desired :Float64)
       -> (workers :UInt32);
   # Tells the callee that another node has replaced the owner of this epoch. `stopped` is true when
-  # that owner was one of the callee and neither it nor an earlier one acts any more.
-  stopOwner @8 (epoch :UInt64) -> (stopped :Bool);
+  # that owner was one of the callee, has stopped, and no earlier one starts runs any more.
+  # `renewalsLeftMs` is the time after which no earlier one extends leases any more, -1 if it is not
+  # known.
+  stopOwner @8 (epoch :UInt64) -> (stopped :Bool, renewalsLeftMs :Int64 = -1);
 }
--- a/flamingoseam/node/coordinator.capnp.h
+++ b/flamingoseam/node/coordinator.capnp.h
@@ -423,7 +423,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(de6cf2c14b92e34a, 1, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(de6cf2c14b92e34a, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2557,6 +2557,8 @@
 
   inline bool getStopped() const;
 
+  inline  ::int64_t getRenewalsLeftMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2588,6 +2590,9 @@
   inline bool getStopped();
   inline void setStopped(bool value);
 
+  inline  ::int64_t getRenewalsLeftMs();
+  inline void setRenewalsLeftMs( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4066,6 +4071,20 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t Coordinator::StopOwnerResults::Reader::getRenewalsLeftMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, -1ll);
+}
+
+inline  ::int64_t Coordinator::StopOwnerResults::Builder::getRenewalsLeftMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, -1ll);
+}
+inline void Coordinator::StopOwnerResults::Builder::setRenewalsLeftMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value, -1ll);
+}
+
 }  // namespace
 }  // namespace
 
--- a/flamingoseam/node/coordinator_rpc.cpp
+++ b/flamingoseam/node/coordinator_rpc.cpp
@@ -11,6 +11,24 @@
 
 namespace {
 
+constexpr milliseconds unknown_time_left{-1};
+/// By which the clocks of two machines may advance at different rates.
+constexpr double max_clock_ratio = 1.05;
+
+milliseconds time_left(std::optional<time_point> end)
+{
+    return end ? std::max(milliseconds(0), std::chrono::ceil<milliseconds>(*end - now()))
+               : unknown_time_left;
+}
+
+/// Returns a time that is not earlier than the one of which another machine has said that this is
+/// left until then.
+std::optional<time_point> end_after(milliseconds left)
+{
+    return left < milliseconds(0) ? std::nullopt
+                                  : std::optional(now() + scaled(left, max_clock_ratio));
+}
+
 constexpr std::array all_verdicts = {owner_verdict::accepted, owner_verdict::refused,
                                      owner_verdict::not_found, owner_verdict::no_owner,
                                      owner_verdict::unknown};
@@ -199,8 +217,13 @@
     kj::Promise<void> stopOwner(StopOwnerContext context) override
     {
         const auto epoch = context.getParams().getEpoch();
-        return detail::promise_of<bool>([&](auto reply) { service_.stop_owner(epoch, reply); })
-            .then([context](bool stopped) mutable { context.getResults().setStopped(stopped); });
+        return detail::promise_of<stop_confirmation>(
+                   [&](auto reply) { service_.stop_owner(epoch, reply); })
+            .then([context](const stop_confirmation& confirmation) mutable {
+                context.getResults().setStopped(confirmation.has_stopped);
+                context.getResults().setRenewalsLeftMs(
+                    time_left(confirmation.renewals_end).count());
+            });
     }
 
     kj::Promise<void> lendWorkers(LendWorkersContext context) override
@@ -376,14 +399,19 @@
         true);
 }
 
-bool coordinator_client::stop_owner(const endpoint& node, std::uint64_t epoch, milliseconds timeout)
+stop_confirmation coordinator_client::stop_owner(const endpoint& node, std::uint64_t epoch,
+                                                 milliseconds timeout)
 {
-    return impl_->call<bool>(
+    return impl_->call<stop_confirmation>(
         node, timeout,
         [&](rpc::Coordinator::Client& client) {
             auto message = client.stopOwnerRequest();
             message.setEpoch(epoch);
-            return message.send().then([](auto response) { return response.getStopped(); });
+            return message.send().then([](auto response) {
+                return stop_confirmation{.has_stopped = response.getStopped(),
+                                         .renewals_end =
+                                             end_after(milliseconds(response.getRenewalsLeftMs()))};
+            });
         },
         true);
 }
--- a/flamingoseam/node/coordinator_rpc.hpp
+++ b/flamingoseam/node/coordinator_rpc.hpp
@@ -40,9 +40,9 @@
     /// Asks the node whether the owner of this epoch has refused its connections as well.
     bool confirms_owner_gone(const endpoint& node, std::uint64_t epoch, milliseconds timeout);
 
-    /// Tells the node that the owner of this epoch has been replaced. Returns whether it was an
-    /// owner of that node and neither it nor an earlier one acts any more.
-    bool stop_owner(const endpoint& node, std::uint64_t epoch, milliseconds timeout);
+    /// Tells the node that the owner of this epoch has been replaced. Returns what that owner says
+    /// if it was one of that node.
+    stop_confirmation stop_owner(const endpoint& node, std::uint64_t epoch, milliseconds timeout);
 
     /// Asks the owner of another shard for workers. Returns how many it gives.
     std::size_t lend_workers(const endpoint& owner, const workflow::worker_request& request,
--- a/flamingoseam/node/coordinator_rpc_test.cpp
+++ b/flamingoseam/node/coordinator_rpc_test.cpp
@@ -56,15 +56,16 @@
         reply(7);
     }
 
-    void stop_owner(std::uint64_t epoch, flag_reply reply) override
+    void stop_owner(std::uint64_t epoch, stop_reply reply) override
     {
-        reply(epoch == stopped_epoch);
+        reply({.has_stopped = epoch == stopped_epoch, .renewals_end = renewals_end});
     }
 
     static constexpr std::uint64_t stopped_epoch = 15; ///< Of an owner that has stopped.
     static constexpr std::uint64_t failing_epoch = 13; ///< Throws.
     static constexpr std::uint64_t waiting_epoch = 14; ///< Is not answered.
 
+    std::optional<time_point> renewals_end;
     flag_reply kept_reply;
     workflow::permission_request last_request;
     workflow::worker_request last_worker_request;
@@ -162,8 +163,24 @@
     recording_service service;
     const coordinator_server server(own_address(), service);
     coordinator_client client;
-    CHECK(client.stop_owner(own_address(), recording_service::stopped_epoch, milliseconds(2'000)));
-    CHECK_FALSE(client.stop_owner(own_address(), 1, milliseconds(2'000)));
+    const auto ask = [&client](std::uint64_t epoch) {
+        return client.stop_owner(own_address(), epoch, milliseconds(2'000));
+    };
+    CHECK(ask(recording_service::stopped_epoch).has_stopped);
+    CHECK_FALSE(ask(recording_service::stopped_epoch).renewals_end);
+    CHECK_FALSE(ask(1).has_stopped);
+
+    service.renewals_end = now() - milliseconds(100);
+    const auto asked = now();
+    const auto past = ask(recording_service::stopped_epoch).renewals_end;
+    REQUIRE(past);
+    CHECK(*past >= asked);
+    CHECK(*past <= now());
+    service.renewals_end = now() + std::chrono::seconds(10);
+    const auto future = ask(recording_service::stopped_epoch).renewals_end;
+    REQUIRE(future);
+    CHECK(*future >= *service.renewals_end); // The clocks may advance at different rates.
+    CHECK(*future <= now() + std::chrono::seconds(11));
 }
 
 TEST_CASE("a server without a file descriptor for a node's connection accepts it later")
--- a/flamingoseam/node/job_owner.cpp
+++ b/flamingoseam/node/job_owner.cpp
@@ -363,7 +363,7 @@
 
 bool job_owner::may_renew() const
 {
-    return !acts_no_more_ && (is_certain() || boot_now() < renewals_end_.load());
+    return !ending_ && !acts_no_more_ && (is_certain() || boot_now() < renewals_end_.load());
 }
 
 void job_owner::on_store_unreachable()
@@ -431,7 +431,7 @@
     update_renewals_end(started, boot_started);
     update_earlier_owner(started);
     bound_earlier_renewals(started);
-    if (started >= earlier_renewals_end_) {
+    if (started >= earlier_renewals_end_.load()) {
         state_.on_earlier_renewals_ended();
     }
     const auto passes = state_.counts().passes;
@@ -519,29 +519,30 @@
 /// Finds out when an earlier owner that may still be running stops renewing leases.
 void job_owner::bound_earlier_renewals(time_point time)
 {
-    if (earlier_stopped_ && earlier_renewals_end_ > time) {
-        set_earlier_renewals_end(time, time);
-    } else if (earlier_renewals_end_ != time_point::max()) {
+    const auto known_end = earlier_renewals_end_.load();
+    if (confirmed_renewals_end_ < known_end) {
+        set_earlier_renewals_end(confirmed_renewals_end_, time, "the earlier owner has said so");
+    } else if (known_end != time_point::max()) {
         return;
     } else if (state_.has_majority_accepted()) {
-        set_earlier_renewals_end(time + earlier_certainty_ + renewals_after_answers, time);
+        set_earlier_renewals_end(time + earlier_certainty_ + renewals_after_answers, time,
+                                 "a majority of the workers has accepted this owner");
     } else if (time >= earlier_renewals_limit_) {
-        set_earlier_renewals_end(time, time);
+        set_earlier_renewals_end(time, time, "none renews for longer without the store");
     }
 }
 
-/// Passes on when an earlier owner stops renewing leases.
-void job_owner::set_earlier_renewals_end(time_point end, time_point time)
+/// Passes on when the earlier owners stop renewing leases.
+void job_owner::set_earlier_renewals_end(time_point end, time_point time, const std::string& reason)
 {
     earlier_renewals_end_ = end;
     for (const auto& [worker, session] : sessions_) {
-        session->set_earlier_renewals_end(earlier_renewals_end_);
+        session->set_earlier_renewals_end(end);
     }
     dependencies_.log->write(
         {.event = "earlier_renewals_bounded",
          .request = {},
-         .detail = "epoch " + std::to_string(epoch_) +
-                   (earlier_stopped_ ? ", the earlier owner has stopped" : ""),
+         .detail = "epoch " + std::to_string(epoch_) + ", " + reason,
          .fields = {{"end_in_ms", std::chrono::ceil<milliseconds>(end - time).count()}}});
 }
 
--- a/flamingoseam/node/job_owner.hpp
+++ b/flamingoseam/node/job_owner.hpp
@@ -108,8 +108,13 @@
     /// Makes this owner act no more, since another one has taken over. Thread-safe.
     void report_superseded();
 
-    /// Records that no earlier owner of the shard acts any more.
-    void confirm_earlier_stopped();
+    /// Records that no earlier owner of the shard starts runs any more, and when the last of them
+    /// stops extending leases, if that is known.
+    void confirm_earlier_stopped(std::optional<time_point> renewals_end = std::nullopt);
+
+    /// Returns whether this owner, which must have been told to, and those before it have stopped.
+    /// Thread-safe.
+    [[nodiscard]] stop_confirmation confirm_stop() const;
 
     /// Checks whether it is certain that no earlier owner of the shard starts runs any more.
     /// Thread-safe.
@@ -148,7 +153,7 @@
     void report_certainty(bool is_certain, time_point time);
     void update_renewals_end(time_point time, time_point boot_time);
     void bound_earlier_renewals(time_point time);
-    void set_earlier_renewals_end(time_point end, time_point time);
+    void set_earlier_renewals_end(time_point end, time_point time, const std::string& reason);
     void update_earlier_owner(time_point time);
     void dispatch(workflow::workflow_actions actions);
     void answer(const workflow::caller_answer& call_result);
@@ -216,9 +221,10 @@
     /// Latest time at which an earlier owner stops renewing leases, if too few workers show that it
     /// does; used by the control thread only.
     time_point earlier_renewals_limit_;
-    /// When the earlier owner stops renewing leases; time_point::max() while that is not known.
-    /// Used by the control thread only.
-    time_point earlier_renewals_end_;
+    /// When the earlier owners stop renewing leases; time_point::max() while that is not known.
+    std::atomic<time_point> earlier_renewals_end_;
+    /// The same as the owner before this one has said; used by the control thread only.
+    time_point confirmed_renewals_end_ = time_point::max();
     std::atomic<bool> ending_{false};
     /// Another owner has taken over, or an error has left the decisions incomplete.
     std::atomic<bool> acts_no_more_{false};
--- a/flamingoseam/node/job_owner_ownership.cpp
+++ b/flamingoseam/node/job_owner_ownership.cpp
@@ -66,9 +66,22 @@
     }
 }
 
-void job_owner::confirm_earlier_stopped()
+void job_owner::confirm_earlier_stopped(std::optional<time_point> renewals_end)
 {
-    post_decision([this] { earlier_stopped_ = true; });
+    post_decision([this, renewals_end] {
+        earlier_stopped_ = true;
+        confirmed_renewals_end_ =
+            std::min(confirmed_renewals_end_, renewals_end.value_or(time_point::max()));
+    });
+}
+
+stop_confirmation job_owner::confirm_stop() const
+{
+    const bool has_stopped = acts_no_more_ || ending_;
+    const auto renewals_end = earlier_renewals_end_.load();
+    return {.has_stopped = has_stopped && earlier_ended_,
+            .renewals_end =
+                renewals_end == time_point::max() ? std::nullopt : std::optional(renewals_end)};
 }
 
 /// Lets the tasks that an earlier owner knew be started once that owner starts none any more.
--- a/flamingoseam/node/job_owner_test.cpp
+++ b/flamingoseam/node/job_owner_test.cpp
@@ -783,3 +783,98 @@
     CHECK(shared.records.single_reads - reads >= 2);
     CHECK(shared.records.single_reads - reads <= seconds);
 }
+
+namespace {
+
+/// Asks an earlier owner to stop, as the node of a later one does.
+void ask_to_stop(owner_process& earlier, owner_process& later)
+{
+    earlier.owner->report_superseded();
+    if (earlier.owner->have_earlier_ended()) {
+        later.owner->confirm_earlier_stopped();
+    }
+}
+
+/// Lets the runs on the last two workers, which only an earlier owner reaches, end as done under a
+/// lease that it renews. The later owner reaches these workers after it had time to take them for
+/// empty.
+void finish_behind_later_owner(cell& shared, owner_process& later)
+{
+    std::this_thread::sleep_for(100ms);
+    shared.workers[1].finish_all();
+    shared.workers[2].finish_all();
+    std::this_thread::sleep_for(3 * shared.max_lease);
+    later.reaches[1] = true;
+    later.reaches[2] = true;
+    CHECK(wait_until([&] {
+        return std::ranges::all_of(shared.workers,
+                                   [](auto& worker) { return worker.unacknowledged_ends() == 0; });
+    }));
+}
+
+/// Checks that no task has been started again, although no lease has lapsed.
+void check_each_done_once(cell& shared, std::size_t tasks)
+{
+    const auto runs = all_runs(shared);
+    CHECK(runs.size() == tasks);
+    CHECK(std::ranges::all_of(
+        runs, [](const auto& run) { return run.done || run.token / tokens_per_epoch > 1; }));
+}
+
+} // namespace
+
+// Guards against a second run of a task: the word of the owner between them was taken for that of
+// the first owner, which still renewed the lease of a worker that both later ones did not reach.
+TEST_CASE("the stop of an owner says nothing of the leases that an earlier one still renews")
+{
+    cell shared(1'000ms);
+    owner_process first(shared, 0, all);
+    first.submit("job", 6);
+    REQUIRE(wait_until([&] { return count_begun(shared) == 6; }));
+    cut_off_from_store(first);
+    first.reaches[0] = false;
+
+    owner_process second(shared, 1, 1, {}, 100ms);
+    shared.workers[0].finish_all();
+    REQUIRE(wait_until([&] {
+        return shared.workers[0].unacknowledged_ends() == 0 && second.owner->have_earlier_ended();
+    }));
+    owner_process third(shared, 2, 1, {}, 60s);
+    SECTION("if it stops when it is asked to")
+    {
+        ask_to_stop(second, third);
+    }
+    SECTION("if it has stopped before")
+    {
+        second.owner->request_stop();
+        ask_to_stop(second, third);
+    }
+    finish_behind_later_owner(shared, third);
+    check_each_done_once(shared, 6);
+}
+
+// Guards against a second run of a task: an owner said that it had stopped before its sessions did.
+TEST_CASE("an owner that has stopped renews no lease, even if its decisions take long")
+{
+    cell shared;
+    owner_process earlier(shared, 0, all);
+    earlier.submit("job", 6);
+    REQUIRE(wait_until([&] { return count_begun(shared) == 6; }));
+
+    std::promise<void> decided;
+    earlier.owner->find("job",
+                        [end = decided.get_future().share()](const owner_answer&) { end.wait(); });
+    earlier.reaches[0] = false;
+    owner_process later(shared, 1, 1, {}, 60s);
+    shared.workers[0].finish_all();
+    earlier.is_certain = false;
+    earlier.owner->request_stop();
+    REQUIRE(earlier.owner->have_earlier_ended());
+    later.owner->confirm_earlier_stopped();
+    std::this_thread::sleep_for(4 * worker_lease);
+    const auto runs = all_runs(shared);
+    CHECK(std::ranges::all_of(
+        runs, [](const auto& run) { return run.ended || run.token / tokens_per_epoch == 2; }));
+    CHECK(count_concurrent(shared) == 0);
+    decided.set_value();
+}
--- a/flamingoseam/node/job_owner_workers.cpp
+++ b/flamingoseam/node/job_owner_workers.cpp
@@ -223,7 +223,7 @@
 time_point job_owner::earlier_renewals_end_of(const workflow::fleet_worker& worker) const
 {
     const auto own_end = worker.unreachable ? worker.silent_since : now();
-    return worker.silence_loaded ? own_end : std::max(own_end, earlier_renewals_end_);
+    return worker.silence_loaded ? own_end : std::max(own_end, earlier_renewals_end_.load());
 }
 
 void job_owner::drop_finished_sessions()
--- a/flamingoseam/node/node.hpp
+++ b/flamingoseam/node/node.hpp
@@ -106,7 +106,7 @@
     void offer_ownership(const ownership_offer& offer, flag_reply reply) override;
     void confirm_owner_gone(std::uint64_t epoch, flag_reply reply) override;
     void lend_workers(const workflow::worker_request& request, count_reply reply) override;
-    void stop_owner(std::uint64_t epoch, flag_reply reply) override;
+    void stop_owner(std::uint64_t epoch, stop_reply reply) override;
 
 private:
     /// Events that the election thread has to handle.
@@ -153,7 +153,7 @@
     void refresh_queues();
     void begin_ownership(const claimed_head& claimed, const membership_view& earlier);
     void confirm_stop_of_earlier_owner(const membership_view& view);
-    bool asks_owner_to_stop(const owner_record& earlier);
+    stop_confirmation ask_owner_to_stop(const owner_record& earlier);
     bool hand_over_to_member(time_point handover_end);
     void stop_local_owner();
     void destroy_in_background(job_owner* owner);
@@ -198,8 +198,9 @@
     /// there is none.
     std::uint64_t failed_epoch_ = 0;
     /// Epoch of the newest owner of this process that has stopped and was certain that no earlier
-    /// one acted any more; 0 if none.
+    /// one started runs any more; 0 if none.
     std::uint64_t stopped_epoch_ = 0;
+    stop_confirmation stopped_; ///< What that owner says.
     bool view_changed_ = false;
     std::uint64_t change_count_ = 0; ///< Number of events that may have changed the owner.
     owner_suspicion suspicion_;
--- a/flamingoseam/node/node_election.cpp
+++ b/flamingoseam/node/node_election.cpp
@@ -496,13 +496,13 @@
     background_tasks_.run([this, earlier = *view.owner, waiting = std::weak_ptr(owner),
                            end = now() + max_earlier_certainty] {
         while (now() < end) {
-            const bool has_stopped = asks_owner_to_stop(earlier);
+            const auto confirmation = ask_owner_to_stop(earlier);
             const auto later = waiting.lock();
             if (!later || later->have_earlier_ended()) {
                 return;
             }
-            if (has_stopped) {
-                later->confirm_earlier_stopped();
+            if (confirmation.has_stopped) {
+                later->confirm_earlier_stopped(confirmation.renewals_end);
                 return;
             }
             std::this_thread::sleep_for(stop_retry_delay);
@@ -510,31 +510,33 @@
     });
 }
 
-/// Asks a replaced owner to stop. Returns whether it has, and all earlier ones, too.
-bool node::asks_owner_to_stop(const owner_record& earlier)
+/// Asks a replaced owner to stop, and returns what it says; that it has not if it doesn't answer.
+stop_confirmation node::ask_owner_to_stop(const owner_record& earlier)
 {
     try {
         return client_.stop_owner(earlier.owner.address, earlier.epoch, stop_timeout);
     } catch (const transport_error& cause) {
         LOG_EVERY_N(WARNING, 10) << "can't ask a replaced owner to stop: " << cause.what();
-        return false;
+        return {};
     }
 }
 
-void node::stop_owner(std::uint64_t epoch, flag_reply reply)
+void node::stop_owner(std::uint64_t epoch, stop_reply reply)
 {
     std::shared_ptr<job_owner> owner;
-    bool has_stopped = false;
+    stop_confirmation confirmation;
     {
         const std::lock_guard lock(mutex_);
         owner = owner_;
-        has_stopped = stopped_epoch_ == epoch;
+        if (stopped_epoch_ == epoch) {
+            confirmation = stopped_;
+        }
     }
     if (owner && owner->epoch() == epoch) {
         owner->report_superseded();
-        has_stopped = owner->have_earlier_ended();
+        confirmation = owner->confirm_stop();
     }
-    reply(has_stopped);
+    reply(confirmation);
 }
 
 /// Reads the newest configuration of the queues. An owner that can't begins with the known one, and
@@ -642,9 +644,11 @@
         return;
     }
     dropped->request_stop();
-    if (dropped->have_earlier_ended()) {
-        const std::lock_guard lock(mutex_);
-        stopped_epoch_ = std::max(stopped_epoch_, dropped->epoch());
+    const auto confirmation = dropped->confirm_stop();
+    const std::lock_guard lock(mutex_);
+    if (confirmation.has_stopped && dropped->epoch() > stopped_epoch_) {
+        stopped_epoch_ = dropped->epoch();
+        stopped_ = confirmation;
     }
 }
 
--- a/flamingoseam/node/owner_service.hpp
+++ b/flamingoseam/node/owner_service.hpp
@@ -5,6 +5,7 @@
 #include "flamingoseam/workflow/worker_lending.hpp"
 
 #include <functional>
+#include <optional>
 #include <string>
 
 namespace flamingoseam::node {
@@ -40,12 +41,21 @@
     ///< the store.
 };
 
+/// What a replaced owner says of itself and of the owners before it.
+struct stop_confirmation {
+    bool has_stopped =
+        false; ///< None of them starts runs any more, nor does it itself extend leases.
+    /// When the owners before it stop extending leases, too; none if that is not known.
+    std::optional<time_point> renewals_end = std::nullopt;
+};
+
 /// The calls that the owner of the jobs answers, and those that any node answers for other nodes.
 /// Reply callbacks may be called from any thread.
 class owner_service {
 public:
     using owner_reply = std::function<void(owner_answer)>;
     using flag_reply = std::function<void(bool)>;
+    using stop_reply = std::function<void(stop_confirmation)>;
     using count_reply = std::function<void(std::size_t)>;
     using permission_reply = std::function<void(std::optional<permission_answer>)>;
 
@@ -69,8 +79,8 @@
     virtual void lend_workers(const workflow::worker_request& request, count_reply reply) = 0;
 
     /// Stops the owner of this epoch, which another node has replaced, if it is one of this
-    /// process. Replies whether it was and neither it nor an earlier one acts any more.
-    virtual void stop_owner(std::uint64_t epoch, flag_reply reply) = 0;
+    /// process. Replies that it hasn't stopped if it is none.
+    virtual void stop_owner(std::uint64_t epoch, stop_reply reply) = 0;
 };
 
 } // namespace flamingoseam::node
--- a/flamingoseam/node/sharded_node_test.cpp
+++ b/flamingoseam/node/sharded_node_test.cpp
@@ -435,7 +435,7 @@
     REQUIRE(holds_within(std::chrono::seconds(3), [&] { return worker.newest_epoch == 1; }));
     coordinator_client client;
     const auto has_stopped = [&client](std::uint64_t epoch) {
-        return client.stop_owner(own_address(), epoch, std::chrono::seconds(1));
+        return client.stop_owner(own_address(), epoch, std::chrono::seconds(1)).has_stopped;
     };
     CHECK_FALSE(has_stopped(7)); // That was no owner of this process.
     CHECK(has_stopped(1));
