Acknowledge no end that was not read

A healthy owner starts a task over a second after its end as done was noted.

Cause: an owner passed over each end whose number was not above the highest one that it had processed, and acknowledged it with that one. An end that the worker lists late, after one with a higher number, was so discarded unread; its run was missing in two reports, was taken for lost and started again.

That workers list ends so is not shown; the protocol says only that numbers increase.

An end is now known by its number and its run. It is acknowledged once those with all lower numbers are known or two reports lack them. The other tests guard what was examined and holds: workers that restart while they are lent, and lives with falling numbers.

--- a/flamingoseam/node/worker_session.cpp
+++ b/flamingoseam/node/worker_session.cpp
@@ -226,6 +226,8 @@
 {
     const std::lock_guard lock(mutex_);
     report_expected_ = time;
+    listed_end_ = 0;
+    reports_ = 0;
 }
 
 void worker_session::run_orders()
@@ -616,21 +618,35 @@
             clock_.record(answer.clock, now());
         }
     }
-    const auto newest_end =
-        answer.report.ended.empty() ? std::int64_t{0} : answer.report.ended.back().number;
+    const auto awaited_end = end_to_await(answer.report.ended);
     answer.report.asked = asked_;
     answered_asked_ = asked_;
     set_unreachable(false);
     listener_.on_report(options_.id, std::move(answer.report));
     next_poll_ = now();
-    wait_until_stored(newest_end);
+    wait_until_stored(awaited_end);
 }
 
-void worker_session::wait_until_stored(std::int64_t newest_end)
+/// Records the ends in a report, and returns which one is acknowledged as soon as it is stored; 0
+/// if none is, since another report has to show first that none with a lower number is missing.
+std::int64_t worker_session::end_to_await(const std::vector<workflow::ended_run>& ended)
+{
+    std::int64_t newest = 0;
+    for (const auto& end : ended) {
+        newest = std::max(newest, end.number);
+    }
+    const std::lock_guard lock(mutex_);
+    ++reports_;
+    const auto listed_before = std::exchange(listed_end_, newest);
+    const auto count = static_cast<std::int64_t>(ended.size());
+    return newest == forget_up_to_ + count ? newest : std::min(newest, listed_before);
+}
+
+void worker_session::wait_until_stored(std::int64_t end)
 {
     storage_wait_end_ = now() + options_.storage_wait;
     const std::lock_guard lock(mutex_);
-    awaited_end_ = newest_end;
+    awaited_end_ = end;
 }
 
 /// Checks whether the next poll waits for ends to be stored. After that wait it is delayed, so that
--- a/flamingoseam/node/worker_session.hpp
+++ b/flamingoseam/node/worker_session.hpp
@@ -229,7 +229,8 @@
     void handle_lost_poll();
     void record_failed_poll();
     void cancel_poll();
-    void wait_until_stored(std::int64_t newest_end);
+    [[nodiscard]] std::int64_t end_to_await(const std::vector<workflow::ended_run>& ended);
+    void wait_until_stored(std::int64_t end);
     bool is_waiting_for_storage();
     void pause_polls(milliseconds length) { next_poll_ = now() + length; }
     [[nodiscard]] bool has_lease_expired(time_point time) const;
@@ -258,6 +259,8 @@
     std::int64_t awaited_end_ = 0;
 
     bool unreachable_;
+    std::int64_t listed_end_ = 0; ///< Highest number of an end in the last report; 0 if none.
+    int reports_ = 0; ///< How many were received since an incarnation is known to have begun.
     time_point silent_since_; ///< When the worker was last found to be silent.
     bool may_renew_;          ///< No stored record says that the lease is not renewed.
     std::optional<time_point> report_expected_;
--- a/flamingoseam/workflow/fleet.cpp
+++ b/flamingoseam/workflow/fleet.cpp
@@ -125,14 +125,29 @@
         return false;
     }
     end->second = true;
-    bool moved = false;
-    while (!worker_state.unacknowledged_ends.empty() &&
-           worker_state.unacknowledged_ends.begin()->second) {
-        worker_state.forget_up_to = worker_state.unacknowledged_ends.begin()->first;
-        worker_state.unacknowledged_ends.erase(worker_state.unacknowledged_ends.begin());
-        moved = true;
+    return advance_forgotten(worker_state);
+}
+
+bool fleet::settle_ends(std::size_t worker, std::int64_t newest_listed)
+{
+    auto& worker_state = workers_.at(worker);
+    worker_state.settled_end = std::max(worker_state.settled_end, worker_state.listed_end);
+    worker_state.listed_end = newest_listed;
+    return advance_forgotten(worker_state);
+}
+
+/// Lets a worker discard the ends that are stored. An end is kept as long as one with a lower
+/// number may not have been listed yet, which the worker would discard unread.
+bool fleet::advance_forgotten(fleet_worker& worker)
+{
+    bool has_advanced = false;
+    auto& ends = worker.unacknowledged_ends;
+    while (!ends.empty() && ends.begin()->second && worker.is_next_end(ends.begin()->first)) {
+        worker.forget_up_to = std::max(worker.forget_up_to, ends.begin()->first);
+        ends.erase(ends.begin());
+        has_advanced = true;
     }
-    return moved;
+    return has_advanced;
 }
 
 } // namespace flamingoseam::workflow
--- a/flamingoseam/workflow/fleet.hpp
+++ b/flamingoseam/workflow/fleet.hpp
@@ -53,6 +53,7 @@
     std::int64_t listed_incarnation = 0; ///< In the newest list that contained the worker.
     bool reported = false;    ///< The worker has accepted this owner's epoch and reported its runs.
     bool is_emptied = false;  ///< Its runs were taken for lost, and it has not reported since.
+    int complete_reports = 0; ///< Of the present incarnation to this owner.
     bool unreachable = false; ///< The worker does not answer at present.
     /// Since when this owner has not extended its lease: for a loaded silence, since the loading.
     time_point silent_since{};
@@ -73,7 +74,11 @@
     /// Runs whose unanswered start orders were ruled out in this incarnation, and when. Such an
     /// order may still arrive in the next incarnation, which has not received the stop order.
     std::map<run_name, std::pair<assigned_run, time_point>> ruled_out;
-    std::int64_t last_end = 0; ///< Number of the newest end that was processed.
+    std::int64_t newest_end = 0; ///< Highest number of an end that was processed.
+    std::int64_t listed_end = 0; ///< Highest number of an end in the newest report; 0 if none.
+    /// Highest number of an end in a report that another one has followed. Lower numbers that
+    /// neither contained do not exist.
+    std::int64_t settled_end = 0;
     /// Whether the result of an end is stored, by the number of the end.
     std::map<std::int64_t, bool> unacknowledged_ends;
     /// Ends that can't be stored, because the records of their jobs can't be read.
@@ -104,6 +109,27 @@
 
     /// Checks whether the owner holds the worker, which answers and does not leave. Complexity:
     /// constant.
+    /// Checks whether it is certain which runs the worker holds and which have ended: a single
+    /// report may miss a run that is about to end. Complexity: constant.
+    [[nodiscard]] bool is_located() const { return complete_reports >= reports_until_certain; }
+
+    /// Checks whether an end was processed. One of a run that is still assigned was not, whatever
+    /// its number says. Complexity: logarithmic in the runs and in the ends that are not
+    /// acknowledged.
+    [[nodiscard]] bool knows_end(const ended_run& end) const
+    {
+        const bool is_known_number =
+            end.number <= forget_up_to || unacknowledged_ends.contains(end.number);
+        return is_known_number && !runs.contains(end.name);
+    }
+
+    /// Checks whether all ends with lower numbers than one that follows those that may be discarded
+    /// are known. Complexity: constant.
+    [[nodiscard]] bool is_next_end(std::int64_t number) const
+    {
+        return number <= forget_up_to + 1 || number <= settled_end;
+    }
+
     [[nodiscard]] bool is_held() const
     {
         return listed && reported && lease_stored && !unreachable && !silence_stored &&
@@ -179,7 +205,13 @@
 
 private:
     void set_rack(std::size_t worker, const std::string& rack);
+    /// Records the highest number of an end in a complete report of a worker, 0 if it has none, and
+    /// advances the number up to which the worker may discard ends. Returns whether that number has
+    /// changed.
+    bool settle_ends(std::size_t worker, std::int64_t newest_listed);
+
 
+    static bool advance_forgotten(fleet_worker& worker);
     std::vector<fleet_worker> workers_;
     std::unordered_map<std::string, std::size_t> by_id_;
     std::unordered_map<std::string, std::size_t> pools_; ///< Pool numbers by service.
--- a/flamingoseam/workflow/messages.hpp
+++ b/flamingoseam/workflow/messages.hpp
@@ -105,6 +105,10 @@
     time_point asked{};         ///< When the report was requested; its content is at least as new.
 };
 
+/// This many reports must agree that a run is neither present nor ended: a worker may list neither
+/// while the run ends.
+inline constexpr int reports_until_certain = 2;
+
 /// Result of an order to start a run. A refusal does not mean that nothing ran: the connection may
 /// have delivered an earlier copy of the order, whose answer was lost.
 enum class start_outcome {
--- a/flamingoseam/workflow/worker_lending_test.cpp
+++ b/flamingoseam/workflow/worker_lending_test.cpp
@@ -366,6 +366,59 @@
 
 TEST_CASE("a shard asks for workers when a gang is wider than the shard")
 {
+// Guards against a second run of a task: an end with a number that an earlier life of its worker
+// had used as well would be passed over.
+TEST_CASE("the ends of a worker that has restarted at another shard are processed once it is back")
+{
+    lending_state driver;
+    auto& state = driver.state;
+    driver.submit(driver.job("0123456789abcdef", 6'000, 3));
+    for (const auto& start : driver.next().starts) {
+        state.on_start(start.worker, start.name, start_outcome::started, driver.time);
+        state.on_report(start.worker,
+                        {.incarnation = 1, .ended = {{.number = 1, .name = start.name}}},
+                        driver.time, wall);
+    }
+    driver.store();
+    REQUIRE(driver.lend() == 1);
+    const auto worker = driver.next(0ms).released_workers.at(0);
+    driver.store();
+
+    auto returned = driver.list(3);
+    SECTION("which the list shows")
+    {
+        returned.at(worker).incarnation = 2;
+    }
+    SECTION("which the list does not show yet") {}
+    state.on_worker_list(returned, driver.time);
+    const auto report = [&](std::vector<ended_run> ended) {
+        driver.time += 1ms;
+        state.on_report(worker, {.incarnation = 2, .ended = std::move(ended), .asked = driver.time},
+                        driver.time, wall);
+    };
+    report({});
+    returned.at(worker).incarnation = 2;
+    state.on_worker_list(returned, driver.time);
+    driver.store();
+    driver.submit(driver.job("fedcba9876543210", 6'000, 3));
+    const auto starts = driver.next().starts;
+    const auto start = std::ranges::find(starts, worker, &start_order::worker);
+    REQUIRE(start != starts.end());
+    state.on_start(worker, start->name, start_outcome::started, driver.time);
+    report({{.number = 1, .name = start->name}});
+    driver.store();
+    const auto forgets = driver.next().forgets;
+    REQUIRE(forgets.size() == 1);
+    CHECK(forgets[0].incarnation == 2);
+    CHECK(forgets[0].up_to == 1);
+    for (int repetition = 0; repetition < 3; ++repetition) {
+        report({});
+        const auto later = driver.next(200ms).starts;
+        CHECK(std::ranges::none_of(
+            later, [&](const auto& order) { return order.name.task == start->name.task; }));
+    }
+}
+
     lending_state driver;
     auto spec = driver.job("0123456789abcdef", 6'000, 5);
     spec.steps[0].gang = true;
--- a/flamingoseam/workflow/workflow_ends.cpp
+++ b/flamingoseam/workflow/workflow_ends.cpp
@@ -1,5 +1,6 @@
 #include "flamingoseam/workflow/workflow_state.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace flamingoseam::workflow {
@@ -22,10 +23,16 @@
                                 wall_time wall)
 {
     auto& worker_state = fleet_.at(worker);
-    if (end.number <= worker_state.last_end) {
+    if (worker_state.knows_end(end)) {
         return;
     }
-    worker_state.last_end = end.number;
+    if (end.number < worker_state.newest_end) {
+        log_decision("end_listed_late", end.name.task.job,
+                     to_string(end.name) + " on " + worker_state.entry.id + ": " +
+                         to_string(end.how),
+                     {{"end", end.number}, {"newest_end", worker_state.newest_end}});
+    }
+    worker_state.newest_end = std::max(worker_state.newest_end, end.number);
     worker_state.unacknowledged_ends.emplace(end.number, false);
     if (worker_state.unacknowledged_ends.size() > max_ends_behind_kept_end) {
         drop_kept_end(worker);
@@ -146,3 +153,15 @@
 }
 
 } // namespace flamingoseam::workflow
+/// Records which ends a report contains, and lets the worker discard those that are certain by now.
+void workflow_state::settle_ends(std::size_t worker, const worker_report& report)
+{
+    std::int64_t newest = 0;
+    for (const auto& end : report.ended) {
+        newest = std::max(newest, end.number);
+    }
+    if (fleet_.settle_ends(worker, newest)) {
+        order_forget(worker);
+    }
+}
+
--- a/flamingoseam/workflow/workflow_ends_test.cpp
+++ b/flamingoseam/workflow/workflow_ends_test.cpp
@@ -248,3 +248,69 @@
         CHECK(forgotten_up_to(driver.next()) == many_ends);
     }
 }
+
+// Guards against a second run of a task: the end with the lower number was passed over, and was
+// acknowledged together with the other one.
+TEST_CASE("an end that is listed after one with a higher number is processed")
+{
+    running_state driver;
+    const auto later_end = end_of(2, {{unknown_job, 0, 0}, 1});
+    const auto earlier_end = end_of(1, driver.name);
+
+    SECTION("in the same report")
+    {
+        driver.report({later_end, earlier_end});
+    }
+    SECTION("in a later report")
+    {
+        driver.report({later_end});
+        driver.report({earlier_end, later_end});
+    }
+    driver.store();
+    CHECK(driver.state.find(known_job) == job_phase::completed);
+    for (int report = 0; report < 3; ++report) {
+        driver.report({});
+        CHECK(driver.next(200ms).starts.empty());
+    }
+}
+
+// Guards against a second run of a task: an end with a number that an earlier life of its worker
+// had used as well would be passed over.
+TEST_CASE("the ends of a worker whose time of day was set back between two lives are processed")
+{
+    running_state driver;
+    auto& state = driver.state;
+    const auto report = [&](std::int64_t incarnation, const std::vector<ended_run>& ended) {
+        driver.time += 1ms;
+        state.on_report(0, {.incarnation = incarnation, .ended = ended, .asked = driver.time},
+                        driver.time, wall);
+    };
+    auto listed = driver.worker();
+    listed.incarnation = 100;
+    state.on_worker_list({listed}, driver.time);
+    report(100, {end_of(1, driver.name)});
+    driver.store();
+    REQUIRE(state.find(known_job) == job_phase::completed);
+    driver.next();
+
+    listed.incarnation = 50;
+    SECTION("which the list shows first")
+    {
+        state.on_worker_list({listed}, driver.time);
+        report(50, {});
+    }
+    SECTION("which a report shows first")
+    {
+        report(50, {});
+        state.on_worker_list({listed}, driver.time);
+    }
+    driver.store();
+    const std::string later_job = "00000000000000dd";
+    driver.submit(driver.job(later_job, 1'000));
+    const auto starts = driver.next().starts;
+    REQUIRE(starts.size() == 1);
+    state.on_start(0, starts[0].name, start_outcome::started, driver.time);
+    report(50, {end_of(1, starts[0].name)});
+    driver.store();
+    CHECK(state.find(later_job) == job_phase::completed);
+}
--- a/flamingoseam/workflow/workflow_reports.cpp
+++ b/flamingoseam/workflow/workflow_reports.cpp
@@ -107,6 +107,7 @@
     for (const auto& run : report.present) {
         handle_present_run(worker, run, time);
     }
+    settle_ends(worker, report);
     repeat_forget(worker, report);
     worker_state.lists_part_of_ends = report.has_more_ends;
     if (worker_state.lists_part_of_ends) {
@@ -142,7 +143,10 @@
     // A poll meant for the earlier incarnation may still acknowledge ends there, so nothing is
     // started before the new one has reported.
     worker_state.reported = false;
-    worker_state.last_end = 0;
+    worker_state.complete_reports = 0;
+    worker_state.newest_end = 0;
+    worker_state.listed_end = 0;
+    worker_state.settled_end = 0;
     worker_state.unacknowledged_ends.clear();
     worker_state.kept_ends.clear();
     worker_state.forget_up_to = 0;
