Send a worker's next incarnation nothing that was decided for the one before

Ends of the next incarnation were discarded unread, or it carried out the start of a run that had been stopped and taken for lost.

Cause: an order to forget ends that had been decided before a restart was noticed still matched the incarnation that the session knew, and went out with the first poll on a new connection. A start that waited in the session was overtaken by the stop of its run; the next incarnation, which knew nothing of the stop, carried it out.

A session accepts such an order only once the incarnation has reported, and takes back the start of a run that it is told to stop.

--- a/flamingoseam/node/worker_session.cpp
+++ b/flamingoseam/node/worker_session.cpp
@@ -136,16 +136,35 @@
 
 void worker_session::stop(const workflow::stop_order& order)
 {
+    std::optional<queued_start> withdrawn;
     {
         const std::lock_guard lock(mutex_);
-        if (std::ranges::find(stops_, order.name) != stops_.end()) {
-            return;
+        withdrawn = take_start_of(order.name);
+        if (std::ranges::find(stops_, order.name) == stops_.end()) {
+            stops_.push_back(order.name);
         }
-        stops_.push_back(order.name);
+    }
+    if (withdrawn) {
+        report_not_sent(*withdrawn);
     }
     orders_.wake();
 }
 
+/// Takes the start of a run that is to be stopped, if it waits to be sent: the stop may be sent
+/// before, and a next incarnation would not know of it. Requires the lock.
+std::optional<worker_session::queued_start>
+worker_session::take_start_of(const workflow::run_name& name)
+{
+    const auto found = std::ranges::find_if(
+        starts_, [&name](const queued_start& start) { return start.order.name == name; });
+    if (found == starts_.end()) {
+        return std::nullopt;
+    }
+    std::optional<queued_start> start = std::move(*found);
+    starts_.erase(found);
+    return start;
+}
+
 void worker_session::withdraw_starts()
 {
     std::deque<queued_start> withdrawn;
@@ -167,7 +186,8 @@
 {
     {
         const std::lock_guard lock(mutex_);
-        if (order.incarnation == incarnation_) {
+        // Before the next incarnation has reported, the order may be meant for the earlier one.
+        if (order.incarnation == incarnation_ && reports_ > 0) {
             forget_up_to_ = std::max(forget_up_to_, order.up_to);
         }
         if (awaited_end_ == 0 || forget_up_to_ < awaited_end_) {
--- a/flamingoseam/node/worker_session.hpp
+++ b/flamingoseam/node/worker_session.hpp
@@ -153,8 +153,8 @@
     /// session ends before the order is sent.
     void start(workflow::start_order order);
 
-    /// Sends an order to stop a run, once if it is repeated while it waits to be sent. Complexity:
-    /// linear in the waiting stops.
+    /// Sends an order to stop a run, once if it is repeated while it waits to be sent. The start of
+    /// that run is not sent any more. Complexity: linear in the waiting orders.
     void stop(const workflow::stop_order& order);
 
     /// Reports all starts that are still queued as not sent, since the worker leaves or has
@@ -208,6 +208,7 @@
     std::optional<workflow::run_name> take_stop();
     bool send_next_order();
     void prepare_start(queued_start start);
+    std::optional<queued_start> take_start_of(const workflow::run_name& name);
     void send_start();
     void send_stop();
     void send_order(const std::function<void(const worker_channel::order_handler&)>& send);
--- a/flamingoseam/node/worker_session_test.cpp
+++ b/flamingoseam/node/worker_session_test.cpp
@@ -43,6 +43,9 @@
     std::atomic<bool> was_poll_closed{false};
     std::atomic<std::int64_t> forgotten_after_close{-1}; ///< By the poll after a closed one.
     std::atomic<std::uint64_t> token{0}; ///< The highest one seen; lower ones are refused.
+    std::atomic<std::uint64_t> life_token{
+        0}; ///< The lowest one that is meant for the present life.
+    std::atomic<std::int64_t> forgotten_in_life{0}; ///< The most that such polls acknowledged.
     std::function<void()> on_closed = [] {};
     time_point began = now();
 
@@ -102,6 +105,10 @@
             return {.outcome = renew_answer::kind::wrong_incarnation, .clock = worker_.clock()};
         }
         worker_.forgotten = call.forget_up_to;
+        if (call.epoch >= worker_.life_token) {
+            worker_.forgotten_in_life =
+                std::max(worker_.forgotten_in_life.load(), call.forget_up_to);
+        }
         worker_.leased_until_ms =
             std::max(worker_.leased_until_ms.load(), call.lease_until.count());
         worker_.polls_at_offset += worker_.clock_offset_ms != 0 ? 1 : 0;
@@ -369,6 +376,36 @@
         worker.token = worker.token + 1;
         CHECK(holds_within(milliseconds(2'000), [&] { return listener.fenced > 0; }));
     }
+    // Guards against a second run of a task: ends of the new incarnation were discarded unread.
+    SECTION("an acknowledgement for an incarnation that is known to have ended is not sent")
+    {
+        worker.incarnation = 1;
+        worker.clock_offset_ms = 1'000'000;
+        REQUIRE(holds_within(milliseconds(2'000), [&] {
+            return session.incarnations() == 1 && worker.polls_at_offset > 1;
+        }));
+        SECTION("which is known from the list while a poll is in flight")
+        {
+            worker.poll_time_ms = 300;
+            std::this_thread::sleep_for(milliseconds(50));
+            worker.life_token = worker.token + 1;
+            session.expect_incarnation(2);
+        }
+        SECTION("which is known from its clock while the next poll waits for ends to be stored")
+        {
+            worker.newest_end = 3;
+            REQUIRE(holds_within(milliseconds(2'000), [&] { return listener.newest_end == 3; }));
+            worker.life_token = worker.token + 1;
+            worker.clock_offset_ms = 0;
+            session.start({.worker = 0, .name = {{"job", 0, 0}, 1}});
+            REQUIRE(holds_within(milliseconds(200), [&] { return listener.starts == 1; }));
+        }
+        REQUIRE(session.incarnations() == 2);
+        worker.incarnation = 2;
+        session.forget({.worker = 0, .incarnation = 1, .up_to = 3}); // Decided before.
+        REQUIRE(holds_within(milliseconds(3'000), [&] { return session.incarnations() > 2; }));
+        CHECK(worker.forgotten_in_life == 0);
+    }
     SECTION("a poll whose connection was closed is repeated without an acknowledgement")
     {
         worker.newest_end = 3;
@@ -425,6 +462,20 @@
         std::this_thread::sleep_for(milliseconds(100));
         CHECK(worker.starts == 1);
     }
+    // Guards against a second run of a task: the worker had restarted after it had accepted the
+    // stop, so that it carried out the start of a run that had been taken for lost.
+    SECTION("a start that waits for a slow worker is not sent once its run is stopped")
+    {
+        worker.start_time_ms = 400;
+        session.start({.worker = 0, .name = {{"job", 0, 0}, 1}});
+        session.start({.worker = 0, .name = {{"job", 0, 1}, 1}});
+        REQUIRE(holds_within(milliseconds(2'000), [&] { return worker.starts == 1; }));
+        session.stop({.worker = 0, .name = {{"job", 0, 1}, 1}});
+        CHECK(holds_within(milliseconds(2'000), [&] { return listener.starts == 2; }));
+        CHECK(holds_within(milliseconds(2'000), [&] { return worker.stops == 1; }));
+        std::this_thread::sleep_for(milliseconds(500));
+        CHECK(worker.starts == 1);
+    }
     SECTION("a start for an unreachable worker is not sent, so that its lease can expire")
     {
         worker.unreachable = true;
