Start nothing on a worker before the store has its present address

What callers saw: nothing yet. A later owner that finds another worker at the stored address takes the one that it looks for for empty at once, and starts its tasks again.

Cause: a worker that was given up, unlisted and listed again elsewhere while a write with its old address was in flight counted as stored when that write was done.

Evidence: "a worker that was given up and is back elsewhere gets no run before that is stored" failed 3 times of 3. The write is now compared by worker and address.

--- a/flamingoseam/workflow/workflow_reports.cpp
+++ b/flamingoseam/workflow/workflow_reports.cpp
@@ -51,7 +51,6 @@
         listed.insert(index);
         if (has_moved && leased_workers_.contains(index)) {
             fleet_.at(index).lease_stored = false; // Not with the address that it has now.
-            batch_leased_workers_.erase(index);
             leased_workers_changed_ = true;
         }
         fleet_.at(index).listed_incarnation = listed_incarnation;
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -532,7 +532,8 @@
     std::multimap<time_point, std::string> ended_;
     std::vector<std::string> newly_ended_; ///< Their retention begins with the next batch.
     std::vector<std::string> removals_;    ///< Keys to be removed from the store.
-    std::set<std::size_t> batch_leased_workers_;
+    /// Leased workers of the batch, with the addresses that it names.
+    std::map<std::size_t, endpoint> batch_leased_workers_;
     std::set<std::size_t> batch_quorum_; ///< Those of them that count for a majority.
     /// Workers of the batch whose lease, it says, is not renewed.
     std::set<std::size_t> batch_silent_workers_;
--- a/flamingoseam/workflow/workflow_state_test.cpp
+++ b/flamingoseam/workflow/workflow_state_test.cpp
@@ -528,6 +528,34 @@
     CHECK(driver.next().starts.size() == 1);
 }
 
+// Guards against a second run of a task: a later owner would look for the worker at its old
+// address, where another worker may answer, and take it for empty.
+TEST_CASE("a worker that was given up and is back elsewhere gets no run before that is stored")
+{
+    driven_state driver;
+    auto& state = driver.state;
+    driver.make_usable();
+    auto other = driver.worker();
+    other.id = "other";
+    state.on_worker_list({driver.worker(), other}, driver.time); // The list has to be stored anew.
+    const auto batch = state.take_batch(0, 30, driver.time);
+    REQUIRE(std::ranges::count(batch.changes, "fs/roster", &record_change::key) == 1);
+
+    state.on_worker_list({other}, driver.time);
+    state.on_unreachable_changed(0, true, driver.time, driver.time);
+    state.on_emptied(0, emptied_reason::replaced, driver.time, wall);
+    auto moved = driver.worker();
+    moved.incarnation = 2;
+    moved.address.port = 2;
+    state.on_worker_list({moved, other}, driver.time);
+    state.on_unreachable_changed(0, false, driver.time, driver.time);
+    state.on_report(0, {.incarnation = 2, .asked = driver.time}, driver.time, wall);
+    state.on_stored(0);
+    CHECK_FALSE(state.workers().at(0).is_usable(driver.time));
+    driver.store();
+    CHECK(state.workers().at(0).is_usable(driver.time));
+}
+
 // Guards against a task that counts as placed for good: the result of its start order was lost.
 TEST_CASE("a start order whose result never arrives does not keep its task placed")
 {
--- a/flamingoseam/workflow/workflow_storing.cpp
+++ b/flamingoseam/workflow/workflow_storing.cpp
@@ -69,6 +69,7 @@
     for (const auto worker : leased_workers_) {
         auto& state = fleet_.at(worker);
         workers.push_back(state.entry);
+        batch_leased_workers_.emplace(worker, state.entry.address);
         const auto renewal = renewal_to_store(state);
         workers.back().renewal = renewal;
         if (renewal != lease_renewal::renewed) {
@@ -80,7 +81,6 @@
             batch_quorum_.insert(worker);
         }
     }
-    batch_leased_workers_ = leased_workers_;
     batch.changes.push_back({options_.keys.leased_workers(), write_leased_workers(workers)});
     add_assignments(batch);
 }
@@ -192,8 +192,10 @@
 void workflow_state::on_leased_workers_stored()
 {
     stored_quorum_ = batch_quorum_;
-    for (const auto worker : batch_leased_workers_) {
-        fleet_.at(worker).lease_stored = leased_workers_.contains(worker);
+    for (const auto& [worker, address] : batch_leased_workers_) {
+        auto& state = fleet_.at(worker);
+        // A later owner looks for the worker where the list says, not where it has moved since.
+        state.lease_stored = leased_workers_.contains(worker) && state.entry.address == address;
     }
     for (std::size_t worker = 0; worker < fleet_.size(); ++worker) {
         auto& state = fleet_.at(worker);
