Acknowledge ends of unknown jobs only while no later owner can exist

An owner that does not know the job of an end acknowledged it at once, also without a recent proof of its ownership, though a later owner may know the job. That this can break the rule is not shown: the worker refuses an older owner once a later one has started a run there ("an owner that is cut off learns of no end of a run that a later owner has started" holds on the code before). Such an end is now kept until the owner is certain again.

--- a/flamingoseam/workflow/fleet.hpp
+++ b/flamingoseam/workflow/fleet.hpp
@@ -81,7 +81,8 @@
     std::int64_t settled_end = 0;
     /// Whether the result of an end is stored, by the number of the end.
     std::map<std::int64_t, bool> unacknowledged_ends;
-    /// Ends that can't be stored, because the records of their jobs can't be read.
+    /// Ends that can't be stored, because the records of their jobs can't be read, or a later owner
+    /// may know their jobs.
     std::map<std::int64_t, run_name> kept_ends;
     bool lists_part_of_ends = false; ///< The newest report has as many ends as a worker lists.
     std::int64_t forget_up_to = 0;   ///< The worker may discard ends up to this number.
--- a/flamingoseam/workflow/workflow_ends.cpp
+++ b/flamingoseam/workflow/workflow_ends.cpp
@@ -45,7 +45,7 @@
     if (job == nullptr) {
         log_unknown_job("end_unknown_job", worker, end.name, to_string(end.how),
                         {{"end", end.number}});
-        if (has_result(end) && is_unreadable(end.name.task.job)) {
+        if (has_result(end) && (is_unreadable(end.name.task.job) || !certain_)) {
             worker_state.kept_ends.emplace(end.number, end.name);
         } else {
             acknowledge_end(worker, incarnation, end.number);
@@ -62,6 +62,23 @@
     waiters_[job].ends.emplace_back(job->changed_at, end_key{worker, incarnation, end.number});
 }
 
+/// Acknowledges the kept ends of jobs that this owner does not know, once it is certain that there
+/// is no later owner that does.
+void workflow_state::acknowledge_kept_ends()
+{
+    for (std::size_t worker = 0; worker < fleet_.size(); ++worker) {
+        auto& worker_state = fleet_.at(worker);
+        std::erase_if(worker_state.kept_ends, [&](const auto& kept) {
+            const auto& [number, name] = kept;
+            if (is_unreadable(name.task.job)) {
+                return false;
+            }
+            acknowledge_end(worker, worker_state.entry.incarnation, number);
+            return true;
+        });
+    }
+}
+
 /// Acknowledges the first kept end of a worker, as too many have followed it.
 void workflow_state::drop_kept_end(std::size_t worker)
 {
--- a/flamingoseam/workflow/workflow_maintenance.cpp
+++ b/flamingoseam/workflow/workflow_maintenance.cpp
@@ -50,8 +50,12 @@
 
 void workflow_state::set_certain(bool certain)
 {
-    pass_requested_ = pass_requested_ || (certain && !certain_);
+    const bool begins = certain && !certain_;
     certain_ = certain;
+    if (begins) {
+        pass_requested_ = true;
+        acknowledge_kept_ends();
+    }
 }
 
 void workflow_state::tick(time_point time)
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -289,7 +289,7 @@
                            time_point time);
     void repeat_forget(std::size_t worker, const worker_report& report);
     void handle_end(std::size_t worker, const ended_run& end, time_point time, wall_time wall);
-    void settle_ends(std::size_t worker, const worker_report& report);
+    void acknowledge_kept_ends();
     void drop_kept_end(std::size_t worker);
     void log_unknown_job(const std::string& event, std::size_t worker, const run_name& name,
                          const std::string& what, std::vector<log_field> fields = {});
