Take a confirmed run for lost only after it was missing for a second

A worker lists the end of a run until it is acknowledged, so that a confirmed run that is neither present nor ended may be ending just now. Two reports in quick succession were enough to start its task again. That a worker lists so is not shown.

--- a/flamingoseam/workflow/fleet.hpp
+++ b/flamingoseam/workflow/fleet.hpp
@@ -35,6 +35,7 @@
     int percent = 0;               ///< Share of the work that is done, in percent.
     time_point percent_changed_at{};
     int missing_reports = 0;     ///< Number of consecutive reports without this run.
+    time_point missing_since{};  ///< When the first of them was received.
     bool worker_crashed = false; ///< The worker has crashed under the run.
 
     /// Checks whether the worker has confirmed that the run has begun.
--- a/flamingoseam/workflow/workflow_reports.cpp
+++ b/flamingoseam/workflow/workflow_reports.cpp
@@ -11,7 +11,8 @@
 
 namespace {
 
-constexpr int missing_reports_until_lost = 2;
+/// A confirmed run that is listed neither as present nor as ended is lost after this time.
+constexpr milliseconds min_missing_time{1'000};
 constexpr milliseconds exclusion_without_capacity{200};
 constexpr milliseconds exclusion_when_unhealthy{500};
 constexpr milliseconds exclusion_in_quarantine{4'000};
@@ -278,6 +279,22 @@
 void workflow_state::handle_missing_runs(std::size_t worker, const worker_report& report,
                                          time_point time, wall_time wall)
 {
+namespace {
+
+/// Records that a complete report lacks a confirmed run, and checks whether several do and have
+/// done so for long. The worker lists the end of such a run until the owner has acknowledged it.
+bool is_missing_for_long(assigned_run& run, time_point time)
+{
+    if (run.missing_reports == 0) {
+        run.missing_since = time;
+    }
+    ++run.missing_reports;
+    return run.missing_reports >= reports_until_certain &&
+           time - run.missing_since >= min_missing_time;
+}
+
+} // namespace
+
     std::set<run_name> present;
     for (const auto& run : report.present) {
         present.insert(run.name);
@@ -309,7 +326,7 @@
             request_stop(worker, name, *run);
         }
         if (run->state == assigned_run::run_state::present && run->confirmed_at < report.asked &&
-            ++run->missing_reports >= missing_reports_until_lost) {
+            is_missing_for_long(*run, time)) {
             mark_run_lost(worker, name);
         }
     }
