Start loaded tasks again only after reports that follow the end of the earlier owner

Cause: a worker counted as located for good after its first report. It could restart after that, forget the new owner's token and accept a run from the earlier owner, which acts for up to 1.5 s on its last proof. As soon as the new owner knew that the earlier one had ended, it started the task elsewhere, without asking the worker's new incarnation. And one report without a run was enough, where two are needed in the steady state.

A worker is located by the second report of its incarnation, or a later one, that was asked for after no earlier owner started anything any more. Until then polls wait for 250 ms at most. Workers are lent, and leave the stored list, only when they are located. Tests that expected a single report to be enough deliver two and check that the first one is not.

--- a/flamingoseam/node/job_owner_test.cpp
+++ b/flamingoseam/node/job_owner_test.cpp
@@ -3,6 +3,7 @@
 #include "flamingoseam/core/error.hpp"
 #include "flamingoseam/core/thread_name.hpp"
 #include "flamingoseam/node/owner_claim.hpp"
+#include "flamingoseam/node/ownership_proof.hpp"
 #include "tests/blocking_channel.hpp"
 #include "tests/memory_store.hpp"
 
@@ -12,6 +13,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <set>
 #include <stdexcept>
 
@@ -107,15 +109,16 @@
     void restart()
     {
         const std::lock_guard lock(mutex_);
-        for (auto& run : runs_) {
-            run.ended = run.ended ? run.ended : std::optional(now());
-        }
         ++incarnation_;
-        ended_.clear();
-        next_end_ = 1;
-        token_ = 0;
-        leased_until_ = worker_time(0);
-        started_ = now();
+        begin_life();
+    }
+
+    /// The same, but the new life has the number of the earlier one, as after the time of day was
+    /// set back.
+    void restart_with_same_number()
+    {
+        const std::lock_guard lock(mutex_);
+        begin_life();
     }
 
     void finish_all()
@@ -168,6 +171,18 @@
     }
 
 private:
+    void begin_life()
+    {
+        for (auto& run : runs_) {
+            run.ended = run.ended ? run.ended : std::optional(now());
+        }
+        ended_.clear();
+        next_end_ = 1;
+        token_ = 0;
+        leased_until_ = worker_time(0);
+        started_ = now();
+    }
+
     [[nodiscard]] worker_time clock() const
     {
         return worker_time(1) + std::chrono::duration_cast<milliseconds>(now() - started_);
@@ -221,14 +236,21 @@
 
 using paths = std::array<std::atomic<bool>, 3>; ///< Whether an owner reaches each worker.
 
+/// Which calls of an owner are held up on their way until the flag is false.
+struct held_calls {
+    std::atomic<bool> starts{false};
+    std::atomic<bool> polls{false};
+};
+
 class path_channel final : public tests::blocking_channel {
 public:
-    path_channel(leased_worker& worker, const std::atomic<bool>& reachable)
-        : worker_(worker), reachable_(reachable)
+    path_channel(leased_worker& worker, const std::atomic<bool>& reachable, const held_calls& held)
+        : worker_(worker), reachable_(reachable), held_(held)
     {
     }
     order_answer start(const start_call& call, milliseconds /*timeout*/) override
     {
+        wait_while(held_.starts);
         throw_if_unreachable();
         return worker_.start(call);
     }
@@ -241,11 +263,19 @@
     renew_answer renew(const renew_call& call, milliseconds /*timeout*/) override
     {
         std::this_thread::sleep_for(10ms);
+        wait_while(held_.polls);
         throw_if_unreachable();
         return worker_.renew(call);
     }
 
 private:
+    static void wait_while(const std::atomic<bool>& held)
+    {
+        while (held) {
+            std::this_thread::sleep_for(5ms);
+        }
+    }
+
     void throw_if_unreachable() const
     {
         if (!reachable_) {
@@ -255,6 +285,7 @@
 
     leased_worker& worker_;
     const std::atomic<bool>& reachable_;
+    const held_calls& held_;
 };
 
 workflow::worker_entry entry_of(std::size_t index, std::int64_t incarnation)
@@ -266,13 +297,19 @@
             .capacity = {.milli_cpus = 2'000, .memory_mb = 16'000}};
 }
 
-/// Lists all workers, each with its present incarnation.
+/// Lists all workers, each with the incarnation that it had when the list was updated last.
 class all_workers final : public worker_directory {
 public:
-    explicit all_workers(std::array<leased_worker, 3>& workers) : workers_(workers) {}
+    all_workers(std::array<leased_worker, 3>& workers, const std::atomic<bool>& is_updated)
+        : workers_(workers), is_updated_(is_updated)
+    {
+    }
 
     std::optional<std::vector<workflow::worker_entry>> next() override
     {
+        if (!is_updated_ && !listed_.empty()) {
+            return std::nullopt;
+        }
         std::vector<std::int64_t> incarnations;
         std::vector<workflow::worker_entry> entries;
         for (auto& worker : workers_) {
@@ -288,6 +325,7 @@
 
 private:
     std::array<leased_worker, 3>& workers_;
+    const std::atomic<bool>& is_updated_;
     std::vector<std::int64_t> listed_;
 };
 
@@ -360,9 +398,10 @@
                         throw std::system_error(EAGAIN, std::generic_category());
                     }
                     return std::make_unique<path_channel>(cell_.workers.at(index),
-                                                          reaches.at(index));
+                                                          reaches.at(index), held);
                 }),
-                .directory = [this] { return std::make_unique<all_workers>(cell_.workers); },
+                .directory =
+                    [this] { return std::make_unique<all_workers>(cell_.workers, updates_list); },
                 .permissions = [](const std::string&) -> permission_call {
                     return [](const auto&) -> permission_answer {
                         throw transport_error(304, "no service", false);
@@ -402,6 +441,8 @@
 
     const workflow::record_keys keys{.prefix = "fs/"};
     paths reaches{};
+    held_calls held;
+    std::atomic<bool> updates_list{true}; ///< Otherwise it learns of no restart from the list.
     std::atomic<bool> reaches_store{true};
     std::atomic<bool> is_certain{true};
     std::atomic<bool> superseded{false};
@@ -878,3 +919,133 @@
     CHECK(count_concurrent(shared) == 0);
     decided.set_value();
 }
+
+TEST_CASE("an owner that is cut off learns of no end of a run that a later owner has started")
+{
+    cell shared(2'000ms);
+    owner_process earlier(shared, 0, all);
+    REQUIRE(wait_until([&] { return shared.workers[2].token() > 0; }));
+    cut_off_from_store(earlier);
+    for (auto& path : earlier.reaches) {
+        path = false;
+    }
+    shared.workers[2].restart(); // It knows no token any more.
+    owner_process later(shared, 1, all);
+    later.submit("job", 6);
+    REQUIRE(wait_until([&] { return count_begun(shared) == 6; }));
+
+    later.reaches[2] = false;
+    shared.workers[2].finish_all();
+    earlier.reaches[2] = true;
+    CHECK(wait_until([&] { return earlier.superseded.load(); }));
+    CHECK(shared.workers[2].unacknowledged_ends() == 2);
+    later.reaches[2] = true;
+    CHECK(wait_until([&] { return shared.workers[2].unacknowledged_ends() == 0; }));
+    std::this_thread::sleep_for(300ms);
+    CHECK(count_begun(shared) == 6);
+}
+
+// Guards against a second run of a task: ends were passed over, as their numbers were known from
+// the earlier life, and acknowledged.
+TEST_CASE("the ends of a worker whose next life has the same number are read")
+{
+    cell shared;
+    owner_process process(shared, 0, all);
+    process.submit("job", 6);
+    REQUIRE(wait_until([&] { return count_begun(shared) == 6; }));
+    auto& worker = shared.workers[0];
+    worker.finish_all();
+    REQUIRE(wait_until([&] { return worker.unacknowledged_ends() == 0; }));
+
+    worker.restart_with_same_number();
+    std::this_thread::sleep_for(200ms);
+    process.submit("later", 2);
+    REQUIRE(wait_until([&] { return count_begun(shared) == 8; }));
+    worker.finish_all();
+    CHECK(wait_until([&] { return worker.unacknowledged_ends() == 0; }));
+    std::this_thread::sleep_for(1s);
+    CHECK(count_begun(shared) == 8);
+}
+
+// Guards against a second run of a task: the later owner started it once the earlier one could
+// start nothing any more, but had not asked the restarted worker what it runs.
+TEST_CASE(
+    "a waiting task that an earlier owner starts in a worker's new life is not started elsewhere")
+{
+    cell shared(1'000ms);
+    owner_process earlier(shared, 0, 1);
+    earlier.submit("job", 2);
+    REQUIRE(wait_until([&] { return count_begun(shared) == 2; }));
+    earlier.submit("waiting", 2);
+    std::this_thread::sleep_for(200ms); // It is stored.
+    earlier.reaches_store = false;
+    earlier.submit("in-flight", 1);
+    std::this_thread::sleep_for(100ms);
+    earlier.owner->cancel("job", [](const owner_answer&) {}); // So that the other job is next.
+    earlier.reaches[0] = false;
+    owner_process later(shared, 1, all, {}, max_earlier_certainty);
+    REQUIRE(wait_until([&] { return shared.workers[0].token() / tokens_per_epoch == 2; }));
+    std::this_thread::sleep_for(50ms); // The report arrives.
+    later.reaches[0] = false;
+    later.updates_list = GENERATE(true, false);
+    shared.workers[0].restart();
+    earlier.reaches[0] = true;
+    REQUIRE(wait_until([&] { return shared.workers[0].runs().size() == 4; }, 1s));
+    SECTION("once the proof of the earlier owner is too old")
+    {
+        std::this_thread::sleep_for(2s); // The earlier owner extends the lease meanwhile.
+    }
+    SECTION("once the earlier owner has said that it has stopped")
+    {
+        ask_to_stop(earlier, later);
+        std::this_thread::sleep_for(400ms);
+    }
+    shared.workers[0].finish_all();
+    later.reaches[0] = true;
+    CHECK(wait_until([&] { return shared.workers[0].unacknowledged_ends() == 0; }));
+    std::vector<leased_worker::begun_run> runs;
+    std::ranges::copy_if(all_runs(shared), std::back_inserter(runs),
+                         [](const auto& run) { return run.name.task.job == "waiting"; });
+    CHECK(runs.size() == 2);
+    // No lease has lapsed.
+    CHECK(std::ranges::count_if(runs, &leased_worker::begun_run::done) == 2);
+}
+
+// Guards against a second run of a task: an acknowledgement that was decided together with the news
+// of the restart reached the next life, whose end with the same number nobody had read.
+TEST_CASE(
+    "an end in a worker's next life is not acknowledged together with ends of the earlier one")
+{
+    cell shared(5'000ms);
+    owner_process process(shared, 0, 1);
+    auto& worker = shared.workers[0];
+    process.submit("job", 2);
+    REQUIRE(wait_until([&] { return count_begun(shared) == 2; }));
+    process.submit("next", 2);
+    std::this_thread::sleep_for(300ms); // It is stored.
+
+    // The result of the first job is not stored yet, and its place is given to the next one.
+    process.reaches_store = false;
+    process.held.starts = true;
+    worker.finish_all();
+    std::this_thread::sleep_for(100ms);
+    process.held.polls = true;
+    std::this_thread::sleep_for(400ms);
+    std::promise<void> decided;
+    process.owner->find("job",
+                        [end = decided.get_future().share()](const owner_answer&) { end.wait(); });
+
+    // The starts reach the next life, of which the owner learns together with that result.
+    worker.restart();
+    process.held.starts = false;
+    REQUIRE(wait_until([&] { return count_begun(shared) == 4; }));
+    worker.finish_all();
+    process.reaches_store = true;
+    std::this_thread::sleep_for(700ms);
+    decided.set_value();
+    std::this_thread::sleep_for(200ms);
+    process.held.polls = false;
+    CHECK(wait_until([&] { return worker.unacknowledged_ends() == 0; }));
+    std::this_thread::sleep_for(1s);
+    CHECK(count_begun(shared) == 4);
+}
--- a/flamingoseam/node/worker_session.cpp
+++ b/flamingoseam/node/worker_session.cpp
@@ -226,6 +226,8 @@
 {
     ++incarnations_;
     forget_up_to_ = 0;
+    listed_end_ = 0;
+    reports_ = 0;
 }
 
 void worker_session::expect_incarnation(std::int64_t incarnation)
@@ -246,8 +248,6 @@
 {
     const std::lock_guard lock(mutex_);
     report_expected_ = time;
-    listed_end_ = 0;
-    reports_ = 0;
 }
 
 void worker_session::run_orders()
@@ -593,18 +593,28 @@
     pause_polls(retry_delay_);
 }
 
+/// Returns how long the next poll waits for news. Requires the lock.
 milliseconds worker_session::next_wait()
 {
-    if (!may_renew_) {
-        return options_.min_poll_wait; // The lease should be renewed soon.
+    const bool needs_report = !may_renew_ || reports_ < workflow::reports_until_certain;
+    if (needs_report) {
+        return options_.min_poll_wait; // To renew the lease soon, or to confirm the last report.
     }
     if (!report_expected_) {
-        const bool is_idle = !has_runs_ && listener_.may_start();
-        return is_idle ? options_.idle_poll_wait : options_.poll_wait;
+        return most_wait();
     }
     const auto left = std::chrono::ceil<milliseconds>(*report_expected_ - now());
     report_expected_.reset();
-    return std::clamp(left, options_.min_poll_wait, options_.poll_wait);
+    return std::clamp(left, options_.min_poll_wait, std::min(most_wait(), options_.poll_wait));
+}
+
+milliseconds worker_session::most_wait() const
+{
+    if (now() < options_.earlier_starts_end) {
+        return options_.recovery_poll_wait;
+    }
+    const bool is_idle = !has_runs_ && listener_.may_start();
+    return is_idle ? options_.idle_poll_wait : options_.poll_wait;
 }
 
 void worker_session::handle_renewal(renew_answer answer)
--- a/flamingoseam/node/worker_session.hpp
+++ b/flamingoseam/node/worker_session.hpp
@@ -73,6 +73,9 @@
     /// Until then an earlier owner may start runs on the worker if it restarts unseen.
     time_point earlier_starts_end{};
 
+    /// Upper limit of the poll wait until `earlier_starts_end`, so that the worker is asked again
+    /// soon after the earlier owner has ended.
+    milliseconds recovery_poll_wait{250};
     milliseconds poll_wait{800};        ///< How long the worker holds a poll when it has no news.
     milliseconds idle_poll_wait{1'800}; ///< The same while the worker has no runs.
     milliseconds answer_timeout{500};   ///< Time for the answer to a poll, beyond the wait.
@@ -205,10 +208,10 @@
     void run_orders();
     void end_orders();
     std::optional<queued_start> take_start();
+    std::optional<queued_start> take_start_of(const workflow::run_name& name);
     std::optional<workflow::run_name> take_stop();
     bool send_next_order();
     void prepare_start(queued_start start);
-    std::optional<queued_start> take_start_of(const workflow::run_name& name);
     void send_start();
     void send_stop();
     void send_order(const std::function<void(const worker_channel::order_handler&)>& send);
@@ -225,6 +228,7 @@
     void send_poll();
     renew_call next_poll();
     milliseconds next_wait();
+    milliseconds most_wait() const;
     void handle_poll_answer();
     void handle_renewal(renew_answer answer);
     void handle_lost_poll();
@@ -255,13 +259,13 @@
     std::int64_t listed_incarnation_ = 0; ///< The newest one that was expected to report.
     std::uint64_t incarnations_;          ///< How many incarnations were met.
     std::int64_t forget_up_to_ = 0;
+    std::int64_t listed_end_ = 0; ///< Highest number of an end in the last report; 0 if none.
+    int reports_ = 0; ///< How many were received since an incarnation is known to have begun.
 
     /// Number of the end that must be stored before the next poll; 0 when the poll does not wait.
     std::int64_t awaited_end_ = 0;
 
     bool unreachable_;
-    std::int64_t listed_end_ = 0; ///< Highest number of an end in the last report; 0 if none.
-    int reports_ = 0; ///< How many were received since an incarnation is known to have begun.
     time_point silent_since_; ///< When the worker was last found to be silent.
     bool may_renew_;          ///< No stored record says that the lease is not renewed.
     std::optional<time_point> report_expected_;
--- a/flamingoseam/workflow/fleet.hpp
+++ b/flamingoseam/workflow/fleet.hpp
@@ -53,8 +53,8 @@
     bool listed = false;                 ///< The worker is in the platform's list.
     std::int64_t listed_incarnation = 0; ///< In the newest list that contained the worker.
     bool reported = false;    ///< The worker has accepted this owner's epoch and reported its runs.
-    bool is_emptied = false;  ///< Its runs were taken for lost, and it has not reported since.
     int complete_reports = 0; ///< Of the present incarnation to this owner.
+    bool is_emptied = false;  ///< Its runs were taken for lost, and it has not reported since.
     bool unreachable = false; ///< The worker does not answer at present.
     /// Since when this owner has not extended its lease: for a loaded silence, since the loading.
     time_point silent_since{};
@@ -109,8 +109,6 @@
         return !runs.empty() || !unacknowledged_ends.empty() || lists_part_of_ends;
     }
 
-    /// Checks whether the owner holds the worker, which answers and does not leave. Complexity:
-    /// constant.
     /// Checks whether it is certain which runs the worker holds and which have ended: a single
     /// report may miss a run that is about to end. Complexity: constant.
     [[nodiscard]] bool is_located() const { return complete_reports >= reports_until_certain; }
@@ -132,6 +130,8 @@
         return number <= forget_up_to + 1 || number <= settled_end;
     }
 
+    /// Checks whether the owner holds the worker, which answers and does not leave. Complexity:
+    /// constant.
     [[nodiscard]] bool is_held() const
     {
         return listed && reported && lease_stored && !unreachable && !silence_stored &&
@@ -205,15 +205,15 @@
     /// Returns whether that number has changed.
     bool mark_end_stored(std::size_t worker, std::int64_t incarnation, std::int64_t number);
 
-private:
-    void set_rack(std::size_t worker, const std::string& rack);
     /// Records the highest number of an end in a complete report of a worker, 0 if it has none, and
     /// advances the number up to which the worker may discard ends. Returns whether that number has
     /// changed.
     bool settle_ends(std::size_t worker, std::int64_t newest_listed);
 
-
+private:
     static bool advance_forgotten(fleet_worker& worker);
+    void set_rack(std::size_t worker, const std::string& rack);
+
     std::vector<fleet_worker> workers_;
     std::unordered_map<std::string, std::size_t> by_id_;
     std::unordered_map<std::string, std::size_t> pools_; ///< Pool numbers by service.
--- a/flamingoseam/workflow/worker_lending_test.cpp
+++ b/flamingoseam/workflow/worker_lending_test.cpp
@@ -152,7 +152,7 @@
     void make_all_usable()
     {
         state.on_worker_list(list(), time);
-        for (std::size_t index = 0; index < 3; ++index) {
+        for (const std::size_t index : {0, 1, 2, 0, 1, 2}) { // A single report may miss a run.
             state.on_report(index, {.incarnation = 1}, time, wall);
         }
         store();
@@ -257,9 +257,11 @@
             state.on_unreachable_changed(start.worker, true, driver.time, driver.time);
             state.on_emptied(start.worker, emptied_reason::lease_expired, driver.time, wall);
             state.on_unreachable_changed(start.worker, false, driver.time, driver.time);
-            state.on_report(start.worker,
-                            {.incarnation = 1, .ended = {{.number = 1, .name = start.name}}},
-                            driver.time, wall);
+            for (int count = 0; count < reports_until_certain; ++count) {
+                state.on_report(start.worker,
+                                {.incarnation = 1, .ended = {{.number = 1, .name = start.name}}},
+                                driver.time, wall);
+            }
         }
         state.take_batch(0, 2, driver.time); // Too small for both records.
         state.on_stored(0);
@@ -364,8 +366,6 @@
     }
 }
 
-TEST_CASE("a shard asks for workers when a gang is wider than the shard")
-{
 // Guards against a second run of a task: an end with a number that an earlier life of its worker
 // had used as well would be passed over.
 TEST_CASE("the ends of a worker that has restarted at another shard are processed once it is back")
@@ -419,6 +419,8 @@
     }
 }
 
+TEST_CASE("a shard asks for workers when a gang is wider than the shard")
+{
     lending_state driver;
     auto spec = driver.job("0123456789abcdef", 6'000, 5);
     spec.steps[0].gang = true;
--- a/flamingoseam/workflow/workflow_ends.cpp
+++ b/flamingoseam/workflow/workflow_ends.cpp
@@ -159,17 +159,6 @@
                                 .all_stored = worker_state.unacknowledged_ends.empty()});
 }
 
-/// Allows a worker once more to discard ends that it still lists, as a session that began later has
-/// not been told so.
-void workflow_state::repeat_forget(std::size_t worker, const worker_report& report)
-{
-    const auto& state = fleet_.at(worker);
-    if (!report.ended.empty() && report.ended.front().number <= state.forget_up_to) {
-        order_forget(worker);
-    }
-}
-
-} // namespace flamingoseam::workflow
 /// Records which ends a report contains, and lets the worker discard those that are certain by now.
 void workflow_state::settle_ends(std::size_t worker, const worker_report& report)
 {
@@ -182,3 +171,14 @@
     }
 }
 
+/// Allows a worker once more to discard ends that it still lists, as a session that began later has
+/// not been told so.
+void workflow_state::repeat_forget(std::size_t worker, const worker_report& report)
+{
+    const auto& state = fleet_.at(worker);
+    if (!report.ended.empty() && report.ended.front().number <= state.forget_up_to) {
+        order_forget(worker);
+    }
+}
+
+} // namespace flamingoseam::workflow
--- a/flamingoseam/workflow/workflow_ends_test.cpp
+++ b/flamingoseam/workflow/workflow_ends_test.cpp
@@ -194,8 +194,11 @@
     }
     next_owner.on_report(0, report, driver.time, wall);
     CHECK(next_owner.is_recovering());
-    next_owner.on_report(0, {.incarnation = 1, .ended = {end_of(501, driver.name)}}, driver.time,
-                         wall);
+    for (int count = 0; count < reports_until_certain; ++count) {
+        CHECK(next_owner.is_recovering());
+        next_owner.on_report(0, {.incarnation = 1, .ended = {end_of(501, driver.name)}},
+                             driver.time, wall);
+    }
     CHECK_FALSE(next_owner.is_recovering());
     CHECK(next_owner.open_jobs() == 0);
 }
@@ -314,3 +317,68 @@
     driver.store();
     CHECK(state.find(later_job) == job_phase::completed);
 }
+
+// Guards against a second run of a task: acknowledgements are cumulative, so that the worker would
+// discard an end that it has not listed yet.
+TEST_CASE("an end is not acknowledged while one with a lower number may still be listed")
+{
+    running_state driver;
+    const auto earlier_end = end_of(1, driver.name);
+    const auto later_end = end_of(2, {{unknown_job, 0, 0}, 1});
+    driver.report({later_end});
+    driver.store();
+    CHECK(forgotten_up_to(driver.next()) == 0);
+
+    SECTION("which the next report contains")
+    {
+        driver.report({earlier_end, later_end});
+        CHECK(driver.state.find(known_job) == job_phase::running); // That is not stored yet.
+        CHECK(forgotten_up_to(driver.next()) == 0);
+        driver.store();
+        CHECK(forgotten_up_to(driver.next()) == 2);
+    }
+    SECTION("which the next report does not contain either")
+    {
+        driver.report({later_end});
+        CHECK(forgotten_up_to(driver.next()) == 2);
+    }
+}
+
+// Guards against a second run of a task: the owner that knew the job was not told of its end.
+TEST_CASE("an end of an unknown job is acknowledged only while no later owner can exist")
+{
+    driven_state driver;
+    driver.make_usable();
+    driver.state.set_certain(false);
+    driver.state.on_report(
+        0, {.incarnation = 1, .ended = {end_of(1, {{unknown_job, 0, 0}, 1})}, .asked = driver.time},
+        driver.time, wall);
+    CHECK(forgotten_up_to(driver.next()) == 0);
+    driver.state.set_certain(true);
+    CHECK(forgotten_up_to(driver.next()) == 1);
+}
+
+// Guards against a second run of a task: a run that the worker lists neither as present nor as
+// ended for a moment was taken for lost.
+TEST_CASE("a confirmed run is lost only if it is missing for long")
+{
+    running_state driver;
+    for (int report = 0; report < 5; ++report) {
+        driver.report({});
+        CHECK(driver.next(100ms).starts.empty());
+    }
+    SECTION("and not if its end is listed then")
+    {
+        driver.report({end_of(1, driver.name)});
+        driver.store();
+        CHECK(driver.state.find(known_job) == job_phase::completed);
+    }
+    SECTION("although its end is never listed")
+    {
+        CHECK(driver.state.counts().lost_runs == 0);
+        driver.time += 1s;
+        driver.report({});
+        CHECK(driver.state.counts().lost_runs == 1);
+        CHECK(driver.next().starts.size() == 1);
+    }
+}
--- a/flamingoseam/workflow/workflow_lending.cpp
+++ b/flamingoseam/workflow/workflow_lending.cpp
@@ -28,7 +28,7 @@
 bool workflow_state::can_release(std::size_t worker, time_point time) const
 {
     const auto& state = fleet_.at(worker);
-    return state.is_held() && is_idle(worker) && !state.has_results() &&
+    return state.is_held() && state.is_located() && is_idle(worker) && !state.has_results() &&
            std::ranges::all_of(state.ruled_out, [time](const auto& entry) {
                return time - entry.second.second >= detail::max_order_delay;
            });
@@ -235,6 +235,7 @@
     state.released_base = state.entry.token_base + options_.epoch;
     state.listed = false;
     state.reported = false;
+    state.complete_reports = 0;
     state.lease_stored = false;
     state.drain_until = {};
     state.ruled_out.clear();
--- a/flamingoseam/workflow/workflow_maintenance.cpp
+++ b/flamingoseam/workflow/workflow_maintenance.cpp
@@ -153,7 +153,8 @@
 {
     std::erase_if(leased_workers_, [this](std::size_t worker) {
         auto& worker_state = fleet_.at(worker);
-        if (!worker_state.entry.leaving || !worker_state.reported || worker_state.has_results()) {
+        const bool may_hold_results = !worker_state.is_located() || worker_state.has_results();
+        if (!worker_state.entry.leaving || may_hold_results) {
             return false;
         }
         worker_state.lease_stored = false;
--- a/flamingoseam/workflow/workflow_reports.cpp
+++ b/flamingoseam/workflow/workflow_reports.cpp
@@ -114,7 +114,10 @@
         return; // A run that is not among them may have ended.
     }
     handle_missing_runs(worker, report, time, wall);
-    mark_located(worker);
+    ++worker_state.complete_reports;
+    if (is_located(worker, report)) {
+        mark_located(worker);
+    }
 }
 
 /// Logs whether the owner has waited for the worker's report, and how many runs in it the owner did
@@ -276,9 +279,6 @@
                  to_string(name) + " on " + fleet_.at(worker).entry.id);
 }
 
-void workflow_state::handle_missing_runs(std::size_t worker, const worker_report& report,
-                                         time_point time, wall_time wall)
-{
 namespace {
 
 /// Records that a complete report lacks a confirmed run, and checks whether several do and have
@@ -295,6 +295,9 @@
 
 } // namespace
 
+void workflow_state::handle_missing_runs(std::size_t worker, const worker_report& report,
+                                         time_point time, wall_time wall)
+{
     std::set<run_name> present;
     for (const auto& run : report.present) {
         present.insert(run.name);
@@ -494,6 +497,7 @@
         }
     }
     worker_state.reported = false;
+    worker_state.complete_reports = 0;
     worker_state.is_emptied = true;
     if (!worker_state.listed && leased_workers_.erase(worker) > 0) {
         worker_state.lease_stored = false;
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -171,8 +171,10 @@
     /// loaded. Until on_earlier_owner_ended(), none of them is started that isn't known to run.
     void await_earlier_owner() { awaits_earlier_owner_ = true; }
 
-    /// Records that no earlier owner starts runs any more.
-    void on_earlier_owner_ended();
+    /// Records that no earlier owner starts runs any more. The tasks that are not known to run may
+    /// be started once each worker has shown after that which runs it holds: one that had done so
+    /// may have restarted since, and have accepted a run from the earlier owner.
+    void on_earlier_owner_ended(time_point time);
 
     /// Sets whether it is certain that no later owner exists. While it is not, no run is started:
     /// a later owner may have started the same task on another worker.
@@ -287,6 +289,7 @@
     majority_answered_at(const std::set<std::size_t>& workers, time_point proven_at) const;
     void begin_incarnation(std::size_t worker, std::int64_t incarnation, bool after_crash,
                            time_point time);
+    void settle_ends(std::size_t worker, const worker_report& report);
     void repeat_forget(std::size_t worker, const worker_report& report);
     void handle_end(std::size_t worker, const ended_run& end, time_point time, wall_time wall);
     void acknowledge_kept_ends();
@@ -315,14 +318,15 @@
     void record_crash(std::size_t worker, const run_name& name, time_point time, wall_time wall);
     void acknowledge_end(std::size_t worker, std::int64_t incarnation, std::int64_t number);
     void order_forget(std::size_t worker);
+    [[nodiscard]] bool is_located(std::size_t worker, const worker_report& report) const;
     void mark_located(std::size_t worker);
     void release_unlocated();
+    void release_unlocated(job_record& job, int step);
     [[nodiscard]] bool awaits_earlier_owner(const job_record& job) const;
     void record_health(std::size_t worker, const std::string& job, bool failed, time_point time);
 
     // load of queues
     queue_load& load_of(const job_record& job);
-    void release_unlocated(job_record& job, int step);
     void record_run_time(std::size_t worker, const ended_run& end, time_point time);
 
     // placing
@@ -542,7 +546,7 @@
     /// Those that the store is known to contain as members of the quorum. An owner that is accepted
     /// by a majority of them is the only one that is.
     std::set<std::size_t> stored_quorum_;
-    std::set<std::size_t> unreported_;    ///< Earlier owner's leased workers without a report.
+    std::set<std::size_t> unreported_;    ///< Earlier owner's workers that may hold unknown runs.
     std::set<std::size_t> loaded_quorum_; ///< The quorum in the earlier owner's list.
     std::set<std::size_t> not_accepting_; ///< Those of them that have not reported to this owner.
     lending_limits lending_limits_;
@@ -560,6 +564,7 @@
     bool certain_ = true; ///< No later owner can exist.
     /// An earlier owner may still start tasks of the loaded jobs.
     bool awaits_earlier_owner_ = false;
+    time_point earlier_owner_ended_{}; ///< When that was over; zero if there was no such owner.
     std::uint64_t last_loaded_sequence_ = 0; ///< Of the jobs that were loaded.
     time_point worker_list_confirmed_{};
     bool pass_requested_ = false;
--- a/flamingoseam/workflow/workflow_state_test.cpp
+++ b/flamingoseam/workflow/workflow_state_test.cpp
@@ -657,6 +657,8 @@
         driver.state.load(std::move(stored), {leased}, driver.time, wall);
         driver.state.on_worker_list({leased}, driver.time);
         report(earlier_start);
+        CHECK(driver.state.is_recovering());
+        report(earlier_start);
         CHECK_FALSE(driver.state.is_recovering());
         driver.store();
         driver.state.on_worker_list({leased}, driver.time); // The list is out of date.
--- a/flamingoseam/workflow/workflow_takeover.cpp
+++ b/flamingoseam/workflow/workflow_takeover.cpp
@@ -108,6 +108,13 @@
     return *last;
 }
 
+/// Checks whether a worker's report is the last that is needed to know its runs and ends.
+bool workflow_state::is_located(std::size_t worker, const worker_report& report) const
+{
+    return fleet_.at(worker).is_located() && !awaits_earlier_owner_ &&
+           report.asked >= earlier_owner_ended_;
+}
+
 void workflow_state::mark_located(std::size_t worker)
 {
     if (unreported_.erase(worker) > 0 && unreported_.empty() && !awaits_earlier_owner_) {
@@ -115,9 +122,13 @@
     }
 }
 
-void workflow_state::on_earlier_owner_ended()
+void workflow_state::on_earlier_owner_ended(time_point time)
 {
-    if (std::exchange(awaits_earlier_owner_, false) && unreported_.empty()) {
+    if (!std::exchange(awaits_earlier_owner_, false)) {
+        return;
+    }
+    earlier_owner_ended_ = time;
+    if (unreported_.empty()) {
         release_unlocated();
     }
 }
@@ -139,7 +150,6 @@
     pass_requested_ = true;
 }
 
-} // namespace flamingoseam::workflow
 /// Lets the tasks of a loaded step wait that run nowhere and whose end is not known.
 void workflow_state::release_unlocated(job_record& job, int step)
 {
@@ -162,3 +172,4 @@
     }
 }
 
+} // namespace flamingoseam::workflow
--- a/flamingoseam/workflow/workflow_takeover_test.cpp
+++ b/flamingoseam/workflow/workflow_takeover_test.cpp
@@ -121,6 +121,8 @@
         leaving[0].leaving = true;
         leaving[1].leaving = true;
         driver.state.on_worker_list(leaving, driver.time);
+        answer(0, milliseconds(100)); // A single report may miss a run.
+        answer(1, milliseconds(200));
         driver.next(milliseconds(200)); // Drops the idle leaving workers.
         answer(2, milliseconds(400));
         CHECK(driver.state.majority_answered_at(certain_at) == certain_at + milliseconds(200));
@@ -160,6 +162,10 @@
         CHECK(third.state.has_majority_accepted());
         CHECK(third.state.is_recovering());
         answer(third, 2);
+        CHECK(third.state.is_recovering());
+        for (const std::size_t worker : {3, 4, 5, 6, 0, 1, 2}) {
+            answer(third, worker); // A single report may miss a run.
+        }
         CHECK_FALSE(third.state.is_recovering());
     }
     SECTION("they count once the earlier owner extends none any more")
@@ -280,7 +286,116 @@
 
     driver.state.on_report(2, {.incarnation = 1, .asked = driver.time}, driver.time, wall);
     CHECK(driver.state.has_majority_accepted());
+    driver.state.on_report(2, {.incarnation = 1, .asked = driver.time}, driver.time, wall);
     CHECK(driver.state.is_recovering());
     driver.state.on_emptied(1, emptied_reason::lease_expired, driver.time, wall);
     CHECK_FALSE(driver.state.is_recovering());
 }
+
+namespace {
+
+const std::string loaded_job = "0123456789abcdef";
+
+/// An owner that has loaded a job with one task and two workers.
+struct successor : driven_state {
+    explicit successor(bool awaits_earlier_owner)
+    {
+        job_record record;
+        record.spec = job(loaded_job, 1'000);
+        record.terms = terms();
+        record.accepted = wall;
+        record.spec_stored = true;
+        record.has_begun = true;
+        fill_steps(record, task_phase::unlocated);
+        if (awaits_earlier_owner) {
+            state.await_earlier_owner();
+        }
+        std::vector<job_record> jobs;
+        jobs.push_back(std::move(record));
+        state.load(std::move(jobs), workers, time, wall);
+        state.on_worker_list(workers, time);
+    }
+
+    void report(std::size_t worker, const std::vector<ended_run>& ended = {},
+                const std::vector<present_run>& present = {})
+    {
+        time += milliseconds(1);
+        state.on_report(worker,
+                        {.incarnation = workers[worker].incarnation,
+                         .present = present,
+                         .ended = ended,
+                         .asked = time},
+                        time, wall);
+    }
+
+    void restart(std::size_t worker)
+    {
+        ++workers[worker].incarnation;
+        state.on_worker_list(workers, time);
+    }
+
+    /// Stores the pending changes and returns whether a task is started.
+    bool starts_task()
+    {
+        store();
+        return !next().starts.empty();
+    }
+
+    std::vector<worker_entry> workers = numbered_workers(2);
+    run_name earlier_run{{loaded_job, 0, 0}, 1};
+};
+
+} // namespace
+
+// Guards against a second run of a task: the report was made while the run was ending, and the next
+// one contained its end as done.
+TEST_CASE("a loaded task is not started again because a single report lacks its run")
+{
+    successor driver(false);
+    driver.report(0);
+    driver.report(1);
+    CHECK_FALSE(driver.starts_task());
+    driver.report(0);
+    SECTION("and not if the second report contains its end")
+    {
+        driver.report(1, {{.number = 1, .name = driver.earlier_run, .how = run_end::done}});
+        CHECK_FALSE(driver.starts_task());
+        CHECK(driver.state.find(loaded_job) == job_phase::completed);
+    }
+    SECTION("but if the second one lacks it, too")
+    {
+        driver.report(1);
+        CHECK(driver.starts_task());
+    }
+}
+
+// Guards against a second run of a task: the earlier owner, which still acted, started it on a
+// worker that had restarted after its report, where the token of the later owner was not known any
+// more.
+TEST_CASE("a worker that may have a run of the earlier owner in its next incarnation is awaited")
+{
+    successor driver(true);
+    for (const std::size_t worker : {0, 1, 0, 1}) {
+        driver.report(worker);
+    }
+    CHECK_FALSE(driver.starts_task());
+    SECTION("if its restart is known")
+    {
+        driver.restart(0);
+    }
+    SECTION("if its restart is not known") {}
+    driver.time += milliseconds(1);
+    driver.state.on_earlier_owner_ended(driver.time);
+    CHECK_FALSE(driver.starts_task());
+    driver.report(1);
+    driver.report(1);
+    CHECK_FALSE(driver.starts_task());
+
+    if (driver.workers[0].incarnation == 1) {
+        driver.restart(0);
+    }
+    driver.report(0);
+    driver.report(0, {{.number = 1, .name = driver.earlier_run, .how = run_end::done}});
+    CHECK_FALSE(driver.starts_task());
+    CHECK(driver.state.find(loaded_job) == job_phase::completed);
+}
--- a/tests/driven_state.hpp
+++ b/tests/driven_state.hpp
@@ -39,14 +39,16 @@
                 .target = milliseconds(500)};
     }
 
-    /// Delivers a worker list and a report of the same incarnation, and commits the pending
-    /// changes, so that the worker accepts tasks.
+    /// Delivers a worker list and twice a report of the same incarnation, and commits the pending
+    /// changes, so that the worker accepts tasks and it is certain which runs it holds.
     void make_usable(const worker_report& report = {.incarnation = 1})
     {
         auto entry = worker();
         entry.incarnation = report.incarnation;
         state.on_worker_list({entry}, time);
-        state.on_report(0, report, time, wall);
+        for (int count = 0; count < reports_until_certain; ++count) {
+            state.on_report(0, report, time, wall);
+        }
         store();
     }
 
