Let the stand-in store serve as many waiting watches as it is told to expect

A waiting watch holds a thread of the HTTP server, whose library has no answers that are given later, so that 64 of them at one address kept every other call waiting. A watch also examined the whole history every 50 ms; now only what has changed since it last did.

--- a/standins/platform_main.cpp
+++ b/standins/platform_main.cpp
@@ -24,6 +24,7 @@
 DEFINE_int32(port, 7100, "TCP port of the store, the permission service and the workers");
 DEFINE_int32(drain_ms, 2'000, "time for which a leaving worker may be given work, in milliseconds");
 DEFINE_int32(processors, 16, "processors of each worker");
+DEFINE_uint32(watches, 48, "watches that may wait at each address of the store");
 
 namespace flamingoseam::standin {
 
@@ -92,7 +93,8 @@
         std::make_shared<store_view>(store, FLAGS_worker_prefix, definition.substr(separator + 1));
     return std::make_unique<http_server>(
         http_server_options{.address = definition.substr(0, separator),
-                            .port = static_cast<unsigned short>(FLAGS_port)},
+                            .port = static_cast<unsigned short>(FLAGS_port),
+                            .max_threads = store_threads(FLAGS_watches)},
         [view = std::move(view)](const http_request& request) {
             return view->handle(request).value_or(http_response{.status = 404, .body = "{}"});
         });
@@ -138,7 +140,8 @@
         servers.push_back(serve_view(store, definition));
     }
     const http_server platform(
-        {.address = FLAGS_address, .port = port}, [&](const http_request& request) {
+        {.address = FLAGS_address, .port = port, .max_threads = store_threads(FLAGS_watches)},
+        [&](const http_request& request) {
             if (request.path == "/api/advise") {
                 return advise(request);
             }
--- a/standins/platform_store.cpp
+++ b/standins/platform_store.cpp
@@ -2,6 +2,8 @@
 
 #include "standins/base64.hpp"
 
+#include <algorithm>
+
 namespace flamingoseam::standin {
 
 namespace {
@@ -164,7 +166,7 @@
 http_response platform_store::watch(const http_request& request)
 {
     const auto prefix = request.query_or("prefix", "");
-    const auto after = std::stoull(request.query_or("after", "0"));
+    auto after = std::stoull(request.query_or("after", "0"));
     const auto until = now() + milliseconds(std::stoi(request.query_or("waitMs", "0")));
     std::unique_lock lock(mutex_);
     compact_if_due();
@@ -186,6 +188,7 @@
         if (!events.empty() || (now() >= until && !is_mute)) {
             return respond(200, {{"events", events}, {"currentRev", revision_}});
         }
+        after = is_mute ? after : revision_; // Up to there nothing has changed under the prefix.
         changed_.wait_for(lock, watch_poll_interval);
     }
 }
@@ -193,9 +196,10 @@
 json platform_store::events_after(std::uint64_t revision, const std::string& prefix) const
 {
     json events = json::array();
-    for (const auto& [changed_at, event] : history_) {
-        if (changed_at > revision && event.at("key").get<std::string>().starts_with(prefix)) {
-            events.push_back(event);
+    const auto first = std::ranges::upper_bound(history_, revision, {}, &change::first);
+    for (auto entry = first; entry != history_.end(); ++entry) {
+        if (entry->second.at("key").get_ref<const std::string&>().starts_with(prefix)) {
+            events.push_back(entry->second);
         }
     }
     return events;
--- a/standins/platform_store.hpp
+++ b/standins/platform_store.hpp
@@ -11,10 +11,20 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace flamingoseam::standin {
 
+/// Returns how many threads a server of the store needs so that this many watches can wait while
+/// other calls are answered. A waiting watch holds a thread, as the HTTP library has no answers
+/// that are given later.
+constexpr unsigned store_threads(unsigned watches)
+{
+    constexpr unsigned for_other_calls = 16;
+    return watches + for_other_calls;
+}
+
 /// An in-memory stand-in for the users' key-value service with transactions, leases and watches.
 /// Tests select a fault with /standin/fault?mode=down, lossy or none, and make the store discard
 /// its history with /standin/compact?mute_ms=N: watches get no answer for N ms, then the history
@@ -43,6 +53,8 @@
         time_point expires{};
     };
 
+    using change = std::pair<std::uint64_t, nlohmann::json>;
+
     enum class fault { none, down, lossy };
 
     http_response get(const http_request& request);
@@ -68,7 +80,7 @@
     std::map<std::string, stored_item> items_;
     std::map<std::uint64_t, lease_record> leases_;
     /// All changes with their revisions, oldest first.
-    std::vector<std::pair<std::uint64_t, nlohmann::json>> history_;
+    std::vector<change> history_;
     std::uint64_t revision_ = 1;
     std::uint64_t next_lease_ = 1;
     std::uint64_t discarded_revision_ = 0; ///< The history begins after it.
