--- a/scenarios/platform.lua
+++ b/scenarios/platform.lua
@@ -1,15 +1,18 @@
 -- Functions for scenarios that run nodes against the stand-in of the users' platform.
 
--- Returns the body of a job whose steps run one after the other.
-function job_body(steps, length_ms)
+-- Returns the body of a job whose steps run one after the other. `fail_percent`, if given, is the share of runs that
+-- fail.
+function job_body(steps, length_ms, fail_percent)
     local step_json = {}
     for i, step in ipairs(steps) do
         step_json[i] = string.format('{"count":%d,"cpu":%d,"memMb":100,"estimatedMs":%d%s%s}', step.count,
             step.cpu or 1000, length_ms, (step.gang and ',"gang":true' or "") ..
+            (step.speculative and ',"speculative":true' or "") ..
             (step.max_per_worker and ',"maxPerServer":' .. step.max_per_worker or ""),
             i > 1 and string.format(',"after":[%d]', i - 2) or "")
     end
-    return string.format('{"spec":"ms=%d","steps":[%s]}', length_ms, table.concat(step_json, ","))
+    local spec = "ms=" .. length_ms .. (fail_percent and " fail=" .. fail_percent or "")
+    return string.format('{"spec":"%s","steps":[%s]}', spec, table.concat(step_json, ","))
 end
 
 -- Writes the settings of a node and returns its description; starts no process.
@@ -47,11 +50,13 @@
 end
 
 -- Starts a worker as a process of its own, which appends to the file `record`. `worker` has its id, its host and, if
--- nodes reach it through a link, the address under which it is registered. Its service may be named, too.
+-- nodes reach it through a link, the address under which it is registered. Its service may be named, too, and how long
+-- its tickets are valid, if it needs any.
 function start_platform_worker(cell, worker, record)
     worker.pid = start(worker.id, { "standin-platform-worker", "--id=" .. worker.id, "--address=" .. worker.host,
         "--registered_address=" .. (worker.registered or worker.host .. ":7100"), "--store=" .. cell.store,
-        "--record=" .. record, "--service=" .. (worker.service or "service") })
+        "--record=" .. record, "--service=" .. (worker.service or "service"),
+        "--ticket_validity_ms=" .. (worker.ticket_validity_ms or 0) })
 end
 
 -- Starts a node, with a clock of its own if `node.clock` names one (see step_clock).
--- a/scenarios/repeated_runs.lua
+++ b/scenarios/repeated_runs.lua
@@ -1,5 +1,6 @@
 -- Which repeated runs the check of the record of runs reports: an end counts once the owner has acknowledged it, unless
--- the worker's lease lapsed between the two.
+-- the worker's lease lapsed between the two. A task of which several runs may take place is not started over a second
+-- after that.
 dofile("scenarios/run_record.lua")
 
 local FILE = OUT .. "/runs.jsonl"
@@ -45,3 +46,28 @@
         event(200, "end", "w1", 1, "done"), event(300, "end", "w2", 2, "done") })
     return #find_repeated_runs(read_runs(FILE, {}))
 end)() == 1)
+
+-- Returns the lines for a run on w1 from 100 to 200, which is acknowledged at 300 by token 5001, and a run on w2 from
+-- `began_ms` on, whose order was sent `age_ms` before (nil: not known).
+local function lines_of(began_ms, age_ms, is_speculative)
+    local acknowledged = event(300, "acknowledged", "w1", 1, "done")
+    acknowledged.token, acknowledged.life = 5001, 77
+    local begin = event(began_ms, "begin", "w2", 2)
+    begin.token, begin.age_ms = 6001, age_ms
+    write_events({ event(100, "begin", "w1", 1), event(200, "end", "w1", 1, "done"), acknowledged, begin })
+    return find_repeated_runs(read_runs(FILE, {}), nil, function() return is_speculative end)
+end
+
+local function has(lines, text) return #lines == 1 and lines[1]:find(text, 1, true) ~= nil end
+
+expect("a run at once with another is found", has(lines_of(150, 1, false), "t at once: "))
+expect("a start after a noted end is found", has(lines_of(1300, 1, false), "t again: "))
+expect("and one over a second later, too", has(lines_of(1301, 1, false), "t again, after it was noted: "))
+expect("several runs of a speculative step may take place", #lines_of(150, 1, true) == 0)
+expect("also for a second after the end was noted", #lines_of(1300, 1, true) == 0)
+expect("not later", has(lines_of(1301, 1, true), "t after it was noted: "))
+expect("the line says who noted the end", has(lines_of(1301, 1, false), "noted 300 in life 77 by token 5001"))
+expect("and who ordered the second run", has(lines_of(1301, 1, false), "token 6001 (epoch and base 6), not late: 1 ms"))
+expect("and if the order was late", has(lines_of(1301, 1501, false), "late: 1501 ms") and
+    not has(lines_of(1301, 1501, false), "not late"))
+expect("as far as that is known", has(lines_of(1301, nil, false), "late: unknown"))
