Soak: split zones, chains of owners, and links that drop what they held

zone_split cuts one half of the nodes off from the store, and each half from the workers of the other one; what was sent meanwhile is dropped, so that no order comes late. owner_chain takes the owners of one shard away one after the other.

A plan that is behind killed a flapping worker twice before its restart, which ended the scenario; and a node that did not end within its grace was started again while it still ran.

--- a/scenarios/platform_paths.lua
+++ b/scenarios/platform_paths.lua
@@ -53,10 +53,11 @@
         "--target_port=" .. port, "--control_port=7901", "--routes=" .. table.concat(routes, ",") })
 end
 
--- Cuts the path from a node with joined links to worker `number`, as cut_path does, or restores it.
-function hold_path(node, number, is_held)
-    request { method = "POST", server = node.joined_links,
-        path = "/v1/hold?route=" .. number - 1 .. "&on=" .. (is_held and 1 or 0) }
+-- Cuts the path from a node with joined links to worker `number`, as cut_path does, or restores it. With `is_dropped`
+-- what was sent meanwhile does not arrive.
+function hold_path(node, number, is_held, is_dropped)
+    request { method = "POST", server = node.joined_links, path = "/v1/hold?route=" .. number - 1 ..
+        "&on=" .. (is_held and 1 or 0) .. "&drop=" .. (is_dropped and 1 or 0) }
 end
 
 local function start_node_with_links(cell, number, has_clock)
--- a/scenarios/platform_soak.lua
+++ b/scenarios/platform_soak.lua
@@ -63,7 +63,10 @@
     worker.link = start_link(worker.id, worker.link_host, worker.host, 7100)
 end
 
-local function start_worker(worker) start_platform_worker(cell, worker, RECORD) end
+local function start_worker(worker)
+    start_platform_worker(cell, worker, RECORD)
+    worker.is_down = false
+end
 
 -- Returns the settings of node `number`: every other node of a divided cell is strong.
 local function settings_of(number)
@@ -126,6 +129,7 @@
 local function kill_worker(worker)
     signal(worker.pid, "KILL")
     wait_exit(worker.pid, 2000)
+    worker.is_down = true
     killed[#killed + 1] = { worker = worker.id, time_ms = now_ms() }
 end
 
@@ -238,6 +242,7 @@
     local release = occupy(worker)
     for turn = 1, turns do
         after(turn * FLAP_PAUSE_MS, function()
+            if worker.is_down then return end -- The plan is behind: its restart is due, too.
             log_fault("worker_flap " .. worker.id)
             kill_worker(worker)
             after(math.random(0, 500), function() start_worker(worker) end)
@@ -320,6 +325,10 @@
         local function restart()
             local code = wait_exit(node.pid, 1)
             if not code and now_ms() < killed_at_ms then return after(100, restart) end
+            if not code then
+                signal(node.pid, "KILL")
+                wait_exit(node.pid, 2000)
+            end
             if code ~= 0 then node.bad_exit = "exit code " .. tostring(code) .. " after SIGTERM" end
             start_node(node)
             release()
@@ -416,6 +425,41 @@
             release()
         end)
     end,
+    zone_split = function() -- One half of the nodes loses the store, and each half the workers of the other one.
+        if nodes.split or not has_joined_links then return end
+        nodes.split = true
+        local length_ms = math.random(3000, 12000)
+        log_fault("zone_split for " .. length_ms .. " ms")
+        for number, node in ipairs(nodes) do
+            local is_cut_off = number <= NODES // 2
+            local first = is_cut_off and WORKERS // 2 + 1 or 1
+            local last = is_cut_off and WORKERS or WORKERS // 2
+            if is_cut_off and not node.link.busy then freeze(node.link.pid, length_ms, occupy(node.link)) end
+            for i = first, last do hold_path(node, i, true) end
+            after(length_ms + math.random(0, 1500), function()
+                for i = first, last do hold_path(node, i, false, true) end
+            end)
+        end
+        after(length_ms + 3000, function() nodes.split = false end)
+    end,
+    owner_chain = function() -- The owners of one shard are lost one after the other.
+        local shard = math.random(0, SHARDS - 1)
+        for turn = 0, math.random(2, 4) do
+            after(turn * math.random(1000, 3500), function()
+                local owner = owner_of(cell, SHARDS > 1 and " of shard " .. shard .. " of %d+" or "")
+                if not owner or not is_free(owner) then return end
+                if math.random() < 0.3 then return kill_node(owner) end
+                local length_ms = math.random(1500, 8000)
+                if math.random() < 0.5 and not owner.link.busy then
+                    log_fault("owner_chain cuts " .. owner.name .. " from the store")
+                    freeze(owner.link.pid, length_ms, occupy(owner.link))
+                else
+                    log_fault("owner_chain freezes " .. owner.name)
+                    freeze(owner.pid, length_ms, occupy(owner))
+                end
+            end)
+        end
+    end,
     owner_kill = function() -- Most owners change, as when nodes of one zone are lost.
         for shard = 0, SHARDS - 1 do
             local owner = SHARDS == 1 and owner_of(cell) or
--- a/standins/link_main.cpp
+++ b/standins/link_main.cpp
@@ -2,7 +2,7 @@
 /// request drops all further data of the open connections, or does so until the next request on
 /// them as after a loss of power of the target, closes connections, delays their data, or holds
 /// back what the target sends. It can have several routes, each of which can be held by itself:
-/// then what is sent in either direction arrives when it is released.
+/// then what is sent in either direction arrives when it is released, unless that drops it.
 #include "flamingoseam/daemon/daemon.hpp"
 #include "flamingoseam/http/http_server.hpp"
 #include "flamingoseam/log/log.hpp"
@@ -28,7 +28,7 @@
               "--address and --target");
 DEFINE_int32(control_port, 7901,
              "HTTP port for POST /v1/mode?mode=pass|silence|forget|cut|mute&delay_ms=N and "
-             "POST /v1/hold?route=N&on=0|1, where the first route is 0");
+             "POST /v1/hold?route=N&on=0|1&drop=0|1, where the first route is 0");
 
 namespace {
 
@@ -57,6 +57,7 @@
     std::string address;
     std::string target;
     std::atomic<bool> held{false}; ///< Nothing is forwarded, and what is sent waits.
+    std::atomic<int> drops{0};     ///< Each closes the connections that were accepted before.
 };
 
 /// Returns a promise that is fulfilled when a flag is not set.
@@ -70,6 +71,17 @@
     });
 }
 
+/// Returns a promise that is fulfilled when the connections of a route are dropped again.
+kj::Promise<void> until_dropped(const route& way_to, int drops, kj::Timer& timer)
+{
+    if (way_to.drops != drops) {
+        return kj::READY_NOW;
+    }
+    return timer.afterDelay(poll_interval_ms * kj::MILLISECONDS).then([&way_to, drops, &timer] {
+        return until_dropped(way_to, drops, timer);
+    });
+}
+
 enum class direction { to_target, from_target };
 
 /// Forwards one direction of a connection until the sender closes it or it is silenced.
@@ -154,7 +166,8 @@
                 tasks_.add(until_clear(way_to.held, timer)
                                .then([this, &way_to, &target, from = kj::mv(from)]() mutable {
                                    return forward(way_to, target, kj::mv(from));
-                               }));
+                               })
+                               .exclusiveJoin(until_dropped(way_to, way_to.drops, timer)));
             }
             return accept(way_to, receiver, target);
         });
@@ -207,7 +220,9 @@
                                      const flamingoseam::http_request& request)
 {
     const auto number = std::stoul(request.query_or("route", "0"));
-    routes.at(number).held = request.query_or("on", "0") == "1";
+    auto& held = routes.at(number);
+    held.drops += request.query_or("drop", "0") == "1" ? 1 : 0;
+    held.held = request.query_or("on", "0") == "1";
     return {.body = "{}"};
 }
 
