Soak: links between nodes, weak nodes that get little processor time

With SOAK_PEER_LINKS=1 each node has a link to each other node, by a view of the store with addresses of its own, so that a node that is cut off can't be asked to stop: zone_split and node_lost cut these links, too. Before, an earlier owner that ran was always told at once. SOAK_WEAK_PERCENT throttles the weak nodes by pieces of 100 ms, as a bound on processor time does. takeover_flap and strong_return restart workers while owners are replaced that are still running.

--- a/scenarios/platform_paths.lua
+++ b/scenarios/platform_paths.lua
@@ -1,11 +1,15 @@
 -- Functions for scenarios in which every node has links of its own to the store and to each worker, all of which are
 -- processes. The permission service and the other nodes are reached without a link.
 
-local WORKERS_GROUP, VIEWS_GROUP, STORE_LINKS_GROUP = 20, 8, 6
+local WORKERS_GROUP, VIEWS_GROUP, STORE_LINKS_GROUP, NODES_GROUP = 20, 8, 6, 5
+local RPC_PORT = 8082 -- Of a node's first shard.
 
 -- Returns the group of the addresses at which the links of node `number` to the workers listen.
 local function links_group(number) return 30 + number end
 
+-- Returns the group of the addresses at which the links of node `number` to the other nodes listen.
+local function peers_group(number) return 60 + number end
+
 local function prefix_of(group) return string.format("127.%d.%d.", NET, group) end
 
 local function start_link(name, host, port, target, target_port)
@@ -18,14 +22,17 @@
 function store_view(number) return address(VIEWS_GROUP, number) end
 
 -- Starts the stand-in platform without workers, with a view of the store for each of `nodes` nodes. `flags`, if given,
--- is a list of further flags of it.
-function start_platform_with_views(nodes, workers_group, flags)
+-- is a list of further flags of it. With `has_peer_links` the nodes also have addresses for each other in their views.
+function start_platform_with_views(nodes, workers_group, flags, has_peer_links)
     local cell = { store = address(1, 1) .. ":7100", nodes = {} }
     local views = {}
-    for i = 1, nodes do views[i] = store_view(i) .. "=" .. prefix_of(links_group(i)) end
+    for i = 1, nodes do
+        views[i] = store_view(i) .. "=" .. prefix_of(links_group(i)) ..
+            (has_peer_links and "+" .. prefix_of(peers_group(i)) or "")
+    end
     cell.pid = start("platform", { "standin-platform", "--address=" .. address(1, 1),
         "--views=" .. table.concat(views, ","), "--worker_prefix=" .. prefix_of(workers_group),
-        table.unpack(flags or {}) })
+        "--node_prefix=" .. prefix_of(NODES_GROUP), table.unpack(flags or {}) })
     return cell
 end
 
@@ -53,6 +60,23 @@
         "--target_port=" .. port, "--control_port=7901", "--routes=" .. table.concat(routes, ",") })
 end
 
+-- Starts one process with the links of node `number` to all `nodes` nodes of a cell with `shards` shards.
+function start_peer_links(node, number, nodes, shards)
+    local routes = {}
+    for i = 1, nodes do routes[i] = address(peers_group(number), i) .. "=" .. address(NODES_GROUP, i) end
+    local control = address(peers_group(number), 1)
+    node.peer_links = control .. ":7901"
+    start(node.name .. "-peers", { "standin-link", "--address=" .. control, "--port=" .. RPC_PORT,
+        "--target_port=" .. RPC_PORT, "--ports=" .. shards, "--control_port=7901",
+        "--routes=" .. table.concat(routes, ",") })
+end
+
+-- Cuts the path over which a node calls node `number`, or restores it and drops what was sent meanwhile.
+function hold_peer(node, number, is_held)
+    request { method = "POST", server = node.peer_links, path = "/v1/hold?route=" .. number - 1 ..
+        "&on=" .. (is_held and 1 or 0) .. "&drop=" .. (is_held and 0 or 1) }
+end
+
 -- Cuts the path from a node with joined links to worker `number`, as cut_path does, or restores it. With `is_dropped`
 -- what was sent meanwhile does not arrive.
 function hold_path(node, number, is_held, is_dropped)
--- a/scenarios/platform_soak.lua
+++ b/scenarios/platform_soak.lua
@@ -6,10 +6,12 @@
 --
 -- Environment: SOAK_SECONDS is the length of the plan, SOAK_FAULTS the names of its faults, separated by spaces.
 -- Those of `named_faults` are carried out only if they are named. SOAK_SHARDS divides the cell, which then has more
--- workers and nodes, half of them weak. SOAK_WORKERS and SOAK_NODES are their numbers. With more than 72 pairs of a node
--- and a worker, a node's links to the workers are one process. SOAK_REFUSED is the share of workers, in percent, for
--- which the permission service refuses a step; then starts need tickets. SOAK_FAILING is the share of runs that fail, in
--- percent. SOAK_LOAD=cell adds short and long tasks, also speculative ones, in jobs of one and two steps.
+-- workers and nodes, half of them weak. SOAK_WORKERS and SOAK_NODES are their numbers. With more than 72 pairs of a
+-- node and a worker, a node's links to the workers are one process. SOAK_REFUSED is the share of workers, in percent,
+-- for which the permission service refuses a step; then starts need tickets. SOAK_FAILING is the share of runs that
+-- fail, in percent. With SOAK_PEER_LINKS=1 the nodes call each other over links, which zone_split and node_lost cut,
+-- too. SOAK_WEAK_PERCENT is the share of the time in which weak nodes get the processor. SOAK_LOAD=cell adds short and
+-- long tasks, also speculative ones, in jobs of one and two steps.
 dofile("scenarios/platform.lua")
 dofile("scenarios/run_record.lua")
 dofile("scenarios/platform_paths.lua")
@@ -21,6 +23,9 @@
 local WORKER_LINKS_GROUP = 21 -- Of the addresses under which workers are registered.
 local REFUSED = tonumber(os.getenv("SOAK_REFUSED") or "0")
 local FAILING = tonumber(os.getenv("SOAK_FAILING") or "0")
+local WEAK_PERCENT = tonumber(os.getenv("SOAK_WEAK_PERCENT") or "100")
+local THROTTLE_PERIOD_MS = 100
+local HAS_PEER_LINKS = os.getenv("SOAK_PEER_LINKS") == "1"
 local HAS_CELL_LOAD = os.getenv("SOAK_LOAD") == "cell"
 local MOST_LINK_PROCESSES = 72 -- Between nodes and workers.
 local TICKET_VALIDITY_MS = 2000
@@ -39,7 +44,7 @@
 
 local has_joined_links = WORKERS * NODES > MOST_LINK_PROCESSES
 local cell = start_platform_with_views(NODES, WORKER_LINKS_GROUP,
-    { "--watches=" .. math.max(48, 24 * NODES), "--refused_percent=" .. REFUSED })
+    { "--watches=" .. math.max(48, 24 * NODES), "--refused_percent=" .. REFUSED }, HAS_PEER_LINKS)
 local killed, plan = {}, {}
 
 local function after(delay_ms, action)
@@ -94,10 +99,11 @@
 for i = 1, NODES do
     local link = start_link("node" .. i, address(6, i), store_view(i), 7100)
     nodes[i] = new_platform_node(i, link.address, cell.store, settings_of(i))
-    nodes[i].link = link
+    nodes[i].link, nodes[i].number = link, i
     if has_clocks() then nodes[i].clock = nodes[i].name end
     local start_links = has_joined_links and start_joined_links or start_worker_links
     start_links(nodes[i], i, workers)
+    if HAS_PEER_LINKS then start_peer_links(nodes[i], i, NODES, SHARDS) end
     start_node(nodes[i])
 end
 cell.nodes = nodes
@@ -160,6 +166,15 @@
     end)
 end
 
+-- Cuts the paths between two nodes for a time, if they have links to each other.
+local function cut_peers(first, second, length_ms)
+    if not HAS_PEER_LINKS then return end
+    for from, to in pairs({ [first] = second, [second] = first }) do
+        hold_peer(nodes[from], to, true)
+        after(length_ms, function() hold_peer(nodes[from], to, false) end)
+    end
+end
+
 -- Cuts the paths of a node to the workers `first` to `last`. Each works again at a time of its own.
 local function freeze_paths(node, first, last, length_ms)
     node.paths_busy = true
@@ -220,6 +235,26 @@
     end)
 end
 
+-- Ends a node with SIGTERM and starts it again.
+local function term_node(node)
+    local release = occupy(node)
+    log_fault("node_term " .. node.name)
+    signal(node.pid, "TERM")
+    local killed_at_ms = now_ms() + 6000
+    local function restart()
+        local code = wait_exit(node.pid, 1)
+        if not code and now_ms() < killed_at_ms then return after(100, restart) end
+        if not code then
+            signal(node.pid, "KILL")
+            wait_exit(node.pid, 2000)
+        end
+        if code ~= 0 then node.bad_exit = "exit code " .. tostring(code) .. " after SIGTERM" end
+        start_node(node)
+        release()
+    end
+    after(100, restart)
+end
+
 -- Lets one or several nodes' times of day jump, each for a time of its own.
 local function step_clocks()
     for _ = 1, math.random(NODES) do
@@ -317,23 +352,7 @@
     end,
     node_term = function()
         local node = pick_node()
-        if not node then return end
-        local release = occupy(node)
-        log_fault("node_term " .. node.name)
-        signal(node.pid, "TERM")
-        local killed_at_ms = now_ms() + 6000
-        local function restart()
-            local code = wait_exit(node.pid, 1)
-            if not code and now_ms() < killed_at_ms then return after(100, restart) end
-            if not code then
-                signal(node.pid, "KILL")
-                wait_exit(node.pid, 2000)
-            end
-            if code ~= 0 then node.bad_exit = "exit code " .. tostring(code) .. " after SIGTERM" end
-            start_node(node)
-            release()
-        end
-        after(100, restart)
+        if node then term_node(node) end
     end,
     node_store_cut = function()
         local node = pick_node()
@@ -440,8 +459,37 @@
                 for i = first, last do hold_path(node, i, false, true) end
             end)
         end
+        for first = 1, NODES // 2 do
+            for second = NODES // 2 + 1, NODES do cut_peers(first, second, length_ms) end
+        end
         after(length_ms + 3000, function() nodes.split = false end)
     end,
+    node_lost = function() -- A node loses the store and the other nodes, an owner more often than another, no worker.
+        if nodes.split then return end
+        nodes.split = true
+        local node = pick_owner() or pick_node()
+        local length_ms = math.random(3000, 9000)
+        after(length_ms + 500, function() nodes.split = false end)
+        if not node or node.link.busy then return end
+        log_fault("node_lost " .. node.name .. " for " .. length_ms .. " ms")
+        freeze(node.link.pid, length_ms, occupy(node.link))
+        for number, other in ipairs(nodes) do
+            if other ~= node then cut_peers(node.number, number, length_ms) end
+        end
+        for _ = 1, WORKERS // 3 do -- Some workers restart meanwhile.
+            local worker = pick(workers)
+            if worker then
+                local release = occupy(worker)
+                after(math.random(300, 5000), function()
+                    kill_worker(worker)
+                    after(math.random(0, 200), function()
+                        start_worker(worker)
+                        release()
+                    end)
+                end)
+            end
+        end
+    end,
     owner_chain = function() -- The owners of one shard are lost one after the other.
         local shard = math.random(0, SHARDS - 1)
         for turn = 0, math.random(2, 4) do
@@ -460,6 +508,31 @@
             end)
         end
     end,
+    takeover_flap = function() -- An owner that lives is replaced, and many workers restart meanwhile.
+        local owner = pick_owner()
+        if not owner or not is_free(owner) or owner.link.busy then return end
+        log_fault("takeover_flap " .. owner.name)
+        local way = math.random(3)
+        if way == 1 then
+            term_node(owner)
+        elseif way == 2 then
+            freeze(owner.link.pid, math.random(1500, 6000), occupy(owner.link))
+        else
+            freeze(owner.pid, math.random(1200, 4000), occupy(owner))
+        end
+        for _ = 1, WORKERS // 3 do
+            local worker = pick(workers)
+            if not worker then return end
+            local release = occupy(worker)
+            after(math.random(300, 5000), function()
+                kill_worker(worker)
+                after(math.random(0, 200), function()
+                    start_worker(worker)
+                    release()
+                end)
+            end)
+        end
+    end,
     owner_kill = function() -- Most owners change, as when nodes of one zone are lost.
         for shard = 0, SHARDS - 1 do
             local owner = SHARDS == 1 and owner_of(cell) or
@@ -486,6 +559,30 @@
             release()
         end)
     end,
+    strong_return = function() -- Strong nodes lose the store, and workers restart while these replace the weak owners.
+        local length_ms = math.random(3000, 5000)
+        if nodes.split then return end
+        nodes.split = true
+        log_fault("strong_return after " .. length_ms .. " ms")
+        for number = 1, NODES, 2 do
+            local link = nodes[number].link
+            if not link.busy then freeze(link.pid, length_ms, occupy(link)) end
+        end
+        for _ = 1, WORKERS // 2 do
+            local worker = pick(workers)
+            if worker then
+                local release = occupy(worker)
+                after(length_ms + math.random(1500, 5000), function()
+                    kill_worker(worker)
+                    after(math.random(0, 100), function()
+                        start_worker(worker)
+                        release()
+                    end)
+                end)
+            end
+        end
+        after(length_ms + 6000, function() nodes.split = false end)
+    end,
     strong_cut = function() -- Strong nodes lose the store, some also workers, and return, to workers later.
         local length_ms = math.random(3000, 12000)
         for number = 1, NODES, 2 do
@@ -547,6 +644,20 @@
 
 local end_ms = now_ms() + LENGTH_MS
 local next_ms = now_ms() + 1500
+
+-- Lets a node run for a share of each period only, except while another fault hits it.
+local function throttle(node)
+    if now_ms() >= end_ms then return end
+    local pid, held_ms = node.pid, THROTTLE_PERIOD_MS * (100 - WEAK_PERCENT) // 100
+    local is_held = is_free(node) and not node.is_down and not node.bad_exit
+    if is_held then signal(pid, "STOP") end
+    after(held_ms, function()
+        if is_held and node.pid == pid and not node.is_down then signal(pid, "CONT") end
+        after(THROTTLE_PERIOD_MS - held_ms, function() throttle(node) end)
+    end)
+end
+for number = 2, WEAK_PERCENT < 100 and SHARDS > 1 and NODES or 0, 2 do throttle(nodes[number]) end
+
 while now_ms() < end_ms or #plan > 0 do
     run_plan()
     if now_ms() >= next_ms and now_ms() < end_ms then
--- a/scenarios/run_record.lua
+++ b/scenarios/run_record.lua
@@ -65,8 +65,8 @@
     return string.format("%d (epoch and base %d)", token, token // TOKENS_PER_EPOCH)
 end
 
--- Returns whether the order for a run was late. The worker doesn't know when an order was sent whose deadline is no time
--- of its own clock.
+-- Returns whether the order for a run was late. The worker doesn't know when an order was sent whose deadline is no
+-- time of its own clock.
 local function describe_age(run)
     if not run.order_age_ms then return "late: unknown" end
     return (run.order_age_ms > LATE_ORDER_MS and "late: " or "not late: ") .. run.order_age_ms .. " ms"
@@ -113,9 +113,9 @@
     return broken
 end
 
--- Returns a line for each pair of runs of a task that break the rule. `orderer_of(task, run)`, if given, returns the name
--- of the node that gave the order for a run. `is_speculative(task)`, if given, tells whether several runs of a task may
--- take place, which only the last of the clauses forbids.
+-- Returns a line for each pair of runs of a task that break the rule. `orderer_of(task, run)`, if given, returns the
+-- name of the node that gave the order for a run. `is_speculative(task)`, if given, tells whether several runs of a task
+-- may take place, which only the last of the clauses forbids.
 function find_repeated_runs(tasks, orderer_of, is_speculative)
     local found = {}
     for task, runs in pairs(tasks) do
--- a/standins/link_main.cpp
+++ b/standins/link_main.cpp
@@ -26,6 +26,7 @@
 DEFINE_string(routes, "",
               "ADDRESS=TARGET,...: IP addresses to listen on and to forward to, in place of "
               "--address and --target");
+DEFINE_int32(ports, 1, "number of ports from --port on, forwarded to those from --target_port on");
 DEFINE_int32(control_port, 7901,
              "HTTP port for POST /v1/mode?mode=pass|silence|forget|cut|mute&delay_ms=N and "
              "POST /v1/hold?route=N&on=0|1&drop=0|1, where the first route is 0");
@@ -143,13 +144,9 @@
     {
         auto& network = io_.provider->getNetwork();
         for (auto& way_to : routes_) {
-            auto target =
-                network.parseAddress(way_to.target, port_of(FLAGS_target_port)).wait(io_.waitScope);
-            auto receiver = network.parseAddress(way_to.address, port_of(FLAGS_port))
-                                .wait(io_.waitScope)
-                                ->listen();
-            auto& listener = *receiver;
-            tasks_.add(accept(way_to, listener, *target).attach(kj::mv(receiver), kj::mv(target)));
+            for (int port = 0; port < FLAGS_ports; ++port) {
+                listen(network, way_to, port);
+            }
         }
         kj::Promise<void>(kj::NEVER_DONE).wait(io_.waitScope);
     }
@@ -157,6 +154,17 @@
 private:
     static unsigned port_of(int port) { return static_cast<unsigned>(port); }
 
+    void listen(kj::Network& network, const route& way_to, int port)
+    {
+        auto target = network.parseAddress(way_to.target, port_of(FLAGS_target_port + port))
+                          .wait(io_.waitScope);
+        auto receiver = network.parseAddress(way_to.address, port_of(FLAGS_port + port))
+                            .wait(io_.waitScope)
+                            ->listen();
+        auto& listener = *receiver;
+        tasks_.add(accept(way_to, listener, *target).attach(kj::mv(receiver), kj::mv(target)));
+    }
+
     kj::Promise<void> accept(const route& way_to, kj::ConnectionReceiver& receiver,
                              kj::NetworkAddress& target)
     {
--- a/standins/platform_main.cpp
+++ b/standins/platform_main.cpp
@@ -18,10 +18,13 @@
 
 DEFINE_string(address, "127.0.0.1", "IP address of the store and of the permission service");
 DEFINE_string(worker_addresses, "", "IP addresses of the workers, separated by commas");
-DEFINE_string(views, "",
-              "ADDRESS=PREFIX,...: serves the store also at each ADDRESS, where the addresses of "
-              "workers have PREFIX in place of --worker_prefix");
+DEFINE_string(
+    views, "",
+    "ADDRESS=PREFIX[+PREFIX],...: serves the store also at each ADDRESS, where the addresses "
+    "of workers have the first PREFIX in place of --worker_prefix, and those of nodes the "
+    "second one in place of --node_prefix");
 DEFINE_string(worker_prefix, "", "prefix of the workers' registered addresses");
+DEFINE_string(node_prefix, "", "prefix of the addresses at which nodes call each other");
 DEFINE_int32(port, 7100, "TCP port of the store, the permission service and the workers");
 DEFINE_int32(drain_ms, 2'000, "time for which a leaving worker may be given work, in milliseconds");
 DEFINE_int32(processors, 16, "processors of each worker");
@@ -94,11 +97,21 @@
             {"labels", {"a", "r" + std::to_string(number % 2)}}};
 }
 
+std::vector<seen_prefix> read_prefixes(const std::string& text)
+{
+    const auto separator = text.find('+');
+    std::vector<seen_prefix> prefixes = {{FLAGS_worker_prefix, text.substr(0, separator)}};
+    if (separator != std::string::npos) {
+        prefixes.push_back({FLAGS_node_prefix, text.substr(separator + 1)});
+    }
+    return prefixes;
+}
+
 std::unique_ptr<http_server> serve_view(platform_store& store, const std::string& definition)
 {
     const auto separator = definition.find('=');
     auto view =
-        std::make_shared<store_view>(store, FLAGS_worker_prefix, definition.substr(separator + 1));
+        std::make_shared<store_view>(store, read_prefixes(definition.substr(separator + 1)));
     return std::make_unique<http_server>(
         http_server_options{.address = definition.substr(0, separator),
                             .port = static_cast<unsigned short>(FLAGS_port),
--- a/standins/store_view.cpp
+++ b/standins/store_view.cpp
@@ -52,20 +52,26 @@
 
 } // namespace
 
-store_view::store_view(platform_store& store, std::string stored, std::string seen)
-    : store_(store), stored_(std::move(stored)), seen_(std::move(seen))
+store_view::store_view(platform_store& store, std::vector<seen_prefix> prefixes)
+    : store_(store), prefixes_(std::move(prefixes))
 {
-    if (stored_.empty() || seen_.empty()) {
-        throw std::invalid_argument("a view of the store needs two prefixes of addresses");
+    for (const auto& prefix : prefixes_) {
+        if (prefix.stored.empty() || prefix.seen.empty()) {
+            throw std::invalid_argument("a view of the store needs two prefixes of addresses");
+        }
     }
 }
 
 std::optional<http_response> store_view::handle(http_request request)
 {
-    request.body = replace_in_body(request.body, seen_, stored_);
+    for (const auto& prefix : prefixes_) {
+        request.body = replace_in_body(request.body, prefix.seen, prefix.stored);
+    }
     auto response = store_.handle(request);
-    if (response) {
-        response->body = replace_in_body(response->body, stored_, seen_);
+    for (const auto& prefix : prefixes_) {
+        if (response) {
+            response->body = replace_in_body(response->body, prefix.stored, prefix.seen);
+        }
     }
     return response;
 }
