Scenario: a third owner takes the second one's word for the first one's leases

The first owner is cut off from the store, from the other nodes and from one of four workers, and renews the leases of the three that answer it. The second owner, which knows that the first one starts nothing any more, hands over to the third one and says that it and all before it have stopped. The third one then waits for one lease only and starts the tasks of the three workers again: before and after their runs have ended as done.

--- a/scenarios/platform_paths.lua
+++ b/scenarios/platform_paths.lua
@@ -89,15 +89,17 @@
     local node = new_platform_node(number, store_host .. ":7900", cell.store)
     node.store_link = start_link(node.name .. "-store", store_host, 7900, store_view(number), 7100)
     start_worker_links(node, number, cell.workers)
+    if cell.has_peer_links then start_peer_links(node, number, cell.node_count, 1) end
     if has_clock then node.clock = node.name end
     start_node(node)
     return node
 end
 
 -- Starts a cell whose workers append to the file `record`, and waits until its nodes are ready. These have clocks of
--- their own if `have_clocks`.
-function start_cell_with_paths(workers, nodes, record, have_clocks)
-    local cell = start_platform_with_views(nodes, WORKERS_GROUP)
+-- their own if `have_clocks`, and links to each other if `have_peer_links`.
+function start_cell_with_paths(workers, nodes, record, have_clocks, have_peer_links)
+    local cell = start_platform_with_views(nodes, WORKERS_GROUP, nil, have_peer_links)
+    cell.has_peer_links, cell.node_count = have_peer_links, nodes
     cell.workers = {}
     for i = 1, workers do
         local host = address(WORKERS_GROUP, i)
