Soak: split zones whose owners hand over meanwhile

split_chain splits the cell for 13 to 17 s, with 0.7 of the workers on the side that has lost the store, and ends owners of the other side with SIGTERM.

--- a/scenarios/platform_soak.lua
+++ b/scenarios/platform_soak.lua
@@ -286,6 +286,28 @@
     after((turns + 1) * FLAP_PAUSE_MS, release)
 end
 
+-- Splits a cell for a time: one half of the nodes loses the store, and each half the workers of the other one.
+-- `share`, 0.5 if not given, is that of the workers on the side without the store.
+local function split_zones(length_ms, share)
+    if nodes.split or not has_joined_links then return end
+    nodes.split = true
+    log_fault("zone_split for " .. length_ms .. " ms")
+    for number, node in ipairs(nodes) do
+        local is_cut_off = number <= NODES // 2
+        local reached = math.floor(WORKERS * (share or 0.5)) -- By the nodes that are cut off.
+        local first, last = is_cut_off and reached + 1 or 1, is_cut_off and WORKERS or reached
+        if is_cut_off and not node.link.busy then freeze(node.link.pid, length_ms, occupy(node.link)) end
+        for i = first, last do hold_path(node, i, true) end
+        after(length_ms + math.random(0, 1500), function()
+            for i = first, last do hold_path(node, i, false, true) end
+        end)
+    end
+    for first = 1, NODES // 2 do
+        for second = NODES // 2 + 1, NODES do cut_peers(first, second, length_ms) end
+    end
+    after(length_ms + 3000, function() nodes.split = false end)
+end
+
 local store = { pid = cell.pid }
 local faults = {
     worker_restart = function()
@@ -444,26 +466,7 @@
             release()
         end)
     end,
-    zone_split = function() -- One half of the nodes loses the store, and each half the workers of the other one.
-        if nodes.split or not has_joined_links then return end
-        nodes.split = true
-        local length_ms = math.random(3000, 12000)
-        log_fault("zone_split for " .. length_ms .. " ms")
-        for number, node in ipairs(nodes) do
-            local is_cut_off = number <= NODES // 2
-            local first = is_cut_off and WORKERS // 2 + 1 or 1
-            local last = is_cut_off and WORKERS or WORKERS // 2
-            if is_cut_off and not node.link.busy then freeze(node.link.pid, length_ms, occupy(node.link)) end
-            for i = first, last do hold_path(node, i, true) end
-            after(length_ms + math.random(0, 1500), function()
-                for i = first, last do hold_path(node, i, false, true) end
-            end)
-        end
-        for first = 1, NODES // 2 do
-            for second = NODES // 2 + 1, NODES do cut_peers(first, second, length_ms) end
-        end
-        after(length_ms + 3000, function() nodes.split = false end)
-    end,
+    zone_split = function() split_zones(math.random(3000, 12000)) end,
     node_lost = function() -- A node loses the store and the other nodes, an owner more often than another, no worker.
         if nodes.split then return end
         nodes.split = true
@@ -559,6 +562,16 @@
             release()
         end)
     end,
+    split_chain = function() -- Zones are split for long, and owners on the side of the store hand over meanwhile.
+        if nodes.split or not has_joined_links then return end
+        split_zones(math.random(13000, 17000), 0.7)
+        for turn = 1, 3 do
+            after(turn * 2500 + math.random(0, 1000), function()
+                local owner = pick_owner()
+                if owner and is_free(owner) and not owner.link.busy then term_node(owner) end
+            end)
+        end
+    end,
     strong_return = function() -- Strong nodes lose the store, and workers restart while these replace the weak owners.
         local length_ms = math.random(3000, 5000)
         if nodes.split then return end
