--- a/scenarios/platform_soak.lua
+++ b/scenarios/platform_soak.lua
@@ -4,7 +4,8 @@
 -- store is away or forgets its history. The faults overlap. Afterwards every accepted job must be completed, no task
 -- may have run twice, and no process may have ended by itself.
 --
--- Environment: SOAK_SECONDS is the length of the plan, SOAK_FAULTS the names of its faults, separated by spaces.
+-- Environment: SOAK_SECONDS is the length of the plan, SOAK_FAULTS the names of its faults, separated by spaces, and
+-- SOAK_PAUSE_MS the mean time between two of them.
 -- Those of `named_faults` are carried out only if they are named. SOAK_SHARDS divides the cell, which then has more
 -- workers and nodes, half of them weak. SOAK_WORKERS and SOAK_NODES are their numbers. With more than 72 pairs of a
 -- node and a worker, a node's links to the workers are one process. SOAK_REFUSED is the share of workers, in percent,
@@ -31,7 +32,7 @@
 local TICKET_VALIDITY_MS = 2000
 local MOST_ATTEMPTS = 3 -- As in the configuration of the stand-in platform.
 local LENGTH_MS = 1000 * tonumber(os.getenv("SOAK_SECONDS") or "40")
-local MEAN_PAUSE_MS = 900 -- Between two faults.
+local MEAN_PAUSE_MS = tonumber(os.getenv("SOAK_PAUSE_MS") or "900") -- Between two faults.
 local MOST_SPARE_BYTES = 96 * 1024 * 1024 -- Of a node with a bound, beyond what it uses; a thread takes 8 MiB.
 local FEWEST_DESCRIPTORS = 16
 local MOST_STEP_MS = 2400 -- Of a clock, either way.
