--- a/standins/platform_main.cpp
+++ b/standins/platform_main.cpp
@@ -7,6 +7,7 @@
 #include "flamingoseam/http/http_server.hpp"
 #include "flamingoseam/log/log.hpp"
 #include "standins/platform_store.hpp"
+#include "standins/platform_ticket.hpp"
 #include "standins/platform_worker.hpp"
 #include "standins/store_view.hpp"
 
@@ -17,13 +18,19 @@
 
 DEFINE_string(address, "127.0.0.1", "IP address of the store and of the permission service");
 DEFINE_string(worker_addresses, "", "IP addresses of the workers, separated by commas");
-DEFINE_string(views, "",
-              "ADDRESS=PREFIX,...: serves the store also at each ADDRESS, where the addresses of "
-              "workers have PREFIX in place of --worker_prefix");
+DEFINE_string(
+    views, "",
+    "ADDRESS=PREFIX[+PREFIX],...: serves the store also at each ADDRESS, where the addresses "
+    "of workers have the first PREFIX in place of --worker_prefix, and those of nodes the "
+    "second one in place of --node_prefix");
 DEFINE_string(worker_prefix, "", "prefix of the workers' registered addresses");
+DEFINE_string(node_prefix, "", "prefix of the addresses at which nodes call each other");
 DEFINE_int32(port, 7100, "TCP port of the store, the permission service and the workers");
 DEFINE_int32(drain_ms, 2'000, "time for which a leaving worker may be given work, in milliseconds");
 DEFINE_int32(processors, 16, "processors of each worker");
+DEFINE_uint32(watches, 48, "watches that may wait at each address of the store");
+DEFINE_uint32(refused_percent, 0,
+              "share of workers for which the permission service refuses a step, in percent");
 
 namespace flamingoseam::standin {
 
@@ -45,13 +52,18 @@
     return parts;
 }
 
-/// Answers a request to the permission service: grants permission for every worker in it.
+/// Answers a request to the permission service: grants permission for every worker in it that isn't
+/// among those that are refused for the step.
 http_response advise(const http_request& request)
 {
     json allowed = json::array();
     const auto body = json::parse(request.body);
+    const auto step = body.at("step").get<std::string>();
     for (const auto& worker : body.at("workers")) {
-        allowed.push_back(json::array({worker, "ticket"}));
+        const auto id = worker.get<std::string>();
+        if (!is_refused(step, id, FLAGS_refused_percent)) {
+            allowed.push_back(json::array({id, write_ticket({step, id, wall_now()})}));
+        }
     }
     return {.body = json{{"allowed", allowed}}.dump()};
 }
@@ -85,14 +97,25 @@
             {"labels", {"a", "r" + std::to_string(number % 2)}}};
 }
 
+std::vector<seen_prefix> read_prefixes(const std::string& text)
+{
+    const auto separator = text.find('+');
+    std::vector<seen_prefix> prefixes = {{FLAGS_worker_prefix, text.substr(0, separator)}};
+    if (separator != std::string::npos) {
+        prefixes.push_back({FLAGS_node_prefix, text.substr(separator + 1)});
+    }
+    return prefixes;
+}
+
 std::unique_ptr<http_server> serve_view(platform_store& store, const std::string& definition)
 {
     const auto separator = definition.find('=');
     auto view =
-        std::make_shared<store_view>(store, FLAGS_worker_prefix, definition.substr(separator + 1));
+        std::make_shared<store_view>(store, read_prefixes(definition.substr(separator + 1)));
     return std::make_unique<http_server>(
         http_server_options{.address = definition.substr(0, separator),
-                            .port = static_cast<unsigned short>(FLAGS_port)},
+                            .port = static_cast<unsigned short>(FLAGS_port),
+                            .max_threads = store_threads(FLAGS_watches)},
         [view = std::move(view)](const http_request& request) {
             return view->handle(request).value_or(http_response{.status = 404, .body = "{}"});
         });
@@ -138,7 +161,8 @@
         servers.push_back(serve_view(store, definition));
     }
     const http_server platform(
-        {.address = FLAGS_address, .port = port}, [&](const http_request& request) {
+        {.address = FLAGS_address, .port = port, .max_threads = store_threads(FLAGS_watches)},
+        [&](const http_request& request) {
             if (request.path == "/api/advise") {
                 return advise(request);
             }
