Begin each ownership once in a process

Cause: right after a strong node had replaced a weaker owner, its view of the owner's record could still show the weaker one, so that it claimed the ownership again. The claim met the record of its own process with the expected epoch, took it for an earlier attempt of the same claim and began a second owner with the same epoch and the same head records. Each of the two took a transaction of the other with the same number for its own: it acknowledged ends that were never stored. The node logged owner_begins with one epoch twice.

A node that owns a shard replaces nobody, and each claim has a number, which its owner's record and head records contain, so that no claim and no commit stream takes the writes of another for its own.

--- a/flamingoseam/node/membership.cpp
+++ b/flamingoseam/node/membership.cpp
@@ -59,14 +59,17 @@
 
 std::string write_owner(const owner_record& value)
 {
-    return json{{"epoch", value.epoch}, {"owner", to_json_value(value.owner)}}.dump();
+    return json{
+        {"epoch", value.epoch}, {"owner", to_json_value(value.owner)}, {"claim", value.claim}}
+        .dump();
 }
 
 owner_record read_owner(const std::string& text)
 {
     return read_record(text, [](const json& value) {
         return owner_record{.epoch = value.at("epoch").get<std::uint64_t>(),
-                            .owner = member_from_json(value.at("owner"))};
+                            .owner = member_from_json(value.at("owner")),
+                            .claim = value.value("claim", std::uint64_t{0})};
     });
 }
 
--- a/flamingoseam/node/membership.hpp
+++ b/flamingoseam/node/membership.hpp
@@ -31,6 +31,7 @@
 struct owner_record {
     std::uint64_t epoch = 0;
     member owner;
+    std::uint64_t claim = 0; ///< See owner_claim::number.
 };
 
 /// Returns a member as JSON text.
--- a/flamingoseam/node/node.hpp
+++ b/flamingoseam/node/node.hpp
@@ -197,6 +197,8 @@
     /// Epoch of an owner of this process that has failed and is still recorded in the store; 0 if
     /// there is none.
     std::uint64_t failed_epoch_ = 0;
+    std::uint64_t last_claim_ =
+        0; ///< Number of the newest claim; used by the election thread only.
     /// Epoch of the newest owner of this process that has stopped and was certain that no earlier
     /// one started runs any more; 0 if none.
     std::uint64_t stopped_epoch_ = 0;
--- a/flamingoseam/node/node_election.cpp
+++ b/flamingoseam/node/node_election.cpp
@@ -361,8 +361,9 @@
     const auto owner = view.live_owner();
     const auto stronger =
         owner ? find_stronger(view, owner->owner, owner->epoch, options_.shard) : std::nullopt;
+    // Right after its claim, this node may still see the owner that it has replaced.
     const bool is_eligible =
-        membership_->has_valid_lease() && time >= may_replace_owner_from_.load();
+        !local_owner() && membership_->has_valid_lease() && time >= may_replace_owner_from_.load();
     if (!stronger || stronger->name != options_.name || !is_eligible) {
         stronger_since_.reset();
         return false;
@@ -465,7 +466,8 @@
                                               .self = membership_->self(options_.shard),
                                               .expected_epoch = view.owner ? view.owner->epoch : 0,
                                               .expected_revision = view.owner_revision,
-                                              .absent_key = key_absent_at_takeover(view)});
+                                              .absent_key = key_absent_at_takeover(view),
+                                              .number = ++last_claim_});
         if (claimed) {
             claimed_epoch = claimed->head.epoch;
             begin_ownership(*claimed, view);
--- a/flamingoseam/node/owner_claim.cpp
+++ b/flamingoseam/node/owner_claim.cpp
@@ -21,7 +21,7 @@
     if (!claim.absent_key.empty()) {
         transaction.conditions.push_back({claim.absent_key, 0});
     }
-    const owner_record record{.epoch = head.epoch, .owner = claim.self};
+    const owner_record record{.epoch = head.epoch, .owner = claim.self, .claim = claim.number};
     transaction.writes.push_back({claim.owner_key, write_owner(record)});
     for (const auto& key : claim.head_keys) {
         transaction.writes.push_back({key, write_head(head)});
@@ -29,14 +29,16 @@
     return transaction;
 }
 
-/// Checks whether the conflicting record was written by an earlier attempt of the same claim.
+/// Checks whether the conflicting record was written by an earlier attempt of the same claim, and
+/// not by another claim of this process, of which an owner runs already.
 bool is_own_record(const shared_record& record, const owner_claim& claim, const stream_head& head)
 {
     if (record.key != claim.owner_key || record.value.empty()) {
         return false;
     }
     const auto owner = read_owner(record.value);
-    return owner.epoch == head.epoch && owner.owner.incarnation == claim.self.incarnation;
+    return owner.epoch == head.epoch && owner.owner.incarnation == claim.self.incarnation &&
+           owner.claim == claim.number;
 }
 
 std::optional<claimed_head> claim_outcome(const shared_result& result, const owner_claim& claim,
@@ -82,7 +84,8 @@
 {
     const stream_head head{.epoch = claim.expected_epoch + 1,
                            .sequence = 0,
-                           .owner = claim.self.name + "/" + claim.self.incarnation};
+                           .owner = claim.self.name + "/" + claim.self.incarnation + "/" +
+                                    std::to_string(claim.number)};
     const auto transaction = make_transaction(claim, head);
     for (int attempt = 0; attempt < claim.max_attempts; ++attempt) {
         const auto sent = boot_now();
--- a/flamingoseam/node/owner_claim.hpp
+++ b/flamingoseam/node/owner_claim.hpp
@@ -20,6 +20,9 @@
     /// Key that must not exist: the member record of an owner that is replaced because its lease
     /// has ended. If it has rejoined meanwhile, it may go on. Empty for no such condition.
     std::string absent_key = {};
+    /// Tells the claims of one process for one shard apart, so that none takes the record of
+    /// another for its own.
+    std::uint64_t number = 0;
     milliseconds timeout{700}; ///< Timeout of one attempt.
     int max_attempts = 8;
 };
--- a/flamingoseam/node/owner_claim_test.cpp
+++ b/flamingoseam/node/owner_claim_test.cpp
@@ -103,6 +103,12 @@
     {
         CHECK_FALSE(claim_ownership(store, claim_of("b")));
     }
+    SECTION("fails when the same process has become the owner by another claim")
+    {
+        auto claim = claim_of("a");
+        claim.number = 1;
+        CHECK_FALSE(claim_ownership(store, claim));
+    }
     SECTION("fails when the owner that it replaces as missing has rejoined")
     {
         auto claim = claim_of("b");
--- a/flamingoseam/node/sharded_node_test.cpp
+++ b/flamingoseam/node/sharded_node_test.cpp
@@ -77,6 +77,8 @@
         return page;
     }
 
+    std::atomic<bool> hides_owner{false}; ///< Watches don't show changes of the owner's record.
+
 private:
     mutable std::mutex mutex_;
     std::map<std::string, shared_record> records_;
@@ -111,6 +113,9 @@
     {
         std::this_thread::sleep_for(milliseconds(10));
         auto page = records_.read(prefix, revision);
+        std::erase_if(page.records, [this](const shared_record& record) {
+            return records_.hides_owner && record.key == "fs/m/owner";
+        });
         return {.revision = page.revision, .records = std::move(page.records)};
     }
 
@@ -443,3 +448,25 @@
     REQUIRE(holds_within(std::chrono::seconds(4), [&] { return worker.newest_epoch == 2; }));
     CHECK(has_stopped(1));
 }
+
+// Guards against a second run of a task: two owners with one epoch in one process took each other's
+// transactions for their own, so that ends were acknowledged that were not stored.
+TEST_CASE("a node that has replaced a weaker owner does not begin the same ownership again")
+{
+    late_worker worker;
+    single_node node(worker);
+    REQUIRE(holds_within(std::chrono::seconds(3), [&] { return worker.newest_epoch == 1; }));
+    const member weaker{
+        .name = "node2", .incarnation = "i2", .address = {"127.0.0.1", 1}, .processor_share = 0.1};
+    node.records.put("fs/m/node/node2", write_member(weaker));
+    node.records.put("fs/m/owner", write_owner({.epoch = 2, .owner = weaker}));
+    std::this_thread::sleep_for(milliseconds(1'000)); // The node sees the weaker owner.
+    node.records.hides_owner = true;
+    REQUIRE(holds_within(std::chrono::seconds(5), [&] { return worker.newest_epoch == 3; }));
+
+    const member other{
+        .name = "node3", .incarnation = "i3", .address = {"127.0.0.1", 1}, .processor_share = 0.1};
+    node.records.put("fs/m/node/node3", write_member(other)); // The node looks at its old view.
+    std::this_thread::sleep_for(milliseconds(1'500));
+    CHECK(node.queues.refreshes == 2); // That is once for each ownership that it has begun.
+}
