Keep the loaded workers until no earlier owner can start runs on them

A new owner lent a worker, or dropped a leaving one from the stored list, as soon as it had reported no runs. While the earlier owner may still act it can start a run there after a restart; the other shard's owner, which doesn't know the job, would acknowledge its end, and a later owner would not wait for the worker. Found by review of the takeover, not seen in a cell.

"a loaded worker is not lent while an earlier owner may start runs on it" fails with the guard switched off.

--- a/flamingoseam/workflow/worker_lending_test.cpp
+++ b/flamingoseam/workflow/worker_lending_test.cpp
@@ -543,3 +543,33 @@
         CHECK_FALSE(state.find_worker_request(driver.time).has_value());
     }
 }
+
+// Guards against a second run of a task: the earlier owner could start it on the worker's next
+// life, whose ends the other shard's owner would have acknowledged.
+TEST_CASE("a loaded worker is not lent while an earlier owner may start runs on it")
+{
+    lending_state lister;
+    driven_state driver;
+    auto& state = driver.state;
+    state.set_lending_limits({.shard = 0, .shards = 2, .cell_workers = 6});
+    state.await_earlier_owner();
+    state.load({}, lister.list(), driver.time, wall);
+    state.on_worker_list(lister.list(), driver.time);
+    const auto report_all = [&] {
+        for (const std::size_t index : {0, 1, 2, 0, 1, 2}) {
+            state.on_report(index, {.incarnation = 1, .asked = driver.time}, driver.time, wall);
+        }
+        driver.store();
+        driver.next();
+    };
+    const auto lend = [&] {
+        return state.lend_workers(
+            {.shard = 1, .service = "service", .workers = 3, .demand = {.total = 30}}, driver.time);
+    };
+    report_all();
+    CHECK(lend() == 0);
+    state.on_earlier_owner_ended(driver.time);
+    CHECK(lend() == 0);
+    report_all();
+    CHECK(lend() > 0);
+}
--- a/flamingoseam/workflow/workflow_lending.cpp
+++ b/flamingoseam/workflow/workflow_lending.cpp
@@ -28,7 +28,7 @@
 bool workflow_state::can_release(std::size_t worker, time_point time) const
 {
     const auto& state = fleet_.at(worker);
-    return state.is_held() && state.is_located() && is_idle(worker) && !state.has_results() &&
+    return state.is_held() && is_located(worker) && is_idle(worker) && !state.has_results() &&
            std::ranges::all_of(state.ruled_out, [time](const auto& entry) {
                return time - entry.second.second >= detail::max_order_delay;
            });
--- a/flamingoseam/workflow/workflow_maintenance.cpp
+++ b/flamingoseam/workflow/workflow_maintenance.cpp
@@ -153,7 +153,7 @@
 {
     std::erase_if(leased_workers_, [this](std::size_t worker) {
         auto& worker_state = fleet_.at(worker);
-        const bool may_hold_results = !worker_state.is_located() || worker_state.has_results();
+        const bool may_hold_results = !is_located(worker) || worker_state.has_results();
         if (!worker_state.entry.leaving || may_hold_results) {
             return false;
         }
--- a/flamingoseam/workflow/workflow_takeover.cpp
+++ b/flamingoseam/workflow/workflow_takeover.cpp
@@ -115,6 +115,13 @@
            report.asked >= earlier_owner_ended_;
 }
 
+/// Checks whether all runs and ends of a worker are known: those of earlier owners, too.
+bool workflow_state::is_located(std::size_t worker) const
+{
+    return fleet_.at(worker).is_located() && !awaits_earlier_owner_ &&
+           !unreported_.contains(worker);
+}
+
 void workflow_state::mark_located(std::size_t worker)
 {
     if (unreported_.erase(worker) > 0 && unreported_.empty() && !awaits_earlier_owner_) {
