--- a/tests/workflow_model.cpp
+++ b/tests/workflow_model.cpp
@@ -1,4 +1,4 @@
-#include "tests/workflow_model.hpp"
+#include "tests/workflow_model_detail.hpp"
 
 #include "flamingoseam/node/shard.hpp"
 
@@ -12,12 +12,13 @@
 
 namespace {
 
-constexpr milliseconds lease{6'000};
-constexpr milliseconds order_timeout{600};
+using detail::lease;
+using detail::order_timeout;
+using detail::simulation_start;
+using detail::streams;
+
 constexpr milliseconds finish_limit{90'000};
-constexpr wall_time simulation_start{1'000'000'000};
 constexpr int attempts = 3;
-constexpr std::size_t streams = 3;
 constexpr milliseconds incarnation_discovery_time{400};
 constexpr milliseconds max_disconnection{9'000};
 constexpr milliseconds ticket_validity{1'500};
@@ -59,78 +60,10 @@
 
 } // namespace
 
-struct workflow_model::run_record {
-    resources size;
-    milliseconds started_at{0};
-    milliseconds duration{0};
-};
-
-struct workflow_model::worker {
-    worker_entry entry;
-    bool disconnected = false;
-    std::uint64_t epoch = 0;
-    milliseconds lease_until{0};
-    milliseconds started_at{0};
-    std::map<run_name, run_record> runs;
-    std::map<task_name, std::int64_t> refused_up_to; ///< Runs up to this number are rejected.
-    std::vector<ended_run> ended;
-    std::int64_t next_end = 1;
-    milliseconds lapsed_at{-1}; ///< When the worker last had no lease.
-
-    resources used() const
-    {
-        resources sum;
-        for (const auto& [name, run] : runs) {
-            sum += run.size;
-        }
-        return sum;
-    }
-};
-
-/// A ticket of the permission service.
-struct workflow_model::issued_ticket {
-    std::string worker;
-    std::int64_t incarnation = 0;
-    std::string job;
-    int step = 0;
-    milliseconds valid_until{0};
-};
-
-struct workflow_model::job_history {
-    job_spec spec;
-    milliseconds could_run_since{-1}; ///< Since when a job with nothing running has room.
-    bool accepted = false;
-    bool cancelled = false;
-    std::set<task_name> acknowledged_successes;
-    std::map<task_name, int> acknowledged_failures;
-    std::map<task_name, std::set<std::int64_t>> failed_runs;
-    std::set<task_name> done;
-    std::map<run_name, milliseconds> done_at;
-    std::map<task_name, milliseconds> last_started_at;
-};
-
-struct workflow_model::owner {
-    explicit owner(const workflow_options& options) : state(options) {}
-
-    workflow_state state;
-    std::size_t shard = 0;
-    std::uint64_t epoch = 0;
-    std::uint64_t newest_list = 0; ///< Number of the newest worker list received.
-    bool active = true;
-    std::set<std::size_t> streams_in_flight; ///< Streams with a transaction in flight.
-    std::map<std::size_t, forget_order> forget_orders;
-    std::map<std::size_t, milliseconds> leased_until; ///< Lease ends by worker, in simulated time.
-    /// Since when workers are silent whose lease may not be renewed, by worker.
-    std::map<std::size_t, time_point> silences;
-    std::map<std::uint64_t, std::string> tokens;
-    std::uint64_t next_token = 1;
-    permission_queue permission_calls;
-    std::size_t calls_in_flight = 0;
-};
-
 workflow_model::workflow_model(workflow_model_options options)
     : options_(options), random_(options.seed), owners_(static_cast<std::size_t>(options.shards)),
-      epochs_(static_cast<std::size_t>(options.shards))
+      epochs_(static_cast<std::size_t>(options.shards)),
+      newest_(static_cast<std::size_t>(options.shards))
 {
     for (int index = 0; index < options_.workers; ++index) {
         auto added = std::make_unique<worker>();
@@ -143,6 +76,10 @@
                         .labels = {},
                         .capacity = {.milli_cpus = 8'000, .memory_mb = 16'000},
                         .leaving = false};
+        if (options_.has_sessions) {
+            begin_life(*added);
+            added->listed = added->entry;
+        }
         workers_.push_back(std::move(added));
     }
 }
@@ -214,6 +151,9 @@
             at(between(100, 3'000), [this] { store_unreachable_ = false; });
         });
     }
+    if (options_.has_sessions) {
+        schedule_process_faults(span);
+    }
 }
 
 std::size_t workflow_model::shard_of(const std::string& job) const
@@ -344,6 +284,10 @@
 
 void workflow_model::start_owner(std::size_t shard)
 {
+    if (options_.has_sessions) {
+        begin_owner(shard);
+        return;
+    }
     if (store_unreachable_) {
         at(milliseconds(200), [this, shard] { start_owner(shard); });
         return;
@@ -397,6 +341,7 @@
         return;
     }
     crashed->active = false;
+    crashed->is_killed = true;
     crashed.reset();
     at(between(300, 2'500), [this, shard] { start_owner(shard); });
 }
@@ -407,7 +352,10 @@
     for (const auto& borrower : owners_) {
         const auto request = borrower ? borrower->state.find_worker_request(clock()) : std::nullopt;
         for (const auto& lender : owners_) {
-            if (request && lender && lender != borrower) {
+            const bool may_lend =
+                !options_.has_sessions ||
+                (borrower && lender && may_start(*borrower) && may_start(*lender));
+            if (request && lender && lender != borrower && may_lend) {
                 const auto lent = lender->state.lend_workers(*request, clock());
                 lent_workers_ += static_cast<int>(lent);
                 tick_owner(lender);
@@ -421,7 +369,7 @@
 {
     std::vector<worker_entry> list;
     for (const auto& item : workers_) {
-        list.push_back(item->entry);
+        list.push_back(options_.has_sessions ? item->listed : item->entry);
     }
     node::worker_assignments assignments({.index = shard, .count = owners_.size()});
     for (const auto& [id, record] : records_below(keys_of(shard).assignment_prefix())) {
@@ -437,8 +385,20 @@
     if (!receiver) {
         return;
     }
+    if (options_.has_sessions && !reaches_store(*receiver)) {
+        at(milliseconds(200), [this, shard] { send_worker_list(shard); });
+        return;
+    }
     at(between(0, 300), [this, receiver, list = list_of_workers(shard), number = ++lists_] {
         if (receiver->active && number > receiver->newest_list) {
+            if (options_.has_sessions) {
+                receiver->newest_list = number;
+                post(receiver, [this, receiver, list] {
+                    receiver->state.on_worker_list(list, clock());
+                    open_sessions(receiver);
+                });
+                return;
+            }
             receiver->newest_list = number;
             receiver->state.on_worker_list(list, clock());
             tick_owner(receiver);
@@ -458,6 +418,10 @@
     if (!sender->active) {
         return;
     }
+    if (options_.has_sessions) {
+        wake(sender);
+        return;
+    }
     sender->state.tick(clock());
     process_actions(sender, sender->state.take_actions());
     write_store(sender);
@@ -479,6 +443,16 @@
         sender->permission_calls.drop(number);
     }
     make_permission_calls(sender);
+    for (const auto& answer : actions.answers) {
+        const auto found = sender->tokens.find(answer.token);
+        if (found != sender->tokens.end() && answer.kind == caller_answer::answer_kind::stored) {
+            jobs_[found->second]->accepted = true;
+        }
+    }
+    if (options_.has_sessions) {
+        dispatch_to_sessions(sender, actions);
+        return;
+    }
     for (const auto& order : actions.stops) {
         send_stop(sender, order);
     }
@@ -494,12 +468,6 @@
             sender->silences.erase(found);
         }
     }
-    for (const auto& answer : actions.answers) {
-        const auto found = sender->tokens.find(answer.token);
-        if (found != sender->tokens.end() && answer.kind == caller_answer::answer_kind::stored) {
-            jobs_[found->second]->accepted = true;
-        }
-    }
 }
 
 void workflow_model::send_start(const std::shared_ptr<owner>& sender, const start_order& order)
@@ -608,8 +576,9 @@
     if (token < target.epoch) {
         record_violation("the owner of " + target.entry.id + " is fenced by another shard");
     }
-    const auto report = accept_poll(target, token, sender->forget_orders[index].incarnation,
-                                    sender->forget_orders[index].up_to, lease_until);
+    const auto report =
+        accept_poll(target, *sender, token, sender->forget_orders[index].incarnation,
+                    sender->forget_orders[index].up_to, lease_until);
     const auto delay = between(1, 30);
     if (report) {
         at(delay, [this, sender, index, report = *report, asked]() mutable {
@@ -660,7 +629,10 @@
         return;
     }
     sender->streams_in_flight.insert(stream);
-    if (store_unreachable_) {
+    if (options_.has_sessions ? !reaches_store(*sender) : store_unreachable_) {
+        if (options_.has_sessions && !std::exchange(sender->store_silent, true)) {
+            sender->state.set_store_available(false);
+        }
         at(milliseconds(100), [this, sender, stream] {
             sender->streams_in_flight.erase(stream);
             write_stream(sender, stream);
@@ -672,11 +644,18 @@
         sender->streams_in_flight.erase(stream);
         return;
     }
-    at(between(5, 150), [this, sender, batch, stream] {
+    at(between(5, 150), [this, sender, batch, stream, sent = clock()] {
         if (sender->epoch != epochs_[sender->shard]) {
+            if (options_.has_sessions && reaches_store(*sender)) {
+                report_superseded(sender);
+            }
             return; // The condition of the commit stream rejects an earlier owner.
         }
         apply(batch);
+        if (options_.has_sessions) {
+            receive_stored(sender, stream, sent);
+            return;
+        }
         at(between(1, 20), [this, sender, stream] {
             sender->streams_in_flight.erase(stream);
             if (sender->active) {
@@ -916,13 +895,14 @@
 
 /// Checks, when a worker drops the end of a task that is done, that the task has not been started
 /// since it ended, unless the worker has had no lease in between.
-void workflow_model::check_not_started_again(const ended_run& end, const worker& target)
+void workflow_model::check_not_started_again(const ended_run& end, const worker& target,
+                                             const std::string& acknowledged_by)
 {
     auto& history = *jobs_[end.name.task.job];
     const auto done_at = history.done_at[end.name];
     if (target.lapsed_at < done_at && history.last_started_at[end.name.task] > done_at) {
-        record_violation("started after its end, which is acknowledged now: " +
-                         to_string(end.name) + " on " + target.entry.id);
+        record_violation("started after its end, which is acknowledged now by " + acknowledged_by +
+                         ": " + to_string(end.name) + " on " + target.entry.id);
     }
 }
 
@@ -943,8 +923,12 @@
             }
         }
     }
-    if (history.acknowledged_successes.count(order.name.task) > 0) {
-        record_violation("started after its end was acknowledged: " + text);
+    const auto success = history.acknowledged_successes.find(order.name.task);
+    if (success != history.acknowledged_successes.end()) {
+        const auto& [noted_at, acknowledged_by] = success->second;
+        record_violation("started after its end was acknowledged: " + text + ", " +
+                         std::to_string((now_ - noted_at).count()) + " ms before by " +
+                         acknowledged_by);
     }
     const auto failures = history.acknowledged_failures.find(order.name.task);
     if (!step.gang && failures != history.acknowledged_failures.end() &&
@@ -978,65 +962,112 @@
     return true;
 }
 
-std::optional<worker_report> workflow_model::accept_poll(worker& target, std::uint64_t epoch,
+std::optional<worker_report> workflow_model::accept_poll(worker& target, const owner& sender,
+                                                         std::uint64_t token,
                                                          std::int64_t incarnation,
                                                          std::int64_t forget_up_to,
                                                          milliseconds lease_until)
 {
-    if (options_.check_fence && epoch < target.epoch) {
+    if (options_.check_fence && token < target.epoch) {
         return std::nullopt;
     }
-    target.epoch = std::max(target.epoch, epoch);
+    target.epoch = std::max(target.epoch, token);
     target.lease_until = std::max(target.lease_until, lease_until);
     if (incarnation == target.entry.incarnation) {
         const auto newest = target.ended.empty() ? 0 : target.ended.back().number;
-        const auto up_to = options_.forget_after_storing ? forget_up_to : newest;
-        std::erase_if(target.ended, [&](const ended_run& end) {
-            if (end.number > up_to) {
-                return false;
-            }
-            trace(end.name.task.job, to_string(end.name) + " is dropped by the worker");
-            auto& history = *jobs_[end.name.task.job];
-            if (end.how == run_end::done) {
-                check_stored(end, target);
-                check_not_started_again(end, target);
-                history.acknowledged_successes.insert(end.name.task);
-            } else if (end.how == run_end::failed) {
-                ++history.acknowledged_failures[end.name.task];
-            }
-            return true;
-        });
+        drop_ends(target, options_.forget_after_storing ? forget_up_to : newest, name_of(sender));
     }
-    worker_report report{
-        .incarnation = target.entry.incarnation, .present = {}, .ended = target.ended};
+    return make_report(target);
+}
+
+std::string workflow_model::name_of(const owner& sender) const
+{
+    return "owner " + std::to_string(sender.epoch) + " of shard " + std::to_string(sender.shard);
+}
+
+/// Drops the ends up to a number, whose results must be stored by then.
+void workflow_model::drop_ends(worker& target, std::int64_t up_to,
+                               const std::string& acknowledged_by)
+{
+    std::erase_if(target.ended, [&](const ended_run& end) {
+        if (end.number > up_to) {
+            return false;
+        }
+        trace(end.name.task.job, to_string(end.name) + " is dropped by the worker " +
+                                     target.entry.id + ", acknowledged by " + acknowledged_by);
+        auto& history = *jobs_[end.name.task.job];
+        if (end.how == run_end::done) {
+            check_stored(end, target, acknowledged_by);
+            check_not_started_again(end, target, acknowledged_by);
+            // The rule knows no end that is acknowledged after the worker's lease has lapsed.
+            const bool is_noted =
+                !options_.has_sessions || target.lapsed_at < history.done_at[end.name];
+            if (is_noted) {
+                history.acknowledged_successes.try_emplace(end.name.task, now_, acknowledged_by);
+            }
+        } else if (end.how == run_end::failed) {
+            check_stored(end, target, acknowledged_by);
+            ++history.acknowledged_failures[end.name.task];
+        }
+        return true;
+    });
+}
+
+worker_report workflow_model::make_report(const worker& target)
+{
+    worker_report report{.incarnation = target.entry.incarnation, .present = {}, .ended = {}};
     for (const auto& [name, run] : target.runs) {
         const auto percent =
             100 * (now_ - run.started_at) / std::max(run.duration, milliseconds(1));
         report.present.push_back(
             {.name = name, .checkpoint = {}, .percent = static_cast<int>(percent)});
     }
+    for (const auto& end : target.ended) {
+        const auto hidden = target.hidden_until.find(end.number);
+        if (hidden != target.hidden_until.end() && hidden->second > now_) {
+            report.present.push_back({.name = end.name, .checkpoint = {}, .percent = 100});
+        } else if (report.ended.size() < options_.max_listed_ends) {
+            report.ended.push_back(end);
+        }
+    }
+    report.has_more_ends = report.ended.size() >= options_.max_listed_ends;
+    if (!options_.sort_ends) {
+        std::ranges::shuffle(report.ended, random_);
+    }
     return report;
 }
 
-/// Checks that the store says of a task that it is done, before its end is dropped.
-void workflow_model::check_stored(const ended_run& end, const worker& target)
+/// Checks that the store says of a task that it is done, or that its run has failed, before the end
+/// is dropped.
+void workflow_model::check_stored(const ended_run& end, const worker& target,
+                                  const std::string& acknowledged_by)
+{
+    if (options_.forget_after_storing && !is_result_stored(end)) {
+        record_violation("the end of " + to_string(end.name) + " (" + to_string(end.how) + ", " +
+                         std::to_string(end.number) + ") on " + target.entry.id +
+                         " is acknowledged by " + acknowledged_by + " and not stored");
+    }
+}
+
+bool workflow_model::is_result_stored(const ended_run& end) const
 {
     const auto& task = end.name.task;
     const auto found = records_.find(keys_of(shard_of(task.job)).progress(task.job));
-    bool is_done = false;
-    if (found != records_.end()) {
-        job_record stored;
-        stored.spec = jobs_.at(task.job)->spec;
-        fill_steps(stored, task_phase::unlocated);
-        read_progress(found->second, stored);
-        const auto& tasks = stored.steps[static_cast<std::size_t>(task.step)].tasks;
-        is_done = is_final(stored.phase) ||
-                  tasks[static_cast<std::size_t>(task.index)].phase == task_phase::done;
-    }
-    if (!is_done && options_.forget_after_storing) {
-        record_violation("the end of " + to_string(end.name) + " on " + target.entry.id +
-                         " is acknowledged and not stored");
+    if (found == records_.end()) {
+        return false;
+    }
+    job_record stored;
+    stored.spec = jobs_.at(task.job)->spec;
+    fill_steps(stored, task_phase::unlocated);
+    read_progress(found->second, stored);
+    const auto& step = stored.steps[static_cast<std::size_t>(task.step)];
+    const auto& record = step.tasks[static_cast<std::size_t>(task.index)];
+    if (is_final(stored.phase) || record.phase == task_phase::done) {
+        return true;
     }
+    const bool is_gang = stored.spec.steps[static_cast<std::size_t>(task.step)].gang;
+    const auto& failed = is_gang ? step.gang_failed_runs : record.failed_runs;
+    return end.how == run_end::failed && std::ranges::find(failed, end.name.run) != failed.end();
 }
 
 void workflow_model::end_run(worker& target, const run_name& name, run_end how)
@@ -1045,6 +1076,9 @@
     target.runs.erase(name);
     auto& refused_up_to = target.refused_up_to[name.task];
     refused_up_to = std::max(refused_up_to, name.run);
+    if (options_.late_end_share > 0 && chance(options_.late_end_share)) {
+        target.hidden_until[target.next_end] = now_ + between(1, 150);
+    }
     target.ended.push_back(
         {.number = target.next_end++, .name = name, .how = how, .checkpoint = {}});
     auto& history = *jobs_[name.task.job];
@@ -1054,10 +1088,15 @@
     } else if (how == run_end::failed) {
         history.failed_runs[name.task].insert(name.run);
     }
+    answer_held_polls(target);
 }
 
 void workflow_model::restart_worker(worker& target)
 {
+    if (options_.has_sessions) {
+        restart_process(target, 1);
+        return;
+    }
     ++target.entry.incarnation;
     target.runs.clear();
     target.refused_up_to.clear();
@@ -1076,7 +1115,10 @@
         return;
     }
     target.entry.leaving = true;
-    at(between(100, 500), [this] { send_worker_lists(); });
+    at(between(100, 500), [this, &target] {
+        target.listed = target.entry;
+        send_worker_lists();
+    });
     at(between(2'000, 6'000), [this, &target] {
         target.entry.leaving = false;
         restart_worker(target);
@@ -1116,9 +1158,12 @@
         if (*phase == job_phase::cancelled && !history->cancelled) {
             record_violation(id + " is cancelled without cause");
         }
+        constexpr int crashes = 3;
         const bool has_cause =
             std::any_of(history->failed_runs.begin(), history->failed_runs.end(),
-                        [](const auto& failed) { return failed.second.size() >= attempts; });
+                        [](const auto& failed) { return failed.second.size() >= attempts; }) ||
+            std::ranges::any_of(history->crashes,
+                                [](const auto& crashed) { return crashed.second >= crashes; });
         const bool has_gang = std::any_of(history->spec.steps.begin(), history->spec.steps.end(),
                                           [](const step_spec& step) { return step.gang; });
         if (*phase == job_phase::failed && !has_cause && !has_gang) {
@@ -1151,7 +1196,7 @@
         if (options_.check_waits) {
             check_waits();
         }
-        for (const auto& current : owners_) {
+        for (const auto& current : options_.has_sessions ? processes_ : owners_) {
             if (current) {
                 tick_owner(current);
             }
--- a/tests/workflow_model.hpp
+++ b/tests/workflow_model.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "flamingoseam/node/worker_session.hpp"
 #include "flamingoseam/workflow/permission_queue.hpp"
 #include "flamingoseam/workflow/workflow_state.hpp"
 
@@ -46,6 +47,40 @@
     bool raise_token = true; ///< The fencing token of a worker that changes its shard increases.
     bool check_run_numbers = true;    ///< Workers reject runs that were stopped or ended there.
     bool forget_after_storing = true; ///< Workers drop run ends only after their effect is stored.
+
+    /// Owners use workers by the rules of node::worker_session and judge by those of
+    /// node::job_owner whether they may start runs and renew leases. Their control threads handle
+    /// events in batches, calls in flight reach the next life of a worker, and owners that were
+    /// replaced go on until they notice. The options below have an effect only with this.
+    bool has_sessions = false;
+    int nodes = 4; ///< Machines on which owners run.
+    /// Times that a worker restarts under its id two to four times in quick succession.
+    int restart_bursts = 0;
+    /// A session's call reaches the next life of a worker on a new connection only.
+    bool keeps_connections = true;
+    /// Share of restarts that break no connection, so that calls in flight time out.
+    double silent_restart_share = 0.3;
+    double slow_call_share = 0.02; ///< Share of calls and answers that take up to 600 ms.
+    /// Share of restarts after which the time of day is earlier than in the life before.
+    double clock_step_share = 0;
+    /// Share of ends that are listed later than ends with higher numbers.
+    double late_end_share = 0;
+    bool sort_ends = true; ///< Workers list ends in the order of their numbers.
+    std::size_t max_listed_ends = 500;
+    int owner_replacements = 0; ///< Times that an owner is replaced that reaches the store.
+    /// Times that an owner is cut off from the store for long, and replaced.
+    int store_cuts = 0;
+    /// How many further owners follow in quick succession after such a replacement.
+    int chain_length = 2;
+    /// Times that an owner's node and many workers are cut off from the store and the other nodes,
+    /// so that the owner is replaced while it still reaches those workers.
+    int partitions = 0;
+    int pair_cuts = 0;    ///< Times that some nodes don't reach some workers for long.
+    int owner_pauses = 0; ///< Times that an owner's control thread stands still for long.
+    /// Orders in flight reach the next life of a worker also if nobody awaits their answer any
+    /// more, or if they are the second copy of an order, or of an earlier owner. The present owner
+    /// can't know of them.
+    bool late_orders_reach_next_life = false;
 };
 
 /// Simulates successive owners, their workers, the store and the messages between them, in virtual
@@ -67,9 +102,12 @@
     struct worker;
     struct job_history;
     struct owner;
+    struct session;
     struct issued_ticket;
 
     using action = std::function<void()>;
+    using owner_ptr = std::shared_ptr<owner>;
+    using session_ptr = std::shared_ptr<session>;
 
     void at(milliseconds delay, action event);
     void schedule_events();
@@ -107,18 +145,23 @@
     void record_failed_poll(const std::shared_ptr<owner>& sender, std::size_t index);
     void write_store(const std::shared_ptr<owner>& sender);
     void write_stream(const std::shared_ptr<owner>& sender, std::size_t stream);
+    void receive_stored(const owner_ptr& sender, std::size_t stream, time_point sent);
     void apply(const workflow::record_batch& batch);
     workflow::start_outcome accept_start(worker& target, std::uint64_t epoch,
                                          const workflow::start_order& order,
                                          milliseconds lease_until);
     bool accept_stop(worker& target, std::uint64_t epoch, const workflow::run_name& name);
-    std::optional<workflow::worker_report> accept_poll(worker& target, std::uint64_t epoch,
-                                                       std::int64_t incarnation,
-                                                       std::int64_t forget_up_to,
-                                                       milliseconds lease_until);
+    std::optional<workflow::worker_report>
+    accept_poll(worker& target, const owner& sender, std::uint64_t token, std::int64_t incarnation,
+                std::int64_t forget_up_to, milliseconds lease_until);
+    void drop_ends(worker& target, std::int64_t up_to, const std::string& acknowledged_by);
+    workflow::worker_report make_report(const worker& target);
     void end_run(worker& target, const workflow::run_name& name, workflow::run_end how);
-    void check_not_started_again(const workflow::ended_run& end, const worker& target);
-    void check_stored(const workflow::ended_run& end, const worker& target);
+    void check_not_started_again(const workflow::ended_run& end, const worker& target,
+                                 const std::string& acknowledged_by);
+    void check_stored(const workflow::ended_run& end, const worker& target,
+                      const std::string& acknowledged_by);
+    [[nodiscard]] bool is_result_stored(const workflow::ended_run& end) const;
     void restart_worker(worker& target);
     void drain_worker(worker& target);
     void expire_leases();
@@ -131,17 +174,105 @@
     std::vector<workflow::worker_entry> list_of_workers(std::size_t shard) const;
     time_point clock() const { return time_point(now_); }
 
+    // owners with sessions, and their processes
+    void schedule_process_faults(int span);
+    void begin_owner(std::size_t shard);
+    void load_owner(const owner_ptr& started);
+    void cut_store(std::size_t shard, milliseconds length);
+    void cut_partition(std::size_t shard);
+    void replace_owner(std::size_t shard, int followers);
+    void cut_pairs();
+    void pause_owner();
+    void ask_earlier_to_stop(const owner_ptr& later, time_point end);
+    bool stop_earlier(const owner_ptr& earlier);
+    void report_superseded(const owner_ptr& superseded);
+    void drop_owner(const owner_ptr& dropped);
+    void prove_ownership(const owner_ptr& sender);
+    [[nodiscard]] bool reaches_store(const owner& sender) const;
+    [[nodiscard]] bool is_cut_off(const std::map<std::size_t, milliseconds>& cuts,
+                                  std::size_t node) const;
+    [[nodiscard]] bool is_certain(const owner& sender) const;
+    [[nodiscard]] bool may_start(const owner& sender) const;
+    [[nodiscard]] bool may_renew(const owner& sender) const;
+    void post(const owner_ptr& sender, action step);
+    void wake(const owner_ptr& sender);
+    void run_batch(const owner_ptr& sender);
+    void after_batch(const owner_ptr& sender);
+    void update_renewals_end(owner& sender);
+    void update_earlier_owner(owner& sender);
+    void bound_earlier_renewals(owner& sender);
+    void set_earlier_renewals_end(owner& sender, time_point end);
+    void dispatch_to_sessions(const owner_ptr& sender, const workflow::workflow_actions& actions);
+    void open_sessions(const owner_ptr& sender);
+    void open_session(const owner_ptr& sender, std::size_t index);
+    void retire_session(owner& sender, std::size_t index);
+
+    // sessions: by the rules of node::worker_session
+    [[nodiscard]] std::uint64_t token_of(const session& used) const;
+    [[nodiscard]] bool is_current(const owner& sender, const session& used) const;
+    static void begin_incarnation(session& used);
+    void expect_incarnation(const owner_ptr& sender, const session_ptr& used,
+                            std::int64_t incarnation);
+    void forget(const owner_ptr& sender, const session_ptr& used,
+                const workflow::forget_order& order);
+    milliseconds extend_lease(const owner& sender, session& used);
+    void record_clock(session& used, milliseconds time);
+    void run_polls(const owner_ptr& sender, const session_ptr& used);
+    bool is_waiting_for_storage(const owner_ptr& sender, const session_ptr& used);
+    void send_poll(const owner_ptr& sender, const session_ptr& used);
+    milliseconds next_wait(const owner& sender, session& used) const;
+    void handle_poll(const owner_ptr& sender, const session_ptr& used, std::uint64_t number,
+                     std::optional<node::renew_answer> answer, std::uint64_t life = 0);
+    [[nodiscard]] bool is_refused(const worker& target, std::uint64_t connected_life) const;
+    void handle_renewal(const owner_ptr& sender, const session_ptr& used,
+                        node::renew_answer answer);
+    void handle_lost_poll(const owner_ptr& sender, const session_ptr& used);
+    void fail_poll(const owner_ptr& sender, const session_ptr& used);
+    void set_unreachable(const owner_ptr& sender, const session_ptr& used, bool unreachable);
+    void report_fenced(const owner_ptr& sender, const session& used, std::uint64_t sent_token);
+    void run_orders(const owner_ptr& sender, const session_ptr& used);
+    bool send_next_order(const owner_ptr& sender, const session_ptr& used);
+    void prepare_start(const owner_ptr& sender, const session_ptr& used);
+    void send_order(const owner_ptr& sender, const session_ptr& used);
+    node::order_answer accept_order(const owner& sender, const session& used, worker& target,
+                                    const node::detail::sent_order& order, std::uint64_t number,
+                                    std::uint64_t life);
+    void handle_order(const owner_ptr& sender, const session_ptr& used, std::uint64_t number,
+                      std::optional<node::order_answer> answer, std::uint64_t life = 0);
+    void post_start_result(const owner_ptr& sender, const session_ptr& used,
+                           const workflow::run_name& name, workflow::start_outcome outcome);
+
+    // workers that are processes, and the network
+    struct held_poll;
+    [[nodiscard]] bool is_cut(const owner& sender, const worker& target) const;
+    milliseconds call_delay();
+    void answer_poll(worker& target, const held_poll& held);
+    void answer_held_polls(worker& target);
+    void accept_session_poll(const owner_ptr& sender, const session_ptr& used, worker& target,
+                             const node::renew_call& call, std::uint64_t number);
+    void restart_process(worker& target, int times);
+    void begin_life(worker& target);
+    [[nodiscard]] milliseconds worker_clock(const worker& target) const;
+    worker& worker_of(const session& used) const;
+    [[nodiscard]] std::string name_of(const owner& sender) const;
+
     workflow_model_options options_;
     std::mt19937_64 random_;
     milliseconds now_{0};
     std::multimap<milliseconds, action> events_;
     std::vector<std::unique_ptr<worker>> workers_;
     std::map<std::string, std::unique_ptr<job_history>> jobs_;
-    std::map<std::string, std::string> records_; ///< Contents of the store.
-    std::vector<std::shared_ptr<owner>> owners_; ///< By shard; null while there is none.
-    std::vector<std::uint64_t> epochs_;          ///< By shard.
-    int lent_workers_ = 0;                       ///< Workers given to other shards.
-    std::uint64_t lists_ = 0;                    ///< Number of worker lists sent so far.
+    std::map<std::string, std::string> records_;    ///< Contents of the store.
+    std::vector<std::shared_ptr<owner>> owners_;    ///< By shard; null while there is none.
+    std::vector<std::uint64_t> epochs_;             ///< By shard.
+    std::vector<std::shared_ptr<owner>> processes_; ///< All owners with sessions that still act.
+    std::vector<std::shared_ptr<owner>> newest_;    ///< By shard, with sessions: the last to begin.
+    /// Until when a node doesn't reach a worker.
+    std::map<std::pair<std::size_t, std::string>, milliseconds> cuts_;
+    std::map<std::size_t, milliseconds> store_cuts_; ///< Until when a node doesn't reach the store.
+    std::map<std::size_t, milliseconds> node_cuts_;  ///< Until when it doesn't reach other nodes.
+    int lent_workers_ = 0;                           ///< Workers given to other shards.
+    std::uint64_t lists_ = 0;                        ///< Number of worker lists sent so far.
     std::vector<issued_ticket> tickets_;
     std::map<std::string, std::string> waits_; ///< Newest report of a waiting step, by job.
     bool store_unreachable_ = false;
--- a/tests/workflow_model_test.cpp
+++ b/tests/workflow_model_test.cpp
@@ -4,6 +4,10 @@
 #include <rapidcheck.h>
 
 #include <cstdlib>
+#include <functional>
+#include <iostream>
+#include <map>
+#include <sstream>
 #include <string>
 
 using namespace flamingoseam;
@@ -127,3 +131,193 @@
         CHECK(violation == "");
     }
 }
+
+namespace {
+
+/// Returns a load of a cell whose owners use sessions, without the faults of workflow_model_options
+/// that concern those.
+workflow_model_options session_load(std::uint64_t seed)
+{
+    return {.seed = seed,
+            .jobs = 60,
+            .late_order_share = 0,
+            .worker_drains = 1,
+            .store_outages = 0,
+            .has_sessions = true};
+}
+
+/// Checks that many seeds of a load with sessions show no violation. `change` adds the faults.
+void check_sessions(const std::function<void(workflow_model_options&)>& change)
+{
+    REQUIRE(rc::check("no violation", [&change](std::uint64_t seed) {
+        auto options = session_load(seed);
+        change(options);
+        const auto violation = workflow_model(options).run();
+        if (!violation.empty()) {
+            RC_FAIL("seed " + std::to_string(seed) + " " + violation);
+        }
+    }));
+}
+
+} // namespace
+
+TEST_CASE("sessions: jobs finish despite crashes of owners, restarts, disconnections and drains")
+{
+    check_sessions([](workflow_model_options& options) { options.store_outages = 1; });
+}
+
+TEST_CASE("sessions: no run starts twice although workers restart in quick succession")
+{
+    check_sessions([](workflow_model_options& options) {
+        options.restart_bursts = 6;
+        options.slow_call_share = 0.1;
+    });
+}
+
+TEST_CASE("sessions: no run starts twice although lent workers restart in quick succession")
+{
+    check_sessions([](workflow_model_options& options) {
+        options.shards = 2;
+        options.owner_crashes = 3;
+        options.restart_bursts = 6;
+    });
+}
+
+TEST_CASE("sessions: no run starts twice although the time of day of workers is set back")
+{
+    check_sessions([](workflow_model_options& options) {
+        options.restart_bursts = 4;
+        options.clock_step_share = 0.5;
+    });
+}
+
+TEST_CASE("sessions: no run starts twice although a worker lists a few of its ends at a time")
+{
+    check_sessions([](workflow_model_options& options) {
+        options.owner_crashes = 4;
+        options.max_listed_ends = 2;
+    });
+}
+
+TEST_CASE("sessions: no run starts twice although owners follow each other and stand still")
+{
+    check_sessions([](workflow_model_options& options) {
+        options.owner_replacements = 5;
+        options.owner_pauses = 4;
+    });
+}
+
+TEST_CASE("sessions: no run starts twice although an owner that is cut off from its successor "
+          "renews leases")
+{
+    check_sessions([](workflow_model_options& options) {
+        options.partitions = 1;
+        options.chain_length = 1;
+        options.owner_crashes = 0;
+    });
+}
+
+TEST_CASE("sessions: a poll must not reach the next life of a worker")
+{
+    auto options = session_load(0);
+    options.restart_bursts = 10;
+    options.slow_call_share = 0.2;
+    options.keeps_connections = false;
+    CHECK_FALSE(find_violation(options).empty());
+}
+
+namespace {
+
+/// Sets options by their names.
+class named_options {
+public:
+    explicit named_options(workflow_model_options& options)
+        : setters_{{"workers", into(options.workers)},
+                   {"shards", into(options.shards)},
+                   {"jobs", into(options.jobs)},
+                   {"load_ms", into(options.load_time)},
+                   {"fault_ms", into(options.fault_time)},
+                   {"lost_answers", into(options.lost_answer_share)},
+                   {"late_orders", into(options.late_order_share)},
+                   {"repeated_orders", into(options.repeated_order_share)},
+                   {"failing_runs", into(options.failing_run_share)},
+                   {"owner_crashes", into(options.owner_crashes)},
+                   {"worker_restarts", into(options.worker_restarts)},
+                   {"worker_drains", into(options.worker_drains)},
+                   {"worker_disconnections", into(options.worker_disconnections)},
+                   {"store_outages", into(options.store_outages)},
+                   {"records_per_write", into(options.records_per_write)},
+                   {"needs_permission", into(options.needs_permission)},
+                   {"has_long_jobs", into(options.has_long_jobs)},
+                   {"has_sessions", into(options.has_sessions)},
+                   {"nodes", into(options.nodes)},
+                   {"restart_bursts", into(options.restart_bursts)},
+                   {"keeps_connections", into(options.keeps_connections)},
+                   {"silent_restarts", into(options.silent_restart_share)},
+                   {"slow_calls", into(options.slow_call_share)},
+                   {"clock_steps", into(options.clock_step_share)},
+                   {"late_ends", into(options.late_end_share)},
+                   {"sort_ends", into(options.sort_ends)},
+                   {"listed_ends", into(options.max_listed_ends)},
+                   {"owner_replacements", into(options.owner_replacements)},
+                   {"store_cuts", into(options.store_cuts)},
+                   {"chain_length", into(options.chain_length)},
+                   {"partitions", into(options.partitions)},
+                   {"pair_cuts", into(options.pair_cuts)},
+                   {"owner_pauses", into(options.owner_pauses)},
+                   {"late_orders_reach", into(options.late_orders_reach_next_life)}}
+    {
+    }
+
+    /// Reads entries "name=value", separated by spaces. Throws std::out_of_range for an unknown
+    /// name.
+    void read(const std::string& text)
+    {
+        std::istringstream entries(text);
+        for (std::string entry; entries >> entry;) {
+            const auto sign = entry.find('=');
+            setters_.at(entry.substr(0, sign))(std::stod(entry.substr(sign + 1)));
+        }
+    }
+
+private:
+    using setter = std::function<void(double)>;
+
+    template <typename Number> static setter into(Number& option)
+    {
+        return [&option](double value) { option = static_cast<Number>(value); };
+    }
+    static setter into(milliseconds& option)
+    {
+        return [&option](double value) { option = milliseconds(static_cast<int>(value)); };
+    }
+
+    std::map<std::string, setter> setters_;
+};
+
+/// Returns the text of an environment variable, or a default.
+std::string environment(const char* name, const char* otherwise)
+{
+    const auto* text = std::getenv(name);
+    return text == nullptr ? otherwise : text;
+}
+
+} // namespace
+
+// Run by hand: [.search] with MODEL_SEED (the first), MODEL_SEEDS (their number), MODEL_OPTIONS
+// (entries "name=value") and MODEL_TRACE (a job, or "*").
+TEST_CASE("search for violations in the model with sessions", "[.search]")
+{
+    const auto first = std::stoull(environment("MODEL_SEED", "1"));
+    const auto count = std::stoull(environment("MODEL_SEEDS", "100"));
+    for (auto seed = first; seed < first + count; ++seed) {
+        auto options = session_load(seed);
+        named_options(options).read(environment("MODEL_OPTIONS", ""));
+        options.traced_job = environment("MODEL_TRACE", "");
+        const auto violation = workflow_model(options).run();
+        if (!violation.empty()) {
+            std::cerr << "seed " << seed << ' ' << violation << std::endl;
+        }
+        CHECK(violation == "");
+    }
+}
