--- a/tests/workflow_model_test.cpp
+++ b/tests/workflow_model_test.cpp
@@ -226,6 +226,23 @@
     CHECK_FALSE(find_violation(options).empty());
 }
 
+// An owner took the word of a replaced one, that no earlier owner starts runs, for the end of the
+// renewals of leases, which go on for longer. It gave up workers whose lease the first of three
+// owners renewed, cut off from the store, and started their tasks again.
+TEST_CASE("sessions: no run starts twice because a second owner has stopped while the first one "
+          "renews leases")
+{
+    check_sessions([](workflow_model_options& options) {
+        options.jobs = 10;
+        options.owner_crashes = 0;
+        options.worker_restarts = 0;
+        options.worker_drains = 0;
+        options.worker_disconnections = 0;
+        options.partitions = 1;
+        options.chain_length = 3;
+    });
+}
+
 namespace {
 
 /// Sets options by their names.
