Show on the product that the stop of a second owner is taken for the end of earlier renewals

Fails 3 times of 3: 'the stop of a second owner does not end the leases that the first one renews' (8 runs begun where 6 were due, 2 pairs of runs of one task at a time).

--- a/flamingoseam/node/job_owner_test.cpp
+++ b/flamingoseam/node/job_owner_test.cpp
@@ -765,6 +765,28 @@
                               [](const auto& run) { return run.token / tokens_per_epoch == 2; }));
 }
 
+// Guards against a second run of a task: an owner took the word of a second one, that no earlier
+// owner starts runs, for the end of the renewals of leases, which the first one goes on with.
+TEST_CASE("the stop of a second owner does not end the leases that the first one renews")
+{
+    cell shared;
+    owner_process first(shared, 0, all);
+    first.submit("job", 6);
+    REQUIRE(wait_until([&] { return count_begun(shared) == 6; }));
+
+    cut_off_from_store(first);
+    first.reaches[0] = false;
+    owner_process second(shared, 1, 1);
+    REQUIRE(wait_until([&] { return second.owner->have_earlier_ended(); }));
+    second.owner->report_superseded();
+    owner_process third(shared, 2, 1, {}, 1'600ms);
+    third.owner->confirm_earlier_stopped();
+    shared.workers[0].finish_all(); // There is room for further runs.
+    std::this_thread::sleep_for(10 * worker_lease);
+    CHECK(count_begun(shared) == 6);
+    CHECK(count_concurrent(shared) == 0);
+}
+
 TEST_CASE("an idle owner keeps its proof recent with one read of the store a second at most")
 {
     cell shared;
