--- a/flamingoseam/node/worker_session_test.cpp
+++ b/flamingoseam/node/worker_session_test.cpp
@@ -425,6 +425,20 @@
         std::this_thread::sleep_for(milliseconds(100));
         CHECK(worker.starts == 1);
     }
+    // Guards against a second run of a task: the worker had restarted after it had accepted the
+    // stop, so that it carried out the start of a run that had been taken for lost.
+    SECTION("a start that waits for a slow worker is not sent once its run is stopped")
+    {
+        worker.start_time_ms = 400;
+        session.start({.worker = 0, .name = {{"job", 0, 0}, 1}});
+        session.start({.worker = 0, .name = {{"job", 0, 1}, 1}});
+        REQUIRE(holds_within(milliseconds(2'000), [&] { return worker.starts == 1; }));
+        session.stop({.worker = 0, .name = {{"job", 0, 1}, 1}});
+        CHECK(holds_within(milliseconds(2'000), [&] { return listener.starts == 2; }));
+        CHECK(holds_within(milliseconds(2'000), [&] { return worker.stops == 1; }));
+        std::this_thread::sleep_for(milliseconds(500));
+        CHECK(worker.starts == 1);
+    }
     SECTION("a start for an unreachable worker is not sent, so that its lease can expire")
     {
         worker.unreachable = true;
--- a/tests/workflow_model_sessions.cpp
+++ b/tests/workflow_model_sessions.cpp
@@ -1027,6 +1027,9 @@
 void workflow_model::send_order(const owner_ptr& sender, const session_ptr& used)
 {
     auto& sent = *used->sent_order;
+    trace(sent.call.name.task.job, name_of(*sender) + " sends the " +
+                                       (sent.is_start ? "start of " : "stop of ") +
+                                       to_string(sent.call.name) + " to " + used->id);
     sent.sent_at = clock();
     const auto number = ++used->order_number;
     at(order_timeout,
