--- a/tests/workflow_model.hpp
+++ b/tests/workflow_model.hpp
@@ -81,6 +81,11 @@
     /// more, or if they are the second copy of an order, or of an earlier owner. The present owner
     /// can't know of them.
     bool late_orders_reach_next_life = false;
+
+    // Remedies that the product does not have.
+    /// A replaced owner tells besides whether earlier ones renew leases no more.
+    bool tells_of_earlier_renewals = false;
+    bool stop_withdraws_start = false; ///< A stop takes back the start of its run that waits.
 };
 
 /// Simulates successive owners, their workers, the store and the messages between them, in virtual
--- a/tests/workflow_model_detail.hpp
+++ b/tests/workflow_model_detail.hpp
@@ -130,6 +130,7 @@
     time_point earlier_starts_end{};
     bool earlier_ended = true;
     bool earlier_stopped = false;
+    bool earlier_renew_no_more = false; ///< The earlier owner has said so of all before it.
     time_point earlier_renewals_limit{};
     time_point earlier_renewals_end{};
 };
--- a/tests/workflow_model_sessions.cpp
+++ b/tests/workflow_model_sessions.cpp
@@ -322,7 +322,11 @@
         if (later->earlier_ended || !later->active) {
             later->earlier.reset();
         } else if (has_stopped) {
-            post(later, [later] { later->earlier_stopped = true; });
+            const bool renew_no_more = earlier->earlier_renewals_end <= clock();
+            post(later, [later, renew_no_more] {
+                later->earlier_stopped = true;
+                later->earlier_renew_no_more = renew_no_more;
+            });
             later->earlier.reset();
         } else {
             at(stop_retry_delay, [this, later, end] { ask_earlier_to_stop(later, end); });
@@ -491,7 +495,9 @@
 void workflow_model::bound_earlier_renewals(owner& sender)
 {
     const auto time = clock();
-    if (sender.earlier_stopped && sender.earlier_renewals_end > time) {
+    const bool have_stopped = sender.earlier_stopped &&
+                              (!options_.tells_of_earlier_renewals || sender.earlier_renew_no_more);
+    if (have_stopped && sender.earlier_renewals_end > time) {
         set_earlier_renewals_end(sender, time);
     } else if (sender.earlier_renewals_end != time_point::max()) {
         return;
@@ -542,6 +548,11 @@
     }
     for (const auto& order : actions.stops) {
         const auto used = session_of(order.worker);
+        if (used && options_.stop_withdraws_start &&
+            std::erase_if(used->starts,
+                          [&](const auto& start) { return start.order.name == order.name; }) > 0) {
+            post_start_result(sender, used, order.name, start_outcome::not_sent);
+        }
         if (used && std::ranges::find(used->stops, order.name) == used->stops.end()) {
             used->stops.push_back(order.name);
             run_orders(sender, used);
