--- a/tests/workflow_model.cpp
+++ b/tests/workflow_model.cpp
@@ -389,7 +389,8 @@
         at(milliseconds(200), [this, shard] { send_worker_list(shard); });
         return;
     }
-    at(between(0, 300), [this, receiver, list = list_of_workers(shard), number = ++lists_] {
+    const auto max_delay = static_cast<int>(options_.max_list_delay.count());
+    at(between(0, max_delay), [this, receiver, list = list_of_workers(shard), number = ++lists_] {
         if (receiver->active && number > receiver->newest_list) {
             if (options_.has_sessions) {
                 receiver->newest_list = number;
--- a/tests/workflow_model.hpp
+++ b/tests/workflow_model.hpp
@@ -75,8 +75,12 @@
     /// Times that an owner's node and many workers are cut off from the store and the other nodes,
     /// so that the owner is replaced while it still reaches those workers.
     int partitions = 0;
-    int pair_cuts = 0;    ///< Times that some nodes don't reach some workers for long.
-    int owner_pauses = 0; ///< Times that an owner's control thread stands still for long.
+    int pair_cuts = 0;     ///< Times that some nodes don't reach some workers for long.
+    int owner_pauses = 0;  ///< Times that an owner's control thread stands still for long.
+    int owner_freezes = 0; ///< Times that an owner's whole process stands still for long.
+    /// Share of new owners whose control thread stands still for long at first.
+    double slow_takeover_share = 0;
+    milliseconds max_list_delay{300}; ///< Age at which the platform's list arrives, at most.
     /// Orders in flight reach the next life of a worker also if nobody awaits their answer any
     /// more, or if they are the second copy of an order, or of an earlier owner. The present owner
     /// can't know of them.
@@ -188,6 +192,8 @@
     void replace_owner(std::size_t shard, int followers);
     void cut_pairs();
     void pause_owner();
+    void freeze_owner();
+    bool defer_if_frozen(const owner_ptr& sender, const action& step);
     void ask_earlier_to_stop(const owner_ptr& later, time_point end);
     bool stop_earlier(const owner_ptr& earlier);
     void report_superseded(const owner_ptr& superseded);
--- a/tests/workflow_model_detail.hpp
+++ b/tests/workflow_model_detail.hpp
@@ -116,6 +116,7 @@
     bool is_batch_due = false;
     time_point next_batch{};
     time_point paused_until{}; ///< The control thread stands still until then.
+    time_point frozen_until{}; ///< The whole process stands still until then.
     bool is_killed = false;
     bool is_dropped = false;
     bool acts_no_more = false;
--- a/tests/workflow_model_sessions.cpp
+++ b/tests/workflow_model_sessions.cpp
@@ -54,6 +54,7 @@
     repeat(options_.partitions, [this, any_shard] { cut_partition(any_shard()); });
     repeat(options_.pair_cuts, [this] { cut_pairs(); });
     repeat(options_.owner_pauses, [this] { pause_owner(); });
+    repeat(options_.owner_freezes, [this] { freeze_owner(); });
 }
 
 /// Cuts the node of an owner off from the store, and lets other owners follow.
@@ -134,6 +135,34 @@
     }
 }
 
+void workflow_model::freeze_owner()
+{
+    const auto& frozen = owners_[static_cast<std::size_t>(between(0, options_.shards - 1).count())];
+    if (frozen) {
+        frozen->frozen_until = clock() + between(300, 12'000);
+        frozen->paused_until = std::max(frozen->paused_until, frozen->frozen_until);
+        trace("", name_of(*frozen) + " stands still");
+        if (chance(0.5)) {
+            at(between(500, 4'000), [this, frozen, shard = frozen->shard] {
+                if (owners_[shard] == frozen) {
+                    replace_owner(shard, 0);
+                }
+            });
+        }
+    }
+}
+
+/// Puts a step of an owner's process off while that stands still. Returns whether it has.
+bool workflow_model::defer_if_frozen(const owner_ptr& sender, const action& step)
+{
+    const auto left = std::chrono::ceil<milliseconds>(sender->frozen_until - clock());
+    if (left <= milliseconds(0)) {
+        return false;
+    }
+    at(left + between(0, 20), step);
+    return true;
+}
+
 /// Lets a worker end and begin anew under its id, several times in quick succession.
 void workflow_model::restart_process(worker& target, int times)
 {
@@ -300,6 +329,9 @@
             .jobs,
         leased_workers, clock(), simulation_start + now_);
     processes_.push_back(started);
+    if (options_.slow_takeover_share > 0 && chance(options_.slow_takeover_share)) {
+        started->paused_until = clock() + between(300, 3'000);
+    }
     post(started, [this, started] { open_sessions(started); });
     send_worker_list(started->shard);
     prove_ownership(started);
@@ -379,6 +411,9 @@
 
 void workflow_model::prove_ownership(const owner_ptr& sender)
 {
+    if (defer_if_frozen(sender, [=, this] { prove_ownership(sender); })) {
+        return;
+    }
     if (!sender->active || sender->acts_no_more) {
         return;
     }
@@ -522,6 +557,9 @@
 /// Handles the store's answer that a batch is stored.
 void workflow_model::receive_stored(const owner_ptr& sender, std::size_t stream, time_point sent)
 {
+    if (defer_if_frozen(sender, [=, this] { receive_stored(sender, stream, sent); })) {
+        return;
+    }
     at(between(1, 20), [this, sender, stream, sent] {
         if (!reaches_store(*sender)) {
             receive_stored(sender, stream, sent);
@@ -722,6 +760,9 @@
 
 void workflow_model::run_polls(const owner_ptr& sender, const session_ptr& used)
 {
+    if (defer_if_frozen(sender, [=, this] { run_polls(sender, used); })) {
+        return;
+    }
     if (used->ending || sender->is_killed || used->is_poll_sent ||
         is_waiting_for_storage(sender, used)) {
         return;
@@ -863,6 +904,9 @@
                                  std::uint64_t number, std::optional<node::renew_answer> answer,
                                  std::uint64_t life)
 {
+    if (defer_if_frozen(sender, [=, this] { handle_poll(sender, used, number, answer, life); })) {
+        return;
+    }
     if (number != used->poll_number || !used->is_poll_sent || used->ending || sender->is_killed) {
         return;
     }
@@ -989,6 +1033,9 @@
 
 void workflow_model::run_orders(const owner_ptr& sender, const session_ptr& used)
 {
+    if (defer_if_frozen(sender, [=, this] { run_orders(sender, used); })) {
+        return;
+    }
     if (used->ending || sender->is_killed) {
         return;
     }
@@ -1112,6 +1159,9 @@
                                   std::uint64_t number, std::optional<node::order_answer> answer,
                                   std::uint64_t life)
 {
+    if (defer_if_frozen(sender, [=, this] { handle_order(sender, used, number, answer, life); })) {
+        return;
+    }
     if (number != used->order_number || !used->sent_order || sender->is_killed) {
         return;
     }
--- a/tests/workflow_model_test.cpp
+++ b/tests/workflow_model_test.cpp
@@ -282,6 +282,9 @@
                    {"partitions", into(options.partitions)},
                    {"pair_cuts", into(options.pair_cuts)},
                    {"owner_pauses", into(options.owner_pauses)},
+                   {"owner_freezes", into(options.owner_freezes)},
+                   {"slow_takeovers", into(options.slow_takeover_share)},
+                   {"list_delay_ms", into(options.max_list_delay)},
                    {"late_orders_reach", into(options.late_orders_reach_next_life)},
                    {"tells_of_renewals", into(options.tells_of_earlier_renewals)},
                    {"stop_withdraws", into(options.stop_withdraws_start)}}
