--- a/tests/workflow_model.hpp
+++ b/tests/workflow_model.hpp
@@ -58,6 +58,8 @@
     int restart_bursts = 0;
     /// A session's call reaches the next life of a worker on a new connection only.
     bool keeps_connections = true;
+    /// Times that two workers restart, each at the other's address.
+    int address_swaps = 0;
     /// Share of restarts that break no connection, so that calls in flight time out.
     double silent_restart_share = 0.3;
     double slow_call_share = 0.02; ///< Share of calls and answers that take up to 600 ms.
@@ -239,6 +241,8 @@
                         node::renew_answer answer);
     void handle_lost_poll(const owner_ptr& sender, const session_ptr& used);
     void fail_poll(const owner_ptr& sender, const session_ptr& used);
+    void post_emptied(const owner_ptr& sender, const session_ptr& used,
+                      workflow::emptied_reason reason);
     void set_unreachable(const owner_ptr& sender, const session_ptr& used, bool unreachable);
     void report_fenced(const owner_ptr& sender, const session& used, std::uint64_t sent_token);
     void run_orders(const owner_ptr& sender, const session_ptr& used);
@@ -262,9 +266,10 @@
     void accept_session_poll(const owner_ptr& sender, const session_ptr& used, worker& target,
                              const node::renew_call& call, std::uint64_t number);
     void restart_process(worker& target, int times);
+    void swap_addresses();
     void begin_life(worker& target);
     [[nodiscard]] milliseconds worker_clock(const worker& target) const;
-    worker& worker_of(const session& used) const;
+    worker& worker_at(const session& used) const;
     [[nodiscard]] std::string name_of(const owner& sender) const;
 
     workflow_model_options options_;
@@ -282,6 +287,7 @@
     std::map<std::pair<std::size_t, std::string>, milliseconds> cuts_;
     std::map<std::size_t, milliseconds> store_cuts_; ///< Until when a node doesn't reach the store.
     std::map<std::size_t, milliseconds> node_cuts_;  ///< Until when it doesn't reach other nodes.
+    std::uint64_t lives_ = 0;                        ///< Number of lives of all workers.
     int lent_workers_ = 0;                           ///< Workers given to other shards.
     std::uint64_t lists_ = 0;                        ///< Number of worker lists sent so far.
     std::vector<issued_ticket> tickets_;
--- a/tests/workflow_model_detail.hpp
+++ b/tests/workflow_model_detail.hpp
@@ -140,9 +140,9 @@
 struct workflow_model::session {
     explicit session(const node::worker_session_options& initial, const worker_entry& entry,
                      time_point time)
-        : options(initial), id(entry.id), clock(initial.lease), incarnation(entry.incarnation),
-          incarnations(initial.earlier_incarnations), unreachable(initial.is_renewal_withheld),
-          silent_since(time), may_renew(!unreachable),
+        : options(initial), id(entry.id), address(entry.address), clock(initial.lease),
+          incarnation(entry.incarnation), incarnations(initial.earlier_incarnations),
+          unreachable(initial.is_renewal_withheld), silent_since(time), may_renew(!unreachable),
           earlier_renewals_end(initial.earlier_renewals_end)
     {
     }
@@ -154,6 +154,7 @@
 
     node::worker_session_options options;
     std::string id;
+    endpoint address;
     std::deque<queued_start> starts;
     std::deque<run_name> stops;
     node::lease_clock clock;
--- a/tests/workflow_model_sessions.cpp
+++ b/tests/workflow_model_sessions.cpp
@@ -49,6 +49,7 @@
         restart_process(target, static_cast<int>(between(2, 4).count()));
     });
     repeat(options_.owner_replacements, [this, any_shard] { replace_owner(any_shard(), 0); });
+    repeat(options_.address_swaps, [this] { swap_addresses(); });
     repeat(options_.store_cuts,
            [this, any_shard] { cut_store(any_shard(), between(3'000, 35'000)); });
     repeat(options_.partitions, [this, any_shard] { cut_partition(any_shard()); });
@@ -190,7 +191,7 @@
     target.runs.clear();
     target.ended.clear();
     target.lease_until = milliseconds(0);
-    ++target.life;
+    target.life = ++lives_;
     const auto down = breaks_connections && times == 1 ? between(20, 1'500) : between(5, 250);
     target.down_until = now_ + down;
     at(down, [this, &target, times] {
@@ -206,6 +207,19 @@
     });
 }
 
+/// Lets two workers restart, each at the other's address.
+void workflow_model::swap_addresses()
+{
+    auto& first = *workers_[static_cast<std::size_t>(between(0, options_.workers - 1).count())];
+    auto& second = *workers_[static_cast<std::size_t>(between(0, options_.workers - 1).count())];
+    if (&first == &second || now_ < first.down_until || now_ < second.down_until) {
+        return;
+    }
+    restart_process(first, 1);
+    restart_process(second, 1);
+    std::swap(first.entry.address, second.entry.address);
+}
+
 void workflow_model::begin_life(worker& target)
 {
     if (!target.incarnations.empty() && chance(options_.clock_step_share)) {
@@ -216,6 +230,7 @@
         ++born;
     }
     target.entry.incarnation = born;
+    target.life = ++lives_;
     target.runs.clear();
     target.refused_up_to.clear();
     target.ended.clear();
@@ -639,6 +654,11 @@
             continue;
         }
         const auto used = found->second;
+        if (used->address != state.entry.address) {
+            retire_session(*sender, index);
+            open_session(sender, index);
+            continue;
+        }
         if (!state.listed || state.entry.leaving) {
             for (const auto& start : std::exchange(used->starts, {})) {
                 post_start_result(sender, used, start.order.name, start_outcome::not_sent);
@@ -684,9 +704,13 @@
 
 // Sessions.
 
-workflow_model::worker& workflow_model::worker_of(const session& used) const
+/// Returns the worker that has the address of a session, which may be another one than the
+/// session's.
+workflow_model::worker& workflow_model::worker_at(const session& used) const
 {
-    return *workers_.at(std::stoul(used.id.substr(1)));
+    const auto found = std::ranges::find_if(
+        workers_, [&](const auto& item) { return item->entry.address == used.address; });
+    return **found;
 }
 
 std::uint64_t workflow_model::token_of(const session& used) const
@@ -804,11 +828,11 @@
     used->is_poll_sent = true;
     const auto number = ++used->poll_number;
     at(timeout, [this, sender, used, number] { handle_poll(sender, used, number, std::nullopt); });
-    auto& target = worker_of(*used);
-    if (is_cut(*sender, target)) {
+    if (is_cut(*sender, worker_at(*used))) {
         return;
     }
-    at(call_delay(), [this, sender, used, call, number, &target, life = used->poll_life] {
+    at(call_delay(), [this, sender, used, call, number, life = used->poll_life] {
+        auto& target = worker_at(*used);
         if (is_cut(*sender, target)) {
             return;
         }
@@ -832,6 +856,12 @@
                }
            });
     };
+    if (target.entry.id != used->id) {
+        reply({.outcome = node::renew_answer::kind::wrong_incarnation,
+               .clock = worker_clock(target),
+               .report = {}});
+        return;
+    }
     if (options_.check_fence && call.epoch < target.epoch) {
         reply({.outcome = node::renew_answer::kind::fenced,
                .clock = worker_clock(target),
@@ -943,6 +973,12 @@
             clock() + (used->asked_token == token_of(*used) ? rejection_delay : milliseconds(0));
         return;
     }
+    if (answer.outcome == node::renew_answer::kind::wrong_incarnation) {
+        set_unreachable(sender, used, true);
+        post_emptied(sender, used, emptied_reason::replaced);
+        used->next_poll = clock() + rejection_delay;
+        return;
+    }
     used->retry_delay = initial_retry_delay;
     used->emptied = false;
     used->has_runs = !answer.report.present.empty() || !answer.report.ended.empty();
@@ -990,13 +1026,18 @@
     }
     used->emptied = true;
     trace("", name_of(*sender) + " takes " + used->id + " for empty");
-    post(sender, [this, sender, used] {
+    post_emptied(sender, used, emptied_reason::lease_expired);
+}
+
+void workflow_model::post_emptied(const owner_ptr& sender, const session_ptr& used,
+                                  emptied_reason reason)
+{
+    post(sender, [this, sender, used, reason] {
         const auto index = used->options.id.worker;
         if (!is_current(*sender, *used)) {
             return;
         }
-        sender->state.on_emptied(index, emptied_reason::lease_expired, clock(),
-                                 simulation_start + now_);
+        sender->state.on_emptied(index, reason, clock(), simulation_start + now_);
         if (!sender->state.workers().at(index).listed) {
             retire_session(*sender, index);
         }
@@ -1092,39 +1133,41 @@
     const auto number = ++used->order_number;
     at(order_timeout,
        [this, sender, used, number] { handle_order(sender, used, number, std::nullopt); });
-    auto& target = worker_of(*used);
-    if (is_cut(*sender, target)) {
+    const auto life = worker_at(*used).life;
+    if (is_cut(*sender, worker_at(*used))) {
         return;
     }
     if (sent.is_start && chance(options_.late_order_share)) {
-        at(between(2'000, 12'000), [this, sender, used, order = sent, &target, life = target.life] {
+        at(between(2'000, 12'000), [this, sender, used, order = sent, life] {
+            auto& target = worker_at(*used);
             if (now_ >= target.down_until) {
                 accept_order(*sender, *used, target, order, 0, life);
             }
         });
         return;
     }
-    at(call_delay(), [this, sender, used, order = sent, number, &target, life = target.life,
-                      connected = used->order_life] {
-        if (is_cut(*sender, target)) {
-            return;
-        }
-        std::optional<node::order_answer> answer;
-        if (!is_refused(target, connected)) {
-            answer = accept_order(*sender, *used, target, order, number, life);
-            if (chance(options_.repeated_order_share)) {
-                answer.reset(); // The connection breaks before the answer.
-            } else if (chance(options_.lost_answer_share)) {
-                return;
-            }
-        }
-        at(call_delay(),
-           [this, sender, used, number, &target, answer, answering = answer ? target.life : 0] {
-               if (!is_cut(*sender, target)) {
-                   handle_order(sender, used, number, answer, answering);
+    at(call_delay(),
+       [this, sender, used, order = sent, number, life, connected = used->order_life] {
+           auto& target = worker_at(*used);
+           if (is_cut(*sender, target)) {
+               return;
+           }
+           std::optional<node::order_answer> answer;
+           if (!is_refused(target, connected)) {
+               answer = accept_order(*sender, *used, target, order, number, life);
+               if (chance(options_.repeated_order_share)) {
+                   answer.reset(); // The connection breaks before the answer.
+               } else if (chance(options_.lost_answer_share)) {
+                   return;
                }
-           });
-    });
+           }
+           at(call_delay(),
+              [this, sender, used, number, &target, answer, answering = answer ? target.life : 0] {
+                  if (!is_cut(*sender, target)) {
+                      handle_order(sender, used, number, answer, answering);
+                  }
+              });
+       });
 }
 
 node::order_answer workflow_model::accept_order(const owner& sender, const session& used,
@@ -1132,6 +1175,9 @@
                                                 const node::detail::sent_order& order,
                                                 std::uint64_t number, std::uint64_t life)
 {
+    if (target.entry.id != used.id) {
+        return {.outcome = start_outcome::wrong_incarnation, .clock = worker_clock(target)};
+    }
     const bool is_awaited = used.sent_order && used.order_number == number && !used.released &&
                             sender.epoch == epochs_[sender.shard];
     const bool is_late = !is_awaited || order.is_repeated;
--- a/tests/workflow_model_test.cpp
+++ b/tests/workflow_model_test.cpp
@@ -217,6 +217,16 @@
     });
 }
 
+TEST_CASE("sessions: no run starts twice although workers take over each other's address")
+{
+    check_sessions([](workflow_model_options& options) {
+        options.shards = 2;
+        options.address_swaps = 6;
+        options.owner_replacements = 3;
+        options.stop_withdraws_start = true; // Its lack has a test of its own.
+    });
+}
+
 TEST_CASE("sessions: no run starts twice although processes of owners stand still")
 {
     check_sessions([](workflow_model_options& options) {
@@ -319,6 +329,7 @@
                    {"nodes", into(options.nodes)},
                    {"restart_bursts", into(options.restart_bursts)},
                    {"keeps_connections", into(options.keeps_connections)},
+                   {"address_swaps", into(options.address_swaps)},
                    {"silent_restarts", into(options.silent_restart_share)},
                    {"slow_calls", into(options.slow_call_share)},
                    {"clock_steps", into(options.clock_step_share)},
