--- a/tests/workflow_model_sessions.cpp
+++ b/tests/workflow_model_sessions.cpp
@@ -821,6 +821,9 @@
     node::renew_call call{.epoch = token_of(*used), .lease_until = extend_lease(*sender, *used)};
     call.forget_up_to = used->unreachable || used->is_poll_repeated ? 0 : used->forget_up_to;
     call.wait = used->clock.is_known() ? next_wait(*sender, *used) : milliseconds(0);
+    trace("", name_of(*sender) + " polls " + used->id + " with token " +
+                  std::to_string(call.epoch) + ", forgets up to " +
+                  std::to_string(call.forget_up_to));
     const auto timeout = call.wait + used->options.answer_timeout;
     used->asked = clock();
     used->answer_due = used->asked + timeout;
@@ -868,6 +871,8 @@
                .report = {}});
         return;
     }
+    trace("", target.entry.id + " accepts a poll with token " + std::to_string(call.epoch) +
+                  ", forgets up to " + std::to_string(call.forget_up_to));
     target.epoch = std::max(target.epoch, call.epoch);
     if (call.lease_until != milliseconds(0)) {
         const auto until = target.started_at + call.lease_until;
