--- a/flamingoseam/node/worker_session_test.cpp
+++ b/flamingoseam/node/worker_session_test.cpp
@@ -630,13 +630,18 @@
     return std::distance(std::filesystem::directory_iterator("/proc/self/task"), {});
 }
 
-/// Keeps all loops for orders busy until it is destroyed.
+/// Keeps all loops for orders, and those for polls if that is asked for, busy until it is
+/// destroyed.
 class busy_loops {
 public:
-    busy_loops()
+    explicit busy_loops(bool with_polls = false)
     {
         for (std::size_t index = 0; index < worker_io::loops_per_duty; ++index) {
-            tests::shared_worker_io()->next_loops().orders.post([end = end_] { end.wait(); });
+            const auto loops = tests::shared_worker_io()->next_loops();
+            loops.orders.post([end = end_] { end.wait(); });
+            if (with_polls) {
+                loops.polls.post([end = end_] { end.wait(); });
+            }
         }
     }
     ~busy_loops() { ended_.set_value(); }
@@ -688,6 +693,27 @@
     }
 }
 
+// Guards against a second run of a task: the acknowledgement of ends of an earlier incarnation
+// followed the list that showed the next one, in the same batch of decisions, and was sent to that.
+TEST_CASE("an acknowledgement for an earlier incarnation is not sent to one that was listed since")
+{
+    reporting_session fixture;
+    auto& [worker, listener, session] = fixture;
+    worker.newest_end = 3;
+    REQUIRE(holds_within(milliseconds(2'000), [&] { return listener.newest_end == 3; }));
+    {
+        const busy_loops busy(true); // The next poll follows both decisions.
+        std::this_thread::sleep_for(milliseconds(50));
+        worker.incarnation = 2;
+        worker.newest_end = 2;
+        worker.was_poll_closed = true; // So that the next poll's acknowledgement is recorded.
+        session.expect_incarnation(2);
+        session.forget({.worker = 0, .incarnation = 0, .up_to = 3});
+    }
+    REQUIRE(holds_within(milliseconds(2'000), [&] { return listener.newest_end == 2; }));
+    CHECK(worker.forgotten_after_close == 0);
+}
+
 // Guards against a task that runs twice: a start that may have reached its worker counted as not
 // sent.
 TEST_CASE("an order in flight at the end of a session has its result before the session is gone")
