--- a/tests/workflow_model.hpp
+++ b/tests/workflow_model.hpp
@@ -92,6 +92,8 @@
     /// A replaced owner tells besides whether earlier ones renew leases no more.
     bool tells_of_earlier_renewals = false;
     bool stop_withdraws_start = false; ///< A stop takes back the start of its run that waits.
+    /// Acknowledgements are ignored from the notice of a restart on until a report.
+    bool forgets_after_report = false;
 };
 
 /// Simulates successive owners, their workers, the store and the messages between them, in virtual
--- a/tests/workflow_model_detail.hpp
+++ b/tests/workflow_model_detail.hpp
@@ -163,6 +163,7 @@
     std::uint64_t incarnations;
     std::int64_t forget_up_to = 0;
     std::int64_t awaited_end = 0;
+    bool awaits_report = false; ///< A restart was noticed, and no report has come since.
     bool unreachable;
     time_point silent_since;
     bool may_renew;
--- a/tests/workflow_model_sessions.cpp
+++ b/tests/workflow_model_sessions.cpp
@@ -730,6 +730,7 @@
 {
     ++used.incarnations;
     used.forget_up_to = 0;
+    used.awaits_report = true;
 }
 
 void workflow_model::expect_incarnation(const owner_ptr& sender, const session_ptr& used,
@@ -756,7 +757,8 @@
 void workflow_model::forget(const owner_ptr& sender, const session_ptr& used,
                             const forget_order& order)
 {
-    if (order.incarnation == used->incarnation) {
+    const bool is_ignored = options_.forgets_after_report && used->awaits_report;
+    if (order.incarnation == used->incarnation && !is_ignored) {
         used->forget_up_to = std::max(used->forget_up_to, order.up_to);
     }
     if (used->awaited_end != 0 && used->forget_up_to >= used->awaited_end) {
@@ -993,6 +995,7 @@
         used->clock = node::lease_clock(used->options.lease);
         used->clock.record(answer.clock, clock());
     }
+    used->awaits_report = false;
     const auto newest_end =
         answer.report.ended.empty() ? std::int64_t{0} : answer.report.ended.back().number;
     answer.report.asked = used->asked;
--- a/tests/workflow_model_test.cpp
+++ b/tests/workflow_model_test.cpp
@@ -347,6 +347,7 @@
                    {"list_delay_ms", into(options.max_list_delay)},
                    {"late_orders_reach", into(options.late_orders_reach_next_life)},
                    {"tells_of_renewals", into(options.tells_of_earlier_renewals)},
+                   {"forgets_after_report", into(options.forgets_after_report)},
                    {"stop_withdraws", into(options.stop_withdraws_start)}}
     {
     }
