--- a/flamingoseam/workflow/fleet.hpp
+++ b/flamingoseam/workflow/fleet.hpp
@@ -111,7 +111,10 @@
 
     /// Checks whether it is certain which runs the worker holds and which have ended: a single
     /// report may miss a run that is about to end. Complexity: constant.
-    [[nodiscard]] bool is_located() const { return complete_reports >= reports_until_certain; }
+    [[nodiscard]] bool has_confirmed_runs() const
+    {
+        return complete_reports >= reports_until_certain;
+    }
 
     /// Checks whether an end was processed. One of a run that is still assigned was not, whatever
     /// its number says. Complexity: logarithmic in the runs and in the ends that are not
@@ -123,8 +126,8 @@
         return is_known_number && !runs.contains(end.name);
     }
 
-    /// Checks whether all ends with lower numbers than one that follows those that may be discarded
-    /// are known. Complexity: constant.
+    /// Checks whether no unknown end has a lower number than this one, which is the first that may
+    /// not be discarded yet. Complexity: constant.
     [[nodiscard]] bool is_next_end(std::int64_t number) const
     {
         return number <= forget_up_to + 1 || number <= settled_end;
--- a/flamingoseam/workflow/workflow_reports.cpp
+++ b/flamingoseam/workflow/workflow_reports.cpp
@@ -115,7 +115,7 @@
     }
     handle_missing_runs(worker, report, time, wall);
     ++worker_state.complete_reports;
-    if (is_located(worker, report)) {
+    if (locates(worker, report)) {
         mark_located(worker);
     }
 }
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -318,7 +318,7 @@
     void record_crash(std::size_t worker, const run_name& name, time_point time, wall_time wall);
     void acknowledge_end(std::size_t worker, std::int64_t incarnation, std::int64_t number);
     void order_forget(std::size_t worker);
-    [[nodiscard]] bool is_located(std::size_t worker, const worker_report& report) const;
+    [[nodiscard]] bool locates(std::size_t worker, const worker_report& report) const;
     [[nodiscard]] bool is_located(std::size_t worker) const;
     void mark_located(std::size_t worker);
     void release_unlocated();
--- a/flamingoseam/workflow/workflow_takeover.cpp
+++ b/flamingoseam/workflow/workflow_takeover.cpp
@@ -109,16 +109,16 @@
 }
 
 /// Checks whether a worker's report is the last that is needed to know its runs and ends.
-bool workflow_state::is_located(std::size_t worker, const worker_report& report) const
+bool workflow_state::locates(std::size_t worker, const worker_report& report) const
 {
-    return fleet_.at(worker).is_located() && !awaits_earlier_owner_ &&
+    return fleet_.at(worker).has_confirmed_runs() && !awaits_earlier_owner_ &&
            report.asked >= earlier_owner_ended_;
 }
 
 /// Checks whether all runs and ends of a worker are known: those of earlier owners, too.
 bool workflow_state::is_located(std::size_t worker) const
 {
-    return fleet_.at(worker).is_located() && !awaits_earlier_owner_ &&
+    return fleet_.at(worker).has_confirmed_runs() && !awaits_earlier_owner_ &&
            !unreported_.contains(worker);
 }
 
