Count no late answer of an incarnation as one of the next

Cause, found by review: an answer of the earlier incarnation that had arrived, but was not handled when the list showed the next one, counted as the first report of that, so that an order to forget ends of the earlier one was taken.

--- a/flamingoseam/node/worker_session.cpp
+++ b/flamingoseam/node/worker_session.cpp
@@ -228,6 +228,7 @@
     forget_up_to_ = 0;
     listed_end_ = 0;
     reports_ = 0;
+    incarnation_noticed_ = now();
 }
 
 void worker_session::expect_incarnation(std::int64_t incarnation)
@@ -533,13 +534,13 @@
 
 void worker_session::send_poll()
 {
+    asked_ = now(); // Before the call is made, as a restart may be noticed meanwhile.
     const auto call = next_poll();
     const auto handle = [this](call_result<renew_answer> result) {
         poll_result_.emplace(std::move(result));
         polls_.wake_after(milliseconds(0));
     };
     const auto timeout = call.wait + options_.answer_timeout;
-    asked_ = now();
     answer_due_ = asked_ + timeout;
     asked_token_ = call.epoch;
     is_poll_sent_ = true;
@@ -596,9 +597,11 @@
 /// Returns how long the next poll waits for news. Requires the lock.
 milliseconds worker_session::next_wait()
 {
-    const bool needs_report = !may_renew_ || reports_ < workflow::reports_until_certain;
-    if (needs_report) {
-        return options_.min_poll_wait; // To renew the lease soon, or to confirm the last report.
+    const bool is_confirmed =
+        reports_ >= workflow::reports_until_certain &&
+        (answered_asked_ >= options_.earlier_starts_end || now() < options_.earlier_starts_end);
+    if (!may_renew_ || !is_confirmed) {
+        return options_.min_poll_wait; // To renew the lease, or to confirm the last report, soon.
     }
     if (!report_expected_) {
         return most_wait();
@@ -644,6 +647,7 @@
         if (answer.report.incarnation != 0 && answer.report.incarnation != incarnation_) {
             incarnation_ = answer.report.incarnation;
             begin_incarnation();
+            incarnation_noticed_ = asked_; // This report shows it.
             clock_ = lease_clock(options_.lease);
             clock_.record(answer.clock, now());
         }
@@ -666,10 +670,11 @@
         newest = std::max(newest, end.number);
     }
     const std::lock_guard lock(mutex_);
-    ++reports_;
+    reports_ += asked_ >= incarnation_noticed_ ? 1 : 0;
     const auto listed_before = std::exchange(listed_end_, newest);
     const auto count = static_cast<std::int64_t>(ended.size());
-    return newest == forget_up_to_ + count ? newest : std::min(newest, listed_before);
+    const bool follows_discarded = newest == forget_up_to_ + count; // No number is left out.
+    return follows_discarded ? newest : std::min(newest, listed_before);
 }
 
 void worker_session::wait_until_stored(std::int64_t end)
--- a/flamingoseam/node/worker_session.hpp
+++ b/flamingoseam/node/worker_session.hpp
@@ -260,7 +260,9 @@
     std::uint64_t incarnations_;          ///< How many incarnations were met.
     std::int64_t forget_up_to_ = 0;
     std::int64_t listed_end_ = 0; ///< Highest number of an end in the last report; 0 if none.
-    int reports_ = 0; ///< How many were received since an incarnation is known to have begun.
+    /// When the incarnation was noticed. What was asked for before may come from an earlier one.
+    time_point incarnation_noticed_{};
+    int reports_ = 0; ///< How many were asked for and received since then.
 
     /// Number of the end that must be stored before the next poll; 0 when the poll does not wait.
     std::int64_t awaited_end_ = 0;
--- a/flamingoseam/node/worker_session_test.cpp
+++ b/flamingoseam/node/worker_session_test.cpp
@@ -838,3 +838,91 @@
     CHECK(group.listener.results().at({0, 0}).size() == 1);
     CHECK(group.listener.results().at({0, 1}).size() == 1);
 }
+
+namespace {
+
+/// Polls whose answers the test gives.
+struct manual_polls {
+    std::mutex mutex;
+    worker_channel::renew_handler handler;
+    renew_call call;
+    int count = 0;
+
+    int sent()
+    {
+        const std::lock_guard lock(mutex);
+        return count;
+    }
+};
+
+class manual_channel final : public worker_channel {
+public:
+    explicit manual_channel(manual_polls& polls) : polls_(polls) {}
+    void start(const start_call&, milliseconds, order_handler) override {}
+    void stop(const workflow::run_name&, std::uint64_t, milliseconds, order_handler) override {}
+    void renew(const renew_call& call, milliseconds, renew_handler handler) override
+    {
+        const std::lock_guard lock(polls_.mutex);
+        polls_.call = call;
+        polls_.handler = std::move(handler);
+        ++polls_.count;
+    }
+
+private:
+    manual_polls& polls_;
+};
+
+class hooked_listener final : public worker_listener {
+public:
+    void on_report(const session_id&, workflow::worker_report) override { on_reported(); }
+    void on_start(std::size_t, const workflow::run_name&, workflow::start_outcome) override {}
+    void on_stop(std::size_t, const workflow::run_name&) override {}
+    void on_unreachable_changed(const session_id&, bool, time_point) override {}
+    void on_emptied(const session_id&, workflow::emptied_reason) override {}
+    void on_fenced(std::size_t) override {}
+    [[nodiscard]] bool may_start() const override { return true; }
+    [[nodiscard]] bool may_renew() const override { return true; }
+    std::function<void()> on_reported = [] {};
+};
+
+} // namespace
+
+// Guards against a second run of a task: the answer counted as one of the next incarnation.
+TEST_CASE("a late answer of an incarnation lets no acknowledgement for it reach the next one")
+{
+    manual_polls polls;
+    hooked_listener listener;
+    const auto loops = tests::shared_worker_io()->next_loops();
+    worker_session session(
+        {.id = {}, .epoch = 1}, {.id = "w", .incarnation = 1}, loops,
+        [&](io_loop&, const workflow::worker_entry&) {
+            return std::make_unique<manual_channel>(polls);
+        },
+        listener);
+    const auto answer_first_life = [&polls] {
+        worker_channel::renew_handler handler;
+        {
+            const std::lock_guard lock(polls.mutex);
+            handler = polls.handler;
+        }
+        renew_answer answer{.clock = worker_time(1'000'000)};
+        answer.report.incarnation = 1;
+        answer.report.ended.push_back({.number = 3});
+        handler(answer);
+    };
+    for (int count = 1; count <= 2; ++count) {
+        REQUIRE(holds_within(milliseconds(2'000), [&] { return polls.sent() == count; }));
+        loops.polls.post(answer_first_life);
+    }
+    REQUIRE(holds_within(milliseconds(2'000), [&] { return polls.sent() == 3; }));
+    // The answer has arrived when the restart is listed; the order was decided in that batch.
+    loops.polls.post([&] {
+        answer_first_life();
+        listener.on_reported = [&] { session.forget({.worker = 0, .incarnation = 1, .up_to = 3}); };
+        session.expect_incarnation(2);
+    });
+    REQUIRE(holds_within(milliseconds(2'000), [&] { return polls.sent() == 4; }));
+    const std::lock_guard lock(polls.mutex);
+    CHECK(polls.call.epoch == 1'001);
+    CHECK(polls.call.forget_up_to == 0);
+}
