Take a stopped run that was confirmed for lost only after it was missing for a second

A confirmed run whose stop was accepted was lost after a single report without it, though its end is listed later. A test that expected one report to be enough checks now that it is not.

--- a/flamingoseam/workflow/workflow_ends_test.cpp
+++ b/flamingoseam/workflow/workflow_ends_test.cpp
@@ -382,3 +382,23 @@
         CHECK(driver.next().starts.size() == 1);
     }
 }
+
+// Guards against a second run of a task: the run was taken for lost before its end was listed.
+TEST_CASE("a run that was stopped is not lost because one report misses it")
+{
+    running_state driver;
+    const auto report_present = [&] {
+        driver.time += 1ms;
+        driver.state.on_report(
+            0, {.incarnation = 1, .present = {{.name = driver.name}}, .asked = driver.time},
+            driver.time, wall);
+    };
+    report_present();
+    driver.time += 1s;
+    report_present();
+    REQUIRE(driver.next(200ms).stops.size() == 1); // It makes no progress.
+    driver.state.on_stop(0, driver.name, driver.time);
+    driver.report({});
+    const auto actions = driver.next();
+    CHECK(std::ranges::count(actions.decisions, "run_lost", &logged_decision::event) == 0);
+}
--- a/flamingoseam/workflow/workflow_reports.cpp
+++ b/flamingoseam/workflow/workflow_reports.cpp
@@ -319,6 +319,9 @@
             }
             const bool after_crash = run->worker_crashed;
             mark_run_lost(worker, name);
+            if (run->has_begun() && !is_missing_for_long(*run, time)) {
+                continue; // Its end is yet to be listed.
+            }
             if (after_crash) {
                 record_crash(worker, name, time, wall);
             }
--- a/flamingoseam/workflow/workflow_state_test.cpp
+++ b/flamingoseam/workflow/workflow_state_test.cpp
@@ -718,6 +718,9 @@
         driver.state.on_stop(0, unknown, driver.time);
         driver.time += milliseconds(10);
         driver.state.on_report(0, {.incarnation = 1, .asked = driver.time}, driver.time, wall);
+        CHECK_FALSE(driver.state.workers().at(0).runs.empty()); // Its end may be listed late.
+        driver.time += milliseconds(1'000);
+        driver.state.on_report(0, {.incarnation = 1, .asked = driver.time}, driver.time, wall);
     }
     SECTION("and is lost with the lease of its worker")
     {
