Ask workers soon after the earlier owner has ended, and wait for no flapping one

A worker that restarted before it gave two reports delayed all loaded tasks.

The workers are now asked at once, reports count from the end of the earlier owner on and not from when that is noticed, and a worker is located by its restart if it had reported since that end.

--- a/flamingoseam/node/job_owner_ownership.cpp
+++ b/flamingoseam/node/job_owner_ownership.cpp
@@ -91,7 +91,7 @@
         return;
     }
     earlier_ended_ = true;
-    state_.on_earlier_owner_ended(time);
+    state_.on_earlier_owner_ended(std::min(time, earlier_starts_end_));
     const auto waited =
         std::chrono::ceil<milliseconds>(time - earlier_starts_end_) + earlier_certainty_;
     dependencies_.log->write(
--- a/flamingoseam/node/job_owner_test.cpp
+++ b/flamingoseam/node/job_owner_test.cpp
@@ -236,6 +236,8 @@
 
 using paths = std::array<std::atomic<bool>, 3>; ///< Whether an owner reaches each worker.
 
+std::atomic<bool> honours_waits{false}; ///< Workers hold polls while they have no ends.
+
 /// Which calls of an owner are held up on their way until the flag is false.
 struct held_calls {
     std::atomic<bool> starts{false};
@@ -264,6 +266,10 @@
     {
         std::this_thread::sleep_for(10ms);
         wait_while(held_.polls);
+        const auto end = now() + call.wait;
+        while (honours_waits && now() < end && worker_.unacknowledged_ends() == 0) {
+            std::this_thread::sleep_for(5ms);
+        }
         throw_if_unreachable();
         return worker_.renew(call);
     }
@@ -1049,3 +1055,25 @@
     std::this_thread::sleep_for(1s);
     CHECK(count_begun(shared) == 4);
 }
+
+// Guards against tasks that wait for an idle worker's next answer, which it holds for 1.8 s.
+TEST_CASE("loaded tasks are started soon after the earlier owner can start none")
+{
+    cell shared(6'000ms);
+    owner_process earlier(shared, 0, 0);
+    earlier.submit("job", 2);
+    std::this_thread::sleep_for(600ms);
+    honours_waits = true;
+    const auto began = now();
+    owner_process later(shared, 1, all, {}, max_earlier_certainty);
+    const bool is_asked_to_stop = GENERATE(false, true);
+    if (is_asked_to_stop) {
+        std::this_thread::sleep_for(20ms);
+        earlier.owner->report_superseded();
+        later.owner->confirm_earlier_stopped();
+    }
+    CHECK(wait_until([&] { return count_begun(shared) == 2; }));
+    const auto took = std::chrono::duration_cast<milliseconds>(now() - began);
+    honours_waits = false;
+    CHECK(took < (is_asked_to_stop ? 1'000ms : 2'500ms));
+}
--- a/flamingoseam/workflow/fleet.hpp
+++ b/flamingoseam/workflow/fleet.hpp
@@ -54,6 +54,9 @@
     std::int64_t listed_incarnation = 0; ///< In the newest list that contained the worker.
     bool reported = false;    ///< The worker has accepted this owner's epoch and reported its runs.
     int complete_reports = 0; ///< Of the present incarnation to this owner.
+    /// When the newest report was requested that confirms which runs the worker holds; zero if
+    /// there is none.
+    time_point confirmed_asked{};
     bool is_emptied = false;  ///< Its runs were taken for lost, and it has not reported since.
     bool unreachable = false; ///< The worker does not answer at present.
     /// Since when this owner has not extended its lease: for a loaded silence, since the loading.
--- a/flamingoseam/workflow/workflow_reports.cpp
+++ b/flamingoseam/workflow/workflow_reports.cpp
@@ -114,9 +114,9 @@
         return; // A run that is not among them may have ended.
     }
     handle_missing_runs(worker, report, time, wall);
-    ++worker_state.complete_reports;
-    if (locates(worker, report)) {
-        mark_located(worker);
+    if (++worker_state.complete_reports >= reports_until_certain) {
+        worker_state.confirmed_asked = std::max(worker_state.confirmed_asked, report.asked);
+        mark_located_if_confirmed(worker);
     }
 }
 
@@ -141,12 +141,14 @@
     log_decision("worker_restarted", "", worker_state.entry.id,
                  {{"incarnation", incarnation},
                   {"runs", static_cast<std::int64_t>(worker_state.runs.size())}});
+    const bool had_reported = has_reported_since_earlier_owner(worker);
     worker_state.entry.incarnation = incarnation;
     worker_state.incarnation_since = time;
     // A poll meant for the earlier incarnation may still acknowledge ends there, so nothing is
     // started before the new one has reported.
     worker_state.reported = false;
     worker_state.complete_reports = 0;
+    worker_state.confirmed_asked = {};
     worker_state.newest_end = 0;
     worker_state.listed_end = 0;
     worker_state.settled_end = 0;
@@ -177,6 +179,9 @@
     }
     health_.forget(worker);
     worker_state.excluded_until = {};
+    if (had_reported) {
+        mark_located(worker); // No earlier owner can have started runs on the new incarnation.
+    }
 }
 
 void workflow_state::interrupt(std::size_t worker, const run_name& name)
@@ -314,14 +319,14 @@
         const bool stop_accepted =
             run->stop_accepted_at != time_point{} && run->stop_accepted_at < report.asked;
         if (run->stop_requested && stop_accepted) {
+            if (run->has_begun() && !is_missing_for_long(*run, time)) {
+                continue; // Its end is yet to be listed.
+            }
             if (run->state != assigned_run::run_state::present) {
                 keep_ruled_out(worker, name, *run, report.asked);
             }
             const bool after_crash = run->worker_crashed;
             mark_run_lost(worker, name);
-            if (run->has_begun() && !is_missing_for_long(*run, time)) {
-                continue; // Its end is yet to be listed.
-            }
             if (after_crash) {
                 record_crash(worker, name, time, wall);
             }
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -171,9 +171,9 @@
     /// loaded. Until on_earlier_owner_ended(), none of them is started that isn't known to run.
     void await_earlier_owner() { awaits_earlier_owner_ = true; }
 
-    /// Records that no earlier owner starts runs any more. The tasks that are not known to run may
-    /// be started once each worker has shown after that which runs it holds: one that had done so
-    /// may have restarted since, and have accepted a run from the earlier owner.
+    /// Records that no earlier owner has started runs since `time`. The tasks that are not known to
+    /// run may be started once each worker has shown after that which runs it holds: one that had
+    /// done so may have restarted since, and have accepted a run from the earlier owner.
     void on_earlier_owner_ended(time_point time);
 
     /// Sets whether it is certain that no later owner exists. While it is not, no run is started:
@@ -318,7 +318,8 @@
     void record_crash(std::size_t worker, const run_name& name, time_point time, wall_time wall);
     void acknowledge_end(std::size_t worker, std::int64_t incarnation, std::int64_t number);
     void order_forget(std::size_t worker);
-    [[nodiscard]] bool locates(std::size_t worker, const worker_report& report) const;
+    void mark_located_if_confirmed(std::size_t worker);
+    [[nodiscard]] bool has_reported_since_earlier_owner(std::size_t worker) const;
     [[nodiscard]] bool is_located(std::size_t worker) const;
     void mark_located(std::size_t worker);
     void release_unlocated();
--- a/flamingoseam/workflow/workflow_takeover.cpp
+++ b/flamingoseam/workflow/workflow_takeover.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <set>
 #include <utility>
 
 namespace flamingoseam::workflow {
@@ -108,11 +109,23 @@
     return *last;
 }
 
-/// Checks whether a worker's report is the last that is needed to know its runs and ends.
-bool workflow_state::locates(std::size_t worker, const worker_report& report) const
+/// Marks a worker as located if a report that was requested after the end of the earlier owner has
+/// confirmed which runs the worker holds.
+void workflow_state::mark_located_if_confirmed(std::size_t worker)
 {
-    return fleet_.at(worker).has_confirmed_runs() && !awaits_earlier_owner_ &&
-           report.asked >= earlier_owner_ended_;
+    const auto& state = fleet_.at(worker);
+    if (state.has_confirmed_runs() && !awaits_earlier_owner_ &&
+        state.confirmed_asked >= earlier_owner_ended_) {
+        mark_located(worker);
+    }
+}
+
+/// Checks whether the worker's present incarnation has reported since the end of the earlier owner.
+bool workflow_state::has_reported_since_earlier_owner(std::size_t worker) const
+{
+    const auto& state = fleet_.at(worker);
+    return state.complete_reports > 0 && !awaits_earlier_owner_ &&
+           state.last_asked >= earlier_owner_ended_;
 }
 
 /// Checks whether all runs and ends of a worker are known: those of earlier owners, too.
@@ -137,6 +150,11 @@
     earlier_owner_ended_ = time;
     if (unreported_.empty()) {
         release_unlocated();
+        return;
+    }
+    for (const auto worker : std::set(unreported_)) {
+        actions_.reports_needed.emplace_back(worker, time);
+        mark_located_if_confirmed(worker);
     }
 }
 
--- a/flamingoseam/workflow/workflow_takeover_test.cpp
+++ b/flamingoseam/workflow/workflow_takeover_test.cpp
@@ -399,3 +399,17 @@
     CHECK_FALSE(driver.starts_task());
     CHECK(driver.state.find(loaded_job) == job_phase::completed);
 }
+
+// Guards against loaded tasks that wait for as long as one worker goes down and up by turns.
+TEST_CASE("a worker that restarts before its second report does not delay loaded tasks")
+{
+    successor driver(true);
+    driver.state.on_earlier_owner_ended(driver.time);
+    driver.report(1);
+    driver.report(1);
+    driver.report(0);
+    CHECK_FALSE(driver.starts_task());
+    driver.restart(0);
+    driver.report(0);
+    CHECK(driver.starts_task());
+}
