--- a/scenarios/platform_soak.lua
+++ b/scenarios/platform_soak.lua
@@ -309,6 +309,22 @@
     after(length_ms + 3000, function() nodes.split = false end)
 end
 
+-- Restarts some workers under their ids, each at a time of its own within the next seconds.
+local function restart_some_workers()
+    for _ = 1, WORKERS // 3 do
+        local worker = pick(workers)
+        if not worker then return end
+        local release = occupy(worker)
+        after(math.random(300, 5000), function()
+            kill_worker(worker)
+            after(math.random(0, 200), function()
+                start_worker(worker)
+                release()
+            end)
+        end)
+    end
+end
+
 local store = { pid = cell.pid }
 local faults = {
     worker_restart = function()
@@ -480,19 +496,7 @@
         for number, other in ipairs(nodes) do
             if other ~= node then cut_peers(node.number, number, length_ms) end
         end
-        for _ = 1, WORKERS // 3 do -- Some workers restart meanwhile.
-            local worker = pick(workers)
-            if worker then
-                local release = occupy(worker)
-                after(math.random(300, 5000), function()
-                    kill_worker(worker)
-                    after(math.random(0, 200), function()
-                        start_worker(worker)
-                        release()
-                    end)
-                end)
-            end
-        end
+        restart_some_workers()
     end,
     owner_chain = function() -- The owners of one shard are lost one after the other.
         local shard = math.random(0, SHARDS - 1)
@@ -524,18 +528,7 @@
         else
             freeze(owner.pid, math.random(1200, 4000), occupy(owner))
         end
-        for _ = 1, WORKERS // 3 do
-            local worker = pick(workers)
-            if not worker then return end
-            local release = occupy(worker)
-            after(math.random(300, 5000), function()
-                kill_worker(worker)
-                after(math.random(0, 200), function()
-                    start_worker(worker)
-                    release()
-                end)
-            end)
-        end
+        restart_some_workers()
     end,
     owner_kill = function() -- Most owners change, as when nodes of one zone are lost.
         for shard = 0, SHARDS - 1 do
