Report every step that waits for long, and each start after a long wait

A step could wait unseen: the report looked only at jobs without any run, at the 24 oldest of their steps, and named two for each reason.

Each 2.5 s all steps of all open jobs are now looked at that have tasks without a run, whether or not a pass examines them. steps_wait and the new gauge flamingoseam_longest_step_wait_seconds show for each reason the longest wait of all of them. The longest waits are named first, and each step that has waited for over 10 s is named each 10 s, at most 16 more lines at a time. started_late shows a start after more than 5 s, with the permission calls and whether it had its turn to go first.

--- a/flamingoseam/node/job_owner_load.cpp
+++ b/flamingoseam/node/job_owner_load.cpp
@@ -45,6 +45,7 @@
                            .worker_list_age = state_.worker_list_age(time)};
     const auto load = meter_.take(state, time, read_processor_times());
     dependencies_.metrics->set_load(load);
+    dependencies_.metrics->set_long_waits(state_.long_waits());
     dependencies_.log->write(to_event(load));
     report_queues(time);
 }
--- a/flamingoseam/node/node_metrics.cpp
+++ b/flamingoseam/node/node_metrics.cpp
@@ -84,6 +84,10 @@
               .Name("flamingoseam_oldest_unanswered_seconds")
               .Help("Age of the oldest job with a step that has had no permission answer")
               .Register(*registry_)),
+      longest_waits_(prometheus::BuildGauge()
+                         .Name("flamingoseam_longest_step_wait_seconds")
+                         .Help("Longest wait of a step that could run, if over 5 s, by reason")
+                         .Register(*registry_)),
       gauges_(prometheus::BuildGauge()
                   .Name("flamingoseam_node")
                   .Help("Current values of this node, by name")
@@ -197,6 +201,18 @@
     }
 }
 
+void node_metrics::set_long_waits(const std::map<std::string, workflow::wait_summary>& waits)
+{
+    const std::lock_guard lock(reasons_mutex_);
+    for (const auto& reason : seen_reasons_) {
+        longest_waits_.Add({{"reason", reason}}).Set(0);
+    }
+    for (const auto& [reason, summary] : waits) {
+        seen_reasons_.insert(reason);
+        longest_waits_.Add({{"reason", reason}}).Set(seconds(summary.longest));
+    }
+}
+
 /// Sets a gauge to a figure of the process; leaves it out as long as the figure isn't known.
 void node_metrics::set_known(const std::string& name, std::optional<std::int64_t> value,
                              double unit)
--- a/flamingoseam/node/node_metrics.hpp
+++ b/flamingoseam/node/node_metrics.hpp
@@ -11,6 +11,7 @@
 #include <prometheus/registry.h>
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -71,6 +72,10 @@
     /// none. Complexity: linear in the number of queues seen so far.
     void set_queues(const std::vector<workflow::queue_load>& queues);
 
+    /// Sets how long steps have waited at most for each reason; reasons that are not listed have
+    /// none. Complexity: linear in the number of reasons seen so far.
+    void set_long_waits(const std::map<std::string, workflow::wait_summary>& waits);
+
     /// Returns all metrics in the text format of Prometheus, with what the process uses now and its
     /// limits. `dropped_log_lines` is the number of lines that the log has dropped.
     [[nodiscard]] std::string text(std::uint64_t dropped_log_lines);
@@ -100,6 +105,9 @@
     prometheus::Family<prometheus::Counter>& slot_refusals_;
     prometheus::Family<prometheus::Counter>& preempted_runs_;
     prometheus::Family<prometheus::Gauge>& oldest_unanswered_;
+    prometheus::Family<prometheus::Gauge>& longest_waits_;
+    std::mutex reasons_mutex_;
+    std::set<std::string> seen_reasons_; ///< Of waits; guarded by `reasons_mutex_`.
     std::mutex queues_mutex_;
     std::set<std::string> seen_queues_; ///< Guarded by `queues_mutex_`.
     prometheus::Family<prometheus::Gauge>& gauges_;
--- a/flamingoseam/node/node_metrics_test.cpp
+++ b/flamingoseam/node/node_metrics_test.cpp
@@ -27,6 +27,16 @@
         CHECK_THAT(metrics.text(0),
                    Catch::Contains("flamingoseam_step_wait_reports_total{reason=\"no room\"} 1"));
     }
+    SECTION("show the longest wait for each reason, and none for one that has gone")
+    {
+        metrics.set_long_waits({{"no room", {.steps = 2, .longest = milliseconds(12'500)}}});
+        CHECK_THAT(
+            metrics.text(0),
+            Catch::Contains("flamingoseam_longest_step_wait_seconds{reason=\"no room\"} 12.5"));
+        metrics.set_long_waits({});
+        CHECK_THAT(metrics.text(0),
+                   Catch::Contains("flamingoseam_longest_step_wait_seconds{reason=\"no room\"} 0"));
+    }
     SECTION("report how long jobs waited, by priority")
     {
         metrics.observe_first_start({.priority = 1, .length = milliseconds(300)});
--- a/flamingoseam/workflow/job_record.hpp
+++ b/flamingoseam/workflow/job_record.hpp
@@ -122,7 +122,12 @@
     time_point turn_since{};  ///< Since when all predecessors have finished; zero if unknown.
     time_point waits_since{}; ///< Since when tasks are ready to run and wait; zero if none wait.
     time_point turn_ended{};  ///< When the step's last turn to go first has ended.
-    time_point examined_at{}; ///< When a scheduling pass has examined the step last.
+    time_point last_start{};  ///< When a start of one of its tasks was ordered last.
+    /// Since when tasks could run and no worker runs them, as a report on waiting steps has noticed
+    /// it, whether or not a pass examines the step; zero if none wait.
+    time_point wait_noticed{};
+    time_point wait_named{};      ///< When a report has named the step last since then.
+    time_point examined_at{};     ///< When a scheduling pass has examined the step last.
     time_point call_refused_at{}; ///< When the step needed a call slot and got none last.
     /// Earliest next attempt to reserve capacity for a gang after none was found.
     time_point next_reservation_attempt{};
--- a/flamingoseam/workflow/workflow_schedule.cpp
+++ b/flamingoseam/workflow/workflow_schedule.cpp
@@ -266,6 +266,7 @@
 void workflow_state::record_placed(const ready_step& step, int tasks, time_point time)
 {
     if (tasks > 0) {
+        report_late_start(step, tasks, time);
         const auto age = std::chrono::duration_cast<milliseconds>(time - step.job->received);
         if (!step.job->has_begun) {
             actions_.first_starts.push_back({step.job->terms.priority, age});
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -47,6 +47,12 @@
     milliseconds slow_write{60};  ///< After a write of this length the next stream may write, too.
 };
 
+/// The steps that have waited for long for one reason.
+struct wait_summary {
+    int steps = 0;
+    milliseconds longest{0}; ///< The longest of their waits.
+};
+
 /// Makes all decisions about jobs of several steps, without clocks, threads or sockets. Events are
 /// passed in by calls; take_actions() returns the resulting actions. Not thread-safe.
 class workflow_state {
@@ -213,6 +219,13 @@
     /// Returns the number of steps that were ready to run at the last scheduling pass.
     [[nodiscard]] std::size_t waiting_steps() const { return waiting_steps_; }
 
+    /// Returns the steps that had waited for long at the last report on them, by the reason of the
+    /// wait. Complexity: constant.
+    [[nodiscard]] const std::map<std::string, wait_summary>& long_waits() const
+    {
+        return long_waits_;
+    }
+
     /// Returns the number of open jobs that should have ended by `time`. Complexity: linear in
     /// the open jobs.
     [[nodiscard]] std::size_t count_overdue(time_point time) const;
@@ -461,10 +474,22 @@
     wait_reason reason_for_waiting(const ready_step& step, const wait_facts& facts,
                                    time_point time);
     [[nodiscard]] wait_reason reason_without_workers(const ready_step& step, time_point time) const;
-    bool has_present_run(const job_record& job);
-    void report_waiting_step(const ready_step& step, const wait_facts& facts,
+    /// A step that has waited for long.
+    struct long_wait {
+        ready_step step;
+        time_point since{};
+    };
+    std::optional<wait_reason> reason_without_search(const ready_step& step, time_point time) const;
+    [[nodiscard]] wait_reason presumed_reason(const ready_step& step, time_point time) const;
+    bool has_present_run(const job_record& job, std::size_t step);
+    std::vector<long_wait> find_long_waits(time_point time);
+    void report_waiting_step(const long_wait& wait, const wait_facts& facts,
                              const wait_reason& reason, time_point time);
     void report_waiting_steps(time_point time);
+    [[nodiscard]] static std::set<std::size_t> waits_to_name(const std::vector<long_wait>& waits,
+                                                             time_point time);
+    void report_long_waits(const std::vector<long_wait>& waits, time_point time);
+    void report_late_start(const ready_step& step, int tasks, time_point time);
     void forget_ended(time_point time);
     void release_waiters(job_record& job);
     struct stream_state;
@@ -576,6 +601,8 @@
     time_point last_sample_{};
     time_point last_maintenance_{};
     time_point next_waiting_report_{};
+    std::map<std::string, wait_summary> long_waits_; ///< Of the last report, by reason.
+    std::int64_t idle_jobs_ = 0; ///< Of the last report: jobs that have had no run for long.
 };
 
 } // namespace flamingoseam::workflow
--- a/flamingoseam/workflow/workflow_waiting.cpp
+++ b/flamingoseam/workflow/workflow_waiting.cpp
@@ -10,9 +10,14 @@
 namespace {
 
 constexpr milliseconds report_interval{2'500};
-constexpr milliseconds min_wait{5'000};     ///< Steps that wait for less are not reported.
-constexpr int max_reports_per_reason = 2;   ///< At a time; the oldest jobs are reported.
-constexpr int max_examined_steps = 24;      ///< At a time; the oldest ones. Bounds the time used.
+constexpr milliseconds min_wait{5'000}; ///< Steps that wait for less are not reported.
+/// Each step that waits for so long is named, and named again as long after that.
+constexpr milliseconds naming_interval{10'000};
+constexpr int max_reports_per_reason = 2; ///< At a time, of the longest waits.
+/// Limits on the steps examined at a time on all workers, which bound the time used: those with the
+/// longest waits, and those to be named.
+constexpr std::size_t max_examined_longest = 24;
+constexpr std::size_t max_named = 16;
 constexpr milliseconds recent_refusal{500}; ///< Call slots are asked for again within this.
 
 /// Checks whether all waiting tasks of a step wait for workers of their own.
@@ -30,6 +35,15 @@
                                  : std::chrono::duration_cast<milliseconds>(time - since).count();
 }
 
+/// Returns since when a step waits: since its last start if some of its tasks run.
+time_point waits_since(const step_record& step, bool runs)
+{
+    const bool is_examined = step.waiting() > 0 && step.waits_since != time_point{};
+    const auto since =
+        is_examined ? std::min(step.waits_since, step.wait_noticed) : step.wait_noticed;
+    return runs ? std::max(since, step.last_start) : since;
+}
+
 } // namespace
 
 /// Returns what the owner knows of a step that might start tasks.
@@ -80,32 +94,64 @@
     return {"no worker is usable with label", step.spec().label};
 }
 
-/// Returns why no task of a step runs at present.
-workflow_state::wait_reason
-workflow_state::reason_for_waiting(const ready_step& step, const wait_facts& facts, time_point time)
+/// Returns why no task of a step runs at present if that is known without looking at workers.
+std::optional<workflow_state::wait_reason>
+workflow_state::reason_without_search(const ready_step& step, time_point time) const
 {
     const auto& job = *step.job;
     const auto& record = step.record();
-    const auto& permission = record.permission;
-    const int needed = step.needed_places();
     if (!job.spec_stored) {
-        return {"the job is not stored"};
+        return wait_reason{"the job is not stored"};
     }
     if (record.gang_broken) {
-        return {"runs of the gang are being stopped"};
+        return wait_reason{"runs of the gang are being stopped"};
     }
     if (record.unlocated > 0) {
-        return {"runs of an earlier owner are not located"};
+        return wait_reason{"runs of an earlier owner are not located"};
     }
-    if (record.placed > 0) {
-        return {"its starts are not confirmed"};
+    if (record.placed > 0 && (record.waiting() == 0 || step.spec().gang)) {
+        return wait_reason{"its starts are not confirmed"};
     }
     if (!ready_.contains(job, step.step)) {
-        return {"it is not queued"};
+        return wait_reason{"it is not queued"};
     }
     if (record.not_before > time) {
-        return {"a run has failed"};
+        return wait_reason{"a run has failed"};
+    }
+    return std::nullopt;
+}
+
+/// Returns the reason for the wait of a step for which nobody looks at the workers.
+workflow_state::wait_reason workflow_state::presumed_reason(const ready_step& step,
+                                                            time_point time) const
+{
+    if (const auto reason = reason_without_search(step, time)) {
+        return *reason;
+    }
+    const auto& record = step.record();
+    if (record.permission.outstanding != 0) {
+        return {"a permission request is not answered"};
+    }
+    if (time - record.call_refused_at < recent_refusal) {
+        return {"no call slot for a permission request"};
     }
+    if (step.job->terms.permission && !record.permission.has_answer()) {
+        return {"no worker has been asked about"};
+    }
+    return {"no room, or more urgent steps wait"};
+}
+
+/// Returns why no task of a step runs at present.
+workflow_state::wait_reason
+workflow_state::reason_for_waiting(const ready_step& step, const wait_facts& facts, time_point time)
+{
+    if (const auto reason = reason_without_search(step, time)) {
+        return *reason;
+    }
+    const auto& job = *step.job;
+    const auto& record = step.record();
+    const auto& permission = record.permission;
+    const int needed = step.needed_places();
     if (facts.usable == 0) {
         return reason_without_workers(step, time);
     }
@@ -138,30 +184,29 @@
     return {"no room"};
 }
 
-/// Checks whether a worker has confirmed that it runs a task of the job.
-bool workflow_state::has_present_run(const job_record& job)
+/// Checks whether a worker has confirmed that it runs a task of the step.
+bool workflow_state::has_present_run(const job_record& job, std::size_t step)
 {
-    for (std::size_t step = 0; step < job.steps.size(); ++step) {
-        const auto& tasks = job.steps[step].tasks;
-        for (std::size_t index = 0; index < tasks.size(); ++index) {
-            const auto& task = tasks[index];
-            if (task.phase != task_phase::placed) {
-                continue;
-            }
-            const auto* run = fleet_.find_run(
-                task.worker,
-                {{job.spec.id, static_cast<int>(step), static_cast<int>(index)}, task.run});
-            if (run != nullptr && run->has_begun()) {
-                return true;
-            }
+    const auto& record = job.steps[step];
+    for (std::size_t index = 0; record.placed > 0 && index < record.tasks.size(); ++index) {
+        const auto& task = record.tasks[index];
+        if (task.phase != task_phase::placed) {
+            continue;
+        }
+        const auto* run = fleet_.find_run(
+            task.worker,
+            {{job.spec.id, static_cast<int>(step), static_cast<int>(index)}, task.run});
+        if (run != nullptr && run->has_begun()) {
+            return true;
         }
     }
     return false;
 }
 
-void workflow_state::report_waiting_step(const ready_step& step, const wait_facts& facts,
+void workflow_state::report_waiting_step(const long_wait& wait, const wait_facts& facts,
                                          const wait_reason& reason, time_point time)
 {
+    const auto& step = wait.step;
     const auto& record = step.record();
     const auto outstanding = requests_.find(record.permission.outstanding);
     const auto asked = outstanding == requests_.end() ? time_point{} : outstanding->second.asked;
@@ -176,7 +221,7 @@
                   {"priority", step.job->terms.priority},
                   {"late", static_cast<std::int64_t>(late)},
                   {"gang", step.spec().gang ? 1 : 0},
-                  {"waits_ms", elapsed_ms(record.waits_since, time)},
+                  {"waits_ms", elapsed_ms(wait.since, time)},
                   {"examined_ms", elapsed_ms(record.examined_at, time)},
                   {"request_ms", elapsed_ms(asked, time)},
                   {"permission_calls", record.permission.calls},
@@ -189,45 +234,117 @@
                   {"workers", facts.usable}});
 }
 
-/// Logs the steps of jobs that have had nothing running for long, with what tells the reason: the
-/// oldest ones for each reason, how many of the oldest wait for each, and the number of jobs.
-/// Complexity: linear in the open jobs and their tasks, and in the workers.
+/// Returns the steps that have waited for long, of all open jobs, the longest waits first, and
+/// records since when each step waits. Complexity: n log n in the open jobs and their tasks.
+std::vector<workflow_state::long_wait> workflow_state::find_long_waits(time_point time)
+{
+    std::vector<long_wait> waits;
+    idle_jobs_ = 0;
+    for (const auto& [sequence, job] : open_) {
+        bool has_run = false;
+        for (std::size_t index = 0; index < job->steps.size(); ++index) {
+            auto& record = job->steps[index];
+            const bool runs = has_present_run(*job, index);
+            has_run = has_run || runs;
+            const bool is_due = !record.is_done() && job->are_predecessors_done(index);
+            if (!is_due || (runs && record.waiting() == 0 && record.unlocated == 0)) {
+                record.wait_noticed = {};
+                record.wait_named = {};
+                continue;
+            }
+            if (record.wait_noticed == time_point{}) {
+                record.wait_noticed = time;
+            }
+            const auto since = waits_since(record, runs);
+            if (time - since >= min_wait) {
+                waits.push_back({.step = {job, static_cast<int>(index)}, .since = since});
+            }
+        }
+        job->idle_since = has_run                           ? time_point{}
+                          : job->idle_since == time_point{} ? time
+                                                            : job->idle_since;
+        idle_jobs_ += !has_run && time - job->idle_since >= min_wait ? 1 : 0;
+    }
+    std::ranges::stable_sort(waits, {}, &long_wait::since);
+    return waits;
+}
+
+/// Logs the steps that have waited for long, with what tells the reason, and how many wait for each
+/// reason.
 void workflow_state::report_waiting_steps(time_point time)
 {
     if (time < next_waiting_report_) {
         return;
     }
     next_waiting_report_ = time + report_interval;
-    std::map<std::string, int> reports;
-    int examined = 0;
-    std::int64_t idle_jobs = 0;
-    for (const auto& [sequence, job] : open_) {
-        if (has_present_run(*job)) {
-            job->idle_since = {};
-            continue;
-        }
-        job->idle_since = job->idle_since == time_point{} ? time : job->idle_since;
-        if (time - job->idle_since < min_wait) {
-            continue;
+    long_waits_.clear();
+    report_long_waits(find_long_waits(time), time);
+    for (const auto& [reason, summary] : long_waits_) {
+        log_decision("steps_wait", "", reason,
+                     {{"steps", summary.steps},
+                      {"longest_ms", summary.longest.count()},
+                      {"idle_jobs", idle_jobs_}});
+    }
+}
+
+/// Returns the positions of the waits that last for very long and that no report has named yet or
+/// lately; a limited number, those first that were never named. Complexity: n log n.
+std::set<std::size_t> workflow_state::waits_to_name(const std::vector<long_wait>& waits,
+                                                    time_point time)
+{
+    std::vector<std::size_t> due;
+    for (std::size_t index = 0; index < waits.size(); ++index) {
+        const auto named = waits[index].step.record().wait_named;
+        if (time - std::max(waits[index].since, named) >= naming_interval) {
+            due.push_back(index);
         }
-        ++idle_jobs;
-        for (std::size_t index = 0; index < job->steps.size(); ++index) {
-            const bool is_due = !job->steps[index].is_done() && job->are_predecessors_done(index);
-            if (!is_due || examined == max_examined_steps) {
-                continue;
-            }
-            ++examined;
-            const ready_step step{job, static_cast<int>(index)};
-            const auto facts = facts_of(step, time);
-            const auto reason = reason_for_waiting(step, facts, time);
-            if (++reports[reason.text] <= max_reports_per_reason) {
-                report_waiting_step(step, facts, reason, time);
-            }
+    }
+    std::ranges::stable_sort(
+        due, {}, [&](std::size_t index) { return waits[index].step.record().wait_named; });
+    due.resize(std::min(due.size(), max_named));
+    return {due.begin(), due.end()};
+}
+
+/// Counts the long waits for each reason, and names the longest ones for each and those that are to
+/// be named. Complexity: n log n in the waits, and for a limited number of them linear in the
+/// workers.
+void workflow_state::report_long_waits(const std::vector<long_wait>& waits, time_point time)
+{
+    const auto to_name = waits_to_name(waits, time);
+    for (std::size_t index = 0; index < waits.size(); ++index) {
+        const auto& wait = waits[index];
+        const bool is_to_be_named = to_name.contains(index);
+        const bool is_examined = is_to_be_named || index < max_examined_longest;
+        const auto facts = is_examined ? facts_of(wait.step, time) : wait_facts{};
+        const auto reason = is_examined ? reason_for_waiting(wait.step, facts, time)
+                                        : presumed_reason(wait.step, time);
+        auto& summary = long_waits_[reason.text];
+        const auto length = std::chrono::duration_cast<milliseconds>(time - wait.since);
+        summary.longest = std::max(summary.longest, length);
+        const bool is_among_longest = ++summary.steps <= max_reports_per_reason;
+        if (is_examined && (is_to_be_named || is_among_longest)) {
+            wait.step.record().wait_named = time;
+            report_waiting_step(wait, facts, reason, time);
         }
     }
-    for (const auto& [reason, steps] : reports) {
-        log_decision("steps_wait", "", reason, {{"steps", steps}, {"idle_jobs", idle_jobs}});
+}
+
+/// Logs that tasks of a step start that has waited for long for it.
+void workflow_state::report_late_start(const ready_step& step, int tasks, time_point time)
+{
+    auto& record = step.record();
+    const auto since = std::max(record.waits_since, record.last_start);
+    record.last_start = time;
+    record.wait_named = {};
+    if (time - since < min_wait) {
+        return;
     }
+    log_decision("started_late", step.job->spec.id, "step " + std::to_string(step.step),
+                 {{"tasks", tasks},
+                  {"waiting", record.waiting()},
+                  {"waits_ms", elapsed_ms(since, time)},
+                  {"permission_calls", record.permission.calls},
+                  {"overdue", has_turn(step) ? 1 : 0}});
 }
 
 } // namespace flamingoseam::workflow
