Stop a run again that a worker lists after it has accepted its stop

A gang whose member went on never started again, and its worker stayed occupied: the owner took the acceptance of a stop for its end and sent no other. An answer to a stop order carries no incarnation, so one of an earlier life of the worker, which arrives after the restart was noticed, counted for the run that the present life lists. Such a run isn't taken for stalled either, since its stop is requested.

--- a/flamingoseam/workflow/workflow_reports.cpp
+++ b/flamingoseam/workflow/workflow_reports.cpp
@@ -105,7 +105,7 @@
         handle_end(worker, end, time, wall);
     }
     for (const auto& run : report.present) {
-        handle_present_run(worker, run, time);
+        handle_present_run(worker, run, report.asked, time);
     }
     settle_ends(worker, report);
     repeat_forget(worker, report);
@@ -210,7 +210,9 @@
     pass_requested_ = true;
 }
 
-void workflow_state::handle_present_run(std::size_t worker, const present_run& run, time_point time)
+/// Records that a report, requested at `asked`, lists a run.
+void workflow_state::handle_present_run(std::size_t worker, const present_run& run,
+                                        time_point asked, time_point time)
 {
     auto* assigned = fleet_.find_run(worker, run.name);
     if (assigned == nullptr) {
@@ -219,6 +221,11 @@
     }
     assigned->missing_reports = 0;
     assigned->worker_crashed = false;
+    if (assigned->stop_accepted_at != time_point{} && assigned->stop_accepted_at < asked) {
+        // The stop has not ended the run: perhaps an earlier incarnation has accepted it.
+        assigned->stop_accepted_at = {};
+        unaccepted_stops_.emplace(worker, run.name);
+    }
     if (assigned->state != assigned_run::run_state::present) {
         assigned->state = assigned_run::run_state::present;
         assigned->confirmed_at = time;
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -312,7 +312,8 @@
     void apply_end(job_record& job, std::size_t worker, const ended_run& end, time_point time,
                    wall_time wall);
     void interrupt(std::size_t worker, const run_name& name);
-    void handle_present_run(std::size_t worker, const present_run& run, time_point time);
+    void handle_present_run(std::size_t worker, const present_run& run, time_point asked,
+                            time_point time);
     void adopt(std::size_t worker, const present_run& run, time_point time);
     void handle_missing_runs(std::size_t worker, const worker_report& report, time_point time,
                              wall_time wall);
