--- a/flamingoseam/workflow/workflow_waiting_test.cpp
+++ b/flamingoseam/workflow/workflow_waiting_test.cpp
@@ -159,3 +159,20 @@
     CHECK(field(late[0], "overdue") == 0);
     CHECK(field(late[0], "tasks") == 1);
 }
+
+// Guards against an owner that starts nothing and reports reasons that hold for another one only.
+TEST_CASE("a step is reported to wait for the owner's certainty while it starts no runs")
+{
+    reporting_state driver;
+    driver.make_usable();
+    driver.state.set_certain(false);
+    driver.submit(driver.job(id_of(0), small_job));
+    driver.pass(milliseconds(8'000));
+    const auto reports = driver.events("step_waits");
+    REQUIRE(!reports.empty());
+    CHECK(reports[0].detail == "step 0: a later owner may exist");
+    driver.state.set_certain(true);
+    driver.pass(milliseconds(200));
+    driver.pass(report_interval);
+    CHECK(driver.state.long_waits().empty());
+}
