Say of a step that waits while its owner isn't certain that it waits for that

An owner that isn't certain to be the only one starts nothing and makes no passes, so that new steps aren't queued either. A report said of them that they were not queued, as if the owner had lost them, and of others that more urgent steps wait.

Now the reason is "a later owner may exist".

Before: the new test failed, "it is not queued". Now it passes.

--- a/flamingoseam/workflow/workflow_waiting.cpp
+++ b/flamingoseam/workflow/workflow_waiting.cpp
@@ -100,6 +100,9 @@
 {
     const auto& job = *step.job;
     const auto& record = step.record();
+    if (!certain_) {
+        return wait_reason{"a later owner may exist"}; // Nothing is started or queued.
+    }
     if (!job.spec_stored) {
         return wait_reason{"the job is not stored"};
     }
