--- a/flamingoseam/workflow/worker_lending_test.cpp
+++ b/flamingoseam/workflow/worker_lending_test.cpp
@@ -467,6 +467,36 @@
     CHECK(request->demand.desired == 5);
 }
 
+// Guards against LOST: a shard whose workers have all gone, or that never had any, asked for none.
+TEST_CASE("a shard without any worker asks for workers")
+{
+    lending_state driver;
+    workflow_state state({.epoch = 3, .streams = 3});
+    state.set_lending_limits({.shard = 0, .shards = 2, .cell_workers = 6});
+    SECTION("after the last one has gone")
+    {
+        state.on_worker_list(driver.list(), driver.time);
+        state.on_worker_list({}, driver.time);
+    }
+    SECTION("as it has never had one")
+    {
+        state.on_worker_list({}, driver.time);
+    }
+    constexpr int more_tasks_than_workers = 9;
+    const auto spec = driver.job("0123456789abcdef", 6'000, more_tasks_than_workers);
+    state.submit(1, spec, driver.terms(), driver.time, wall);
+    for (int step = 0; step < 10; ++step) {
+        state.take_batch(0, 30, driver.time);
+        state.on_stored(0);
+        driver.time += 100ms;
+        state.tick(driver.time);
+    }
+    const auto request = state.find_worker_request(driver.time);
+    REQUIRE(request);
+    CHECK(request->workers == 0);
+    CHECK(request->demand.desired >= 1);
+}
+
 // Guards against LOST: a shard without any worker of the service to which a queue was sent did not
 // ask for some while other work waited first.
 TEST_CASE("a shard asks for workers of each service that lacks them")
