Let a shard without any worker ask for workers of others

Accepted work of a shard whose workers had all gone, or to which none was ever assigned, waited for good although others had idle workers: an owner that knows no worker made no request, and without any listed worker it knew no capacity, so that each step seemed to fit nowhere and was no demand.

As long as no capacity is known, the tasks of a step that wait count as the work of one worker; with that worker the capacity is known, and further ones are asked for as before.

Before: the new test failed in 2 of 2 sections, no request within 1 s. Now both pass, and so do the other tests of the workflow (142 cases).

--- a/flamingoseam/workflow/workflow_lending.cpp
+++ b/flamingoseam/workflow/workflow_lending.cpp
@@ -91,13 +91,23 @@
     return std::max(0, needed - places);
 }
 
+/// Returns how many tasks of a step fit on an empty worker. As long as the owner knows no worker,
+/// and so no capacity, the tasks that wait count as one worker's work: with that worker it knows
+/// more.
+int workflow_state::tasks_per_worker(const ready_step& step) const
+{
+    const auto capacity = fleet_.worker_capacity();
+    return capacity == resources{} ? step.record().waiting()
+                                   : detail::fits_in(step.spec(), capacity);
+}
+
 waiting_step workflow_state::as_waiting(const ready_step& step, time_point time) const
 {
     const auto& record = step.record();
     const bool has_share = step.job->terms.permission && record.permission.has_answer();
     const double permitted = has_share ? record.permission.permitted_share() : 1;
     return {.tasks = record.waiting(),
-            .tasks_per_worker = detail::fits_in(step.spec(), fleet_.worker_capacity()),
+            .tasks_per_worker = tasks_per_worker(step),
             .eligible_share = std::max(min_eligible_share, permitted * labelled_share(step, time)),
             .gang = step.spec().gang,
             .is_obsolete = lateness_of(*step.job, time) == lateness::obsolete,
@@ -124,7 +134,7 @@
 std::optional<worker_request> workflow_state::find_worker_request(time_point time)
 {
     const auto& steps = ready_.in_order();
-    if (lending_limits_.shards <= 1 || !store_available_ || fleet_.size() == 0 || steps.empty()) {
+    if (lending_limits_.shards <= 1 || !store_available_ || steps.empty()) {
         return std::nullopt;
     }
     std::set<std::string> examined;
