--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -312,7 +312,8 @@
     void apply_end(job_record& job, std::size_t worker, const ended_run& end, time_point time,
                    wall_time wall);
     void interrupt(std::size_t worker, const run_name& name);
-    void handle_present_run(std::size_t worker, const present_run& run, time_point time);
+    void handle_present_run(std::size_t worker, const present_run& run, time_point asked,
+                            time_point time);
     void adopt(std::size_t worker, const present_run& run, time_point time);
     void handle_missing_runs(std::size_t worker, const worker_report& report, time_point time,
                              wall_time wall);
@@ -510,6 +511,7 @@
     void release_worker(std::size_t worker, std::size_t shard);
     [[nodiscard]] double labelled_share(const ready_step& step, time_point time) const;
     [[nodiscard]] int stranded_tasks(const ready_step& step, time_point time) const;
+    [[nodiscard]] int tasks_per_worker(const ready_step& step) const;
     [[nodiscard]] waiting_step as_waiting(const ready_step& step, time_point time) const;
     std::optional<worker_request> worker_request_for(const std::string& service, time_point time);
     worker_demand demand_for(const std::string& service, const worker_stock& stock,
