Workflow: steps of late work start within a bounded time

Callers saw accepted jobs wait for as long as work on time kept arriving, although there was room: above all, jobs of several steps that were late from the start. Only one step at a time had a turn to go first, for up to 1 s, and each step of a job began its wait of 10 s anew; a gang without room had its turns all the same. So the wait grew with the number of steps and of late steps.

The waits of a job's steps now count together: a step that becomes ready in a job that has waited for 10 s gets its turn at once. 16 steps have their turn at a time, those that have waited the longest, among them the small ones first; a turn lasts until the answer to the step's request can be used. In return, overdue steps get a quarter of the call slots for long calls and a quarter of the workers, each counted by the time for which they are used; what one step's start counts for is limited, so that a wide gang does not keep the small steps waiting. In a pass, they examine one worker or step for each worker.

The test of the share of work on time counts jobs that start on time; it counted started tasks, in which late ones were contained. In workflow_permission.cpp, a call in a turn asks the share of overdue steps instead of passing unchecked; job_record.hpp holds what the job has waited.

--- a/flamingoseam/workflow/job_record.hpp
+++ b/flamingoseam/workflow/job_record.hpp
@@ -124,6 +124,8 @@
     time_point turn_ended{};  ///< When the step's last turn to go first has ended.
     time_point examined_at{}; ///< When a scheduling pass has examined the step last.
     time_point call_refused_at{}; ///< When the step needed a call slot and got none last.
+    /// The same as `waits_since`, but earlier by what earlier steps of the job have waited.
+    time_point waits_in_effect_since{};
     /// Earliest next attempt to reserve capacity for a gang after none was found.
     time_point next_reservation_attempt{};
     bool reservation_expired = false; ///< Capacity reserved for the gang did not become free.
@@ -147,6 +149,8 @@
     wall_time accepted{0};        ///< Stored with the job; the same for every owner.
     time_point due{};             ///< Target time of completion, by this owner's clock.
     time_point received{};
+    /// Longest wait of its steps, each including the waits of the steps before it.
+    time_point::duration waited{};
     job_phase phase = job_phase::queued;
     bool has_begun = false;  ///< A task was started.
     time_point idle_since{}; ///< Since when no run is confirmed, as noticed; zero if any is.
--- a/flamingoseam/workflow/overdue_step_test.cpp
+++ b/flamingoseam/workflow/overdue_step_test.cpp
@@ -58,36 +58,51 @@
 }
 
 /// Returns the terms of a queue whose jobs are too late to be of use when they are accepted.
-queue_terms obsolete_terms()
+queue_terms obsolete_terms(queue_terms terms = reviews)
 {
-    auto terms = reviews;
     terms.stretch = 0;
     terms.target = milliseconds(1);
     return terms;
 }
 
-/// Plays jobs on time that ask for twice as many permission calls as the service can answer.
+/// Plays jobs on time that need more than there is: by default, twice as many permission calls as
+/// the service can answer.
 class busy_cell {
 public:
+    explicit busy_cell(queue_terms terms = reviews, step_spec step = small_step(2))
+        : terms_(std::move(terms)), step_(std::move(step))
+    {
+    }
+
     /// Submits a job that is late from the start.
-    void submit_late(const job_spec& job) { play_.submit(job, obsolete_terms(), run_time); }
+    void submit_late(const job_spec& job) { play_.submit(job, obsolete_terms(terms_), run_time); }
+
+    /// Submits jobs like those on time, but late from the start.
+    void submit_late(int jobs)
+    {
+        for (int number = 0; number < jobs; ++number) {
+            submit_late(job('a', number));
+        }
+    }
 
     void advance(milliseconds length)
     {
         for (const auto end = play_.time() + length; play_.time() < end;) {
-            play_.submit(small_job('b', jobs_on_time_++), reviews, run_time);
+            play_.submit(job('b', jobs_on_time_++), terms_, run_time);
             play_.advance(milliseconds(1'000) / arrivals_per_second);
         }
     }
 
-    /// Returns the number of tasks of jobs on time that were started.
+    /// Returns the number of jobs that have started so early that they end on time.
     [[nodiscard]] int started_on_time() const
     {
-        int tasks = 0;
+        int jobs = 0;
         for (int number = 0; number < jobs_on_time_; ++number) {
-            tasks += play_.started_tasks(small_job('b', number).id);
+            const auto id = small_job('b', number).id;
+            const auto wait = play_.start_wait(id);
+            jobs += play_.first_start(id) && wait <= max_wait_on_time ? 1 : 0;
         }
-        return tasks;
+        return jobs;
     }
 
     [[nodiscard]] const permission_simulation& play() const { return play_; }
@@ -95,7 +110,18 @@
 private:
     static constexpr int arrivals_per_second = 100;
     static constexpr milliseconds run_time{2'700};
+    /// Target time of a job without its run time.
+    static constexpr milliseconds max_wait_on_time{3 * 2'700 + 3'000};
 
+    [[nodiscard]] job_spec job(char letter, int number) const
+    {
+        auto job = small_job(letter, number);
+        job.steps = {step_};
+        return job;
+    }
+
+    queue_terms terms_;
+    step_spec step_;
     permission_simulation play_{
         {.workers = 88, .call_slots = 9, .milli_cpus = 16'000, .permitted_share = 0.45}};
     int jobs_on_time_ = 0;
@@ -164,9 +190,7 @@
     without_late.advance(length);
     busy_cell cell;
     cell.advance(milliseconds(1'000));
-    for (int number = 0; number < late_jobs; ++number) {
-        cell.submit_late(small_job('a', number));
-    }
+    cell.submit_late(late_jobs);
     cell.advance(length - milliseconds(1'000));
     for (int number = 0; number < late_jobs; ++number) {
         const auto id = small_job('a', number).id;
@@ -191,9 +215,7 @@
     for (int number = 0; number < late_gangs; ++number) {
         cell.submit_late(wide_gang(number));
     }
-    for (int number = 0; number < late_jobs; ++number) {
-        cell.submit_late(small_job('a', number));
-    }
+    cell.submit_late(late_jobs);
     cell.advance(length - milliseconds(1'000));
     for (int number = 0; number < late_jobs; ++number) {
         const auto id = small_job('a', number).id;
@@ -203,3 +225,35 @@
     }
     CHECK(4 * cell.started_on_time() >= 3 * without_late.started_on_time());
 }
+
+// Issue 63: without a limit, overdue jobs take all permission calls from those that can be on time.
+TEST_CASE("many late steps leave three quarters of the permission calls to work on time")
+{
+    constexpr int late_jobs = 1'000;
+    constexpr milliseconds length{30'000};
+    busy_cell without_late;
+    without_late.advance(length);
+    busy_cell cell;
+    cell.advance(milliseconds(1'000));
+    cell.submit_late(late_jobs);
+    cell.advance(length - milliseconds(1'000));
+    CHECK(4 * cell.started_on_time() >= 3 * without_late.started_on_time());
+}
+
+// Issue 63: without a limit, overdue jobs take all room from those that can be on time.
+TEST_CASE("many late steps leave three quarters of the workers to work on time")
+{
+    constexpr int late_jobs = 1'000;
+    constexpr milliseconds length{30'000};
+    auto terms = reviews;
+    terms.permission.reset();
+    auto step = small_step(1);
+    step.size.milli_cpus = 8'000;
+    busy_cell without_late(terms, step);
+    without_late.advance(length);
+    busy_cell cell(terms, step);
+    cell.advance(milliseconds(1'000));
+    cell.submit_late(late_jobs);
+    cell.advance(length - milliseconds(1'000));
+    CHECK(4 * cell.started_on_time() >= 3 * without_late.started_on_time());
+}
--- a/flamingoseam/workflow/workflow_permission.cpp
+++ b/flamingoseam/workflow/workflow_permission.cpp
@@ -37,9 +37,12 @@
 {
     const auto& queue = step.job->terms.name;
     const int priority = step.job->terms.priority;
-    if (!permission_budget::is_long(service_time) || has_turn(step)) {
+    if (!permission_budget::is_long(service_time)) {
         return true;
     }
+    if (places_overdue_steps_) {
+        return overdue_calls_.may_use(time);
+    }
     const auto call_slots = permission_budget_.call_slots_for_long_calls(time);
     const bool has_share = permission_shares_.may_begin(queue, priority, call_slots, time);
     if (has_share && permission_budget_.has_call_slot(service_time, time)) {
@@ -121,6 +124,9 @@
     for (const auto worker : workers) {
         request.workers.push_back(fleet_.at(worker).entry.id);
     }
+    if (places_overdue_steps_ && permission_budget::is_long(service_time)) {
+        record_overdue_call(service_time, time);
+    }
     begin_call(request, time);
     permission.outstanding = request.number;
     ++counts_.permission_requests;
--- a/flamingoseam/workflow/workflow_schedule.cpp
+++ b/flamingoseam/workflow/workflow_schedule.cpp
@@ -27,9 +27,9 @@
 
 } // namespace
 
-/// Places an overdue step if there is one, then the most urgent steps, then continues with the
-/// others from where the last pass ended. The cost of a pass thus does not depend on the length of
-/// the backlog, and every step is examined in some pass. Returns whether the last step was reached.
+/// Places some of the overdue steps, then the most urgent steps, then continues with the others
+/// from where the last pass ended. The cost of a pass thus does not depend on the length of the
+/// backlog, and every step is examined in some pass. Returns whether the last step was reached.
 bool workflow_state::schedule(time_point time)
 {
     drop_expired_reservations(time);
@@ -44,9 +44,7 @@
     free_capacity_.rebuild(fleet_, time);
     const auto workers = static_cast<std::int64_t>(fleet_.size());
     counts_.examined += workers;
-    if (const auto overdue = take_overdue_step(time)) {
-        place_step(*overdue, time);
-    }
+    place_overdue_steps(time);
     auto next = steps.begin();
     const auto place_until = [&](std::int64_t max_examined) {
         const auto limit = counts_.examined + std::max(min_examined, max_examined);
@@ -79,9 +77,7 @@
     if (record.turn_since == time_point{}) {
         record.turn_since = time;
     }
-    if (record.waits_since == time_point{}) {
-        record.waits_since = time;
-    }
+    begin_wait(step, time);
     if (record.not_before > time || !can_progress(step, time)) {
         return;
     }
@@ -91,7 +87,7 @@
         place_tasks(step, time);
     }
     if (record.waiting() == 0) {
-        record.waits_since = {};
+        end_wait(step, time);
     }
 }
 
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -8,6 +8,7 @@
 #include "flamingoseam/workflow/gang_reservations.hpp"
 #include "flamingoseam/workflow/job_record.hpp"
 #include "flamingoseam/workflow/order_window.hpp"
+#include "flamingoseam/workflow/overdue_share.hpp"
 #include "flamingoseam/workflow/permission_budget.hpp"
 #include "flamingoseam/workflow/permission_shares.hpp"
 #include "flamingoseam/workflow/queue_catalog.hpp"
@@ -334,10 +335,21 @@
     // placing
     bool schedule(time_point time);
     void place_step(const ready_step& step, time_point time);
-    std::optional<ready_step> take_overdue_step(time_point time);
-    std::optional<ready_step> step_in_turn(time_point time);
-    void end_turn(time_point time);
+    void begin_wait(const ready_step& step, time_point time);
+    void end_wait(const ready_step& step, time_point time);
+    /// A step that has waited for too long and goes first in each pass.
+    struct overdue_turn {
+        std::string job;
+        int step = 0;
+        time_point until{}; ///< Zero until a pass has reached the step.
+    };
+    void place_overdue_steps(time_point time);
+    void begin_turns(time_point time);
+    void end_turns(time_point time);
+    [[nodiscard]] time_point end_of_turn(const overdue_turn& turn, const step_record& step) const;
     [[nodiscard]] bool has_turn(const ready_step& step) const;
+    void record_overdue_starts(const ready_step& step, int tasks, time_point time);
+    void record_overdue_call(milliseconds service_time, time_point time);
     [[nodiscard]] urgency request_urgency(const ready_step& step) const;
     bool can_progress(const ready_step& step, time_point time) const;
     [[nodiscard]] milliseconds search_pause() const;
@@ -510,14 +522,11 @@
     free_capacity_index free_capacity_;
     /// Where the next pass continues after the most urgent steps.
     std::optional<ready_queue::entry> resume_at_;
-    /// A step that has waited for too long and goes first in each pass.
-    struct overdue_turn {
-        std::string job;
-        int step = 0;
-        time_point until{};
-    };
-    std::optional<overdue_turn> turn_;
-    time_point next_turn_{}; ///< Earliest begin of the next turn.
+    std::vector<overdue_turn> turns_; ///< Those with the fewest tasks first.
+    time_point next_turns_{};         ///< Earliest next search for overdue steps.
+    overdue_share overdue_starts_;    ///< Of the workers.
+    overdue_share overdue_calls_;     ///< Of the call slots for long calls.
+    bool places_overdue_steps_ = false;
     /// Requested stops that the worker has not accepted yet.
     std::set<std::pair<std::size_t, run_name>> unaccepted_stops_;
     std::unordered_map<std::string, std::unique_ptr<job_record>> jobs_;
--- a/tests/permission_simulation.cpp
+++ b/tests/permission_simulation.cpp
@@ -113,12 +113,6 @@
     return found == first_step_starts_.end() ? std::nullopt : std::optional(found->second);
 }
 
-int permission_simulation::started_tasks(const std::string& id) const
-{
-    const auto found = started_tasks_.find(id);
-    return found == started_tasks_.end() ? 0 : found->second;
-}
-
 milliseconds permission_simulation::start_wait(const std::string& id) const
 {
     return since_submitted(id, first_start(id));
@@ -148,7 +142,6 @@
         const auto& task = order.name.task;
         first_starts_.try_emplace(task.job, time_);
         first_step_starts_.try_emplace({task.job, task.step}, time_);
-        ++started_tasks_[task.job];
         state_.on_start(order.worker, order.name, start_outcome::started, time_);
         const auto end = time_ + submitted_.at(order.name.task.job).length;
         running_.push_back({end, std::move(order)});
--- a/tests/permission_simulation.hpp
+++ b/tests/permission_simulation.hpp
@@ -66,9 +66,6 @@
     /// Returns the start time of the first task of a step, or nothing if none has started.
     [[nodiscard]] std::optional<time_point> first_start(const std::string& id, int step) const;
 
-    /// Returns the number of tasks of a job that have been started.
-    [[nodiscard]] int started_tasks(const std::string& id) const;
-
     /// Returns the time from submission to the first start, or to now if no task has started.
     [[nodiscard]] milliseconds start_wait(const std::string& id) const;
 
@@ -112,7 +109,6 @@
     std::map<std::string, submitted_job> submitted_;
     std::map<std::string, time_point> first_starts_;
     std::map<std::pair<std::string, int>, time_point> first_step_starts_; ///< By job and step.
-    std::map<std::string, int> started_tasks_;                            ///< By job.
     std::vector<std::pair<time_point, start_order>> running_; ///< Active runs with their end times.
     std::map<std::size_t, std::int64_t> last_end_;
 };
