Model: accept only waits for gangs that no scheduler can start

check_finished() wanted each accepted job to end. A job is now left out only if each of its next steps is a gang with more tasks than places on all permitted workers of the cell, empty, connected or not; a job with any other step that could start is still a violation.

--- a/tests/workflow_model.hpp
+++ b/tests/workflow_model.hpp
@@ -147,6 +147,9 @@
     [[nodiscard]] bool has_run(const std::string& job) const;
     [[nodiscard]] int count_done(const job_history& history, int step) const;
     [[nodiscard]] int count_permitted_places(const job_history& history, int step) const;
+    [[nodiscard]] int count_places_when_empty(const job_history& history, int step) const;
+    [[nodiscard]] bool is_next(const job_history& history, int step) const;
+    [[nodiscard]] bool waits_for_impossible_gangs(const job_history& history) const;
     [[nodiscard]] std::optional<int> find_startable_step(const job_history& history) const;
     [[nodiscard]] bool is_half_used() const;
     void check_waits();
