--- a/flamingoseam/workflow/overdue_share.hpp
+++ b/flamingoseam/workflow/overdue_share.hpp
@@ -7,7 +7,7 @@
 namespace flamingoseam::workflow {
 
 /// Limits the use that overdue steps make of something that all work shares, such as the workers,
-/// to a quarter of it. A use may exceed the share; the next one has to wait until the share has
+/// to a fifth of it. A use may exceed the share; the next one has to wait until the share has
 /// made up for it. Not thread-safe.
 class overdue_share {
 public:
@@ -21,7 +21,7 @@
     }
 
 private:
-    static constexpr int inverse_share = 4;
+    static constexpr int inverse_share = 5;
     /// An unused share is kept for this long, since steps are placed at intervals.
     static constexpr milliseconds max_saved{500};
 
--- a/flamingoseam/workflow/workflow_overdue.cpp
+++ b/flamingoseam/workflow/workflow_overdue.cpp
@@ -62,8 +62,8 @@
 
 /// Places overdue steps before all others, whatever their rank, so that no step waits for ever
 /// while more urgent work keeps arriving. Each keeps its turn until it has started or for a limited
-/// time. The shares of the workers and of the call slots that such steps use are limited, and so is
-/// the part of the pass.
+/// time, which begins when it may send a request. The shares of the workers and of the call slots
+/// that such steps use are limited, and so is the part of the pass.
 void workflow_state::place_overdue_steps(time_point time)
 {
     end_turns(time);
@@ -75,7 +75,7 @@
         if (counts_.examined >= limit) {
             break;
         }
-        if (turn.until == time_point{}) {
+        if (turn.until == time_point{} && overdue_calls_.may_use(time)) {
             turn.until = time + turn_length;
         }
         const ready_step step{find_job(turn.job), turn.step};
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -355,7 +355,7 @@
     struct overdue_turn {
         std::string job;
         int step = 0;
-        time_point until{}; ///< Zero until a pass has reached the step.
+        time_point until{}; ///< Zero until the step might send a request.
     };
     void place_overdue_steps(time_point time);
     void begin_turns(time_point time);
