A shard without any worker asks for some

Callers of a shard whose workers had all been lent, or whose new owner has never known one, saw their jobs wait for good with "no worker is usable".

Cause: the tasks that fit on a worker were counted by the capacity of a listed worker. Without one, no task fitted, and the steps were left out of the demand; and an owner that knew no worker at all asked for none, as if it had not seen the list yet.

A step now counts as one task a worker while no capacity is known, and an owner asks once a list was confirmed.

--- a/flamingoseam/workflow/worker_lending_test.cpp
+++ b/flamingoseam/workflow/worker_lending_test.cpp
@@ -6,6 +6,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <set>
+
 using namespace flamingoseam;
 using namespace flamingoseam::workflow;
 using namespace std::chrono_literals;
@@ -496,6 +498,41 @@
     CHECK(requests == std::map<std::string, std::size_t>{{"other", 0}, {"service", 3}});
 }
 
+// Guards against LOST: the tasks that fit on a worker were counted by the capacity of a listed one,
+// so a shard whose workers had all been lent had no demand.
+TEST_CASE("a shard without any worker asks for some")
+{
+    lending_state driver;
+    const auto check = [&](workflow_state& state) {
+        state.submit(1, driver.job("0123456789abcdef", 1'000), driver.terms(), driver.time, wall);
+        for (int step = 0; step < 10; ++step) {
+            driver.time += 100ms;
+            state.tick(driver.time);
+            state.take_batch(0, 30, driver.time);
+            state.on_stored(0);
+        }
+        const auto request = state.find_worker_request(driver.time);
+        REQUIRE(request);
+        CHECK(request->workers == 0);
+        CHECK(request->demand.desired == 1);
+    };
+
+    SECTION("which it had")
+    {
+        driver.state.on_worker_list({}, driver.time);
+        check(driver.state);
+    }
+    SECTION("under an owner that has never known one")
+    {
+        workflow_state state({.epoch = 3, .streams = 3});
+        state.set_lending_limits({.shard = 0, .shards = 2, .cell_workers = 6});
+        state.load({}, {}, driver.time, wall);
+        state.on_worker_list({}, driver.time);
+        state.confirm_worker_list(driver.time);
+        check(state);
+    }
+}
+
 // Guards against LOST: a shard kept more workers than the whole cell had of a small service.
 TEST_CASE("a shard gives workers of a service that only few workers of the cell run")
 {
--- a/flamingoseam/workflow/workflow_lending.cpp
+++ b/flamingoseam/workflow/workflow_lending.cpp
@@ -93,11 +93,13 @@
 
 waiting_step workflow_state::as_waiting(const ready_step& step, time_point time) const
 {
+    const auto capacity = fleet_.worker_capacity();
+    const bool knows_capacity = capacity != resources{};
     const auto& record = step.record();
     const bool has_share = step.job->terms.permission && record.permission.has_answer();
     const double permitted = has_share ? record.permission.permitted_share() : 1;
     return {.tasks = record.waiting(),
-            .tasks_per_worker = detail::fits_in(step.spec(), fleet_.worker_capacity()),
+            .tasks_per_worker = knows_capacity ? detail::fits_in(step.spec(), capacity) : 1,
             .eligible_share = std::max(min_eligible_share, permitted * labelled_share(step, time)),
             .gang = step.spec().gang,
             .is_obsolete = lateness_of(*step.job, time) == lateness::obsolete,
@@ -124,7 +126,8 @@
 std::optional<worker_request> workflow_state::find_worker_request(time_point time)
 {
     const auto& steps = ready_.in_order();
-    if (lending_limits_.shards <= 1 || !store_available_ || fleet_.size() == 0 || steps.empty()) {
+    const bool knows_workers = fleet_.size() > 0 || worker_list_confirmed_ != time_point{};
+    if (lending_limits_.shards <= 1 || !store_available_ || !knows_workers || steps.empty()) {
         return std::nullopt;
     }
     std::set<std::string> examined;
