Ask in turn for workers of all services that lack them

Callers of a third service saw their work wait while its shard asked for workers of two others: the service of the last request was passed over and the first other one taken, so that two took turns and no further one was asked for.

The service is chosen whose last request is the longest ago.

--- a/flamingoseam/workflow/worker_lending_test.cpp
+++ b/flamingoseam/workflow/worker_lending_test.cpp
@@ -498,6 +498,35 @@
     CHECK(requests == std::map<std::string, std::size_t>{{"other", 0}, {"service", 3}});
 }
 
+// Only two of several services that lacked workers were asked for, in turn.
+TEST_CASE("a shard asks in turn for workers of each of three services")
+{
+    lending_state driver;
+    auto& state = driver.state;
+    const std::map<std::string, std::string> jobs{{"first", "0123456789abcde0"},
+                                                  {"second", "0123456789abcde1"},
+                                                  {"third", "0123456789abcde2"}};
+    for (const auto& [service, id] : jobs) {
+        auto terms = driver.terms();
+        terms.service = service;
+        terms.name = "queue of " + service;
+        auto spec = driver.job(id, 1'000);
+        spec.queue = terms.name;
+        state.submit(1, spec, terms, driver.time, wall);
+        driver.store();
+    }
+    for (int step = 0; step < 10; ++step) {
+        driver.next(100ms);
+    }
+    std::set<std::string> services;
+    for (int call = 0; call < 3; ++call) {
+        const auto request = state.find_worker_request(driver.time);
+        REQUIRE(request);
+        services.insert(request->service);
+    }
+    CHECK(services == std::set<std::string>{"first", "second", "third"});
+}
+
 // Guards against LOST: the tasks that fit on a worker were counted by the capacity of a listed one,
 // so a shard whose workers had all been lent had no demand.
 TEST_CASE("a shard without any worker asks for some")
--- a/flamingoseam/workflow/workflow_lending.cpp
+++ b/flamingoseam/workflow/workflow_lending.cpp
@@ -131,20 +131,21 @@
         return std::nullopt;
     }
     std::set<std::string> examined;
-    std::optional<worker_request> repeated;
+    std::optional<worker_request> chosen;
     for (const auto& entry : steps) {
         const auto& service = entry.step.job->terms.service;
         if (!examined.insert(service).second) {
             continue;
         }
         auto request = worker_request_for(service, time);
-        if (request && service != last_borrowing_service_) {
-            last_borrowing_service_ = service;
-            return request;
+        if (request && (!chosen || borrowed_at_[service] < borrowed_at_[chosen->service])) {
+            chosen = std::move(request);
         }
-        repeated = request ? std::move(request) : std::move(repeated);
     }
-    return repeated;
+    if (chosen) {
+        borrowed_at_[chosen->service] = ++borrowings_;
+    }
+    return chosen;
 }
 
 /// Returns a request for workers of one service, or none if the own ones suffice.
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -552,7 +552,8 @@
     std::set<std::size_t> loaded_quorum_; ///< The quorum in the earlier owner's list.
     std::set<std::size_t> not_accepting_; ///< Those of them that have not reported to this owner.
     lending_limits lending_limits_;
-    std::string last_borrowing_service_; ///< Of the last request for workers of other shards.
+    std::uint64_t borrowings_ = 0; ///< Number of requests for workers of other shards.
+    std::map<std::string, std::uint64_t> borrowed_at_;     ///< Number of the last one, by service.
     std::map<std::string, worker_assignment> assignments_; ///< To be stored, by worker.
     std::vector<std::string> batch_assignments_; ///< Workers whose assignment is being stored.
     workflow_actions actions_;
