Lend all idle workers to steps that wait for long

Causes: a shard without work kept a quarter of an equal share of the workers; it gave workers by their index, so that others saw the same ones again and its own steps lost those they may use; shards whose late steps wanted workers gave them to each other with every request; and a step counted workers that were always in use, or not asked about, as places for ever.

Now a shard without demand for 3 s keeps no workers. Workers are given first that the own oldest step may not use, then those that the other shard has not had for longest. Shards that want workers beyond their demand keep half of the workers of both, at most an equal share; after 5 s of wanting they get turns of 4 s, in which the others give all idle workers that their demand leaves. Every shard sees who asks, so the requests are unchanged. A step that has waited for 10 s counts only the room that is free on permitted workers. A shard below the quarter that each keeps gets workers back up to it for what it wants, also from shards that are full, so that lending all strands nothing.

Evidence: failed before: "a shard that has very few workers gets some from shards that have much work", "a shard gives first the workers that the other one has not had", "a shard gives first the workers that its waiting step may not use", "a step that has waited for long asks for workers although a permitted one is in use" (4 of 4); the tests of the turns and of unused shards need the new interface.

Not shown: a cell that stays busy, and owners that change while turns go on, who may disagree about the turn until a shard wants no more workers.

--- a/flamingoseam/workflow/worker_lending.cpp
+++ b/flamingoseam/workflow/worker_lending.cpp
@@ -21,6 +21,13 @@
 constexpr double max_drained_share = 0.04;
 /// For work beyond the demand, a shard gives away what exceeds its own demand times this.
 constexpr double own_demand_allowance = 1.25;
+/// A shard without demand for this long keeps no workers for urgent work.
+constexpr milliseconds min_unused_time{3'000};
+/// Requests with a longer gap between them do not belong together.
+constexpr milliseconds max_request_gap{1'500};
+/// A shard that has wanted workers for this long gets turns.
+constexpr milliseconds min_wanted_time{5'000};
+constexpr milliseconds turn_time{4'000}; ///< Of a turn, and of the pause after it.
 
 /// Returns how many workers are needed so that a number of a step's tasks fit on the eligible ones
 /// among them, infinity if none fits.
@@ -45,6 +52,12 @@
     return (request.demand.total * own_workers - own_demand * theirs) / sum;
 }
 
+/// Returns how many workers the shard that asks lacks of the share that each keeps.
+double missing_of_kept(const worker_request& request, double kept)
+{
+    return std::min(kept, std::ceil(request.demand.desired)) - static_cast<double>(request.workers);
+}
+
 std::size_t whole_workers(double count)
 {
     return count <= 0 ? 0 : static_cast<std::size_t>(count);
@@ -52,6 +65,48 @@
 
 } // namespace
 
+void lending_turns::note(std::size_t shard, time_point time)
+{
+    auto& wanted = wanted_[shard];
+    const bool goes_on = wanted.last != time_point{} && time - wanted.last < max_request_gap;
+    wanted = {.since = goes_on ? wanted.since : time, .last = time};
+}
+
+bool lending_turns::wants(std::size_t shard, time_point time) const
+{
+    const auto found = wanted_.find(shard);
+    return found != wanted_.end() && time - found->second.last < max_request_gap;
+}
+
+std::optional<std::size_t> lending_turns::holder(time_point time) const
+{
+    std::vector<std::size_t> shards;
+    auto first = time;
+    for (const auto& [shard, wanted] : wanted_) {
+        const auto begin = wanted.since + min_wanted_time;
+        if (wants(shard, time) && begin <= time) {
+            shards.push_back(shard);
+            first = std::min(first, begin);
+        }
+    }
+    const auto turn = static_cast<std::size_t>((time - first) / turn_time);
+    const bool is_pause = turn % 2 == 1;
+    return shards.empty() || is_pause ? std::nullopt
+                                      : std::optional(shards[turn / 2 % shards.size()]);
+}
+
+bool unused_time::update(const worker_demand& demand, time_point time)
+{
+    const bool is_known = since_ != time_point{} && time - last_request_ < max_request_gap;
+    last_request_ = time;
+    if (demand.total > 0) {
+        since_ = {};
+        return false;
+    }
+    since_ = is_known ? since_ : time;
+    return time - since_ >= min_unused_time;
+}
+
 lending_limits lending_limits::of_service(const std::string& service) const
 {
     auto limits = *this;
@@ -104,15 +159,20 @@
     const auto workers = static_cast<double>(own.workers);
     const double equal_share =
         static_cast<double>(limits.cell_workers) / static_cast<double>(limits.shards);
-    const double kept = std::ceil(min_kept_share * equal_share);
+    const double share = std::ceil(min_kept_share * equal_share);
+    const double kept = own.keeps_none ? 0 : share;
     const double most = std::min(workers - kept, std::ceil(max_lent_share * workers));
 
     double balanced = std::min(proportional_share(request, own_demand.total, workers), most);
     if (balanced < std::max(1.0, min_lent_share * workers)) {
         balanced = 0;
     }
+    if (own.held < own.workers) {
+        balanced = std::max(balanced, std::min(missing_of_kept(request, share), most));
+    }
     const double missing = request.demand.desired - static_cast<double>(request.workers);
-    const double surplus = workers - std::ceil(own_demand_allowance * own_demand.total);
+    const double needed = std::ceil(own_demand_allowance * own_demand.total);
+    const double surplus = workers - std::max(needed, static_cast<double>(own.held));
     const double beyond_demand = std::min({missing, surplus, most});
 
     const auto wanted = whole_workers(std::max(balanced, beyond_demand));
--- a/flamingoseam/workflow/worker_lending.hpp
+++ b/flamingoseam/workflow/worker_lending.hpp
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -44,6 +45,44 @@
     std::size_t workers = 0; ///< Workers that can be used.
     std::size_t idle = 0;    ///< Of these, the ones without runs and reservations.
     double filled = 0;       ///< Workers that the running tasks would fill.
+    std::size_t held = 0;    ///< Not given for work beyond the demand of others.
+    /// Whether no worker is kept for urgent work.
+    bool keeps_none = false;
+};
+
+/// Divides the time between shards that have wanted workers beyond their demand for long, as their
+/// steps may need the same ones. Each shard decides by the requests that it sees itself.
+class lending_turns {
+public:
+    /// Notes that a shard wants workers. Complexity: logarithmic.
+    void note(std::size_t shard, time_point time);
+
+    /// Checks whether a shard has wanted workers lately. Complexity: logarithmic.
+    [[nodiscard]] bool wants(std::size_t shard, time_point time) const;
+
+    /// Returns the shard whose turn it is, if any. There are pauses between the turns. Complexity:
+    /// linear in the shards.
+    [[nodiscard]] std::optional<std::size_t> holder(time_point time) const;
+
+private:
+    struct period {
+        time_point since{};
+        time_point last{};
+    };
+
+    std::map<std::size_t, period> wanted_;
+};
+
+/// Tells whether a shard has been without demand for a while, by the requests of others.
+class unused_time {
+public:
+    /// Notes the demand at the time of a request, and returns whether there has been none for a
+    /// while. Complexity: constant.
+    bool update(const worker_demand& demand, time_point time);
+
+private:
+    time_point since_{}; ///< Zero if there was demand at the last request.
+    time_point last_request_{};
 };
 
 /// Sizes of a divided cell, for the lending of workers.
@@ -75,8 +114,9 @@
 };
 
 /// Decides on a request of another shard. Workers are divided in proportion to the demands of the
-/// two shards. For work beyond the demand, the shard gets idle workers that the own work does not
-/// need. Complexity: constant.
+/// two shards. A shard with very few workers gets some in any case. For work beyond the demand, the
+/// shard gets idle workers that the own work does not need; all of them if there has been no own
+/// work for a while. Complexity: constant.
 lending_decision decide_lending(const worker_request& request, const worker_demand& own_demand,
                                 const worker_stock& own, const lending_limits& limits);
 
--- a/flamingoseam/workflow/worker_lending_test.cpp
+++ b/flamingoseam/workflow/worker_lending_test.cpp
@@ -121,6 +121,83 @@
     CHECK(lend(0, 135).idle == 27);
 }
 
+// A shard without work kept a quarter of an equal share of the workers, among them ones that a step
+// of another shard needed.
+TEST_CASE("a shard that has had no work for a while keeps no workers")
+{
+    const worker_request request{
+        .shard = 0, .service = "s", .workers = 400, .demand = {.total = 0, .desired = 500}};
+    worker_stock own{.workers = 10, .idle = 10};
+    CHECK(decide_lending(request, {}, own, limits).idle == 0);
+    own.keeps_none = true;
+    CHECK(decide_lending(request, {}, own, limits).idle == 2);
+    own = {.workers = 1, .idle = 1, .keeps_none = true};
+    CHECK(decide_lending(request, {}, own, limits).idle == 1);
+
+    unused_time unused;
+    time_point time{1h};
+    CHECK_FALSE(unused.update({}, time));
+    for (int call = 0; call < 4; ++call) {
+        time += 1s;
+        CHECK(unused.update({}, time) == (call >= 2));
+    }
+    CHECK_FALSE(unused.update({.total = 1}, time));
+    CHECK_FALSE(unused.update({}, time + 1s));
+    CHECK_FALSE(unused.update({}, time + 10s));
+}
+
+// A shard whose workers had all been lent got none back while the others had much work, since a
+// small part of its workers was not worth a transfer.
+TEST_CASE("a shard that has very few workers gets some from shards that have much work")
+{
+    worker_request request{
+        .shard = 0, .service = "s", .workers = 0, .demand = {.total = 1, .desired = 1}};
+    const auto lend = [&](std::size_t idle) {
+        return decide_lending(request, {.total = 500}, {.workers = 200, .idle = idle}, limits);
+    };
+    CHECK(lend(20) == lending_decision{.idle = 1, .drain = 0});
+    CHECK(lend(0) == lending_decision{.idle = 0, .drain = 1});
+    request.demand.total = 0;
+    CHECK(lend(20) == lending_decision{.idle = 1, .drain = 0});
+    request.workers = 1;
+    CHECK(lend(20) == lending_decision{});
+    request.demand.desired = 1'000;
+    CHECK(lend(40) == lending_decision{.idle = 33, .drain = 0});
+    request.workers = 34;
+    CHECK(lend(40) == lending_decision{});
+}
+
+// Two shards gave each other the workers that the steps of both waited for.
+TEST_CASE("shards whose steps wait for each other's workers get them in turn")
+{
+    constexpr auto interval = 250ms;
+    lending_turns turns;
+    time_point time{1h};
+    std::map<std::size_t, int> had;
+    const auto run = [&](std::vector<std::size_t> shards, int calls) {
+        had.clear();
+        for (int call = 0; call < calls; ++call) {
+            for (const auto shard : shards) {
+                turns.note(shard, time);
+            }
+            if (const auto holder = turns.holder(time)) {
+                ++had[*holder];
+            }
+            time += interval;
+        }
+    };
+
+    run({0, 2}, 20); // They have not wanted workers for long.
+    CHECK(had.empty());
+    run({0, 2}, 64);
+    CHECK(had == std::map<std::size_t, int>{{0, 32 / 2}, {2, 32 / 2}});
+    CHECK(turns.wants(0, time));
+    run({2}, 80);
+    CHECK_FALSE(turns.wants(0, time));
+    CHECK(had[2] >= 32);
+    CHECK_FALSE(turns.holder(time + 10s));
+}
+
 TEST_CASE("an assignment is stored as JSON")
 {
     const worker_assignment value{.shard = 3, .token_base = 17};
@@ -610,6 +687,108 @@
     }
 }
 
+namespace {
+
+/// An owner of the first of two shards, with three workers, that has asked for permission for a
+/// step of two tasks that need a worker each.
+struct permitted_lending_state : lending_state {
+    permitted_lending_state()
+    {
+        auto terms = this->terms();
+        terms.permission =
+            permission_terms{fractional_ms(10), fractional_ms(1), milliseconds(1'500)};
+        state.submit(1, job("fedcba9876543210", 8'000, 2), terms, time, wall);
+        store();
+        asked = next().permissions;
+        REQUIRE(asked.size() == 1);
+        REQUIRE(asked[0].workers.size() == 3);
+    }
+
+    std::vector<permission_request> asked;
+};
+
+} // namespace
+
+// A shard gave away the workers with the lowest indices again and again, so that another saw the
+// same ones only.
+TEST_CASE("a shard gives first the workers that the other one has not had")
+{
+    lending_state driver;
+    auto& state = driver.state;
+    std::set<std::size_t> lent;
+    for (std::size_t call = 0; call < 3; ++call) {
+        REQUIRE(driver.lend() == 1);
+        const auto worker = driver.next(0ms).released_workers.at(0);
+        lent.insert(worker);
+        driver.store();
+        auto returned = driver.list();
+        returned.at(worker).token_base = state.workers().at(worker).released_base + 1;
+        for (std::size_t index = 0; index < 3; ++index) {
+            auto& entry = returned.at(index);
+            entry.token_base =
+                std::max(entry.token_base, state.workers().at(index).entry.token_base);
+        }
+        state.on_worker_list(returned, driver.time);
+        for (int count = 0; count < reports_until_certain; ++count) {
+            state.on_report(worker, {.incarnation = 1}, driver.time, wall);
+        }
+        driver.store();
+        driver.next(15s);
+    }
+    CHECK(lent.size() == 3);
+}
+
+// Workers were given away by their index, also the ones that a waiting step may use.
+TEST_CASE("a shard gives first the workers that its waiting step may not use")
+{
+    permitted_lending_state driver;
+    auto spec = driver.job("0123456789abcdef", 6'000, 2);
+    spec.steps[0].gang = true;
+    auto terms = driver.terms();
+    terms.permission = permission_terms{fractional_ms(10), fractional_ms(1), milliseconds(1'500)};
+    auto& state = driver.state;
+    state.cancel(9, "fedcba9876543210", driver.time, wall);
+    state.submit(1, spec, terms, driver.time, wall);
+    driver.store();
+    const auto asked = driver.next().permissions;
+    REQUIRE(asked.size() == 1);
+    state.on_permission(asked[0].number, std::vector<ticket_grant>{{"w0", "ticket"}}, driver.time);
+    driver.next(300ms);
+    REQUIRE(state.find_worker_request(driver.time).has_value());
+    for (const std::size_t expected : {1, 2}) {
+        REQUIRE(driver.lend() == 1);
+        CHECK(driver.next(0ms).released_workers == std::vector<std::size_t>{expected});
+        driver.store();
+    }
+}
+
+// Guards against LOST: a step whose only permitted worker was always in use asked nobody.
+TEST_CASE("a step that has waited for long asks for workers although a permitted one is in use")
+{
+    lending_state driver;
+    auto& state = driver.state;
+    driver.submit(driver.job("0123456789abcdef", 8'000, 3));
+    const auto starts = driver.next().starts;
+    REQUIRE(starts.size() == 3);
+    auto terms = driver.terms();
+    terms.permission = permission_terms{fractional_ms(10), fractional_ms(1), milliseconds(1'500)};
+    state.submit(1, driver.job("fedcba9876543210", 1'000, 1), terms, driver.time, wall);
+    driver.store();
+    for (int step = 0; step < 24; ++step) {
+        for (const auto& request : driver.next(500ms).permissions) {
+            state.on_permission(request.number, std::vector<ticket_grant>{{"w0", "ticket"}},
+                                driver.time);
+        }
+        for (const auto& start : starts) {
+            state.on_report(start.worker, {.incarnation = 1, .present = {{.name = start.name}}},
+                            driver.time, wall);
+        }
+    }
+    const auto request = state.find_worker_request(driver.time);
+    REQUIRE(request.has_value());
+    CHECK(request->demand.desired >= 4);
+}
+
 // Guards against a second run of a task: the earlier owner could start it on the worker's next
 // life, whose ends the other shard's owner would have acknowledged.
 TEST_CASE("a loaded worker is not lent while an earlier owner may start runs on it")
--- a/flamingoseam/workflow/workflow_lending.cpp
+++ b/flamingoseam/workflow/workflow_lending.cpp
@@ -12,6 +12,9 @@
 constexpr double min_eligible_share = 0.1;
 /// Work that has waited for less is usually placed by one of the next passes.
 constexpr milliseconds min_wait{250};
+/// Work that has waited for longer is not expected to find room on workers that are in use or that
+/// were not asked about.
+constexpr milliseconds max_wait_for_own{10'000};
 /// A worker that is not idle by then is used again.
 constexpr milliseconds max_drain_time{4'000};
 
@@ -66,26 +69,30 @@
     return workers == 0 ? 1 : static_cast<double>(labelled) / static_cast<double>(workers);
 }
 
-/// Returns how many tasks of a step find no place on the shard's workers, even if these were empty:
-/// of a gang all tasks count, otherwise one. Returns 0 as long as a worker has not been asked
-/// about.
+/// Returns how many tasks of a step find no place on the shard's workers: of a gang all tasks
+/// count, otherwise one. At first, workers count as if they were empty, and it returns 0 as long as
+/// a worker has not been asked about; later only the room that is free on permitted ones counts.
 int workflow_state::stranded_tasks(const ready_step& step, time_point time) const
 {
     const bool needs_permission = step.job->terms.permission.has_value();
     if (!needs_permission && step.spec().label.empty()) {
         return 0;
     }
+    const bool has_waited_long = time - step.record().waits_since >= max_wait_for_own;
     const int needed = step.needed_places();
     int places = 0;
     for (std::size_t worker = 0; worker < fleet_.size() && places < needed; ++worker) {
         if (!can_run(step, worker, time)) {
             continue;
         }
-        if (needs_permission && !step.record().permission.has_answer_for(worker)) {
+        if (needs_permission && !has_waited_long &&
+            !step.record().permission.has_answer_for(worker)) {
             return 0;
         }
         if (is_permitted(step, worker)) {
-            places += detail::fits_in(step.spec(), fleet_.at(worker).entry.capacity);
+            const auto& state = fleet_.at(worker);
+            places +=
+                detail::fits_in(step.spec(), has_waited_long ? state.free() : state.entry.capacity);
         }
     }
     return std::max(0, needed - places);
@@ -120,7 +127,79 @@
             steps.push_back(as_waiting(entry.step, time));
         }
     }
-    return demand_of(stock, steps, lending_limits_.of_service(service));
+    const auto demand = demand_of(stock, steps, lending_limits_.of_service(service));
+    if (demand.desired > static_cast<double>(stock.workers)) {
+        lending_turns_[service].note(lending_limits_.shard, time);
+    }
+    return demand;
+}
+
+/// Returns the step of a service that has waited longest, null if none has waited for long.
+const ready_step* workflow_state::find_oldest_waiting(const std::string& service,
+                                                      time_point time) const
+{
+    const ready_step* oldest = nullptr;
+    for (const auto& entry : ready_.in_order()) {
+        const auto since = entry.step.record().waits_since;
+        const bool is_older = oldest == nullptr || since < oldest->record().waits_since;
+        if (since != time_point{} && time - since >= min_wait && is_older &&
+            entry.step.job->terms.service == service) {
+            oldest = &entry.step;
+        }
+    }
+    return oldest;
+}
+
+/// Checks whether a worker has not been refused for a step.
+bool workflow_state::may_need(const ready_step& step, std::size_t worker) const
+{
+    return has_label(fleet_.at(worker).entry, step.spec().label) &&
+           (is_permitted(step, worker) || !step.record().permission.has_answer_for(worker));
+}
+
+/// Returns the workers that can be given to a shard, first those that the oldest waiting step may
+/// not use, and of these the ones that it has not had for the longest time.
+std::vector<std::size_t> workflow_state::find_lendable(const worker_request& request,
+                                                       time_point time)
+{
+    const auto* step = find_oldest_waiting(request.service, time);
+    std::vector<std::tuple<bool, time_point, std::size_t>> found;
+    for (std::size_t worker = 0; worker < fleet_.size(); ++worker) {
+        const auto& state = fleet_.at(worker);
+        if (state.entry.service == request.service && state.is_usable(time) &&
+            can_release(worker, time)) {
+            const auto lent = lent_at_.find({worker, request.shard});
+            found.emplace_back(step != nullptr && may_need(*step, worker),
+                               lent == lent_at_.end() ? time_point{} : lent->second, worker);
+        }
+    }
+    std::ranges::sort(found);
+    std::vector<std::size_t> workers;
+    for (const auto& entry : found) {
+        workers.push_back(std::get<std::size_t>(entry));
+    }
+    return workers;
+}
+
+/// Returns how many workers this shard keeps from work beyond the demand of another one: if it
+/// wants further ones itself, an equal share, all in its own turn, and none in the turn of the
+/// other.
+std::size_t workflow_state::held_workers(const worker_request& request, std::size_t workers,
+                                         time_point time) const
+{
+    const auto found = lending_turns_.find(request.service);
+    const auto own = lending_limits_.shard;
+    if (found == lending_turns_.end() || !found->second.wants(own, time)) {
+        return 0;
+    }
+    const auto holder = found->second.holder(time);
+    if (holder == own) {
+        return workers;
+    }
+    const auto limits = lending_limits_.of_service(request.service);
+    const auto half_of_both = (workers + request.workers + 1) / 2;
+    return holder == request.shard ? 0
+                                   : std::min(half_of_both, limits.cell_workers / limits.shards);
 }
 
 std::optional<worker_request> workflow_state::find_worker_request(time_point time)
@@ -170,15 +249,24 @@
     if (!is_possible) {
         return 0;
     }
-    const auto stock = stock_of(request.service, time);
+    auto stock = stock_of(request.service, time);
     const auto demand = demand_for(request.service, stock, time);
+    auto& turns = lending_turns_[request.service];
+    if (request.demand.desired > static_cast<double>(request.workers)) {
+        turns.note(request.shard, time);
+    }
+    const bool is_unused = unused_times_[request.service].update(demand, time);
+    stock.keeps_none = is_unused || turns.holder(time) == request.shard;
+    stock.held = held_workers(request, stock.workers, time);
     const auto decision =
         decide_lending(request, demand, stock, lending_limits_.of_service(request.service));
     std::size_t lent = 0;
-    for (std::size_t worker = 0; worker < fleet_.size() && lent < decision.idle; ++worker) {
-        const auto& state = fleet_.at(worker);
-        if (state.entry.service == request.service && state.is_usable(time) &&
-            can_release(worker, time)) {
+    if (decision.idle > 0) {
+        for (const auto worker : find_lendable(request, time)) {
+            if (lent == decision.idle) {
+                break;
+            }
+            lent_at_[{worker, request.shard}] = time;
             release_worker(worker, request.shard);
             ++lent;
         }
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -489,6 +489,12 @@
     std::optional<worker_request> worker_request_for(const std::string& service, time_point time);
     worker_demand demand_for(const std::string& service, const worker_stock& stock,
                              time_point time);
+    [[nodiscard]] const ready_step* find_oldest_waiting(const std::string& service,
+                                                        time_point time) const;
+    std::vector<std::size_t> find_lendable(const worker_request& request, time_point time);
+    [[nodiscard]] bool may_need(const ready_step& step, std::size_t worker) const;
+    [[nodiscard]] std::size_t held_workers(const worker_request& request, std::size_t workers,
+                                           time_point time) const;
     std::size_t drain_workers(const worker_request& request, std::size_t count, time_point time);
     void release_drained(time_point time);
     void add_removals(std::size_t max_records, record_batch& batch);
@@ -552,6 +558,10 @@
     std::set<std::size_t> loaded_quorum_; ///< The quorum in the earlier owner's list.
     std::set<std::size_t> not_accepting_; ///< Those of them that have not reported to this owner.
     lending_limits lending_limits_;
+    std::map<std::string, lending_turns> lending_turns_; ///< By service.
+    std::map<std::string, unused_time> unused_times_;    ///< By service.
+    /// When a worker was last given to a shard.
+    std::map<std::pair<std::size_t, std::size_t>, time_point> lent_at_;
     std::uint64_t borrowings_ = 0; ///< Number of requests for workers of other shards.
     std::map<std::string, std::uint64_t> borrowed_at_;     ///< Number of the last one, by service.
     std::map<std::string, worker_assignment> assignments_; ///< To be stored, by worker.
