Give a late gang that has waited for long a claim to calls and workers

Cause: a gang that needs permission had no workers held for it but while its tickets were requested, and late work ranks behind all work on time for call slots and for free capacity. A steady stream of narrower gangs took both.

Now the obsolete gang of a service that has waited longest, for 5 s at least, gets a claim while work on time waits, one gang at a time and for at most 8 s: its permission calls go first, permitted workers on which it is expected to fit within 3 s are held for it, and the reservation with its renewal lasts until the answer and covers a fifth more workers. A gang that does not fit on the workers known to be permitted gets no claim. More urgent queues may still use the workers, and nothing is held while under half of the shard is in use.

workflow_overdue.cpp: one condition, the urgency of the requests of a claim.

--- a/flamingoseam/workflow/job_record.hpp
+++ b/flamingoseam/workflow/job_record.hpp
@@ -127,6 +127,7 @@
     /// Earliest next attempt to reserve capacity for a gang after none was found.
     time_point next_reservation_attempt{};
     bool reservation_expired = false; ///< Capacity reserved for the gang did not become free.
+    time_point claim_ended{}; ///< When the gang's last claim to room has ended without a start.
     permission_record permission;
 
     [[nodiscard]] int waiting() const
--- a/flamingoseam/workflow/workflow_overdue.cpp
+++ b/flamingoseam/workflow/workflow_overdue.cpp
@@ -88,11 +88,11 @@
     return longest;
 }
 
-/// Returns the urgency of a permission request of a step, which in its turn is above that of all
-/// others with the same priority.
+/// Returns the urgency of a permission request of a step, which in its turn and with a claim is
+/// above that of all others with the same priority.
 urgency workflow_state::request_urgency(const ready_step& step) const
 {
-    if (!has_turn(step)) {
+    if (!has_turn(step) && !has_claim(step)) {
         return urgency_of(*step.job);
     }
     return {.on_time_until = time_point::max(),
--- a/flamingoseam/workflow/workflow_permission.cpp
+++ b/flamingoseam/workflow/workflow_permission.cpp
@@ -37,7 +37,7 @@
 {
     const auto& queue = step.job->terms.name;
     const int priority = step.job->terms.priority;
-    if (!permission_budget::is_long(service_time) || has_turn(step)) {
+    if (!permission_budget::is_long(service_time) || has_turn(step) || has_claim(step)) {
         return true;
     }
     const auto call_slots = permission_budget_.call_slots_for_long_calls(time);
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -403,6 +403,18 @@
     [[nodiscard]] std::optional<milliseconds> shortest_ticket(const ready_step& step, int tasks,
                                                               time_point time) const;
     void reserve_for_gang(const ready_step& step, time_point time);
+    void place_gang_with_tickets(const ready_step& step, const std::vector<candidate>& candidates,
+                                 time_point time);
+    void renew_for_gang(const ready_step& step, const std::vector<task_allocation>& allocations,
+                        const std::vector<candidate>& candidates, time_point time);
+    static void add_spare_workers(gang_reservation& reservation,
+                                  const std::vector<candidate>& candidates);
+    [[nodiscard]] bool has_claim(const ready_step& step) const;
+    bool take_claim(const ready_step& step, time_point time);
+    bool may_claim(const ready_step& step, time_point time);
+    void give_claim(const std::string& service, time_point time);
+    void end_claim(const std::string& service, time_point time);
+    void hold_permitted_workers(const ready_step& step, time_point time);
     void drop_expired_reservations(time_point time);
     std::optional<gang_reservation> plan_reservation(const ready_step& step, time_point time);
     bool may_preempt(const run_name& name, const assigned_run& run, const ready_step& gang,
@@ -517,6 +529,15 @@
         time_point until{};
     };
     std::optional<overdue_turn> turn_;
+    /// A gang that needs permission and has waited for long. Workers are held for it, and its
+    /// permission requests go first.
+    struct gang_claim {
+        std::string job;
+        int step = 0;
+        time_point until{};
+    };
+    std::map<std::string, gang_claim> claims_; ///< At most one for each service, by its name.
+    std::map<std::string, time_point> next_claim_search_;
     time_point next_turn_{}; ///< Earliest begin of the next turn.
     /// Requested stops that the worker has not accepted yet.
     std::set<std::pair<std::size_t, run_name>> unaccepted_stops_;
