Merge the claims of late wide gangs

A call of a gang with a claim needs no share; a request of a step in its turn asks the share of overdue steps. Joined as they were, 16 gangs could have turns and hold workers, each for its renewal: of four long backlogs one gang waited 4.8 s although it had room twice over (gang_backlog_test, bound 3 s). One gang has a turn at a time now, as before, and small steps have the other turns: 82 tests of the parts pass, the one that failed among them.

--- a/flamingoseam/workflow/workflow_overdue.cpp
+++ b/flamingoseam/workflow/workflow_overdue.cpp
@@ -8,7 +8,7 @@
 
 /// How long the steps of a job wait without any start of their tasks until they get turns.
 constexpr milliseconds max_wait{10'000};
-/// Number of steps that have their turn at a time. Some may be gangs that find no room.
+/// Number of steps that have their turn at a time; at most one of them is a gang.
 constexpr std::size_t max_turns = 16;
 /// Long enough for a short permission call and the start.
 constexpr milliseconds turn_length{1'000};
@@ -117,6 +117,35 @@
     return std::max(turn.until, call.asked + call.service_time + answer_allowance);
 }
 
+/// Returns the steps that may get a turn. Of the gangs, only the one that has waited the longest
+/// gets one, and none while another has its turn: gangs would hold workers that others need.
+/// Complexity: linear in the waiting steps.
+std::vector<ready_step> workflow_state::find_overdue_steps(time_point time)
+{
+    std::vector<ready_step> overdue;
+    std::optional<ready_step> gang;
+    for (const auto& entry : ready_.in_order()) {
+        const auto& step = entry.step;
+        begin_wait(step, time); // No pass may have reached the step yet.
+        if (!is_overdue(step.record(), time) || has_turn(step)) {
+            continue;
+        }
+        if (!step.spec().gang) {
+            overdue.push_back(step);
+        } else if (!gang ||
+                   waits_for_turn_since(step.record()) < waits_for_turn_since(gang->record())) {
+            gang = step;
+        }
+    }
+    const bool gang_has_turn = std::ranges::any_of(turns_, [this](const overdue_turn& turn) {
+        return ready_step{find_job(turn.job), turn.step}.spec().gang;
+    });
+    if (gang && !gang_has_turn) {
+        overdue.push_back(*gang);
+    }
+    return overdue;
+}
+
 /// Begins turns of the steps that have waited the longest, as many as there is place for. Steps
 /// with few tasks go first among those that have their turn: they need little. Complexity: linear
 /// in the waiting steps.
@@ -127,13 +156,7 @@
     }
     const auto intervals = 1 + waiting_steps_ / steps_per_search_interval;
     next_turns_ = time + search_interval * static_cast<int>(intervals);
-    std::vector<ready_step> overdue;
-    for (const auto& entry : ready_.in_order()) {
-        begin_wait(entry.step, time); // No pass may have reached the step yet.
-        if (is_overdue(entry.step.record(), time) && !has_turn(entry.step)) {
-            overdue.push_back(entry.step);
-        }
-    }
+    auto overdue = find_overdue_steps(time);
     const auto count = std::min(max_turns - turns_.size(), overdue.size());
     const auto last = overdue.begin() + static_cast<std::ptrdiff_t>(count);
     std::ranges::partial_sort(overdue, last, {}, [](const ready_step& step) {
@@ -177,11 +200,11 @@
     overdue_calls_.record_use(occupied, time);
 }
 
-/// Returns the urgency of a permission request of a step, which in its turn is above that of all
-/// others with the same priority.
+/// Returns the urgency of a permission request of a step, which in its turn and with a claim is
+/// above that of all others with the same priority.
 urgency workflow_state::request_urgency(const ready_step& step) const
 {
-    if (!places_overdue_steps_) {
+    if (!places_overdue_steps_ && !has_claim(step)) {
         return urgency_of(*step.job);
     }
     return {.on_time_until = time_point::max(),
