--- a/flamingoseam/workflow/overdue_step_test.cpp
+++ b/flamingoseam/workflow/overdue_step_test.cpp
@@ -257,3 +257,33 @@
     cell.advance(length - milliseconds(1'000));
     CHECK(4 * cell.started_on_time() >= 3 * without_late.started_on_time());
 }
+
+// Issue 63: of the steps that had their turn those with the fewest tasks went first, so that later
+// ones kept an older one with more tasks waiting.
+TEST_CASE("a late step is not kept waiting by later ones with fewer tasks")
+{
+    constexpr int filling_jobs = 200; // Fill all workers, as those on time do.
+    constexpr int later_jobs = 1'000;
+    constexpr milliseconds length{120'000};
+    constexpr milliseconds max_start_wait = 6 * max_wait;
+    auto terms = reviews;
+    terms.permission.reset();
+    auto step = small_step(1);
+    step.size.milli_cpus = 8'000;
+    busy_cell cell(terms, step);
+    cell.submit_late(filling_jobs);
+    cell.advance(milliseconds(500));
+    auto older = small_job('e', 0);
+    older.steps = {step};
+    older.steps.front().tasks = 3;
+    cell.submit_late(older);
+    cell.advance(milliseconds(100));
+    for (int number = 0; number < later_jobs; ++number) {
+        auto later = small_job('d', number);
+        later.steps = {step};
+        cell.submit_late(later);
+    }
+    cell.advance(length);
+    REQUIRE(cell.play().first_start(older.id));
+    CHECK(cell.play().start_wait(older.id) <= max_start_wait);
+}
