Log why a job is refused and why a run is stopped

Three hypotheses about too few wide gangs being served (they starve behind narrower ones; permission is learnt too slowly after a change of the owner; admission turns them away) can't be told apart without it.

A line 'refused' by the admission now has the queue's priority, the tasks of the widest step and of the widest gang, the expected wait, the workers that late gangs need, the workers of the service and what the caller was told; a line 'stop' has the reason and the percent that was done. No decision changes.

--- a/flamingoseam/workflow/admission.cpp
+++ b/flamingoseam/workflow/admission.cpp
@@ -230,7 +230,10 @@
         const auto wait = request.late_slack + retry_after_gangs;
         return {.is_accepted = false,
                 .retry_after = next_retry(pool, request, wait, time),
-                .reason = "gangs_late"};
+                .reason = "gangs_late",
+                .wait = wait,
+                .obsolete_gang_workers = pool.obsolete_gang_workers,
+                .workers = pool.workers};
     }
     const bool is_measured = pool.first_start && time - *pool.first_start >= min_measured_span;
     if (!is_measured || wait_on_time(pool, request.priority, time) <= request.slack) {
@@ -244,7 +247,10 @@
     }
     return {.is_accepted = false,
             .retry_after = next_retry(pool, request, wait, time),
-            .reason = "would_be_too_late"};
+            .reason = "would_be_too_late",
+            .wait = wait,
+            .obsolete_gang_workers = pool.obsolete_gang_workers,
+            .workers = pool.workers};
 }
 
 } // namespace flamingoseam::workflow
--- a/flamingoseam/workflow/admission.hpp
+++ b/flamingoseam/workflow/admission.hpp
@@ -51,9 +51,12 @@
 
 /// Decision on whether to admit a new job.
 struct admission_decision {
-    bool is_accepted = true;     ///< False if the job can't be served in time.
-    milliseconds retry_after{0}; ///< Delay after which a retry is likely to be accepted.
-    std::string reason = {};     ///< Why the job is refused.
+    bool is_accepted = true;          ///< False if the job can't be served in time.
+    milliseconds retry_after{0};      ///< Delay after which a retry is likely to be accepted.
+    std::string reason = {};          ///< Why the job is refused.
+    milliseconds wait{0};             ///< Expected wait of a refused job.
+    double obsolete_gang_workers = 0; ///< Empty workers that obsolete gangs need.
+    double workers = 0;               ///< Workers of the service.
 };
 
 /// Waiting work of one service, priority and lateness.
--- a/flamingoseam/workflow/workflow_admission.cpp
+++ b/flamingoseam/workflow/workflow_admission.cpp
@@ -62,6 +62,26 @@
     return decision;
 }
 
+/// Refuses a job that can't be served in time, and logs what the decision was made from.
+void workflow_state::refuse_unservable(std::uint64_t token, const job_spec& spec,
+                                       const queue_terms& terms, const admission_decision& decision)
+{
+    int widest = 0;
+    int widest_gang = 0;
+    for (const auto& step : spec.steps) {
+        widest = std::max(widest, step.tasks);
+        widest_gang = std::max(widest_gang, step.gang ? step.tasks : 0);
+    }
+    refuse(token, spec.id, decision.reason, decision.retry_after,
+           {{"priority", terms.priority},
+            {"tasks", widest},
+            {"gang_tasks", widest_gang},
+            {"steps", static_cast<std::int64_t>(spec.steps.size())},
+            {"expected_wait_ms", decision.wait.count()},
+            {"late_gangs_need_workers", std::llround(decision.obsolete_gang_workers)},
+            {"workers", std::llround(decision.workers)}});
+}
+
 /// Records the empty workers that the obsolete gangs of each service need.
 void workflow_state::record_obsolete_gangs(time_point time)
 {
--- a/flamingoseam/workflow/workflow_jobs.cpp
+++ b/flamingoseam/workflow/workflow_jobs.cpp
@@ -46,7 +46,7 @@
     const auto terms = queues_.newest(submitted_terms);
     const auto verdict = may_admit(spec, terms, time);
     if (!verdict.is_accepted) {
-        refuse(token, spec.id, verdict.reason, verdict.retry_after);
+        refuse_unservable(token, spec, terms, verdict);
         return;
     }
     auto job = std::make_unique<job_record>();
@@ -67,12 +67,13 @@
 }
 
 void workflow_state::refuse(std::uint64_t token, const std::string& job, const std::string& reason,
-                            milliseconds retry_after)
+                            milliseconds retry_after, std::vector<log_field> inputs)
 {
-    log_decision("refused", job, reason,
-                 {{"open_jobs", static_cast<std::int64_t>(open_.size())},
-                  {"most_open_jobs", static_cast<std::int64_t>(options_.max_open_jobs)},
-                  {"changes_waiting", static_cast<std::int64_t>(changes_.size())}});
+    inputs.push_back({"retry_after_ms", retry_after.count()});
+    inputs.push_back({"open_jobs", static_cast<std::int64_t>(open_.size())});
+    inputs.push_back({"most_open_jobs", static_cast<std::int64_t>(options_.max_open_jobs)});
+    inputs.push_back({"changes_waiting", static_cast<std::int64_t>(changes_.size())});
+    log_decision("refused", job, reason, std::move(inputs));
     actions_.answers.push_back({.token = token,
                                 .kind = caller_answer::answer_kind::refused,
                                 .reason = reason,
@@ -191,7 +192,7 @@
     if (task.phase == task_phase::placed) {
         const run_name newest{{job.spec.id, step, index}, task.run};
         if (auto* run = fleet_.find_run(task.worker, newest)) {
-            request_stop(task.worker, newest, *run);
+            request_stop(task.worker, newest, *run, stop_reason::task_done);
         }
     }
     set_task_phase(job, step, index, task_phase::done);
@@ -252,7 +253,7 @@
             const run_name name{{job.spec.id, static_cast<int>(step), static_cast<int>(index)},
                                 tasks[index].run};
             if (auto* run = fleet_.find_run(tasks[index].worker, name)) {
-                request_stop(tasks[index].worker, name, *run);
+                request_stop(tasks[index].worker, name, *run, stop_reason::job_ended);
             }
         }
     }
@@ -280,7 +281,7 @@
             }
             const run_name name{{job.spec.id, step, index}, task.run};
             if (auto* run = fleet_.find_run(task.worker, name)) {
-                request_stop(task.worker, name, *run);
+                request_stop(task.worker, name, *run, stop_reason::gang_broken);
             } else {
                 requeue_task(job, step, index);
             }
@@ -345,7 +346,8 @@
     change(job);
 }
 
-void workflow_state::request_stop(std::size_t worker, const run_name& name, assigned_run& run)
+void workflow_state::request_stop(std::size_t worker, const run_name& name, assigned_run& run,
+                                  stop_reason reason)
 {
     if (run.stop_requested) {
         return;
@@ -353,7 +355,9 @@
     run.stop_requested = true;
     run.stop_sent_at = {};
     unaccepted_stops_.emplace(worker, name);
-    log_decision("stop", name.task.job, to_string(name) + " on " + fleet_.at(worker).entry.id);
+    log_decision("stop", name.task.job,
+                 to_string(name) + " on " + fleet_.at(worker).entry.id + ": " + to_string(reason),
+                 {{"percent", run.percent}});
 }
 
 std::size_t workflow_state::count_overdue(time_point time) const
--- a/flamingoseam/workflow/workflow_maintenance.cpp
+++ b/flamingoseam/workflow/workflow_maintenance.cpp
@@ -181,7 +181,7 @@
             ++counts_.stalled_runs;
             log_decision("run_stands_still", name.task.job,
                          to_string(name) + " on " + worker_state.entry.id);
-            request_stop(worker, name, run);
+            request_stop(worker, name, run, stop_reason::stalled);
             if (!gang) {
                 worker_state.excluded_until = time + exclusion_after_stall;
             }
--- a/flamingoseam/workflow/workflow_preemption.cpp
+++ b/flamingoseam/workflow/workflow_preemption.cpp
@@ -85,7 +85,7 @@
                 ++load_of(*job).preempted_runs;
             }
             log_decision("run_yields", name.task.job, to_string(name) + " to " + gang.job->spec.id);
-            request_stop(worker, name, run);
+            request_stop(worker, name, run, stop_reason::preempted);
         }
         missing -= std::min(missing, tasks_that_fit(gang.spec().size, free_capacity));
     }
--- a/flamingoseam/workflow/workflow_reports.cpp
+++ b/flamingoseam/workflow/workflow_reports.cpp
@@ -259,7 +259,7 @@
         log_unknown_job("run_unknown_job", worker, name, "to be stopped");
     }
     if (!is_open) {
-        request_stop(worker, name, fleet_.assign(worker, name, assigned));
+        request_stop(worker, name, fleet_.assign(worker, name, assigned), stop_reason::not_wanted);
         return;
     }
     assigned.estimate = job->spec.steps[step].estimate;
@@ -270,13 +270,13 @@
     const bool fits_gang = !job->spec.steps[step].gang || record.gang_run == 0 ||
                            (record.gang_run == name.run && !record.gang_broken);
     if (!is_newest || !fits_gang || task.phase == task_phase::waiting) {
-        request_stop(worker, name, placed);
+        request_stop(worker, name, placed, stop_reason::not_wanted);
         return;
     }
     if (task.phase == task_phase::placed) {
         const run_name older{name.task, task.run};
         if (auto* other = fleet_.find_run(task.worker, older)) {
-            request_stop(task.worker, older, *other);
+            request_stop(task.worker, older, *other, stop_reason::superseded);
         }
     }
     set_task_phase(*job, name.task.step, name.task.index, task_phase::placed);
@@ -341,7 +341,7 @@
         }
         if (run->state == assigned_run::run_state::unconfirmed &&
             run->unconfirmed_since < report.asked) {
-            request_stop(worker, name, *run);
+            request_stop(worker, name, *run, stop_reason::unconfirmed);
         }
         if (run->state == assigned_run::run_state::present && run->confirmed_at < report.asked &&
             is_missing_for_long(*run, time)) {
@@ -426,7 +426,7 @@
 {
     run.state = assigned_run::run_state::unconfirmed;
     run.unconfirmed_since = time;
-    request_stop(worker, name, run);
+    request_stop(worker, name, run, stop_reason::start_refused);
     auto* job = find_job(name.task.job);
     const auto step = static_cast<std::size_t>(name.task.step);
     if (!is_final(job->phase) && job->spec.steps[step].gang) {
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -15,6 +15,7 @@
 #include "flamingoseam/workflow/queue_load.hpp"
 #include "flamingoseam/workflow/ready_queue.hpp"
 #include "flamingoseam/workflow/recent_ids.hpp"
+#include "flamingoseam/workflow/stop_reason.hpp"
 #include "flamingoseam/workflow/stored_job.hpp"
 #include "flamingoseam/workflow/work_order.hpp"
 #include "flamingoseam/workflow/worker_assignment.hpp"
@@ -279,7 +280,7 @@
     job_record* find_job(const std::string& id);
     void change(job_record& job) { changes_.record(job); }
     void refuse(std::uint64_t token, const std::string& job, const std::string& reason,
-                milliseconds retry_after);
+                milliseconds retry_after, std::vector<log_field> inputs = {});
     void refuse_unwritten();
     void set_task_phase(job_record& job, int step, int index, task_phase phase);
     void finish_task(job_record& job, int step, int index, wall_time wall);
@@ -323,7 +324,8 @@
     void mark_unconfirmed(std::size_t worker, const run_name& name, assigned_run& run,
                           time_point time);
     void rule_out(std::size_t worker, const run_name& name, assigned_run& run, time_point time);
-    void request_stop(std::size_t worker, const run_name& name, assigned_run& run);
+    void request_stop(std::size_t worker, const run_name& name, assigned_run& run,
+                      stop_reason reason);
     void mark_run_lost(std::size_t worker, const run_name& name);
     [[nodiscard]] bool awaits_start(std::size_t worker, const assigned_run& run,
                                     time_point time) const;
@@ -453,6 +455,8 @@
     void end_call(const permission_request& request);
     [[nodiscard]] milliseconds lead_time() const;
     admission_decision may_admit(const job_spec& spec, const queue_terms& terms, time_point time);
+    void refuse_unservable(std::uint64_t token, const job_spec& spec, const queue_terms& terms,
+                           const admission_decision& decision);
     void record_waiting_work(time_point time);
     void record_obsolete_gangs(time_point time);
     [[nodiscard]] double empty_workers_needed(const step_spec& step) const;
