--- a/tests/permission_simulation.cpp
+++ b/tests/permission_simulation.cpp
@@ -64,8 +64,8 @@
     commit_changes();
 }
 
-void permission_simulation::submit(const job_spec& spec, const queue_terms& terms,
-                                   milliseconds length)
+void permission_simulation::record_submitted(const job_spec& spec, const queue_terms& terms,
+                                             milliseconds length)
 {
     submitted_[spec.id] = {.time = time_,
                            .length = length,
@@ -75,6 +75,28 @@
     if (terms.permission) {
         record_permitted(spec.id, 0);
     }
+}
+
+void permission_simulation::load(const std::vector<accepted_job>& jobs)
+{
+    std::vector<job_record> records;
+    for (const auto& job : jobs) {
+        record_submitted(job.spec, job.terms, job.length);
+        job_record record;
+        record.spec = job.spec;
+        record.terms = job.terms;
+        record.accepted = wall - job.age;
+        record.spec_stored = true;
+        fill_steps(record, task_phase::unlocated);
+        records.push_back(std::move(record));
+    }
+    state_.load(std::move(records), {}, time_, wall);
+}
+
+void permission_simulation::submit(const job_spec& spec, const queue_terms& terms,
+                                   milliseconds length)
+{
+    record_submitted(spec, terms, length);
     ids_.push_back(spec.id);
     state_.submit(ids_.size(), spec, terms, time_, wall);
     commit_changes();
--- a/tests/permission_simulation.hpp
+++ b/tests/permission_simulation.hpp
@@ -28,6 +28,17 @@
     /// Submits a job whose tasks each run for `length`.
     void submit(const job_spec& spec, const queue_terms& terms, milliseconds length);
 
+    /// A job that an earlier owner has accepted and not started.
+    struct accepted_job {
+        job_spec spec;
+        queue_terms terms;
+        milliseconds length{0}; ///< Run time of each task.
+        milliseconds age{0};    ///< Time since its acceptance.
+    };
+
+    /// Loads the jobs of an earlier owner.
+    void load(const std::vector<accepted_job>& jobs);
+
     void cancel(const std::string& id);
 
     /// Adds workers to the fleet.
@@ -88,6 +99,7 @@
         bool refused = false;
     };
 
+    void record_submitted(const job_spec& spec, const queue_terms& terms, milliseconds length);
     void record_permitted(const std::string& id, std::size_t first);
     void list_workers(std::size_t first_new);
     void process_actions();
