Judge a gang by the gangs before it, not by all that are late

Cause: while the gangs that were too late to be of use needed more than half of the shard's workers, every gang was refused, of 2 tasks or 100, however soon it could start. After a change of the owner that is always so, and a few wide gangs suffice for it.

In that state a job with a gang is now judged like all other work: by what waits before it, here the gangs of its priority, at the rate at which these start. Gangs start in bursts, so that rates of up to 10 s count. The flat refusal is left for a backlog of four times the former one.

--- a/flamingoseam/workflow/admission.cpp
+++ b/flamingoseam/workflow/admission.cpp
@@ -10,14 +10,18 @@
 constexpr milliseconds slot_length{250};
 constexpr milliseconds short_span{1'000};
 constexpr milliseconds long_span{3'000};
+/// Gangs start at longer intervals, as they wait for several workers.
+constexpr milliseconds gang_span{10'000};
 /// Work that has waited for less may be a short peak that the next scheduling pass places.
 constexpr milliseconds min_backlog_age{500};
 constexpr milliseconds min_measured_span{500};
 constexpr double backlog_share = 0.5; ///< Minimum share of the waiting tasks that have this age.
 constexpr milliseconds max_wait{60'000};
-/// Most empty workers that gangs which were not started in time may need together, as a share of
-/// the workers. They are still run.
-constexpr double max_obsolete_gang_share = 0.5;
+/// Empty workers that gangs which are too late to be of use need together, as a multiple of the
+/// workers. From the first value on, gangs do not start in time, so that new ones are judged by the
+/// gangs before them. Beyond the second, none is accepted before some of these gangs have run.
+constexpr double obsolete_gangs_that_delay = 0.5;
+constexpr double max_obsolete_gangs = 2;
 constexpr milliseconds retry_after_gangs{2'000}; ///< Time in which some of these gangs start.
 constexpr milliseconds min_retry_after{500};
 
@@ -60,7 +64,7 @@
         slots_.emplace_back(slot, work_amount{});
     }
     slots_.back().second += amount;
-    while (slots_.front().first < slot - long_span / slot_length) {
+    while (slots_.front().first < slot - gang_span / slot_length) {
         slots_.pop_front();
     }
 }
@@ -79,7 +83,7 @@
 
 void admission::begin_sample(time_point time)
 {
-    for (auto& [service, pool] : pools_) {
+    for (auto& [kind, pool] : pools_) {
         const bool has_late = std::ranges::any_of(
             pool.levels, [](const auto& entry) { return entry.second.late.tasks > 0; });
         if (!has_late) {
@@ -95,32 +99,30 @@
     }
 }
 
-void admission::record_obsolete_gangs(const std::string& service, double needed_workers,
-                                      double workers)
+admission::work_pool& admission::pool_of(const work_class& kind)
 {
-    auto& pool = pools_[service];
-    pool.obsolete_gang_workers = needed_workers;
-    pool.workers = workers;
+    auto& pool = pools_[kind];
+    pool.longest_span = kind.gang_priority ? gang_span : long_span;
+    return pool;
 }
 
-/// Checks whether most gangs start in time. Gangs need empty workers, and while these are gathered,
-/// a part of the capacity stands idle; so the start rate of other work says little about them.
-bool admission::starts_gangs_in_time(const service_pool& pool)
+void admission::record_obsolete_gangs(const std::string& service, double needed_workers,
+                                      double workers)
 {
-    return pool.obsolete_gang_workers <= max_obsolete_gang_share * pool.workers;
+    obsolete_gangs_[service] = {.needed_workers = needed_workers, .workers = workers};
 }
 
 void admission::record_waiting(const waiting_work& work)
 {
-    auto& level = pools_[work.service].levels[work.priority];
+    auto& level = pool_of(work.kind).levels[work.priority];
     (work.late ? level.late : level.on_time) += work.amount;
     level.aged_tasks += work.waited >= min_backlog_age ? work.amount.tasks : 0;
 }
 
-void admission::record_started(const std::string& service, int priority, const work_amount& amount,
+void admission::record_started(const work_class& kind, int priority, const work_amount& amount,
                                bool late, time_point time)
 {
-    auto& pool = pools_[service];
+    auto& pool = pool_of(kind);
     auto& level = pool.levels[priority];
     level.started.record(amount, time);
     if (late) {
@@ -131,14 +133,14 @@
     }
 }
 
-/// Returns the start rate per second of all priorities up to `most_urgent_up_to`. The larger rate
-/// of two spans is used, so that a short pause does not look like a permanent stop.
-work_amount admission::rate(const service_pool& pool, meter measured_work, int most_urgent_up_to,
+/// Returns the start rate per second of all priorities up to `most_urgent_up_to`. The largest rate
+/// of several spans is used, so that a short pause does not look like a permanent stop.
+work_amount admission::rate(const work_pool& pool, meter measured_work, int most_urgent_up_to,
                             time_point measured_since, time_point time)
 {
     const auto measured = std::chrono::duration_cast<milliseconds>(time - measured_since);
     work_amount best;
-    for (const auto span : {short_span, long_span}) {
+    for (const auto span : {short_span, long_span, pool.longest_span}) {
         work_amount sum;
         for (const auto& [priority, level] : pool.levels) {
             if (priority <= most_urgent_up_to) {
@@ -152,7 +154,7 @@
     return best;
 }
 
-milliseconds admission::wait_on_time(const service_pool& pool, int priority, time_point time)
+milliseconds admission::wait_on_time(const work_pool& pool, int priority, time_point time)
 {
     work_amount ahead;
     for (const auto& [other_priority, level] : pool.levels) {
@@ -165,7 +167,7 @@
 }
 
 /// Work that can be on time is scheduled before late work of any priority.
-milliseconds admission::wait_late(const service_pool& pool, int priority, time_point time)
+milliseconds admission::wait_late(const work_pool& pool, int priority, time_point time)
 {
     constexpr int all_priorities = std::numeric_limits<int>::max();
     work_amount on_time;
@@ -188,7 +190,7 @@
     return std::max(wait, time_needed(late, per_second));
 }
 
-bool admission::has_backlog(const service_pool& pool)
+bool admission::has_backlog(const work_pool& pool)
 {
     double tasks = 0;
     double aged_tasks = 0;
@@ -201,7 +203,7 @@
 
 /// Returns the delay after which a refused caller should retry. The retries of consecutive refused
 /// callers are spaced by the time that their work takes.
-milliseconds admission::next_retry(service_pool& pool, const admission_request& request,
+milliseconds admission::next_retry(work_pool& pool, const admission_request& request,
                                    milliseconds wait, time_point time)
 {
     constexpr int all_priorities = std::numeric_limits<int>::max();
@@ -222,35 +224,56 @@
     return refused_.find(job, time).value_or(time);
 }
 
-admission_decision admission::decide(const admission_request& request, time_point time)
+/// Returns what is expected of a new job that waits with the work of a class.
+admission::expectation admission::expect(const work_pool& pool, const admission_request& request,
+                                         time_point time)
 {
-    auto& pool = pools_[request.service];
-    auto& level = pool.levels[request.priority];
-    if (request.has_gang && !starts_gangs_in_time(pool)) {
-        const auto wait = request.late_slack + retry_after_gangs;
-        return {.is_accepted = false,
-                .retry_after = next_retry(pool, request, wait, time),
-                .reason = "gangs_late",
-                .wait = wait,
-                .obsolete_gang_workers = pool.obsolete_gang_workers,
-                .workers = pool.workers};
-    }
     const bool is_measured = pool.first_start && time - *pool.first_start >= min_measured_span;
     if (!is_measured || wait_on_time(pool, request.priority, time) <= request.slack) {
-        level.on_time += request.work;
         return {};
     }
     const auto wait = wait_late(pool, request.priority, time);
-    if (wait <= request.late_slack || !has_backlog(pool)) {
-        level.late += request.work;
-        return {};
-    }
+    return {.is_on_time = false,
+            .is_of_use = wait <= request.late_slack || !has_backlog(pool),
+            .wait = wait};
+}
+
+admission_decision admission::refuse(work_pool& pool, const admission_request& request,
+                                     milliseconds wait, const std::string& reason, time_point time)
+{
+    const auto& obsolete = obsolete_gangs_[request.service];
     return {.is_accepted = false,
             .retry_after = next_retry(pool, request, wait, time),
-            .reason = "would_be_too_late",
+            .reason = reason,
             .wait = wait,
-            .obsolete_gang_workers = pool.obsolete_gang_workers,
-            .workers = pool.workers};
+            .obsolete_gang_workers = obsolete.needed_workers,
+            .workers = obsolete.workers};
+}
+
+admission_decision admission::decide(const admission_request& request, time_point time)
+{
+    std::vector<work_pool*> pools{&pool_of({.service = request.service})};
+    const auto& obsolete = obsolete_gangs_[request.service];
+    if (request.has_gang && obsolete.exceed(obsolete_gangs_that_delay)) {
+        pools.push_back(&pool_of({.service = request.service, .gang_priority = request.priority}));
+        if (obsolete.exceed(max_obsolete_gangs)) {
+            const auto wait = request.late_slack + retry_after_gangs;
+            return refuse(*pools.back(), request, wait, "gangs_late", time);
+        }
+    }
+    bool is_on_time = true;
+    for (auto* pool : pools) {
+        const auto expected = expect(*pool, request, time);
+        if (!expected.is_of_use) {
+            return refuse(*pool, request, expected.wait, "would_be_too_late", time);
+        }
+        is_on_time = is_on_time && expected.is_on_time;
+    }
+    for (auto* pool : pools) {
+        auto& level = pool->levels[request.priority];
+        (is_on_time ? level.on_time : level.late) += request.work;
+    }
+    return {};
 }
 
 } // namespace flamingoseam::workflow
--- a/flamingoseam/workflow/admission.hpp
+++ b/flamingoseam/workflow/admission.hpp
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace flamingoseam::workflow {
 
@@ -39,14 +40,24 @@
     std::deque<std::pair<std::int64_t, work_amount>> slots_;
 };
 
+/// Work that waits for capacity together: of one service, either the gangs of one priority or all
+/// work that is no gang. Gangs wait until several workers have capacity at the same time, so that
+/// the start rate of other work says little about them, nor theirs about it.
+struct work_class {
+    std::string service;
+    std::optional<int> gang_priority = {};
+
+    auto operator<=>(const work_class&) const = default;
+};
+
 /// Admission request for a new job.
 struct admission_request {
     std::string service;
+    bool has_gang = false;
     int priority = 0;
     work_amount work;
     milliseconds slack{0};      ///< Longest wait after which the job still completes on time.
     milliseconds late_slack{0}; ///< Longest wait after which the result is still of use.
-    bool has_gang = false;
 };
 
 /// Decision on whether to admit a new job.
@@ -59,9 +70,9 @@
     double workers = 0;               ///< Workers of the service.
 };
 
-/// Waiting work of one service, priority and lateness.
+/// Waiting work of one class, priority and lateness.
 struct waiting_work {
-    std::string service;
+    work_class kind;
     int priority = 0;
     work_amount amount;
     bool late = false; ///< The work can't be on time any more, but is still of use.
@@ -86,11 +97,13 @@
     void record_waiting(const waiting_work& work);
 
     /// Records that work of a priority was started. Complexity: logarithmic.
-    void record_started(const std::string& service, int priority, const work_amount& amount,
-                        bool late, time_point time);
+    void record_started(const work_class& kind, int priority, const work_amount& amount, bool late,
+                        time_point time);
 
-    /// Decides whether to admit a new job. The work of an accepted job counts as waiting from now
-    /// on. Complexity: linear in the number of priorities of the service.
+    /// Decides whether to admit a new job. While many gangs are too late to be of use, one with a
+    /// gang must be able to start in time after the gangs of its priority as well. The work of an
+    /// accepted job counts as waiting from now on. Complexity: linear in the number of priorities
+    /// of the service.
     admission_decision decide(const admission_request& request, time_point time);
 
     /// Records that a job was refused. Its caller may submit it again.
@@ -110,30 +123,48 @@
         start_meter started;
         start_meter started_late;
     };
-    struct service_pool {
+    struct work_pool {
         std::map<int, priority_level> levels; ///< Work levels by priority.
         std::optional<time_point> first_start;
+        milliseconds longest_span{0}; ///< For which the start rate is measured.
         /// Since then, each sample had late work that waited.
         std::optional<time_point> late_since;
         time_point next_retry{};
-        double obsolete_gang_workers = 0; ///< Empty workers that obsolete gangs need.
-        double workers = 0;               ///< Workers of the service.
+    };
+    /// The gangs of a service that are too late to be of use.
+    struct obsolete_gangs {
+        double needed_workers = 0; ///< Empty workers that they need.
+        double workers = 0;        ///< Workers of the service.
+
+        /// Checks whether they need more than a multiple of the workers.
+        [[nodiscard]] bool exceed(double fills) const { return needed_workers > fills * workers; }
+    };
+    /// What is expected of a new job that waits with the work of one class.
+    struct expectation {
+        bool is_on_time = true;
+        bool is_of_use = true;
+        milliseconds wait{0}; ///< Known if the job is not on time.
     };
     using meter = start_meter priority_level::*;
 
-    static work_amount rate(const service_pool& pool, meter measured_work, int most_urgent_up_to,
+    work_pool& pool_of(const work_class& kind);
+    static work_amount rate(const work_pool& pool, meter measured_work, int most_urgent_up_to,
                             time_point measured_since, time_point time);
-    static milliseconds wait_on_time(const service_pool& pool, int priority, time_point time);
-    static milliseconds wait_late(const service_pool& pool, int priority, time_point time);
-    static bool has_backlog(const service_pool& pool);
-    static bool starts_gangs_in_time(const service_pool& pool);
-    static milliseconds next_retry(service_pool& pool, const admission_request& request,
+    static milliseconds wait_on_time(const work_pool& pool, int priority, time_point time);
+    static milliseconds wait_late(const work_pool& pool, int priority, time_point time);
+    static bool has_backlog(const work_pool& pool);
+    static expectation expect(const work_pool& pool, const admission_request& request,
+                              time_point time);
+    admission_decision refuse(work_pool& pool, const admission_request& request, milliseconds wait,
+                              const std::string& reason, time_point time);
+    static milliseconds next_retry(work_pool& pool, const admission_request& request,
                                    milliseconds wait, time_point time);
 
     static constexpr milliseconds refusal_retention{30'000};
     static constexpr std::size_t max_refusals = 20'000;
 
-    std::map<std::string, service_pool> pools_; ///< Work by service.
+    std::map<work_class, work_pool> pools_;
+    std::map<std::string, obsolete_gangs> obsolete_gangs_; ///< By service.
     recent_ids refused_{refusal_retention, max_refusals};
 };
 
--- a/flamingoseam/workflow/workflow_admission.cpp
+++ b/flamingoseam/workflow/workflow_admission.cpp
@@ -21,6 +21,13 @@
                 count * seconds * static_cast<double>(step.size.milli_cpus) / 1'000};
 }
 
+/// Returns the class of the work of a step.
+work_class class_of(const job_record& job, const step_spec& step)
+{
+    return {.service = job.terms.service,
+            .gang_priority = step.gang ? std::optional(job.terms.priority) : std::nullopt};
+}
+
 /// Returns the admission request for a new job.
 admission_request admission_request_of(const job_spec& job, const queue_terms& terms)
 {
@@ -31,6 +38,7 @@
     const auto chain = critical_path(job.steps, [](std::size_t /*step*/) { return true; });
     const auto target = target_time(job, terms);
     return {.service = terms.service,
+            .has_gang = std::ranges::any_of(job.steps, &step_spec::gang),
             .priority = terms.priority,
             .work = work,
             .slack = target - chain,
@@ -50,7 +58,6 @@
                                              time_point time)
 {
     auto request = admission_request_of(spec, terms);
-    request.has_gang = std::ranges::any_of(spec.steps, &step_spec::gang);
     const auto since_first = time - admission_.first_submission(spec.id, time);
     const auto elapsed = std::chrono::duration_cast<milliseconds>(since_first) + lead_time();
     request.slack -= elapsed;
@@ -116,8 +123,7 @@
 }
 
 /// Records the waiting work for the admission. Jobs that are too late to be of use are left out, as
-/// they are scheduled after all others, and so are gangs, as they wait for free capacity that other
-/// work does not need.
+/// they are scheduled after all others.
 void workflow_state::record_waiting_work(time_point time)
 {
     if (time - last_sample_ < sample_interval) {
@@ -133,13 +139,12 @@
             continue;
         }
         for (std::size_t index = 0; index < job->steps.size(); ++index) {
-            const int waiting = job->steps[index].waiting();
-            const bool is_gang = job->spec.steps[index].gang;
-            if (!is_gang && job->has_waiting_tasks(index)) {
+            const auto& step = job->spec.steps[index];
+            if (job->has_waiting_tasks(index)) {
                 admission_.record_waiting(
-                    {.service = job->terms.service,
+                    {.kind = class_of(*job, step),
                      .priority = job->terms.priority,
-                     .amount = amount_of(job->spec.steps[index], waiting),
+                     .amount = amount_of(step, job->steps[index].waiting()),
                      .late = late == lateness::late,
                      .waited = std::chrono::duration_cast<milliseconds>(time - job->received)});
             }
@@ -150,8 +155,8 @@
 void workflow_state::record_accepted_start(const job_record& job, int step, time_point time)
 {
     if (!is_final(job.phase)) {
-        admission_.record_started(job.terms.service, job.terms.priority,
-                                  amount_of(job.spec.steps[static_cast<std::size_t>(step)], 1),
+        const auto& spec = job.spec.steps[static_cast<std::size_t>(step)];
+        admission_.record_started(class_of(job, spec), job.terms.priority, amount_of(spec, 1),
                                   lateness_of(job, time) != lateness::on_time, time);
     }
 }
