Hold room for late gangs as long as their results can be of use

Callers saw wide gangs served less often than narrow ones while the shard is loaded: narrower gangs take each place that becomes free. Room was held for one gang of a service at a time, and only for one that was already too late to be of use (three times its target), after which its completion counts for nobody.

Claims to room and calls now go to the late gangs that were due first, whatever their width: two that can still be of use, after 1 s, and as before one that can't, after 5 s. Tickets for held workers are requested so that they arrive when the last of these workers is expected to be free, not afterwards.

The claims have a file of their own.

--- a/flamingoseam/workflow/workflow_gangs.cpp
+++ b/flamingoseam/workflow/workflow_gangs.cpp
@@ -19,13 +19,6 @@
 /// How many more workers than a gang needs are asked about, for each needed one: others may take
 /// part of the room meanwhile.
 constexpr double spare_workers = 0.2;
-/// How long a gang that needs permission waits until it may claim room, and how long it keeps the
-/// claim: long enough for the runs on its workers to end and for two permission calls.
-constexpr milliseconds min_wait_to_claim{5'000};
-constexpr milliseconds claim_length{8'000};
-constexpr milliseconds claim_search_interval{100};
-/// Workers are held for a gang only if it is expected to have room on them within this time.
-constexpr milliseconds max_hold{3'000};
 /// Time from the expected start of a gang until a firm reservation expires. Runs often take longer
 /// than estimated.
 constexpr milliseconds firm_expiry_grace{8'000};
@@ -126,13 +119,13 @@
                                              const std::vector<candidate>& candidates,
                                              time_point time)
 {
-    const bool has_claim = take_claim(step, time);
     if (const auto allocations = choose_for_gang(step, candidates, time)) {
         renew_for_gang(step, *allocations, candidates, time);
         return;
     }
-    if (has_claim && !is_service_idle(step)) {
+    if (has_claim(step) && is_service_busy(step)) {
         hold_permitted_workers(step, time);
+        request_tickets_for_hold(step, time);
     }
     request_for_unknown_workers(step, time);
 }
@@ -150,6 +143,20 @@
     }
 }
 
+/// Returns the reserved workers for which a step has no ticket that is valid until `needed`.
+std::vector<std::size_t> workflow_state::workers_without_ticket(const ready_step& step,
+                                                                const gang_reservation& reservation,
+                                                                time_point needed)
+{
+    std::vector<std::size_t> workers;
+    for (const auto worker : reservation.workers) {
+        if (step.record().permission.find_ticket(worker, needed) == nullptr) {
+            workers.push_back(worker);
+        }
+    }
+    return workers;
+}
+
 /// Requests tickets for the workers to which a gang is allocated and for a few other candidates,
 /// and reserves all of them until the answer.
 void workflow_state::renew_for_gang(const ready_step& step,
@@ -166,12 +173,7 @@
     }
     const auto service_time = step.job->terms.permission->service_time(reservation.workers.size());
     const auto needed = time + service_time + ticket_use_margin;
-    std::vector<std::size_t> without_ticket;
-    for (const auto worker : reservation.workers) {
-        if (step.record().permission.find_ticket(worker, needed) == nullptr) {
-            without_ticket.push_back(worker);
-        }
-    }
+    auto without_ticket = workers_without_ticket(step, reservation, needed);
     reservation.expected =
         time + (has_claim(step) ? service_time + max_answer_delay : ticket_reservation_time);
     reservation.expires = reservation.expected;
@@ -181,95 +183,6 @@
     }
 }
 
-bool workflow_state::has_claim(const ready_step& step) const
-{
-    const auto claim = claims_.find(step.job->terms.service);
-    return claim != claims_.end() && claim->second.job == step.job->spec.id &&
-           claim->second.step == step.step;
-}
-
-/// Checks whether a gang has the claim of its service, which is given to another one if it is free.
-bool workflow_state::take_claim(const ready_step& step, time_point time)
-{
-    const auto& service = step.job->terms.service;
-    if (const auto claim = claims_.find(service); claim != claims_.end()) {
-        auto* job = find_job(claim->second.job);
-        const bool is_open = job != nullptr && ready_.contains(*job, claim->second.step);
-        if (is_open && time < claim->second.until) {
-            return has_claim(step);
-        }
-        end_claim(service, time);
-    }
-    if (!is_service_idle(step) && time >= next_claim_search_[service]) {
-        next_claim_search_[service] = time + claim_search_interval;
-        give_claim(service, time);
-    }
-    return has_claim(step);
-}
-
-/// Checks whether a gang may get the claim of its service: it is too late to be of use, has waited
-/// for long and fits on the workers that are known to be permitted.
-bool workflow_state::may_claim(const ready_step& step, time_point time)
-{
-    const auto& record = step.record();
-    return step.spec().gang && step.job->terms.permission &&
-           lateness_of(*step.job, time) == lateness::obsolete &&
-           record.waits_since != time_point{} &&
-           time - std::max(record.waits_since, record.claim_ended) >= min_wait_to_claim &&
-           permitted_capacity(step, time).when_empty >= record.waiting();
-}
-
-/// Gives the claim of a service to the gang that has waited the longest, while work on time waits,
-/// which else takes the call slots and the free capacity before all late gangs. Complexity: linear
-/// in the waiting steps, and in the permitted workers for some of them.
-void workflow_state::give_claim(const std::string& service, time_point time)
-{
-    std::optional<ready_step> longest;
-    const auto most_urgent = ready_.in_order().begin();
-    if (most_urgent == ready_.in_order().end() || most_urgent->rank.late != lateness::on_time) {
-        return; // No work on time waits, which would go before the gang.
-    }
-    for (const auto& entry : ready_.in_order()) {
-        const auto& step = entry.step;
-        const bool is_longer =
-            !longest || step.record().waits_since < longest->record().waits_since;
-        if (step.job->terms.service == service && is_longer && may_claim(step, time)) {
-            longest = step;
-        }
-    }
-    if (longest) {
-        claims_[service] = {
-            .job = longest->job->spec.id, .step = longest->step, .until = time + claim_length};
-    }
-}
-
-void workflow_state::end_claim(const std::string& service, time_point time)
-{
-    const auto claim = claims_.extract(service);
-    gang_reservations_.drop(claim.mapped().job, claim.mapped().step);
-    auto* job = find_job(claim.mapped().job);
-    if (job != nullptr && !is_final(job->phase)) {
-        job->steps[static_cast<std::size_t>(claim.mapped().step)].claim_ended = time;
-    }
-}
-
-/// Holds the permitted workers on which a gang with a claim is expected to fit soonest.
-void workflow_state::hold_permitted_workers(const ready_step& step, time_point time)
-{
-    auto& record = step.record();
-    if (gang_reservations_.of_step(step.job->spec.id, step.step) != nullptr ||
-        record.next_reservation_attempt > time) {
-        return;
-    }
-    auto planned = plan_reservation(step, time);
-    if (!planned || planned->expected > time + max_hold || planned->needs_preemption) {
-        record.next_reservation_attempt = time + search_pause();
-        return;
-    }
-    planned->is_firm = true;
-    gang_reservations_.add(std::move(*planned));
-}
-
 /// Reserves the workers on which a gang is expected to fit soonest. Only for gangs that need no
 /// permission: one that does may not run on most workers and needs tickets that expire soon, so
 /// that workers are held only for those with a claim.
--- a/flamingoseam/workflow/workflow_schedule.cpp
+++ b/flamingoseam/workflow/workflow_schedule.cpp
@@ -42,6 +42,7 @@
         return true;
     }
     free_capacity_.rebuild(fleet_, time);
+    update_claims(time);
     const auto workers = static_cast<std::int64_t>(fleet_.size());
     counts_.examined += workers;
     place_overdue_steps(time);
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -438,12 +438,17 @@
                         const std::vector<candidate>& candidates, time_point time);
     static void add_spare_workers(gang_reservation& reservation,
                                   const std::vector<candidate>& candidates);
+    static std::vector<std::size_t> workers_without_ticket(const ready_step& step,
+                                                           const gang_reservation& reservation,
+                                                           time_point needed);
+    [[nodiscard]] bool is_service_busy(const ready_step& step) const;
     [[nodiscard]] bool has_claim(const ready_step& step) const;
-    bool take_claim(const ready_step& step, time_point time);
+    void update_claims(time_point time);
+    void end_claims(time_point time);
+    void give_claims(time_point time);
     bool may_claim(const ready_step& step, time_point time);
-    void give_claim(const std::string& service, time_point time);
-    void end_claim(const std::string& service, time_point time);
     void hold_permitted_workers(const ready_step& step, time_point time);
+    void request_tickets_for_hold(const ready_step& step, time_point time);
     void drop_expired_reservations(time_point time);
     std::optional<gang_reservation> plan_reservation(const ready_step& step, time_point time);
     bool may_preempt(const run_name& name, const assigned_run& run, const ready_step& gang,
@@ -577,15 +582,17 @@
     overdue_share overdue_starts_;    ///< Of the workers.
     overdue_share overdue_calls_;     ///< Of the call slots for long calls.
     bool places_overdue_steps_ = false;
-    /// A gang that needs permission and has waited for long. Workers are held for it, and its
-    /// permission requests go first.
+    /// A late gang that needs permission. Workers are held for it, and its permission requests go
+    /// first.
     struct gang_claim {
+        std::string service;
         std::string job;
         int step = 0;
+        bool is_obsolete = false; ///< Its result was too late to be of use when it was given.
         time_point until{};
     };
-    std::map<std::string, gang_claim> claims_; ///< At most one for each service, by its name.
-    std::map<std::string, time_point> next_claim_search_;
+    std::vector<gang_claim> claims_; ///< A few for each service.
+    time_point next_claim_search_{};
     /// Requested stops that the worker has not accepted yet.
     std::set<std::pair<std::size_t, run_name>> unaccepted_stops_;
     std::unordered_map<std::string, std::unique_ptr<job_record>> jobs_;
