Count the tasks of an earlier owner as demand before they are located

Callers saw jobs with gangs wait for 12 s after a change of the owner.

The tasks that an earlier owner may have started now count like waiting ones in the shard's demand, so that workers are divided by the true demands. 'tasks that an earlier owner may have started count as demand' failed before (1 worker was lent with equal demands).

--- a/flamingoseam/workflow/worker_lending_test.cpp
+++ b/flamingoseam/workflow/worker_lending_test.cpp
@@ -848,3 +848,33 @@
     report_all();
     CHECK(lend() > 0);
 }
+
+// Guards against a new owner that gives away most of its workers because it does not know yet
+// whether the jobs of its predecessor run: it needs them as soon as it knows.
+TEST_CASE("tasks that an earlier owner may have started count as demand")
+{
+    lending_state lister;
+    driven_state driver;
+    auto& state = driver.state;
+    state.set_lending_limits({.shard = 0, .shards = 2, .cell_workers = 6});
+    job_record job;
+    job.spec = driver.job("0123456789abcdef", 8'000, 3);
+    job.terms = driver.terms();
+    job.accepted = wall;
+    job.spec_stored = true;
+    fill_steps(job, task_phase::unlocated);
+    std::vector<job_record> jobs;
+    jobs.push_back(std::move(job));
+    state.load(std::move(jobs), lister.list(), driver.time, wall);
+    state.on_worker_list(lister.list(), driver.time);
+    for (const std::size_t index : {0, 1, 0, 1}) { // The third worker is silent.
+        state.on_report(index, {.incarnation = 1, .asked = driver.time}, driver.time, wall);
+    }
+    driver.store();
+    driver.next();
+    REQUIRE(state.is_recovering());
+
+    CHECK(
+        state.lend_workers({.shard = 1, .service = "service", .workers = 3, .demand = {.total = 3}},
+                           driver.time) == 0);
+}
--- a/flamingoseam/workflow/workflow_lending.cpp
+++ b/flamingoseam/workflow/workflow_lending.cpp
@@ -108,6 +108,32 @@
                                    : detail::fits_in(step.spec(), capacity);
 }
 
+/// Returns the steps of a service with tasks that an earlier owner may have started, which are
+/// placed as soon as it is known whether they run. Complexity: linear in the open jobs while there
+/// are such tasks.
+std::vector<waiting_step> workflow_state::find_unlocated(const std::string& service,
+                                                         time_point time) const
+{
+    std::vector<waiting_step> unlocated;
+    if (unreported_.empty() && !awaits_earlier_owner_) {
+        return unlocated;
+    }
+    for (const auto& [sequence, job] : open_) {
+        for (std::size_t index = 0; index < job->steps.size(); ++index) {
+            const int tasks = job->steps[index].unlocated;
+            if (tasks == 0 || job->terms.service != service || !job->are_predecessors_done(index)) {
+                continue;
+            }
+            const ready_step step{job, static_cast<int>(index)};
+            unlocated.push_back({.tasks = tasks,
+                                 .tasks_per_worker = tasks_per_worker(step),
+                                 .gang = step.spec().gang,
+                                 .is_obsolete = lateness_of(*job, time) == lateness::obsolete});
+        }
+    }
+    return unlocated;
+}
+
 waiting_step workflow_state::as_waiting(const ready_step& step, time_point time) const
 {
     const auto& record = step.record();
@@ -125,7 +151,7 @@
 worker_demand workflow_state::demand_for(const std::string& service, const worker_stock& stock,
                                          time_point time)
 {
-    std::vector<waiting_step> steps;
+    auto steps = find_unlocated(service, time);
     for (const auto& entry : ready_.in_order()) {
         ++counts_.examined;
         const auto& record = entry.step.record();
--- a/flamingoseam/workflow/workflow_state.hpp
+++ b/flamingoseam/workflow/workflow_state.hpp
@@ -546,6 +546,8 @@
     [[nodiscard]] double labelled_share(const ready_step& step, time_point time) const;
     [[nodiscard]] int stranded_tasks(const ready_step& step, time_point time) const;
     [[nodiscard]] int tasks_per_worker(const ready_step& step) const;
+    [[nodiscard]] std::vector<waiting_step> find_unlocated(const std::string& service,
+                                                           time_point time) const;
     [[nodiscard]] waiting_step as_waiting(const ready_step& step, time_point time) const;
     std::optional<worker_request> worker_request_for(const std::string& service, time_point time);
     worker_demand demand_for(const std::string& service, const worker_stock& stock,
