--- a/flamingoseam/workflow/workflow_stop_test.cpp
+++ b/flamingoseam/workflow/workflow_stop_test.cpp
@@ -2,6 +2,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <string>
+
 using namespace flamingoseam;
 using namespace flamingoseam::workflow;
 
@@ -61,3 +64,28 @@
         CHECK(driver.next(pass).starts.size() == 2);
     }
 }
+
+TEST_CASE("the log tells why a run is stopped and a job is refused")
+{
+    driven_state driver;
+    driver.make_usable();
+    const auto detail_of = [](const workflow_actions& actions, const std::string& event) {
+        const auto found = std::ranges::find(actions.decisions, event, &logged_decision::event);
+        return found == actions.decisions.end() ? std::string() : found->detail;
+    };
+    driver.submit(driver.job("fedcba9876543210", 1'000, 1));
+    const auto started = driver.next().starts;
+    REQUIRE(started.size() == 1);
+    driver.state.on_start(0, started[0].name, start_outcome::started, driver.time);
+    driver.state.cancel(2, "fedcba9876543210", driver.time, wall);
+    CHECK(detail_of(driver.next(), "stop") ==
+          to_string(started[0].name) + " on w: its job has ended");
+
+    driver.state.set_store_available(false);
+    driver.submit_unstored(driver.job("0123456789abcdef", 1'000));
+    const auto refused = driver.next();
+    const auto line = std::ranges::find(refused.decisions, "refused", &logged_decision::event);
+    REQUIRE(line != refused.decisions.end());
+    CHECK(std::ranges::find(line->fields, "retry_after_ms", &log_field::name) !=
+          line->fields.end());
+}
