--- a/flamingoseam/workflow/gang_backlog_test.cpp
+++ b/flamingoseam/workflow/gang_backlog_test.cpp
@@ -1,9 +1,9 @@
+#include "tests/gang_jobs.hpp"
 #include "tests/permission_simulation.hpp"
 
 #include <catch2/catch.hpp>
 
 #include <algorithm>
-#include <cstdio>
 #include <map>
 #include <numeric>
 #include <optional>
@@ -35,13 +35,6 @@
                              .target = milliseconds(1'000),
                              .permission = advice};
 
-std::string job_id(char letter, int number)
-{
-    char id[17];
-    std::snprintf(id, sizeof id, "%c%015d", letter, number);
-    return id;
-}
-
 job_spec single_task(int number, milliseconds estimate)
 {
     job_spec job{.id = job_id('f', number), .queue = other_terms.name, .payload = {}};
--- a/flamingoseam/workflow/gang_width_test.cpp
+++ b/flamingoseam/workflow/gang_width_test.cpp
@@ -1,10 +1,10 @@
+#include "tests/gang_jobs.hpp"
 #include "tests/permission_simulation.hpp"
 
 #include <catch2/catch.hpp>
 
 #include <algorithm>
 #include <cmath>
-#include <cstdio>
 #include <random>
 #include <string>
 #include <vector>
@@ -37,24 +37,6 @@
                                .stretch = 1.5,
                                .target = milliseconds(250)};
 
-std::string job_id(char letter, int number)
-{
-    char id[17];
-    std::snprintf(id, sizeof id, "%c%015d", letter, number);
-    return id;
-}
-
-job_spec job_of(const std::string& id, const queue_terms& terms, int tasks, std::int64_t milli_cpus,
-                milliseconds estimate)
-{
-    job_spec job{.id = id, .queue = terms.name, .payload = {}};
-    job.steps.push_back({.tasks = tasks,
-                         .size = {.milli_cpus = milli_cpus, .memory_mb = 1},
-                         .estimate = estimate,
-                         .gang = tasks > 1});
-    return job;
-}
-
 /// A gang of the play.
 struct played_gang {
     std::string id;
--- a/flamingoseam/workflow/wide_gang_test.cpp
+++ b/flamingoseam/workflow/wide_gang_test.cpp
@@ -1,9 +1,9 @@
+#include "tests/gang_jobs.hpp"
 #include "tests/permission_simulation.hpp"
 
 #include <catch2/catch.hpp>
 
 #include <algorithm>
-#include <cstdio>
 #include <map>
 #include <numeric>
 #include <optional>
@@ -46,24 +46,6 @@
     double singles_per_second = 0;
 };
 
-std::string job_id(char letter, int number)
-{
-    char id[17];
-    std::snprintf(id, sizeof id, "%c%015d", letter, number);
-    return id;
-}
-
-job_spec job_of(const std::string& id, const queue_terms& terms, int tasks, std::int64_t milli_cpus,
-                milliseconds estimate)
-{
-    job_spec job{.id = id, .queue = terms.name, .payload = {}};
-    job.steps.push_back({.tasks = tasks,
-                         .size = {.milli_cpus = milli_cpus, .memory_mb = 1},
-                         .estimate = estimate,
-                         .gang = tasks > 1});
-    return job;
-}
-
 /// What was observed of a play.
 struct play_result {
     int left = 0;                   ///< Wide gangs that have not started.
--- a/flamingoseam/workflow/workflow_claims.cpp
+++ b/flamingoseam/workflow/workflow_claims.cpp
@@ -20,8 +20,8 @@
 /// Long enough for the runs on the gang's workers to end and for two permission calls.
 constexpr milliseconds claim_length{8'000};
 constexpr milliseconds claim_search_interval{100};
-/// While less of a service's processors is in use, gangs find room without claims.
-constexpr double min_used_to_claim = 0.7;
+/// While less of a service's processors is in use, no workers are held for gangs with claims.
+constexpr double min_used_to_hold = 0.7;
 /// Workers are held for a gang only if it is expected to have room on them within this time.
 constexpr milliseconds max_hold{3'000};
 
@@ -31,7 +31,7 @@
 bool workflow_state::is_service_busy(const ready_step& step) const
 {
     const auto pool = fleet_.find_pool(step.job->terms.service);
-    return pool && free_capacity_.used_share(*pool) >= min_used_to_claim;
+    return pool && free_capacity_.used_share(*pool) >= min_used_to_hold;
 }
 
 bool workflow_state::has_claim(const ready_step& step) const
